--- /dev/null
+++ b/cmd/fennelyard/serve_test.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestWholePathByProcesses goes the way of a new operator with real processes:
+// refused intent, plan, confirmation, cold answer, warm answer, a booking sent
+// twice, a planned stop.
+func TestWholePathByProcesses(t *testing.T) {
+	f := newFleet(t, 4, 3)
+	f.startEngine("engine-1")
+	f.startEngine("engine-2", "--checks-fencing=false", "--data-centre", "hall-b")
+	f.startApplication("booking-1")
+	f.awaitServers(3)
+
+	bad := filepath.Join(t.TempDir(), "bad.yaml")
+	require.NoError(t, os.WriteFile(bad, []byte("name: bad\ncustomer: {name: x}\nmodels:\n  - {name: m, version: \"1\", memory-mib: 1, max-replicas: 0}\n"), 0o600))
+	code, _, errOut := command("intent", "apply", "--address", f.layout.Hosts()[0].Operator, "--file", bad, "--operator", "ann")
+	assert.Equal(t, exitRefused, code)
+	assert.Contains(t, errOut, "max-replicas 0")
+
+	f.configure(2)
+	client := f.client()
+	require.NoError(t, f.complete(client), "cold")
+	require.NoError(t, f.complete(client), "warm")
+	for range 2 {
+		runs, err := f.book(t.Context(), client, "ride-1")
+		require.NoError(t, err)
+		assert.Equal(t, 1, runs)
+	}
+	code, out, _ := command("status", "--address", f.layout.Hosts()[3].Operator)
+	assert.Equal(t, exitOK, code)
+	assert.Contains(t, out, testModel)
+
+	f.signal("host-4", syscall.SIGTERM)
+	<-f.processes["host-4"].done
+	assert.Zero(t, f.processes["host-4"].cmd.ProcessState.ExitCode())
+	require.NoError(t, f.complete(f.client(0, 1, 2)))
+}
+
+func TestCommandsSayHowTheyAreUsed(t *testing.T) {
+	for _, args := range [][]string{
+		{"serve"},
+		{"check"},
+		{"demo"},
+		{"entries"},
+		{"send"},
+		{"intent", "apply"},
+		{"intent", "list"},
+		{"plan", "show"},
+		{"plan", "confirm"},
+		{"plan", "reject"},
+		{"server", "forget"},
+		{"status"},
+		{"version"},
+	} {
+		code, out, _ := command(append(args, "--help")...)
+		assert.Equal(t, exitOK, code)
+		assert.Contains(t, out, "Examples:", strings.Join(args, " "))
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.yaml")
+	require.NoError(t, os.WriteFile(bad, []byte("hots: []\n"), 0o600))
+	for _, c := range []struct {
+		name string
+		args []string
+		code int
+		says string
+	}{
+		{"unknown flag", []string{"check", "--nothing"}, exitUsage, "unknown flag"},
+		{"faulty settings", []string{"check", "--settings", bad}, exitSettings, "bad.yaml:1: hots: unknown key"},
+		{"missing settings", []string{"check", "--settings", "/nowhere.yaml"}, exitFailed, "no such file"},
+		{"neither model nor service", []string{"send", "--addresses", "127.0.0.1:1", "--customer", "x"}, exitUsage, "either"},
+		{"bad output", []string{"status", "--address", "127.0.0.1:1", "-o", "xml"}, exitFailed, "reach 127.0.0.1:1"},
+		{"example", []string{"check", "--settings", "../../examples/kapiti/otaki-1.yaml"}, exitOK, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			code, _, errOut := command(c.args...)
+			assert.Equal(t, c.code, code)
+			assert.Contains(t, errOut, c.says)
+		})
+	}
+}
--- /dev/null
+++ b/internal/control/form.go
@@ -0,0 +1,152 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fennelyard/internal/consensus"
+	"fennelyard/internal/schema"
+)
+
+const (
+	helloEvery = 250 * time.Millisecond
+	helloWait  = 2 * time.Second
+	// rejoinEvery is how often a member outside the voters asks to be taken in.
+	rejoinEvery = time.Second
+)
+
+func (g *Group) hello(_ context.Context, q *schema.HelloRequest) (*schema.HelloReply, error) {
+	m := g.current()
+	reply := &schema.HelloReply{Id: g.cfg.Storage.ID(), Formed: m != nil}
+	if m == nil {
+		return reply, nil
+	}
+	s := m.Status()
+	// A voter outside the membership in force is a host whose disk was replaced.
+	known := slices.ContainsFunc(s.Membership.GetMembers(), func(x *schema.Member) bool {
+		return x.GetId() == q.GetMember().GetId() && !x.GetLearner()
+	})
+	if s.Role == consensus.RoleLeader && s.Current && !known && g.configured(q.GetMember()) {
+		m.Join(q.GetMember())
+	}
+	return reply, nil
+}
+
+// configured keeps a host that is not a control member by the settings out.
+func (g *Group) configured(m *schema.Member) bool {
+	return slices.ContainsFunc(g.cfg.Hosts, func(h *schema.HostSettings) bool {
+		return h.GetControl() && h.GetName() == m.GetHost() && h.GetPeerAddress() == m.GetAddress()
+	})
+}
+
+func (g *Group) selfMember() *schema.Member {
+	return &schema.Member{
+		Id: g.cfg.Storage.ID(), Host: g.cfg.Self.GetName(), Address: g.cfg.Self.GetPeerAddress(),
+	}
+}
+
+// form waits until the group is formed and starts the member. The first host by
+// name forms the group, and only after every control host has said that it
+// belongs to none: a host with a lost disk must not found a second group beside
+// the one that remembers. It returns false when the group is stopped before.
+func (g *Group) form() bool {
+	ticker := time.NewTicker(helloEvery)
+	defer ticker.Stop()
+	for {
+		members, formed, all := g.askAll()
+		if formed || all && g.isFounder() {
+			if err := g.begin(members, formed); err != nil {
+				g.mu.Lock()
+				g.err = err
+				g.mu.Unlock()
+				return false
+			}
+			return true
+		}
+		select {
+		case <-g.stop:
+			return false
+		case <-ticker.C:
+		}
+	}
+}
+
+func (g *Group) begin(members []*schema.Member, formed bool) error {
+	if !formed {
+		if err := g.cfg.Storage.Form(&schema.Membership{Members: members}); err != nil {
+			return errors.Newf("form group: %w", err)
+		}
+		g.cfg.Log.Info("control group formed", "members", len(members))
+	}
+	return g.start()
+}
+
+func (g *Group) isFounder() bool {
+	for _, h := range g.cfg.Hosts {
+		if h.GetControl() && h.GetName() < g.cfg.Self.GetName() {
+			return false
+		}
+	}
+	return true
+}
+
+// askAll returns the members that answered, whether any of them is in a group,
+// and whether all of them answered.
+func (g *Group) askAll() (members []*schema.Member, formed, all bool) {
+	members = append(members, g.selfMember())
+	all = true
+	for _, h := range g.cfg.Hosts {
+		if !h.GetControl() || h.GetName() == g.cfg.Self.GetName() {
+			continue
+		}
+		reply, err := g.ask(h)
+		if err != nil {
+			all = false
+			continue
+		}
+		formed = formed || reply.GetFormed()
+		members = append(members, &schema.Member{
+			Id: reply.GetId(), Host: h.GetName(), Address: h.GetPeerAddress(),
+		})
+	}
+	return members, formed, all
+}
+
+func (g *Group) ask(h *schema.HostSettings) (*schema.HelloReply, error) {
+	client, err := g.cfg.Dialer.Client(h.GetPeerAddress())
+	if err != nil {
+		return nil, errors.Newf("ask %s: %w", h.GetName(), err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), helloWait)
+	defer cancel()
+	reply, err := client.Hello(ctx, &schema.HelloRequest{Group: g.cfg.Group, Member: g.selfMember()})
+	if err != nil {
+		return nil, errors.Newf("ask %s: %w", h.GetName(), err)
+	}
+	return reply, nil
+}
+
+// rejoin asks to be taken in for as long as this member is no voter.
+func (g *Group) rejoin(m *consensus.Member) {
+	ticker := time.NewTicker(rejoinEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-g.stop:
+			return
+		case <-m.Done():
+			return
+		case <-ticker.C:
+		}
+		s := m.Status()
+		voter := slices.ContainsFunc(s.Membership.GetMembers(), func(x *schema.Member) bool {
+			return x.GetId() == s.ID && !x.GetLearner()
+		})
+		if !voter {
+			g.askAll()
+		}
+	}
+}
--- /dev/null
+++ b/internal/demo/layout.go
@@ -0,0 +1,108 @@
+// Package demo runs a whole deployment on loopback addresses and shows what it
+// does, step by step.
+package demo
+
+import (
+	"fmt"
+	"net"
+	"path/filepath"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Layout is a small deployment on loopback addresses.
+type Layout struct {
+	hosts []HostLayout
+	// folder holds the data folder of each host.
+	folder string
+	extra  string
+}
+
+// HostLayout is the addresses of one host.
+type HostLayout struct {
+	Name       string
+	DataCentre string
+	Control    bool
+	Peer       string
+	Caller     string
+	Operator   string
+	Backend    string
+}
+
+// NewLayout finds free addresses for a number of hosts, the first controls of
+// them with the control role, spread over three data centres. Each host has an
+// IP number of its own. The extra settings are appended to each host's file.
+func NewLayout(hosts, controls int, folder, extra string) (*Layout, error) {
+	l := &Layout{folder: folder, extra: extra}
+	centres := []string{"hall-a", "hall-b", "hall-c"}
+	for i := range hosts {
+		addresses, err := FreeAddresses(fmt.Sprintf("127.0.0.%d", 11+i), 4)
+		if err != nil {
+			return nil, err
+		}
+		l.hosts = append(l.hosts, HostLayout{
+			Name: fmt.Sprintf("host-%d", i+1), DataCentre: centres[i%len(centres)], Control: i < controls,
+			Peer: addresses[0], Caller: addresses[1], Operator: addresses[2], Backend: addresses[3],
+		})
+	}
+	return l, nil
+}
+
+// FreeAddresses returns addresses on an IP number that nobody listens on.
+func FreeAddresses(ip string, n int) ([]string, error) {
+	var out []string
+	var open []net.Listener
+	defer func() {
+		for _, l := range open {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, errors.Newf("find a free address: %w", err)
+		}
+		open = append(open, l)
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// Hosts returns the hosts.
+func (l *Layout) Hosts() []HostLayout { return l.hosts }
+
+// Callers returns the caller addresses of all hosts.
+func (l *Layout) Callers() []string {
+	return l.addresses(func(h HostLayout) string { return h.Caller })
+}
+
+// Backends returns the announcement addresses of all hosts.
+func (l *Layout) Backends() []string {
+	return l.addresses(func(h HostLayout) string { return h.Backend })
+}
+
+func (l *Layout) addresses(of func(HostLayout) string) []string {
+	out := make([]string, len(l.hosts))
+	for i, h := range l.hosts {
+		out[i] = of(h)
+	}
+	return out
+}
+
+// DataFolder returns the data folder of a host.
+func (l *Layout) DataFolder(host string) string { return filepath.Join(l.folder, host) }
+
+// YAML returns the settings file of a host.
+func (l *Layout) YAML(host string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "deployment: demo\nhost: %s\nhosts:\n", host)
+	for _, h := range l.hosts {
+		fmt.Fprintf(&b, "  - name: %s\n    data-centre: %s\n    control: %t\n", h.Name, h.DataCentre, h.Control)
+		fmt.Fprintf(&b, "    peer-address: %s\n    caller-address: %s\n", h.Peer, h.Caller)
+		fmt.Fprintf(&b, "    operator-address: %s\n    backend-address: %s\n", h.Operator, h.Backend)
+	}
+	fmt.Fprintf(&b, "control:\n  data-folder: %s\n", l.DataFolder(host))
+	b.WriteString(l.extra)
+	return b.String()
+}
--- /dev/null
+++ b/internal/entry/callers.go
@@ -0,0 +1,268 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"fennelyard/internal/admission"
+	"fennelyard/internal/claim"
+	"fennelyard/internal/directory"
+	"fennelyard/internal/refusal"
+	"fennelyard/internal/routing"
+	"fennelyard/internal/schema"
+)
+
+// The headers between a caller and an entry, beside those of package routing.
+const (
+	// HeaderKey names a non-idempotent request across its resends.
+	HeaderKey = "Idempotency-Key"
+	// HeaderAttempt is 1 on the first arrival of a key.
+	HeaderAttempt = "Fennelyard-Attempt"
+	// HeaderRepeatable says no on a completion that must not run twice.
+	HeaderRepeatable = "Fennelyard-Repeatable"
+	// HeaderReplayed is set on a kept answer of an earlier arrival.
+	HeaderReplayed = "Fennelyard-Replayed"
+
+	kindModel   = "model"
+	kindService = "service"
+
+	maxCallerDeadline = 10 * time.Minute
+)
+
+func (e *Entry) callerRoutes() *echo.Echo {
+	r := newRoutes()
+	r.Use(e.trace)
+	r.GET("/v1/directory", e.directory)
+	r.POST("/v1/chat/completions", e.model)
+	r.POST("/v1/completions", e.model)
+	r.GET("/v1/models", e.models)
+	r.Any("/services/:service/*", e.service)
+	r.Any("/services/:service", e.service)
+	return r
+}
+
+// trace continues a caller's trace with a span for this hop.
+func (e *Entry) trace(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		q := c.Request()
+		ctx := propagator().Extract(q.Context(), propagation.HeaderCarrier(q.Header))
+		ctx, span := e.cfg.Tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer),
+			trace.WithAttributes(attribute.String("http.route", c.Path()), attribute.String("host.name", e.cfg.Self.GetName())))
+		defer span.End()
+		c.SetRequest(q.WithContext(ctx))
+		return next(c)
+	}
+}
+
+// propagator keeps the W3C trace context through every hop.
+func propagator() propagation.TextMapPropagator { return propagation.TraceContext{} }
+
+func (e *Entry) directory(c echo.Context) error {
+	centre := c.QueryParam("data-centre")
+	if centre == "" {
+		centre = e.cfg.Self.GetDataCentre()
+	}
+	reply := &schema.DirectoryReply{
+		Addresses: directory.Choose(e.hosts(), centre, e.cfg.Random),
+		KeepMs:    uint32(e.cfg.Settings.GetEntry().GetDirectoryKeep().AsDuration().Milliseconds()),
+	}
+	return writeProto(c, http.StatusOK, reply)
+}
+
+func (e *Entry) hosts() []directory.Host {
+	facts := map[string]*schema.HostFact{}
+	for _, f := range e.cfg.Members.Facts() {
+		facts[f.GetHost()] = f
+	}
+	var out []directory.Host
+	for _, h := range e.cfg.Settings.GetHosts() {
+		f := facts[h.GetName()]
+		out = append(out, directory.Host{
+			Name: h.GetName(), DataCentre: h.GetDataCentre(), Address: h.GetCallerAddress(),
+			State: f.GetState(), Stopping: f.GetStopping(), Load: int(f.GetLoad()),
+		})
+	}
+	return out
+}
+
+// incoming is a caller's request after its first checks.
+type incoming struct {
+	id       string
+	customer string
+	kind     string
+	target   target
+	body     []byte
+	began    time.Time
+	deadline time.Time
+	// key is set on requests that must not run twice; first is true when the
+	// caller says that the key arrives for the first time.
+	key   string
+	first bool
+}
+
+// check refuses before anything is spent on a request.
+func (e *Entry) check(c echo.Context, kind string) (*incoming, *refusal.Refusal) {
+	q := c.Request()
+	in := &incoming{
+		id: strconv.FormatUint(e.cfg.RandomID(), 36), kind: kind, began: time.Now(),
+		customer: q.Header.Get(routing.HeaderCustomer), key: q.Header.Get(HeaderKey),
+		first: q.Header.Get(HeaderAttempt) == "1",
+	}
+	if e.Readiness() == ReadinessNone {
+		return in, refusal.New(refusal.NotReady, "this entry does not know yet that its configuration is current").
+			After(time.Second)
+	}
+	if in.customer == "" {
+		return in, refusal.New(refusal.UnknownCustomer, "header %s is missing", routing.HeaderCustomer)
+	}
+	if len(in.key) > claim.MaxKey {
+		return in, refusal.New(refusal.BadRequest, "header %s has more than %d bytes", HeaderKey, claim.MaxKey)
+	}
+	body, refused := e.readBody(c)
+	in.body = body
+	return in, refused
+}
+
+// readBody reads a bounded body within bodyTimeout. The time limit ends with
+// the body: left in place it would cut off a long answer.
+func (e *Entry) readBody(c echo.Context) ([]byte, *refusal.Refusal) {
+	limit := int64(e.cfg.Settings.GetEntry().GetMaxBodyBytes())
+	slow := http.NewResponseController(c.Response().Writer)
+	_ = slow.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+	_ = slow.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, refusal.New(refusal.BodyTooLarge, "the body has more than %d bytes", limit)
+	case err != nil:
+		return nil, refusal.New(refusal.BadRequest, "the body could not be read")
+	}
+	return body, nil
+}
+
+// aim finds the target and the deadline of a request.
+func (e *Entry) aim(c echo.Context, in *incoming, name string) *refusal.Refusal {
+	in.target = e.lookUp(in.customer, name)
+	if in.target.customer == nil {
+		return refusal.New(refusal.UnknownCustomer, "customer %q is not configured", in.customer)
+	}
+	if !in.target.known || (in.kind == kindService) != (in.target.service != nil) {
+		return refusal.New(refusal.UnknownTarget, "customer %q reaches no %s %q", in.customer, in.kind, name)
+	}
+	left, refused := e.timeLeft(c.Request().Header.Get(routing.HeaderDeadline), in.target.customer)
+	if refused != nil {
+		return refused
+	}
+	in.deadline = in.began.Add(left)
+	return nil
+}
+
+func (e *Entry) timeLeft(header string, customer *schema.Customer) (time.Duration, *refusal.Refusal) {
+	if header == "" {
+		if ms := customer.GetDefaultDeadlineMs(); ms > 0 {
+			return time.Duration(ms) * time.Millisecond, nil
+		}
+		return e.cfg.Settings.GetEntry().GetDefaultDeadline().AsDuration(), nil
+	}
+	ms, err := strconv.ParseInt(header, 10, 64)
+	switch {
+	case err != nil:
+		return 0, refusal.New(refusal.BadRequest, "header %s: %q is not a number of milliseconds", routing.HeaderDeadline, header)
+	case ms <= 0:
+		return 0, refusal.New(refusal.DeadlinePassed, "the deadline has passed on arrival")
+	}
+	return min(time.Duration(ms)*time.Millisecond, maxCallerDeadline), nil
+}
+
+func (in *incoming) admission() admission.Request {
+	return admission.Request{
+		Customer: in.customer, CustomerLimit: int(in.target.customer.GetMaxConcurrent()),
+		Target: in.target.name, Priority: in.target.customer.GetPriority(), Deadline: in.deadline,
+	}
+}
+
+// enter queues a request; the leader is told at once when nothing can serve it.
+func (e *Entry) enter(in *incoming) (*admission.Ticket, *refusal.Refusal) {
+	s := e.supply(in.target.name, len(in.target.candidates), in.target.service != nil)
+	ticket, refused := e.gate.Enter(in.admission(), s)
+	if s.Slots == 0 && in.target.service == nil {
+		e.wake()
+	}
+	return ticket, refused
+}
+
+// await waits for a ticket's turn, with a span for the queue.
+func (e *Entry) await(ctx context.Context, t *admission.Ticket) *refusal.Refusal {
+	_, span := e.cfg.Tracer.Start(ctx, "queue")
+	defer span.End()
+	select {
+	case r := <-t.Verdict():
+		return r
+	case <-ctx.Done():
+		return refusal.New(refusal.DeadlinePassed, "the caller went away")
+	}
+}
+
+func (e *Entry) models(c echo.Context) error {
+	customer := c.Request().Header.Get(routing.HeaderCustomer)
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list", Data: []model{}}
+	for _, name := range e.reachable(customer) {
+		list.Data = append(list.Data, model{ID: name, Object: "model"})
+	}
+	return c.JSON(http.StatusOK, list)
+}
+
+// refuse writes the final answer to a request that is not served.
+func (e *Entry) refuse(c echo.Context, in *incoming, r *refusal.Refusal) error {
+	e.cfg.Metrics.Refusal(r.Code().String(), r.Outcome().String())
+	e.cfg.Metrics.Request(in.kind, r.Status())
+	span := trace.SpanFromContext(c.Request().Context())
+	span.SetAttributes(attribute.String("fennelyard.refusal", r.Code().String()))
+	return writeRefusal(c, in.id, r)
+}
+
+func writeRefusal(c echo.Context, id string, r *refusal.Refusal) error {
+	if after := r.RetryAfter(); after > 0 {
+		seconds := (after + time.Second - 1) / time.Second
+		c.Response().Header().Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	c.Response().Header().Set(routing.HeaderOutcome, r.Outcome().String())
+	return writeProto(c, r.Status(), errorReply(id, r))
+}
+
+func errorReply(id string, r *refusal.Refusal) *schema.ErrorReply {
+	return &schema.ErrorReply{Error: &schema.ErrorBody{
+		Code: r.Code().String(), Message: r.Message(), Outcome: r.Outcome().String(),
+		RetryAfterMs: uint32(r.RetryAfter().Milliseconds()), RequestId: id,
+	}}
+}
+
+func writeProto(c echo.Context, status int, m proto.Message) error {
+	data, err := protojson.MarshalOptions{EmitUnpopulated: true}.Marshal(m)
+	if err != nil {
+		return errors.Newf("encode answer: %w", err)
+	}
+	// protojson varies its spacing on purpose; an interface should not.
+	var compact json.RawMessage = data
+	return c.JSON(status, compact)
+}
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,301 @@
+// Package host puts the roles of one host together and runs them.
+package host
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"go.opentelemetry.io/otel/trace"
+
+	"fennelyard/internal/consensus"
+	"fennelyard/internal/control"
+	"fennelyard/internal/engine"
+	"fennelyard/internal/entry"
+	"fennelyard/internal/ledger"
+	"fennelyard/internal/membership"
+	"fennelyard/internal/metrics"
+	"fennelyard/internal/order"
+	"fennelyard/internal/peer"
+	"fennelyard/internal/placement"
+	"fennelyard/internal/schema"
+	"fennelyard/internal/settings"
+)
+
+// theGroup is the id of the one control group that runs today.
+const theGroup = 1
+
+// Config configures a Host. Settings must come from package settings.
+type Config struct {
+	Settings *schema.Settings
+	Log      logr.Logger
+	// Tracer may be nil.
+	Tracer trace.Tracer
+}
+
+// Host runs the roles of one host. All methods are safe from any goroutine.
+type Host struct {
+	cfg     Config
+	self    *schema.HostSettings
+	metrics *metrics.Set
+	storage *consensus.Storage
+	group   *control.Group
+	driver  *order.Driver
+	dialer  *peer.Dialer
+	server  *peer.Server
+	client  *control.Client
+	members *membership.Service
+	entry   *entry.Entry
+	// load counts requests in flight; the membership asks for it before there
+	// is an entry.
+	load   atomic.Pointer[entry.Entry]
+	scrape *http.Server
+	done   chan struct{}
+	once   sync.Once
+}
+
+// New starts a host. When it fails nothing is left running.
+func New(cfg Config) (*Host, error) {
+	h := &Host{
+		cfg: cfg, self: settings.Self(cfg.Settings), metrics: metrics.New(),
+		dialer: peer.NewDialer(peer.DialerConfig{}), done: make(chan struct{}),
+	}
+	if h.cfg.Tracer == nil {
+		h.cfg.Tracer = noTracer()
+	}
+	if err := h.start(); err != nil {
+		h.Close()
+		return nil, err
+	}
+	return h, nil
+}
+
+func (h *Host) start() error {
+	listeners, err := h.listen()
+	if err != nil {
+		return err
+	}
+	handlers, err := h.startControl()
+	if err != nil {
+		listeners.close()
+		return err
+	}
+	h.server = peer.NewServer(peer.ServerConfig{Listener: listeners.peer, Handlers: handlers})
+	incarnation := uint64(time.Now().UnixNano())
+	h.startMembers(listeners.probe, incarnation)
+	replica := ledger.NewReplica()
+	h.client = control.NewClient(control.ClientConfig{
+		Group: theGroup, Self: h.self, Hosts: h.cfg.Settings.GetHosts(), Dialer: h.dialer,
+		Replica: replica, Log: h.cfg.Log.WithName("control"),
+	})
+	h.entry = entry.New(entry.Config{
+		Settings: h.cfg.Settings, Self: h.self, Incarnation: incarnation, Replica: replica,
+		Control: h.client, Members: h.members, Random: rand.IntN, RandomID: randomID,
+		Log: h.cfg.Log.WithName("entry"), Tracer: h.cfg.Tracer, Metrics: h.metrics,
+		CallerListener: listeners.caller, OperatorListener: listeners.operator, BackendListener: listeners.backend,
+	})
+	h.load.Store(h.entry)
+	return h.startScrape()
+}
+
+type listeners struct {
+	peer     net.Listener
+	caller   net.Listener
+	operator net.Listener
+	backend  net.Listener
+	probe    net.PacketConn
+}
+
+func (l *listeners) close() {
+	for _, x := range []net.Listener{l.peer, l.caller, l.operator, l.backend} {
+		if x != nil {
+			_ = x.Close()
+		}
+	}
+	if l.probe != nil {
+		_ = l.probe.Close()
+	}
+}
+
+func (h *Host) listen() (*listeners, error) {
+	l := &listeners{}
+	var err error
+	for _, x := range []struct {
+		into    *net.Listener
+		address string
+	}{
+		{&l.peer, h.self.GetPeerAddress()},
+		{&l.caller, h.self.GetCallerAddress()},
+		{&l.operator, h.self.GetOperatorAddress()},
+		{&l.backend, h.self.GetBackendAddress()},
+	} {
+		if *x.into, err = net.Listen("tcp", x.address); err != nil {
+			l.close()
+			return nil, errors.Newf("listen: %w", err)
+		}
+	}
+	if l.probe, err = net.ListenPacket("udp", h.self.GetPeerAddress()); err != nil {
+		l.close()
+		return nil, errors.Newf("listen: %w", err)
+	}
+	return l, nil
+}
+
+func (h *Host) startControl() (peer.Handlers, error) {
+	if !h.self.GetControl() {
+		return peer.Handlers{}, nil
+	}
+	c := h.cfg.Settings.GetControl()
+	var err error
+	h.storage, err = consensus.OpenStorage(consensus.StorageConfig{
+		Folder: filepath.Join(c.GetDataFolder(), "control"), Group: theGroup, NewID: randomID, FreeBytes: freeBytes,
+	})
+	if err != nil {
+		return peer.Handlers{}, errors.Newf("open state: %w", err)
+	}
+	h.group, err = control.NewGroup(control.Config{
+		Group: theGroup, Self: h.self, Hosts: h.cfg.Settings.GetHosts(), Storage: h.storage, Dialer: h.dialer,
+		Heartbeat: c.GetHeartbeat().AsDuration(), Election: c.GetElectionTimeout().AsDuration(),
+		SnapshotAfter: c.GetSnapshotAfter(), Random: rand.IntN, Log: h.cfg.Log.WithName("group"),
+	})
+	if err != nil {
+		return peer.Handlers{}, errors.Newf("start control role: %w", err)
+	}
+	h.startDriver()
+	return h.group.Handlers(), nil
+}
+
+func (h *Host) startDriver() {
+	w, p := h.cfg.Settings.GetWeightStore(), h.cfg.Settings.GetPolicy()
+	h.driver = order.NewDriver(order.Config{
+		Ledger: h.group.Ledger(),
+		Leadership: func() order.Leadership {
+			s := h.group.Status()
+			return order.Leadership{Leads: s.Current, Term: s.Term}
+		},
+		Commit: h.group.Commit,
+		Confirm: func(ctx context.Context) error {
+			_, err := h.group.Confirm(ctx)
+			return err
+		},
+		Give: engine.NewClient().Give,
+		Speeds: placement.Speeds{
+			RemoteMiB: float64(w.GetRemoteMibPerSecond()), DiskMiB: float64(w.GetDiskMibPerSecond()),
+			MemoryMiB: float64(w.GetMemoryMibPerSecond()), LoadsPerSecond: w.GetLoadsPerSecond(),
+			FullSpeed: int(w.GetFullSpeedLoads()),
+		},
+		Weights: placement.Weights{
+			ColdSecond: p.GetColdSecondWeight(), IdleHour: p.GetIdleHourWeight(),
+			PerReplica: int(h.cfg.Settings.GetEntry().GetReplicaLimit()),
+		},
+		Now: time.Now, Log: h.cfg.Log.WithName("order"), Tracer: h.cfg.Tracer,
+		Loaded: func(t placement.Tier, took time.Duration, ok bool) { h.metrics.Load(t.String(), took, ok) },
+		Idled:  h.metrics.Idle,
+	})
+	h.group.Lead(h.driver.Report, h.driver.Forecast, h.driver.Unproved)
+}
+
+func (h *Host) startMembers(probe net.PacketConn, incarnation uint64) {
+	var names []string
+	addresses := map[string]string{}
+	for _, x := range h.cfg.Settings.GetHosts() {
+		names = append(names, x.GetName())
+		addresses[x.GetName()] = x.GetPeerAddress()
+	}
+	h.members = membership.NewService(membership.ServiceConfig{
+		List: membership.NewList(membership.Config{
+			Self: h.self.GetName(), Incarnation: incarnation, Hosts: names, Random: rand.IntN,
+		}),
+		Conn: probe, Addresses: addresses, Log: h.cfg.Log.WithName("membership"),
+		Load: func() int {
+			if e := h.load.Load(); e != nil {
+				return e.InFlight()
+			}
+			return 0
+		},
+	})
+}
+
+// Metrics returns the host's metrics.
+func (h *Host) Metrics() *metrics.Set { return h.metrics }
+
+// Ready reports whether the host serves callers.
+func (h *Host) Ready() bool { return h.entry.Readiness() != entry.ReadinessNone }
+
+// Leads reports whether this host's control member leads.
+func (h *Host) Leads() bool { return h.group != nil && h.group.Status().Current }
+
+// Failed is closed when the control role ended by itself; Err tells why. The
+// process must then end: what its disk holds is no longer known.
+func (h *Host) Failed() <-chan struct{} {
+	if h.group == nil {
+		return nil
+	}
+	return h.group.Done()
+}
+
+// Err tells why the control role ended.
+func (h *Host) Err() error {
+	if h.group == nil {
+		return nil
+	}
+	return h.group.Err()
+}
+
+// Drain stops the host without cutting off a request: it leaves the directory,
+// waits for what is in flight until the context ends, hands leadership over and
+// closes everything.
+func (h *Host) Drain(ctx context.Context) {
+	h.entry.Drain(ctx)
+	h.Close()
+}
+
+// Close stops the host at once.
+func (h *Host) Close() {
+	h.once.Do(func() {
+		defer close(h.done)
+		if h.entry != nil {
+			h.entry.Close()
+		}
+		if h.client != nil {
+			h.client.Stop()
+		}
+		if h.group != nil {
+			h.group.Stop()
+			h.driver.Stop()
+		}
+		if h.members != nil {
+			h.members.Stop()
+		}
+		if h.server != nil {
+			h.server.Stop()
+		}
+		h.dialer.Close()
+		if h.storage != nil {
+			_ = h.storage.Close()
+		}
+		if h.scrape != nil {
+			_ = h.scrape.Close()
+		}
+	})
+	<-h.done
+}
+
+// Done is closed when the host has stopped.
+func (h *Host) Done() <-chan struct{} { return h.done }
+
+// randomID never returns 0, which means none.
+func randomID() uint64 {
+	for {
+		if id := rand.Uint64(); id != 0 {
+			return id
+		}
+	}
+}
--- /dev/null
+++ b/internal/ledger/changes.go
@@ -0,0 +1,70 @@
+package ledger
+
+import (
+	"sort"
+
+	"fennelyard/internal/schema"
+)
+
+// changeLimit bounds how many changes are kept as deltas. A follower that
+// missed more gets the whole state.
+const changeLimit = 16384
+
+type change struct {
+	revision uint64
+	key      string
+}
+
+// changeRing remembers which keys changed at which revision.
+type changeRing struct {
+	// changes ascend by revision.
+	changes []change
+	// floor is the highest revision whose changes may be missing.
+	floor uint64
+}
+
+func (c *changeRing) add(revision uint64, key string) {
+	c.changes = append(c.changes, change{revision, key})
+	if len(c.changes) < 2*changeLimit {
+		return
+	}
+	c.floor = c.changes[len(c.changes)-changeLimit-1].revision
+	c.changes = append([]change(nil), c.changes[len(c.changes)-changeLimit:]...)
+}
+
+// since returns the keys changed after a revision, each once, or false when
+// some of these changes are forgotten.
+func (c *changeRing) since(after uint64) ([]string, bool) {
+	if after < c.floor {
+		return nil, false
+	}
+	from := sort.Search(len(c.changes), func(i int) bool { return c.changes[i].revision > after })
+	seen := map[string]bool{}
+	var keys []string
+	for _, ch := range c.changes[from:] {
+		if !seen[ch.key] {
+			seen[ch.key] = true
+			keys = append(keys, ch.key)
+		}
+	}
+	return keys, true
+}
+
+// changesSince collects what a follower at a revision lacks.
+func changesSince(r *Records, ring *changeRing, revision, after uint64) *schema.Changes {
+	out := &schema.Changes{Revision: revision}
+	keys, ok := ring.since(after)
+	if !ok {
+		out.Whole = true
+		out.Records = r.All()
+		return out
+	}
+	for _, k := range keys {
+		rec := r.Record(k)
+		if rec == nil {
+			rec = &schema.Record{Key: k, Revision: revision, Deleted: true}
+		}
+		out.Records = append(out.Records, rec)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/membership/list.go
@@ -0,0 +1,417 @@
+// Package membership tells which hosts of a deployment are alive. Each host
+// probes one other host per period, asks a few others to probe for it before it
+// suspects one, and lets news ride on the probes, so that the cost per host
+// does not grow with the number of hosts (after SWIM by Das, Gupta and
+// Motivala, 2002).
+package membership
+
+import (
+	"maps"
+	"math/bits"
+	"slices"
+	"time"
+
+	"fennelyard/internal/schema"
+)
+
+const (
+	// indirectProbes is how many others are asked to probe a silent host, so
+	// that a cut in one direction or on one path does not make it suspect.
+	indirectProbes = 3
+	// factsPerProbe bounds the size of a datagram.
+	factsPerProbe = 8
+	// spreadFactor times log2 of the hosts is how often a host repeats news.
+	spreadFactor = 3
+	// One probe in deadProbeEvery goes to a dead host: hosts that were cut off
+	// find each other again without being told.
+	deadProbeEvery = 4
+
+	// The defaults of Config.
+	defaultPeriod     = 500 * time.Millisecond
+	defaultAckWait    = 200 * time.Millisecond
+	defaultSuspectFor = 2 * time.Second
+)
+
+// Config configures a List. Self, Incarnation, Hosts and Random are required.
+type Config struct {
+	// Self is this host's name.
+	Self string
+	// Incarnation is higher than that of every earlier process of this host.
+	Incarnation uint64
+	// Hosts names every host of the deployment.
+	Hosts []string
+	// Period is the time between two probes of this host.
+	Period time.Duration
+	// AckWait is how long a direct probe may take before others are asked.
+	AckWait time.Duration
+	// SuspectFor is how long a suspect may take to refute.
+	SuspectFor time.Duration
+	Random     func(n int) int
+}
+
+// Send is a datagram for a host.
+type Send struct {
+	To    string
+	Probe *schema.Probe
+}
+
+type hostEntry struct {
+	fact *schema.HostFact
+	// since is when the host became suspect.
+	since time.Time
+	// spread counts how often the fact was passed on.
+	spread int
+}
+
+type openProbe struct {
+	target   string
+	sent     time.Time
+	indirect bool
+}
+
+type relay struct {
+	origin   string
+	sequence uint64
+	sent     time.Time
+}
+
+// List is the state of one host. It has no clock and no network of its own and
+// is not safe for several goroutines.
+type List struct {
+	cfg   Config
+	self  *schema.HostFact
+	hosts map[string]*hostEntry
+	// order is the round in which others are probed; next points into it.
+	order    []string
+	next     int
+	periods  int
+	lastTick time.Time
+	sequence uint64
+	open     map[uint64]*openProbe
+	relays   map[uint64]relay
+	// selfSpread counts how often the host's own news was passed on.
+	selfSpread int
+	changed    bool
+}
+
+// NewList returns a list in which no other host is alive yet.
+func NewList(cfg Config) *List {
+	if cfg.Period == 0 {
+		cfg.Period = defaultPeriod
+	}
+	if cfg.AckWait == 0 {
+		cfg.AckWait = defaultAckWait
+	}
+	if cfg.SuspectFor == 0 {
+		cfg.SuspectFor = defaultSuspectFor
+	}
+	l := &List{
+		cfg:    cfg,
+		self:   &schema.HostFact{Host: cfg.Self, Incarnation: cfg.Incarnation},
+		hosts:  map[string]*hostEntry{},
+		open:   map[uint64]*openProbe{},
+		relays: map[uint64]relay{},
+	}
+	for _, h := range cfg.Hosts {
+		if h == cfg.Self {
+			continue
+		}
+		l.order = append(l.order, h)
+		l.hosts[h] = &hostEntry{
+			fact:   &schema.HostFact{Host: h, State: schema.HostState_HOST_STATE_DEAD},
+			spread: l.spreadLimit(),
+		}
+	}
+	return l
+}
+
+// Facts returns what is known of every host, this one first.
+func (l *List) Facts() []*schema.HostFact {
+	out := []*schema.HostFact{l.self}
+	for _, h := range slices.Sorted(maps.Keys(l.hosts)) {
+		out = append(out, l.hosts[h].fact)
+	}
+	return out
+}
+
+// TakeChanged reports whether any host changed since the last call.
+func (l *List) TakeChanged() bool {
+	c := l.changed
+	l.changed = false
+	return c
+}
+
+// SetLoad sets the number of requests in flight that others are told.
+func (l *List) SetLoad(load uint32) {
+	l.self = &schema.HostFact{
+		Host: l.self.GetHost(), Incarnation: l.self.GetIncarnation(), State: l.self.GetState(),
+		Load: load, Stopping: l.self.GetStopping(),
+	}
+}
+
+// Stop tells others at once that this host takes no new callers, and later
+// with left that it is gone.
+func (l *List) Stop(left bool) []Send {
+	state := schema.HostState_HOST_STATE_ALIVE
+	if left {
+		state = schema.HostState_HOST_STATE_LEFT
+	}
+	l.renew(state, true)
+	var out []Send
+	for _, h := range l.order {
+		out = append(out, l.ping(h))
+	}
+	return out
+}
+
+// renew makes the host's own news supersede what others believe.
+func (l *List) renew(state schema.HostState, stopping bool) {
+	l.self = &schema.HostFact{
+		Host: l.self.GetHost(), Incarnation: l.self.GetIncarnation() + 1, State: state,
+		Load: l.self.GetLoad(), Stopping: stopping,
+	}
+	l.selfSpread = 0
+	l.changed = true
+}
+
+// Tick does what is due and returns the datagrams to send. It is called a few
+// times per AckWait.
+func (l *List) Tick(now time.Time) []Send {
+	out := l.checkOpen(now)
+	l.checkSuspects(now)
+	if !l.lastTick.IsZero() && now.Sub(l.lastTick) < l.cfg.Period {
+		return out
+	}
+	first := l.lastTick.IsZero()
+	l.lastTick = now
+	l.periods++
+	if first {
+		for _, h := range l.order {
+			out = append(out, l.probe(now, h))
+		}
+		return out
+	}
+	if target, ok := l.nextTarget(); ok {
+		out = append(out, l.probe(now, target))
+	}
+	return out
+}
+
+// nextTarget goes round all hosts in an order that is shuffled each time, so
+// that a dead one is probed within a bounded number of periods.
+func (l *List) nextTarget() (string, bool) {
+	wantDead := l.periods%deadProbeEvery == 0
+	for range 2 * len(l.order) {
+		if l.next >= len(l.order) {
+			l.shuffle()
+			l.next = 0
+		}
+		h := l.order[l.next]
+		l.next++
+		state := l.hosts[h].fact.GetState()
+		dead := state == schema.HostState_HOST_STATE_DEAD || state == schema.HostState_HOST_STATE_LEFT
+		if dead == wantDead {
+			return h, true
+		}
+	}
+	if len(l.order) == 0 {
+		return "", false
+	}
+	return l.order[l.cfg.Random(len(l.order))], true
+}
+
+func (l *List) shuffle() {
+	for i := len(l.order) - 1; i > 0; i-- {
+		j := l.cfg.Random(i + 1)
+		l.order[i], l.order[j] = l.order[j], l.order[i]
+	}
+}
+
+func (l *List) probe(now time.Time, target string) Send {
+	s := l.ping(target)
+	l.open[s.Probe.GetSequence()] = &openProbe{target: target, sent: now}
+	return s
+}
+
+func (l *List) ping(target string) Send {
+	l.sequence++
+	return Send{target, &schema.Probe{
+		Kind: schema.ProbeKind_PROBE_KIND_PING, From: l.cfg.Self, Target: target,
+		Sequence: l.sequence, Facts: l.news(),
+	}}
+}
+
+func (l *List) checkOpen(now time.Time) []Send {
+	var out []Send
+	for _, seq := range slices.Sorted(maps.Keys(l.open)) {
+		p := l.open[seq]
+		waited := now.Sub(p.sent)
+		switch {
+		case waited >= l.cfg.Period:
+			delete(l.open, seq)
+			l.suspect(now, p.target)
+		case waited >= l.cfg.AckWait && !p.indirect:
+			p.indirect = true
+			out = append(out, l.askOthers(p.target, seq)...)
+		}
+	}
+	for seq, r := range l.relays {
+		if now.Sub(r.sent) >= l.cfg.Period {
+			delete(l.relays, seq)
+		}
+	}
+	return out
+}
+
+func (l *List) askOthers(target string, seq uint64) []Send {
+	var alive []string
+	for h, e := range l.hosts {
+		if h != target && e.fact.GetState() == schema.HostState_HOST_STATE_ALIVE {
+			alive = append(alive, h)
+		}
+	}
+	slices.Sort(alive)
+	var out []Send
+	for range min(indirectProbes, len(alive)) {
+		i := l.cfg.Random(len(alive))
+		out = append(out, Send{alive[i], &schema.Probe{
+			Kind: schema.ProbeKind_PROBE_KIND_PING_FOR, From: l.cfg.Self, Target: target,
+			Sequence: seq, Facts: l.news(),
+		}})
+		alive = slices.Delete(alive, i, i+1)
+	}
+	return out
+}
+
+func (l *List) suspect(now time.Time, host string) {
+	e := l.hosts[host]
+	if e.fact.GetState() != schema.HostState_HOST_STATE_ALIVE {
+		return
+	}
+	l.adopt(now, &schema.HostFact{
+		Host: host, Incarnation: e.fact.GetIncarnation(), State: schema.HostState_HOST_STATE_SUSPECT,
+		Load: e.fact.GetLoad(), Stopping: e.fact.GetStopping(),
+	})
+}
+
+func (l *List) checkSuspects(now time.Time) {
+	for _, e := range l.hosts {
+		if e.fact.GetState() != schema.HostState_HOST_STATE_SUSPECT || now.Sub(e.since) < l.cfg.SuspectFor {
+			continue
+		}
+		l.adopt(now, &schema.HostFact{
+			Host: e.fact.GetHost(), Incarnation: e.fact.GetIncarnation(), State: schema.HostState_HOST_STATE_DEAD,
+		})
+	}
+}
+
+// Receive takes in a datagram and returns the answers. Datagrams of hosts that
+// are not configured are dropped.
+func (l *List) Receive(now time.Time, p *schema.Probe) []Send {
+	if _, known := l.hosts[p.GetFrom()]; !known {
+		return nil
+	}
+	for _, f := range p.GetFacts() {
+		l.hear(now, f)
+	}
+	switch p.GetKind() {
+	case schema.ProbeKind_PROBE_KIND_PING:
+		return []Send{{p.GetFrom(), l.ack(l.cfg.Self, p.GetSequence())}}
+	case schema.ProbeKind_PROBE_KIND_PING_FOR:
+		if _, known := l.hosts[p.GetTarget()]; !known {
+			return nil
+		}
+		s := l.ping(p.GetTarget())
+		l.relays[s.Probe.GetSequence()] = relay{p.GetFrom(), p.GetSequence(), now}
+		return []Send{s}
+	case schema.ProbeKind_PROBE_KIND_ACK:
+		return l.acked(p)
+	default:
+		return nil
+	}
+}
+
+func (l *List) acked(p *schema.Probe) []Send {
+	if r, ok := l.relays[p.GetSequence()]; ok {
+		delete(l.relays, p.GetSequence())
+		return []Send{{r.origin, l.ack(p.GetTarget(), r.sequence)}}
+	}
+	if o, ok := l.open[p.GetSequence()]; ok && o.target == p.GetTarget() {
+		delete(l.open, p.GetSequence())
+	}
+	return nil
+}
+
+func (l *List) ack(target string, seq uint64) *schema.Probe {
+	return &schema.Probe{
+		Kind: schema.ProbeKind_PROBE_KIND_ACK, From: l.cfg.Self, Target: target,
+		Sequence: seq, Facts: l.news(),
+	}
+}
+
+// hear compares a fact with what is known.
+func (l *List) hear(now time.Time, f *schema.HostFact) {
+	if f.GetHost() == l.cfg.Self {
+		l.refute(f)
+		return
+	}
+	e, known := l.hosts[f.GetHost()]
+	if !known {
+		return
+	}
+	old := e.fact
+	newer := f.GetIncarnation() > old.GetIncarnation() ||
+		f.GetIncarnation() == old.GetIncarnation() && f.GetState() > old.GetState()
+	if newer {
+		l.adopt(now, f)
+		return
+	}
+	if f.GetIncarnation() == old.GetIncarnation() && f.GetState() == old.GetState() {
+		// Load is told directly by its owner and not passed on as news.
+		e.fact = f
+	}
+}
+
+// refute answers a false word about this host by a higher incarnation. It also
+// covers a clock that was set back between two processes of this host.
+func (l *List) refute(f *schema.HostFact) {
+	if f.GetIncarnation() < l.self.GetIncarnation() {
+		return
+	}
+	if f.GetIncarnation() == l.self.GetIncarnation() && f.GetState() <= l.self.GetState() {
+		return
+	}
+	l.self.Incarnation = f.GetIncarnation()
+	l.renew(l.self.GetState(), l.self.GetStopping())
+}
+
+func (l *List) adopt(now time.Time, f *schema.HostFact) {
+	e := l.hosts[f.GetHost()]
+	if f.GetState() == schema.HostState_HOST_STATE_SUSPECT {
+		e.since = now
+	}
+	e.fact = f
+	e.spread = 0
+	l.changed = true
+}
+
+// news returns this host's own fact and the least repeated others.
+func (l *List) news() []*schema.HostFact {
+	l.selfSpread++
+	out := []*schema.HostFact{l.self}
+	names := slices.Sorted(maps.Keys(l.hosts))
+	slices.SortStableFunc(names, func(a, b string) int { return l.hosts[a].spread - l.hosts[b].spread })
+	for _, h := range names {
+		e := l.hosts[h]
+		if len(out) >= factsPerProbe || e.spread >= l.spreadLimit() {
+			break
+		}
+		e.spread++
+		out = append(out, e.fact)
+	}
+	return out
+}
+
+func (l *List) spreadLimit() int {
+	return spreadFactor * bits.Len(uint(len(l.cfg.Hosts)))
+}
--- /dev/null
+++ b/internal/membership/service.go
@@ -0,0 +1,168 @@
+package membership
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+
+	"fennelyard/internal/schema"
+)
+
+const (
+	maxDatagram   = 8 << 10
+	ticksPerWait  = 4
+	inboxSize     = 256
+	stopAnnounces = 2
+)
+
+// ServiceConfig configures a Service. All fields are required but Log.
+type ServiceConfig struct {
+	List *List
+	// Conn is bound to this host's peer address.
+	Conn net.PacketConn
+	// Addresses holds the peer address of every host.
+	Addresses map[string]string
+	Log       logr.Logger
+	// Load returns the requests in flight.
+	Load func() int
+}
+
+// Service runs a List over datagrams. All methods are safe from any goroutine.
+type Service struct {
+	cfg  ServiceConfig
+	stop chan struct{}
+	done chan struct{}
+	once sync.Once
+
+	mu sync.Mutex
+	// list is guarded by mu.
+	list    *List
+	changed chan struct{}
+}
+
+// NewService starts to probe and to answer probes. It owns the connection.
+func NewService(cfg ServiceConfig) *Service {
+	s := &Service{
+		cfg: cfg, list: cfg.List, changed: make(chan struct{}),
+		stop: make(chan struct{}), done: make(chan struct{}),
+	}
+	inbox := make(chan *schema.Probe, inboxSize)
+	ticker := time.NewTicker(s.list.cfg.AckWait / ticksPerWait)
+	var reader sync.WaitGroup
+	reader.Add(1)
+	go func() {
+		defer reader.Done()
+		s.read(inbox)
+	}()
+	go func() {
+		defer close(s.done)
+		defer reader.Wait()
+		defer ticker.Stop()
+		for {
+			select {
+			case <-s.stop:
+				return
+			case p := <-inbox:
+				s.step(func() []Send { return s.list.Receive(time.Now(), p) })
+			case <-ticker.C:
+				s.step(func() []Send {
+					s.list.SetLoad(uint32(s.cfg.Load()))
+					return s.list.Tick(time.Now())
+				})
+			}
+		}
+	}()
+	return s
+}
+
+func (s *Service) read(inbox chan<- *schema.Probe) {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, _, err := s.cfg.Conn.ReadFrom(buf)
+		if err != nil {
+			select {
+			case <-s.stop:
+				return
+			default:
+				// A refused datagram to a dead host is reported here too.
+				if _, temporary := err.(net.Error); temporary {
+					continue
+				}
+				return
+			}
+		}
+		p := &schema.Probe{}
+		if proto.Unmarshal(buf[:n], p) != nil {
+			continue
+		}
+		select {
+		case inbox <- p:
+		default:
+		}
+	}
+}
+
+func (s *Service) step(f func() []Send) {
+	s.mu.Lock()
+	sends := f()
+	if s.list.TakeChanged() {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+	s.mu.Unlock()
+	for _, send := range sends {
+		s.send(send)
+	}
+}
+
+// send drops what cannot be sent: a lost probe is what probing is for.
+func (s *Service) send(send Send) {
+	address, err := net.ResolveUDPAddr("udp", s.cfg.Addresses[send.To])
+	if err != nil {
+		return
+	}
+	data, err := proto.Marshal(send.Probe)
+	if err != nil {
+		return
+	}
+	if _, err := s.cfg.Conn.WriteTo(data, address); err != nil {
+		s.cfg.Log.V(1).Info("probe not sent", "host", send.To, "reason", err.Error())
+	}
+}
+
+// Facts returns what is known of every host, this one first.
+func (s *Service) Facts() []*schema.HostFact {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list.Facts()
+}
+
+// Changed returns a channel that is closed when any host changes.
+func (s *Service) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Leave tells all others that this host takes no new callers.
+func (s *Service) Leave() {
+	s.step(func() []Send { return s.list.Stop(false) })
+}
+
+// Stop tells all others that this host is gone and ends the service.
+func (s *Service) Stop() {
+	s.once.Do(func() {
+		for range stopAnnounces {
+			s.step(func() []Send { return s.list.Stop(true) })
+		}
+		close(s.stop)
+		_ = s.cfg.Conn.Close()
+	})
+	<-s.done
+}
+
+// Done is closed when the service has stopped.
+func (s *Service) Done() <-chan struct{} { return s.done }
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,126 @@
+// Package metrics names every metric of a host. No label holds the name of a
+// model, an adapter or a key, so that thousands of adapters do not make
+// thousands of series.
+package metrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const namespace = "fennelyard"
+
+// Set holds the metrics of one host. It is safe from any goroutine.
+type Set struct {
+	registry      *prometheus.Registry
+	requests      *prometheus.CounterVec
+	refusals      *prometheus.CounterVec
+	firstByte     *prometheus.HistogramVec
+	coldStart     prometheus.Histogram
+	queueWait     prometheus.Histogram
+	forecastError prometheus.Histogram
+	retries       prometheus.Counter
+	loads         *prometheus.CounterVec
+	loadTime      *prometheus.HistogramVec
+	idleSeconds   prometheus.Counter
+}
+
+// New returns a set with a registry of its own.
+func New() *Set {
+	s := &Set{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "requests_total", Help: "Requests of callers by kind and HTTP status class.",
+		}, []string{"kind", "status"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "refusals_total", Help: "Refused requests by code and outcome.",
+		}, []string{"code", "outcome"}),
+		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "first_byte_seconds", Help: "Time from arrival to the first byte of the answer.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 18),
+		}, []string{"kind"}),
+		coldStart: histogram("cold_start_seconds", "First byte time of requests that found no loaded replica."),
+		queueWait: histogram("queue_wait_seconds", "Time that a granted request waited in its queue."),
+		forecastError: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "wait_forecast_error_seconds", Help: "Actual minus forecast wait of granted requests.",
+			Buckets: []float64{-30, -10, -3, -1, -0.3, -0.1, 0, 0.1, 0.3, 1, 3, 10, 30},
+		}),
+		retries: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "retries_total", Help: "Attempts after the first one.",
+		}),
+		loads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "loads_total", Help: "Answered load orders by tier and result (leader only).",
+		}, []string{"tier", "result"}),
+		loadTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "load_seconds", Help: "Time of successful loads by tier (leader only).",
+			Buckets: prometheus.ExponentialBuckets(0.1, 2, 14),
+		}, []string{"tier"}),
+		idleSeconds: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "idle_accelerator_seconds_total",
+			Help: "Accelerator time held by replicas without a request (leader only).",
+		}),
+	}
+	s.registry.MustRegister(s.requests, s.refusals, s.firstByte, s.coldStart, s.queueWait, s.forecastError,
+		s.retries, s.loads, s.loadTime, s.idleSeconds,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return s
+}
+
+func histogram(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.01, 2, 15),
+	})
+}
+
+// Handler serves the metrics.
+func (s *Set) Handler() http.Handler {
+	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
+}
+
+// Gauge registers a value that is read at each scrape.
+func (s *Set) Gauge(name, help string, read func() float64) {
+	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+// Request counts a finished request.
+func (s *Set) Request(kind string, status int) {
+	classes := [...]string{"1xx", "2xx", "3xx", "4xx", "5xx"}
+	s.requests.WithLabelValues(kind, classes[min(max(status/100, 1), len(classes))-1]).Inc()
+}
+
+// Refusal counts a refused request.
+func (s *Set) Refusal(code, outcome string) { s.refusals.WithLabelValues(code, outcome).Inc() }
+
+// FirstByte records the time to the first byte of an answer.
+func (s *Set) FirstByte(kind string, took time.Duration, cold bool) {
+	s.firstByte.WithLabelValues(kind).Observe(took.Seconds())
+	if cold {
+		s.coldStart.Observe(took.Seconds())
+	}
+}
+
+// Judged records a granted request's wait beside its forecast.
+func (s *Set) Judged(forecast, actual time.Duration) {
+	s.queueWait.Observe(actual.Seconds())
+	s.forecastError.Observe((actual - forecast).Seconds())
+}
+
+// Retry counts an attempt after the first one.
+func (s *Set) Retry() { s.retries.Inc() }
+
+// Load records an answered load order.
+func (s *Set) Load(tier string, took time.Duration, ok bool) {
+	result := "failed"
+	if ok {
+		result = "done"
+		s.loadTime.WithLabelValues(tier).Observe(took.Seconds())
+	}
+	s.loads.WithLabelValues(tier, result).Inc()
+}
+
+// Idle adds accelerator time that was held without a request.
+func (s *Set) Idle(t time.Duration) { s.idleSeconds.Add(t.Seconds()) }
--- /dev/null
+++ b/internal/order/driver.go
@@ -0,0 +1,426 @@
+package order
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"fennelyard/internal/ledger"
+	"fennelyard/internal/placement"
+	"fennelyard/internal/schema"
+)
+
+const (
+	roundEvery = 100 * time.Millisecond
+	// commitWait bounds one command of the driver.
+	commitWait = 2 * time.Second
+	// orderRetry is the pause before an order without an answer is given again.
+	orderRetry = time.Second
+	// minOrderWait is the least time that an engine is given for an answer
+	// before the same order is given again on a fresh connection.
+	minOrderWait   = 30 * time.Second
+	orderWaitTimes = 4
+	// adoptAfter is the age at which an order that nobody works on is adopted;
+	// a command of this leader is answered or given up by then.
+	adoptAfter = 2 * commitWait
+	// flightBound is how long an order that a former leader sent may still be
+	// on its way to an engine that does not check fencing numbers.
+	flightBound = 15 * time.Second
+	// unprovedAfter is when an operator is told of an order without an answer.
+	unprovedAfter = time.Minute
+	// warmUp is how long a new leader hears reports before it decides anything
+	// on the servers' silence.
+	warmUp = 3 * time.Second
+)
+
+// Leadership is what the driver needs to know of the group's member here.
+type Leadership struct {
+	// Leads is true on a leader that has committed in its term.
+	Leads bool
+	Term  uint64
+}
+
+// Config configures a Driver. All fields are required but Tracer.
+type Config struct {
+	Ledger *ledger.Ledger
+	// Leadership tells whether this member leads.
+	Leadership func() Leadership
+	// Commit proposes a command on this member.
+	Commit func(ctx context.Context, cmd *schema.Command) (*schema.Result, error)
+	// Confirm returns nil only if this member led after the call.
+	Confirm func(ctx context.Context) error
+	// Give sends an order to an engine and returns its final answer.
+	Give    func(ctx context.Context, address string, o *schema.Order) (*schema.OrderReply, error)
+	Speeds  placement.Speeds
+	Weights placement.Weights
+	Now     func() time.Time
+	Log     logr.Logger
+	Tracer  trace.Tracer
+	// Loaded, where set, is told how long a load took and whether it succeeded.
+	Loaded func(tier placement.Tier, took time.Duration, ok bool)
+	// Idled, where set, is told the accelerator time that was held without a
+	// request since the last call.
+	Idled func(time.Duration)
+}
+
+// Driver gives orders while its member leads. All methods are safe from any
+// goroutine.
+type Driver struct {
+	cfg  Config
+	stop chan struct{}
+	done chan struct{}
+	kick chan struct{}
+	once sync.Once
+	wg   sync.WaitGroup
+
+	mu sync.Mutex
+	// term is the term that the soft state below belongs to; 0: none.
+	term  uint64
+	since time.Time
+	fleet *fleet
+	// ctx ends with the leadership; orders under way end with it.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// busy holds reservations that a goroutine works on.
+	busy map[uint64]bool
+	// reserving holds accelerators with a reserve command under way.
+	reserving map[reserveKey]string
+	// putting holds servers with a put command under way.
+	putting   map[string]bool
+	forecasts map[string]placement.Forecast
+	speeds    *placement.Learner
+	// idle is the number of accelerators held idle at the last round, which
+	// was at counted.
+	idle    float64
+	counted time.Time
+}
+
+type reserveKey struct {
+	server      string
+	accelerator int
+}
+
+// NewDriver starts a driver.
+func NewDriver(cfg Config) *Driver {
+	d := &Driver{
+		cfg: cfg, stop: make(chan struct{}), done: make(chan struct{}), kick: make(chan struct{}, 1),
+	}
+	d.reset(0)
+	ticker := time.NewTicker(roundEvery)
+	go func() {
+		defer close(d.done)
+		defer d.wg.Wait()
+		defer ticker.Stop()
+		for {
+			select {
+			case <-d.stop:
+				d.mu.Lock()
+				d.cancel()
+				d.mu.Unlock()
+				return
+			case <-ticker.C:
+			case <-d.kick:
+			}
+			d.mu.Lock()
+			d.round()
+			d.mu.Unlock()
+		}
+	}()
+	return d
+}
+
+// Stop ends the driver. Orders under way stay reserved.
+func (d *Driver) Stop() {
+	d.once.Do(func() { close(d.stop) })
+	<-d.done
+}
+
+// Done is closed when the driver has stopped.
+func (d *Driver) Done() <-chan struct{} { return d.done }
+
+func (d *Driver) reset(term uint64) {
+	if d.cancel != nil {
+		d.cancel()
+	}
+	d.term = term
+	d.since = d.cfg.Now()
+	d.fleet = newFleet()
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.busy = map[uint64]bool{}
+	d.reserving = map[reserveKey]string{}
+	d.putting = map[string]bool{}
+	d.forecasts = map[string]placement.Forecast{}
+	d.speeds = placement.NewLearner(d.cfg.Speeds)
+	d.counted = time.Time{}
+}
+
+// follow keeps the soft state in step with the leadership. It returns false on
+// a member that does not lead.
+func (d *Driver) follow() bool {
+	l := d.cfg.Leadership()
+	if !l.Leads {
+		if d.term != 0 {
+			d.reset(0)
+		}
+		return false
+	}
+	if d.term != l.Term {
+		d.reset(l.Term)
+		d.cfg.Log.Info("orders begin", "term", l.Term)
+		d.cfg.Ledger.View(func(_ ledger.Heads, r *ledger.Records) { d.adopt(d.since, r, 0) })
+	}
+	return true
+}
+
+// round decides and acts; d.mu is held.
+func (d *Driver) round() {
+	if !d.follow() {
+		return
+	}
+	now := d.cfg.Now()
+	var plan placement.Plan
+	d.cfg.Ledger.View(func(_ ledger.Heads, r *ledger.Records) {
+		d.noteLost(now, r)
+		d.adopt(now, r, adoptAfter)
+		in := d.fleet.input(now, r, d.busy)
+		d.addReserving(&in)
+		in.Speeds = d.speeds.Speeds()
+		in.Weights = d.cfg.Weights
+		d.idle = placement.IdleAccelerators(in)
+		plan = placement.Decide(in)
+	})
+	d.forecasts = plan.Forecasts
+	d.countIdle(now)
+	if now.Sub(d.since) < warmUp {
+		plan.Decisions = onlyLoads(plan.Decisions)
+	}
+	for _, decision := range plan.Decisions {
+		d.act(decision)
+	}
+}
+
+func (d *Driver) countIdle(now time.Time) {
+	if !d.counted.IsZero() && d.cfg.Idled != nil {
+		d.cfg.Idled(time.Duration(d.idle * float64(now.Sub(d.counted))))
+	}
+	d.counted = now
+}
+
+// onlyLoads holds back unloads while a new leader does not know yet what the
+// entries' callers use.
+func onlyLoads(all []placement.Decision) []placement.Decision {
+	return slices.DeleteFunc(all, func(x placement.Decision) bool { return x.Kind != placement.KindLoad })
+}
+
+// addReserving counts reserve commands that are under way.
+func (d *Driver) addReserving(in *placement.Input) {
+	for key, target := range d.reserving {
+		m, _ := in.Model(target)
+		in.Replicas = append(in.Replicas, placement.Replica{
+			Target: target, Version: m.Version, Server: key.server, Accelerator: key.accelerator,
+			MemoryMiB: m.MemoryMiB, State: placement.StateLoading, Ready: in.Now.Add(time.Second), Since: in.Now,
+		})
+	}
+}
+
+func (d *Driver) act(decision placement.Decision) {
+	switch decision.Kind {
+	case placement.KindLoad:
+		key := reserveKey{decision.Server, decision.Accelerator}
+		if _, under := d.reserving[key]; under {
+			return
+		}
+		d.reserving[key] = decision.Target
+		d.spawn(func(ctx context.Context) { d.load(ctx, key, decision) })
+	case placement.KindUnload:
+		if d.busy[decision.Replica] {
+			return
+		}
+		d.busy[decision.Replica] = true
+		d.spawn(func(ctx context.Context) { d.unload(ctx, decision) })
+	}
+}
+
+// spawn runs f until it ends or the leadership does; d.mu is held.
+func (d *Driver) spawn(f func(ctx context.Context)) {
+	ctx := d.ctx
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		f(ctx)
+	}()
+}
+
+// free takes note that no goroutine works on a reservation any more.
+func (d *Driver) free(ctx context.Context, number uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ctx.Err() == nil {
+		delete(d.busy, number)
+	}
+	d.poke()
+}
+
+func (d *Driver) poke() {
+	select {
+	case d.kick <- struct{}{}:
+	default:
+	}
+}
+
+// noteLost records servers that nobody has heard of; d.mu is held.
+func (d *Driver) noteLost(now time.Time, r *ledger.Records) {
+	for _, s := range r.Servers() {
+		h := d.fleet.servers[s.GetName()]
+		heardAt := d.since
+		if h != nil && h.server.GetIncarnation() == s.GetIncarnation() {
+			heardAt = later(heardAt, h.at)
+		}
+		if !s.GetLost() && now.Sub(heardAt) > lostAfter {
+			lost := cloneServer(s)
+			lost.Lost = true
+			d.put(lost)
+		}
+	}
+}
+
+// put records a server's change; d.mu is held.
+func (d *Driver) put(s *schema.Server) {
+	if d.putting[s.GetName()] {
+		return
+	}
+	d.putting[s.GetName()] = true
+	d.spawn(func(ctx context.Context) {
+		_, err := d.commit(ctx, &schema.Command{Body: &schema.Command_PutServer{PutServer: &schema.PutServer{Server: s}}})
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if ctx.Err() != nil {
+			return
+		}
+		delete(d.putting, s.GetName())
+		if err == nil {
+			d.cfg.Log.Info("server recorded", "server", s.GetName(), "incarnation", s.GetIncarnation(),
+				"leaving", s.GetLeaving(), "lost", s.GetLost())
+		}
+		d.poke()
+	})
+}
+
+func (d *Driver) commit(ctx context.Context, cmd *schema.Command) (*schema.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitWait)
+	defer cancel()
+	return d.cfg.Commit(ctx, cmd)
+}
+
+// Report takes in an entry's soft state and answers with forecasts.
+func (d *Driver) Report(q *schema.Report) *schema.ReportReply {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.follow() {
+		return &schema.ReportReply{NotLeader: true}
+	}
+	now := d.cfg.Now()
+	for _, a := range q.GetAnnouncements() {
+		if s := d.fleet.hear(a, now); s != nil {
+			d.compare(s)
+		}
+	}
+	pressing := false
+	for _, dm := range q.GetDemands() {
+		d.fleet.want(q.GetEntry(), dm, now)
+		pressing = pressing || dm.GetWaiting() > 0
+	}
+	if pressing {
+		d.round()
+	}
+	out := &schema.ReportReply{}
+	for _, dm := range q.GetDemands() {
+		if f, ok := d.forecasts[dm.GetTarget()]; ok && dm.GetWaiting() > 0 {
+			out.Forecasts = append(out.Forecasts, forecastOf(dm.GetTarget(), f, now))
+		}
+	}
+	return out
+}
+
+func forecastOf(target string, f placement.Forecast, now time.Time) *schema.Forecast {
+	if !f.Possible {
+		return &schema.Forecast{Target: target, ReadyInMs: -1, Reason: f.Reason}
+	}
+	return &schema.Forecast{Target: target, ReadyInMs: max(f.Ready.Sub(now).Milliseconds(), 0)}
+}
+
+// compare records a server whose announcement differs from its record.
+func (d *Driver) compare(s *schema.Server) {
+	var old *schema.Server
+	d.cfg.Ledger.View(func(_ ledger.Heads, r *ledger.Records) { old = r.Server(s.GetName()) })
+	if old == nil || !sameServer(old, s) && s.GetIncarnation() >= old.GetIncarnation() {
+		d.put(s)
+	}
+}
+
+// Forecast estimates what an intent's targets would cost, for its plan.
+func (d *Driver) Forecast(in *schema.Intent) []*schema.PlanLine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	speeds := d.speeds.Speeds()
+	var out []*schema.PlanLine
+	add := func(name string, mib uint64, pinned uint32) {
+		cold := placement.LoadTime(speeds, d.bestTier(name), mib, 0)
+		idle := float64(pinned) * hoursPerDay
+		if pinned == 0 {
+			idle = d.idleHours(name, cold)
+		}
+		out = append(out, &schema.PlanLine{Target: name, ColdStartMs: cold.Milliseconds(), IdleHoursPerDay: idle})
+	}
+	for _, m := range in.GetModels() {
+		add(m.GetName(), m.GetMemoryMib(), m.GetMinReplicas())
+	}
+	for _, a := range in.GetAdapters() {
+		add(a.GetName(), a.GetMemoryMib(), 0)
+	}
+	return out
+}
+
+const hoursPerDay = 24
+
+// idleHours is the expected idle time per day of a model that is asked for now
+// and then: one keep time per arrival after a gap, at one such arrival per hour
+// when nothing is learnt.
+func (d *Driver) idleHours(name string, cold time.Duration) float64 {
+	keep := d.fleet.patterns[name].KeepFor(cold.Seconds()*d.cfg.Weights.ColdSecond, d.cfg.Weights.IdleHour)
+	return min(keep.Hours()*hoursPerDay, hoursPerDay)
+}
+
+func (d *Driver) bestTier(target string) placement.Tier {
+	best := placement.TierRemote
+	for _, h := range d.fleet.servers {
+		best = max(best, h.cached[target])
+	}
+	return best
+}
+
+// Unproved lists the reservations whose order has had no answer for long.
+func (d *Driver) Unproved() []uint64 {
+	limit := d.cfg.Now().Add(-unprovedAfter).UnixMilli()
+	var out []uint64
+	d.cfg.Ledger.View(func(_ ledger.Heads, r *ledger.Records) {
+		for _, res := range r.Reservations() {
+			if res.GetState() != schema.ReservationState_RESERVATION_STATE_LOADED && res.GetChangedMs() < limit {
+				out = append(out, res.GetNumber())
+			}
+		}
+	})
+	return out
+}
+
+func (d *Driver) span(ctx context.Context, name string, r *schema.Reservation) (context.Context, trace.Span) {
+	return d.cfg.Tracer.Start(ctx, name, trace.WithAttributes(
+		attribute.String("fennelyard.target", r.GetTarget()), attribute.String("fennelyard.server", r.GetServer()),
+		attribute.Int64("fennelyard.fencing", int64(r.GetFencing())),
+	))
+}
--- /dev/null
+++ b/internal/placement/decide.go
@@ -0,0 +1,371 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// loadOverhead is added to the transfer time of every load.
+	loadOverhead = 300 * time.Millisecond
+	// unloadTime is the expected time of an unload.
+	unloadTime = 500 * time.Millisecond
+	// spreadPenalty is the price in seconds of a second replica in a data
+	// centre that has one already.
+	spreadPenalty = 2.0
+	// retryLoad keeps a target from being loaded anew right after a failure.
+	defaultPerReplica = 8
+)
+
+// accelerator is one accelerator with what is on it.
+type accelerator struct {
+	server   *Server
+	index    int
+	total    uint64
+	used     uint64
+	busy     bool
+	replicas []*Replica
+	// going is set when this round unloads something here.
+	going bool
+	// idle is what an unload of every idle replica would free.
+	idle uint64
+}
+
+type world struct {
+	in    Input
+	accs  []*accelerator
+	byAcc map[string][]*accelerator
+	// byTarget holds the replicas of each target.
+	byTarget map[string][]*Replica
+	// remote counts remote loads under way or decided in this round.
+	remote int
+	plan   Plan
+}
+
+// wake is a target that needs another replica.
+type wake struct {
+	model    Model
+	demand   Demand
+	deadline time.Time
+	pinned   bool
+}
+
+// Decide returns what to load and unload now. The same input always gives the
+// same decisions.
+func Decide(in Input) Plan {
+	w := newWorld(in)
+	for _, k := range w.wakes() {
+		w.serve(k)
+	}
+	w.retire()
+	return w.plan
+}
+
+func newWorld(in Input) *world {
+	w := &world{
+		in: in, byAcc: map[string][]*accelerator{}, byTarget: map[string][]*Replica{},
+		plan: Plan{Forecasts: map[string]Forecast{}},
+	}
+	for i := range in.Servers {
+		s := &in.Servers[i]
+		for j, total := range s.Accelerators {
+			a := &accelerator{server: s, index: j, total: total}
+			w.accs = append(w.accs, a)
+			w.byAcc[s.Name] = append(w.byAcc[s.Name], a)
+		}
+	}
+	for i := range in.Replicas {
+		r := &in.Replicas[i]
+		w.byTarget[r.Target] = append(w.byTarget[r.Target], r)
+		accs := w.byAcc[r.Server]
+		if r.Accelerator >= len(accs) {
+			continue
+		}
+		a := accs[r.Accelerator]
+		a.used += r.MemoryMiB
+		a.replicas = append(a.replicas, r)
+		a.busy = a.busy || r.State != StateLoaded
+		if r.State == StateLoading && w.tier(a, r.Target) == TierRemote {
+			w.remote++
+		}
+	}
+	for _, a := range w.accs {
+		for _, r := range a.replicas {
+			if w.evictable(a, r) {
+				a.idle += r.MemoryMiB
+			}
+		}
+	}
+	return w
+}
+
+func (w *world) tier(a *accelerator, target string) Tier { return a.server.Cached[target] }
+
+// wakes lists the targets that need a replica, in the order in which they are
+// served: what an operator pinned last, else by priority and earliest deadline.
+func (w *world) wakes() []wake {
+	byName := map[string]wake{}
+	for target, d := range w.in.Demands {
+		m, ok := w.in.Model(target)
+		if !ok || d.Waiting+d.Returning == 0 {
+			continue
+		}
+		if w.have(m) >= w.want(m, d) {
+			w.forecastExisting(target)
+			continue
+		}
+		byName[target] = wake{model: m, demand: d, deadline: deadlineOf(w.in.Now, d)}
+		w.wakeBase(byName, m, d)
+	}
+	for _, name := range w.in.Pinned {
+		m, ok := w.in.Model(name)
+		if _, there := byName[name]; ok && !there && w.have(m) < m.MinReplicas {
+			byName[name] = wake{model: m, deadline: w.in.Now.Add(time.Hour), pinned: true}
+		}
+	}
+	return slices.SortedFunc(maps.Values(byName), func(a, b wake) int {
+		return cmp.Or(cmp.Compare(b.demand.Priority, a.demand.Priority), a.deadline.Compare(b.deadline),
+			cmp.Compare(len(a.model.Base), len(b.model.Base)), cmp.Compare(a.model.Name, b.model.Name))
+	})
+}
+
+// wakeBase makes an adapter's demand one for its base where no accelerator with
+// the base has room.
+func (w *world) wakeBase(byName map[string]wake, m Model, d Demand) {
+	if m.Base == "" || w.baseHasRoom(m) {
+		return
+	}
+	base, ok := w.in.Model(m.Base)
+	if _, there := byName[m.Base]; !ok || there || w.underWay(base) {
+		return
+	}
+	byName[m.Base] = wake{model: base, demand: Demand{Priority: d.Priority, First: d.First}, deadline: deadlineOf(w.in.Now, d)}
+}
+
+func (w *world) underWay(m Model) bool {
+	return slices.ContainsFunc(w.byTarget[m.Name], func(r *Replica) bool { return r.State == StateLoading })
+}
+
+func (w *world) baseHasRoom(m Model) bool {
+	for _, a := range w.accs {
+		if a.holds(m.Base, StateLoaded) && a.server.Usable && a.total-a.used+a.idle >= m.MemoryMiB {
+			return true
+		}
+	}
+	return false
+}
+
+func deadlineOf(now time.Time, d Demand) time.Time {
+	if d.First.IsZero() {
+		return now.Add(time.Minute)
+	}
+	return d.First
+}
+
+// have counts the replicas that serve or will serve the present version.
+func (w *world) have(m Model) int {
+	n := 0
+	for _, r := range w.byTarget[m.Name] {
+		if r.State != StateUnloading && r.Version == m.Version && w.usable(r.Server) {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *world) usable(server string) bool {
+	accs := w.byAcc[server]
+	return len(accs) > 0 && accs[0].server.Usable
+}
+
+func (w *world) want(m Model, d Demand) int {
+	per := cmp.Or(w.in.Weights.PerReplica, defaultPerReplica)
+	need := max((d.Waiting+per-1)/per, m.MinReplicas, 1)
+	return min(need, m.MaxReplicas)
+}
+
+func (w *world) forecastExisting(target string) {
+	var best Forecast
+	for _, r := range w.byTarget[target] {
+		switch {
+		case r.State == StateLoaded && w.usable(r.Server):
+			return
+		case r.State == StateLoading && (!best.Possible || r.Ready.Before(best.Ready)):
+			best = Forecast{Possible: true, Ready: r.Ready}
+		}
+	}
+	w.plan.Forecasts[target] = best
+}
+
+// serve decides one more replica for a target, or why there is none.
+func (w *world) serve(k wake) {
+	name := k.model.Name
+	if held := len(w.byTarget[name]); held >= k.model.MaxReplicas {
+		w.say(name, Forecast{Reason: w.boundReason(k.model)})
+		return
+	}
+	best, ready := w.cheapest(k)
+	if best == nil {
+		w.say(name, w.noRoom(k.model))
+		return
+	}
+	w.say(name, Forecast{Possible: true, Ready: ready})
+	if free := best.total - best.used; free < k.model.MemoryMiB {
+		w.evict(best, k.model.MemoryMiB-free, name)
+		return
+	}
+	if w.tier(best, name) == TierRemote {
+		w.remote++
+	}
+	best.busy = true
+	best.used += k.model.MemoryMiB
+	w.plan.Decisions = append(w.plan.Decisions, Decision{
+		Kind: KindLoad, Target: name, Server: best.server.Name, Incarnation: best.server.Incarnation,
+		Accelerator: best.index, Ready: ready, Reason: wakeReason(k),
+	})
+}
+
+func wakeReason(k wake) string {
+	if k.pinned {
+		return "lower bound"
+	}
+	return fmt.Sprintf("%d waiting", k.demand.Waiting+k.demand.Returning)
+}
+
+// say keeps the better of two forecasts: a loading replica beats a planned one.
+func (w *world) say(target string, f Forecast) {
+	w.forecastExisting(target)
+	if old, ok := w.plan.Forecasts[target]; ok && old.Possible && (!f.Possible || old.Ready.Before(f.Ready)) {
+		return
+	}
+	for _, r := range w.byTarget[target] {
+		if r.State == StateLoaded && w.usable(r.Server) {
+			return
+		}
+	}
+	w.plan.Forecasts[target] = f
+}
+
+func (w *world) boundReason(m Model) string {
+	for _, r := range w.byTarget[m.Name] {
+		if !w.usable(r.Server) {
+			return fmt.Sprintf("%d of %d replicas of %q are decided, one of them on server %q, which is not heard from; "+
+				"an operator may raise max-replicas or forget the server", len(w.byTarget[m.Name]), m.MaxReplicas, m.Name, r.Server)
+		}
+	}
+	return fmt.Sprintf("all %d replicas of %q are decided", m.MaxReplicas, m.Name)
+}
+
+// noRoom tells a wait from an impossibility: orders that are under way may free
+// an accelerator.
+func (w *world) noRoom(m Model) Forecast {
+	for _, a := range w.accs {
+		if a.server.Usable && a.busy && a.total >= m.MemoryMiB {
+			return Forecast{Possible: true, Ready: w.in.Now.Add(w.loadTime(a, m) + w.busyTime(a))}
+		}
+	}
+	// An adapter waits for its base.
+	if f, ok := w.plan.Forecasts[m.Base]; ok && m.Base != "" && f.Possible {
+		return Forecast{Possible: true, Ready: f.Ready.Add(loadOverhead)}
+	}
+	return Forecast{Reason: fmt.Sprintf("no accelerator has room for the %d MiB of %q", m.MemoryMiB, m.Name)}
+}
+
+func (w *world) busyTime(a *accelerator) time.Duration {
+	wait := unloadTime
+	for _, r := range a.replicas {
+		if r.State == StateLoading {
+			wait = max(wait, r.Ready.Sub(w.in.Now))
+		}
+	}
+	return wait
+}
+
+// cheapest returns the accelerator with the lowest price in seconds: the time
+// to load, what the evicted replicas were worth, and the spread.
+func (w *world) cheapest(k wake) (*accelerator, time.Time) {
+	var best *accelerator
+	var ready time.Time
+	price := 0.0
+	near := w.centresOf(k.model.Name)
+	for _, a := range w.accs {
+		if !w.fits(a, k.model) {
+			continue
+		}
+		took := w.loadTime(a, k.model)
+		cost := took.Seconds() + w.evictionCost(a, k.model.MemoryMiB)
+		if near[a.server.DataCentre] {
+			cost += spreadPenalty
+		}
+		// Between equals the fuller accelerator wins: it leaves the large gaps
+		// for large models.
+		cost += float64(a.total-a.used) / float64(a.total+1) * 0.01
+		if best == nil || cost < price {
+			best, price, ready = a, cost, w.in.Now.Add(took)
+			if a.total-a.used < k.model.MemoryMiB {
+				ready = ready.Add(unloadTime)
+			}
+		}
+	}
+	return best, ready
+}
+
+func (w *world) fits(a *accelerator, m Model) bool {
+	if !a.server.Usable || a.busy || a.going || a.holdsAny(m.Name) {
+		return false
+	}
+	if m.Base != "" && !a.holds(m.Base, StateLoaded) {
+		return false
+	}
+	return a.total-a.used+a.idle >= m.MemoryMiB
+}
+
+func (w *world) centresOf(target string) map[string]bool {
+	out := map[string]bool{}
+	for _, r := range w.byTarget[target] {
+		if accs := w.byAcc[r.Server]; len(accs) > 0 {
+			out[accs[0].server.DataCentre] = true
+		}
+	}
+	return out
+}
+
+func (a *accelerator) holds(target string, s State) bool {
+	return slices.ContainsFunc(a.replicas, func(r *Replica) bool { return r.Target == target && r.State == s })
+}
+
+func (a *accelerator) holdsAny(target string) bool {
+	return slices.ContainsFunc(a.replicas, func(r *Replica) bool { return r.Target == target })
+}
+
+// loadTime is the expected time of a load that starts now.
+func (w *world) loadTime(a *accelerator, m Model) time.Duration {
+	return LoadTime(w.in.Speeds, w.tier(a, m.Name), m.MemoryMiB, w.remote)
+}
+
+// LoadTime is the expected time of a load from a tier while a number of remote
+// loads run already.
+func LoadTime(s Speeds, t Tier, mib uint64, remote int) time.Duration {
+	rate := s.RemoteMiB
+	wait := 0.0
+	switch t {
+	case TierMemory:
+		rate = s.MemoryMiB
+	case TierDisk:
+		rate = s.DiskMiB
+	case TierRemote:
+		if over := remote + 1 - s.FullSpeed; over > 0 {
+			rate = rate * float64(s.FullSpeed) / float64(remote+1)
+		}
+		if s.LoadsPerSecond > 0 {
+			wait = float64(remote) / s.LoadsPerSecond
+		}
+	}
+	if rate <= 0 {
+		return time.Hour
+	}
+	return loadOverhead + time.Duration((float64(mib)/rate+wait)*float64(time.Second))
+}
--- /dev/null
+++ b/internal/placement/idle.go
@@ -0,0 +1,193 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// minStay keeps a fresh replica for a while whatever the prices say, so that
+// nothing is loaded and unloaded in turns.
+const minStay = 10 * time.Second
+
+// evictable reports whether a replica may make room for another one.
+func (w *world) evictable(a *accelerator, r *Replica) bool {
+	return w.mayGo(a, r) && w.in.Now.Sub(r.Since) >= minStay && w.demandFor(r.Target) == 0
+}
+
+// mayGo reports whether a loaded replica is idle, above its lower bound and
+// under no adapter.
+func (w *world) mayGo(a *accelerator, r *Replica) bool {
+	if r.State != StateLoaded || r.Running > 0 {
+		return false
+	}
+	for _, other := range a.replicas {
+		if m, ok := w.in.Model(other.Target); ok && m.Base == r.Target {
+			return false
+		}
+	}
+	m, ok := w.in.Model(r.Target)
+	return !ok || r.Version != m.Version || w.have(m) > m.MinReplicas
+}
+
+func (w *world) demandFor(target string) int {
+	d := w.in.Demands[target]
+	return d.Waiting + d.Returning
+}
+
+// evictionCost is the worth in seconds of what must go to make room.
+func (w *world) evictionCost(a *accelerator, need uint64) float64 {
+	free := a.total - a.used
+	if free >= need {
+		return 0
+	}
+	cost := unloadTime.Seconds()
+	for _, r := range w.victims(a, need-free) {
+		cost += w.worth(a, r)
+	}
+	return cost
+}
+
+// victims lists the replicas of the least worth that free a size together.
+func (w *world) victims(a *accelerator, need uint64) []*Replica {
+	var idle []*Replica
+	for _, r := range a.replicas {
+		if w.evictable(a, r) {
+			idle = append(idle, r)
+		}
+	}
+	slices.SortStableFunc(idle, func(x, y *Replica) int {
+		if d := w.worth(a, x) - w.worth(a, y); d < 0 {
+			return -1
+		} else if d > 0 {
+			return 1
+		}
+		return x.Used.Compare(y.Used)
+	})
+	var out []*Replica
+	var freed uint64
+	for _, r := range idle {
+		if freed >= need {
+			break
+		}
+		out = append(out, r)
+		freed += r.MemoryMiB
+	}
+	return out
+}
+
+// worth is the expected wait in seconds that keeping a replica spares: the time
+// to load it again, by the chance that it is asked for soon.
+func (w *world) worth(a *accelerator, r *Replica) float64 {
+	m, ok := w.in.Model(r.Target)
+	if !ok {
+		return 0
+	}
+	again := LoadTime(w.in.Speeds, max(w.tier(a, r.Target), TierDisk), m.MemoryMiB, w.remote).Seconds()
+	return again * w.pattern(r.Target).ChanceWithin(w.in.Now.Sub(r.Used), soon)
+}
+
+// soon is the time in which an eviction would be regretted.
+const soon = 10 * time.Minute
+
+func (w *world) pattern(target string) *Pattern {
+	if w.in.Pattern == nil {
+		return nil
+	}
+	return w.in.Pattern(target)
+}
+
+// evict unloads what makes room for a target; the load follows when the
+// engine has confirmed it.
+func (w *world) evict(a *accelerator, need uint64, target string) {
+	a.going = true
+	for _, r := range w.victims(a, need) {
+		w.unload(r, "room for "+target)
+		// One order at a time on an accelerator.
+		return
+	}
+}
+
+func (w *world) unload(r *Replica, reason string) {
+	w.plan.Decisions = append(w.plan.Decisions, Decision{
+		Kind: KindUnload, Target: r.Target, Server: r.Server, Accelerator: r.Accelerator,
+		Replica: r.Number, Reason: reason,
+	})
+}
+
+// retire unloads what nobody is expected to ask for in time to pay for it.
+func (w *world) retire() {
+	for _, a := range w.accs {
+		if a.busy || a.going {
+			continue
+		}
+		for _, r := range a.replicas {
+			if reason := w.retireReason(a, r); reason != "" {
+				w.unload(r, reason)
+				a.going = true
+				w.dropFromHave(r)
+				break
+			}
+		}
+	}
+}
+
+// dropFromHave keeps two replicas from going for one place above the bound.
+func (w *world) dropFromHave(r *Replica) {
+	w.byTarget[r.Target] = slices.DeleteFunc(slices.Clone(w.byTarget[r.Target]), func(x *Replica) bool { return x == r })
+}
+
+func (w *world) retireReason(a *accelerator, r *Replica) string {
+	if r.State != StateLoaded || r.Running > 0 {
+		return ""
+	}
+	m, configured := w.in.Model(r.Target)
+	switch {
+	case a.server.Leaving:
+		return "server is leaving"
+	case !a.server.Usable:
+		return ""
+	case !w.mayGo(a, r) || w.demandFor(r.Target) > 0:
+		return ""
+	case !configured:
+		return "no longer configured"
+	case r.Version != m.Version:
+		return "old version"
+	case w.have(m) > m.MaxReplicas:
+		return "above the upper bound"
+	}
+	idle := w.in.Now.Sub(later(r.Used, r.Since))
+	if idle >= minStay && idle >= w.keep(a, r, m) {
+		return "idle"
+	}
+	return ""
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// keep is how long an idle replica pays for itself. A replica that shares its
+// accelerator holds only its part of it idle.
+func (w *world) keep(a *accelerator, r *Replica, m Model) time.Duration {
+	again := LoadTime(w.in.Speeds, max(w.tier(a, r.Target), TierDisk), m.MemoryMiB, 0).Seconds()
+	share := float64(r.MemoryMiB) / float64(a.total)
+	return w.pattern(r.Target).KeepFor(again*w.in.Weights.ColdSecond, share*w.in.Weights.IdleHour)
+}
+
+// IdleAccelerators returns how many accelerators are held without a request. A
+// replica holds the share of its accelerator that its memory takes.
+func IdleAccelerators(in Input) float64 {
+	w := newWorld(in)
+	idle := 0.0
+	for _, a := range w.accs {
+		for _, r := range a.replicas {
+			if r.State == StateLoaded && r.Running == 0 && w.demandFor(r.Target) == 0 {
+				idle += float64(r.MemoryMiB) / float64(a.total)
+			}
+		}
+	}
+	return idle
+}
--- /dev/null
+++ b/internal/refusal/refusal.go
@@ -0,0 +1,124 @@
+// Package refusal holds the final answers that are not an answer of a backend
+// server: each with a stable code, whether the request ran, and when to come
+// back.
+package refusal
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+//go:generate go tool stringer -type=Code,Outcome -linecomment
+
+// Code names a refusal; its string is part of the interface.
+type Code int
+
+// The codes, with their strings behind.
+const (
+	BadRequest      Code = iota // bad-request
+	BodyTooLarge                // body-too-large
+	UnknownCustomer             // unknown-customer
+	Unauthorized                // unauthorized
+	UnknownTarget               // unknown-target
+	DeadlinePassed              // deadline-passed
+	CustomerLimit               // customer-limit
+	QueueFull                   // queue-full
+	TooLate                     // too-late
+	NoCapacity                  // no-capacity
+	NoLeader                    // no-leader
+	KeyMissing                  // key-missing
+	KeyReused                   // key-reused
+	StillRunning                // still-running
+	OutcomeUnknown              // outcome-unknown
+	AnswerNotKept               // answer-not-kept
+	BackendFailed               // backend-failed
+	StreamCut                   // stream-cut
+	Stopping                    // stopping
+	NotReady                    // not-ready
+	Internal                    // internal
+)
+
+// Outcome tells whether a request ran at a backend server.
+type Outcome int
+
+// The outcomes. NotRun is said only where it is proved.
+const (
+	NotRun  Outcome = iota // not-run
+	Ran                    // ran
+	Unknown                // unknown
+)
+
+// Refusal is a final answer to a caller. It is an error.
+type Refusal struct {
+	code       Code
+	outcome    Outcome
+	message    string
+	retryAfter time.Duration
+}
+
+// New returns a refusal of a request that did not run.
+func New(code Code, format string, args ...any) *Refusal {
+	return &Refusal{code: code, outcome: NotRun, message: fmt.Sprintf(format, args...)}
+}
+
+// WithOutcome returns a copy that says whether the request ran.
+func (r *Refusal) WithOutcome(o Outcome) *Refusal {
+	c := *r
+	c.outcome = o
+	return &c
+}
+
+// After returns a copy that tells when to come back. Zero or less says nothing.
+func (r *Refusal) After(d time.Duration) *Refusal {
+	c := *r
+	c.retryAfter = d
+	return &c
+}
+
+// Code returns the stable code.
+func (r *Refusal) Code() Code { return r.code }
+
+// Outcome tells whether the request ran.
+func (r *Refusal) Outcome() Outcome { return r.outcome }
+
+// Message tells a person what happened and what can be done.
+func (r *Refusal) Message() string { return r.message }
+
+// RetryAfter returns when to come back, or 0.
+func (r *Refusal) RetryAfter() time.Duration { return max(r.retryAfter, 0) }
+
+// Error returns code, outcome and message.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (%s): %s", r.code, r.outcome, r.message)
+}
+
+// Status returns the HTTP status that goes with the code.
+func (r *Refusal) Status() int {
+	switch r.code {
+	case BadRequest, KeyMissing:
+		return http.StatusBadRequest
+	case Unauthorized:
+		return http.StatusUnauthorized
+	case UnknownCustomer:
+		return http.StatusForbidden
+	case UnknownTarget:
+		return http.StatusNotFound
+	case BodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case KeyReused:
+		return http.StatusUnprocessableEntity
+	case StillRunning, OutcomeUnknown, AnswerNotKept:
+		return http.StatusConflict
+	case CustomerLimit:
+		return http.StatusTooManyRequests
+	case DeadlinePassed:
+		return http.StatusGatewayTimeout
+	case BackendFailed, StreamCut:
+		return http.StatusBadGateway
+	case Internal:
+		return http.StatusInternalServerError
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/internal/routing/choice.go
@@ -0,0 +1,124 @@
+// Package routing chooses a replica for a request and sends the request there.
+package routing
+
+import (
+	"math"
+	"time"
+)
+
+//go:generate go tool stringer -type=Policy -trimprefix=Policy
+
+// Policy is a way to choose among replicas.
+type Policy int
+
+// The policies. PolicyWeighted is the one in use; the others are baselines.
+const (
+	PolicyWeighted Policy = iota
+	PolicyRandom
+	PolicyRoundRobin
+	PolicyLeastOutstanding
+)
+
+const (
+	// sampleSize is how many candidates are compared: with a few, the load
+	// spreads almost as well as with all, no scan is needed, and entries that
+	// see the same stale picture do not all choose the same replica.
+	sampleSize = 3
+	// reportHalfLife is the age at which a report of others' work counts half.
+	reportHalfLife = 2 * time.Second
+	// nearPenalty is the price of another data centre, in outstanding requests.
+	nearPenalty = 0.5
+	// prefixBonus is the worth of a likely cached prefix, in outstanding requests.
+	prefixBonus = 2.0
+)
+
+// Candidate is a replica or an application server that may serve a request.
+type Candidate struct {
+	Server      string
+	Incarnation uint64
+	Address     string
+	// Near is true in the entry's own data centre.
+	Near bool
+	// Outstanding counts this entry's own requests at the server.
+	Outstanding int
+	// Reported is the server's last word on all its requests, minus this
+	// entry's share at that time; ReportAge is its age.
+	Reported  int
+	ReportAge time.Duration
+	// Prefix is true when the server answered a request with the same prefix.
+	Prefix bool
+	// Slowness is the server's first-byte time over that of its peers; 1 or 0
+	// when unknown.
+	Slowness float64
+}
+
+// Choose returns the index of the chosen candidate among those with less than
+// limit outstanding requests, or -1. It is a pure function of its arguments:
+// random returns a number from 0 to below n, and turn counts the choices.
+func Choose(p Policy, candidates []Candidate, limit int, turn uint64, random func(n int) int) int {
+	open := make([]int, 0, len(candidates))
+	for i, c := range candidates {
+		if c.Outstanding < limit {
+			open = append(open, i)
+		}
+	}
+	if len(open) == 0 {
+		return -1
+	}
+	switch p {
+	case PolicyRandom:
+		return open[random(len(open))]
+	case PolicyRoundRobin:
+		return open[turn%uint64(len(open))]
+	case PolicyLeastOutstanding:
+		return cheapest(candidates, open, func(c Candidate) float64 { return float64(c.Outstanding) })
+	default:
+		return cheapest(candidates, sample(candidates, open, random), cost)
+	}
+}
+
+// sample keeps a candidate with a cached prefix in the comparison.
+func sample(candidates []Candidate, open []int, random func(n int) int) []int {
+	if len(open) <= sampleSize {
+		return open
+	}
+	picked := make([]int, 0, sampleSize+1)
+	for _, i := range open {
+		if candidates[i].Prefix {
+			picked = append(picked, i)
+			break
+		}
+	}
+	for k := range sampleSize {
+		j := k + random(len(open)-k)
+		open[k], open[j] = open[j], open[k]
+		picked = append(picked, open[k])
+	}
+	return picked
+}
+
+func cheapest(candidates []Candidate, among []int, price func(Candidate) float64) int {
+	best := among[0]
+	for _, i := range among[1:] {
+		if price(candidates[i]) < price(candidates[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+// cost is the expected work before a new request, in outstanding requests.
+func cost(c Candidate) float64 {
+	fresh := math.Exp2(-float64(c.ReportAge) / float64(reportHalfLife))
+	work := float64(c.Outstanding) + float64(c.Reported)*fresh
+	if c.Slowness > 1 {
+		work = (work + 1) * c.Slowness
+	}
+	if !c.Near {
+		work += nearPenalty
+	}
+	if c.Prefix {
+		work -= prefixBonus
+	}
+	return work
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,110 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"fennelyard/internal/settings"
+)
+
+const good = `deployment: trial
+host: one
+hosts:
+  - name: one
+    data-centre: hall-a
+    control: true
+    peer-address: 10.0.0.1:7000
+    caller-address: 10.0.0.1:7001
+    operator-address: 10.0.0.1:7002
+    backend-address: 10.0.0.1:7003
+control:
+  data-folder: /var/lib/fennelyard
+entry:
+  directory-keep: 5s
+`
+
+func TestExamplesAreFaultless(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*/*.yaml")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, f := range files {
+		if strings.HasSuffix(f, "intent.yaml") {
+			_, err = settings.LoadIntent(f)
+		} else {
+			_, err = settings.Load(f)
+		}
+		assert.NoError(t, err, f)
+	}
+}
+
+func TestDefaultsAreFilledIn(t *testing.T) {
+	s, err := settings.Parse("good.yaml", []byte(good))
+	require.NoError(t, err)
+	assert.EqualValues(t, settings.DefaultQueueLimit, s.GetEntry().GetQueueLimit())
+	assert.Equal(t, settings.DefaultHeartbeat, s.GetControl().GetHeartbeat().AsDuration())
+	assert.EqualValues(t, settings.DefaultFullSpeedLoads, s.GetWeightStore().GetFullSpeedLoads())
+}
+
+func TestFaultsNameLineKeyAndRemedy(t *testing.T) {
+	for _, c := range []struct {
+		name, from, to string
+		line           int
+		key, says      string
+	}{
+		{"unknown key", "control: true", "kontrol: true", 6, "hosts[0].kontrol", "unknown key"},
+		{"wrong unit", "directory-keep: 5s", "directory-keep: 5", 14, "entry.directory-keep", "a duration with its unit"},
+		{"not a boolean", "control: true", "control: maybe", 6, "hosts[0].control", "true or false"},
+		{"duplicate address", "10.0.0.1:7001", "10.0.0.1:7000", 8, "hosts[0].caller-address", "is also hosts[0].peer-address"},
+		{"host name for an IP number", "10.0.0.1:7002", "one.example:7002", 9, "hosts[0].operator-address", "not IP:PORT"},
+		{"unspecified address", "10.0.0.1:7002", "0.0.0.0:7002", 9, "hosts[0].operator-address", "cannot be reached"},
+		{"control without a data folder", "  data-folder: /var/lib/fennelyard", "  heartbeat: 50ms", 11, "control.data-folder", "data folder"},
+		{"relative data folder", "/var/lib/fennelyard", "state", 12, "control.data-folder", "absolute path"},
+		{"host that is not listed", "host: one", "host: two", 2, "host", "not under hosts"},
+		{"key given twice", "host: one\n", "host: one\nhost: one\n", 3, "host", "twice"},
+		{"value out of range", "directory-keep: 5s", "directory-keep: 5ms", 14, "entry.directory-keep", "out of range"},
+		{"no value", "deployment: trial", "deployment:", 1, "deployment", "no value"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := settings.Parse("bad.yaml", []byte(strings.Replace(good, c.from, c.to, 1)))
+			var faults settings.Faults
+			require.True(t, errors.As(err, &faults), "%v", err)
+			// One slip may have another fault in its train.
+			at := slices.IndexFunc(faults, func(f settings.Fault) bool { return f.Key() == c.key })
+			require.GreaterOrEqual(t, at, 0, "%v", err)
+			assert.Equal(t, c.line, faults[at].Line(), err)
+			assert.Contains(t, faults[at].String(), c.says)
+			assert.True(t, strings.HasPrefix(faults[at].String(), "bad.yaml:"))
+		})
+	}
+}
+
+func TestAllFaultsComeAtOnce(t *testing.T) {
+	bad := strings.NewReplacer("control: true", "kontrol: true", "10.0.0.1:7001", "nowhere", "5s", "five").Replace(good)
+	_, err := settings.Parse("bad.yaml", []byte(bad))
+	var faults settings.Faults
+	require.True(t, errors.As(err, &faults))
+	assert.GreaterOrEqual(t, len(faults), 3)
+	for i := 1; i < len(faults); i++ {
+		assert.LessOrEqual(t, faults[i-1].Line(), faults[i].Line())
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte("hosts: [1, {a: b}]\n? x\n"))
+	data, err := os.ReadFile("../../examples/kapiti/intent.yaml")
+	require.NoError(f, err)
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		// Neither may panic on any bytes.
+		_, _ = settings.Parse("fuzz.yaml", data)
+		_, _ = settings.ParseIntent("fuzz.yaml", data)
+	})
+}
