Prove the group's log and the ledger under faults

Cause: nothing showed yet that an acknowledged entry survives crashes, cuts and lost disks, nor that damage to the data folder is noticed.

Found by the tests: bbolt scans a file without a stored list of free pages in a goroutine of its own, where a truncated file ends the process with a fault that cannot be caught; behind a damaged meta page it goes back to the last but one transaction without a word, which forgets a vote; a page that lost its last records reads well. Now the meta pages and the file's length are checked before it is opened, the list of free pages is stored, the hard state names the last entry, and every state record exists from the first write on.

--- a/internal/consensus/storage.go
+++ b/internal/consensus/storage.go
@@ -79,8 +79,8 @@
 		return nil, errors.Newf("make data folder: %w", err)
 	}
 	path := filepath.Join(cfg.Folder, "group-"+strconv.FormatUint(cfg.Group, 10)+".db")
-	if err := refuseEmptyFile(path); err != nil {
-		return nil, err
+	if err := checkFile(path); err != nil {
+		return nil, errors.Newf("check %s: %w", path, err)
 	}
 	s := &Storage{cfg: cfg}
 	if err := s.open(path); err != nil {
@@ -92,22 +92,6 @@
 	return s, nil
 }
 
-// refuseEmptyFile tells a file cut to nothing from a new one. bbolt would fill
-// an empty file in as a fresh database and so forget the member's promises.
-func refuseEmptyFile(path string) error {
-	info, err := os.Stat(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return nil
-	}
-	if err != nil {
-		return errors.Newf("look at %s: %w", path, err)
-	}
-	if info.Size() == 0 {
-		return errors.Newf("%s is empty: %w", path, ErrDamaged)
-	}
-	return nil
-}
-
 // open turns the panics and faults of a damaged database into ErrDamaged.
 func (s *Storage) open(path string) (err error) {
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
@@ -116,7 +100,9 @@
 			err = errors.Newf("%v: %w", r, ErrDamaged)
 		}
 	}()
-	db, err := bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockWait, NoFreelistSync: true})
+	// The list of free pages is stored: without it bbolt would scan the file in
+	// a goroutine of its own, where a fault cannot be caught.
+	db, err := bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockWait})
 	switch {
 	case errors.Is(err, bbolt.ErrTimeout):
 		return errors.New("another process holds the data folder")
@@ -124,51 +110,59 @@
 		return errors.Newf("%v: %w", err, ErrDamaged)
 	}
 	s.db = db
-	if err = s.prepare(path); err != nil {
+	if err = s.prepare(); err != nil {
 		_ = db.Close()
 	}
 	return err
 }
 
-func (s *Storage) prepare(path string) error {
-	err := s.db.Update(func(tx *bbolt.Tx) error {
-		info, err := os.Stat(path)
-		if err != nil {
-			return errors.Newf("look at database: %w", err)
-		}
-		if info.Size() < tx.Size() {
-			return errors.Newf("%d of %d bytes are there: %w", info.Size(), tx.Size(), ErrDamaged)
-		}
-		return s.prepareBuckets(tx)
-	})
-	if err != nil {
+// prepare makes or reads the identity, reads everything once and has bbolt
+// check its pages, so that damage is found here and not later.
+func (s *Storage) prepare() error {
+	if err := s.db.Update(s.prepareBuckets); err != nil {
 		return errors.Newf("prepare database: %w", err)
 	}
-	_, err = s.Load()
-	return err
+	if _, err := s.Load(); err != nil {
+		return err
+	}
+	return s.db.View(func(tx *bbolt.Tx) error {
+		var first error
+		for err := range tx.Check() {
+			if first == nil {
+				first = errors.Newf("%v: %w", err, ErrDamaged)
+			}
+		}
+		return first
+	})
 }
 
+// prepareBuckets writes every state record at once when the storage is new;
+// later the absence of any of them is damage.
 func (s *Storage) prepareBuckets(tx *bbolt.Tx) error {
-	state, err := tx.CreateBucketIfNotExists(stateBucket)
+	state := tx.Bucket(stateBucket)
+	if state != nil {
+		identity := &schema.Member{}
+		if err := getChecked(state, identityKey, identity); err != nil {
+			return errors.Newf("read identity: %w", err)
+		}
+		s.id = identity.GetId()
+		return nil
+	}
+	state, err := tx.CreateBucket(stateBucket)
 	if err != nil {
 		return errors.Newf("make state bucket: %w", err)
 	}
-	if _, err = tx.CreateBucketIfNotExists(logBucket); err != nil {
+	if _, err = tx.CreateBucket(logBucket); err != nil {
 		return errors.Newf("make log bucket: %w", err)
 	}
-	if state.Get(identityKey) == nil {
-		if k, _ := state.Cursor().First(); k != nil {
-			return errors.Newf("the identity is missing: %w", ErrDamaged)
-		}
-		s.id = s.cfg.NewID()
-		return putChecked(state, identityKey, &schema.Member{Id: s.id})
+	s.id = s.cfg.NewID()
+	if err := putChecked(state, identityKey, &schema.Member{Id: s.id}); err != nil {
+		return err
 	}
-	identity := &schema.Member{}
-	if err := getChecked(state, identityKey, identity); err != nil {
-		return errors.Newf("read identity: %w", err)
+	if err := putChecked(state, hardStateKey, &schema.HardState{}); err != nil {
+		return err
 	}
-	s.id = identity.GetId()
-	return nil
+	return replaceSnapshot(tx, &schema.SnapshotState{})
 }
 
 // ID returns the id that was made with this disk.
@@ -194,12 +188,18 @@
 	saved := Saved{HardState: &schema.HardState{}, Snapshot: &schema.SnapshotState{}}
 	err := s.db.View(func(tx *bbolt.Tx) error {
 		state := tx.Bucket(stateBucket)
-		if err := getOptional(state, hardStateKey, saved.HardState); err != nil {
+		if state == nil || tx.Bucket(logBucket) == nil {
+			return errors.Newf("a bucket is missing: %w", ErrDamaged)
+		}
+		if err := getChecked(state, hardStateKey, saved.HardState); err != nil {
 			return errors.Newf("read hard state: %w", err)
 		}
-		if err := getOptional(state, snapshotKey, saved.Snapshot); err != nil {
+		if err := getChecked(state, snapshotKey, saved.Snapshot); err != nil {
 			return errors.Newf("read snapshot: %w", err)
 		}
+		if err := getChecked(state, snapshotDataKey, &schema.SnapshotState{}); err != nil {
+			return errors.Newf("read snapshot data: %w", err)
+		}
 		var err error
 		saved.Entries, err = loadEntries(tx, saved.Snapshot.GetIndex())
 		return err
@@ -207,11 +207,10 @@
 	if err != nil {
 		return Saved{}, errors.Newf("load: %w", err)
 	}
+	// A page that lost its last records still reads well.
 	last := saved.Snapshot.GetIndex() + uint64(len(saved.Entries))
-	// The commit index is stored together with the entries below it.
-	if saved.HardState.GetCommit() > last {
-		return Saved{}, errors.Newf("the log ends at %d below its commit %d: %w",
-			last, saved.HardState.GetCommit(), ErrDamaged)
+	if want := max(saved.HardState.GetLast(), saved.Snapshot.GetIndex()); want != last {
+		return Saved{}, errors.Newf("the log ends at %d and not at %d: %w", last, want, ErrDamaged)
 	}
 	return saved, nil
 }
@@ -254,7 +253,9 @@
 		if r.HardState == nil {
 			return nil
 		}
-		return putChecked(tx.Bucket(stateBucket), hardStateKey, r.HardState)
+		return putChecked(tx.Bucket(stateBucket), hardStateKey, &schema.HardState{
+			Term: r.HardState.GetTerm(), Vote: r.HardState.GetVote(), Commit: r.HardState.GetCommit(), Last: lastIndex(tx),
+		})
 	})
 	if err != nil {
 		return errors.Newf("save: %w", err)
@@ -280,6 +281,15 @@
 	return nil
 }
 
+// lastIndex returns the index of the last stored entry, or 0.
+func lastIndex(tx *bbolt.Tx) uint64 {
+	k, _ := tx.Bucket(logBucket).Cursor().Last()
+	if k == nil {
+		return 0
+	}
+	return binary.BigEndian.Uint64(k)
+}
+
 func dropFrom(tx *bbolt.Tx, index uint64) error {
 	c := tx.Bucket(logBucket).Cursor()
 	for k, _ := c.Seek(indexKey(index)); k != nil; k, _ = c.Seek(indexKey(index)) {
@@ -323,7 +333,7 @@
 func (s *Storage) Snapshot() (*schema.SnapshotState, error) {
 	out := &schema.SnapshotState{}
 	err := s.db.View(func(tx *bbolt.Tx) error {
-		return getOptional(tx.Bucket(stateBucket), snapshotDataKey, out)
+		return getChecked(tx.Bucket(stateBucket), snapshotDataKey, out)
 	})
 	if err != nil {
 		return nil, errors.Newf("read snapshot data: %w", err)
@@ -371,13 +381,6 @@
 	return nil
 }
 
-func getOptional(b *bbolt.Bucket, key []byte, m proto.Message) error {
-	if b.Get(key) == nil {
-		return nil
-	}
-	return getChecked(b, key, m)
-}
-
 func getChecked(b *bbolt.Bucket, key []byte, m proto.Message) error {
 	return decodeChecked(key, b.Get(key), m)
 }
--- /dev/null
+++ b/internal/consensus/storage_test.go
@@ -0,0 +1,183 @@
+package consensus_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"fennelyard/internal/consensus"
+	"fennelyard/internal/schema"
+)
+
+const testID = 7
+
+func openStorage(t *testing.T, folder string) (*consensus.Storage, error) {
+	t.Helper()
+	s, err := consensus.OpenStorage(consensus.StorageConfig{
+		Folder: folder, Group: 1, NewID: func() uint64 { return testID },
+	})
+	if err == nil {
+		t.Cleanup(func() { _ = s.Close() })
+	}
+	return s, err
+}
+
+func entryAt(index, term uint64, data string) *schema.LogEntry {
+	return &schema.LogEntry{Index: index, Term: term, Data: []byte(data)}
+}
+
+// filled makes a folder whose member has voted and acknowledged entries.
+func filled(t *testing.T) string {
+	t.Helper()
+	folder := t.TempDir()
+	s, err := openStorage(t, folder)
+	require.NoError(t, err)
+	require.NoError(t, s.Form(&schema.Membership{Members: []*schema.Member{{Id: testID, Host: "a"}}}))
+	var entries []*schema.LogEntry
+	for i := range uint64(40) {
+		entries = append(entries, entryAt(2+i, 3, fmt.Sprintf("entry %d", i)))
+	}
+	require.NoError(t, s.Save(consensus.Ready{
+		HardState: &schema.HardState{Term: 3, Vote: 9, Commit: 20}, Entries: entries,
+	}))
+	require.NoError(t, s.Close())
+	return folder
+}
+
+func file(folder string) string { return filepath.Join(folder, "group-1.db") }
+
+func TestStorageKeepsWhatWasSaved(t *testing.T) {
+	folder := filled(t)
+	s, err := openStorage(t, folder)
+	require.NoError(t, err)
+	require.NoError(t, s.Save(consensus.Ready{
+		HardState: &schema.HardState{Term: 4, Commit: 25}, Entries: []*schema.LogEntry{entryAt(30, 4, "other")},
+	}))
+	require.NoError(t, s.SaveSnapshot(&schema.SnapshotState{Index: 25, Term: 3, Data: []byte("state")}))
+	require.NoError(t, s.Close())
+
+	s, err = openStorage(t, folder)
+	require.NoError(t, err)
+	saved, err := s.Load()
+	require.NoError(t, err)
+	assert.EqualValues(t, testID, s.ID())
+	assert.EqualValues(t, 4, saved.HardState.GetTerm())
+	assert.EqualValues(t, 26, saved.Entries[0].GetIndex())
+	assert.EqualValues(t, 30, saved.Entries[len(saved.Entries)-1].GetIndex())
+	assert.EqualValues(t, 4, saved.Entries[len(saved.Entries)-1].GetTerm())
+	snapshot, err := s.Snapshot()
+	require.NoError(t, err)
+	assert.Equal(t, "state", string(snapshot.GetData()))
+}
+
+// TestDamagedStorageIsRefused cuts and flips the file of a member that has voted.
+// The member must refuse to start, or start with all that it promised: one that
+// forgot its vote could help two leaders into one term, and one that forgot an
+// acknowledged entry could let it be overwritten.
+func TestDamagedStorageIsRefused(t *testing.T) {
+	whole, err := os.ReadFile(file(filled(t)))
+	require.NoError(t, err)
+	want := loadFrom(t, whole)
+	refused, harmless := 0, 0
+	try := func(what string, data []byte) {
+		got, err := tryLoad(t, data)
+		if err != nil {
+			refused++
+			assert.True(t, errors.Is(err, consensus.ErrDamaged), "%s: %v", what, err)
+			return
+		}
+		harmless++
+		assert.True(t, equalSaved(want, got), "%s: something was forgotten without a word", what)
+	}
+	for size := 0; size < len(whole); size += 1024 {
+		try(fmt.Sprintf("cut to %d bytes", size), whole[:size])
+	}
+	for at := 0; at < len(whole); at += 61 {
+		flipped := append([]byte(nil), whole...)
+		flipped[at] ^= 0x41
+		try(fmt.Sprintf("byte %d flipped", at), flipped)
+	}
+	for at := 0; at+4096 <= len(whole); at += 4096 {
+		zeroed := append([]byte(nil), whole...)
+		clear(zeroed[at : at+4096])
+		try(fmt.Sprintf("page at %d zeroed", at), zeroed)
+	}
+	t.Logf("%d damages refused, %d harmless", refused, harmless)
+	assert.NotZero(t, refused)
+}
+
+func tryLoad(t *testing.T, data []byte) (consensus.Saved, error) {
+	t.Helper()
+	folder := t.TempDir()
+	require.NoError(t, os.WriteFile(file(folder), data, 0o600))
+	s, err := consensus.OpenStorage(consensus.StorageConfig{Folder: folder, Group: 1, NewID: func() uint64 { return testID + 1 }})
+	if err != nil {
+		return consensus.Saved{}, err
+	}
+	defer func() { _ = s.Close() }()
+	if s.ID() != testID {
+		// It joins anew, as a learner.
+		return consensus.Saved{}, errors.Newf("another identity: %w", consensus.ErrDamaged)
+	}
+	return s.Load()
+}
+
+func loadFrom(t *testing.T, data []byte) consensus.Saved {
+	t.Helper()
+	saved, err := tryLoad(t, data)
+	require.NoError(t, err)
+	return saved
+}
+
+func equalSaved(a, b consensus.Saved) bool {
+	if !proto.Equal(a.HardState, b.HardState) || !proto.Equal(a.Snapshot, b.Snapshot) || len(a.Entries) != len(b.Entries) {
+		return false
+	}
+	for i := range a.Entries {
+		if !proto.Equal(a.Entries[i], b.Entries[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// TestLostDiskHasAnotherIdentity: a host whose file is gone starts, but under a
+// new id, so that it cannot vote a second time where its old id has voted.
+func TestLostDiskHasAnotherIdentity(t *testing.T) {
+	folder := filled(t)
+	require.NoError(t, os.Remove(file(folder)))
+	s, err := consensus.OpenStorage(consensus.StorageConfig{Folder: folder, Group: 1, NewID: func() uint64 { return 8 }})
+	require.NoError(t, err)
+	defer func() { _ = s.Close() }()
+	assert.EqualValues(t, 8, s.ID())
+	formed, err := s.Formed()
+	require.NoError(t, err)
+	assert.Nil(t, formed)
+}
+
+func TestTwoProcessesCannotShareAFolder(t *testing.T) {
+	folder := t.TempDir()
+	_, err := openStorage(t, folder)
+	require.NoError(t, err)
+	_, err = openStorage(t, folder)
+	assert.ErrorContains(t, err, "another process")
+}
+
+func TestFullDiskIsToldApart(t *testing.T) {
+	free := uint64(1 << 40)
+	s, err := consensus.OpenStorage(consensus.StorageConfig{
+		Folder: t.TempDir(), Group: 1, NewID: func() uint64 { return testID },
+		FreeBytes: func(string) (uint64, error) { return free, nil },
+	})
+	require.NoError(t, err)
+	defer func() { _ = s.Close() }()
+	require.NoError(t, s.Room())
+	free = 1 << 20
+	assert.True(t, errors.Is(s.Room(), consensus.ErrDiskFull))
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -81,8 +81,8 @@
 	}
 	l.clockMs = max(l.clockMs, cmd.GetAtMs())
 	l.touched = false
-	result := l.applyOnce(cmd)
 	l.claims.expire(l.clockMs)
+	result := l.applyOnce(cmd)
 	if l.touched {
 		l.announce()
 	}
