Keep callers served through frozen entries, dead engines and broken answers

Causes found by tests with real processes and with connections cut at every byte: - a caller whose entry was frozen waited until its deadline: the kernel still acknowledges for a frozen process. The client now asks for signs of life on connections of their own and moves on. - a model whose only replica sat on an engine that had just died was refused as impossible in the moment between its death and its new incarnation. Such a wait is possible; only a lost server's is not. - a failed attempt was paid for twice from the retry budget when no other replica was left.

Ruled out: the wait of the frozen case was not the entry's; its report and its watch moved to the new leader within their limits.

--- a/client.go
+++ b/client.go
@@ -182,12 +182,18 @@
 }
 
 func (c *Client) send(ctx context.Context, address string, r Request, attempt int) (*Answer, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer c.watchEntry(ctx, cancel, address)()
 	q, err := c.request(ctx, address, r, attempt)
 	if err != nil {
 		return nil, err
 	}
 	resp, err := c.opts.HTTP.Do(q)
 	if err != nil {
+		if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
+			err = cause
+		}
 		return nil, errors.Newf("send to %s: %w", address, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/cmd/fennelyard/process_test.go
+++ b/cmd/fennelyard/process_test.go
@@ -249,6 +249,22 @@
 	return leader
 }
 
+func (f *fleet) removeData(host string) {
+	f.t.Helper()
+	require.NoError(f.t, os.RemoveAll(f.layout.DataFolder(host)))
+}
+
+// rejoined reports whether a host's log says that it votes under its new disk:
+// it heard of a leader after its restart and the leader lists it as a voter.
+func (f *fleet) rejoined(host string) bool {
+	for _, h := range f.status().GetHosts() {
+		if h.GetName() == host {
+			return h.GetControl() == "voter" && strings.Contains(f.processes[host].log.String(), "entry ready")
+		}
+	}
+	return false
+}
+
 // operateFrom moves the operator to another host.
 func (f *fleet) operateFrom(not string) {
 	for _, h := range f.layout.Hosts() {
--- a/directory.go
+++ b/directory.go
@@ -11,7 +11,12 @@
 	"github.com/cockroachdb/errors"
 )
 
-const maxDirectoryBytes = 64 << 10
+const (
+	maxDirectoryBytes = 64 << 10
+	// askWait is how long one address may take: a frozen one must not use up
+	// the time of those that answer.
+	askWait = 2 * time.Second
+)
 
 // Entries returns the addresses that the deployment tells this caller to use,
 // the best first. It asks only when the kept answer has run out. It fails when
@@ -39,6 +44,8 @@
 }
 
 func (c *Client) ask(ctx context.Context, address string) ([]string, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, askWait)
+	defer cancel()
 	u := "http://" + address + "/v1/directory?data-centre=" + url.QueryEscape(c.opts.DataCentre)
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
 	if err != nil {
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -89,6 +89,8 @@
 	// fresh is set after a silent connection: the next attempt trusts none that
 	// is pooled.
 	fresh bool
+	// paid is set while an attempt is under way that the budget paid for.
+	paid bool
 	// mayHaveRun is set by an attempt that is not proved not to have run.
 	mayHaveRun bool
 }
@@ -122,6 +124,7 @@
 	if !ok {
 		return a.noReplica(ctx)
 	}
+	a.paid = false
 	ctx, span := e.cfg.Tracer.Start(ctx, "dispatch")
 	defer span.End()
 	span.SetAttributes(attribute.String("fennelyard.server", chosen.Server))
@@ -161,7 +164,7 @@
 func (a *attempts) noReplica(ctx context.Context) (finished, served bool, r *refusal.Refusal) {
 	if len(a.exclude) > 0 {
 		clear(a.exclude)
-		if !a.e.budget.Spend() {
+		if !a.paid && !a.e.budget.Spend() {
 			return true, false, refusal.New(refusal.BackendFailed, "every replica refused or failed").After(time.Second)
 		}
 	}
@@ -191,7 +194,8 @@
 	} else {
 		a.exclude[chosen.Server] = true
 	}
-	if !a.e.budget.Spend() {
+	a.paid = a.e.budget.Spend()
+	if !a.paid {
 		return true, false, refusal.New(refusal.BackendFailed, "server %q failed and no retry is left: %v", chosen.Server, err).
 			After(time.Second)
 	}
--- a/internal/order/fleet.go
+++ b/internal/order/fleet.go
@@ -185,7 +185,7 @@
 func (f *fleet) engine(now time.Time, s *schema.Server) placement.Server {
 	out := placement.Server{
 		Name: s.GetName(), Incarnation: s.GetIncarnation(), DataCentre: s.GetDataCentre(),
-		Accelerators: s.GetAcceleratorMib(), Leaving: s.GetLeaving(),
+		Accelerators: s.GetAcceleratorMib(), Leaving: s.GetLeaving(), Lost: s.GetLost(),
 	}
 	h := f.servers[s.GetName()]
 	if h == nil || h.server.GetIncarnation() != s.GetIncarnation() {
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -204,7 +204,7 @@
 func (w *world) serve(k wake) {
 	name := k.model.Name
 	if held := len(w.byTarget[name]); held >= k.model.MaxReplicas {
-		w.say(name, Forecast{Reason: w.boundReason(k.model)})
+		w.say(name, w.atBound(k.model))
 		return
 	}
 	best, ready := w.cheapest(k)
@@ -249,14 +249,21 @@
 	w.plan.Forecasts[target] = f
 }
 
-func (w *world) boundReason(m Model) string {
+// atBound tells a wait from an impossibility when every replica that was
+// confirmed is decided: one that is being unloaded makes room, and a server that
+// went quiet may come back, under the same incarnation or a new one. A lost
+// server's replica stays counted until somebody proves or decides otherwise.
+func (w *world) atBound(m Model) Forecast {
+	reason := fmt.Sprintf("all %d replicas of %q are decided", m.MaxReplicas, m.Name)
 	for _, r := range w.byTarget[m.Name] {
-		if !w.usable(r.Server) {
-			return fmt.Sprintf("%d of %d replicas of %q are decided, one of them on server %q, which is not heard from; "+
-				"an operator may raise max-replicas or forget the server", len(w.byTarget[m.Name]), m.MaxReplicas, m.Name, r.Server)
+		accs := w.byAcc[r.Server]
+		if len(accs) > 0 && !accs[0].server.Lost {
+			return Forecast{Possible: true, Ready: w.in.Now.Add(unloadTime + w.loadTime(accs[0], m))}
 		}
+		reason = fmt.Sprintf("%d of %d replicas of %q are decided, one of them on server %q, which is lost; "+
+			"an operator may raise max-replicas or forget the server", len(w.byTarget[m.Name]), m.MaxReplicas, m.Name, r.Server)
 	}
-	return fmt.Sprintf("all %d replicas of %q are decided", m.MaxReplicas, m.Name)
+	return Forecast{Reason: reason}
 }
 
 // noRoom tells a wait from an impossibility: orders that are under way may free
--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -33,6 +33,9 @@
 	Accelerators []uint64
 	// Usable is false for a server that is leaving, lost or suspected.
 	Usable bool
+	// Lost is true once the server is recorded as lost; one that is merely not
+	// usable may come back.
+	Lost bool
 	// Leaving is true when the server's replicas should go once they are idle.
 	Leaving bool
 	// Cached tells in which tier the server holds a target's checkpoint.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -40,6 +40,9 @@
 	Tokens    int
 	// LoadTime is added to every load.
 	LoadTime time.Duration
+	// Complete, where set, answers completions in the engine's place; for
+	// faults. It is called only for a loaded model.
+	Complete func(w http.ResponseWriter, q *http.Request, model string)
 	// Load, where set, is called before a load takes effect; its error makes
 	// the load fail.
 	Load func(o *schema.Order) error
@@ -239,6 +242,10 @@
 		return
 	}
 	defer e.end()
+	if e.cfg.Complete != nil {
+		e.cfg.Complete(w, q, body.Model)
+		return
+	}
 	w.Header().Set(routing.HeaderOutstanding, fmt.Sprint(e.Outstanding()))
 	if body.Stream {
 		e.stream(w, q, id, body.Model)
