Replay the placement policy and judge it beside fixed rules

Cause: nothing told whether the learnt keep time is worth anything.

Change: fennelyard measure policy replays generated or recorded arrivals through the decision code alone and prints cold-start percentiles of visits and idle accelerator hours for the policy along its curve and for baselines in the same run.

--- a/cmd/fennelyard/measure.go
+++ b/cmd/fennelyard/measure.go
@@ -15,7 +15,7 @@
 		Use: "measure", Short: "Measure what docs rest on",
 		Example: "  fennelyard measure capacity",
 	}
-	c.AddCommand(newMeasureCapacity())
+	c.AddCommand(newMeasureCapacity(), newMeasurePolicy())
 	return c
 }
 
--- a/internal/order/driver.go
+++ b/internal/order/driver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,10 @@
 	// otherwise cost a decision over the whole region.
 	quietEvery = time.Second
 	roundGap   = 20 * time.Millisecond
+	// Loads ahead of demand are considered for every target with learnt arrivals
+	// once per aheadEvery, a few in each round.
+	aheadEvery    = time.Minute
+	aheadPerRound = 200
 	// commitWait bounds one command of the driver.
 	commitWait = 2 * time.Second
 	// orderRetry is the pause before an order without an answer is given again.
@@ -100,6 +105,9 @@
 	putting   map[string]bool
 	forecasts map[string]placement.Forecast
 	speeds    *placement.Learner
+	// ahead lists the targets still to be looked at for loads ahead.
+	ahead       []string
+	lookedAhead time.Time
 	// dirty is set when something waits or has changed since lastRound.
 	dirty     bool
 	lastRound time.Time
@@ -207,6 +215,7 @@
 		d.adopt(now, r, adoptAfter)
 		in := d.fleet.input(now, r, d.busy)
 		d.addReserving(&in)
+		in.Ahead = d.nextAhead(now)
 		in.Speeds = d.speeds.Speeds()
 		in.Weights = d.cfg.Weights
 		plan = placement.Decide(in)
@@ -222,6 +231,22 @@
 	}
 }
 
+// nextAhead returns the next few targets with learnt arrivals, all of them in
+// turn within aheadEvery or a little more.
+func (d *Driver) nextAhead(now time.Time) []string {
+	if len(d.ahead) == 0 {
+		if now.Sub(d.lookedAhead) < aheadEvery {
+			return nil
+		}
+		d.lookedAhead = now
+		d.ahead = slices.Sorted(maps.Keys(d.fleet.patterns))
+	}
+	n := min(len(d.ahead), aheadPerRound)
+	next := d.ahead[:n]
+	d.ahead = d.ahead[n:]
+	return next
+}
+
 func (d *Driver) countIdle(now time.Time) {
 	if !d.counted.IsZero() && d.cfg.Idled != nil {
 		d.cfg.Idled(time.Duration(d.idle * float64(now.Sub(d.counted))))
@@ -352,7 +377,7 @@
 	}
 	pressing := false
 	for _, dm := range q.GetDemands() {
-		d.fleet.want(q.GetEntry(), dm, now)
+		d.fleet.want(q.GetEntry(), dm, d.baseOf(dm.GetTarget()), now)
 		pressing = pressing || dm.GetWaiting() > 0
 	}
 	d.dirty = d.dirty || pressing
@@ -368,6 +393,12 @@
 	return out
 }
 
+func (d *Driver) baseOf(target string) string {
+	base := ""
+	d.cfg.Ledger.View(func(_ ledger.Heads, r *ledger.Records) { base = r.Model(target).GetBase() })
+	return base
+}
+
 // unforeseen reports whether the last round did not look at one of the targets.
 func (d *Driver) unforeseen(demands []*schema.Demand) bool {
 	return slices.ContainsFunc(demands, func(x *schema.Demand) bool {
@@ -417,12 +448,10 @@
 
 const hoursPerDay = 24
 
-// idleHours is the expected idle time per day of a model that is asked for now
-// and then: one keep time per arrival after a gap, at one such arrival per hour
-// when nothing is learnt.
+// idleHours is the expected idle time per day by what is learnt of a target; a
+// target that nobody asked for yet is held for nobody.
 func (d *Driver) idleHours(name string, cold time.Duration) float64 {
-	keep := d.fleet.patterns[name].KeepFor(cold.Seconds()*d.cfg.Weights.ColdSecond, d.cfg.Weights.IdleHour)
-	return min(keep.Hours()*hoursPerDay, hoursPerDay)
+	return d.fleet.patterns[name].IdlePerDay(d.cfg.Now(), cold.Seconds()*d.cfg.Weights.ColdSecond, d.cfg.Weights.IdleHour)
 }
 
 func (d *Driver) bestTier(target string) placement.Tier {
--- a/internal/order/fleet.go
+++ b/internal/order/fleet.go
@@ -92,7 +92,9 @@
 	return h.server
 }
 
-func (f *fleet) want(entry string, d *schema.Demand, now time.Time) {
+// want takes in an entry's word on a target; base is the target's base model, if
+// it is an adapter.
+func (f *fleet) want(entry string, d *schema.Demand, base string, now time.Time) {
 	target := d.GetTarget()
 	if f.demands[entry] == nil {
 		f.demands[entry] = map[string]entryDemand{}
@@ -101,18 +103,25 @@
 	if d.GetReturning() > 0 {
 		f.returns[target] = now
 	}
-	if d.GetArrived() > 0 {
-		f.pattern(target).Arrive(now)
-	}
-	if d.GetArrived() > 0 || d.GetWaiting() > 0 || d.GetRunning() > 0 {
-		f.used[target] = now
+	// A request for an adapter needs its base as well: the base is used and
+	// learnt about with every one of its adapters.
+	for _, t := range []string{target, base} {
+		if t == "" {
+			continue
+		}
+		if d.GetArrived() > 0 {
+			f.pattern(t, now).Arrive(now)
+		}
+		if d.GetArrived() > 0 || d.GetWaiting() > 0 || d.GetRunning() > 0 {
+			f.used[t] = now
+		}
 	}
 }
 
-func (f *fleet) pattern(target string) *placement.Pattern {
+func (f *fleet) pattern(target string, now time.Time) *placement.Pattern {
 	p, ok := f.patterns[target]
 	if !ok {
-		p = &placement.Pattern{}
+		p = placement.NewPattern(now)
 		f.patterns[target] = p
 	}
 	return p
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -15,9 +15,10 @@
 	unloadTime = 500 * time.Millisecond
 	// spreadPenalty is the price in seconds of a second replica in a data
 	// centre that has one already.
-	spreadPenalty = 2.0
-	// retryLoad keeps a target from being loaded anew right after a failure.
+	spreadPenalty     = 2.0
 	defaultPerReplica = 8
+	// aheadMargin is the least gain of a load ahead, in cold starts.
+	aheadMargin = 0.25
 )
 
 // accelerator is one accelerator with what is on it.
@@ -53,6 +54,8 @@
 	demand   Demand
 	deadline time.Time
 	pinned   bool
+	// ahead is set when nobody waits yet.
+	ahead bool
 }
 
 // Decide returns what to load and unload now. The same input always gives the
@@ -129,12 +132,32 @@
 			byName[name] = wake{model: m, deadline: w.in.Now.Add(time.Hour), pinned: true}
 		}
 	}
+	w.wakeAhead(byName)
 	return slices.SortedFunc(maps.Values(byName), func(a, b wake) int {
 		return cmp.Or(cmp.Compare(b.demand.Priority, a.demand.Priority), a.deadline.Compare(b.deadline),
 			cmp.Compare(len(a.model.Base), len(b.model.Base)), cmp.Compare(a.model.Name, b.model.Name))
 	})
 }
 
+// wakeAhead adds targets whose expected cold starts cost clearly more than
+// holding them from now on: the margin keeps what was just let go from coming
+// back at once.
+func (w *world) wakeAhead(byName map[string]wake) {
+	for _, name := range w.in.Ahead {
+		m, ok := w.in.Model(name)
+		if _, there := byName[name]; !ok || there || len(w.byTarget[name]) > 0 || len(w.accs) == 0 {
+			continue
+		}
+		if m.Base != "" && !w.baseHasRoom(m) {
+			continue
+		}
+		cold, held := w.prices(w.accs[0], m)
+		if margin := aheadMargin * cold; w.pattern(name).Gain(w.in.Now, horizon, cold, held, margin) > margin {
+			byName[name] = wake{model: m, deadline: w.in.Now.Add(time.Hour), ahead: true}
+		}
+	}
+}
+
 // wakeBase makes an adapter's demand one for its base where no accelerator with
 // the base has room.
 func (w *world) wakeBase(byName map[string]wake, m Model, d Demand) {
@@ -221,6 +244,9 @@
 	}
 	w.say(name, Forecast{Possible: true, Ready: ready})
 	if free := best.total - best.used; free < k.model.MemoryMiB {
+		if k.ahead {
+			return
+		}
 		w.evict(best, k.model.MemoryMiB-free, name)
 		return
 	}
@@ -236,8 +262,11 @@
 }
 
 func wakeReason(k wake) string {
-	if k.pinned {
+	switch {
+	case k.pinned:
 		return "lower bound"
+	case k.ahead:
+		return "expected soon"
 	}
 	return fmt.Sprintf("%d waiting", k.demand.Waiting+k.demand.Returning)
 }
--- a/internal/placement/idle.go
+++ b/internal/placement/idle.go
@@ -83,7 +83,7 @@
 		return 0
 	}
 	again := LoadTime(w.in.Speeds, max(w.tier(a, r.Target), TierDisk), m.MemoryMiB, w.remote).Seconds()
-	return again * w.pattern(r.Target).ChanceWithin(w.in.Now.Sub(r.Used), soon)
+	return again * w.pattern(r.Target).ChanceWithin(w.in.Now, w.in.Now.Sub(r.Used), soon)
 }
 
 // soon is the time in which an eviction would be regretted.
@@ -156,8 +156,7 @@
 	case w.have(m) > m.MaxReplicas:
 		return "above the upper bound"
 	}
-	idle := w.in.Now.Sub(later(r.Used, r.Since))
-	if idle >= minStay && idle >= w.keep(a, r, m) {
+	if idle := w.in.Now.Sub(later(r.Used, r.Since)); !w.in.Settled && idle >= minStay && !w.pays(a, r, m, idle) {
 		return "idle"
 	}
 	return ""
@@ -170,12 +169,22 @@
 	return b
 }
 
-// keep is how long an idle replica pays for itself. A replica that shares its
-// accelerator holds only its part of it idle.
-func (w *world) keep(a *accelerator, r *Replica, m Model) time.Duration {
-	again := LoadTime(w.in.Speeds, max(w.tier(a, r.Target), TierDisk), m.MemoryMiB, 0).Seconds()
-	share := float64(r.MemoryMiB) / float64(a.total)
-	return w.pattern(r.Target).KeepFor(again*w.in.Weights.ColdSecond, share*w.in.Weights.IdleHour)
+// pays reports whether an idle replica is worth its price. A replica that shares
+// its accelerator holds only its part of it idle.
+func (w *world) pays(a *accelerator, r *Replica, m Model, idle time.Duration) bool {
+	if w.in.Keep != nil {
+		return idle < w.in.Keep(*r)
+	}
+	cold, held := w.prices(a, m)
+	return w.pattern(r.Target).Gain(w.in.Now, idle, cold, held, 0) > 0
+}
+
+// prices returns the price of a cold start of a model, were it to be loaded here
+// again, and the price of an hour that it is held idle here.
+func (w *world) prices(a *accelerator, m Model) (cold, idleHour float64) {
+	again := LoadTime(w.in.Speeds, max(w.tier(a, m.Name), TierDisk), m.MemoryMiB, 0).Seconds()
+	share := float64(m.MemoryMiB) / float64(a.total)
+	return again * w.in.Weights.ColdSecond, share * w.in.Weights.IdleHour
 }
 
 func (w *world) idleAccelerators() float64 {
--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -109,6 +109,11 @@
 	Servers []Server
 	// Model returns a configured model; false when it is not configured.
 	Model func(name string) (Model, bool)
+	// Settled is true in rounds that need not look at idle replicas.
+	Settled bool
+	// Ahead names targets that may be loaded before anyone waits for them; a
+	// few per decision keep its price low.
+	Ahead []string
 	// Pinned names the models with a lower bound above 0.
 	Pinned   []string
 	Replicas []Replica
@@ -117,6 +122,9 @@
 	Pattern func(name string) *Pattern
 	Speeds  Speeds
 	Weights Weights
+	// Keep, where set, replaces the learnt keep time of an idle replica: for
+	// baselines.
+	Keep func(r Replica) time.Duration
 }
 
 // Kind is what a decision asks for.
--- a/internal/placement/pattern.go
+++ b/internal/placement/pattern.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"time"
 )
 
@@ -12,26 +13,55 @@
 	decay = 0.98
 	// priorWeight is how many gaps the prior belief counts for.
 	priorWeight = 2.0
-	secondsHour = 3600
+	// visitGap parts two visits: arrivals closer than this belong to one burst.
+	visitGap = time.Minute
+	// shortAge is the idle time up to which the gaps tell when the next arrival
+	// comes; after it the time of day does.
+	shortAge = 10 * time.Minute
+	// binsPerDay is the number of times of day that are told apart, for working
+	// days and for weekends.
+	binsPerDay = 48
+	dayKinds   = 2
+	binWidth   = 24 * time.Hour / binsPerDay
+	// priorHours is how many hours of observation the mean rate counts for in
+	// the rate of one time of day.
+	priorHours = 1.0
+	// horizon is how far ahead the worth of a replica is looked at.
+	horizon = 24 * time.Hour
+	// firstStep is the step at the beginning of the horizon; it grows with it.
+	firstStep = 15 * time.Second
+	workDays  = 5.0
 )
 
-// Pattern is what is learnt of one target's arrivals. The zero value knows
-// nothing. It is not safe for several goroutines.
+// Pattern is what is learnt of one target's arrivals. It is not safe for
+// several goroutines.
 type Pattern struct {
 	// gaps counts the gaps from 2^i to 2^(i+1) seconds, aged by decay.
 	gaps [gapClasses]float32
-	last time.Time
+	// visits counts the visits by kind of day and time of day.
+	visits [dayKinds][binsPerDay]float32
+	total  float32
+	began  time.Time
+	last   time.Time
 }
 
-// Arrive takes note of an arrival. Several arrivals at one time count as one.
+// NewPattern returns a pattern that has been watched since a time.
+func NewPattern(began time.Time) *Pattern { return &Pattern{began: began} }
+
+// Arrive takes note of an arrival.
 func (p *Pattern) Arrive(at time.Time) {
-	if p.last.IsZero() || at.Before(p.last) {
-		p.last = at
+	if at.Before(p.last) {
 		return
 	}
 	gap := at.Sub(p.last)
+	if p.last.IsZero() || gap > visitGap {
+		kind, bin := binOf(at)
+		p.visits[kind][bin]++
+		p.total++
+	}
+	first := p.last.IsZero()
 	p.last = at
-	if gap < time.Second {
+	if first || gap < time.Second {
 		return
 	}
 	for i := range p.gaps {
@@ -40,78 +70,102 @@
 	p.gaps[classOf(gap)]++
 }
 
-// Last returns the time of the latest arrival.
-func (p *Pattern) Last() time.Time { return p.last }
-
 func classOf(gap time.Duration) int {
-	c := int(math.Log2(max(gap.Seconds(), 1)))
-	return min(max(c, 0), gapClasses-1)
+	seconds := uint64(max(gap, time.Second) / time.Second)
+	return min(bits.Len64(seconds)-1, gapClasses-1)
 }
 
-// share returns the belief that a gap falls in a class: what was seen, joined
-// with a prior that spreads over all classes.
-func (p *Pattern) share(class int) float64 {
-	const prior = priorWeight / gapClasses
-	if p == nil {
-		return 1.0 / gapClasses
+const (
+	secondsPerDay = 24 * 3600
+	// The first of January 1970 was a Thursday, the fourth day after a Sunday.
+	firstWeekday = 4
+	daysPerWeek  = 7
+)
+
+// binOf counts from the clock's seconds: it is asked for many times a decision.
+func binOf(at time.Time) (kind, bin int) {
+	seconds := at.Unix()
+	switch (seconds/secondsPerDay + firstWeekday) % daysPerWeek {
+	case int64(time.Saturday), int64(time.Sunday):
+		kind = 1
 	}
-	total := 0.0
-	for _, g := range p.gaps {
-		total += float64(g)
+	return kind, int(seconds % secondsPerDay * binsPerDay / secondsPerDay)
+}
+
+// rate returns the expected visits per hour at a time: what was seen at that
+// time of day, drawn towards the mean over all times.
+func (p *Pattern) rate(at, now time.Time) float64 {
+	watched := max(now.Sub(p.began).Hours(), 1)
+	mean := float64(p.total) / watched
+	kind, bin := binOf(at)
+	days := workDays
+	if kind == 1 {
+		days = daysPerWeek - workDays
 	}
-	return (float64(p.gaps[class]) + prior) / (total + priorWeight)
+	seen := watched / (daysPerWeek * 24) * days * binWidth.Hours()
+	return (float64(p.visits[kind][bin]) + mean*priorHours) / (seen + priorHours)
 }
 
-// KeepFor returns how long to keep an idle replica after its last use: the
-// waiting time that makes the expected price of a gap least, given the price of
-// a cold start and that of an idle hour. A nil Pattern knows only the prior.
-func (p *Pattern) KeepFor(coldPrice, idlePrice float64) time.Duration {
-	if idlePrice <= 0 {
-		return time.Duration(math.MaxInt64)
+// hazard returns the expected arrivals per hour at a time, for a target that
+// has been idle for a time by then.
+func (p *Pattern) hazard(at, now time.Time, idle time.Duration) float64 {
+	rate := p.rate(at, now)
+	if idle >= shortAge {
+		return rate
 	}
-	perSecond := idlePrice / secondsHour
-	best, bestCost := 0.0, math.Inf(1)
-	for c := -1; c < gapClasses; c++ {
-		keep := 0.0
-		if c >= 0 {
-			keep = math.Exp2(float64(c + 1))
-		}
-		if cost := p.gapPrice(keep, coldPrice, perSecond); cost < bestCost {
-			best, bestCost = keep, cost
-		}
+	const prior = priorWeight / gapClasses
+	class := classOf(idle)
+	later := prior * float64(gapClasses-class)
+	for _, g := range p.gaps[class:] {
+		later += float64(g)
 	}
-	return time.Duration(best * float64(time.Second))
+	width := float64(int64(1)<<class) / time.Hour.Seconds()
+	return max(rate, (float64(p.gaps[class])+prior)/later/width)
 }
 
-func (p *Pattern) gapPrice(keep, coldPrice, perSecond float64) float64 {
-	cost := 0.0
-	for c := range gapClasses {
-		gap := 1.5 * math.Exp2(float64(c))
-		if gap <= keep {
-			cost += p.share(c) * gap * perSecond
-			continue
-		}
-		cost += p.share(c) * (keep*perSecond + coldPrice)
+// Gain returns the highest expected gain of holding a replica from now on for
+// some time, for a target that has been idle for a time: the price of the cold
+// start that is spared, by its chance, less the price of the idle time until
+// then. 0 means that letting it go now is best. The search ends as soon as the
+// gain is above enough. A nil Pattern expects nothing.
+func (p *Pattern) Gain(now time.Time, idle time.Duration, coldPrice, idlePrice, enough float64) float64 {
+	if p == nil {
+		return 0
 	}
-	return cost
+	best, gain, absent := 0.0, 0.0, 1.0
+	step := firstStep
+	for ahead := time.Duration(0); ahead < horizon && absent > 0.01 && best <= enough; ahead += step {
+		step = min(max(firstStep, ahead/2), binWidth)
+		expected := p.hazard(now.Add(ahead+step/2), now, idle+ahead+step/2) * step.Hours()
+		arrives := 1 - math.Exp(-expected)
+		// With an arrival in the step, half of it is idle on average.
+		gain += absent * (arrives*coldPrice - (1-arrives/2)*step.Hours()*idlePrice)
+		absent *= 1 - arrives
+		best = max(best, gain)
+	}
+	return best
 }
 
 // ChanceWithin returns the chance of an arrival in the time ahead, for a target
 // that has been idle for a time already.
-func (p *Pattern) ChanceWithin(idle, ahead time.Duration) float64 {
-	soon, later := 0.0, 0.0
-	for c := range gapClasses {
-		gap := 1.5 * math.Exp2(float64(c))
-		switch {
-		case gap <= idle.Seconds():
-		case gap <= (idle + ahead).Seconds():
-			soon += p.share(c)
-		default:
-			later += p.share(c)
-		}
+func (p *Pattern) ChanceWithin(now time.Time, idle, ahead time.Duration) float64 {
+	if p == nil {
+		return 0
 	}
-	if soon+later == 0 {
+	return 1 - math.Exp(-p.hazard(now.Add(ahead/2), now, idle+ahead/2)*ahead.Hours())
+}
+
+// IdlePerDay returns the expected hours per day that a replica is held idle, by
+// the visits seen so far and the gains at these prices.
+func (p *Pattern) IdlePerDay(now time.Time, coldPrice, idlePrice float64) float64 {
+	if p == nil {
 		return 0
 	}
-	return soon / (soon + later)
+	held := time.Duration(0)
+	for at := time.Duration(0); at < 24*time.Hour; at += binWidth {
+		if p.Gain(now.Add(at), shortAge, coldPrice, idlePrice, 0) > 0 {
+			held += binWidth
+		}
+	}
+	return held.Hours()
 }
