Pass over cached checkpoints that a replay does not know

Cause: a replay of fewer models than the servers' caches name ended in a panic in the cache's eviction.

--- a/internal/replay/sim.go
+++ b/internal/replay/sim.go
@@ -163,7 +163,10 @@
 		copied := x
 		copied.Cached = map[string]placement.Tier{}
 		for t, tier := range x.Cached {
-			copied.Cached[t] = tier
+			// A recorded file may not know every cached checkpoint.
+			if s.uses[t] != nil {
+				copied.Cached[t] = tier
+			}
 		}
 		s.servers = append(s.servers, copied)
 	}
