Count orders that may still arrive, and believe only the incarnation asked

Cause: a simulated yard of engines that lose, delay and fail orders, die in the middle of a load and come back, with leaders after each other, found more loaded inside the engines than was decided: - a load order that is given again while its engine restarts reaches the new process before its announcement is recorded. The reservation ended with the old incarnation while the new one held the replica; and the new process's answer was taken for the old one's. Now an answer names its incarnation, and an open reservation passes on to the new one, to be unloaded there. - a failed load was released at once although an earlier copy of the order had lost its connection and was still carried out. Now it is unloaded under a new number first. - for engines that ignore numbers the flight was waited out after the unload; a late copy filled the memory in between. Now the unload waits. - a replica that an engine silently lost stayed in the ledger; what an engine reported and no longer reports is unloaded for proof. Besides, a leader that was frozen between its check and the connection no longer writes the order.

Ruled out: the yard's first findings with doubled orders and with orders crossing to a new process on an old connection were the yard's own: TCP does neither.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -30,6 +30,8 @@
 const (
 	maxReplyBytes  = 64 << 10
 	connectTimeout = 2 * time.Second
+	// sendWithin is the time from the call to the write of an order.
+	sendWithin = 3 * time.Second
 )
 
 // Client gives orders. It is safe from any goroutine.
@@ -40,20 +42,20 @@
 // NewClient returns a client that opens a connection for each order: a pooled
 // one may have gone silent, and orders are rare.
 func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DisableKeepAlives:     true,
-		DialContext:           dialer().DialContext,
-		ResponseHeaderTimeout: 0,
-	}}}
+	return &Client{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialInTime}}}
 }
 
 // Give sends an order and waits for the engine's final answer. An error proves
 // nothing: the order may be under way, and is given again with the same number.
+// The order is written only within sendWithin of the call: a leader that was
+// frozen in between is deposed by the time it wakes up, and the engine may be
+// another incarnation that ignores numbers.
 func (c *Client) Give(ctx context.Context, address string, o *schema.Order) (*schema.OrderReply, error) {
 	body, err := protojson.Marshal(o)
 	if err != nil {
 		return nil, errors.Newf("encode order: %w", err)
 	}
+	ctx = context.WithValue(ctx, sendByKey{}, time.Now().Add(sendWithin))
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+OrdersPath, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Newf("make order: %w", err)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -237,6 +237,27 @@
 	refused(t, schema.ResultCode_RESULT_CODE_STALE, b.reserve("m", "e", 1, 0))
 }
 
+// TestOrderThatMayHaveReachedTheNextIncarnation: an engine restarts while its
+// load order is given again and again. The order may have reached the new
+// process before its announcement did; its replica stays counted there until an
+// unload proves that it is gone.
+func TestOrderThatMayHaveReachedTheNextIncarnation(t *testing.T) {
+	b := newBook(t)
+	ok(t, b.server("e", 1, 100))
+	b.force(intentOf("a", modelIntent("m", 60, 0, 1)))
+	res := b.reserve("m", "e", 1, 0).GetReservation()
+	ok(t, b.server("e", 2, 100))
+	var kept *schema.Reservation
+	b.l.View(func(_ ledger.Heads, r *ledger.Records) { kept = r.Reservation(res.GetNumber()) })
+	require.NotNil(t, kept)
+	assert.EqualValues(t, 2, kept.GetIncarnation())
+	assert.Equal(t, schema.ReservationState_RESERVATION_STATE_UNLOADING, kept.GetState())
+	refused(t, schema.ResultCode_RESULT_CODE_STALE, b.move(res.GetNumber(), res.GetFencing(), schema.ReservationMove_RESERVATION_MOVE_LOADED))
+	refused(t, schema.ResultCode_RESULT_CODE_OVER_BOUND, b.reserve("m", "e", 2, 0))
+	ok(t, b.move(res.GetNumber(), kept.GetFencing(), schema.ReservationMove_RESERVATION_MOVE_RELEASED))
+	ok(t, b.reserve("m", "e", 2, 0))
+}
+
 func TestLostServersReplicasCountUntilAnOperatorSaysOtherwise(t *testing.T) {
 	b := newBook(t)
 	ok(t, b.server("e", 1, 100))
--- a/internal/ledger/servers.go
+++ b/internal/ledger/servers.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"google.golang.org/protobuf/proto"
+
 	"fennelyard/internal/schema"
 )
 
@@ -9,10 +11,8 @@
 	if old != nil && s.GetIncarnation() < old.GetIncarnation() {
 		return refuse(schema.ResultCode_RESULT_CODE_STALE, "server %q has a newer incarnation", s.GetName())
 	}
-	// A new incarnation proves that the old process is gone, and what it held
-	// with it.
 	if old != nil && s.GetIncarnation() > old.GetIncarnation() {
-		l.releaseAll(s.GetName(), s.GetIncarnation())
+		l.passOn(s)
 	}
 	l.put(&schema.Record{Key: ServerKey(s.GetName()), Value: &schema.Record_Server{Server: s}})
 	return accepted()
@@ -35,6 +35,26 @@
 	return accepted()
 }
 
+// passOn settles what was reserved under earlier incarnations. A new one proves
+// that the old process is gone, and what it held with it. It does not prove
+// where an order went that has no answer yet: given again while the server
+// restarted, it may have reached the new process before that was recorded. Such
+// a reservation stays, to be unloaded from the new incarnation.
+func (l *Ledger) passOn(s *schema.Server) {
+	for _, r := range l.records.ReservationsOn(s.GetName()) {
+		if r.GetState() == schema.ReservationState_RESERVATION_STATE_LOADED || int(r.GetAccelerator()) >= len(s.GetAcceleratorMib()) {
+			l.drop(ReservationKey(r.GetNumber()))
+			continue
+		}
+		next := proto.Clone(r).(*schema.Reservation)
+		next.Incarnation = s.GetIncarnation()
+		next.State = schema.ReservationState_RESERVATION_STATE_UNLOADING
+		next.Fencing = l.number()
+		next.ChangedMs = l.clockMs
+		l.putReservation(next)
+	}
+}
+
 func (l *Ledger) releaseAll(server string, below uint64) {
 	for _, r := range l.records.ReservationsOn(server) {
 		if r.GetIncarnation() < below {
--- a/internal/order/driver.go
+++ b/internal/order/driver.go
@@ -99,6 +99,9 @@
 	cancel context.CancelFunc
 	// busy holds reservations that a goroutine works on.
 	busy map[uint64]bool
+	// inFlight holds, for reservations with an order that got no answer, until
+	// when that order may still arrive.
+	inFlight map[uint64]time.Time
 	// reserving holds accelerators with a reserve command under way.
 	reserving map[reserveKey]string
 	// putting holds servers with a put command under way.
@@ -171,6 +174,7 @@
 	d.fleet = newFleet()
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.busy = map[uint64]bool{}
+	d.inFlight = map[uint64]time.Time{}
 	d.reserving = map[reserveKey]string{}
 	d.putting = map[string]bool{}
 	d.forecasts = map[string]placement.Forecast{}
@@ -229,6 +233,28 @@
 	for _, decision := range plan.Decisions {
 		d.act(decision)
 	}
+	d.dropVanished(now)
+}
+
+// dropVanished orders an unload of replicas that an engine held and no longer
+// reports, to have it proved that they are gone. Callers would otherwise be sent
+// to a replica that is not there for as long as the engine lives.
+func (d *Driver) dropVanished(now time.Time) {
+	var gone []*schema.Reservation
+	d.cfg.Ledger.View(func(_ ledger.Heads, r *ledger.Records) {
+		for _, res := range r.Reservations() {
+			loaded := res.GetState() == schema.ReservationState_RESERVATION_STATE_LOADED
+			if loaded && d.fleet.vanished(res, now) {
+				gone = append(gone, res)
+			}
+		}
+	})
+	for _, res := range gone {
+		d.act(placement.Decision{
+			Kind: placement.KindUnload, Target: res.GetTarget(), Server: res.GetServer(), Replica: res.GetNumber(),
+			Reason: "the engine no longer reports it",
+		})
+	}
 }
 
 // nextAhead returns the next few targets with learnt arrivals, all of them in
@@ -306,9 +332,16 @@
 	if ctx.Err() == nil {
 		delete(d.busy, number)
 	}
+	d.forgetFlights()
 	d.poke()
 }
 
+// forgetFlights drops what can no longer arrive; d.mu is held.
+func (d *Driver) forgetFlights() {
+	now := d.cfg.Now()
+	maps.DeleteFunc(d.inFlight, func(_ uint64, until time.Time) bool { return now.After(until) })
+}
+
 // poke asks for a round; d.mu is held.
 func (d *Driver) poke() {
 	d.dirty = true
--- a/internal/order/fleet.go
+++ b/internal/order/fleet.go
@@ -34,6 +34,8 @@
 	server *schema.Server
 	cached map[string]placement.Tier
 	loaded map[string]bool
+	// seen holds what the incarnation ever reported as loaded.
+	seen map[string]bool
 	// sequence and at belong to the latest sign of life, altered to the latest
 	// full announcement.
 	sequence uint64
@@ -80,18 +82,37 @@
 	}
 	h := &heard{
 		server: a.GetServer(), sequence: a.GetSequence(), at: at, altered: at,
-		cached: map[string]placement.Tier{}, loaded: map[string]bool{},
+		cached: map[string]placement.Tier{}, loaded: map[string]bool{}, seen: map[string]bool{},
+	}
+	if same {
+		h.seen = old.seen
 	}
 	for _, c := range a.GetCached() {
 		h.cached[c.GetTarget()] = placement.Tier(c.GetTier())
 	}
 	for _, t := range a.GetLoaded() {
 		h.loaded[t] = true
+		h.seen[t] = true
 	}
 	f.servers[name] = h
 	return h.server
 }
 
+// vanishedAfter is how long an engine must not report a replica that it once
+// reported; announcements lag behind orders.
+const vanishedAfter = 3 * time.Second
+
+// vanished reports whether an engine that reported a replica since it was loaded
+// has stopped to do so.
+func (f *fleet) vanished(res *schema.Reservation, now time.Time) bool {
+	h := f.servers[res.GetServer()]
+	if h == nil || h.server.GetIncarnation() != res.GetIncarnation() || h.loaded[res.GetTarget()] {
+		return false
+	}
+	since := later(h.altered, time.UnixMilli(res.GetChangedMs()))
+	return h.seen[res.GetTarget()] && h.at.Sub(since) > vanishedAfter && now.Sub(since) > vanishedAfter
+}
+
 // want takes in an entry's word on a target; base is the target's base model, if
 // it is an adapter.
 func (f *fleet) want(entry string, d *schema.Demand, base string, now time.Time) {
--- a/internal/order/orders.go
+++ b/internal/order/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/engine"
@@ -98,13 +99,14 @@
 		if server == nil {
 			return
 		}
+		d.awaitFlights(ctx, server, res)
 		reply, err := d.give(ctx, server, res)
 		if err != nil {
 			d.cfg.Log.V(1).Info("order without answer", "reservation", res.GetNumber(), "reason", err.Error())
 			d.sleep(ctx, orderRetry)
 			continue
 		}
-		res = d.settle(ctx, server, res, reply, began)
+		res = d.settle(ctx, res, reply, began)
 	}
 }
 
@@ -137,7 +139,36 @@
 	expected := time.UnixMilli(res.GetReadyMs()).Sub(d.cfg.Now())
 	ctx, cancel = context.WithTimeout(ctx, max(minOrderWait, orderWaitTimes*expected))
 	defer cancel()
-	return d.cfg.Give(ctx, s.GetAddress(), d.orderOf(res))
+	reply, err := d.cfg.Give(ctx, s.GetAddress(), d.orderOf(res))
+	if err == nil && reply.GetIncarnation() != res.GetIncarnation() {
+		// The engine restarted before its announcement was recorded. What the
+		// new process did says nothing about the one that was reserved for.
+		err = errors.Newf("incarnation %d answered, not %d", reply.GetIncarnation(), res.GetIncarnation())
+	}
+	if err != nil && res.GetState() == schema.ReservationState_RESERVATION_STATE_LOADING {
+		d.mu.Lock()
+		d.inFlight[res.GetNumber()] = d.cfg.Now().Add(flightBound)
+		d.mu.Unlock()
+	}
+	return reply, err
+}
+
+// mayArrive returns how long an order that got no answer may still arrive: one
+// of this leader's, or one of a former leader's.
+func (d *Driver) mayArrive(res *schema.Reservation) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	until := later(d.since.Add(flightBound), d.inFlight[res.GetNumber()])
+	return until.Sub(d.cfg.Now())
+}
+
+// isOnlyOrder reports whether the order that an answer belongs to is the only
+// one that ever left for the reservation.
+func (d *Driver) isOnlyOrder(res *schema.Reservation) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, unanswered := d.inFlight[res.GetNumber()]
+	return res.GetFencing() == res.GetNumber() && !unanswered
 }
 
 func (d *Driver) orderOf(res *schema.Reservation) *schema.Order {
@@ -156,7 +187,7 @@
 
 // settle records what an engine's answer proves. It returns the reservation to
 // go on with, or nil when there is nothing left to do.
-func (d *Driver) settle(ctx context.Context, s *schema.Server, res *schema.Reservation,
+func (d *Driver) settle(ctx context.Context, res *schema.Reservation,
 	reply *schema.OrderReply, began time.Time,
 ) *schema.Reservation {
 	loading := res.GetState() == schema.ReservationState_RESERVATION_STATE_LOADING
@@ -178,7 +209,7 @@
 			"server", res.GetServer(), "reason", reply.GetReason())
 		return d.afterFailedLoad(ctx, res)
 	case done:
-		d.release(ctx, s, res)
+		d.drop(ctx, res)
 		return nil
 	}
 	d.cfg.Log.Info("unload failed", "reservation", res.GetNumber(), "reason", reply.GetReason())
@@ -187,27 +218,26 @@
 }
 
 // afterFailedLoad releases at once only when the failed order was the only one
-// that ever left for the reservation. A former leader's order may still arrive
-// and succeed; an unload then makes sure.
+// that ever left for the reservation. Another copy of it may still arrive and
+// succeed; an unload under a new number then makes sure.
 func (d *Driver) afterFailedLoad(ctx context.Context, res *schema.Reservation) *schema.Reservation {
-	if res.GetFencing() != res.GetNumber() {
+	if !d.isOnlyOrder(res) {
 		return d.move(ctx, res, schema.ReservationMove_RESERVATION_MOVE_UNLOADING)
 	}
 	d.drop(ctx, res)
 	return nil
 }
 
-// release ends a reservation after a confirmed unload. An engine that ignores
-// fencing numbers could still carry out a load order of a former leader that
-// arrives late; its flight is waited out first.
-func (d *Driver) release(ctx context.Context, s *schema.Server, res *schema.Reservation) {
-	d.mu.Lock()
-	since := d.since
-	d.mu.Unlock()
-	if wait := flightBound - d.cfg.Now().Sub(since); !s.GetChecksFencing() && wait > 0 {
+// awaitFlights holds an unload back until no load order for the reservation can
+// arrive any more. An engine that ignores fencing numbers would carry out a late
+// one after the unload, and the memory would be reserved again while it is full.
+func (d *Driver) awaitFlights(ctx context.Context, s *schema.Server, res *schema.Reservation) {
+	if s.GetChecksFencing() || res.GetState() != schema.ReservationState_RESERVATION_STATE_UNLOADING {
+		return
+	}
+	if wait := d.mayArrive(res); wait > 0 {
 		d.sleep(ctx, wait)
 	}
-	d.drop(ctx, res)
 }
 
 func (d *Driver) drop(ctx context.Context, res *schema.Reservation) {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -147,7 +147,7 @@
 }
 
 func (e *Engine) execute(o *schema.Order) *schema.OrderReply {
-	reply := &schema.OrderReply{Fencing: o.GetFencing(), Outcome: engine.OutcomeDone}
+	reply := &schema.OrderReply{Fencing: o.GetFencing(), Outcome: engine.OutcomeDone, Incarnation: e.cfg.Incarnation}
 	if why := e.admit(o); why != "" {
 		reply.Outcome, reply.Reason = engine.OutcomeRefused, why
 		return reply
