Test membership, admission, placement, routing and silent connections

Found by the new tests: - hosts that were cut off from each other for minutes held each other for dead for ever: nobody told them, and only they could refute it. A probe now carries what is believed of its receiver. - decisions depended on the order in which a map was walked: the same input could give another forecast. Targets are walked in order now.

--- a/internal/host/bed_test.go
+++ b/internal/host/bed_test.go
@@ -40,16 +40,27 @@
 	t.Helper()
 	layout, err := demo.NewLayout(1, 1, t.TempDir(), extra)
 	require.NoError(t, err)
-	s, err := settings.Parse("bed.yaml", []byte(layout.YAML("host-1")))
-	require.NoError(t, err)
-	h, err := host.New(host.Config{Settings: s})
-	require.NoError(t, err)
-	t.Cleanup(h.Close)
-	b := &bed{t: t, layout: layout, host: h, oper: operator.NewClient(layout.Hosts()[0].Operator)}
-	b.eventually("a ready host", h.Ready)
+	b := &bed{t: t, layout: layout, oper: operator.NewClient(layout.Hosts()[0].Operator)}
+	b.start()
+	t.Cleanup(func() { b.host.Close() })
 	return b
 }
 
+func (b *bed) start() {
+	b.t.Helper()
+	s, err := settings.Parse("bed.yaml", []byte(b.layout.YAML("host-1")))
+	require.NoError(b.t, err)
+	b.host, err = host.New(host.Config{Settings: s})
+	require.NoError(b.t, err)
+	b.eventually("a ready host", b.host.Ready)
+}
+
+// restart stops the host at once and starts it from its disk.
+func (b *bed) restart() {
+	b.host.Close()
+	b.start()
+}
+
 func (b *bed) eventually(what string, holds func() bool) {
 	b.t.Helper()
 	limit := time.After(bedWait)
@@ -204,3 +215,65 @@
 	}
 	return int(n), nil
 }
+
+// silentListener can make its open connections go silent for good: they stay
+// open, take what is sent and bring nothing, while new ones work.
+type silentListener struct {
+	net.Listener
+	mu    sync.Mutex
+	epoch chan struct{}
+}
+
+func newSilentListener(t testing.TB) *silentListener {
+	return &silentListener{Listener: listen(t), epoch: make(chan struct{})}
+}
+
+// silence strikes every connection that is open now.
+func (l *silentListener) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.epoch)
+	l.epoch = make(chan struct{})
+}
+
+func (l *silentListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return &silentConn{Conn: c, silenced: l.epoch, closed: make(chan struct{})}, nil
+}
+
+type silentConn struct {
+	net.Conn
+	silenced chan struct{}
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (c *silentConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	select {
+	case <-c.silenced:
+		<-c.closed
+		return 0, net.ErrClosed
+	default:
+		return n, err
+	}
+}
+
+func (c *silentConn) Write(p []byte) (int, error) {
+	select {
+	case <-c.silenced:
+		return len(p), nil
+	default:
+		return c.Conn.Write(p)
+	}
+}
+
+func (c *silentConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -236,7 +236,7 @@
 	l.sequence++
 	return Send{target, &schema.Probe{
 		Kind: schema.ProbeKind_PROBE_KIND_PING, From: l.cfg.Self, Target: target,
-		Sequence: l.sequence, Facts: l.news(),
+		Sequence: l.sequence, Facts: l.newsFor(target),
 	}}
 }
 
@@ -315,7 +315,7 @@
 	}
 	switch p.GetKind() {
 	case schema.ProbeKind_PROBE_KIND_PING:
-		return []Send{{p.GetFrom(), l.ack(l.cfg.Self, p.GetSequence())}}
+		return []Send{{p.GetFrom(), l.ack(p.GetFrom(), l.cfg.Self, p.GetSequence())}}
 	case schema.ProbeKind_PROBE_KIND_PING_FOR:
 		if _, known := l.hosts[p.GetTarget()]; !known {
 			return nil
@@ -333,7 +333,7 @@
 func (l *List) acked(p *schema.Probe) []Send {
 	if r, ok := l.relays[p.GetSequence()]; ok {
 		delete(l.relays, p.GetSequence())
-		return []Send{{r.origin, l.ack(p.GetTarget(), r.sequence)}}
+		return []Send{{r.origin, l.ack(r.origin, p.GetTarget(), r.sequence)}}
 	}
 	if o, ok := l.open[p.GetSequence()]; ok && o.target == p.GetTarget() {
 		delete(l.open, p.GetSequence())
@@ -341,10 +341,10 @@
 	return nil
 }
 
-func (l *List) ack(target string, seq uint64) *schema.Probe {
+func (l *List) ack(to, target string, seq uint64) *schema.Probe {
 	return &schema.Probe{
 		Kind: schema.ProbeKind_PROBE_KIND_ACK, From: l.cfg.Self, Target: target,
-		Sequence: seq, Facts: l.news(),
+		Sequence: seq, Facts: l.newsFor(to),
 	}
 }
 
@@ -409,6 +409,17 @@
 	return out
 }
 
+// newsFor adds what is believed of the receiver itself, unless it is alive: only
+// it can refute that, by a higher incarnation. Hosts that were cut off from each
+// other would otherwise hold each other for dead for ever.
+func (l *List) newsFor(host string) []*schema.HostFact {
+	out := l.news()
+	if e, ok := l.hosts[host]; ok && e.fact.GetState() != schema.HostState_HOST_STATE_ALIVE && e.fact.GetIncarnation() > 0 {
+		out = append(out, e.fact)
+	}
+	return out
+}
+
 func (l *List) spreadLimit() int {
 	return spreadFactor * bits.Len(uint(len(l.cfg.Hosts)))
 }
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -114,7 +114,8 @@
 // served: what an operator pinned last, else by priority and earliest deadline.
 func (w *world) wakes() []wake {
 	byName := map[string]wake{}
-	for target, d := range w.in.Demands {
+	for _, target := range slices.Sorted(maps.Keys(w.in.Demands)) {
+		d := w.in.Demands[target]
 		m, ok := w.in.Model(target)
 		if !ok || d.Waiting+d.Returning == 0 {
 			continue
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,127 @@
+package routing_test
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"fennelyard/internal/routing"
+)
+
+var start = time.Unix(1_790_000_000, 0)
+
+func servers(names ...string) []routing.Candidate {
+	var out []routing.Candidate
+	for _, n := range names {
+		out = append(out, routing.Candidate{Server: n, Incarnation: 1, Near: true})
+	}
+	return out
+}
+
+func TestChoose(t *testing.T) {
+	random := rand.New(rand.NewSource(1)).Intn
+	for _, c := range []struct {
+		name       string
+		candidates []routing.Candidate
+		limit      int
+		want       int
+	}{
+		{"none", nil, 4, -1},
+		{"all full", []routing.Candidate{{Outstanding: 4}, {Outstanding: 5}}, 4, -1},
+		{"less outstanding", []routing.Candidate{{Outstanding: 3, Near: true}, {Outstanding: 1, Near: true}}, 4, 1},
+		{"near before far", []routing.Candidate{{}, {Near: true}}, 4, 1},
+		{"cached prefix", []routing.Candidate{{Near: true}, {Near: true, Outstanding: 1, Prefix: true}}, 4, 1},
+		{"fresh report counts", []routing.Candidate{{Near: true, Reported: 9}, {Near: true, Outstanding: 2}}, 4, 1},
+		{"old report does not", []routing.Candidate{{Near: true, Reported: 9, ReportAge: time.Minute}, {Near: true, Outstanding: 2}}, 4, 0},
+		{"slow server", []routing.Candidate{{Near: true, Slowness: 5}, {Near: true, Outstanding: 2}}, 4, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			assert.Equal(t, c.want, routing.Choose(routing.PolicyWeighted, c.candidates, c.limit, 0, random))
+		})
+	}
+}
+
+// TestFailingServerIsEjectedAndLetBackIn: a server fails three times in a row and
+// gets nothing for a while; then one request probes it, and its success lets it
+// back in.
+func TestFailingServerIsEjectedAndLetBackIn(t *testing.T) {
+	table := routing.NewTable(routing.PolicyWeighted, rand.New(rand.NewSource(1)).Intn)
+	candidates := servers("a", "b", "c")
+	now := start
+	fail := func(name string, ok bool) {
+		c, picked := table.Pick(now, "m", nil, candidates, 100, without(name))
+		require.True(t, picked)
+		require.Equal(t, name, c.Server)
+		table.Done(now, c, "m", nil, routing.Result{OK: ok, Reported: -1})
+	}
+	for range 3 {
+		fail("a", false)
+	}
+	for range 50 {
+		c, picked := table.Pick(now, "m", nil, candidates, 100, nil)
+		require.True(t, picked)
+		require.NotEqual(t, "a", c.Server)
+		table.Done(now, c, "m", nil, routing.Result{OK: true, Reported: -1})
+	}
+	assert.Equal(t, 1, table.Ejected(now))
+	now = now.Add(2 * time.Second)
+	fail("a", true)
+	assert.Zero(t, table.Ejected(now))
+}
+
+// without excludes all but one server.
+func without(name string) map[string]bool {
+	out := map[string]bool{"a": true, "b": true, "c": true}
+	delete(out, name)
+	return out
+}
+
+// TestNotAllAreEjected: every server fails. Taking them all out would refuse what
+// some of them could still serve.
+func TestNotAllAreEjected(t *testing.T) {
+	table := routing.NewTable(routing.PolicyWeighted, rand.New(rand.NewSource(1)).Intn)
+	candidates := servers("a", "b", "c")
+	for range 60 {
+		c, picked := table.Pick(start, "m", nil, candidates, 100, nil)
+		require.True(t, picked)
+		table.Done(start, c, "m", nil, routing.Result{Reported: -1})
+	}
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	b := routing.NewBudget()
+	spent := 0
+	for b.Spend() {
+		spent++
+	}
+	assert.Equal(t, 20, spent)
+	for range 100 {
+		b.Earn()
+	}
+	for b.Spend() {
+		spent++
+	}
+	assert.InDelta(t, 30, spent, 1)
+}
+
+// BenchmarkPick compares the policies' price per choice among 50 replicas.
+func BenchmarkPick(b *testing.B) {
+	for _, p := range []routing.Policy{routing.PolicyWeighted, routing.PolicyRandom, routing.PolicyRoundRobin, routing.PolicyLeastOutstanding} {
+		b.Run(p.String(), func(b *testing.B) {
+			table := routing.NewTable(p, rand.New(rand.NewSource(1)).Intn)
+			names := make([]string, 50)
+			for i := range names {
+				names[i] = string(rune('a' + i))
+			}
+			candidates := servers(names...)
+			b.ReportAllocs()
+			for b.Loop() {
+				c, _ := table.Pick(start, "m", nil, candidates, 100, nil)
+				table.Done(start, c, "m", nil, routing.Result{OK: true, Reported: -1})
+			}
+		})
+	}
+}
