Write the product's pages, choose at random among equals, split large files

Candidates are compared in random order, 16 instead of 3.

Tried and not taken: the sum of estimated costs as a server's load (from the paper RadarScanner@Cloud).

--- a/cmd/fennelyard/measure.go
+++ b/cmd/fennelyard/measure.go
@@ -15,7 +15,7 @@
 		Use: "measure", Short: "Measure what docs rest on",
 		Example: "  fennelyard measure capacity",
 	}
-	c.AddCommand(newMeasureCapacity(), newMeasurePolicy())
+	c.AddCommand(newMeasureCapacity(), newMeasurePolicy(), newMeasureRouting())
 	return c
 }
 
@@ -71,3 +71,26 @@
 	enc.SetIndent("", "  ")
 	return enc.Encode(out)
 }
+
+func newMeasureRouting() *cobra.Command {
+	var seed int64
+	var noise float64
+	var entries int
+	c := &cobra.Command{
+		Use: "routing", Short: "Compare ways to choose a server for requests of very different cost",
+		Example: "  fennelyard measure routing --noise 0.5",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			table(c.OutOrStdout(), "POLICY\tWAIT P50 S\tP95 S\tP99 S", func(t io.Writer) {
+				for _, r := range measure.Routing(seed, noise, entries) {
+					_, _ = fmt.Fprintf(t, "%s\t%.3f\t%.2f\t%.2f\n", r.Policy, r.P50, r.P95, r.P99)
+				}
+			})
+			return nil
+		},
+	}
+	c.Flags().Int64Var(&seed, "seed", 101, "seed of the requests")
+	c.Flags().IntVar(&entries, "entries", 7, "entries, each of which sees only its own requests")
+	c.Flags().Float64Var(&noise, "noise", 0.5, "spread of the cost that the size does not explain")
+	return c
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -48,8 +48,8 @@
 	r.POST("/v1/chat/completions", e.model)
 	r.POST("/v1/completions", e.model)
 	r.GET("/v1/models", e.models)
-	r.Any("/services/:service/*", e.service)
-	r.Any("/services/:service", e.service)
+	r.Any(servicesPrefix+":service/*", e.service)
+	r.Any(servicesPrefix+":service", e.service)
 	return r
 }
 
@@ -102,6 +102,8 @@
 	id       string
 	customer string
 	kind     string
+	// path is the path and query at the backend server.
+	path     string
 	target   target
 	body     []byte
 	began    time.Time
@@ -116,7 +118,7 @@
 func (e *Entry) check(c echo.Context, kind string) (*incoming, *refusal.Refusal) {
 	q := c.Request()
 	in := &incoming{
-		id: strconv.FormatUint(e.cfg.RandomID(), 36), kind: kind, began: time.Now(),
+		id: strconv.FormatUint(e.cfg.RandomID(), 36), kind: kind, began: time.Now(), path: q.URL.RequestURI(),
 		customer: q.Header.Get(routing.HeaderCustomer), key: q.Header.Get(HeaderKey),
 		first: q.Header.Get(HeaderAttempt) == "1",
 	}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -231,7 +231,7 @@
 	header.Set(routing.HeaderPriority, strconv.Itoa(int(in.target.customer.GetPriority())))
 	propagator().Inject(ctx, propagation.HeaderCarrier(header))
 	return routing.Call{
-		Address: to.Address, Method: q.Method, Path: q.URL.RequestURI(), Header: header,
+		Address: to.Address, Method: q.Method, Path: in.path, Header: header,
 		Body: in.body, RequestID: in.id,
 	}
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -21,6 +22,9 @@
 // the caller's deadline, so that a resend can be given it.
 const lateGrace = 30 * time.Second
 
+// servicesPrefix is the path under which services are reached.
+const servicesPrefix = "/services/"
+
 // answerMargin lets the record of a request that was refused at its deadline
 // come back first, so that the caller is told "not run" and not "unknown".
 const answerMargin = 100 * time.Millisecond
@@ -35,18 +39,26 @@
 	if refused != nil {
 		return e.refuse(c, in, e.beforeClaim(in, refused))
 	}
-	path := "/" + c.Param("*")
-	if q := c.Request().URL.RawQuery; q != "" {
-		path += "?" + q
-	}
-	c.Request().URL.RawPath = ""
-	c.Request().URL.Path, c.Request().URL.RawQuery, _ = strings.Cut(path, "?")
+	in.path = pathWithin(c.Request().URL, c.Param("service"))
 	if isIdempotent(c.Request().Method, in.target.service) {
 		return e.repeatable(c, in, false)
 	}
 	return e.unrepeatable(c, in)
 }
 
+// pathWithin returns the path and query that a service sees, as the caller
+// escaped them.
+func pathWithin(u *url.URL, service string) string {
+	path := strings.TrimPrefix(u.EscapedPath(), servicesPrefix+service)
+	if path == "" {
+		path = "/"
+	}
+	if u.RawQuery != "" {
+		path += "?" + u.RawQuery
+	}
+	return path
+}
+
 func isIdempotent(method string, s *schema.Service) bool {
 	switch method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions:
@@ -73,7 +85,7 @@
 	}
 	q := c.Request()
 	grant, kept, refused := e.keeper.Begin(q.Context(), claim.Request{
-		Customer: in.customer, Key: in.key, Method: q.Method, Path: in.target.name + q.URL.RequestURI(), Body: in.body,
+		Customer: in.customer, Key: in.key, Method: q.Method, Path: in.target.name + in.path, Body: in.body,
 		Deadline: in.deadline, First: in.first,
 	})
 	if refused != nil {
--- a/internal/order/driver.go
+++ b/internal/order/driver.go
@@ -236,27 +236,6 @@
 	d.dropVanished(now)
 }
 
-// dropVanished orders an unload of replicas that an engine held and no longer
-// reports, to have it proved that they are gone. Callers would otherwise be sent
-// to a replica that is not there for as long as the engine lives.
-func (d *Driver) dropVanished(now time.Time) {
-	var gone []*schema.Reservation
-	d.cfg.Ledger.View(func(_ ledger.Heads, r *ledger.Records) {
-		for _, res := range r.Reservations() {
-			loaded := res.GetState() == schema.ReservationState_RESERVATION_STATE_LOADED
-			if loaded && d.fleet.vanished(res, now) {
-				gone = append(gone, res)
-			}
-		}
-	})
-	for _, res := range gone {
-		d.act(placement.Decision{
-			Kind: placement.KindUnload, Target: res.GetTarget(), Server: res.GetServer(), Replica: res.GetNumber(),
-			Reason: "the engine no longer reports it",
-		})
-	}
-}
-
 // nextAhead returns the next few targets with learnt arrivals, all of them in
 // turn within aheadEvery or a little more.
 func (d *Driver) nextAhead(now time.Time) []string {
@@ -351,164 +330,12 @@
 	}
 }
 
-// noteLost records servers that nobody has heard of; d.mu is held.
-func (d *Driver) noteLost(now time.Time, r *ledger.Records) {
-	for _, s := range r.Servers() {
-		h := d.fleet.servers[s.GetName()]
-		heardAt := d.since
-		if h != nil && h.server.GetIncarnation() == s.GetIncarnation() {
-			heardAt = later(heardAt, h.at)
-		}
-		if !s.GetLost() && now.Sub(heardAt) > lostAfter {
-			lost := cloneServer(s)
-			lost.Lost = true
-			d.put(lost)
-		}
-	}
-}
-
-// put records a server's change; d.mu is held.
-func (d *Driver) put(s *schema.Server) {
-	if d.putting[s.GetName()] {
-		return
-	}
-	d.putting[s.GetName()] = true
-	d.spawn(func(ctx context.Context) {
-		_, err := d.commit(ctx, &schema.Command{Body: &schema.Command_PutServer{PutServer: &schema.PutServer{Server: s}}})
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		if ctx.Err() != nil {
-			return
-		}
-		delete(d.putting, s.GetName())
-		if err == nil {
-			d.cfg.Log.Info("server recorded", "server", s.GetName(), "incarnation", s.GetIncarnation(),
-				"leaving", s.GetLeaving(), "lost", s.GetLost())
-		}
-		d.poke()
-	})
-}
-
 func (d *Driver) commit(ctx context.Context, cmd *schema.Command) (*schema.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitWait)
 	defer cancel()
 	return d.cfg.Commit(ctx, cmd)
 }
 
-// Report takes in an entry's soft state and answers with forecasts.
-func (d *Driver) Report(q *schema.Report) *schema.ReportReply {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !d.follow() {
-		return &schema.ReportReply{NotLeader: true}
-	}
-	now := d.cfg.Now()
-	for _, a := range q.GetAnnouncements() {
-		if s := d.fleet.hear(a, now); s != nil {
-			d.compare(s)
-		}
-	}
-	pressing := false
-	for _, dm := range q.GetDemands() {
-		d.fleet.want(q.GetEntry(), dm, d.baseOf(dm.GetTarget()), now)
-		pressing = pressing || dm.GetWaiting() > 0
-	}
-	d.dirty = d.dirty || pressing
-	if pressing && (now.Sub(d.lastRound) >= roundGap || d.unforeseen(q.GetDemands())) {
-		d.round()
-	}
-	out := &schema.ReportReply{}
-	for _, dm := range q.GetDemands() {
-		if f, ok := d.forecasts[dm.GetTarget()]; ok && dm.GetWaiting() > 0 {
-			out.Forecasts = append(out.Forecasts, forecastOf(dm.GetTarget(), f, now))
-		}
-	}
-	return out
-}
-
-func (d *Driver) baseOf(target string) string {
-	base := ""
-	d.cfg.Ledger.View(func(_ ledger.Heads, r *ledger.Records) { base = r.Model(target).GetBase() })
-	return base
-}
-
-// unforeseen reports whether the last round did not look at one of the targets.
-func (d *Driver) unforeseen(demands []*schema.Demand) bool {
-	return slices.ContainsFunc(demands, func(x *schema.Demand) bool {
-		_, seen := d.forecasts[x.GetTarget()]
-		return x.GetWaiting() > 0 && !seen
-	})
-}
-
-func forecastOf(target string, f placement.Forecast, now time.Time) *schema.Forecast {
-	if !f.Possible {
-		return &schema.Forecast{Target: target, ReadyInMs: -1, Reason: f.Reason}
-	}
-	return &schema.Forecast{Target: target, ReadyInMs: max(f.Ready.Sub(now).Milliseconds(), 0)}
-}
-
-// compare records a server whose announcement differs from its record.
-func (d *Driver) compare(s *schema.Server) {
-	var old *schema.Server
-	d.cfg.Ledger.View(func(_ ledger.Heads, r *ledger.Records) { old = r.Server(s.GetName()) })
-	if old == nil || !sameServer(old, s) && s.GetIncarnation() >= old.GetIncarnation() {
-		d.put(s)
-	}
-}
-
-// Forecast estimates what an intent's targets would cost, for its plan.
-func (d *Driver) Forecast(in *schema.Intent) []*schema.PlanLine {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	speeds := d.speeds.Speeds()
-	var out []*schema.PlanLine
-	add := func(name string, mib uint64, pinned uint32) {
-		cold := placement.LoadTime(speeds, d.bestTier(name), mib, 0)
-		idle := float64(pinned) * hoursPerDay
-		if pinned == 0 {
-			idle = d.idleHours(name, cold)
-		}
-		out = append(out, &schema.PlanLine{Target: name, ColdStartMs: cold.Milliseconds(), IdleHoursPerDay: idle})
-	}
-	for _, m := range in.GetModels() {
-		add(m.GetName(), m.GetMemoryMib(), m.GetMinReplicas())
-	}
-	for _, a := range in.GetAdapters() {
-		add(a.GetName(), a.GetMemoryMib(), 0)
-	}
-	return out
-}
-
-const hoursPerDay = 24
-
-// idleHours is the expected idle time per day by what is learnt of a target; a
-// target that nobody asked for yet is held for nobody.
-func (d *Driver) idleHours(name string, cold time.Duration) float64 {
-	return d.fleet.patterns[name].IdlePerDay(d.cfg.Now(), cold.Seconds()*d.cfg.Weights.ColdSecond, d.cfg.Weights.IdleHour)
-}
-
-func (d *Driver) bestTier(target string) placement.Tier {
-	best := placement.TierRemote
-	for _, h := range d.fleet.servers {
-		best = max(best, h.cached[target])
-	}
-	return best
-}
-
-// Unproved lists the reservations whose order has had no answer for long.
-func (d *Driver) Unproved() []uint64 {
-	limit := d.cfg.Now().Add(-unprovedAfter).UnixMilli()
-	var out []uint64
-	d.cfg.Ledger.View(func(_ ledger.Heads, r *ledger.Records) {
-		for _, res := range r.Reservations() {
-			if res.GetState() != schema.ReservationState_RESERVATION_STATE_LOADED && res.GetChangedMs() < limit {
-				out = append(out, res.GetNumber())
-			}
-		}
-	})
-	return out
-}
-
 func (d *Driver) span(ctx context.Context, name string, r *schema.Reservation) (context.Context, trace.Span) {
 	return d.cfg.Tracer.Start(ctx, name, trace.WithAttributes(
 		attribute.String("fennelyard.target", r.GetTarget()), attribute.String("fennelyard.server", r.GetServer()),
--- /dev/null
+++ b/internal/order/forecast.go
@@ -0,0 +1,62 @@
+package order
+
+import (
+	"time"
+
+	"fennelyard/internal/ledger"
+	"fennelyard/internal/placement"
+	"fennelyard/internal/schema"
+)
+
+// Forecast estimates what an intent's targets would cost, for its plan.
+func (d *Driver) Forecast(in *schema.Intent) []*schema.PlanLine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	speeds := d.speeds.Speeds()
+	var out []*schema.PlanLine
+	add := func(name string, mib uint64, pinned uint32) {
+		cold := placement.LoadTime(speeds, d.bestTier(name), mib, 0)
+		idle := float64(pinned) * hoursPerDay
+		if pinned == 0 {
+			idle = d.idleHours(name, cold)
+		}
+		out = append(out, &schema.PlanLine{Target: name, ColdStartMs: cold.Milliseconds(), IdleHoursPerDay: idle})
+	}
+	for _, m := range in.GetModels() {
+		add(m.GetName(), m.GetMemoryMib(), m.GetMinReplicas())
+	}
+	for _, a := range in.GetAdapters() {
+		add(a.GetName(), a.GetMemoryMib(), 0)
+	}
+	return out
+}
+
+const hoursPerDay = 24
+
+// idleHours is the expected idle time per day by what is learnt of a target; a
+// target that nobody asked for yet is held for nobody.
+func (d *Driver) idleHours(name string, cold time.Duration) float64 {
+	return d.fleet.patterns[name].IdlePerDay(d.cfg.Now(), cold.Seconds()*d.cfg.Weights.ColdSecond, d.cfg.Weights.IdleHour)
+}
+
+func (d *Driver) bestTier(target string) placement.Tier {
+	best := placement.TierRemote
+	for _, h := range d.fleet.servers {
+		best = max(best, h.cached[target])
+	}
+	return best
+}
+
+// Unproved lists the reservations whose order has had no answer for long.
+func (d *Driver) Unproved() []uint64 {
+	limit := d.cfg.Now().Add(-unprovedAfter).UnixMilli()
+	var out []uint64
+	d.cfg.Ledger.View(func(_ ledger.Heads, r *ledger.Records) {
+		for _, res := range r.Reservations() {
+			if res.GetState() != schema.ReservationState_RESERVATION_STATE_LOADED && res.GetChangedMs() < limit {
+				out = append(out, res.GetNumber())
+			}
+		}
+	})
+	return out
+}
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -20,10 +20,9 @@
 )
 
 const (
-	// sampleSize is how many candidates are compared: with a few, the load
-	// spreads almost as well as with all, no scan is needed, and entries that
-	// see the same stale picture do not all choose the same replica.
-	sampleSize = 3
+	// sampleSize is how many candidates are compared: beyond that the load
+	// spreads almost as well as with all, and no scan is needed.
+	sampleSize = 16
 	// reportHalfLife is the age at which a report of others' work counts half.
 	reportHalfLife = 2 * time.Second
 	// nearPenalty is the price of another data centre, in outstanding requests.
@@ -77,23 +76,22 @@
 	}
 }
 
-// sample keeps a candidate with a cached prefix in the comparison.
+// sample picks the candidates to compare, in random order: entries that see the
+// same picture, an idle one above all, would otherwise all choose the first of
+// equals. A candidate with a cached prefix is always compared.
 func sample(candidates []Candidate, open []int, random func(n int) int) []int {
-	if len(open) <= sampleSize {
-		return open
-	}
-	picked := make([]int, 0, sampleSize+1)
-	for _, i := range open {
-		if candidates[i].Prefix {
-			picked = append(picked, i)
-			break
-		}
-	}
-	for k := range sampleSize {
+	size := min(sampleSize, len(open))
+	picked := make([]int, 0, size+1)
+	for k := range size {
 		j := k + random(len(open)-k)
 		open[k], open[j] = open[j], open[k]
 		picked = append(picked, open[k])
 	}
+	for _, i := range open[size:] {
+		if candidates[i].Prefix {
+			return append(picked, i)
+		}
+	}
 	return picked
 }
 
--- /dev/null
+++ b/internal/settings/page.go
@@ -0,0 +1,53 @@
+package settings
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+
+	"fennelyard/internal/schema"
+)
+
+var (
+	messageLine = regexp.MustCompile(`^message (\w+) \{`)
+	fieldLine   = regexp.MustCompile(`^  (repeated )?([\w.]+) \w+ = \d+ \[json_name = "([^"]+)"\];`)
+	commentLine = regexp.MustCompile(`^\s*// ?(.*)$`)
+)
+
+// Page returns docs/SETTINGS.md, made from the schema and its comments.
+func Page() string {
+	var b strings.Builder
+	b.WriteString("# Settings and intents\n\nMade from the schema by `fennelyard page settings`; a test keeps it current.\n" +
+		"Keys are in kebab case. A duration has its unit, such as 500ms, 30s or 5m. Unknown keys are refused.\n")
+	var comment []string
+	for _, line := range strings.Split(schema.SettingsSource, "\n") {
+		if m := commentLine.FindStringSubmatch(line); m != nil {
+			comment = append(comment, m[1])
+			continue
+		}
+		text := strings.Join(comment, " ")
+		comment = nil
+		if m := messageLine.FindStringSubmatch(line); m != nil {
+			fmt.Fprintf(&b, "\n## %s\n\n%s\n\n| key | kind | meaning |\n|---|---|---|\n", m[1], text)
+			continue
+		}
+		if m := fieldLine.FindStringSubmatch(line); m != nil {
+			fmt.Fprintf(&b, "| `%s` | %s | %s |\n", m[3], kindWord(m[1] != "", m[2]), text)
+		}
+	}
+	return b.String()
+}
+
+func kindWord(list bool, kind string) string {
+	word := map[string]string{
+		"string": "string", "bool": "true or false", "uint32": "whole number", "uint64": "whole number",
+		"int32": "whole number", "double": "number", "google.protobuf.Duration": "duration",
+	}[kind]
+	if word == "" {
+		word = kind
+	}
+	if list {
+		return "list of " + word
+	}
+	return word
+}
