Give each loopback host an IP number of its own

Cause: host tests failed once in four runs with "address already in use": deployments that start at the same time picked ports on one IP number by opening and closing them. Ruled out: ports of outgoing connections, which leave from another number.

Change: a number for each host, made from the process and a count.

--- a/cmd/fennelyard/faults_test.go
+++ b/cmd/fennelyard/faults_test.go
@@ -192,7 +192,9 @@
 // bookUntilKnown sends one booking until it is answered or its outcome is said
 // to stay unknown.
 func (f *fleet) bookUntilKnown(ctx context.Context, c *fennelyard.Client, key string) (int, error) {
-	for {
+	again := time.NewTicker(20 * time.Millisecond)
+	defer again.Stop()
+	for ; ; <-again.C {
 		runs, err := f.book(ctx, c, key)
 		var refused *fennelyard.Error
 		switch {
@@ -203,7 +205,6 @@
 		case ctx.Err() != nil:
 			return 0, err
 		}
-		time.Sleep(20 * time.Millisecond)
 	}
 }
 
--- a/internal/demo/layout.go
+++ b/internal/demo/layout.go
@@ -5,8 +5,10 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -37,7 +39,7 @@
 	l := &Layout{folder: folder, extra: extra}
 	centres := []string{"hall-a", "hall-b", "hall-c"}
 	for i := range hosts {
-		addresses, err := FreeAddresses(fmt.Sprintf("127.0.0.%d", 11+i), 4)
+		addresses, err := FreeAddresses(nextIP(), 4)
 		if err != nil {
 			return nil, err
 		}
@@ -49,6 +51,19 @@
 	return l, nil
 }
 
+// used counts the IP numbers that this process has taken.
+var used atomic.Uint32
+
+// nextIP returns a loopback number that no other host of this process has, and
+// that another process is unlikely to have: a port that was free a moment ago
+// would else be taken by a deployment that starts at the same time.
+func nextIP() string {
+	const lowest, spread, hostsPer = 16, 100, 254
+	pid := os.Getpid()
+	n := used.Add(1) - 1
+	return fmt.Sprintf("127.%d.%d.%d", lowest+pid/256%spread, pid%256, 1+n%hostsPer)
+}
+
 // FreeAddresses returns addresses on an IP number that nobody listens on.
 func FreeAddresses(ip string, n int) ([]string, error) {
 	var out []string
