Give the caller and each load a span of their own

Change: the client starts a span with the tracer that it is given and sends its context on; each time an order is given has a span load or unload under its order's.

Conclusion: caller, entry, queue and dispatch share one trace; order and load share another.

--- a/client.go
+++ b/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 )
 
 const (
@@ -38,6 +40,9 @@
 	HTTP *http.Client
 	// Now returns the time; nil means time.Now.
 	Now func() time.Time
+	// Tracer starts a span for each request, whose context travels with it; nil
+	// means none.
+	Tracer trace.Tracer
 }
 
 // Client sends requests to a deployment. It is safe for concurrent use by
@@ -62,6 +67,9 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
+	if opts.Tracer == nil {
+		opts.Tracer = noop.NewTracerProvider().Tracer("")
+	}
 	return &Client{opts: opts}
 }
 
@@ -121,6 +129,8 @@
 		ctx, cancel = context.WithTimeout(ctx, c.opts.Deadline)
 		defer cancel()
 	}
+	ctx, span := c.opts.Tracer.Start(ctx, "caller", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
 	if !r.Repeatable && r.Key == "" {
 		r.Key = NewKey()
 	}
--- a/internal/host/bed_test.go
+++ b/internal/host/bed_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace"
 
 	"fennelyard"
 	"fennelyard/internal/demo"
@@ -33,14 +34,20 @@
 	t      testing.TB
 	layout *demo.Layout
 	host   *host.Host
+	tracer trace.Tracer
 	oper   *operator.Client
 }
 
 func newBed(t testing.TB, extra string) *bed {
+	t.Helper()
+	return newTracedBed(t, extra, nil)
+}
+
+func newTracedBed(t testing.TB, extra string, tracer trace.Tracer) *bed {
 	t.Helper()
 	layout, err := demo.NewLayout(1, 1, t.TempDir(), extra)
 	require.NoError(t, err)
-	b := &bed{t: t, layout: layout, oper: operator.NewClient(layout.Hosts()[0].Operator)}
+	b := &bed{t: t, layout: layout, tracer: tracer, oper: operator.NewClient(layout.Hosts()[0].Operator)}
 	b.start()
 	t.Cleanup(func() { b.host.Close() })
 	return b
@@ -50,7 +57,7 @@
 	b.t.Helper()
 	s, err := settings.Parse("bed.yaml", []byte(b.layout.YAML("host-1")))
 	require.NoError(b.t, err)
-	b.host, err = host.New(host.Config{Settings: s})
+	b.host, err = host.New(host.Config{Settings: s, Tracer: b.tracer})
 	require.NoError(b.t, err)
 	b.eventually("a ready host", b.host.Ready)
 }
--- a/internal/order/orders.go
+++ b/internal/order/orders.go
@@ -139,7 +139,11 @@
 	expected := time.UnixMilli(res.GetReadyMs()).Sub(d.cfg.Now())
 	ctx, cancel = context.WithTimeout(ctx, max(minOrderWait, orderWaitTimes*expected))
 	defer cancel()
-	reply, err := d.cfg.Give(ctx, s.GetAddress(), d.orderOf(res))
+	o := d.orderOf(res)
+	// One span for each time the order is given: load or unload.
+	ctx, span := d.span(ctx, o.GetKind(), res)
+	defer span.End()
+	reply, err := d.cfg.Give(ctx, s.GetAddress(), o)
 	if err == nil && reply.GetIncarnation() != res.GetIncarnation() {
 		// The engine restarted before its announcement was recorded. What the
 		// new process did says nothing about the one that was reserved for.
--- a/request.go
+++ b/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/propagation"
 )
 
 const (
@@ -47,6 +48,7 @@
 	if q.Header.Get("Content-Type") == "" && len(r.Body) > 0 {
 		q.Header.Set("Content-Type", "application/json")
 	}
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(q.Header))
 	q.Header.Set(headerCustomer, c.opts.Customer)
 	q.Header.Set(headerDeadline, deadlineMs(ctx))
 	if r.Key != "" {
