Say three things once

Cause: read over the whole change. The burst of callers stood twice in the host tests, encoding the whole state twice in the capacity measure, and releasing a forgotten server's reservations still took a bound that only its former second caller needed: every reservation on a server is under its recorded incarnation or an earlier one.

Change: bed.burst, wholeEncoded, releaseAll without the bound. No behaviour and no assertion changes.

Seen and left: a decision's round sorts the region's reservations three times (adopt, input, dropVanished).

--- a/internal/host/bed_test.go
+++ b/internal/host/bed_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel/trace"
 
@@ -155,6 +156,21 @@
 	})
 }
 
+// burst sends completions from many callers at once; all must be served.
+func (b *bed) burst(callers int) {
+	b.t.Helper()
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, err := b.client().Complete(context.Background(), []byte(completion(bedModel)))
+			assert.NoError(b.t, err)
+		}()
+	}
+	wg.Wait()
+}
+
 func (b *bed) url(path string) string { return "http://" + b.layout.Hosts()[0].Caller + path }
 
 // cutListener cuts its connections after a number of bytes.
--- a/internal/host/path_test.go
+++ b/internal/host/path_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -318,16 +317,7 @@
 	f := b.engine("engine-2", nil)
 	b.awaitServers(2)
 	b.configure(1)
-	var wg sync.WaitGroup
-	for range 40 {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			_, err := b.client().Complete(context.Background(), []byte(completion(bedModel)))
-			assert.NoError(t, err)
-		}()
-	}
-	wg.Wait()
+	b.burst(40)
 	assert.Equal(t, 1, e.Loads(bedModel)+f.Loads(bedModel))
 	assert.Zero(t, e.Overcommits()+f.Overcommits())
 }
--- a/internal/host/silence_test.go
+++ b/internal/host/silence_test.go
@@ -1,9 +1,7 @@
 package host_test
 
 import (
-	"context"
 	"fmt"
-	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -24,21 +22,9 @@
 	b.engine("engine-1", func(c *standin.EngineConfig) { c.Listener = l })
 	b.awaitServers(1)
 	b.configure(1)
-	burst := func() {
-		var wg sync.WaitGroup
-		for range 16 {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				_, err := b.client().Complete(context.Background(), []byte(completion(bedModel)))
-				assert.NoError(t, err)
-			}()
-		}
-		wg.Wait()
-	}
-	burst()
+	b.burst(16)
 	l.silence()
-	burst()
+	b.burst(16)
 }
 
 // TestBookingsOnSilentConnections: every connection to the application server
--- a/internal/ledger/servers.go
+++ b/internal/ledger/servers.go
@@ -29,7 +29,7 @@
 		return refuse(schema.ResultCode_RESULT_CODE_INVALID,
 			"server %q is still announcing itself; only a lost server can be forgotten", f.GetName())
 	}
-	l.releaseAll(f.GetName(), f.GetIncarnation()+1)
+	l.releaseAll(f.GetName())
 	l.drop(ServerKey(f.GetName()))
 	l.acceptOperator(cmd)
 	return accepted()
@@ -55,10 +55,8 @@
 	}
 }
 
-func (l *Ledger) releaseAll(server string, below uint64) {
+func (l *Ledger) releaseAll(server string) {
 	for _, r := range l.records.ReservationsOn(server) {
-		if r.GetIncarnation() < below {
-			l.drop(ReservationKey(r.GetNumber()))
-		}
+		l.drop(ReservationKey(r.GetNumber()))
 	}
 }
--- a/internal/measure/capacity.go
+++ b/internal/measure/capacity.go
@@ -130,14 +130,22 @@
 	return kept, nil
 }
 
-func replicaHeap(size int) (float64, error) {
+func wholeEncoded(size int) ([]byte, error) {
 	changes, err := whole(size)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	data, err := proto.Marshal(changes)
 	if err != nil {
-		return 0, errors.Newf("encode state: %w", err)
+		return nil, errors.Newf("encode state: %w", err)
+	}
+	return data, nil
+}
+
+func replicaHeap(size int) (float64, error) {
+	data, err := wholeEncoded(size)
+	if err != nil {
+		return 0, err
 	}
 	before := heapBytes()
 	own := &schema.Changes{}
@@ -159,14 +167,10 @@
 }
 
 func wholeCompressed(size int) (float64, error) {
-	changes, err := whole(size)
+	data, err := wholeEncoded(size)
 	if err != nil {
 		return 0, err
 	}
-	data, err := proto.Marshal(changes)
-	if err != nil {
-		return 0, errors.Newf("encode state: %w", err)
-	}
 	var b bytes.Buffer
 	z := gzip.NewWriter(&b)
 	if _, err := z.Write(data); err != nil {
