--- a/internal/consensus/join.go
+++ b/internal/consensus/join.go
@@ -21,6 +21,9 @@
 func (m *Member) tendMembership() {
 	for host, member := range m.joins {
 		next := NextMembership(m.core.Membership(), member, m.core)
+		if voter := m.silentVoter(); voter >= 0 && makesVoter(next, member.GetId()) {
+			next = withoutMember(m.core.Membership(), voter)
+		}
 		if next == nil {
 			if isVoter(m.core.Membership(), member.GetId()) {
 				delete(m.joins, host)
@@ -33,6 +36,37 @@
 	}
 }
 
+// silentVoter returns the place of a voter that has not answered for
+// SilentTicks, or -1. Hosts that are gone for good are replaced by hosts with
+// other addresses: if such a voter stayed, each replacement would raise the
+// quorum, and after a few the loss of one more host would stop the group. A
+// voter that was only cut off asks to be taken in again when it is back.
+func (m *Member) silentVoter() int {
+	if m.cfg.SilentTicks == 0 {
+		return -1
+	}
+	for i, x := range m.core.Membership().GetMembers() {
+		if x.GetLearner() || x.GetId() == m.cfg.Storage.ID() {
+			continue
+		}
+		if _, silent, ok := m.core.Match(x.GetId()); ok && silent > m.cfg.SilentTicks {
+			return i
+		}
+	}
+	return -1
+}
+
+// makesVoter reports whether a membership has the member as a voter.
+func makesVoter(next *schema.Membership, id uint64) bool {
+	return next != nil && isVoter(next, id)
+}
+
+func withoutMember(now *schema.Membership, at int) *schema.Membership {
+	next := cloneMembership(now)
+	next.Members = slices.Delete(next.GetMembers(), at, at+1)
+	return next
+}
+
 // NextMembership returns the next single change that brings a host's new disk
 // into a group, or nil when none is due. The order is: add the new member as a
 // learner, let it catch up, remove the host's old member, make the learner a
@@ -57,9 +91,7 @@
 		if _, silent, ok := core.Match(old.GetId()); !ok || silent <= goneTicks {
 			return nil
 		}
-		next := cloneMembership(now)
-		next.Members = slices.Delete(next.GetMembers(), i, i+1)
-		return next
+		return withoutMember(now, i)
 	}
 	next := cloneMembership(now)
 	next.Members[at].Learner = false
@@ -70,9 +102,7 @@
 	// An older learner of the same host is a disk that was lost before it voted.
 	for i, old := range now.GetMembers() {
 		if old.GetHost() == member.GetHost() && old.GetLearner() {
-			next := cloneMembership(now)
-			next.Members = slices.Delete(next.GetMembers(), i, i+1)
-			return next
+			return withoutMember(now, i)
 		}
 	}
 	next := cloneMembership(now)
--- a/internal/consensus/member.go
+++ b/internal/consensus/member.go
@@ -62,7 +62,10 @@
 	ElectionTicks int
 	// SnapshotAfter is how many entries are applied between two snapshots.
 	SnapshotAfter uint64
-	Random        func(n int) int
+	// SilentTicks is after how many ticks without an answer a voter gives its
+	// place to a newcomer from any host; 0: never.
+	SilentTicks int
+	Random      func(n int) int
 	// LeaderChanged, where set, is called on each change of leader or role. It
 	// must not block.
 	LeaderChanged func(MemberStatus)
--- a/internal/consensus/storage.go
+++ b/internal/consensus/storage.go
@@ -37,8 +37,8 @@
 	fileMode   = 0o640
 	sumSize    = 4
 	indexSize  = 8
-	// roomReserve is left free for elections and snapshots on a full disk.
-	roomReserve = 64 << 20
+	// defaultReserve is left free for elections and snapshots on a full disk.
+	defaultReserve = 64 << 20
 )
 
 var (
@@ -60,6 +60,9 @@
 	NewID func() uint64
 	// FreeBytes tells the room left on the disk; nil: never full.
 	FreeBytes func(folder string) (uint64, error)
+	// Reserve is left free on the disk for elections and snapshots, in bytes;
+	// 0: 64 MiB.
+	Reserve uint64
 }
 
 // Storage keeps what a member promised. Every method that writes returns only
@@ -82,6 +85,9 @@
 	if err := checkFile(path); err != nil {
 		return nil, errors.Newf("check %s: %w", path, err)
 	}
+	if cfg.Reserve == 0 {
+		cfg.Reserve = defaultReserve
+	}
 	s := &Storage{cfg: cfg}
 	if err := s.open(path); err != nil {
 		return nil, errors.Newf("open %s: %w", path, err)
@@ -351,7 +357,7 @@
 	if err != nil {
 		return errors.Newf("ask for room: %w", err)
 	}
-	if free < roomReserve {
+	if free < s.cfg.Reserve {
 		return ErrDiskFull
 	}
 	return nil
--- a/internal/control/form.go
+++ b/internal/control/form.go
@@ -13,7 +13,9 @@
 
 const (
 	helloEvery = 250 * time.Millisecond
-	helloWait  = 2 * time.Second
+	// helloWait is per host: a host that is down must not keep a new one from
+	// asking the next for long, and an answer takes milliseconds.
+	helloWait = 700 * time.Millisecond
 	// rejoinEvery is how often a member outside the voters asks to be taken in.
 	rejoinEvery = time.Second
 )
@@ -37,6 +39,9 @@
 
 // configured keeps a host that is not a control member by the settings out.
 func (g *Group) configured(m *schema.Member) bool {
+	if g.cfg.Seeds != nil {
+		return m.GetAddress() != ""
+	}
 	return slices.ContainsFunc(g.cfg.Hosts, func(h *schema.HostSettings) bool {
 		return h.GetControl() && h.GetName() == m.GetHost() && h.GetPeerAddress() == m.GetAddress()
 	})
@@ -85,7 +90,10 @@
 }
 
 func (g *Group) isFounder() bool {
-	for _, h := range g.cfg.Hosts {
+	if g.cfg.Seeds != nil && (!g.cfg.Founding || !slices.Contains(g.cfg.Seeds(), g.cfg.Self.GetPeerAddress())) {
+		return false
+	}
+	for _, h := range g.candidates() {
 		if h.GetControl() && h.GetName() < g.cfg.Self.GetName() {
 			return false
 		}
@@ -93,12 +101,33 @@
 	return true
 }
 
+// candidates returns the hosts that may be members: by the settings, or the
+// seeds and the members that were met since. Seeds go stale as hosts are
+// replaced; members met are what is left then.
+func (g *Group) candidates() []*schema.HostSettings {
+	if g.cfg.Seeds == nil {
+		return g.cfg.Hosts
+	}
+	addresses := slices.Clone(g.cfg.Seeds())
+	if m := g.current(); m != nil {
+		for _, x := range m.Status().Membership.GetMembers() {
+			addresses = append(addresses, x.GetAddress())
+		}
+	}
+	slices.Sort(addresses)
+	var out []*schema.HostSettings
+	for _, a := range slices.Compact(addresses) {
+		out = append(out, &schema.HostSettings{Name: a, PeerAddress: a, Control: true})
+	}
+	return out
+}
+
 // askAll returns the members that answered, whether any of them is in a group,
 // and whether all of them answered.
 func (g *Group) askAll() (members []*schema.Member, formed, all bool) {
 	members = append(members, g.selfMember())
 	all = true
-	for _, h := range g.cfg.Hosts {
+	for _, h := range g.candidates() {
 		if !h.GetControl() || h.GetName() == g.cfg.Self.GetName() {
 			continue
 		}
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -30,18 +30,29 @@
 
 // Config configures a Group. All fields are required unless they say otherwise.
 type Config struct {
-	Group   uint64
-	Self    *schema.HostSettings
-	Hosts   []*schema.HostSettings
-	Storage *consensus.Storage
-	Dialer  *peer.Dialer
+	Group uint64
+	Self  *schema.HostSettings
+	Hosts []*schema.HostSettings
+	// Seeds, where set, takes the place of Hosts: it returns the peer addresses
+	// of a few control hosts, through which the others are found. Hosts are then
+	// named by their peer addresses.
+	Seeds func() []string
+	// Founding is set only while the whole deployment starts for the first time.
+	// Without it, and outside the seeds, no host with an empty disk ever founds
+	// a group: all control hosts that lost their disks at once would otherwise
+	// start over beside what callers were told. It is used with Seeds only.
+	Founding bool
+	Storage  *consensus.Storage
+	Dialer   *peer.Dialer
 	// Heartbeat is the tick of the group, Election the shortest election
 	// timeout.
 	Heartbeat     time.Duration
 	Election      time.Duration
 	SnapshotAfter uint64
-	Random        func(n int) int
-	Log           logr.Logger
+	// SilentTicks: see consensus.MemberConfig.
+	SilentTicks int
+	Random      func(n int) int
+	Log         logr.Logger
 }
 
 // Group is one control member. All methods are safe from any goroutine.
@@ -105,7 +116,7 @@
 			Apply: g.ledger.Apply, Advance: g.ledger.Advance, Snapshot: g.ledger.Snapshot, Restore: g.ledger.Restore,
 		},
 		Tick: g.cfg.Heartbeat, ElectionTicks: int(g.cfg.Election / g.cfg.Heartbeat),
-		SnapshotAfter: g.cfg.SnapshotAfter, Random: g.cfg.Random,
+		SnapshotAfter: g.cfg.SnapshotAfter, SilentTicks: g.cfg.SilentTicks, Random: g.cfg.Random,
 		LeaderChanged: func(s consensus.MemberStatus) {
 			g.cfg.Log.Info("control role", "role", s.Role.String(), "term", s.Term, "leader", s.LeaderHost)
 		},
@@ -261,7 +272,7 @@
 		return nil, status.Error(codes.FailedPrecondition, "the group is not formed here")
 	}
 	for _, msg := range q.GetMessages() {
-		g.links.learn(msg.GetFrom(), q.GetHost())
+		g.links.learn(msg.GetFrom(), q.GetHost(), q.GetAddress())
 		m.Step(msg)
 	}
 	return &schema.DeliveryReply{}, nil
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -37,7 +37,13 @@
 }
 
 // learn remembers where a member that no membership names here yet lives.
-func (l *links) learn(id uint64, host string) {
+func (l *links) learn(id uint64, host, address string) {
+	if l.cfg.Seeds != nil {
+		l.mu.Lock()
+		l.learnt[id] = address
+		l.mu.Unlock()
+		return
+	}
 	for _, h := range l.cfg.Hosts {
 		if h.GetName() == host {
 			l.mu.Lock()
@@ -120,7 +126,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		_, err = client.Deliver(ctx, &schema.Delivery{
-			Group: l.cfg.Group, Messages: batch, Host: l.cfg.Self.GetName(),
+			Group: l.cfg.Group, Messages: batch, Host: l.cfg.Self.GetName(), Address: l.cfg.Self.GetPeerAddress(),
 		})
 	}
 	if err != nil {
--- /dev/null
+++ b/internal/gateway/asked.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"fennelyard/internal/schema"
+)
+
+// target is a model, or an adapter of it, of a pool.
+type target struct {
+	pool    string
+	model   string
+	adapter string
+}
+
+// expectation is the leader's word on a target that requests wait for.
+type expectation struct {
+	at time.Time
+	// ready is when it should be there; the zero time: nothing is on its way.
+	ready time.Time
+}
+
+// asked collects what callers ask for, for the leader. All methods are safe
+// from any goroutine.
+type asked struct {
+	urgent chan struct{}
+
+	mu sync.Mutex
+	// arrived counts since the last word to the leader; guarded by mu, as all
+	// below.
+	arrived map[target]int
+	waiting map[target]int
+	// told holds the targets whose waiting requests the leader knows of.
+	told     map[target]bool
+	expected map[target]expectation
+}
+
+func newAsked() *asked {
+	return &asked{
+		urgent: make(chan struct{}, 1), arrived: map[target]int{}, waiting: map[target]int{},
+		told: map[target]bool{}, expected: map[target]expectation{},
+	}
+}
+
+func (a *asked) arrive(t target) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.arrived[t]++
+}
+
+// wait notes that a request waits for a target; the leader is told at once.
+func (a *asked) wait(t target, n int) {
+	a.mu.Lock()
+	a.waiting[t] += n
+	if a.waiting[t] <= 0 {
+		delete(a.waiting, t)
+	}
+	a.mu.Unlock()
+	if n > 0 {
+		select {
+		case a.urgent <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (a *asked) waitingCount() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, w := range a.waiting {
+		n += w
+	}
+	return n
+}
+
+// collect returns what the leader does not know yet. What waits is said each
+// time, what no longer waits once.
+func (a *asked) collect() []*schema.ModelDemand {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []*schema.ModelDemand
+	add := func(t target) {
+		out = append(out, &schema.ModelDemand{
+			Pool: t.pool, Model: t.model, Adapter: t.adapter,
+			Arrived: uint32(a.arrived[t]), Waiting: uint32(a.waiting[t]),
+		})
+		delete(a.arrived, t)
+	}
+	for t := range a.waiting {
+		add(t)
+	}
+	for t := range a.told {
+		if a.waiting[t] == 0 {
+			add(t)
+			delete(a.told, t)
+		}
+	}
+	for t := range a.arrived {
+		add(t)
+	}
+	for t := range a.waiting {
+		a.told[t] = true
+	}
+	return out
+}
+
+func (a *asked) forecast(list []*schema.LoadForecast, now time.Time) {
+	if len(list) == 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, f := range list {
+		e := expectation{at: now}
+		if f.GetReadyInMs() >= 0 {
+			e.ready = now.Add(time.Duration(f.GetReadyInMs()) * time.Millisecond)
+		}
+		a.expected[target{f.GetPool(), f.GetModel(), f.GetAdapter()}] = e
+	}
+}
+
+// expect returns the leader's word on a target that came after a moment.
+func (a *asked) expect(t target, after time.Time) (expectation, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	e, ok := a.expected[t]
+	return e, ok && e.at.After(after)
+}
--- /dev/null
+++ b/internal/gateway/attend.go
@@ -0,0 +1,224 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+
+	"fennelyard/internal/schema"
+)
+
+const (
+	// speakEvery is the time between two words of an entry to the leader. It is
+	// a quarter of the silence after which the leader leaves the entry out.
+	speakEvery = 300 * time.Millisecond
+	// speakPause is the least time between two words: demand that comes at the
+	// same moment goes in one.
+	speakPause = 5 * time.Millisecond
+	// leaderSilence is how long the leader may say nothing; it speaks every
+	// 300 ms, and the first word comes within a round trip.
+	leaderSilence = 1200 * time.Millisecond
+	nextPause     = 50 * time.Millisecond
+)
+
+// errNotLeader says that the host asked does not lead.
+var errNotLeader = errors.New("the host does not lead")
+
+// attendant keeps the stream to the leader.
+type attendant struct {
+	g *Gateway
+	// The fields below belong to the goroutine of run.
+	leader string
+	next   int
+	named  map[string]bool
+	// pruned is set once servers unknown to a settled leader were dropped.
+	pruned bool
+
+	mu sync.Mutex
+	// known are the peer addresses of control hosts that were met; guarded by mu.
+	known []string
+	// heard is when the leader last spoke; guarded by mu.
+	heard time.Time
+}
+
+func (a *attendant) run() {
+	for {
+		address := a.pick()
+		if address != "" {
+			err := a.attend(address)
+			a.g.cfg.Log.Info("leader lost", "address", address, "error", text(err))
+			if errors.Is(err, errNotLeader) {
+				a.pauseOr(nextPause / 5)
+				continue
+			}
+			a.leader = ""
+			a.g.cfg.Dialer.Renew(address)
+		}
+		if !a.pauseOr(nextPause) {
+			return
+		}
+		select {
+		case <-a.g.stop:
+			return
+		default:
+		}
+	}
+}
+
+func (a *attendant) pauseOr(d time.Duration) bool {
+	select {
+	case <-a.g.stop:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// pick returns the leader that was named last, or else the next control host.
+func (a *attendant) pick() string {
+	if a.leader != "" {
+		return a.leader
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	all := slices.Concat(a.known, a.g.cfg.Seeds())
+	slices.Sort(all)
+	all = slices.Compact(all)
+	if len(all) == 0 {
+		return ""
+	}
+	a.next++
+	return all[a.next%len(all)]
+}
+
+// attend follows one leader until it is lost.
+func (a *attendant) attend(address string) error {
+	client, err := a.g.cfg.Dialer.Client(address)
+	if err != nil {
+		return errors.Newf("reach leader: %w", err)
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	silence := time.AfterFunc(leaderSilence, func() { cancel(errors.New("silent")) })
+	defer silence.Stop()
+	stream, err := client.Attend(ctx)
+	if err != nil {
+		return errors.Newf("attend: %w", err)
+	}
+	a.named, a.pruned = map[string]bool{}, false
+	var sequence lastSequence
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		a.speak(ctx, stream, &sequence)
+	}()
+	defer wg.Wait()
+	defer cancel(nil)
+	for first := true; ; first = false {
+		news, err := stream.Recv()
+		if err != nil {
+			return errors.Newf("hear leader: %v: %w", context.Cause(ctx), err)
+		}
+		silence.Reset(leaderSilence)
+		if news.GetNotLeader() {
+			a.leader = news.GetLeaderAddress()
+			return errNotLeader
+		}
+		if first {
+			a.leader = address
+			a.g.cfg.Log.Info("leader found", "address", address)
+		}
+		a.take(news)
+		sequence.set(news.GetSequence())
+	}
+}
+
+// lastSequence is the number of the last word taken in.
+type lastSequence struct {
+	mu sync.Mutex
+	n  uint64
+}
+
+func (s *lastSequence) set(n uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.n = n
+}
+
+func (s *lastSequence) get() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.n
+}
+
+func (a *attendant) speak(ctx context.Context, stream grpc.BidiStreamingClient[schema.EntryNews, schema.LeaderNews], taken *lastSequence) {
+	news := &schema.EntryNews{Entry: a.g.cfg.Self, After: a.g.cfg.Replica.Revision()}
+	ticker := time.NewTicker(speakEvery)
+	defer ticker.Stop()
+	for {
+		news.Stopping, news.Taken = a.g.stopping.Load(), taken.get()
+		news.Demands = a.g.asked.collect()
+		if err := stream.Send(news); err != nil {
+			return
+		}
+		news = &schema.EntryNews{}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-a.g.asked.urgent:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(speakPause):
+		}
+	}
+}
+
+func (a *attendant) take(news *schema.LeaderNews) {
+	a.mu.Lock()
+	a.heard = time.Now()
+	if known := news.GetControlAddresses(); len(known) > 0 {
+		a.known = known
+	}
+	a.mu.Unlock()
+	if c := news.GetChanges(); c != nil {
+		a.g.configure(c)
+	}
+	for _, s := range news.GetServers() {
+		a.named[s.GetId()] = s.GetState() != schema.RosterState_ROSTER_STATE_GONE
+	}
+	prune := news.GetSettled() && !a.pruned
+	if len(news.GetServers()) > 0 || prune {
+		a.g.fleet.update(news.GetServers(), prune, a.named)
+		a.pruned = a.pruned || prune
+		a.g.logServers(news)
+	}
+	if l := news.GetEntries(); l != nil {
+		a.g.setEntries(l.GetEntries())
+	}
+	a.g.asked.forecast(news.GetForecasts(), time.Now())
+}
+
+// age returns how long ago the leader last spoke.
+func (a *attendant) age() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.heard.IsZero() {
+		return -1
+	}
+	return time.Since(a.heard)
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/gateway/choose.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// readRate is how many prompt tokens an engine reads in a millisecond. It only
+	// weighs reading against the other costs; engines of half or twice the speed
+	// are chosen well enough by it.
+	readRate = 38.0
+	// runCost is what one more request costs those that run beside it: each takes
+	// part in every step of the engine.
+	runCost = 4.0 // ms
+	// rankCost keeps the requests of one shared prompt part on few engines, the
+	// same ones for all entries: an engine further down the order must be that
+	// much less busy, per place. Reading a shared part of 6,300 tokens again takes
+	// 165 ms, so that a hot part spreads after a handful waits.
+	rankCost = 25.0 // ms
+)
+
+// choose returns the best server for a call, or nil when none can serve it.
+// Servers in not are passed over; those that failed lately go last.
+func (f *fleet) choose(pool string, c *Call, not []string, now time.Time, random func(int) int) *server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var able []*server
+	for _, s := range f.servers {
+		if s.view.GetPool() != pool || !s.ready() || slices.Contains(not, s.view.GetId()) {
+			continue
+		}
+		if c.Model != "" && !s.holds(c.Model, c.Adapter, now) {
+			continue
+		}
+		able = append(able, s)
+	}
+	if in := slices.DeleteFunc(slices.Clone(able), func(s *server) bool { return now.Before(s.out) }); len(in) > 0 {
+		able = in
+	}
+	if len(able) == 0 {
+		return nil
+	}
+	if c.Model == "" {
+		return leastBusy(able, random)
+	}
+	return cheapest(able, c)
+}
+
+// leastBusy picks at random among the servers with the fewest requests of this
+// entry: entries that all took the first one would meet there.
+func leastBusy(able []*server, random func(int) int) *server {
+	slices.SortFunc(able, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(a.running, b.running), cmp.Compare(a.view.GetId(), b.view.GetId()))
+	})
+	n := 1
+	for n < len(able) && able[n].running == able[0].running {
+		n++
+	}
+	return able[random(n)]
+}
+
+func cheapest(able []*server, c *Call) *server {
+	key := affinity(c)
+	slices.SortFunc(able, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(weight(key, b), weight(key, a)), cmp.Compare(a.view.GetId(), b.view.GetId()))
+	})
+	var best *server
+	var bestCost float64
+	for rank, s := range able {
+		cost := float64(s.unread+s.uncached(c))/readRate + runCost*float64(s.running) + rankCost*float64(rank)
+		if best == nil || cost < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	return best
+}
+
+// affinity names what a call shares with others: the part before its own.
+func affinity(c *Call) string {
+	switch n := len(c.Parts); n {
+	case 0:
+		return c.Model
+	case 1:
+		return c.Model + "/" + c.Parts[0].ID
+	default:
+		return c.Model + "/" + c.Parts[n-2].ID
+	}
+}
+
+// weight orders servers for a key alike at every entry (rendezvous hashing), so
+// that entries send what shares a prompt part to the same engine without a word
+// to each other.
+func weight(key string, s *server) uint64 { return xxhash.Sum64String(key + "/" + s.view.GetId()) }
--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,409 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fennelyard/internal/relay"
+	"fennelyard/internal/schema"
+)
+
+//go:generate go tool stringer -type=Outcome -linecomment
+
+// Outcome is how a request ended.
+type Outcome int
+
+// The outcomes.
+const (
+	OutcomeServed       Outcome = iota // served
+	OutcomeServerFailed                // server-failed
+	OutcomeNoRoute                     // no-route
+	OutcomeNoConfig                    // no-configuration
+	OutcomeBadBody                     // bad-body
+	OutcomeNoServer                    // no-server
+	OutcomeNoModel                     // no-model
+	OutcomeBusy                        // busy
+	OutcomeBudget                      // repeat-budget
+	OutcomeUnknown                     // outcome-unknown
+	OutcomeCut                         // cut
+	OutcomeTimeout                     // timeout
+	OutcomeCallerGone                  // caller-gone
+)
+
+const (
+	defaultBody = 4 << 20
+	// refuseAfter is when callers are asked to come back where nothing tells a
+	// better time: a little more than a change of leader or of a server takes to
+	// be noticed.
+	refuseAfter = 500 * time.Millisecond
+	// minLeft is the least time left with which a request is still sent.
+	minLeft = 10 * time.Millisecond
+	// writeSlack is how long beyond its deadline an answer may take to be written.
+	writeSlack = 500 * time.Millisecond
+)
+
+// errCallerGone says that the caller has left or its time is over.
+var errCallerGone = errors.New("the caller has gone")
+
+// exchange is one request of a caller.
+type exchange struct {
+	g      *Gateway
+	w      http.ResponseWriter
+	r      *http.Request
+	call   Call
+	began  time.Time
+	random func(int) int
+
+	table    *table
+	route    *schema.Route
+	pool     string
+	body     []byte
+	ctx      context.Context
+	deadline time.Time
+
+	// attempts counts dispatches, runs those that may have run.
+	attempts int
+	runs     int
+	// tried are the servers that are not asked again.
+	tried  []string
+	server *server
+	// waited is how long the request waited for a model.
+	waited time.Duration
+	first  time.Duration
+	// started is set once a byte of the answer has left.
+	started bool
+	status  int
+	outcome Outcome
+	cause   error
+}
+
+// open finds the route and reads the request; it answers by itself where that
+// fails.
+func (x *exchange) open() bool {
+	x.table = x.g.table.Load()
+	if x.table == nil {
+		x.refuse(http.StatusServiceUnavailable, OutcomeNoConfig, refuseAfter)
+		return false
+	}
+	if x.route = x.table.match(x.r.Host, x.r.URL.Path); x.route == nil {
+		x.refuse(http.StatusNotFound, OutcomeNoRoute, 0)
+		return false
+	}
+	limit := int64(x.table.limits.GetMaxBodyBytes())
+	if limit == 0 {
+		limit = defaultBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	if err != nil {
+		x.cause = err
+		status := http.StatusBadRequest
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			status = http.StatusRequestEntityTooLarge
+		}
+		x.refuse(status, OutcomeBadBody, 0)
+		return false
+	}
+	x.body = body
+	return true
+}
+
+// serve sends the request to one server after the other until one has answered
+// or nothing more may be done.
+func (x *exchange) serve() {
+	wait := time.Duration(x.route.GetTimeoutMs()) * time.Millisecond
+	if x.call.Wait > 0 && x.call.Wait < wait {
+		wait = x.call.Wait
+	}
+	x.deadline = x.began.Add(wait)
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	defer cancel()
+	x.ctx = ctx
+	x.pool = share(x.route, x.random)
+	x.g.budget(x.pool).earn(x.began, x.g.entryCount())
+	if x.call.Model != "" {
+		x.g.asked.arrive(x.target())
+	}
+	for x.step() {
+	}
+}
+
+func (x *exchange) target() target { return target{x.pool, x.call.Model, x.call.Adapter} }
+
+// step makes one attempt; it returns whether another one is due.
+func (x *exchange) step() bool {
+	if !x.find() {
+		return false
+	}
+	if x.attempts > 0 && !x.g.budget(x.pool).spend(time.Now(), x.g.entryCount()) {
+		x.giveUp(OutcomeBudget, refuseAfter)
+		return false
+	}
+	left := time.Until(x.deadline)
+	if left < minLeft {
+		x.giveUp(OutcomeTimeout, 0)
+		return false
+	}
+	return x.attempt(left)
+}
+
+// find waits for a server that can serve the request.
+func (x *exchange) find() bool {
+	for {
+		changed := x.g.fleet.await()
+		now := time.Now()
+		if x.server = x.g.fleet.choose(x.pool, &x.call, x.tried, now, x.random); x.server != nil {
+			if x.call.Model == "" && !x.fits() {
+				return false
+			}
+			return true
+		}
+		if x.call.Model == "" {
+			x.giveUp(OutcomeNoServer, refuseAfter)
+			return false
+		}
+		if !x.await(changed) {
+			return false
+		}
+	}
+}
+
+// attempt sends the request to the chosen server and deals with the answer.
+func (x *exchange) attempt(left time.Duration) bool {
+	s := x.server
+	x.attempts++
+	ctx, cancel := context.WithCancel(x.ctx)
+	defer cancel()
+	unread := x.g.fleet.begin(s, &x.call)
+	defer x.g.fleet.end(s)
+	read := false
+	markRead := func() {
+		if !read {
+			read = true
+			x.g.fleet.read(s, unread)
+		}
+	}
+	defer markRead()
+	patience := x.patience(cancel, left)
+	defer patience.Stop()
+	sent := time.Now()
+	answer, err := x.g.cfg.Sender.Send(ctx, s.view.GetAddress(), x.request(left, 0))
+	if err != nil {
+		return x.failed(s, err)
+	}
+	defer answer.Close()
+	verdict := x.g.cfg.Codec.Judge(answer.Status, answer.Header)
+	if verdict.NotRun {
+		return x.notRun(s, answer, verdict)
+	}
+	x.runs++
+	if x.route.GetStream() && answer.Status == http.StatusOK && verdict.Signed {
+		return x.stream(s, answer, patience, markRead)
+	}
+	patience.Stop()
+	defer func() { x.g.pace(x.pool).observe(time.Since(sent)) }()
+	return x.whole(s, answer, verdict)
+}
+
+// patience ends an attempt that has shown nothing for long, where the request
+// may be sent elsewhere.
+func (x *exchange) patience(cancel func(), left time.Duration) *time.Timer {
+	if !x.mayRepeat() {
+		return time.AfterFunc(left+time.Hour, func() {})
+	}
+	aim := time.Duration(x.route.GetAimMs()) * time.Millisecond
+	return time.AfterFunc(min(max(aim*3/2, patienceLeast), left*2/3), cancel)
+}
+
+// patienceLeast is the least time without a word after which a repeatable
+// request is sent elsewhere: the longest that a sound server takes for a short
+// request.
+const patienceLeast = 450 * time.Millisecond
+
+func (x *exchange) mayRepeat() bool {
+	return x.route.GetRepeat() != schema.Repeat_REPEAT_NEVER && x.runs+1 < int(max(x.route.GetMaxAttempts(), 1))
+}
+
+func (x *exchange) request(left time.Duration, after int64) *relay.Request {
+	h := relay.PassedOn(x.r.Header)
+	x.g.cfg.Codec.Mark(h, Mark{
+		Server: x.server.view.GetId(), Left: left, After: after, Urgency: int(min(x.route.GetPriority(), 9)),
+	})
+	id := x.call.ID
+	return &relay.Request{
+		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
+		Own: func(a http.Header) bool { return x.g.cfg.Codec.Own(a, id) },
+	}
+}
+
+// failed deals with an attempt that brought no answer.
+func (x *exchange) failed(s *server, err error) bool {
+	x.cause = err
+	if x.r.Context().Err() != nil {
+		x.giveUp(OutcomeCallerGone, 0)
+		return false
+	}
+	x.g.fleet.bad(s, time.Now())
+	x.tried = append(x.tried, s.view.GetId())
+	if errors.Is(err, relay.ErrNotSent) {
+		x.attempts--
+		return x.timeLeft()
+	}
+	x.runs++
+	return x.timeLeft() && x.repeat()
+}
+
+func (x *exchange) timeLeft() bool {
+	if time.Until(x.deadline) < minLeft {
+		x.giveUp(OutcomeTimeout, 0)
+		return false
+	}
+	return true
+}
+
+// repeat tells whether a request that may have run may be sent again, and
+// answers it where not.
+func (x *exchange) repeat() bool {
+	if x.route.GetRepeat() == schema.Repeat_REPEAT_NEVER || x.runs >= int(max(x.route.GetMaxAttempts(), 1)) {
+		x.giveUp(OutcomeUnknown, 0)
+		return false
+	}
+	return true
+}
+
+// notRun deals with a server's word that it did not run the request.
+func (x *exchange) notRun(s *server, answer *relay.Answer, v Verdict) bool {
+	x.cause = errors.Newf("server %s: status %d, not run", s.view.GetId(), answer.Status)
+	if v.Elsewhere && x.call.Model != "" {
+		x.g.fleet.lacks(s, x.call.Model, x.call.Adapter, time.Now())
+		return x.timeLeft()
+	}
+	if !v.Elsewhere && x.call.Adapter != "" && x.attempts < adapterTries {
+		// The adapter may still be on its way.
+		x.g.fleet.lacks(s, x.call.Model, x.call.Adapter, time.Now())
+		return x.timeLeft()
+	}
+	x.tried = append(x.tried, s.view.GetId())
+	x.g.pace(x.pool).shed(time.Now())
+	if x.attempts >= busyTries {
+		x.giveUp(OutcomeBusy, x.g.pace(x.pool).wait())
+		return false
+	}
+	return x.timeLeft()
+}
+
+const (
+	// adapterTries is how often a server that is loading the adapter is asked.
+	adapterTries = 3
+	// busyTries is how many full servers a request is shown to: with two full
+	// ones of a pool the others most often are as well.
+	busyTries = 3
+)
+
+// giveUp gives the final answer to a request that is not served.
+func (x *exchange) giveUp(o Outcome, after time.Duration) {
+	status := http.StatusServiceUnavailable
+	switch {
+	case x.started || o == OutcomeCallerGone:
+		x.abort(o)
+		return
+	case x.runs > 0 && o == OutcomeTimeout:
+		status = http.StatusGatewayTimeout
+	case x.runs > 0:
+		status = http.StatusBadGateway
+	}
+	x.refuse(status, o, after)
+}
+
+// refuse writes an answer of this system's own.
+func (x *exchange) refuse(status int, o Outcome, after time.Duration) {
+	x.status, x.outcome = status, o
+	h := x.w.Header()
+	if after > 0 && status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+	}
+	h.Set("Content-Length", "0")
+	x.w.WriteHeader(status)
+}
+
+// abort ends an answer that is under way, so that it does not look complete.
+func (x *exchange) abort(o Outcome) {
+	x.status, x.outcome = 0, o
+}
+
+// whole passes on an answer without events. It is read to its end first: a
+// broken one can still become another attempt or an honest failure.
+func (x *exchange) whole(s *server, answer *relay.Answer, v Verdict) bool {
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return x.failedIn(s, err)
+	}
+	success := answer.Status >= 200 && answer.Status < 300
+	if success && !v.Signed || answer.Header.Get("Content-Encoding") != "" {
+		return x.failedIn(s, errors.Newf("status %d without a signature", answer.Status))
+	}
+	x.g.fleet.good(s)
+	if answer.Status >= http.StatusInternalServerError && x.mayRepeatNow() {
+		x.cause = errors.Newf("server %s: status %d", s.view.GetId(), answer.Status)
+		x.tried = append(x.tried, s.view.GetId())
+		return true
+	}
+	x.pass(answer)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(answer.Status)
+	x.first = time.Since(x.began)
+	x.status, x.outcome = answer.Status, OutcomeServed
+	if !success {
+		x.outcome = OutcomeServerFailed
+	}
+	if _, err = x.w.Write(body); err != nil {
+		x.cause, x.outcome = err, OutcomeCallerGone
+	}
+	return false
+}
+
+// mayRepeatNow also asks whether there is anything to repeat with.
+func (x *exchange) mayRepeatNow() bool {
+	if x.route.GetRepeat() != schema.Repeat_REPEAT_WHOLE || x.runs >= int(x.route.GetMaxAttempts()) {
+		return false
+	}
+	if time.Until(x.deadline) < minLeft {
+		return false
+	}
+	tried := append(x.tried, x.server.view.GetId())
+	return x.g.fleet.choose(x.pool, &x.call, tried, time.Now(), x.random) != nil &&
+		x.g.budget(x.pool).peek(time.Now(), x.g.entryCount())
+}
+
+// failedIn deals with an answer that broke off or is no answer.
+func (x *exchange) failedIn(s *server, err error) bool {
+	x.runs--
+	return x.failed(s, err)
+}
+
+// pass copies the header of a server's answer.
+func (x *exchange) pass(answer *relay.Answer) {
+	h := x.w.Header()
+	for k, v := range relay.PassedOn(answer.Header) {
+		h[k] = v
+	}
+	// The server's own date stays, or none is made up.
+	if h.Get("Date") == "" {
+		h["Date"] = nil
+	}
+	x.started = true
+	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(writeSlack))
+}
+
+// finish logs the request, and ends a broken answer.
+func (x *exchange) finish() {
+	x.g.report(x)
+	if x.status == 0 {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"fennelyard/internal/ledger"
+	"fennelyard/internal/peer"
+	"fennelyard/internal/relay"
+	"fennelyard/internal/schema"
+)
+
+// Config configures a Gateway. All fields are required unless they say
+// otherwise.
+type Config struct {
+	Self *schema.RosterEntry
+	// Seeds returns the peer addresses of a few control hosts.
+	Seeds func() []string
+	// Dialer is not closed by the gateway.
+	Dialer  *peer.Dialer
+	Replica *ledger.Replica
+	Sender  *relay.Sender
+	Codec   Codec
+	Budget  BudgetConfig
+	// Log takes changes of what is believed, Requests one line for each request.
+	Log      logr.Logger
+	Requests logr.Logger
+	// Served, where set, is told of each request's end.
+	Served func(Served)
+}
+
+// Served is how a request ended, for metrics.
+type Served struct {
+	// Kind is the sort of route: stream or whole, with what may be repeated.
+	Kind     string
+	Outcome  Outcome
+	Status   int
+	Took     time.Duration
+	First    time.Duration
+	Attempts int
+}
+
+// Gateway serves callers' requests. All methods are safe from any goroutine.
+type Gateway struct {
+	cfg      Config
+	fleet    *fleet
+	asked    *asked
+	attend   *attendant
+	table    atomic.Pointer[table]
+	entries  atomic.Pointer[[]*schema.RosterEntry]
+	stopping atomic.Bool
+	inFlight atomic.Int64
+	stop     chan struct{}
+	done     chan struct{}
+	once     sync.Once
+
+	mu sync.Mutex
+	// budgets and paces are kept by pool; guarded by mu.
+	budgets map[string]*budget
+	paces   map[string]*pace
+}
+
+// New starts a gateway. It refuses requests until it knows a configuration.
+func New(cfg Config) *Gateway {
+	g := &Gateway{
+		cfg: cfg, fleet: newFleet(), asked: newAsked(), stop: make(chan struct{}), done: make(chan struct{}),
+		budgets: map[string]*budget{}, paces: map[string]*pace{},
+	}
+	g.attend = &attendant{g: g}
+	go func() {
+		defer close(g.done)
+		g.attend.run()
+	}()
+	return g
+}
+
+// Ready reports whether requests can be served: a configuration is known and
+// the gateway does not prepare to stop.
+func (g *Gateway) Ready() bool { return g.table.Load() != nil && !g.stopping.Load() }
+
+// Stopping tells the leader, and with it all entries, to send callers here no
+// longer. Requests that come are served on.
+func (g *Gateway) Stopping() {
+	g.stopping.Store(true)
+	select {
+	case g.asked.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// InFlight returns the number of requests at hand.
+func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
+
+// Close ends the stream to the leader.
+func (g *Gateway) Close() {
+	g.once.Do(func() { close(g.stop) })
+	<-g.done
+}
+
+// Done is closed when the gateway has stopped.
+func (g *Gateway) Done() <-chan struct{} { return g.done }
+
+// State is what a gateway believes, for metrics.
+type State struct {
+	Version int64
+	Servers int
+	Entries int
+	Waiting int
+	// LeaderAge is how long ago the leader spoke; negative: never.
+	LeaderAge time.Duration
+}
+
+// State returns what the gateway believes.
+func (g *Gateway) State() State {
+	s := State{Servers: g.fleet.count(), Entries: g.entryCount(), Waiting: g.asked.waitingCount(), LeaderAge: g.attend.age()}
+	if t := g.table.Load(); t != nil {
+		s.Version = int64(t.version)
+	}
+	return s
+}
+
+// configure takes changes of the configuration in.
+func (g *Gateway) configure(c *schema.Changes) {
+	before := g.cfg.Replica.Revision()
+	g.cfg.Replica.Apply(c)
+	if len(c.GetRecords()) == 0 && !c.GetWhole() {
+		return
+	}
+	var t *table
+	g.cfg.Replica.View(func(r *ledger.Records) { t = newTable(r) })
+	old := g.table.Load()
+	if t == nil || old != nil && t.version < old.version {
+		// A configuration never goes back within the life of an entry.
+		return
+	}
+	g.table.Store(t)
+	if old == nil || t.version != old.version {
+		g.cfg.Log.Info("configuration in force", "version", t.version, "routes", len(g.routes(t)), "pools", len(t.pools),
+			"revision", c.GetRevision(), "revision-before", before)
+	}
+}
+
+func (g *Gateway) routes(t *table) []*schema.Route {
+	var out []*schema.Route
+	for _, r := range t.byHost {
+		out = append(out, r...)
+	}
+	return out
+}
+
+func (g *Gateway) logServers(news *schema.LeaderNews) {
+	for _, s := range news.GetServers() {
+		held := 0
+		for _, m := range s.GetModels() {
+			held += 1 + len(m.GetAdapters())
+		}
+		g.cfg.Log.V(1).Info("server believed", "server", s.GetId(), "state", s.GetState().String(), "held", held,
+			"sequence", news.GetSequence())
+	}
+}
+
+func (g *Gateway) setEntries(list []*schema.RosterEntry) {
+	g.entries.Store(&list)
+	g.cfg.Log.Info("entries believed", "count", len(list))
+}
+
+func (g *Gateway) entryCount() int {
+	if list := g.entries.Load(); list != nil {
+		return len(*list)
+	}
+	return 0
+}
+
+// Entries returns the caller addresses of the entries that callers may be sent
+// to, those in a data centre first. While the leader has not said anything yet
+// it is this entry alone.
+func (g *Gateway) Entries(dataCentre string) []string {
+	var near, far []string
+	if list := g.entries.Load(); list != nil {
+		for _, e := range *list {
+			if e.GetDataCentre() == dataCentre {
+				near = append(near, e.GetCallerAddress())
+			} else {
+				far = append(far, e.GetCallerAddress())
+			}
+		}
+	}
+	all := slices.Concat(near, far)
+	if len(all) == 0 && g.Ready() {
+		all = append(all, g.cfg.Self.GetCallerAddress())
+	}
+	return all
+}
+
+func (g *Gateway) budget(pool string) *budget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[pool]
+	if b == nil {
+		b = newBudget(g.cfg.Budget, time.Now())
+		g.budgets[pool] = b
+	}
+	return b
+}
+
+func (g *Gateway) pace(pool string) *pace {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.paces[pool]
+	if p == nil {
+		p = &pace{}
+		g.paces[pool] = p
+	}
+	return p
+}
+
+// ServeHTTP implements http.Handler for callers' requests.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	x := &exchange{g: g, w: w, r: r, began: time.Now(), random: rand.IntN}
+	x.call = g.cfg.Codec.Read(r)
+	defer x.finish()
+	if x.open() {
+		x.serve()
+	}
+}
--- /dev/null
+++ b/internal/gateway/report.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"time"
+
+	"fennelyard/internal/schema"
+)
+
+// report logs a finished request with what decided it, and counts it.
+func (g *Gateway) report(x *exchange) {
+	took := time.Since(x.began)
+	kind, route, version := "none", "", uint64(0)
+	if x.table != nil {
+		version = x.table.version
+	}
+	if x.route != nil {
+		kind, route = kindOf(x.route), x.route.GetName()
+	}
+	server := ""
+	if x.server != nil {
+		server = x.server.view.GetId()
+	}
+	g.cfg.Requests.Info("request", "id", x.call.ID, "outcome", x.outcome.String(), "status", x.status, "route", route,
+		"version", version, "pool", x.pool, "model", x.call.Model, "adapter", x.call.Adapter, "server", server,
+		"attempts", x.attempts, "runs", x.runs, "tried", x.tried, "waited-ms", x.waited.Milliseconds(),
+		"first-ms", x.first.Milliseconds(), "took-ms", took.Milliseconds(), "wait-ms", x.call.Wait.Milliseconds(),
+		"leader-age-ms", g.attend.age().Milliseconds(), "cause", text(x.cause))
+	if g.cfg.Served != nil {
+		g.cfg.Served(Served{
+			Kind: kind, Outcome: x.outcome, Status: x.status, Took: took, First: x.first, Attempts: x.attempts,
+		})
+	}
+}
+
+func kindOf(r *schema.Route) string {
+	switch {
+	case r.GetStream() && r.GetRepeat() == schema.Repeat_REPEAT_RESUME:
+		return "stream-resumable"
+	case r.GetStream():
+		return "stream"
+	case r.GetRepeat() == schema.Repeat_REPEAT_WHOLE:
+		return "idempotent"
+	}
+	return "once"
+}
--- /dev/null
+++ b/internal/gateway/servers.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"fennelyard/internal/schema"
+)
+
+const (
+	// ejectFirst and ejectMost bound how long a server that does not answer is
+	// left out: long enough for a few others to be tried first, and short against
+	// the seconds in which a server comes back.
+	ejectFirst = 500 * time.Millisecond
+	ejectMost  = 4 * time.Second
+	// absentFor is how long a server that said that it lacks a model is not asked
+	// for it again; the leader's word takes a few milliseconds.
+	absentFor = 60 * time.Millisecond
+	// partsKept is how many prompt parts are remembered per server: what an
+	// engine's cache of some 200,000 tokens holds of parts of 1,000 and more.
+	partsKept = 200
+)
+
+// server is a backend server's incarnation as this entry sees it.
+type server struct {
+	view *schema.RosterServer
+	// models holds the adapters of each model that the server holds.
+	models map[string]map[string]bool
+	// running is the number of this entry's requests there.
+	running int
+	// unread is the number of prompt tokens that this entry sent there and that
+	// are not known to be read.
+	unread int
+	// parts holds the prompt parts that this entry sent there, by model and id,
+	// with the number of the request that last did.
+	parts    map[string]uint64
+	requests uint64
+	// strikes counts failures in a row.
+	strikes int
+	out     time.Time
+	// absent holds until when a model or adapter counts as not there.
+	absent map[string]time.Time
+}
+
+func newServer(v *schema.RosterServer) *server {
+	s := &server{parts: map[string]uint64{}, absent: map[string]time.Time{}}
+	s.update(v)
+	return s
+}
+
+func (s *server) update(v *schema.RosterServer) {
+	s.view = v
+	s.models = make(map[string]map[string]bool, len(v.GetModels()))
+	for _, m := range v.GetModels() {
+		adapters := make(map[string]bool, len(m.GetAdapters()))
+		for _, a := range m.GetAdapters() {
+			adapters[a] = true
+		}
+		s.models[m.GetName()] = adapters
+	}
+}
+
+// holds reports whether the server can serve a model, and an adapter of it.
+func (s *server) holds(model, adapter string, now time.Time) bool {
+	adapters, ok := s.models[model]
+	if !ok || adapter != "" && !adapters[adapter] {
+		return false
+	}
+	return !now.Before(s.absent[model+"/"+adapter])
+}
+
+func (s *server) ready() bool { return s.view.GetState() == schema.RosterState_ROSTER_STATE_READY }
+
+// uncached returns how many tokens of a call's prompt the server has to read.
+func (s *server) uncached(c *Call) int {
+	tokens := c.PromptTokens
+	for _, p := range c.Parts {
+		if s.parts[c.Model+"/"+c.Adapter+"/"+p.ID] == 0 {
+			break
+		}
+		tokens -= p.Tokens
+	}
+	return max(tokens, 0)
+}
+
+func (s *server) remember(c *Call) {
+	s.requests++
+	for _, p := range c.Parts {
+		s.parts[c.Model+"/"+c.Adapter+"/"+p.ID] = s.requests
+	}
+	for len(s.parts) > partsKept {
+		oldest, at := "", s.requests+1
+		for k, n := range s.parts {
+			if n < at {
+				oldest, at = k, n
+			}
+		}
+		delete(s.parts, oldest)
+	}
+}
+
+// fleet is the set of backend servers that this entry knows. All methods are
+// safe from any goroutine.
+type fleet struct {
+	mu      sync.Mutex
+	servers map[string]*server
+	changed chan struct{}
+}
+
+func newFleet() *fleet {
+	return &fleet{servers: map[string]*server{}, changed: make(chan struct{})}
+}
+
+// update takes the leader's word in. With settled, named holds every server that
+// the leader knows, and all others are gone.
+func (f *fleet) update(views []*schema.RosterServer, settled bool, named map[string]bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, v := range views {
+		old := f.servers[v.GetId()]
+		switch {
+		case v.GetState() == schema.RosterState_ROSTER_STATE_GONE:
+			delete(f.servers, v.GetId())
+		case old == nil:
+			f.servers[v.GetId()] = newServer(v)
+		case !old.ready() && v.GetState() == schema.RosterState_ROSTER_STATE_READY:
+			// What was said to leave never comes back: a new leader may not know.
+		default:
+			old.update(v)
+		}
+	}
+	if settled {
+		for id := range f.servers {
+			if !named[id] {
+				delete(f.servers, id)
+			}
+		}
+	}
+	f.announce()
+}
+
+func (f *fleet) announce() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// await returns a channel that is closed at the next change.
+func (f *fleet) await() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+func (f *fleet) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.servers)
+}
+
+// begin notes that a request is about to be sent.
+func (f *fleet) begin(s *server, c *Call) (unread int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	unread = s.uncached(c)
+	s.running++
+	s.unread += unread
+	s.remember(c)
+	return unread
+}
+
+// read notes that the prompt of a request was read.
+func (f *fleet) read(s *server, unread int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.unread -= unread
+}
+
+// end notes that a request is over there.
+func (f *fleet) end(s *server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.running--
+}
+
+// good and bad note whether the server answered.
+func (f *fleet) good(s *server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.strikes = 0
+	s.out = time.Time{}
+}
+
+func (f *fleet) bad(s *server, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.out = now.Add(min(ejectFirst<<min(s.strikes, 4), ejectMost))
+	s.strikes++
+}
+
+// lacks notes that a server refused a request for want of a model or adapter.
+func (f *fleet) lacks(s *server, model, adapter string, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.absent[model+"/"+adapter] = now.Add(absentFor)
+}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fennelyard/internal/relay"
+	"fennelyard/internal/schema"
+)
+
+// errGap says that a resumed stream does not go on where the first one ended.
+var errGap = errors.New("the resumed stream leaves a gap")
+
+// stream passes a stream on, event by event. When its server fails, a stream
+// that may be resumed goes on at another one after the last event that has left;
+// the caller sees one answer under the first server's header.
+func (x *exchange) stream(s *server, answer *relay.Answer, patience *time.Timer, read func()) bool {
+	last := x.call.After
+	for {
+		err := x.events(answer, &last, func() {
+			patience.Stop()
+			read()
+		})
+		answer.Close()
+		switch {
+		case err == nil:
+			x.g.fleet.good(s)
+			x.status, x.outcome = http.StatusOK, OutcomeServed
+			return false
+		case errors.Is(err, errCallerGone):
+			x.cause = err
+			x.giveUp(OutcomeCallerGone, 0)
+			return false
+		case x.ctx.Err() != nil:
+			x.cause = err
+			x.giveUp(OutcomeTimeout, 0)
+			return false
+		case !x.started:
+			return x.failedIn(s, err)
+		}
+		x.cause = err
+		x.g.fleet.bad(s, time.Now())
+		x.tried = append(x.tried, s.view.GetId())
+		if s, answer = x.resume(last); answer == nil {
+			x.giveUp(OutcomeCut, 0)
+			return false
+		}
+	}
+}
+
+// events passes events on until the stream ends; nil is a regular end.
+func (x *exchange) events(answer *relay.Answer, last *int64, begun func()) error {
+	in := relay.NewEvents(answer.Body)
+	out := http.NewResponseController(x.w)
+	for {
+		b, err := in.Next()
+		if errors.Is(err, io.EOF) {
+			if !x.started {
+				x.begin(answer)
+			}
+			return nil
+		}
+		if err != nil {
+			if x.r.Context().Err() != nil {
+				return errCallerGone
+			}
+			return err
+		}
+		begun()
+		if first, to, ok := relay.IDs(b); ok {
+			if x.started && first != *last+1 {
+				return errGap
+			}
+			*last = to
+		}
+		if !x.started {
+			x.begin(answer)
+		}
+		if _, err = x.w.Write(b); err == nil {
+			err = out.Flush()
+		}
+		if err != nil {
+			return errors.Newf("write event: %v: %w", err, errCallerGone)
+		}
+	}
+}
+
+func (x *exchange) begin(answer *relay.Answer) {
+	x.pass(answer)
+	x.first = time.Since(x.began)
+	x.w.WriteHeader(answer.Status)
+}
+
+// resume asks another server to go on after an event.
+func (x *exchange) resume(last int64) (*server, *relay.Answer) {
+	for {
+		if x.route.GetRepeat() != schema.Repeat_REPEAT_RESUME || x.runs >= int(x.route.GetMaxAttempts()) {
+			return nil, nil
+		}
+		left := time.Until(x.deadline)
+		s := x.g.fleet.choose(x.pool, &x.call, x.tried, time.Now(), x.random)
+		if s == nil || left < minLeft || !x.g.budget(x.pool).spend(time.Now(), x.g.entryCount()) {
+			return nil, nil
+		}
+		x.server = s
+		x.attempts++
+		x.tried = append(x.tried, s.view.GetId())
+		answer, err := x.g.cfg.Sender.Send(x.ctx, s.view.GetAddress(), x.request(left, last))
+		if err != nil {
+			x.cause = err
+			x.g.fleet.bad(s, time.Now())
+			if !errors.Is(err, relay.ErrNotSent) {
+				x.runs++
+			}
+			continue
+		}
+		v := x.g.cfg.Codec.Judge(answer.Status, answer.Header)
+		if v.NotRun {
+			answer.Close()
+			continue
+		}
+		x.runs++
+		if answer.Status == http.StatusOK && v.Signed {
+			return s, answer
+		}
+		answer.Close()
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -97,7 +97,7 @@
 	})
 	h.entry = entry.New(entry.Config{
 		Settings: h.cfg.Settings, Self: h.self, Incarnation: incarnation, Replica: replica,
-		Control: h.client, Members: h.members, Random: rand.IntN, RandomID: randomID,
+		Control: h.client, Members: h.members, Random: rand.IntN, RandomID: consensus.RandomID,
 		Log: h.cfg.Log.WithName("entry"), Tracer: h.cfg.Tracer, Metrics: h.metrics,
 		CallerListener: listeners.caller, OperatorListener: listeners.operator, BackendListener: listeners.backend,
 	})
@@ -155,7 +155,7 @@
 	c := h.cfg.Settings.GetControl()
 	var err error
 	h.storage, err = consensus.OpenStorage(consensus.StorageConfig{
-		Folder: filepath.Join(c.GetDataFolder(), "control"), Group: theGroup, NewID: randomID, FreeBytes: freeBytes,
+		Folder: filepath.Join(c.GetDataFolder(), "control"), Group: theGroup, NewID: consensus.RandomID, FreeBytes: consensus.FreeBytes,
 	})
 	if err != nil {
 		return peer.Handlers{}, errors.Newf("open state: %w", err)
@@ -290,12 +290,3 @@
 
 // Done is closed when the host has stopped.
 func (h *Host) Done() <-chan struct{} { return h.done }
-
-// randomID never returns 0, which means none.
-func randomID() uint64 {
-	for {
-		if id := rand.Uint64(); id != 0 {
-			return id
-		}
-	}
-}
--- /dev/null
+++ b/internal/ledger/configuration.go
@@ -0,0 +1,109 @@
+package ledger
+
+import (
+	"strings"
+
+	"fennelyard/internal/schema"
+)
+
+// departureKeep is how long a departure is remembered. Announcements of a
+// server that has left were seen up to some seconds late, and no server runs on
+// for minutes after it has said that it leaves.
+const departureKeep = 10 * 60 * 1000 // ms
+
+// ConfigurationKey is the key of the configuration's head.
+const ConfigurationKey = "configuration"
+
+const (
+	routePrefix     = "route/"
+	poolPrefix      = "pool/"
+	departurePrefix = "departure/"
+)
+
+// RouteKey returns the key of a route's record.
+func RouteKey(name string) string { return routePrefix + name }
+
+// PoolKey returns the key of a pool's record.
+func PoolKey(name string) string { return poolPrefix + name }
+
+// DepartureKey returns the key of a backend server's departure.
+func DepartureKey(server string) string { return departurePrefix + server }
+
+// Configuration returns the head of the complete configuration in force, or
+// nil.
+func (r *Records) Configuration() *schema.Configuration {
+	return r.byKey[ConfigurationKey].GetConfiguration()
+}
+
+// Departed reports whether a backend server's incarnation takes no new work.
+func (r *Records) Departed(server string) bool { return r.byKey[DepartureKey(server)] != nil }
+
+// Routes returns all routes, ordered by key.
+func (r *Records) Routes() []*schema.Route {
+	var out []*schema.Route
+	for _, rec := range r.All() {
+		if v := rec.GetRoute(); v != nil {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// Pools returns all pools, ordered by key.
+func (r *Records) Pools() []*schema.Pool {
+	var out []*schema.Pool
+	for _, rec := range r.All() {
+		if v := rec.GetPool(); v != nil {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// putConfiguration puts a complete configuration in force. The highest version
+// wins whatever the order of arrival: operators race and resend, and an answer
+// to a resend must not take back what came after it. Records that did not
+// change keep their revision, so that followers are sent the difference only.
+func (l *Ledger) putConfiguration(q *schema.PutConfiguration) *schema.Result {
+	if old := l.records.Configuration(); old != nil && q.GetConfiguration().GetVersion() <= old.GetVersion() {
+		return accepted()
+	}
+	wanted := map[string]bool{}
+	for _, r := range q.GetRoutes() {
+		wanted[RouteKey(r.GetName())] = true
+		l.putChanged(&schema.Record{Key: RouteKey(r.GetName()), Value: &schema.Record_Route{Route: r}})
+	}
+	for _, p := range q.GetPools() {
+		wanted[PoolKey(p.GetName())] = true
+		l.putChanged(&schema.Record{Key: PoolKey(p.GetName()), Value: &schema.Record_Pool{Pool: p}})
+	}
+	for _, rec := range l.records.All() {
+		key := rec.GetKey()
+		if IsRouting(key) && !wanted[key] {
+			l.drop(key)
+		}
+	}
+	l.put(&schema.Record{
+		Key: ConfigurationKey, Value: &schema.Record_Configuration{Configuration: q.GetConfiguration()},
+	})
+	return accepted()
+}
+
+// departServer records that a backend server takes no new work, so that the
+// next leader knows it although the server may never announce itself again.
+func (l *Ledger) departServer(q *schema.DepartServer) *schema.Result {
+	for _, rec := range l.records.All() {
+		if d := rec.GetDeparture(); d != nil && d.GetAtMs()+departureKeep < l.clockMs {
+			l.drop(rec.GetKey())
+		}
+	}
+	l.putChanged(&schema.Record{Key: DepartureKey(q.GetServer()), Value: &schema.Record_Departure{
+		Departure: &schema.Departure{Server: q.GetServer(), AtMs: l.clockMs},
+	}})
+	return accepted()
+}
+
+// IsRouting reports whether a key is a route's or a pool's.
+func IsRouting(key string) bool {
+	return strings.HasPrefix(key, routePrefix) || strings.HasPrefix(key, poolPrefix)
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -162,6 +162,10 @@
 		r = l.claim(b.ClaimRequest)
 	case *schema.Command_SettleClaim:
 		r = l.settleClaim(b.SettleClaim)
+	case *schema.Command_PutConfiguration:
+		r = l.putConfiguration(b.PutConfiguration)
+	case *schema.Command_DepartServer:
+		r = l.departServer(b.DepartServer)
 	case *schema.Command_Batch:
 		r = &schema.Result{Code: schema.ResultCode_RESULT_CODE_OK}
 		for _, c := range b.Batch.GetCommands() {
--- /dev/null
+++ b/internal/loading/demand.go
@@ -0,0 +1,157 @@
+package loading
+
+import (
+	"math"
+	"time"
+
+	"fennelyard/internal/schema"
+)
+
+// rateWindow is the time over which the rate of a model's requests is averaged:
+// demand moves between models within some seconds, and a shorter window would
+// take a pause of a rare model for its end.
+const rateWindow = 8 * time.Second
+
+// target names a model, or an adapter of it.
+type target struct {
+	pool    string
+	model   string
+	adapter string
+}
+
+// demand is what all entries were asked for of one target.
+type demand struct {
+	rate  float64
+	asked time.Time
+	// waiting holds the requests that wait now, by entry.
+	waiting map[string]int
+}
+
+func (d *demand) arrive(n int, now time.Time) {
+	d.rate = d.rateAt(now) + float64(n)/rateWindow.Seconds()
+	d.asked = now
+}
+
+// rateAt lets the rate decay since the last arrival.
+func (d *demand) rateAt(now time.Time) float64 {
+	return d.rate * math.Exp(-now.Sub(d.asked).Seconds()/rateWindow.Seconds())
+}
+
+func (d *demand) sum() int {
+	n := 0
+	for _, w := range d.waiting {
+		n += w
+	}
+	return n
+}
+
+// Demand takes in what an entry was asked for since it last said so.
+func (d *Driver) Demand(entry string, demands []*schema.ModelDemand) {
+	if len(demands) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.cfg.Now()
+	urgent := false
+	for _, x := range demands {
+		t := target{x.GetPool(), x.GetModel(), x.GetAdapter()}
+		if d.note(entry, t, x, now) {
+			urgent = true
+		}
+		if t.adapter != "" {
+			d.noteAdapter(t, x, now)
+			whole := &schema.ModelDemand{Arrived: x.GetArrived()}
+			d.note(entry, target{t.pool, t.model, ""}, whole, now)
+		}
+	}
+	if urgent {
+		d.wake()
+	}
+}
+
+// note reports whether requests wait.
+func (d *Driver) note(entry string, t target, x *schema.ModelDemand, now time.Time) bool {
+	m := d.demands[t]
+	if m == nil {
+		m = &demand{waiting: map[string]int{}, asked: now}
+		d.demands[t] = m
+	}
+	if x.GetArrived() > 0 {
+		m.arrive(int(x.GetArrived()), now)
+	}
+	if x.GetModel() == "" {
+		return false
+	}
+	if x.GetWaiting() == 0 {
+		delete(m.waiting, entry)
+		return false
+	}
+	m.waiting[entry] = int(x.GetWaiting())
+	return true
+}
+
+// noteAdapter marks an adapter as used wherever it lies.
+func (d *Driver) noteAdapter(t target, x *schema.ModelDemand, now time.Time) {
+	if x.GetArrived() == 0 {
+		return
+	}
+	for _, e := range d.engines {
+		if h := e.held[t.model]; h != nil && e.pool == t.pool {
+			if _, ok := h.Adapters[t.adapter]; ok {
+				h.Adapters[t.adapter] = now
+			}
+		}
+	}
+}
+
+// Forget drops what an entry said that is gone.
+func (d *Driver) Forget(entry string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, m := range d.demands {
+		delete(m.waiting, entry)
+	}
+}
+
+// Forecasts tells when the targets of some demands should be ready.
+func (d *Driver) Forecasts(waiting []*schema.ModelDemand) []*schema.LoadForecast {
+	if len(waiting) == 0 {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.cfg.Now()
+	var out []*schema.LoadForecast
+	for _, x := range waiting {
+		f := &schema.LoadForecast{Pool: x.GetPool(), Model: x.GetModel(), Adapter: x.GetAdapter(), ReadyInMs: -1}
+		for _, e := range d.engines {
+			if in, ok := d.readyIn(e, x, now); ok && (f.ReadyInMs < 0 || in.Milliseconds() < f.ReadyInMs) {
+				f.ReadyInMs = in.Milliseconds()
+			}
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
+// readyIn tells when an engine should hold a model that its order under way
+// loads or makes room for.
+func (d *Driver) readyIn(e *engine, x *schema.ModelDemand, now time.Time) (time.Duration, bool) {
+	if e.pool != x.GetPool() {
+		return 0, false
+	}
+	if e.held[x.GetModel()] != nil && e.unloading() != x.GetModel() {
+		return adapterLoad, true
+	}
+	if e.phase <= phaseKnown || e.order.Adapter != "" {
+		return 0, false
+	}
+	switch {
+	case e.order.Load && e.order.Model == x.GetModel():
+		return max(e.given.Add(d.loadTime(e)).Sub(now), adapterLoad), true
+	case !e.order.Load && e.order.For == x.GetModel():
+		return d.loadTimeOf(e, x.GetModel()) + dueSlack, true
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/loading/driver.go
@@ -0,0 +1,557 @@
+package loading
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"fennelyard/internal/roster"
+	"fennelyard/internal/schema"
+)
+
+const (
+	// tick is how often the driver looks at its engines when nothing wakes it.
+	tick = 100 * time.Millisecond
+	// confirmFor is how long a quorum's word that this host leads is relied on.
+	// A host that was frozen in between gives its order within a moment of its
+	// thaw, and engines are promised no order of an old leader after that.
+	confirmFor = 150 * time.Millisecond
+	// leaseMargin is added to the pause between two leaders' orders: it covers
+	// confirmFor and the way of an order to its engine.
+	leaseMargin = time.Second
+	// adapterLoad is how long an adapter takes that the engine fetches; requests
+	// that come sooner are refused as not run and sent again.
+	adapterLoad = 15 * time.Millisecond
+	// dueSlack is how long after its expected end a load is asked about, and
+	// then again and again.
+	dueSlack  = 250 * time.Millisecond
+	againSoon = 300 * time.Millisecond
+	// beatLag is how old an announcement may be when it comes.
+	beatLag = 1500 * time.Millisecond
+	// storeSpeed is how many loads the weight store serves at full speed unless
+	// the settings say otherwise; more at once make each one longer.
+	storeSpeed = 4
+)
+
+// Leadership is whether this host leads, and in which term.
+type Leadership struct {
+	Leads bool
+	Term  uint64
+}
+
+// Config configures a Driver. All fields are required.
+type Config struct {
+	Holder     string
+	Leadership func() Leadership
+	// Confirm returns nil only if this host led at some moment after the call.
+	Confirm func(context.Context) error
+	Engines Engines
+	Roster  *roster.Roster
+	// Pools returns the pools in force.
+	Pools func() []*schema.Pool
+	// OrderLease is the time between the last order of one leader and the first
+	// of the next.
+	OrderLease time.Duration
+	// LoadWindow is the time over which loads from the weight store are counted.
+	LoadWindow time.Duration
+	Now        func() time.Time
+	Log        logr.Logger
+	// Ordered, where set, counts answered orders.
+	Ordered func(o Outcome, load, adapter bool)
+}
+
+// Driver gives the leader's orders. All methods are safe from any goroutine.
+type Driver struct {
+	cfg  Config
+	kick chan struct{}
+	stop chan struct{}
+	done chan struct{}
+	once sync.Once
+	wg   sync.WaitGroup
+
+	mu sync.Mutex
+	// term and since tell since when this host has led without a break; guarded
+	// by mu, as all below.
+	term    uint64
+	since   time.Time
+	leads   bool
+	token   uint64
+	engines map[string]*engine
+	demands map[target]*demand
+	// begun holds when each load from the store may have begun, by pool.
+	begun map[string][]time.Time
+	// confirmed is when the last confirmation that succeeded was asked for.
+	confirmed time.Time
+}
+
+// NewDriver starts a driver. It gives no order until this host leads.
+func NewDriver(cfg Config) *Driver {
+	d := &Driver{
+		cfg: cfg, kick: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
+		engines: map[string]*engine{}, demands: map[target]*demand{}, begun: map[string][]time.Time{},
+	}
+	go func() {
+		defer close(d.done)
+		d.run()
+		d.wg.Wait()
+	}()
+	return d
+}
+
+// Stop ends the driver; orders under way are waited for.
+func (d *Driver) Stop() {
+	d.once.Do(func() { close(d.stop) })
+	<-d.done
+}
+
+// Done is closed when the driver has stopped.
+func (d *Driver) Done() <-chan struct{} { return d.done }
+
+func (d *Driver) wake() {
+	select {
+	case d.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Driver) run() {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.stop:
+			return
+		case <-ticker.C:
+		case <-d.kick:
+		}
+		d.round()
+	}
+}
+
+// Announced takes an engine's announcement in.
+func (d *Driver) Announced(a roster.Announcement) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.cfg.Now()
+	e := d.engines[a.ID]
+	if e == nil {
+		e = &engine{id: a.ID, pool: a.Pool, held: map[string]*Held{}}
+		d.engines[a.ID] = e
+	}
+	e.address = a.Address
+	e.inMemory, e.onDisk = setOf(a.InMemory), setOf(a.OnDisk)
+	switch e.phase {
+	case phaseUnknown:
+		e.learn(a.Held, now)
+	case phaseKnown:
+		if now.Sub(e.touched) > beatLag {
+			e.learn(a.Held, now)
+		}
+	case phaseWorking:
+		if d.seenDone(e, a.Held) {
+			d.finish(e, now)
+		}
+	case phaseGiving, phaseUncertain:
+	}
+	d.publish(e)
+	d.wake()
+}
+
+func setOf(names []string) map[string]bool {
+	out := make(map[string]bool, len(names))
+	for _, n := range names {
+		out[n] = true
+	}
+	return out
+}
+
+// seenDone reports whether an engine's word shows that the order under way was
+// carried out. A word older than the order shows the opposite, so that only
+// what the order brings about is believed.
+func (d *Driver) seenDone(e *engine, held []*schema.HeldModel) bool {
+	if e.order.Adapter != "" {
+		return false
+	}
+	has := slices.ContainsFunc(held, func(h *schema.HeldModel) bool { return h.GetName() == e.order.Model })
+	return has == e.order.Load
+}
+
+func (d *Driver) finish(e *engine, now time.Time) {
+	d.cfg.Log.Info("order done", "server", e.id, "load", e.order.Load, "model", e.order.Model, "adapter", e.order.Adapter,
+		"took-ms", now.Sub(e.given).Milliseconds(), "taken", e.taken)
+	e.done(now)
+}
+
+// publish tells the entries what an engine holds. Until the first report it is
+// what the engine said itself.
+func (d *Driver) publish(e *engine) { d.cfg.Roster.Hold(e.id, e.views()) }
+
+// round does what is due.
+func (d *Driver) round() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.cfg.Now()
+	d.follow(now)
+	for id, e := range d.engines {
+		if !d.cfg.Roster.Ready(id) {
+			if e.phase != phaseGiving {
+				delete(d.engines, id)
+			}
+			continue
+		}
+		d.tend(e, now)
+	}
+	if !d.leads || now.Sub(d.since) < d.cfg.OrderLease+leaseMargin {
+		return
+	}
+	for _, p := range d.cfg.Pools() {
+		if p.GetEngine() == nil {
+			continue
+		}
+		for _, a := range Decide(d.input(p, now)) {
+			d.begin(d.engines[a.Engine], a, now)
+		}
+	}
+}
+
+// follow notes whether this host leads. What an earlier leadership knew of the
+// engines is worth nothing after another host may have given orders.
+func (d *Driver) follow(now time.Time) {
+	l := d.cfg.Leadership()
+	if l.Leads == d.leads && l.Term == d.term {
+		return
+	}
+	if l.Leads {
+		d.since, d.token = now, 0
+		d.cfg.Roster.Begin()
+		d.engines = map[string]*engine{}
+		d.demands = map[target]*demand{}
+		d.begun = map[string][]time.Time{}
+		d.cfg.Log.Info("leading", "term", l.Term, "orders-from-ms", (d.cfg.OrderLease + leaseMargin).Milliseconds())
+	} else if d.leads {
+		d.cfg.Log.Info("no longer leading", "term", d.term)
+	}
+	d.leads, d.term = l.Leads, l.Term
+}
+
+// tend asks about an engine where its state is not known or an end is overdue.
+func (d *Driver) tend(e *engine, now time.Time) {
+	if !d.leads || now.Before(e.notBefore) || !d.isEngine(e.pool) {
+		return
+	}
+	switch e.phase {
+	case phaseUnknown:
+		e.notBefore = now.Add(againSoon)
+		d.ask(e, now)
+	case phaseWorking:
+		if now.Before(e.due) {
+			return
+		}
+		if e.order.Adapter != "" {
+			d.finish(e, now)
+			d.publish(e)
+			return
+		}
+		e.notBefore = now.Add(againSoon)
+		d.ask(e, now)
+	case phaseUncertain:
+		e.notBefore = now.Add(againSoon)
+		d.give(e, now)
+	case phaseKnown, phaseGiving:
+	}
+}
+
+func (d *Driver) isEngine(pool string) bool {
+	return slices.ContainsFunc(d.cfg.Pools(), func(p *schema.Pool) bool { return p.GetName() == pool && p.GetEngine() != nil })
+}
+
+func (d *Driver) input(p *schema.Pool, now time.Time) Input {
+	spec := p.GetEngine()
+	in := Input{
+		Now: now, MemoryMB: spec.GetMemoryMb(), Places: int(spec.GetAdapterPlaces()), Models: map[string]*Model{},
+	}
+	for _, s := range spec.GetModels() {
+		m := &Model{
+			Name: s.GetName(), MemoryMB: s.GetMemoryMb(), AdapterMB: s.GetAdapterMb(),
+			FromStore:  time.Duration(s.GetLoadStoreMs()) * time.Millisecond,
+			FromDisk:   time.Duration(s.GetLoadDiskMs()) * time.Millisecond,
+			FromMemory: time.Duration(s.GetLoadMemoryMs()) * time.Millisecond,
+		}
+		if x := d.demands[target{p.GetName(), s.GetName(), ""}]; x != nil {
+			m.Rate, m.Asked, m.Waiting = x.rateAt(now), x.asked, x.sum()
+		}
+		in.Models[m.Name] = m
+	}
+	for t, x := range d.demands {
+		if t.pool != p.GetName() || t.adapter == "" || x.sum() == 0 {
+			continue
+		}
+		if m := in.Models[t.model]; m != nil {
+			m.Waiting += x.sum()
+		}
+		if !d.heldOrComing(t) {
+			in.Adapters = append(in.Adapters, AdapterDemand{Model: t.model, Adapter: t.adapter})
+		}
+	}
+	slices.SortFunc(in.Adapters, func(a, b AdapterDemand) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+	})
+	for _, e := range d.engines {
+		if e.pool != p.GetName() {
+			continue
+		}
+		v := e.view()
+		if now.Before(e.notBefore) {
+			v.Busy = true
+		}
+		if v.FromStore {
+			in.StoreRunning++
+		}
+		in.Engines = append(in.Engines, v)
+	}
+	slices.SortFunc(in.Engines, func(a, b *Engine) int { return cmp.Compare(a.ID, b.ID) })
+	in.StoreLoads = d.storeLoads(p, in.StoreRunning, now)
+	return in
+}
+
+func (d *Driver) heldOrComing(t target) bool {
+	for _, e := range d.engines {
+		if e.pool != t.pool {
+			continue
+		}
+		if e.phase > phaseKnown && e.order.Load && e.order.Model == t.model && e.order.Adapter == t.adapter {
+			return true
+		}
+		if h := e.held[t.model]; h != nil {
+			if _, ok := h.Adapters[t.adapter]; ok {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// storeLoads is how many loads from the weight store may begin now, by the
+// store's own pace over a window and by what it serves at full speed. For one
+// window after this host began to lead, what its predecessor began counts as
+// much as could have been.
+func (d *Driver) storeLoads(p *schema.Pool, running int, now time.Time) int {
+	if now.Sub(d.since) < d.cfg.LoadWindow {
+		return 0
+	}
+	kept := d.begun[p.GetName()][:0]
+	for _, at := range d.begun[p.GetName()] {
+		if now.Sub(at) < d.cfg.LoadWindow {
+			kept = append(kept, at)
+		}
+	}
+	d.begun[p.GetName()] = kept
+	paced := int(p.GetEngine().GetLoadsPerSecond()*d.cfg.LoadWindow.Seconds()) - len(kept)
+	return max(min(paced, storeSpeed-running), 0)
+}
+
+// begin gives the order of an action.
+func (d *Driver) begin(e *engine, a Action, now time.Time) {
+	if e == nil || e.phase != phaseKnown {
+		return
+	}
+	e.order, e.given, e.tries = a, now, 0
+	e.phase = phaseUncertain
+	d.publish(e)
+	d.give(e, now)
+}
+
+// give sends the order under way, for the first time or again.
+func (d *Driver) give(e *engine, now time.Time) {
+	e.phase = phaseGiving
+	e.tries++
+	d.token++
+	o := Order{
+		Server: e.id, Load: e.order.Load, Model: e.order.Model, Adapter: e.order.Adapter, Taken: e.taken,
+		Holder: d.cfg.Holder, Token: d.term<<tokenBits | d.token,
+	}
+	if e.order.FromStore {
+		d.begun[e.pool] = append(d.begun[e.pool], now)
+	}
+	address := e.address
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		outcome, err := d.send(address, o)
+		d.answered(e, o, outcome, err)
+		d.wake()
+	}()
+}
+
+// tokenBits is the part of a token that counts a leader's orders; the term is
+// above it, so that tokens grow over all leaders.
+const tokenBits = 24
+
+// errNotLeading says that the order did not leave.
+var errNotLeading = errors.New("this host's lead is not confirmed")
+
+func (d *Driver) send(address string, o Order) (Outcome, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderWait)
+	defer cancel()
+	if err := d.confirm(ctx); err != nil {
+		return OutcomeUnknown, errors.Newf("confirm lead: %w", errNotLeading)
+	}
+	outcome, err := d.cfg.Engines.Give(ctx, address, o)
+	if err != nil {
+		return OutcomeUnknown, errors.Newf("give order: %w", err)
+	}
+	return outcome, nil
+}
+
+// confirm has a quorum confirm that this host leads, unless it did just now. A
+// leader that was cut off or frozen would otherwise give orders beside its
+// successor's.
+func (d *Driver) confirm(ctx context.Context) error {
+	d.mu.Lock()
+	began, last := d.cfg.Now(), d.confirmed
+	d.mu.Unlock()
+	if began.Sub(last) < confirmFor {
+		return nil
+	}
+	if err := d.cfg.Confirm(ctx); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if began.After(d.confirmed) {
+		d.confirmed = began
+	}
+	return nil
+}
+
+// answered takes an engine's answer to an order in.
+func (d *Driver) answered(e *engine, o Order, outcome Outcome, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.cfg.Now()
+	d.cfg.Log.Info("order given", "server", o.Server, "load", o.Load, "model", o.Model, "adapter", o.Adapter,
+		"taken", o.Taken, "token", o.Token, "from-store", e.order.FromStore, "outcome", outcome.String(), "error", text(err))
+	if d.cfg.Ordered != nil {
+		d.cfg.Ordered(outcome, o.Load, o.Adapter != "")
+	}
+	if d.engines[e.id] != e {
+		return
+	}
+	switch outcome {
+	case OutcomeTaken:
+		d.accepted(e, now)
+	case OutcomeHolds:
+		if !o.Load && o.Adapter != "" {
+			// An adapter goes at once, which counts as an order that was taken.
+			e.taken++
+		}
+		d.finish(e, now)
+	case OutcomeConflict, OutcomeRefused:
+		// The state differs from what was believed; reports lag behind it.
+		e.phase, e.notBefore = phaseUnknown, now.Add(reportLag)
+	case OutcomeOther:
+		delete(d.engines, e.id)
+	case OutcomeUnknown:
+		e.notBefore = now.Add(againSoon)
+		e.phase = phaseUncertain
+		if errors.Is(err, errNotLeading) && e.tries == 1 {
+			e.phase = phaseKnown
+		}
+	}
+	d.publish(e)
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func (d *Driver) accepted(e *engine, now time.Time) {
+	e.taken++
+	e.touched = now
+	e.phase = phaseWorking
+	switch {
+	case e.order.Adapter != "" && e.order.Load:
+		e.due = now.Add(adapterLoad)
+		d.wg.Add(1)
+		go func() {
+			defer d.wg.Done()
+			time.Sleep(adapterLoad)
+			d.wake()
+		}()
+	case e.order.Adapter != "":
+		d.finish(e, now)
+	case e.order.Load:
+		e.due = now.Add(d.loadTime(e) + dueSlack)
+	default:
+		e.due = now.Add(dueSlack)
+	}
+}
+
+func (d *Driver) loadTime(e *engine) time.Duration { return d.loadTimeOf(e, e.order.Model) }
+
+func (d *Driver) loadTimeOf(e *engine, model string) time.Duration {
+	for _, p := range d.cfg.Pools() {
+		for _, m := range p.GetEngine().GetModels() {
+			if p.GetName() != e.pool || m.GetName() != model {
+				continue
+			}
+			switch {
+			case e.inMemory[m.GetName()]:
+				return time.Duration(m.GetLoadMemoryMs()) * time.Millisecond
+			case e.onDisk[m.GetName()]:
+				return time.Duration(m.GetLoadDiskMs()) * time.Millisecond
+			}
+			return time.Duration(m.GetLoadStoreMs()) * time.Millisecond
+		}
+	}
+	return 0
+}
+
+// ask asks an engine for a report.
+func (d *Driver) ask(e *engine, now time.Time) {
+	address, phase, taken := e.address, e.phase, e.taken
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), orderWait)
+		defer cancel()
+		r, err := d.cfg.Engines.Ask(ctx, address, e.id)
+		d.reported(e, phase, taken, now, r, err)
+		d.wake()
+	}()
+}
+
+// reported takes a report in, if nothing has changed since it was asked for.
+func (d *Driver) reported(e *engine, asked phase, taken uint64, at time.Time, r Report, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil {
+		d.cfg.Log.Info("no report", "server", e.id, "error", err.Error())
+		return
+	}
+	if d.engines[e.id] != e || e.phase != asked || e.taken != taken || at.Sub(e.touched) < reportLag {
+		return
+	}
+	now := d.cfg.Now()
+	d.cfg.Log.V(1).Info("report", "server", e.id, "taken", r.Taken, "busy", r.Busy, "held", len(r.Held))
+	if r.Busy {
+		return
+	}
+	if asked == phaseWorking && d.seenDone(e, r.Held) {
+		d.finish(e, now)
+	} else if asked == phaseWorking {
+		d.cfg.Log.Info("order not carried out", "server", e.id, "load", e.order.Load, "model", e.order.Model, "taken", r.Taken)
+	}
+	e.taken = r.Taken
+	e.learn(r.Held, now)
+	e.phase = phaseKnown
+	d.publish(e)
+}
--- /dev/null
+++ b/internal/loading/engine.go
@@ -0,0 +1,137 @@
+package loading
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"fennelyard/internal/schema"
+)
+
+// phase is how far the leader's knowledge of an engine goes.
+type phase int
+
+const (
+	// phaseUnknown: a report must be had before any order.
+	phaseUnknown phase = iota
+	// phaseKnown: what is held and how many orders were taken is known.
+	phaseKnown
+	// phaseGiving: an order is on its way.
+	phaseGiving
+	// phaseUncertain: the order has no answer that proves anything. The same one
+	// is given again under the same number of taken orders: if the first was
+	// taken the second is refused, and if the second is taken the first can never
+	// be.
+	phaseUncertain
+	// phaseWorking: a model's order was taken and its end is not seen.
+	phaseWorking
+)
+
+// engine is what the leader knows of one engine's incarnation.
+type engine struct {
+	id      string
+	pool    string
+	address string
+	phase   phase
+	// taken is the number of orders that the engine has taken; valid from
+	// phaseKnown on.
+	taken uint64
+	held  map[string]*Held
+	// inMemory and onDisk are the models that the engine has copies of.
+	inMemory map[string]bool
+	onDisk   map[string]bool
+	// order is the order under way in the phases after phaseKnown.
+	order Action
+	given time.Time
+	due   time.Time
+	tries int
+	// touched is when an order last changed something here: older words of the
+	// engine about what it holds are not believed.
+	touched time.Time
+	// notBefore holds the next order or report back after a failure.
+	notBefore time.Time
+}
+
+// learn takes what the engine holds from its own word.
+func (e *engine) learn(held []*schema.HeldModel, now time.Time) {
+	next := map[string]*Held{}
+	for _, h := range held {
+		old := e.held[h.GetName()]
+		if old == nil {
+			old = &Held{Model: h.GetName(), Since: now, Adapters: map[string]time.Time{}}
+		}
+		fresh := map[string]time.Time{}
+		for _, a := range h.GetAdapters() {
+			fresh[a] = old.Adapters[a]
+		}
+		next[h.GetName()] = &Held{Model: old.Model, Since: old.Since, Adapters: fresh}
+	}
+	e.held = next
+}
+
+// views returns what entries are told: models that may be sent to. A model that
+// is about to be unloaded is left out before the order leaves.
+func (e *engine) views() []*schema.HeldModel {
+	var out []*schema.HeldModel
+	for _, name := range slices.Sorted(maps.Keys(e.held)) {
+		if e.unloading() == name {
+			continue
+		}
+		v := &schema.HeldModel{Name: name}
+		for _, a := range slices.Sorted(maps.Keys(e.held[name].Adapters)) {
+			if e.phase > phaseKnown && !e.order.Load && e.order.Model == name && e.order.Adapter == a {
+				continue
+			}
+			v.Adapters = append(v.Adapters, a)
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+// unloading names the model that the order under way drops, or "".
+func (e *engine) unloading() string {
+	if e.phase > phaseKnown && !e.order.Load && e.order.Adapter == "" {
+		return e.order.Model
+	}
+	return ""
+}
+
+// view is the engine as Decide sees it.
+func (e *engine) view() *Engine {
+	v := &Engine{ID: e.id, InMemory: e.inMemory, OnDisk: e.onDisk, Busy: e.phase != phaseKnown, Leaving: e.unloading()}
+	for _, name := range slices.Sorted(maps.Keys(e.held)) {
+		v.Held = append(v.Held, *e.held[name])
+	}
+	if e.phase > phaseKnown && e.order.Adapter == "" {
+		if e.order.Load {
+			v.Coming, v.FromStore = e.order.Model, e.order.FromStore
+		} else {
+			v.Coming = e.order.For
+		}
+	}
+	return v
+}
+
+// done applies the order under way to what is held.
+func (e *engine) done(now time.Time) {
+	o := e.order
+	switch {
+	case o.Load && o.Adapter == "":
+		if e.held[o.Model] == nil {
+			e.held[o.Model] = &Held{Model: o.Model, Since: now, Adapters: map[string]time.Time{}}
+		}
+		e.inMemory[o.Model], e.onDisk[o.Model] = true, true
+	case o.Load:
+		if h := e.held[o.Model]; h != nil {
+			h.Adapters[o.Adapter] = now
+		}
+	case o.Adapter == "":
+		delete(e.held, o.Model)
+	default:
+		if h := e.held[o.Model]; h != nil {
+			delete(h.Adapters, o.Adapter)
+		}
+	}
+	e.phase, e.touched, e.tries = phaseKnown, now, 0
+}
--- /dev/null
+++ b/internal/loading/order.go
@@ -0,0 +1,69 @@
+package loading
+
+import (
+	"context"
+	"time"
+
+	"fennelyard/internal/schema"
+)
+
+//go:generate go tool stringer -type=Outcome -linecomment
+
+// Outcome is what an engine answered to an order.
+type Outcome int
+
+// The outcomes of an order.
+const (
+	// OutcomeUnknown: no answer, or one that proves nothing; the order may have
+	// been taken, or may still be.
+	OutcomeUnknown Outcome = iota // unknown
+	// OutcomeTaken: the engine carries the order out.
+	OutcomeTaken // taken
+	// OutcomeHolds: things are as the order wants them already.
+	OutcomeHolds // holds-already
+	// OutcomeConflict: another order is under way, or the engine has taken
+	// another number of orders than was expected.
+	OutcomeConflict // conflict
+	// OutcomeOther: another incarnation lives at the address.
+	OutcomeOther // other-server
+	// OutcomeRefused: the engine will not carry the order out.
+	OutcomeRefused // refused
+)
+
+// Order is an order to an engine.
+type Order struct {
+	// Server is the incarnation that the order is for; no other carries it out.
+	Server  string
+	Load    bool
+	Model   string
+	Adapter string
+	// Taken is how many orders the engine must have taken before this one.
+	Taken uint64
+	// Holder names this host, Token grows with every order over all holders.
+	Holder string
+	Token  uint64
+}
+
+// Report is what an engine says of itself when asked.
+type Report struct {
+	Held []*schema.HeldModel
+	// Busy is set while a model's order is under way.
+	Busy bool
+	// Taken is the number of orders that the engine has taken.
+	Taken uint64
+}
+
+// Engines reaches the engines. Both functions are required.
+type Engines struct {
+	Give func(ctx context.Context, address string, o Order) (Outcome, error)
+	Ask  func(ctx context.Context, address, server string) (Report, error)
+}
+
+const (
+	// orderWait is how long an engine's answer to an order is waited for; an
+	// answer takes a round trip.
+	orderWait = 800 * time.Millisecond
+	// reportLag is how old a report may be when it comes: engines report a state
+	// of some hundred milliseconds ago.
+	reportLag = 400 * time.Millisecond
+)
--- /dev/null
+++ b/internal/loading/plan.go
@@ -0,0 +1,380 @@
+// Package loading decides which models and adapters the engines load, and gives
+// the orders. Decide is a pure function; Driver is the leader's hand.
+package loading
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// replicaRate is how many requests a second one replica should be given:
+	// reading a prompt of 9,000 tokens takes an engine about 240 ms when nothing
+	// of it is kept, so that 3 a second leave it a quarter of its time.
+	replicaRate = 3.0
+	// minHold keeps a model for a moment after its load: demand for two models
+	// could otherwise push them out of one engine in turns, and neither is served.
+	minHold = 2 * time.Second
+	// askedGuard keeps a model that was asked for a moment ago: an unload waits
+	// for its runs to end, and the engine takes no other order meanwhile.
+	askedGuard = 1500 * time.Millisecond
+	// backgroundLoads is how many loads for stock may be under way at once; the
+	// rest of the store's full speed is left to models that callers wait for.
+	backgroundLoads = 3
+)
+
+// Model is a model of a pool with what is known of its demand.
+type Model struct {
+	Name      string
+	MemoryMB  float64
+	AdapterMB float64
+	// Load times by where the engine finds the weights.
+	FromStore  time.Duration
+	FromDisk   time.Duration
+	FromMemory time.Duration
+	// Rate is the number of requests a second, averaged over some seconds.
+	Rate float64
+	// Asked is when a request last came.
+	Asked time.Time
+	// Waiting is the number of requests that wait for a replica.
+	Waiting int
+}
+
+// Held is a model in an engine's memory.
+type Held struct {
+	Model string
+	Since time.Time
+	// Adapters tells when each adapter was last asked for.
+	Adapters map[string]time.Time
+}
+
+// Engine is an engine that takes new work.
+type Engine struct {
+	ID       string
+	Held     []Held
+	InMemory map[string]bool
+	OnDisk   map[string]bool
+	// Busy is set while a model's order is under way or its outcome is not known.
+	Busy bool
+	// Coming is the model that the order under way loads or makes room for.
+	Coming string
+	// Leaving is the model that the order under way unloads.
+	Leaving string
+	// FromStore is set while the load under way is from the weight store.
+	FromStore bool
+}
+
+// AdapterDemand is an adapter that requests wait for.
+type AdapterDemand struct {
+	Model   string
+	Adapter string
+}
+
+// Input is what Decide decides from; it is not changed.
+type Input struct {
+	Now time.Time
+	// MemoryMB and Places are each engine's memory and places for adapters.
+	MemoryMB float64
+	Places   int
+	Models   map[string]*Model
+	Engines  []*Engine
+	Adapters []AdapterDemand
+	// StoreLoads is how many loads from the weight store may begin now.
+	StoreLoads int
+	// StoreRunning is how many are under way.
+	StoreRunning int
+}
+
+// Action is one order to give.
+type Action struct {
+	Engine  string
+	Load    bool
+	Model   string
+	Adapter string
+	// For is the model that an unload makes room for.
+	For string
+	// FromStore is set for a load that the weight store will serve.
+	FromStore bool
+}
+
+// plan is the state of one decision.
+type plan struct {
+	in       Input
+	replicas map[string]int
+	copies   map[string]int
+	taken    map[string]bool
+	out      []Action
+}
+
+// Decide returns the orders that are due, at most one for each engine.
+func Decide(in Input) []Action {
+	p := &plan{in: in, replicas: map[string]int{}, copies: map[string]int{}, taken: map[string]bool{}}
+	p.count()
+	for _, m := range p.wanted() {
+		p.place(m)
+	}
+	p.stock()
+	for _, a := range in.Adapters {
+		p.adapter(a)
+	}
+	return p.out
+}
+
+func (p *plan) count() {
+	for _, e := range p.in.Engines {
+		if e.Busy {
+			p.taken[e.ID] = true
+		}
+		if e.Coming != "" {
+			p.replicas[e.Coming]++
+			p.copies[e.Coming]++
+		}
+		for _, h := range e.Held {
+			if h.Model != e.Leaving {
+				p.replicas[h.Model]++
+			}
+		}
+		for name := range e.OnDisk {
+			p.copies[name]++
+		}
+	}
+}
+
+// needed is how many replicas a model's demand calls for.
+func needed(m *Model) int { return int(math.Ceil(m.Rate / replicaRate)) }
+
+// wanted returns the models that lack a replica, the most urgent first: those
+// that requests wait for and that no engine has, then those that have too few.
+func (p *plan) wanted() []*Model {
+	var out []*Model
+	for _, m := range p.in.Models {
+		if m.Waiting > 0 && p.replicas[m.Name] == 0 || p.replicas[m.Name] < needed(m) {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Model) int {
+		return cmp.Or(
+			cmp.Compare(min(p.replicas[a.Name], 1), min(p.replicas[b.Name], 1)),
+			cmp.Compare(b.Waiting, a.Waiting),
+			cmp.Compare(b.Rate, a.Rate),
+			cmp.Compare(a.Name, b.Name),
+		)
+	})
+	return out
+}
+
+// place finds the engine that has the model soonest at the least loss.
+func (p *plan) place(m *Model) {
+	best, bestCost := -1, math.Inf(1)
+	var bestVictim string
+	for i, e := range p.in.Engines {
+		if p.taken[e.ID] || holds(e, m.Name) {
+			continue
+		}
+		cost := p.loadTime(e, m).Seconds()
+		if p.fromStore(e, m) && p.in.StoreLoads <= 0 {
+			continue
+		}
+		victim, loss, ok := p.room(e, m)
+		if !ok {
+			continue
+		}
+		if cost += loss; cost < bestCost {
+			best, bestCost, bestVictim = i, cost, victim
+		}
+	}
+	if best < 0 {
+		return
+	}
+	p.order(p.in.Engines[best], m, bestVictim)
+}
+
+func (p *plan) order(e *Engine, m *Model, victim string) {
+	p.taken[e.ID] = true
+	p.replicas[m.Name]++
+	if victim != "" {
+		p.replicas[victim]--
+		p.out = append(p.out, Action{Engine: e.ID, Model: victim, For: m.Name})
+		return
+	}
+	store := p.fromStore(e, m)
+	if store {
+		p.in.StoreLoads--
+		p.in.StoreRunning++
+	}
+	p.out = append(p.out, Action{Engine: e.ID, Load: true, Model: m.Name, FromStore: store})
+}
+
+func (p *plan) fromStore(e *Engine, m *Model) bool {
+	return !e.InMemory[m.Name] && !e.OnDisk[m.Name]
+}
+
+func (p *plan) loadTime(e *Engine, m *Model) time.Duration {
+	switch {
+	case e.InMemory[m.Name]:
+		return m.FromMemory
+	case e.OnDisk[m.Name]:
+		return m.FromDisk
+	}
+	return m.FromStore
+}
+
+func holds(e *Engine, model string) bool {
+	return slices.ContainsFunc(e.Held, func(h Held) bool { return h.Model == model })
+}
+
+// used returns the memory that an engine's models take.
+func (p *plan) used(e *Engine) float64 {
+	var sum float64
+	for _, h := range e.Held {
+		sum += p.sizeOf(h.Model)
+	}
+	return sum
+}
+
+// reserve is the memory for a full set of the largest adapters. It is kept free
+// at each engine: an adapter must never be what does not fit.
+func (p *plan) reserve() float64 {
+	var largest float64
+	for _, m := range p.in.Models {
+		largest = max(largest, m.AdapterMB)
+	}
+	return largest * float64(p.in.Places)
+}
+
+// room tells which model would have to go first, if any, and what that loses.
+func (p *plan) room(e *Engine, m *Model) (victim string, loss float64, ok bool) {
+	free := p.in.MemoryMB - p.reserve() - p.used(e)
+	if free >= m.MemoryMB {
+		return "", 0, true
+	}
+	var order []Held
+	for _, h := range e.Held {
+		if p.evictable(h, m) {
+			order = append(order, h)
+		}
+	}
+	slices.SortFunc(order, func(a, b Held) int {
+		return cmp.Or(cmp.Compare(p.value(a.Model), p.value(b.Model)), cmp.Compare(a.Model, b.Model))
+	})
+	for _, h := range order {
+		loss += p.value(h.Model)
+		free += p.sizeOf(h.Model)
+		if victim == "" {
+			victim = h.Model
+		}
+		if free >= m.MemoryMB {
+			return victim, loss, true
+		}
+	}
+	return "", 0, false
+}
+
+// sizeOf takes a model that the configuration no longer names for as large as
+// an engine: its size is not known, so nothing is loaded beside it.
+func (p *plan) sizeOf(model string) float64 {
+	if m := p.in.Models[model]; m != nil {
+		return m.MemoryMB
+	}
+	return p.in.MemoryMB
+}
+
+func (p *plan) evictable(h Held, m *Model) bool {
+	old := p.in.Models[h.Model]
+	if old == nil {
+		return true
+	}
+	if p.in.Now.Sub(h.Since) < minHold || old.Waiting > 0 {
+		return false
+	}
+	if p.replicas[h.Model] > max(needed(old), 1) {
+		return true
+	}
+	return p.in.Now.Sub(old.Asked) > askedGuard && (m.Waiting > 0 || old.Rate < m.Rate)
+}
+
+// value is what the loss of one replica costs, in seconds of load time weighed
+// with how likely the model is asked for: a surplus replica is worth little.
+func (p *plan) value(model string) float64 {
+	m := p.in.Models[model]
+	if m == nil {
+		return 0
+	}
+	idle := p.in.Now.Sub(m.Asked).Seconds()
+	likely := m.Rate + 1/(1+max(idle, 0))
+	if n := p.replicas[model]; n > max(needed(m), 1) {
+		return likely / (10 * float64(n))
+	}
+	return likely
+}
+
+// stock loads models of which no engine has a copy while the store is idle.
+// Their first caller would wait for the store, which takes seconds; from an
+// engine's disk it takes half a second. One that is not asked for costs a load.
+func (p *plan) stock() {
+	var missing []*Model
+	for _, m := range p.in.Models {
+		if p.copies[m.Name] == 0 && p.replicas[m.Name] == 0 {
+			missing = append(missing, m)
+		}
+	}
+	slices.SortFunc(missing, func(a, b *Model) int {
+		return cmp.Or(b.Asked.Compare(a.Asked), cmp.Compare(a.Name, b.Name))
+	})
+	for _, m := range missing {
+		if p.in.StoreRunning >= backgroundLoads || p.in.StoreLoads <= 0 {
+			return
+		}
+		p.place(&Model{
+			Name: m.Name, MemoryMB: m.MemoryMB, AdapterMB: m.AdapterMB, FromStore: m.FromStore,
+			FromDisk: m.FromDisk, FromMemory: m.FromMemory, Rate: math.Inf(1),
+		})
+	}
+}
+
+// adapter loads an adapter beside its model, where there is a place, or else
+// makes a place by dropping the adapter that was not asked for the longest.
+func (p *plan) adapter(d AdapterDemand) {
+	var best *Engine
+	bestFree := math.MinInt
+	for _, e := range p.in.Engines {
+		if !holds(e, d.Model) || p.taken[e.ID] || e.Leaving == d.Model {
+			continue
+		}
+		if free := p.in.Places - adapters(e); free > bestFree {
+			best, bestFree = e, free
+		}
+	}
+	if best == nil {
+		return
+	}
+	p.taken[best.ID] = true
+	if bestFree > 0 {
+		p.out = append(p.out, Action{Engine: best.ID, Load: true, Model: d.Model, Adapter: d.Adapter})
+		return
+	}
+	model, adapter := oldest(best)
+	p.out = append(p.out, Action{Engine: best.ID, Model: model, Adapter: adapter, For: d.Model})
+}
+
+func adapters(e *Engine) int {
+	n := 0
+	for _, h := range e.Held {
+		n += len(h.Adapters)
+	}
+	return n
+}
+
+func oldest(e *Engine) (model, adapter string) {
+	var at time.Time
+	for _, h := range e.Held {
+		for a, asked := range h.Adapters {
+			if adapter == "" || asked.Before(at) || asked.Equal(at) && h.Model+a < model+adapter {
+				model, adapter, at = h.Model, a, asked
+			}
+		}
+	}
+	return model, adapter
+}
--- /dev/null
+++ b/internal/logbook/logbook.go
@@ -0,0 +1,121 @@
+// Package logbook writes log lines without ever making the caller wait. Lines go
+// through a ring of fixed size to one writer; when the output stands still, lines
+// are dropped and counted, those of requests before those about what a process
+// believes.
+package logbook
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+const (
+	// ringLines is the size of the ring: some seconds of an entry's lines, at
+	// most a few MB.
+	ringLines = 4096
+	// kept is the part of the ring that only lines about beliefs may use, so that
+	// requests do not push out why they failed.
+	kept = ringLines / 4
+	// flushWait bounds how long Close waits for the output.
+	flushWait = 200 * time.Millisecond
+)
+
+// Book takes lines. All methods are safe from any goroutine.
+type Book struct {
+	out     io.Writer
+	ring    chan []byte
+	dropped atomic.Int64
+	stop    chan struct{}
+	done    chan struct{}
+}
+
+// New starts a book that writes to out.
+func New(out io.Writer) *Book {
+	b := &Book{out: out, ring: make(chan []byte, ringLines), stop: make(chan struct{}), done: make(chan struct{})}
+	go func() {
+		defer close(b.done)
+		b.run()
+	}()
+	return b
+}
+
+func (b *Book) run() {
+	var told int64
+	for {
+		select {
+		case line := <-b.ring:
+			b.write(line)
+		case <-b.stop:
+			b.flush()
+			return
+		}
+		if n := b.dropped.Load(); n > told && len(b.ring) == 0 {
+			b.write(fmt.Appendf(nil, "{\"time\":%q,\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n",
+				time.Now().Format(time.RFC3339Nano), n-told))
+			told = n
+		}
+	}
+}
+
+// write passes over an error: there is no other place to report it to.
+func (b *Book) write(line []byte) { _, _ = b.out.Write(line) }
+
+func (b *Book) flush() {
+	for {
+		select {
+		case line := <-b.ring:
+			b.write(line)
+		default:
+			return
+		}
+	}
+}
+
+// Close writes what the ring holds, if the output takes it in time.
+func (b *Book) Close() {
+	close(b.stop)
+	select {
+	case <-b.done:
+	case <-time.After(flushWait):
+	}
+}
+
+// Dropped returns the number of lines that were dropped.
+func (b *Book) Dropped() int64 { return b.dropped.Load() }
+
+// writer is one class of lines.
+type writer struct {
+	b *Book
+	// free is how much of the ring must be free for a line of the class.
+	free int
+}
+
+// Write implements io.Writer; it never fails and never waits.
+func (w writer) Write(p []byte) (int, error) {
+	if len(w.b.ring)+w.free >= ringLines {
+		w.b.dropped.Add(1)
+		return len(p), nil
+	}
+	select {
+	case w.b.ring <- append([]byte(nil), p...):
+	default:
+		w.b.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Beliefs returns a logger for changes of what the process believes; lines
+// above the verbosity are left out.
+func (b *Book) Beliefs(verbosity int) logr.Logger { return b.logger(0, verbosity) }
+
+// Requests returns a logger for lines about requests.
+func (b *Book) Requests(verbosity int) logr.Logger { return b.logger(kept, verbosity) }
+
+func (b *Book) logger(free, verbosity int) logr.Logger {
+	return logr.FromSlogHandler(slog.NewJSONHandler(writer{b, free}, &slog.HandlerOptions{Level: slog.Level(-verbosity)}))
+}
--- /dev/null
+++ b/internal/metrics/joined.go
@@ -0,0 +1,67 @@
+package metrics
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// joined makes the metrics of hosts that find each other through seeds.
+func (s *Set) joined() {
+	times := prometheus.ExponentialBuckets(0.005, 2, 13)
+	s.served = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "route_requests_total", Help: "Requests on routes by kind, outcome and HTTP status; 0: broken off.",
+	}, []string{"kind", "outcome", "status"})
+	s.servedTime = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "route_request_seconds", Help: "Time from a request's arrival to its end.", Buckets: times,
+	}, []string{"kind"})
+	s.servedFirst = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "route_first_byte_seconds", Help: "Time from a request's arrival to the first byte of its answer.",
+		Buckets: times,
+	}, []string{"kind"})
+	s.dispatches = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "dispatches_total", Help: "Requests sent to backend servers: first and repeated.",
+	}, []string{"order"})
+	s.orders = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "engine_orders_total", Help: "Orders to engines by what was ordered and the outcome (leader only).",
+	}, []string{"what", "outcome"})
+	s.connections = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "backend_connections_total", Help: "Connections to backend servers by result.",
+	}, []string{"result"})
+	s.registry.MustRegister(s.served, s.servedTime, s.servedFirst, s.dispatches, s.orders, s.connections)
+}
+
+// Served records the end of a request on a route.
+func (s *Set) Served(kind, outcome string, status int, took, first time.Duration, attempts int) {
+	s.served.WithLabelValues(kind, outcome, strconv.Itoa(status)).Inc()
+	s.servedTime.WithLabelValues(kind).Observe(took.Seconds())
+	if first > 0 {
+		s.servedFirst.WithLabelValues(kind).Observe(first.Seconds())
+	}
+	if attempts > 0 {
+		s.dispatches.WithLabelValues("first").Inc()
+		s.dispatches.WithLabelValues("repeated").Add(float64(attempts - 1))
+	}
+}
+
+// Order records an engine's answer to an order.
+func (s *Set) Order(outcome string, load, adapter bool) {
+	what := "unload"
+	if load {
+		what = "load"
+	}
+	if adapter {
+		what += "-adapter"
+	}
+	s.orders.WithLabelValues(what, outcome).Inc()
+}
+
+// Connected records a connection to a backend server.
+func (s *Set) Connected(err error) {
+	result := "made"
+	if err != nil {
+		result = "failed"
+	}
+	s.connections.WithLabelValues(result).Inc()
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -27,6 +27,12 @@
 	loads         *prometheus.CounterVec
 	loadTime      *prometheus.HistogramVec
 	idleSeconds   prometheus.Counter
+	served        *prometheus.CounterVec
+	servedTime    *prometheus.HistogramVec
+	servedFirst   *prometheus.HistogramVec
+	dispatches    *prometheus.CounterVec
+	orders        *prometheus.CounterVec
+	connections   *prometheus.CounterVec
 }
 
 // New returns a set with a registry of its own.
@@ -64,6 +70,7 @@
 			Help: "Accelerator time held by replicas without a request (leader only).",
 		}),
 	}
+	s.joined()
 	s.registry.MustRegister(s.requests, s.refusals, s.firstByte, s.coldStart, s.queueWait, s.forecastError,
 		s.retries, s.loads, s.loadTime, s.idleSeconds,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -120,6 +120,18 @@
 	}
 }
 
+// Renew closes the connection to an address, so that the next call comes on a
+// fresh one: a stream that has fallen silent may sit on a connection that
+// something between the hosts has lost track of.
+func (d *Dialer) Renew(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c, ok := d.conns[address]; ok {
+		delete(d.conns, address)
+		go func() { _ = c.conn.Close() }()
+	}
+}
+
 // Close closes all connections.
 func (d *Dialer) Close() {
 	d.mu.Lock()
@@ -139,6 +151,7 @@
 	Watch      func(*schema.WatchRequest, grpc.ServerStreamingServer[schema.Changes]) error
 	SendReport func(context.Context, *schema.Report) (*schema.ReportReply, error)
 	Fetch      func(context.Context, *schema.FetchRequest) (*schema.FetchReply, error)
+	Attend     func(grpc.BidiStreamingServer[schema.EntryNews, schema.LeaderNews]) error
 }
 
 // ServerConfig configures a Server.
@@ -224,6 +237,14 @@
 	return s.h.Watch(q, stream)
 }
 
+// Attend implements schema.PeerServer.
+func (s *Server) Attend(stream grpc.BidiStreamingServer[schema.EntryNews, schema.LeaderNews]) error {
+	if s.h.Attend == nil {
+		return status.Error(codes.Unimplemented, "this host has no control role")
+	}
+	return s.h.Attend(stream)
+}
+
 func answer[Q, R any](ctx context.Context, h func(context.Context, Q) (R, error), q Q) (R, error) {
 	if h == nil {
 		var none R
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,219 @@
+// Package relay sends one request to one backend server and reads the answer,
+// over HTTP/1.1. It never sends anything again by itself, and it tells how far
+// a request got, for whoever decides what may be done next.
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+var (
+	// ErrNotSent says that no byte of the request has left: it did not run.
+	ErrNotSent = errors.New("the request was not sent")
+	// ErrBroken says that the exchange broke off after a byte may have left: the
+	// request may have run.
+	ErrBroken = errors.New("the exchange broke off")
+	// ErrForeign says that the bytes received are no answer to this request.
+	ErrForeign = errors.New("the answer belongs to another request")
+)
+
+const (
+	// dialWait is how long a connection may take to come about. A server in the
+	// same region answers within milliseconds; a lost opening packet is sent
+	// again after a second, which is longer than it takes to ask another server.
+	dialWait = 500 * time.Millisecond
+	// userTimeout ends a connection whose bytes are not acknowledged: a partition
+	// drops them without a word.
+	userTimeout = 3 * time.Second
+	// foreignLimit is how many answers to other requests are passed over before
+	// the connection is given up: a server may send an answer twice.
+	foreignLimit = 2
+	readBuffer   = 8 << 10
+)
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of linux/tcp.h.
+const tcpUserTimeout = 0x12
+
+// Request is a request as a backend server gets it.
+type Request struct {
+	Method string
+	// Target is the path and query as the caller wrote them.
+	Target string
+	Host   string
+	// Header must hold no field that concerns one connection only.
+	Header http.Header
+	Body   []byte
+	// Own reports whether an answer's header belongs to this request.
+	Own func(http.Header) bool
+}
+
+// Config configures a Sender. The zero value is ready for use.
+type Config struct {
+	// Dialed, where set, is told of each connection that was tried.
+	Dialed func(took time.Duration, err error)
+}
+
+// Sender sends requests, each on a connection of its own. A kept connection may
+// be closed by the server at the moment at which it is used, and a request that
+// must not run twice would then have an unknown outcome.
+type Sender struct {
+	cfg    Config
+	dialer net.Dialer
+	open   atomic.Int64
+}
+
+// NewSender returns a Sender.
+func NewSender(cfg Config) *Sender {
+	return &Sender{cfg: cfg, dialer: net.Dialer{Timeout: dialWait, KeepAlive: -1, Control: setUserTimeout}}
+}
+
+// Open returns the number of open connections.
+func (s *Sender) Open() int { return int(s.open.Load()) }
+
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var inner error
+	err := c.Control(func(fd uintptr) {
+		inner = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return errors.Newf("reach socket: %w", err)
+	}
+	return inner
+}
+
+// Answer is a server's answer whose header is in. Close must be called.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Body fails with ErrBroken when the answer ends early.
+	Body  io.Reader
+	close func()
+}
+
+// Close ends the connection, and with it the server's work on the request if it
+// is not at an end.
+func (a *Answer) Close() { a.close() }
+
+// Send sends a request and waits for the answer's header. The context's end
+// closes the connection at once, also while the body is read.
+func (s *Sender) Send(ctx context.Context, address string, q *Request) (*Answer, error) {
+	began := time.Now()
+	conn, err := s.dialer.DialContext(ctx, "tcp", address)
+	if s.cfg.Dialed != nil {
+		s.cfg.Dialed(time.Since(began), err)
+	}
+	if err != nil {
+		return nil, errors.Newf("connect to %s: %v: %w", address, err, ErrNotSent)
+	}
+	s.open.Add(1)
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	end := func() {
+		stop()
+		_ = conn.Close()
+		s.open.Add(-1)
+	}
+	answer, err := exchange(conn, q)
+	if err != nil {
+		end()
+		return nil, err
+	}
+	answer.close = end
+	return answer, nil
+}
+
+func exchange(conn net.Conn, q *Request) (*Answer, error) {
+	if n, err := conn.Write(q.encode()); err != nil {
+		if n == 0 {
+			return nil, errors.Newf("write request: %v: %w", err, ErrNotSent)
+		}
+		return nil, errors.Newf("write request: %v: %w", err, ErrBroken)
+	}
+	in := bufio.NewReaderSize(conn, readBuffer)
+	for range foreignLimit {
+		r, err := readAnswer(in, q.Method)
+		if err != nil {
+			return nil, err
+		}
+		if q.Own(r.Header) {
+			return &Answer{Status: r.StatusCode, Header: r.Header, Body: wholeReader{r.Body}}, nil
+		}
+		if _, err = io.Copy(io.Discard, r.Body); err != nil {
+			return nil, errors.Newf("pass over another answer: %v: %w", err, ErrBroken)
+		}
+	}
+	return nil, ErrForeign
+}
+
+// readAnswer reads the next final answer; interim ones are passed over.
+func readAnswer(in *bufio.Reader, method string) (*http.Response, error) {
+	for {
+		r, err := http.ReadResponse(in, &http.Request{Method: method})
+		if err != nil {
+			return nil, errors.Newf("read answer: %v: %w", err, ErrBroken)
+		}
+		if r.StatusCode >= http.StatusOK {
+			return r, nil
+		}
+	}
+}
+
+func (q *Request) encode() []byte {
+	var b bytes.Buffer
+	b.Grow(len(q.Body) + 1024)
+	b.WriteString(q.Method + " " + q.Target + " HTTP/1.1\r\nHost: " + q.Host + "\r\n")
+	// Writing to a buffer does not fail.
+	_ = q.Header.Write(&b)
+	if len(q.Body) > 0 || q.Method != http.MethodGet && q.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(q.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(q.Body)
+	return b.Bytes()
+}
+
+// wholeReader marks every end but the regular one as ErrBroken. An answer
+// without a length ends with its connection, and a reset is no regular end.
+type wholeReader struct {
+	r io.Reader
+}
+
+func (w wholeReader) Read(p []byte) (int, error) {
+	n, err := w.r.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return n, errors.Newf("read body: %v: %w", err, ErrBroken)
+	}
+	return n, err
+}
+
+// connectionFields concern one connection only and are never passed on.
+var connectionFields = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// PassedOn returns a copy of a header without the fields that concern one
+// connection only, those that Connection names among them.
+func PassedOn(h http.Header) http.Header {
+	out := h.Clone()
+	for _, v := range h["Connection"] {
+		for _, name := range strings.Split(v, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionFields {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/role/api.go
@@ -0,0 +1,149 @@
+// Package role puts the parts of a host together that finds the others through
+// seeds: an entry, which takes callers' requests, or a control host, which is a
+// member of the control group and, while it leads, watches and orders the
+// backend servers.
+package role
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fennelyard/internal/ledger"
+	"fennelyard/internal/roster"
+	"fennelyard/internal/schema"
+)
+
+const (
+	// commitWait is how long a caller of the control host waits for the group;
+	// callers go to another host after a second.
+	commitWait = 900 * time.Millisecond
+)
+
+var (
+	// ErrUnsure says that the group cannot answer now, or that the outcome of a
+	// change is not known: the caller should ask again, at any control host.
+	ErrUnsure = errors.New("the control group gives no answer now")
+	// ErrNothing says that there is no configuration yet.
+	ErrNothing = errors.New("there is no configuration yet")
+)
+
+// ElsewhereError says that another host leads.
+type ElsewhereError struct {
+	// IP is the leader's.
+	IP string
+}
+
+// Error implements error.
+func (e *ElsewhereError) Error() string { return "the control host at " + e.IP + " leads" }
+
+// elsewhere returns nil only on the leader.
+func (c *Control) elsewhere() error {
+	s := c.group.Status()
+	switch {
+	case s.Current:
+		return nil
+	case s.LeaderHost != "" && s.LeaderHost != c.self.GetPeerAddress():
+		return &ElsewhereError{IP: ipOf(s.LeaderHost)}
+	}
+	return ErrUnsure
+}
+
+// PutConfiguration puts a complete configuration in force. Without an error it
+// is durable at a quorum, or one with a version at least as high is.
+func (c *Control) PutConfiguration(ctx context.Context, q *schema.PutConfiguration) error {
+	if err := c.elsewhere(); err != nil {
+		return err
+	}
+	err := c.commit(ctx, &schema.Command{Body: &schema.Command_PutConfiguration{PutConfiguration: q}})
+	c.cfg.Log.Info("configuration put", "version", q.GetConfiguration().GetVersion(), "routes", len(q.GetRoutes()),
+		"pools", len(q.GetPools()), "bytes", len(q.GetConfiguration().GetDocument()), "error", text(err))
+	return err
+}
+
+func (c *Control) commit(ctx context.Context, cmd *schema.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, commitWait)
+	defer cancel()
+	if _, err := c.group.Commit(ctx, cmd); err != nil {
+		return errors.Newf("commit: %v: %w", err, ErrUnsure)
+	}
+	return nil
+}
+
+// Configuration returns the operator's text of the newest configuration, as a
+// quorum confirms it.
+func (c *Control) Configuration(ctx context.Context) ([]byte, error) {
+	if err := c.elsewhere(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitWait)
+	defer cancel()
+	if _, err := c.group.Confirm(ctx); err != nil {
+		return nil, errors.Newf("confirm: %v: %w", err, ErrUnsure)
+	}
+	var head *schema.Configuration
+	c.group.Ledger().View(func(_ ledger.Heads, r *ledger.Records) { head = r.Configuration() })
+	if head == nil {
+		return nil, ErrNothing
+	}
+	return head.GetDocument(), nil
+}
+
+// Announce takes a backend server's announcement. Without an error the server
+// is known to this leader, and a leaving one to every later leader as well.
+func (c *Control) Announce(ctx context.Context, a roster.Announcement) error {
+	if err := c.elsewhere(); err != nil {
+		return err
+	}
+	if a.Leaving && !c.departed(a.ID) {
+		if err := c.depart(ctx, a.ID); err != nil {
+			return err
+		}
+	}
+	if c.roster.Announce(a) && !a.Leaving && c.roster.Ready(a.ID) {
+		c.driver.Announced(a)
+	}
+	return nil
+}
+
+// Depart takes a backend server's word that it ends.
+func (c *Control) Depart(ctx context.Context, id string) error {
+	if err := c.elsewhere(); err != nil {
+		return err
+	}
+	if c.departed(id) {
+		return nil
+	}
+	return c.depart(ctx, id)
+}
+
+func (c *Control) depart(ctx context.Context, id string) error {
+	err := c.commit(ctx, &schema.Command{Body: &schema.Command_DepartServer{
+		DepartServer: &schema.DepartServer{Server: id},
+	}})
+	c.cfg.Log.Info("server leaves", "server", id, "error", text(err))
+	if err != nil {
+		return err
+	}
+	c.roster.Depart(id)
+	return nil
+}
+
+func (c *Control) departed(id string) bool {
+	var yes bool
+	c.group.Ledger().View(func(_ ledger.Heads, r *ledger.Records) { yes = r.Departed(id) })
+	return yes
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// Refused logs what a caller of the control host sent and could not be read.
+func (c *Control) Refused(what string, err error) {
+	c.cfg.Log.Info("refused", "what", what, "error", err.Error())
+}
--- /dev/null
+++ b/internal/role/attend.go
@@ -0,0 +1,188 @@
+package role
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+
+	"fennelyard/internal/ledger"
+	"fennelyard/internal/schema"
+)
+
+const (
+	// beat is the longest time between two words of the leader to an entry.
+	beat = 300 * time.Millisecond
+	// gather is how long changes are gathered into one word.
+	gather = 4 * time.Millisecond
+)
+
+type attendStream = grpc.BidiStreamingServer[schema.EntryNews, schema.LeaderNews]
+
+// attend answers an entry that wants to know what the leader knows. It returns
+// when either side is gone or this host leads no longer.
+func (c *Control) attend(stream attendStream) error {
+	s := c.group.Status()
+	if !s.Current {
+		news := &schema.LeaderNews{NotLeader: true, LeaderAddress: s.LeaderHost}
+		if err := stream.Send(news); err != nil {
+			return errors.Newf("name the leader: %w", err)
+		}
+		return nil
+	}
+	first, err := stream.Recv()
+	if err != nil {
+		return errors.Newf("hear entry: %w", err)
+	}
+	a := &attending{
+		c: c, stream: stream, number: c.streams.Add(1), entry: first.GetEntry(), revision: first.GetAfter(),
+		waiting: make(chan []*schema.ModelDemand, 1),
+	}
+	c.roster.Attend(a.number, a.entry)
+	defer c.roster.Leave(a.number, a.entry.GetHost())
+	defer c.driver.Forget(a.entry.GetHost())
+	a.hear(first)
+	ctx, cancel := context.WithCancel(stream.Context())
+	go func() {
+		// It ends with the stream, which ends with this call.
+		defer cancel()
+		a.listen()
+	}()
+	return a.speak(ctx)
+}
+
+// attending is one entry's stream.
+type attending struct {
+	c      *Control
+	stream attendStream
+	number uint64
+	entry  *schema.RosterEntry
+	// waiting holds the latest targets that requests wait for at the entry.
+	waiting chan []*schema.ModelDemand
+
+	// The fields below belong to speak.
+	revision uint64
+	roster   uint64
+	settled  bool
+	members  string
+	sequence uint64
+}
+
+func (a *attending) listen() {
+	for {
+		news, err := a.stream.Recv()
+		if err != nil {
+			return
+		}
+		a.hear(news)
+	}
+}
+
+func (a *attending) hear(news *schema.EntryNews) {
+	host := a.entry.GetHost()
+	a.c.roster.Hear(a.number, host, news.GetStopping())
+	a.c.driver.Demand(host, news.GetDemands())
+	var waiting []*schema.ModelDemand
+	for _, d := range news.GetDemands() {
+		if d.GetWaiting() > 0 {
+			waiting = append(waiting, d)
+		}
+	}
+	if len(waiting) == 0 {
+		return
+	}
+	// The latest word replaces one that speak has not come to.
+	select {
+	case <-a.waiting:
+	default:
+	}
+	a.waiting <- waiting
+}
+
+// speak tells the entry what changes. The first word holds everything.
+func (a *attending) speak(ctx context.Context) error {
+	ticker := time.NewTicker(beat)
+	defer ticker.Stop()
+	var waiting []*schema.ModelDemand
+	for {
+		if !a.c.group.Status().Current {
+			return nil
+		}
+		known, changed := a.c.group.Ledger().Changed(), a.c.roster.Changed()
+		news := a.news()
+		news.Forecasts = a.c.driver.Forecasts(waiting)
+		waiting = nil
+		if err := a.stream.Send(news); err != nil {
+			return errors.Newf("tell entry: %w", err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.c.stop:
+			return nil
+		case waiting = <-a.waiting:
+		case <-ticker.C:
+		case <-known:
+		case <-changed:
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(gather):
+		}
+	}
+}
+
+func (a *attending) news() *schema.LeaderNews {
+	a.sequence++
+	news := &schema.LeaderNews{Sequence: a.sequence}
+	news.Entries = a.c.roster.Entries(a.roster)
+	news.Servers, a.roster = a.c.roster.Since(a.roster)
+	if c := forEntries(a.c.group.Ledger().Since(a.revision)); a.revision == 0 || len(c.GetRecords()) > 0 || c.GetWhole() {
+		news.Changes = c
+		a.revision = c.GetRevision()
+	}
+	if !a.settled && a.c.roster.Settled() {
+		news.Settled, a.settled = true, true
+	}
+	if addresses := a.c.addresses(); strings.Join(addresses, " ") != a.members {
+		a.members = strings.Join(addresses, " ")
+		news.ControlAddresses = addresses
+	}
+	return news
+}
+
+func (c *Control) addresses() []string {
+	var out []string
+	for _, m := range c.group.Status().Membership.GetMembers() {
+		out = append(out, m.GetAddress())
+	}
+	return out
+}
+
+// forEntries keeps what entries need of the records: the routes, the pools and
+// the configuration's head without the operator's text.
+func forEntries(c *schema.Changes) *schema.Changes {
+	out := &schema.Changes{Revision: c.GetRevision(), Whole: c.GetWhole()}
+	for _, rec := range c.GetRecords() {
+		switch {
+		case rec.GetKey() == ledger.ConfigurationKey:
+			out.Records = append(out.Records, withoutDocument(rec))
+		case ledger.IsRouting(rec.GetKey()):
+			out.Records = append(out.Records, rec)
+		}
+	}
+	return out
+}
+
+func withoutDocument(rec *schema.Record) *schema.Record {
+	head := rec.GetConfiguration()
+	if head == nil {
+		return rec
+	}
+	return &schema.Record{Key: rec.GetKey(), Revision: rec.GetRevision(), Value: &schema.Record_Configuration{
+		Configuration: &schema.Configuration{Version: head.GetVersion(), Limits: head.GetLimits()},
+	}}
+}
--- /dev/null
+++ b/internal/role/control.go
@@ -0,0 +1,233 @@
+package role
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"fennelyard/internal/consensus"
+	"fennelyard/internal/control"
+	"fennelyard/internal/ledger"
+	"fennelyard/internal/loading"
+	"fennelyard/internal/metrics"
+	"fennelyard/internal/peer"
+	"fennelyard/internal/roster"
+	"fennelyard/internal/schema"
+	"fennelyard/internal/settings"
+)
+
+const (
+	// groupID is the id of the one control group that runs today.
+	groupID = 1
+	// heartbeat and election time the group: a leader that is lost is replaced
+	// within a second, and a host of a quarter of a core spends a few hundredths
+	// of it on heartbeats.
+	heartbeat = 100 * time.Millisecond
+	election  = 600 * time.Millisecond
+	// silentTicks is after how many heartbeats without an answer a voter gives
+	// its place to a host that waits for one.
+	silentTicks = 25
+	// snapshotAfter keeps the log short: each entry may be a configuration of
+	// some hundred KB, and the disk has 128 MB.
+	snapshotAfter = 64
+	// diskReserveShare of the disk is left free for elections and snapshots.
+	diskReserveShare = 8
+	sweepEvery       = 200 * time.Millisecond
+)
+
+// ControlConfig configures a Control. All fields are required unless they say
+// otherwise.
+type ControlConfig struct {
+	Settings *Settings
+	Engines  loading.Engines
+	// Handler makes the handler of operators' and backend servers' calls.
+	Handler func(*Control) http.Handler
+	Metrics *metrics.Set
+	Log     logr.Logger
+}
+
+// Control is a control host. All methods are safe from any goroutine.
+type Control struct {
+	cfg     ControlConfig
+	self    *schema.HostSettings
+	storage *consensus.Storage
+	dialer  *peer.Dialer
+	group   *control.Group
+	roster  *roster.Roster
+	driver  *loading.Driver
+	server  *peer.Server
+	http    *http.Server
+	streams atomic.Uint64
+	stop    chan struct{}
+	done    chan struct{}
+	once    sync.Once
+	wg      sync.WaitGroup
+}
+
+// NewControl starts a control host. When it fails nothing is left running.
+func NewControl(cfg ControlConfig) (*Control, error) {
+	s := cfg.Settings.Get()
+	address := settings.PeerAddress(s.GetIp(), s)
+	c := &Control{
+		cfg: cfg, dialer: peer.NewDialer(peer.DialerConfig{}), stop: make(chan struct{}), done: make(chan struct{}),
+		self: &schema.HostSettings{Name: address, PeerAddress: address, DataCentre: s.GetDataCentre(), Control: true},
+	}
+	c.roster = roster.New(roster.Config{
+		AnnounceEvery: s.GetAnnounceEvery().AsDuration(), Departed: c.departed, Now: time.Now, Log: cfg.Log.WithName("roster"),
+	})
+	if err := c.start(s); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Control) start(s *schema.JoinSettings) error {
+	peers, err := net.Listen("tcp", c.self.GetPeerAddress())
+	if err != nil {
+		return errors.Newf("listen for hosts: %w", err)
+	}
+	operators, err := net.Listen("tcp", s.GetOperatorAddress())
+	if err != nil {
+		_ = peers.Close()
+		return errors.Newf("listen for operators: %w", err)
+	}
+	if err = c.startGroup(s); err != nil {
+		_ = peers.Close()
+		_ = operators.Close()
+		return err
+	}
+	c.startDriver(s)
+	handlers := c.group.Handlers()
+	handlers.Attend = c.attend
+	c.server = peer.NewServer(peer.ServerConfig{Listener: peers, Handlers: handlers})
+	c.http = newServer(c.cfg.Handler(c))
+	c.wg.Add(2)
+	go func() {
+		defer c.wg.Done()
+		serve(c.http, operators, c.cfg.Log)
+	}()
+	go func() {
+		defer c.wg.Done()
+		c.sweep()
+	}()
+	return nil
+}
+
+func (c *Control) startGroup(s *schema.JoinSettings) error {
+	var err error
+	c.storage, err = consensus.OpenStorage(consensus.StorageConfig{
+		Folder: filepath.Join(s.GetDataFolder(), "control"), Group: groupID, NewID: consensus.RandomID,
+		FreeBytes: consensus.FreeBytes, Reserve: uint64(s.GetDiskMb()) << 20 / diskReserveShare,
+	})
+	if err != nil {
+		return errors.Newf("open state: %w", err)
+	}
+	c.group, err = control.NewGroup(control.Config{
+		Group: groupID, Self: c.self, Seeds: c.cfg.Settings.Seeds, Founding: s.GetFounding(),
+		Storage: c.storage, Dialer: c.dialer, Heartbeat: heartbeat, Election: election,
+		SnapshotAfter: snapshotAfter, SilentTicks: silentTicks, Random: rand.IntN, Log: c.cfg.Log.WithName("group"),
+	})
+	if err != nil {
+		return errors.Newf("start control member: %w", err)
+	}
+	return nil
+}
+
+func (c *Control) startDriver(s *schema.JoinSettings) {
+	c.driver = loading.NewDriver(loading.Config{
+		Holder: s.GetHost(),
+		Leadership: func() loading.Leadership {
+			st := c.group.Status()
+			return loading.Leadership{Leads: st.Current, Term: st.Term}
+		},
+		Confirm: func(ctx context.Context) error {
+			_, err := c.group.Confirm(ctx)
+			return err
+		},
+		Engines: c.cfg.Engines, Roster: c.roster, Pools: c.pools,
+		OrderLease: s.GetOrderLease().AsDuration(), LoadWindow: s.GetLoadWindow().AsDuration(),
+		Now: time.Now, Log: c.cfg.Log.WithName("loading"),
+		Ordered: func(o loading.Outcome, load, adapter bool) { c.cfg.Metrics.Order(o.String(), load, adapter) },
+	})
+}
+
+func (c *Control) pools() []*schema.Pool {
+	var out []*schema.Pool
+	c.group.Ledger().View(func(_ ledger.Heads, r *ledger.Records) { out = r.Pools() })
+	return out
+}
+
+func (c *Control) sweep() {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.stop:
+			return
+		case <-ticker.C:
+		}
+		if c.group.Status().Current {
+			c.roster.Sweep()
+			c.roster.SweepEntries()
+		}
+	}
+}
+
+// Failed is closed when the control member ended by itself; Err tells why. The
+// process must then end: what its disk holds is no longer known.
+func (c *Control) Failed() <-chan struct{} { return c.group.Done() }
+
+// Err tells why the control member ended.
+func (c *Control) Err() error { return c.group.Err() }
+
+// Drain hands leadership over and stops the host.
+func (c *Control) Drain(context.Context) { c.Close() }
+
+// Close stops the host at once.
+func (c *Control) Close() {
+	c.once.Do(func() {
+		defer close(c.done)
+		close(c.stop)
+		if c.group != nil {
+			c.group.Stop()
+		}
+		if c.driver != nil {
+			c.driver.Stop()
+		}
+		if c.http != nil {
+			_ = c.http.Close()
+		}
+		if c.server != nil {
+			c.server.Stop()
+		}
+		c.wg.Wait()
+		c.dialer.Close()
+		if c.storage != nil {
+			if err := c.storage.Close(); err != nil {
+				c.cfg.Log.Error(err, "state not closed")
+			}
+		}
+	})
+	<-c.done
+}
+
+// Done is closed when the host has stopped.
+func (c *Control) Done() <-chan struct{} { return c.done }
+
+func ipOf(address string) string {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return address
+	}
+	return a.Addr().String()
+}
--- /dev/null
+++ b/internal/roster/entries.go
@@ -0,0 +1,101 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fennelyard/internal/schema"
+)
+
+// entrySilence is how long an entry may say nothing before callers are no
+// longer sent to it. Entries speak every 300 ms; a frozen one says nothing while
+// its connections stay open.
+const entrySilence = 1200 * time.Millisecond
+
+// attendance is one entry's stream to the leader.
+type attendance struct {
+	entry    *schema.RosterEntry
+	stopping bool
+	heard    time.Time
+	// stream tells an entry's newer stream from an older one that ends late.
+	stream uint64
+	silent bool
+}
+
+// Attend notes that an entry speaks on a stream; stream numbers grow.
+func (r *Roster) Attend(stream uint64, e *schema.RosterEntry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.entries[e.GetHost()]
+	r.entries[e.GetHost()] = &attendance{entry: e, heard: r.cfg.Now(), stream: stream}
+	if old == nil || old.silent || old.stopping || old.entry.GetCallerAddress() != e.GetCallerAddress() {
+		r.cfg.Log.Info("entry attends", "entry", e.GetHost(), "address", e.GetCallerAddress())
+		r.entriesChange = r.touch()
+	}
+}
+
+// Hear notes that an entry spoke, and whether it prepares to stop.
+func (r *Roster) Hear(stream uint64, host string, stopping bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := r.entries[host]
+	if a == nil || a.stream != stream {
+		return
+	}
+	a.heard = r.cfg.Now()
+	if a.stopping != stopping || a.silent {
+		a.stopping, a.silent = stopping, false
+		r.cfg.Log.Info("entry state", "entry", host, "stopping", stopping, "silent", false)
+		r.entriesChange = r.touch()
+	}
+}
+
+// Leave notes the end of an entry's stream.
+func (r *Roster) Leave(stream uint64, host string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a := r.entries[host]; a != nil && a.stream == stream {
+		delete(r.entries, host)
+		r.cfg.Log.Info("entry left", "entry", host)
+		r.entriesChange = r.touch()
+	}
+}
+
+// SweepEntries leaves out entries that have fallen silent.
+func (r *Roster) SweepEntries() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for host, a := range r.entries {
+		if !a.silent && r.cfg.Now().Sub(a.heard) > entrySilence {
+			a.silent = true
+			r.cfg.Log.Info("entry state", "entry", host, "stopping", a.stopping, "silent", true)
+			r.entriesChange = r.touch()
+		}
+	}
+}
+
+// Entries returns the entries that callers may be sent to if the list changed
+// after a change number, else nil.
+func (r *Roster) Entries(after uint64) *schema.EntryList {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.entriesChange <= after {
+		return nil
+	}
+	list := &schema.EntryList{}
+	for _, a := range r.entries {
+		if !a.stopping && !a.silent {
+			list.Entries = append(list.Entries, a.entry)
+		}
+	}
+	slices.SortFunc(list.Entries, func(a, b *schema.RosterEntry) int { return cmp.Compare(a.GetHost(), b.GetHost()) })
+	return list
+}
+
+// EntryCount returns the number of entries that attend.
+func (r *Roster) EntryCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.entries)
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,300 @@
+// Package roster is what the leader of the control group believes, from what it
+// hears, of the backend servers and of the entries. Nothing of it is stored but
+// departures, which are in the log: all else is heard again within a few
+// announcements after a change of leader.
+package roster
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"fennelyard/internal/schema"
+)
+
+const (
+	// missedBeats is how many announcements may be missed before a server counts
+	// as gone. An announcement may be seconds late, and a server that is gone in
+	// fact is noticed by the entries' own connections much sooner.
+	missedBeats = 4
+	// settleBeats is after how many announcement times a new leader has heard
+	// every server: one that announced itself elsewhere in vain tries the next
+	// host within a second or two.
+	settleBeats = 5
+	// forgetAfter is how long a gone server's id is kept, to know a late
+	// announcement of it.
+	forgetAfter = 2 * time.Minute
+)
+
+// Announcement is a backend server's word about one incarnation of itself.
+type Announcement struct {
+	// ID names the incarnation.
+	ID         string
+	Pool       string
+	Address    string
+	DataCentre string
+	Slots      int
+	// Leaving is set once the server takes no new work.
+	Leaving bool
+	// Remaining is how long a leaving server stays; 0: not told.
+	Remaining time.Duration
+	// Sequence grows with each announcement of an incarnation.
+	Sequence uint64
+	// Held are the models in an engine's accelerator memory.
+	Held []*schema.HeldModel
+	// InMemory and OnDisk name the models whose weights the engine has a copy of.
+	InMemory []string
+	OnDisk   []string
+}
+
+// Config configures a Roster. All fields are required.
+type Config struct {
+	// AnnounceEvery is the time between a server's announcements.
+	AnnounceEvery time.Duration
+	// Departed tells of servers that an earlier leader recorded as leaving.
+	Departed func(id string) bool
+	Now      func() time.Time
+	Log      logr.Logger
+}
+
+type server struct {
+	view     *schema.RosterServer
+	sequence uint64
+	heard    time.Time
+	// change is the roster's change number of the view.
+	change uint64
+}
+
+// holder is the incarnation believed to live at an address.
+type holder struct {
+	id string
+	// challenger is another incarnation that was heard last, or "".
+	challenger string
+}
+
+// Roster is the leader's soft state. All methods are safe from any goroutine.
+type Roster struct {
+	cfg Config
+
+	mu sync.Mutex
+	// began is when this host began to lead; guarded by mu, as all below.
+	began   time.Time
+	change  uint64
+	servers map[string]*server
+	holders map[string]*holder
+	changed chan struct{}
+	entries map[string]*attendance
+	// entriesChange is the change number of the list of entries.
+	entriesChange uint64
+}
+
+// New returns an empty roster.
+func New(cfg Config) *Roster {
+	r := &Roster{cfg: cfg}
+	r.reset()
+	return r
+}
+
+func (r *Roster) reset() {
+	r.began = r.cfg.Now()
+	r.servers = map[string]*server{}
+	r.holders = map[string]*holder{}
+	if r.changed == nil {
+		r.changed = make(chan struct{})
+	}
+	if r.entries == nil {
+		r.entries = map[string]*attendance{}
+	}
+}
+
+// Begin forgets all servers: this host begins to lead, and what it heard when
+// it led before may be long untrue.
+func (r *Roster) Begin() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reset()
+	r.touch()
+}
+
+func (r *Roster) touch() uint64 {
+	r.change++
+	close(r.changed)
+	r.changed = make(chan struct{})
+	return r.change
+}
+
+// Changed returns a channel that is closed at the next change.
+func (r *Roster) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+// Announce takes an announcement in. It returns false for one that is older
+// than what is known.
+func (r *Roster) Announce(a Announcement) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.servers[a.ID]
+	if s != nil && a.Sequence <= s.sequence || !r.holds(a) {
+		return false
+	}
+	state := schema.RosterState_ROSTER_STATE_READY
+	if a.Leaving || r.cfg.Departed(a.ID) || (s != nil && s.view.GetState() == schema.RosterState_ROSTER_STATE_LEAVING) {
+		state = schema.RosterState_ROSTER_STATE_LEAVING
+	}
+	view := &schema.RosterServer{
+		Id: a.ID, Pool: a.Pool, Address: a.Address, DataCentre: a.DataCentre, Slots: uint32(a.Slots), State: state,
+	}
+	if s == nil {
+		s = &server{}
+		r.servers[a.ID] = s
+		view.Models = a.Held
+		r.cfg.Log.Info("server heard", "server", a.ID, "pool", a.Pool, "address", a.Address, "state", state.String(),
+			"sequence", a.Sequence)
+	} else {
+		view.Models = s.view.GetModels()
+	}
+	s.sequence, s.heard = a.Sequence, r.cfg.Now()
+	r.setView(s, view)
+	return true
+}
+
+// holds decides between two incarnations at one address. An announcement that
+// was held up by a partition may arrive after its sender has crashed and another
+// server has come at its address; were it believed at once, requests would be
+// refused by the server that lives until its next word. While the present holder
+// speaks, a challenger must be heard twice in a row: what is left on its way from
+// the dead ends there, and a server that lives speaks on.
+func (r *Roster) holds(a Announcement) bool {
+	h := r.holders[a.Address]
+	if h == nil {
+		r.holders[a.Address] = &holder{id: a.ID}
+		return true
+	}
+	if h.id == a.ID {
+		h.challenger = ""
+		return true
+	}
+	old := r.servers[h.id]
+	speaks := old != nil && r.cfg.Now().Sub(old.heard) < r.cfg.AnnounceEvery*3/2
+	if speaks && h.challenger != a.ID {
+		h.challenger = a.ID
+		r.cfg.Log.Info("announcement held back", "server", a.ID, "address", a.Address, "holder", h.id, "sequence", a.Sequence)
+		return false
+	}
+	h.id, h.challenger = a.ID, ""
+	if old != nil {
+		r.gone(old, "its address announces another server")
+	}
+	return true
+}
+
+func (r *Roster) setView(s *server, view *schema.RosterServer) {
+	if s.view != nil && same(s.view, view) {
+		return
+	}
+	if s.view != nil && s.view.GetState() != view.GetState() {
+		r.cfg.Log.Info("server state", "server", view.GetId(), "from", s.view.GetState().String(),
+			"to", view.GetState().String(), "sequence", s.sequence)
+	}
+	s.view = view
+	s.change = r.touch()
+}
+
+func same(a, b *schema.RosterServer) bool {
+	return a.GetState() == b.GetState() && a.GetPool() == b.GetPool() && a.GetAddress() == b.GetAddress() &&
+		a.GetSlots() == b.GetSlots() && slices.EqualFunc(a.GetModels(), b.GetModels(), func(x, y *schema.HeldModel) bool {
+		return x.GetName() == y.GetName() && slices.Equal(x.GetAdapters(), y.GetAdapters())
+	})
+}
+
+func (r *Roster) gone(s *server, reason string) {
+	if s.view.GetState() == schema.RosterState_ROSTER_STATE_GONE {
+		return
+	}
+	r.cfg.Log.Info("server gone", "server", s.view.GetId(), "reason", reason,
+		"silent-ms", r.cfg.Now().Sub(s.heard).Milliseconds())
+	r.setView(s, withState(s.view, schema.RosterState_ROSTER_STATE_GONE))
+}
+
+func withState(v *schema.RosterServer, state schema.RosterState) *schema.RosterServer {
+	return &schema.RosterServer{
+		Id: v.GetId(), Pool: v.GetPool(), Address: v.GetAddress(), DataCentre: v.GetDataCentre(), Slots: v.GetSlots(),
+		State: state, Models: v.GetModels(),
+	}
+}
+
+// Depart marks a server that has said that it ends.
+func (r *Roster) Depart(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.servers[id]; s != nil && s.view.GetState() == schema.RosterState_ROSTER_STATE_READY {
+		r.setView(s, withState(s.view, schema.RosterState_ROSTER_STATE_LEAVING))
+	}
+}
+
+// Hold records which models an engine holds ready.
+func (r *Roster) Hold(id string, models []*schema.HeldModel) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.servers[id]
+	if s == nil {
+		return
+	}
+	view := withState(s.view, s.view.GetState())
+	view.Models = models
+	r.setView(s, view)
+}
+
+// Sweep marks servers that have not been heard for long as gone, and forgets
+// those that were gone for very long.
+func (r *Roster) Sweep() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Now()
+	for id, s := range r.servers {
+		silent := now.Sub(s.heard)
+		if silent > missedBeats*r.cfg.AnnounceEvery {
+			r.gone(s, "silent")
+		}
+		if silent > forgetAfter {
+			delete(r.servers, id)
+			if h := r.holders[s.view.GetAddress()]; h != nil && h.id == id {
+				delete(r.holders, s.view.GetAddress())
+			}
+		}
+	}
+}
+
+// Settled reports whether this host has led for long enough to have heard every
+// server that lives.
+func (r *Roster) Settled() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cfg.Now().Sub(r.began) > settleBeats*r.cfg.AnnounceEvery
+}
+
+// Since returns the servers that changed after a change number, and the number
+// that the answer leads to.
+func (r *Roster) Since(after uint64) ([]*schema.RosterServer, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []*schema.RosterServer
+	for _, s := range r.servers {
+		if s.change > after {
+			out = append(out, s.view)
+		}
+	}
+	return out, r.change
+}
+
+// Ready reports whether a server takes new work, as far as is known.
+func (r *Roster) Ready(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.servers[id]
+	return s != nil && s.view.GetState() == schema.RosterState_ROSTER_STATE_READY
+}
