Close a stopping entry's port once most callers know

Change: the callers' port closes after 0.35 of the stop limit; what was taken before goes on. Ruled out: refusing by 503, which spends a caller's retry.

--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -20,9 +20,10 @@
 
 const (
 	// acceptShare is the part of the stop limit in which a stopping entry goes on
-	// taking connections: callers keep an old answer of the directory for some
-	// seconds, and connect to what it names.
-	acceptShare = 0.6
+	// taking connections: most callers have a new answer of the directory by then.
+	// What is taken later could still run when the process must end, and would be
+	// cut off; a caller that finds the port closed goes to another entry at once.
+	acceptShare = 0.35
 	// endShare is the part of the stop limit at which the process ends whatever
 	// is in flight: what is not over by then would be killed a moment later.
 	endShare   = 0.95
@@ -49,10 +50,12 @@
 	dialer  *peer.Dialer
 	gateway *gateway.Gateway
 	callers *http.Server
-	servers []*http.Server
-	done    chan struct{}
-	once    sync.Once
-	wg      sync.WaitGroup
+	// callerPort is the callers' listener.
+	callerPort net.Listener
+	servers    []*http.Server
+	done       chan struct{}
+	once       sync.Once
+	wg         sync.WaitGroup
 }
 
 // NewEntry starts an entry. When it fails nothing is left running.
@@ -117,7 +120,7 @@
 		server := newServer(x.handler)
 		e.servers = append(e.servers, server)
 		if x.callers {
-			e.callers = server
+			e.callers, e.callerPort = server, l
 		}
 		e.wg.Add(1)
 		go func() {
@@ -156,9 +159,13 @@
 	e.callers.SetKeepAlivesEnabled(false)
 	ticker := time.NewTicker(drainCheck)
 	defer ticker.Stop()
-	for ctx.Err() == nil {
+	for accepts := true; ctx.Err() == nil; {
 		gone := time.Since(began)
-		if gone > portion(limit, endShare) || gone > portion(limit, acceptShare) && e.gateway.InFlight() == 0 {
+		if accepts && gone > portion(limit, acceptShare) {
+			accepts = false
+			e.refuseCallers()
+		}
+		if gone > portion(limit, endShare) || !accepts && e.gateway.InFlight() == 0 {
 			break
 		}
 		<-ticker.C
@@ -167,6 +174,14 @@
 	e.Close()
 }
 
+// refuseCallers closes the callers' port; what is in flight goes on.
+func (e *Entry) refuseCallers() {
+	if err := e.callerPort.Close(); err != nil {
+		e.cfg.Log.Error(err, "port not closed")
+	}
+	e.cfg.Log.Info("port closed", "in-flight", e.gateway.InFlight())
+}
+
 func portion(d time.Duration, share float64) time.Duration { return time.Duration(float64(d) * share) }
 
 // Close stops the entry at once.
--- a/internal/role/http.go
+++ b/internal/role/http.go
@@ -24,7 +24,7 @@
 
 // serve returns when the server is closed.
 func serve(s *http.Server, l net.Listener, log logr.Logger) {
-	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		log.Error(err, "listener ended", "address", l.Addr().String())
 	}
 }
