Load adapters ahead, keep long prompts apart, refuse by the caller's patience

Change: routes and pools are indexed; free places take adapters of busy models ahead; long and short prompts prefer different engines of a model; a model gets a replica for each 1.5 requests a second (3 before); a request is refused at once when its model will come after the caller has left.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -63,8 +63,40 @@
 	return able[random(n)]
 }
 
+// longPrompt is from how many tokens on a prompt counts as long: an engine makes
+// no tokens for its other requests while it reads, and a few of these in a row
+// are a pause that callers of short requests notice.
+const longPrompt = 3800
+
+// wrongHalfCost is what an engine costs that others of the same model are to
+// spare for this sort of prompt.
+const wrongHalfCost = 150.0 // ms
+
+// halves splits the engines of a model, alike at every entry: long prompts go
+// to the first part and short ones to the rest, so that reading the long ones
+// does not hold up the events of the short. A request of the other sort comes
+// only when its own part is much busier.
+func halves(able []*server, c *Call) map[*server]bool {
+	if len(able) < 2 {
+		return nil
+	}
+	order := slices.Clone(able)
+	slices.SortFunc(order, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(weight(c.Model, b), weight(c.Model, a)), cmp.Compare(a.view.GetId(), b.view.GetId()))
+	})
+	long := c.PromptTokens >= longPrompt
+	wrong := map[*server]bool{}
+	for i, s := range order {
+		if (i < (len(order)+1)/2) != long {
+			wrong[s] = true
+		}
+	}
+	return wrong
+}
+
 func cheapest(able []*server, c *Call) *server {
 	key := affinity(c)
+	wrong := halves(able, c)
 	slices.SortFunc(able, func(a, b *server) int {
 		return cmp.Or(cmp.Compare(weight(key, b), weight(key, a)), cmp.Compare(a.view.GetId(), b.view.GetId()))
 	})
@@ -72,6 +104,9 @@
 	var bestCost float64
 	for rank, s := range able {
 		cost := float64(s.unread+s.uncached(c))/readRate + runCost*float64(s.running) + rankCost*float64(rank)
+		if wrong[s] {
+			cost += wrongHalfCost
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -75,6 +75,12 @@
 	// waited is how long the request waited for a model.
 	waited time.Duration
 	first  time.Duration
+	// pause is the longest time between two events of the answer.
+	pause time.Duration
+	// atOnce and unread are what this entry had at the last server when it was
+	// chosen: requests, and prompt tokens not read.
+	atOnce int
+	unread int
 	// started is set once a byte of the answer has left.
 	started bool
 	status  int
@@ -179,7 +185,8 @@
 	x.attempts++
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	unread := x.g.fleet.begin(s, &x.call)
+	unread, atOnce, before := x.g.fleet.begin(s, &x.call)
+	x.atOnce, x.unread = atOnce, before
 	defer x.g.fleet.end(s)
 	read := false
 	markRead := func() {
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -23,7 +23,7 @@
 	g.cfg.Requests.Info("request", "id", x.call.ID, "outcome", x.outcome.String(), "status", x.status, "route", route,
 		"version", version, "pool", x.pool, "model", x.call.Model, "adapter", x.call.Adapter, "server", server,
 		"attempts", x.attempts, "runs", x.runs, "tried", x.tried, "waited-ms", x.waited.Milliseconds(),
-		"first-ms", x.first.Milliseconds(), "took-ms", took.Milliseconds(), "wait-ms", x.call.Wait.Milliseconds(),
+		"first-ms", x.first.Milliseconds(), "pause-ms", x.pause.Milliseconds(), "took-ms", took.Milliseconds(), "wait-ms", x.call.Wait.Milliseconds(), "prompt", x.call.PromptTokens, "at-once", x.atOnce, "unread", x.unread,
 		"leader-age-ms", g.attend.age().Milliseconds(), "cause", text(x.cause))
 	if g.cfg.Served != nil {
 		g.cfg.Served(Served{
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -157,15 +157,16 @@
 	return len(f.servers)
 }
 
-// begin notes that a request is about to be sent.
-func (f *fleet) begin(s *server, c *Call) (unread int) {
+// begin notes that a request is about to be sent. It returns how many of its
+// tokens the server has to read, and what this entry had there before.
+func (f *fleet) begin(s *server, c *Call) (tokens, running, unread int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	unread = s.uncached(c)
+	tokens, running, unread = s.uncached(c), s.running, s.unread
 	s.running++
-	s.unread += unread
+	s.unread += tokens
 	s.remember(c)
-	return unread
+	return tokens, running, unread
 }
 
 // read notes that the prompt of a request was read.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -55,8 +55,11 @@
 func (x *exchange) events(answer *relay.Answer, last *int64, begun func()) error {
 	in := relay.NewEvents(answer.Body)
 	out := http.NewResponseController(x.w)
-	for {
+	for came := time.Now(); ; came = time.Now() {
 		b, err := in.Next()
+		if x.started {
+			x.pause = max(x.pause, time.Since(came))
+		}
 		if errors.Is(err, io.EOF) {
 			if !x.started {
 				x.begin(answer)
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -63,10 +63,32 @@
 	case e.ready.IsZero():
 		return refuseAfter, now.Sub(x.began) > unknownWait
 	default:
-		return max(e.ready.Sub(now), refuseAfter), e.ready.Add(firstToken).After(x.deadline)
+		return max(e.ready.Sub(now), refuseAfter), e.ready.Add(firstToken).After(x.firstBy())
 	}
 }
 
+const (
+	// Callers leave a stream whose next event does not come within the longest of
+	// these: a fixed time, a multiple of the route's aim, and one of its longest
+	// pause that is still on time.
+	leaveAfter     = 2 * time.Second
+	leaveAfterAims = 4
+	leaveAfterGaps = 8
+)
+
+// firstBy is until when a caller waits for the first byte of an answer.
+func (x *exchange) firstBy() time.Time {
+	if !x.route.GetStream() {
+		return x.deadline
+	}
+	patience := max(leaveAfter, time.Duration(leaveAfterAims*x.route.GetAimMs())*time.Millisecond,
+		time.Duration(leaveAfterGaps*x.route.GetGapMs())*time.Millisecond)
+	if by := x.began.Add(patience); by.Before(x.deadline) {
+		return by
+	}
+	return x.deadline
+}
+
 // pace is how long a plain pool's servers take for a request, and whether they
 // refuse. All methods are safe from any goroutine.
 type pace struct {
--- a/internal/ledger/configuration.go
+++ b/internal/ledger/configuration.go
@@ -1,6 +1,9 @@
 package ledger
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"strings"
 
 	"fennelyard/internal/schema"
@@ -38,25 +41,13 @@
 // Departed reports whether a backend server's incarnation takes no new work.
 func (r *Records) Departed(server string) bool { return r.byKey[DepartureKey(server)] != nil }
 
-// Routes returns all routes, ordered by key.
-func (r *Records) Routes() []*schema.Route {
-	var out []*schema.Route
-	for _, rec := range r.All() {
-		if v := rec.GetRoute(); v != nil {
-			out = append(out, v)
-		}
-	}
-	return out
-}
+// Routes returns all routes, in no order.
+func (r *Records) Routes() []*schema.Route { return slices.Collect(maps.Values(r.routes)) }
 
-// Pools returns all pools, ordered by key.
+// Pools returns all pools, ordered by name.
 func (r *Records) Pools() []*schema.Pool {
-	var out []*schema.Pool
-	for _, rec := range r.All() {
-		if v := rec.GetPool(); v != nil {
-			out = append(out, v)
-		}
-	}
+	out := slices.Collect(maps.Values(r.pools))
+	slices.SortFunc(out, func(a, b *schema.Pool) int { return cmp.Compare(a.GetName(), b.GetName()) })
 	return out
 }
 
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -27,6 +27,8 @@
 	pinned map[string]bool
 	// byService holds the application servers of a service by name.
 	byService map[string]map[string]*schema.Server
+	routes    map[string]*schema.Route
+	pools     map[string]*schema.Pool
 }
 
 // NewRecords returns an empty set.
@@ -43,6 +45,8 @@
 		byServer:     map[string]map[uint64]*schema.Reservation{},
 		pinned:       map[string]bool{},
 		byService:    map[string]map[string]*schema.Server{},
+		routes:       map[string]*schema.Route{},
+		pools:        map[string]*schema.Pool{},
 	}
 }
 
@@ -98,6 +102,10 @@
 		if s := v.Server.GetService(); s != "" {
 			addTo(r.byService, s, v.Server.GetName(), v.Server)
 		}
+	case *schema.Record_Route:
+		r.routes[v.Route.GetName()] = v.Route
+	case *schema.Record_Pool:
+		r.pools[v.Pool.GetName()] = v.Pool
 	case *schema.Record_Plan:
 		r.plans[v.Plan.GetNumber()] = v.Plan
 	case *schema.Record_Reservation:
@@ -119,6 +127,10 @@
 	case *schema.Record_Server:
 		delete(r.servers, v.Server.GetName())
 		dropFrom(r.byService, v.Server.GetService(), v.Server.GetName())
+	case *schema.Record_Route:
+		delete(r.routes, v.Route.GetName())
+	case *schema.Record_Pool:
+		delete(r.pools, v.Pool.GetName())
 	case *schema.Record_Plan:
 		delete(r.plans, v.Plan.GetNumber())
 	case *schema.Record_Reservation:
--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -122,11 +122,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.cfg.Now()
+	// A new leader gives no orders for a while; loads under way go on.
+	idle := max(d.since.Add(d.cfg.OrderLease+leaseMargin).Sub(now), 0)
 	var out []*schema.LoadForecast
 	for _, x := range waiting {
 		f := &schema.LoadForecast{Pool: x.GetPool(), Model: x.GetModel(), Adapter: x.GetAdapter(), ReadyInMs: -1}
 		for _, e := range d.engines {
-			if in, ok := d.readyIn(e, x, now); ok && (f.ReadyInMs < 0 || in.Milliseconds() < f.ReadyInMs) {
+			if in, ok := d.readyIn(e, x, idle, now); ok && (f.ReadyInMs < 0 || in.Milliseconds() < f.ReadyInMs) {
 				f.ReadyInMs = in.Milliseconds()
 			}
 		}
@@ -137,12 +139,12 @@
 
 // readyIn tells when an engine should hold a model that its order under way
 // loads or makes room for.
-func (d *Driver) readyIn(e *engine, x *schema.ModelDemand, now time.Time) (time.Duration, bool) {
+func (d *Driver) readyIn(e *engine, x *schema.ModelDemand, idle time.Duration, now time.Time) (time.Duration, bool) {
 	if e.pool != x.GetPool() {
 		return 0, false
 	}
 	if e.held[x.GetModel()] != nil && e.unloading() != x.GetModel() {
-		return adapterLoad, true
+		return idle + adapterLoad, true
 	}
 	if e.phase <= phaseKnown || e.order.Adapter != "" {
 		return 0, false
--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -85,6 +85,8 @@
 	demands map[target]*demand
 	// begun holds when each load from the store may have begun, by pool.
 	begun map[string][]time.Time
+	// pools are the engine pools in force, by name, as of the last round.
+	pools map[string]*schema.Pool
 	// confirmed is when the last confirmation that succeeded was asked for.
 	confirmed time.Time
 }
@@ -197,6 +199,12 @@
 	defer d.mu.Unlock()
 	now := d.cfg.Now()
 	d.follow(now)
+	d.pools = map[string]*schema.Pool{}
+	for _, p := range d.cfg.Pools() {
+		if p.GetEngine() != nil {
+			d.pools[p.GetName()] = p
+		}
+	}
 	for id, e := range d.engines {
 		if !d.cfg.Roster.Ready(id) {
 			if e.phase != phaseGiving {
@@ -209,10 +217,7 @@
 	if !d.leads || now.Sub(d.since) < d.cfg.OrderLease+leaseMargin {
 		return
 	}
-	for _, p := range d.cfg.Pools() {
-		if p.GetEngine() == nil {
-			continue
-		}
+	for _, p := range d.pools {
 		for _, a := range Decide(d.input(p, now)) {
 			d.begin(d.engines[a.Engine], a, now)
 		}
@@ -241,7 +246,7 @@
 
 // tend asks about an engine where its state is not known or an end is overdue.
 func (d *Driver) tend(e *engine, now time.Time) {
-	if !d.leads || now.Before(e.notBefore) || !d.isEngine(e.pool) {
+	if !d.leads || now.Before(e.notBefore) || d.pools[e.pool] == nil {
 		return
 	}
 	switch e.phase {
@@ -266,10 +271,6 @@
 	}
 }
 
-func (d *Driver) isEngine(pool string) bool {
-	return slices.ContainsFunc(d.cfg.Pools(), func(p *schema.Pool) bool { return p.GetName() == pool && p.GetEngine() != nil })
-}
-
 func (d *Driver) input(p *schema.Pool, now time.Time) Input {
 	spec := p.GetEngine()
 	in := Input{
@@ -281,6 +282,7 @@
 			FromStore:  time.Duration(s.GetLoadStoreMs()) * time.Millisecond,
 			FromDisk:   time.Duration(s.GetLoadDiskMs()) * time.Millisecond,
 			FromMemory: time.Duration(s.GetLoadMemoryMs()) * time.Millisecond,
+			Adapters:   s.GetAdapters(),
 		}
 		if x := d.demands[target{p.GetName(), s.GetName(), ""}]; x != nil {
 			m.Rate, m.Asked, m.Waiting = x.rateAt(now), x.asked, x.sum()
@@ -498,19 +500,17 @@
 func (d *Driver) loadTime(e *engine) time.Duration { return d.loadTimeOf(e, e.order.Model) }
 
 func (d *Driver) loadTimeOf(e *engine, model string) time.Duration {
-	for _, p := range d.cfg.Pools() {
-		for _, m := range p.GetEngine().GetModels() {
-			if p.GetName() != e.pool || m.GetName() != model {
-				continue
-			}
-			switch {
-			case e.inMemory[m.GetName()]:
-				return time.Duration(m.GetLoadMemoryMs()) * time.Millisecond
-			case e.onDisk[m.GetName()]:
-				return time.Duration(m.GetLoadDiskMs()) * time.Millisecond
-			}
-			return time.Duration(m.GetLoadStoreMs()) * time.Millisecond
+	for _, m := range d.pools[e.pool].GetEngine().GetModels() {
+		if m.GetName() != model {
+			continue
+		}
+		switch {
+		case e.inMemory[model]:
+			return time.Duration(m.GetLoadMemoryMs()) * time.Millisecond
+		case e.onDisk[model]:
+			return time.Duration(m.GetLoadDiskMs()) * time.Millisecond
 		}
+		return time.Duration(m.GetLoadStoreMs()) * time.Millisecond
 	}
 	return 0
 }
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -13,7 +13,7 @@
 	// replicaRate is how many requests a second one replica should be given:
 	// reading a prompt of 9,000 tokens takes an engine about 240 ms when nothing
 	// of it is kept, so that 3 a second leave it a quarter of its time.
-	replicaRate = 3.0
+	replicaRate = 1.5
 	// minHold keeps a model for a moment after its load: demand for two models
 	// could otherwise push them out of one engine in turns, and neither is served.
 	minHold = 2 * time.Second
@@ -40,6 +40,8 @@
 	Asked time.Time
 	// Waiting is the number of requests that wait for a replica.
 	Waiting int
+	// Adapters are the names of its adapters.
+	Adapters []string
 }
 
 // Held is a model in an engine's memory.
@@ -119,6 +121,7 @@
 	for _, a := range in.Adapters {
 		p.adapter(a)
 	}
+	p.stockAdapters()
 	return p.out
 }
 
@@ -359,6 +362,53 @@
 	p.out = append(p.out, Action{Engine: best.ID, Model: model, Adapter: adapter, For: d.Model})
 }
 
+// stockAdapters fills free places with adapters of busy models that no engine
+// holds. They load in milliseconds, but only while there is a leader that may
+// give orders: their callers would wait for seconds after a change of leader.
+func (p *plan) stockAdapters() {
+	held := map[string]bool{}
+	for _, e := range p.in.Engines {
+		for _, h := range e.Held {
+			for a := range h.Adapters {
+				held[h.Model+"/"+a] = true
+			}
+		}
+	}
+	for _, e := range p.in.Engines {
+		if p.taken[e.ID] || adapters(e) >= p.in.Places {
+			continue
+		}
+		model, adapter := p.unheld(e, held)
+		if adapter == "" {
+			continue
+		}
+		held[model+"/"+adapter] = true
+		p.taken[e.ID] = true
+		p.out = append(p.out, Action{Engine: e.ID, Load: true, Model: model, Adapter: adapter})
+	}
+}
+
+// unheld returns an adapter that no engine holds of the busiest model of an
+// engine that has such an adapter.
+func (p *plan) unheld(e *Engine, held map[string]bool) (model, adapter string) {
+	rate := stockRate
+	for _, h := range e.Held {
+		m := p.in.Models[h.Model]
+		if m == nil || m.Rate < rate {
+			continue
+		}
+		i := slices.IndexFunc(m.Adapters, func(a string) bool { return !held[h.Model+"/"+a] })
+		if i >= 0 {
+			model, adapter, rate = h.Model, m.Adapters[i], m.Rate
+		}
+	}
+	return model, adapter
+}
+
+// stockRate is from how many requests a second on a model's adapters are loaded
+// ahead: of a model that is asked for less often, most would never be used.
+const stockRate = 0.5
+
 func adapters(e *Engine) int {
 	n := 0
 	for _, h := range e.Held {
