Owe rare models no replica while nobody waits

Change: below 0.25 requests a second a model is loaded only when asked for; the model whose replicas have the most requests each goes first.

--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -87,6 +87,8 @@
 	begun map[string][]time.Time
 	// pools are the engine pools in force, by name, as of the last round.
 	pools map[string]*schema.Pool
+	// told is when a model was last logged as blocked.
+	told map[string]time.Time
 	// confirmed is when the last confirmation that succeeded was asked for.
 	confirmed time.Time
 }
@@ -96,6 +98,7 @@
 	d := &Driver{
 		cfg: cfg, kick: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
 		engines: map[string]*engine{}, demands: map[target]*demand{}, begun: map[string][]time.Time{},
+		told: map[string]time.Time{},
 	}
 	go func() {
 		defer close(d.done)
@@ -218,9 +221,23 @@
 		return
 	}
 	for _, p := range d.pools {
-		for _, a := range Decide(d.input(p, now)) {
+		actions, blocked := Decide(d.input(p, now))
+		for _, a := range actions {
 			d.begin(d.engines[a.Engine], a, now)
 		}
+		d.logBlocked(blocked, now)
+	}
+}
+
+// logBlocked logs models that lack a replica, each at most once a second.
+func (d *Driver) logBlocked(blocked []Blocked, now time.Time) {
+	for _, b := range blocked {
+		if now.Sub(d.told[b.Model]) < time.Second {
+			continue
+		}
+		d.told[b.Model] = now
+		d.cfg.Log.Info("load blocked", "model", b.Model, "rate", b.Rate, "engines-busy", b.Busy, "engines-holding", b.Holding,
+			"engines-full", b.Full, "engines-store-paced", b.Store)
 	}
 }
 
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -101,6 +101,17 @@
 	FromStore bool
 }
 
+// Blocked is a model that lacks a replica and can't be given one now, with the
+// number of engines that are ruled out for each reason.
+type Blocked struct {
+	Model string
+	Rate  float64
+	// Busy engines have another order under way, Holding ones hold the model, at
+	// Full ones nothing may go for it, and Store ones would load it from the
+	// weight store, whose pace is used up.
+	Busy, Holding, Full, Store int
+}
+
 // plan is the state of one decision.
 type plan struct {
 	in       Input
@@ -108,10 +119,12 @@
 	copies   map[string]int
 	taken    map[string]bool
 	out      []Action
+	blocked  []Blocked
 }
 
-// Decide returns the orders that are due, at most one for each engine.
-func Decide(in Input) []Action {
+// Decide returns the orders that are due, at most one for each engine, and the
+// models that are wanted and can't be loaded.
+func Decide(in Input) ([]Action, []Blocked) {
 	p := &plan{in: in, replicas: map[string]int{}, copies: map[string]int{}, taken: map[string]bool{}}
 	p.count()
 	for _, m := range p.wanted() {
@@ -122,7 +135,7 @@
 		p.adapter(a)
 	}
 	p.stockAdapters()
-	return p.out
+	return p.out, p.blocked
 }
 
 func (p *plan) count() {
@@ -145,11 +158,24 @@
 	}
 }
 
-// needed is how many replicas a model's demand calls for.
-func needed(m *Model) int { return int(math.Ceil(m.Rate / replicaRate)) }
+// needed is how many replicas a model's demand calls for. A rare model is owed
+// none while nobody waits for it: with all rare models wanted all the time the
+// engines would do nothing but change them for one another.
+func needed(m *Model) int {
+	if m.Rate < rareRate {
+		return 0
+	}
+	return int(math.Ceil(m.Rate / replicaRate))
+}
+
+// rareRate is below how many requests a second a model counts as rare: on
+// average it is asked for again only after several times the second that it
+// takes to bring back from an engine's disk.
+const rareRate = 0.25
 
 // wanted returns the models that lack a replica, the most urgent first: those
-// that requests wait for and that no engine has, then those that have too few.
+// that requests wait for and that no engine has, then those whose replicas have
+// the most requests each.
 func (p *plan) wanted() []*Model {
 	var out []*Model
 	for _, m := range p.in.Models {
@@ -160,8 +186,8 @@
 	slices.SortFunc(out, func(a, b *Model) int {
 		return cmp.Or(
 			cmp.Compare(min(p.replicas[a.Name], 1), min(p.replicas[b.Name], 1)),
+			cmp.Compare(b.Rate/float64(p.replicas[b.Name]+1), a.Rate/float64(p.replicas[a.Name]+1)),
 			cmp.Compare(b.Waiting, a.Waiting),
-			cmp.Compare(b.Rate, a.Rate),
 			cmp.Compare(a.Name, b.Name),
 		)
 	})
@@ -172,28 +198,43 @@
 func (p *plan) place(m *Model) {
 	best, bestCost := -1, math.Inf(1)
 	var bestVictim string
+	why := Blocked{Model: m.Name, Rate: m.Rate}
 	for i, e := range p.in.Engines {
-		if p.taken[e.ID] || holds(e, m.Name) {
-			continue
-		}
-		cost := p.loadTime(e, m).Seconds()
-		if p.fromStore(e, m) && p.in.StoreLoads <= 0 {
-			continue
-		}
-		victim, loss, ok := p.room(e, m)
+		victim, loss, ok := p.possible(e, m, &why)
 		if !ok {
 			continue
 		}
+		cost := p.loadTime(e, m).Seconds()
 		if cost += loss; cost < bestCost {
 			best, bestCost, bestVictim = i, cost, victim
 		}
 	}
 	if best < 0 {
+		p.blocked = append(p.blocked, why)
 		return
 	}
 	p.order(p.in.Engines[best], m, bestVictim)
 }
 
+// possible tells whether an engine can load a model now, or begin to make room.
+func (p *plan) possible(e *Engine, m *Model, why *Blocked) (victim string, loss float64, ok bool) {
+	switch {
+	case holds(e, m.Name):
+		why.Holding++
+		return "", 0, false
+	case p.taken[e.ID]:
+		why.Busy++
+		return "", 0, false
+	case p.fromStore(e, m) && p.in.StoreLoads <= 0:
+		why.Store++
+		return "", 0, false
+	}
+	if victim, loss, ok = p.room(e, m); !ok {
+		why.Full++
+	}
+	return victim, loss, ok
+}
+
 func (p *plan) order(e *Engine, m *Model, victim string) {
 	p.taken[e.ID] = true
 	p.replicas[m.Name]++
