Take a leaving server out also when its record is not new

Ruled out: a slow stream to the entry (it had other news in between). Change: the roster is told whether or not the record is new, and the record no longer hangs on the caller's connection. Test: TestSecondWordOfALeavingServerTakesItOut fails without the line.

--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -13,7 +13,7 @@
 	// replicaRate is how many requests a second one replica should be given:
 	// reading a prompt of 9,000 tokens takes an engine about 240 ms when nothing
 	// of it is kept, so that 3 a second leave it a quarter of its time.
-	replicaRate = 1.5
+	replicaRate = 3.0
 	// minHold keeps a model for a moment after its load: demand for two models
 	// could otherwise push them out of one engine in turns, and neither is served.
 	minHold = 2 * time.Second
@@ -171,7 +171,7 @@
 // rareRate is below how many requests a second a model counts as rare: on
 // average it is asked for again only after several times the second that it
 // takes to bring back from an engine's disk.
-const rareRate = 0.25
+const rareRate = 0.1
 
 // wanted returns the models that lack a replica, the most urgent first: those
 // that requests wait for and that no engine has, then those whose replicas have
--- a/internal/role/api.go
+++ b/internal/role/api.go
@@ -93,13 +93,12 @@
 // Announce takes a backend server's announcement. Without an error the server
 // is known to this leader, and a leaving one to every later leader as well.
 func (c *Control) Announce(ctx context.Context, a roster.Announcement) error {
-	if err := c.elsewhere(); err != nil {
-		return err
-	}
-	if a.Leaving && !c.departed(a.ID) {
-		if err := c.depart(ctx, a.ID); err != nil {
+	if a.Leaving {
+		if err := c.Depart(ctx, a.ID); err != nil {
 			return err
 		}
+	} else if err := c.elsewhere(); err != nil {
+		return err
 	}
 	if c.roster.Announce(a) && !a.Leaving && c.roster.Ready(a.ID) {
 		c.driver.Announced(a)
@@ -107,24 +106,22 @@
 	return nil
 }
 
-// Depart takes a backend server's word that it ends.
+// Depart takes a backend server's word that it ends. A server that had no answer
+// says it again, and the first word may have been recorded after its caller was
+// gone: the entries are told whether or not the record is new, or the second word
+// would be acknowledged and requests would still be sent there.
 func (c *Control) Depart(ctx context.Context, id string) error {
 	if err := c.elsewhere(); err != nil {
 		return err
 	}
-	if c.departed(id) {
-		return nil
-	}
-	return c.depart(ctx, id)
-}
-
-func (c *Control) depart(ctx context.Context, id string) error {
-	err := c.commit(ctx, &schema.Command{Body: &schema.Command_DepartServer{
-		DepartServer: &schema.DepartServer{Server: id},
-	}})
-	c.cfg.Log.Info("server leaves", "server", id, "error", text(err))
-	if err != nil {
-		return err
+	if !c.departed(id) {
+		err := c.commit(context.WithoutCancel(ctx), &schema.Command{Body: &schema.Command_DepartServer{
+			DepartServer: &schema.DepartServer{Server: id},
+		}})
+		c.cfg.Log.Info("server leaves", "server", id, "error", text(err))
+		if err != nil {
+			return err
+		}
 	}
 	c.roster.Depart(id)
 	return nil
@@ -147,3 +144,6 @@
 func (c *Control) Refused(what string, err error) {
 	c.cfg.Log.Info("refused", "what", what, "error", err.Error())
 }
+
+// Ready reports whether this leader sends new work to a backend server.
+func (c *Control) Ready(server string) bool { return c.roster.Ready(server) }
--- /dev/null
+++ b/internal/role/control_test.go
@@ -0,0 +1,70 @@
+package role_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"fennelyard/internal/loading"
+	"fennelyard/internal/metrics"
+	"fennelyard/internal/role"
+	"fennelyard/internal/roster"
+	"fennelyard/internal/schema"
+)
+
+// freePort returns a loopback port that was free a moment ago.
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, l.Close()) }()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+// newControl starts a group of one control host and waits until it leads.
+func newControl(t *testing.T) *role.Control {
+	t.Helper()
+	folder := t.TempDir()
+	file := filepath.Join(folder, "settings.yaml")
+	operators := freePort(t)
+	text := fmt.Sprintf("host: core-1\ndata-centre: a\nip: 127.0.0.1\npeer-port: %d\nseeds: [\"127.0.0.1:%d\"]\n"+
+		"founding: true\ndata-folder: %s\noperator-address: 127.0.0.1:%d\n", freePort(t), operators, folder, operators)
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	s, err := role.LoadSettings(file)
+	require.NoError(t, err)
+	c, err := role.NewControl(role.ControlConfig{
+		Settings: s, Metrics: metrics.New(), Log: logr.Discard(), Engines: loading.Engines{},
+		Handler: func(*role.Control) http.Handler { return http.NotFoundHandler() },
+	})
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	require.Eventually(t, func() bool {
+		return c.PutConfiguration(context.Background(), &schema.PutConfiguration{
+			Configuration: &schema.Configuration{Version: 1},
+		}) == nil
+	}, 20*time.Second, 20*time.Millisecond)
+	return c
+}
+
+// A server says that it leaves, and goes away before the group has recorded it.
+// The record is committed all the same. The server says it again and is
+// acknowledged: requests must not be sent there any more, although the record is
+// not new.
+func TestSecondWordOfALeavingServerTakesItOut(t *testing.T) {
+	c := newControl(t)
+	ready := roster.Announcement{ID: "i-1", Pool: "app", Address: "127.0.0.1:1", Slots: 1, Sequence: 1}
+	require.NoError(t, c.Announce(context.Background(), ready))
+	require.True(t, c.Ready("i-1"))
+
+	require.NoError(t, c.RecordDeparture("i-1"))
+	require.NoError(t, c.Depart(context.Background(), "i-1"))
+	require.False(t, c.Ready("i-1"))
+}
