Begin a leadership's roster before anything is heard in it

Cause: the roster was emptied when the driver next looked, up to 0.1 s after the host had begun to answer as the leader; what was heard in between was forgotten. Change: each call and stream settles the leadership first. Test: TestSecondWordOfALeavingServerTakesItOut now fails without its line on every run; before this change the emptied roster hid it.

--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -241,6 +241,14 @@
 	}
 }
 
+// Follow notes at once whether this host leads; what it hears from then on
+// belongs to the present leadership.
+func (d *Driver) Follow() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.follow(d.cfg.Now())
+}
+
 // follow notes whether this host leads. What an earlier leadership knew of the
 // engines is worth nothing after another host may have given orders.
 func (d *Driver) follow(now time.Time) {
--- a/internal/role/api.go
+++ b/internal/role/api.go
@@ -43,6 +43,7 @@
 	s := c.group.Status()
 	switch {
 	case s.Current:
+		c.driver.Follow()
 		return nil
 	case s.LeaderHost != "" && s.LeaderHost != c.self.GetPeerAddress():
 		return &ElsewhereError{IP: ipOf(s.LeaderHost)}
--- a/internal/role/attend.go
+++ b/internal/role/attend.go
@@ -32,6 +32,7 @@
 		}
 		return nil
 	}
+	c.driver.Follow()
 	first, err := stream.Recv()
 	if err != nil {
 		return errors.Newf("hear entry: %w", err)
