Never search emptied pages for the last entry of the log

Change: the log's bucket is made anew, and the last index comes from what is saved. Test: TestSnapshotReplacesLogOfSeveralPages hangs without the change.

--- a/internal/consensus/storage.go
+++ b/internal/consensus/storage.go
@@ -249,7 +249,7 @@
 			if err := replaceSnapshot(tx, r.Snapshot); err != nil {
 				return err
 			}
-			if err := dropFrom(tx, 0); err != nil {
+			if err := dropAll(tx); err != nil {
 				return err
 			}
 		}
@@ -260,7 +260,7 @@
 			return nil
 		}
 		return putChecked(tx.Bucket(stateBucket), hardStateKey, &schema.HardState{
-			Term: r.HardState.GetTerm(), Vote: r.HardState.GetVote(), Commit: r.HardState.GetCommit(), Last: lastIndex(tx),
+			Term: r.HardState.GetTerm(), Vote: r.HardState.GetVote(), Commit: r.HardState.GetCommit(), Last: lastAfter(tx, r),
 		})
 	})
 	if err != nil {
@@ -287,6 +287,31 @@
 	return nil
 }
 
+// dropAll drops the whole log.
+func dropAll(tx *bbolt.Tx) error {
+	if err := tx.DeleteBucket(logBucket); err != nil {
+		return errors.Newf("drop log: %w", err)
+	}
+	if _, err := tx.CreateBucket(logBucket); err != nil {
+		return errors.Newf("make log bucket: %w", err)
+	}
+	return nil
+}
+
+// lastAfter returns the index of the last stored entry once r is stored, or 0.
+// It asks the database only where nothing was deleted in the transaction: a
+// cursor that looks for the last key of pages that were emptied just now goes
+// round for ever, and the member with it.
+func lastAfter(tx *bbolt.Tx, r Ready) uint64 {
+	if n := len(r.Entries); n > 0 {
+		return r.Entries[n-1].GetIndex()
+	}
+	if r.Snapshot != nil {
+		return 0
+	}
+	return lastIndex(tx)
+}
+
 // lastIndex returns the index of the last stored entry, or 0.
 func lastIndex(tx *bbolt.Tx) uint64 {
 	k, _ := tx.Bucket(logBucket).Cursor().Last()
--- a/internal/consensus/storage_test.go
+++ b/internal/consensus/storage_test.go
@@ -181,3 +181,32 @@
 	free = 1 << 20
 	assert.True(t, errors.Is(s.Room(), consensus.ErrDiskFull))
 }
+
+// A member that was cut off comes back far behind and is sent a snapshot, which
+// replaces a log of several pages. The member must go on: it once searched the
+// emptied pages for the last entry for ever, answered nobody, and two such
+// members left the group without a quorum.
+func TestSnapshotReplacesLogOfSeveralPages(t *testing.T) {
+	const entries, size = 200, 3000
+	s, err := consensus.OpenStorage(consensus.StorageConfig{
+		Folder: t.TempDir(), Group: 1, NewID: func() uint64 { return 1 },
+	})
+	require.NoError(t, err)
+	require.NoError(t, s.Form(&schema.Membership{}))
+	log := make([]*schema.LogEntry, 0, entries)
+	for i := range uint64(entries) {
+		log = append(log, &schema.LogEntry{Index: consensus.FirstIndex + 1 + i, Term: 1, Data: make([]byte, size)})
+	}
+	require.NoError(t, s.Save(consensus.Ready{HardState: &schema.HardState{Term: 1}, Entries: log}))
+
+	const index = 10 * entries
+	require.NoError(t, s.Save(consensus.Ready{
+		HardState: &schema.HardState{Term: 2, Commit: index},
+		Snapshot:  &schema.SnapshotState{Index: index, Term: 2, Membership: &schema.Membership{}},
+	}))
+	saved, err := s.Load()
+	require.NoError(t, err)
+	require.Equal(t, uint64(index), saved.Snapshot.GetIndex())
+	require.Empty(t, saved.Entries)
+	require.NoError(t, s.Close())
+}
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -10,10 +10,17 @@
 )
 
 const (
-	// replicaRate is how many requests a second one replica should be given:
-	// reading a prompt of 9,000 tokens takes an engine about 240 ms when nothing
-	// of it is kept, so that 3 a second leave it a quarter of its time.
-	replicaRate = 3.0
+	// mostRate is how many requests a second one replica is given at most before
+	// others must make room for one more: reading a prompt of 9,000 tokens takes an
+	// engine about 240 ms when nothing of it is kept, so that 3 a second leave it a
+	// quarter of its time.
+	mostRate = 3.0
+	// easyRate is how many a replica is given where room costs little: reading a
+	// prompt then seldom holds up the events of another request.
+	easyRate = 1.5
+	// easyIdle is how long a model must not have been asked for to make room for
+	// a replica that is only wished for.
+	easyIdle = 8 * time.Second
 	// minHold keeps a model for a moment after its load: demand for two models
 	// could otherwise push them out of one engine in turns, and neither is served.
 	minHold = 2 * time.Second
@@ -120,6 +127,8 @@
 	taken    map[string]bool
 	out      []Action
 	blocked  []Blocked
+	// easy is set while only little may be lost for a replica.
+	easy bool
 }
 
 // Decide returns the orders that are due, at most one for each engine, and the
@@ -127,9 +136,12 @@
 func Decide(in Input) ([]Action, []Blocked) {
 	p := &plan{in: in, replicas: map[string]int{}, copies: map[string]int{}, taken: map[string]bool{}}
 	p.count()
-	for _, m := range p.wanted() {
+	for _, m := range p.wanted(needed) {
 		p.place(m)
 	}
+	for _, m := range p.wanted(wished) {
+		p.placeEasily(m)
+	}
 	p.stock()
 	for _, a := range in.Adapters {
 		p.adapter(a)
@@ -161,25 +173,30 @@
 // needed is how many replicas a model's demand calls for. A rare model is owed
 // none while nobody waits for it: with all rare models wanted all the time the
 // engines would do nothing but change them for one another.
-func needed(m *Model) int {
+func needed(m *Model) int { return replicas(m, mostRate) }
+
+// wished is how many replicas a model should have where there is room.
+func wished(m *Model) int { return replicas(m, easyRate) }
+
+func replicas(m *Model, rate float64) int {
 	if m.Rate < rareRate {
 		return 0
 	}
-	return int(math.Ceil(m.Rate / replicaRate))
+	return int(math.Ceil(m.Rate / rate))
 }
 
 // rareRate is below how many requests a second a model counts as rare: on
 // average it is asked for again only after several times the second that it
 // takes to bring back from an engine's disk.
-const rareRate = 0.1
+const rareRate = 0.25
 
 // wanted returns the models that lack a replica, the most urgent first: those
 // that requests wait for and that no engine has, then those whose replicas have
 // the most requests each.
-func (p *plan) wanted() []*Model {
+func (p *plan) wanted(replicas func(*Model) int) []*Model {
 	var out []*Model
 	for _, m := range p.in.Models {
-		if m.Waiting > 0 && p.replicas[m.Name] == 0 || p.replicas[m.Name] < needed(m) {
+		if m.Waiting > 0 && p.replicas[m.Name] == 0 || p.replicas[m.Name] < replicas(m) {
 			out = append(out, m)
 		}
 	}
@@ -194,6 +211,13 @@
 	return out
 }
 
+// placeEasily places a model whose replica is only wished for.
+func (p *plan) placeEasily(m *Model) {
+	p.easy = true
+	p.place(m)
+	p.easy = false
+}
+
 // place finds the engine that has the model soonest at the least loss.
 func (p *plan) place(m *Model) {
 	best, bestCost := -1, math.Inf(1)
@@ -209,6 +233,9 @@
 			best, bestCost, bestVictim = i, cost, victim
 		}
 	}
+	if best < 0 && p.easy {
+		return
+	}
 	if best < 0 {
 		p.blocked = append(p.blocked, why)
 		return
@@ -333,6 +360,12 @@
 	if p.in.Now.Sub(h.Since) < minHold || old.Waiting > 0 {
 		return false
 	}
+	if p.replicas[h.Model] > max(wished(old), 1) {
+		return true
+	}
+	if p.easy {
+		return p.in.Now.Sub(old.Asked) > easyIdle
+	}
 	if p.replicas[h.Model] > max(needed(old), 1) {
 		return true
 	}
