--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -134,7 +134,9 @@
 	p := &plan{in: in, replicas: map[string]int{}, copies: map[string]int{}, taken: map[string]bool{}}
 	p.count()
 	for _, m := range p.wanted() {
-		p.place(m)
+		if why, ok := p.place(m); !ok {
+			p.blocked = append(p.blocked, why)
+		}
 	}
 	p.stock()
 	for _, a := range in.Adapters {
@@ -202,10 +204,10 @@
 }
 
 // place finds the engine that has the model soonest at the least loss.
-func (p *plan) place(m *Model) {
+func (p *plan) place(m *Model) (why Blocked, ok bool) {
 	best, bestCost := -1, math.Inf(1)
 	var bestVictim string
-	why := Blocked{Model: m.Name, Rate: m.Rate}
+	why = Blocked{Model: m.Name, Rate: m.Rate}
 	for i, e := range p.in.Engines {
 		victim, loss, ok := p.possible(e, m, &why)
 		if !ok {
@@ -217,10 +219,10 @@
 		}
 	}
 	if best < 0 {
-		p.blocked = append(p.blocked, why)
-		return
+		return why, false
 	}
 	p.order(p.in.Engines[best], m, bestVictim)
+	return why, true
 }
 
 // possible tells whether an engine can load a model now, or begin to make room.
--- /dev/null
+++ b/internal/loading/plan_test.go
@@ -0,0 +1,207 @@
+package loading_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelyard/internal/loading"
+)
+
+var now = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// model is 30 GB, loads in 6 s from the store, 0.5 s from disk, 0.4 from memory.
+func model(name string, change func(*loading.Model)) *loading.Model {
+	m := &loading.Model{
+		Name: name, MemoryMB: 30000, AdapterMB: 40, FromStore: 6 * time.Second,
+		FromDisk: 500 * time.Millisecond, FromMemory: 400 * time.Millisecond, Asked: now.Add(-time.Hour),
+	}
+	if change != nil {
+		change(m)
+	}
+	return m
+}
+
+func engine(id string, held ...string) *loading.Engine {
+	e := &loading.Engine{ID: id, InMemory: map[string]bool{}, OnDisk: map[string]bool{}}
+	for _, name := range held {
+		e.Held = append(e.Held, loading.Held{Model: name, Since: now.Add(-time.Hour), Adapters: map[string]time.Time{}})
+		e.OnDisk[name] = true
+	}
+	return e
+}
+
+func input(models []*loading.Model, engines ...*loading.Engine) loading.Input {
+	in := loading.Input{Now: now, MemoryMB: 83000, Places: 8, Models: map[string]*loading.Model{}, Engines: engines, StoreLoads: 4}
+	for _, m := range models {
+		in.Models[m.Name] = m
+	}
+	return in
+}
+
+func waiting(m *loading.Model)            { m.Waiting, m.Asked = 1, now }
+func busy(r float64) func(*loading.Model) { return func(m *loading.Model) { m.Rate, m.Asked = r, now } }
+
+func TestDecide(t *testing.T) {
+	onDisk := engine("e2", "other")
+	onDisk.OnDisk["m"] = true
+	ordered := engine("e1")
+	ordered.Busy, ordered.Coming, ordered.FromStore = true, "m", true
+	full := engine("e1", "hot", "old")
+	young := engine("e1", "a", "b")
+	young.Held[0].Since, young.Held[1].Since = now, now
+	withAdapters := engine("e1", "m")
+	for i := range 8 {
+		withAdapters.Held[0].Adapters[fmt.Sprint("a", i)] = now.Add(time.Duration(i) * time.Second)
+	}
+	for name, x := range map[string]struct {
+		in   loading.Input
+		want []loading.Action
+	}{
+		"loads from a disk rather than the store": {
+			input([]*loading.Model{model("m", waiting), model("other", nil)}, engine("e1", "other"), onDisk),
+			[]loading.Action{{Engine: "e2", Load: true, Model: "m"}},
+		},
+		"one decision for a burst": {
+			input([]*loading.Model{model("m", waiting)}, ordered, engine("e2")),
+			nil,
+		},
+		"a rare model is owed nothing while nobody waits": {
+			input([]*loading.Model{model("m", busy(0.1)), model("other", nil)}, engine("e1", "other"), onDisk),
+			nil,
+		},
+		"makes room by what was not asked for the longest": {
+			input([]*loading.Model{model("m", waiting), model("hot", busy(1)), model("old", nil)}, full),
+			[]loading.Action{{Engine: "e1", Model: "old", For: "m"}},
+		},
+		"a model that was loaded just now stays": {
+			input([]*loading.Model{model("m", waiting), model("a", nil), model("b", nil)}, young),
+			nil,
+		},
+		"a busy model gets another replica": {
+			input([]*loading.Model{model("m", busy(4))}, engine("e1", "m"), engine("e2")),
+			[]loading.Action{{Engine: "e2", Load: true, Model: "m", FromStore: true}},
+		},
+		"a model of which there is no copy is loaded for stock": {
+			input([]*loading.Model{model("m", nil)}, engine("e1")),
+			[]loading.Action{{Engine: "e1", Load: true, Model: "m", FromStore: true}},
+		},
+		"the store's pace binds": {
+			func() loading.Input {
+				in := input([]*loading.Model{model("m", waiting)}, engine("e1"))
+				in.StoreLoads = 0
+				return in
+			}(),
+			nil,
+		},
+		"an adapter takes the place of the one not asked for the longest": {
+			func() loading.Input {
+				in := input([]*loading.Model{model("m", busy(1))}, withAdapters)
+				in.Adapters = []loading.AdapterDemand{{Model: "m", Adapter: "a9"}}
+				return in
+			}(),
+			[]loading.Action{{Engine: "e1", Model: "m", Adapter: "a0", For: "m"}},
+		},
+		"free places take adapters of busy models ahead": {
+			input([]*loading.Model{model("m", func(m *loading.Model) {
+				busy(1)(m)
+				m.Adapters = []string{"a1"}
+			})}, engine("e1", "m")),
+			[]loading.Action{{Engine: "e1", Load: true, Model: "m", Adapter: "a1"}},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, _ := loading.Decide(x.in)
+			require.Equal(t, x.want, got)
+		})
+	}
+}
+
+func TestDecideTellsWhyALoadIsBlocked(t *testing.T) {
+	busyEngine := engine("e1")
+	busyEngine.Busy = true
+	in := input([]*loading.Model{model("m", waiting), model("hot", busy(1)), model("warm", busy(1))},
+		busyEngine, engine("e2", "hot", "warm"))
+	in.StoreLoads = 1
+	_, blocked := loading.Decide(in)
+	require.Len(t, blocked, 1)
+	require.Equal(t, loading.Blocked{Model: "m", Busy: 1, Full: 1}, blocked[0])
+}
+
+// Whatever is asked for, no engine is ever ordered to hold more than fits, none
+// gets a second order while one is under way, and the store's pace holds.
+func TestDecideKeepsBounds(t *testing.T) {
+	for seed := range uint64(2000) {
+		r := rand.New(rand.NewPCG(seed, 7))
+		in := randomInput(r)
+		models, engines := in.Models, map[string]*loading.Engine{}
+		for _, e := range in.Engines {
+			engines[e.ID] = e
+		}
+		stores := 0
+		actions, _ := loading.Decide(in)
+		seen := map[string]bool{}
+		for _, a := range actions {
+			e := engines[a.Engine]
+			require.False(t, seen[a.Engine] || e.Busy, "seed %d: two orders for %s", seed, a.Engine)
+			seen[a.Engine] = true
+			if a.FromStore {
+				stores++
+			}
+			if !a.Load {
+				continue
+			}
+			sum, adapters := 0.0, 0
+			for _, h := range e.Held {
+				sum += models[h.Model].MemoryMB + 40*float64(len(h.Adapters))
+				adapters += len(h.Adapters)
+			}
+			if a.Adapter != "" {
+				require.Less(t, adapters, in.Places, "seed %d", seed)
+				sum += 40
+			} else {
+				sum += models[a.Model].MemoryMB
+			}
+			require.LessOrEqual(t, sum, in.MemoryMB, "seed %d: %s holds too much", seed, a.Engine)
+		}
+		require.LessOrEqual(t, stores, in.StoreLoads, "seed %d", seed)
+	}
+}
+
+func randomInput(r *rand.Rand) loading.Input {
+	var models []*loading.Model
+	for i := range 12 {
+		models = append(models, model(fmt.Sprint("m", i), func(m *loading.Model) {
+			m.MemoryMB = []float64{16100, 34300}[r.IntN(2)]
+			m.Rate, m.Waiting = r.Float64()*r.Float64()*8, r.IntN(3)*r.IntN(2)
+			m.Asked = now.Add(-time.Duration(r.IntN(20)) * time.Second)
+			m.Adapters = []string{"a1", "a2", "a3"}
+		}))
+	}
+	in := input(models)
+	in.StoreLoads, in.StoreRunning = r.IntN(4), r.IntN(3)
+	for i := range 5 {
+		e := engine(fmt.Sprint("e", i))
+		free := in.MemoryMB - 320
+		for _, m := range models {
+			if m.MemoryMB <= free && r.IntN(3) == 0 {
+				free -= m.MemoryMB
+				h := loading.Held{Model: m.Name, Since: now.Add(-time.Duration(r.IntN(5)) * time.Second), Adapters: map[string]time.Time{}}
+				if r.IntN(3) == 0 {
+					h.Adapters["a1"] = now
+				}
+				e.Held = append(e.Held, h)
+			}
+			e.OnDisk[m.Name] = r.IntN(2) == 0
+		}
+		e.Busy = r.IntN(4) == 0
+		in.Engines = append(in.Engines, e)
+	}
+	for range r.IntN(4) {
+		in.Adapters = append(in.Adapters, loading.AdapterDemand{Model: fmt.Sprint("m", r.IntN(12)), Adapter: fmt.Sprint("a", 2+r.IntN(2))})
+	}
+	return in
+}
