--- /dev/null
+++ b/internal/control/form_test.go
@@ -0,0 +1,30 @@
+package control_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelyard/internal/control"
+)
+
+// All control hosts lose their disks and start again. A host that founded a
+// group then would answer for a state that callers were never told is lost: only
+// the first seed founds, and only while the whole deployment starts for the
+// first time.
+func TestWhoFoundsTheGroup(t *testing.T) {
+	for name, x := range map[string]struct {
+		self     string
+		founding bool
+		want     bool
+	}{
+		"first seed at the first start":   {"10.0.0.1:7", true, true},
+		"another seed at the first start": {"10.0.0.2:7", true, false},
+		"no seed":                         {"10.0.0.0:7", true, false},
+		"first seed with a lost disk":     {"10.0.0.1:7", false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, x.want, control.Founds(x.self, x.founding, "10.0.0.2:7", "10.0.0.1:7", "10.0.0.3:7"))
+		})
+	}
+}
--- a/internal/role/export_test.go
+++ b/internal/role/export_test.go
@@ -13,3 +13,25 @@
 		DepartServer: &schema.DepartServer{Server: id},
 	}})
 }
+
+// Voters returns the number of voters if this host leads.
+func (c *Control) Voters() (n int, leads bool) {
+	s := c.group.Status()
+	for _, m := range s.Membership.GetMembers() {
+		if !m.GetLearner() {
+			n++
+		}
+	}
+	return n, s.Current
+}
+
+// Votes reports whether this host is a voter, as far as it knows.
+func (c *Control) Votes() bool {
+	s := c.group.Status()
+	for _, m := range s.Membership.GetMembers() {
+		if m.GetId() == s.ID {
+			return !m.GetLearner()
+		}
+	}
+	return false
+}
