--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -69,7 +69,8 @@
 const longPrompt = 3800
 
 // wrongHalfCost is what an engine costs that others of the same model are to
-// spare for this sort of prompt.
+// spare for this sort of prompt. Mean worth over the standard days of a
+// deployment, two plays each: 0.635 with 0, 0.654 with 150, 0.643 with 400.
 const wrongHalfCost = 150.0 // ms
 
 // halves splits the engines of a model, alike at every entry: long prompts go
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,6 +37,12 @@
 	// userTimeout ends a connection whose bytes are not acknowledged: a partition
 	// drops them without a word.
 	userTimeout = 3 * time.Second
+	// A server that loses its power answers nothing while a request waits for its
+	// next event; probes tell within probeIdle + probes * probeEvery, so that a
+	// stream that may be resumed goes on elsewhere long before its caller leaves.
+	probeIdle  = time.Second
+	probeEvery = 500 * time.Millisecond
+	probes     = 3
 	// foreignLimit is how many answers to other requests are passed over before
 	// the connection is given up: a server may send an answer twice.
 	foreignLimit = 2
@@ -76,7 +82,10 @@
 
 // NewSender returns a Sender.
 func NewSender(cfg Config) *Sender {
-	return &Sender{cfg: cfg, dialer: net.Dialer{Timeout: dialWait, KeepAlive: -1, Control: setUserTimeout}}
+	return &Sender{cfg: cfg, dialer: net.Dialer{
+		Timeout: dialWait, Control: setUserTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probes},
+	}}
 }
 
 // Open returns the number of open connections.
