Explain a request from logs: fennelyard explain

One story from the lines of several processes: the request's own, and what was believed of its server, model, pool and leader shortly before.

--- a/internal/gateway/attend.go
+++ b/internal/gateway/attend.go
@@ -35,6 +35,10 @@
 	leader string
 	next   int
 	named  map[string]bool
+	// found is set while a leader is followed; told is when it was last logged
+	// that there is none.
+	found bool
+	told  time.Time
 	// pruned is set once servers unknown to a settled leader were dropped.
 	pruned bool
 
@@ -50,7 +54,7 @@
 		address := a.pick()
 		if address != "" {
 			err := a.attend(address)
-			a.g.cfg.Log.Info("leader lost", "address", address, "error", text(err))
+			a.logEnd(address, err)
 			if errors.Is(err, errNotLeader) {
 				a.pauseOr(nextPause / 5)
 				continue
@@ -69,6 +73,20 @@
 	}
 }
 
+// logEnd logs that a leader was lost, and at most once a second that none is
+// found: the control hosts are tried many times a second.
+func (a *attendant) logEnd(address string, err error) {
+	if a.found {
+		a.found = false
+		a.g.cfg.Log.Info("leader lost", "address", address, "error", text(err))
+		return
+	}
+	if time.Since(a.told) > time.Second {
+		a.told = time.Now()
+		a.g.cfg.Log.Info("no leader found", "asked", address, "error", text(err))
+	}
+}
+
 func (a *attendant) pauseOr(d time.Duration) bool {
 	select {
 	case <-a.g.stop:
@@ -130,7 +148,7 @@
 			return errNotLeader
 		}
 		if first {
-			a.leader = address
+			a.leader, a.found = address, true
 			a.g.cfg.Log.Info("leader found", "address", address)
 		}
 		a.take(news)
--- a/internal/loading/driver_test.go
+++ b/internal/loading/driver_test.go
@@ -42,7 +42,7 @@
 	random  *rand.Rand
 	engines map[string]*standin
 	// lost is the share of orders without an answer; half of these arrive.
-	lost float64
+	lost   float64
 	stores []time.Time
 }
 
--- /dev/null
+++ b/internal/story/story_test.go
@@ -0,0 +1,55 @@
+package story_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelyard/internal/story"
+)
+
+const logs = `
+core-1 {"time":"2026-01-02T03:04:01Z","level":"INFO","msg":"order given","host":"core-1","logger":"loading","server":"s1","model":"m","outcome":"unknown"}
+core-1 {"time":"2026-01-02T03:04:01Z","level":"INFO","msg":"order given","host":"core-1","logger":"loading","server":"s9","model":"other","outcome":"taken"}
+core-1 {"time":"2026-01-02T03:03:01Z","level":"INFO","msg":"order given","host":"core-1","logger":"loading","server":"s1","model":"m","outcome":"taken"}
+{"time":"2026-01-02T03:04:02Z","level":"INFO","msg":"leader lost","host":"e1","logger":"entry","error":"silent"}
+{"time":"2026-01-02T03:04:03Z","level":"INFO","msg":"request","host":"e1","id":"42","outcome":"no-model","status":503,"model":"m","waited-ms":2000,"took-ms":2001}
+{"time":"2026-01-02T03:04:03Z","level":"INFO","msg":"request","host":"e1","id":"43","outcome":"served","status":200}
+not a log line
+`
+
+// A caller complains; the id leads to the refusal, to the order for its model
+// that had no answer, and to the leader that the entry had lost.
+func TestFromIDToCause(t *testing.T) {
+	lines, err := story.Read(strings.NewReader(logs))
+	require.NoError(t, err)
+	s, err := story.Tell("42", lines)
+	require.NoError(t, err)
+	require.Len(t, s.Requests, 1)
+	require.Contains(t, story.Cause(s.Requests[0]), "no server held model m; after 2s")
+	require.Len(t, s.Beliefs, 2)
+	require.Contains(t, s.Beliefs[0].String(), "order given model=m outcome=unknown server=s1")
+	require.Contains(t, s.Beliefs[1].String(), "leader lost error=silent")
+	require.False(t, s.Dropped)
+	_, err = story.Tell("44", lines)
+	require.ErrorIs(t, err, story.ErrUnknown)
+}
+
+// Every outcome that a request can be logged with has a sentence of its own.
+func TestEveryOutcomeHasACause(t *testing.T) {
+	seen := map[string]bool{}
+	for _, outcome := range []string{
+		"served", "server-failed", "no-route", "no-configuration", "no-server", "no-model", "busy", "repeat-budget",
+		"outcome-unknown", "cut", "timeout", "caller-gone", "bad-body",
+	} {
+		lines, err := story.Read(strings.NewReader(
+			`{"time":"2026-01-02T03:04:03Z","msg":"request","id":"1","outcome":"` + outcome + `"}`))
+		require.NoError(t, err)
+		s, err := story.Tell("1", lines)
+		require.NoError(t, err)
+		cause := story.Cause(s.Requests[0])
+		require.False(t, seen[cause], "%s: %s", outcome, cause)
+		seen[cause] = true
+	}
+}
