End an entry's stream to the leader when the entry stops

Change: the stream ends with the gateway. Test: TestStopWhileTheLeaderSpeaks hangs without the change; with it also: an entry follows to the leader that is named, and leaves one that is silent.

--- a/internal/gateway/attend.go
+++ b/internal/gateway/attend.go
@@ -121,6 +121,16 @@
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
+	over := make(chan struct{})
+	defer close(over)
+	go func() {
+		// It ends with the stream or with the gateway.
+		select {
+		case <-a.g.stop:
+			cancel(errors.New("stopping"))
+		case <-over:
+		}
+	}()
 	silence := time.AfterFunc(leaderSilence, func() { cancel(errors.New("silent")) })
 	defer silence.Stop()
 	stream, err := client.Attend(ctx)
