Let entries know what the others have at the engines

Change: entries tell the leader what they have at the engines, the leader tells all the sum once a beat, the 64 busiest at most.

--- a/internal/gateway/attend.go
+++ b/internal/gateway/attend.go
@@ -190,7 +190,7 @@
 	defer ticker.Stop()
 	for {
 		news.Stopping, news.Taken = a.g.stopping.Load(), taken.get()
-		news.Demands = a.g.asked.collect()
+		news.Demands, news.Loads = a.g.asked.collect(), a.g.fleet.loads()
 		if err := stream.Send(news); err != nil {
 			return
 		}
@@ -228,6 +228,9 @@
 		a.pruned = a.pruned || prune
 		a.g.logServers(news)
 	}
+	if l := news.GetLoads(); l != nil {
+		a.g.fleet.hear(l.GetLoads())
+	}
 	if l := news.GetEntries(); l != nil {
 		a.g.setEntries(l.GetEntries())
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -104,7 +104,8 @@
 	var best *server
 	var bestCost float64
 	for rank, s := range able {
-		cost := float64(s.unread+s.uncached(c))/readRate + runCost*float64(s.running) + rankCost*float64(rank)
+		cost := float64(s.unread+s.others.unread+s.uncached(c))/readRate +
+			runCost*float64(s.running+s.others.running) + rankCost*float64(rank)
 		if wrong[s] {
 			cost += wrongHalfCost
 		}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -31,6 +31,9 @@
 	// unread is the number of prompt tokens that this entry sent there and that
 	// are not known to be read.
 	unread int
+	// told is what this entry last told the leader of the two above, and others
+	// what the other entries have there by the leader's last word.
+	told, others load
 	// parts holds the prompt parts that this entry sent there, by model and id,
 	// with the number of the request that last did.
 	parts    map[string]uint64
@@ -42,6 +45,11 @@
 	absent map[string]time.Time
 }
 
+// load is what is at an engine.
+type load struct {
+	running, unread int
+}
+
 func newServer(v *schema.RosterServer) *server {
 	s := &server{parts: map[string]uint64{}, absent: map[string]time.Time{}}
 	s.update(v)
@@ -157,6 +165,38 @@
 	return len(f.servers)
 }
 
+// loads returns what this entry has at the engines, for the leader.
+func (f *fleet) loads() []*schema.EngineLoad {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*schema.EngineLoad
+	for id, s := range f.servers {
+		s.told = load{s.running, s.unread}
+		if len(s.models) > 0 && s.running > 0 {
+			out = append(out, &schema.EngineLoad{Server: id, Running: uint32(s.running), Unread: uint32(max(s.unread, 0))})
+		}
+	}
+	return out
+}
+
+// hear takes in what all entries have at the engines. This entry's own part, as
+// it told it last, is taken off: of its own it knows the present.
+func (f *fleet) hear(loads []*schema.EngineLoad) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		s.others = load{}
+	}
+	for _, l := range loads {
+		if s := f.servers[l.GetServer()]; s != nil {
+			s.others = load{
+				running: max(int(l.GetRunning())-s.told.running, 0),
+				unread:  max(int(l.GetUnread())-s.told.unread, 0),
+			}
+		}
+	}
+}
+
 // begin notes that a request is about to be sent. It returns how many of its
 // tokens the server has to read, and what this entry had there before.
 func (f *fleet) begin(s *server, c *Call) (tokens, running, unread int) {
--- a/internal/role/attend.go
+++ b/internal/role/attend.go
@@ -84,6 +84,7 @@
 func (a *attending) hear(news *schema.EntryNews) {
 	host := a.entry.GetHost()
 	a.c.roster.Hear(a.number, host, news.GetStopping())
+	a.c.roster.Load(a.number, host, news.GetLoads())
 	a.c.driver.Demand(host, news.GetDemands())
 	var waiting []*schema.ModelDemand
 	for _, d := range news.GetDemands() {
@@ -107,6 +108,7 @@
 	ticker := time.NewTicker(beat)
 	defer ticker.Stop()
 	var waiting []*schema.ModelDemand
+	due := true
 	for {
 		if !a.c.group.Status().Current {
 			return nil
@@ -115,6 +117,9 @@
 		news := a.news()
 		news.Forecasts = a.c.driver.Forecasts(waiting)
 		waiting = nil
+		if due {
+			news.Loads, due = a.c.roster.Loads(), false
+		}
 		if err := a.stream.Send(news); err != nil {
 			return errors.Newf("tell entry: %w", err)
 		}
@@ -125,6 +130,7 @@
 			return nil
 		case waiting = <-a.waiting:
 		case <-ticker.C:
+			due = true
 		case <-known:
 		case <-changed:
 		}
--- a/internal/roster/entries.go
+++ b/internal/roster/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -21,6 +22,8 @@
 	// stream tells an entry's newer stream from an older one that ends late.
 	stream uint64
 	silent bool
+	// loads is what the entry has at the engines.
+	loads []*schema.EngineLoad
 }
 
 // Attend notes that an entry speaks on a stream; stream numbers grow.
@@ -51,6 +54,47 @@
 	}
 }
 
+// Load notes what an entry has at the engines.
+func (r *Roster) Load(stream uint64, host string, loads []*schema.EngineLoad) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a := r.entries[host]; a != nil && a.stream == stream {
+		a.loads = loads
+	}
+}
+
+// maxLoads bounds how many engines' loads are passed on in one word, the
+// busiest: at 25 bytes each and three words a second, 5 KB/s an entry.
+const maxLoads = 64
+
+// Loads returns what all entries that speak have at the engines.
+func (r *Roster) Loads() *schema.EngineLoads {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sums := map[string]*schema.EngineLoad{}
+	for _, a := range r.entries {
+		if a.silent {
+			continue
+		}
+		for _, l := range a.loads {
+			s := sums[l.GetServer()]
+			if s == nil {
+				s = &schema.EngineLoad{Server: l.GetServer()}
+				sums[l.GetServer()] = s
+			}
+			s.Running += l.GetRunning()
+			s.Unread += l.GetUnread()
+		}
+	}
+	out := &schema.EngineLoads{Loads: slices.Collect(maps.Values(sums))}
+	slices.SortFunc(out.Loads, func(a, b *schema.EngineLoad) int {
+		return cmp.Or(cmp.Compare(b.GetUnread(), a.GetUnread()), cmp.Compare(b.GetRunning(), a.GetRunning()),
+			cmp.Compare(a.GetServer(), b.GetServer()))
+	})
+	out.Loads = out.Loads[:min(len(out.Loads), maxLoads)]
+	return out
+}
+
 // Leave notes the end of an entry's stream.
 func (r *Roster) Leave(stream uint64, host string) {
 	r.mu.Lock()
