--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -220,11 +221,12 @@
 // patience ends an attempt that has shown nothing for long, where the request
 // may be sent elsewhere.
 func (x *exchange) patience(cancel func(), left time.Duration) *time.Timer {
+	aim := time.Duration(x.route.GetAimMs()) * time.Millisecond
+	timer := time.AfterFunc(min(max(aim*3/2, patienceLeast), left*2/3), cancel)
 	if !x.mayRepeat() {
-		return time.AfterFunc(left+time.Hour, func() {})
+		timer.Stop()
 	}
-	aim := time.Duration(x.route.GetAimMs()) * time.Millisecond
-	return time.AfterFunc(min(max(aim*3/2, patienceLeast), left*2/3), cancel)
+	return timer
 }
 
 // patienceLeast is the least time without a word after which a repeatable
@@ -382,7 +384,7 @@
 	if time.Until(x.deadline) < minLeft {
 		return false
 	}
-	tried := append(x.tried, x.server.view.GetId())
+	tried := slices.Concat(x.tried, []string{x.server.view.GetId()})
 	return x.g.fleet.choose(x.pool, &x.call, tried, time.Now(), x.random) != nil &&
 		x.g.budget(x.pool).peek(time.Now(), x.g.entryCount())
 }
