Forecast loads through a change of leader, and overdue ones honestly

Change: a model with a copy is forecast for the end of the lease and its load; an overdue load is expected to take as long again. Tests: both forecasts; they fail without the change.

--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -147,13 +147,33 @@
 		return idle + adapterLoad, true
 	}
 	if e.phase <= phaseKnown || e.order.Adapter != "" {
-		return 0, false
+		return d.couldIn(e, x.GetModel(), idle)
 	}
 	switch {
 	case e.order.Load && e.order.Model == x.GetModel():
-		return max(e.given.Add(d.loadTime(e)).Sub(now), adapterLoad), true
+		return remaining(now.Sub(e.given), d.loadTime(e)), true
 	case !e.order.Load && e.order.For == x.GetModel():
 		return d.loadTimeOf(e, x.GetModel()) + dueSlack, true
 	}
 	return 0, false
 }
+
+// remaining tells how much longer a load should take. One that is overdue is
+// expected to take as long again: the weight store is slow by an unknown factor,
+// and callers who are told that it is nearly done wait until their time is over.
+func remaining(gone, takes time.Duration) time.Duration {
+	if gone > takes {
+		return gone
+	}
+	return max(takes-gone, adapterLoad)
+}
+
+// couldIn tells when an engine without an order could hold a model of which it
+// has a copy. Callers of a rare model are kept through a change of leader by it
+// where their time allows, instead of being refused for want of a forecast.
+func (d *Driver) couldIn(e *engine, model string, idle time.Duration) (time.Duration, bool) {
+	if !e.inMemory[model] && !e.onDisk[model] {
+		return 0, false
+	}
+	return idle + d.loadTimeOf(e, model) + dueSlack, true
+}
--- a/internal/loading/driver_test.go
+++ b/internal/loading/driver_test.go
@@ -44,6 +44,8 @@
 	// lost is the share of orders without an answer; half of these arrive.
 	lost   float64
 	stores []time.Time
+	// storeTime is how long a load from the weight store takes.
+	storeTime time.Duration
 }
 
 // standin is one engine.
@@ -59,7 +61,7 @@
 }
 
 func newSite(t *testing.T, seed uint64) *site {
-	s := &site{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 3)), engines: map[string]*standin{}}
+	s := &site{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 3)), engines: map[string]*standin{}, storeTime: 6 * time.Second}
 	s.pool = &schema.Pool{Name: "llm", Engine: &schema.EngineSpec{MemoryMb: memoryMB, AdapterPlaces: places, LoadsPerSecond: 3}}
 	for i := range 8 {
 		s.pool.Engine.Models = append(s.pool.Engine.Models, &schema.ModelSpec{
@@ -158,7 +160,7 @@
 	e.busy = true
 	took := 500 * time.Millisecond
 	if !e.disk[model] {
-		took = 6 * time.Second
+		took = s.storeTime
 		s.stores = append(s.stores, time.Now())
 	}
 	s.weigh(e, loading.Order{Load: true, Model: model})
@@ -354,3 +356,51 @@
 		}
 	})
 }
+
+func forecast(d *loading.Driver, model string) time.Duration {
+	list := d.Forecasts([]*schema.ModelDemand{{Pool: "llm", Model: model, Waiting: 1}})
+	return time.Duration(list[0].GetReadyInMs()) * time.Millisecond
+}
+
+// The leader has just changed and gives no orders for four seconds. Callers of a
+// model that lies on an engine's disk are told when it can be there, so that
+// those with time are kept; of a model without any copy nothing is promised.
+func TestForecastWhileNoOrdersAreGiven(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1)
+		s.engines["e2"].disk["m3"] = true
+		h := newHosts(s)
+		h.elect(1)
+		h.announce(s, 1)
+		time.Sleep(200 * time.Millisecond)
+		got := forecast(h.drivers[1], "m3")
+		require.Greater(t, got, lease)
+		require.Less(t, got, lease+3*time.Second)
+		require.Negative(t, forecast(h.drivers[1], "m4"))
+		for _, d := range h.drivers {
+			d.Stop()
+		}
+	})
+}
+
+// The weight store is slower than the configuration says. A caller that comes
+// after the time at which the load should have ended must not be told that it is
+// nearly there: it would wait until its time is over.
+func TestForecastOfAnOverdueLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1)
+		s.storeTime = time.Minute
+		h := newHosts(s)
+		waiting := []*schema.ModelDemand{{Pool: "llm", Model: "m4", Arrived: 1, Waiting: 1}}
+		for beat := range uint64(20) {
+			h.announce(s, beat+1)
+			h.drivers[0].Demand("entry", waiting)
+			time.Sleep(1200 * time.Millisecond)
+		}
+		require.Greater(t, forecast(h.drivers[0], "m4"), 5*time.Second)
+		for _, d := range h.drivers {
+			d.Stop()
+		}
+		time.Sleep(2 * time.Minute)
+	})
+}
