Keep the platform's words of the soak under platform/, split the order driver

The soak's callers, servers and operator speak through platform/standin; giving orders and taking their answers is a file of its own. No behaviour changes.

--- a/cmd/fennelyard/soak_test.go
+++ b/cmd/fennelyard/soak_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -12,13 +11,14 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"fennelyard/platform/standin"
 )
 
 var (
@@ -97,23 +97,19 @@
 // serve is a backend server: it counts each run and answers under the request's
 // id, as a whole or in events.
 func (s *soak) serve(w http.ResponseWriter, q *http.Request) {
-	id := q.Header.Get("Request-Id")
+	id, kind, after := standin.Accept(w, q)
 	s.mu.Lock()
 	s.runs[id]++
-	twice := s.runs[id] > 1 && strings.HasPrefix(q.URL.Path, "/once/")
+	twice := s.runs[id] > 1 && kind == standin.Once
 	s.mu.Unlock()
 	if twice {
 		s.fault("%s ran twice", id)
 	}
-	w.Header().Set("Request-Id", id)
-	w.Header().Set("Response-Signature", "s")
-	if !strings.HasPrefix(q.URL.Path, "/stream/") {
+	if kind != standin.Stream {
 		time.Sleep(time.Duration(len(id)%7) * 5 * time.Millisecond)
 		_, _ = io.WriteString(w, "answer "+id)
 		return
 	}
-	var after int
-	_, _ = fmt.Sscan(q.Header.Get("Last-Event-Id"), &after)
 	for i := after + 1; i <= soakEvents && q.Context().Err() == nil; i++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, id)
 		_ = http.NewResponseController(w).Flush()
@@ -124,9 +120,10 @@
 // announce tells the control hosts of a server until the soak ends.
 func (s *soak) announce(i int, address string) {
 	for sequence := 1; s.ctx.Err() == nil; sequence++ {
-		body := fmt.Sprintf(`{"Backend":"app","Address":%q,"Zone":"a","Slots":50,"State":"ready","Seq":%d}`, address, sequence)
+		path, body := standin.Announcement(fmt.Sprint("i-", i), address, sequence)
 		for c := range soakControls {
-			if status, _ := s.call(http.MethodPut, s.operators((i+c)%soakControls)+fmt.Sprintf("/v1/instances/i-%d", i), body, nil, 500*time.Millisecond); status == http.StatusOK {
+			status, _ := s.call(http.MethodPut, s.operators((i+c)%soakControls)+path, body, nil, 500*time.Millisecond)
+			if status == http.StatusOK {
 				break
 			}
 		}
@@ -142,7 +139,7 @@
 	if err != nil {
 		return 0, ""
 	}
-	q.Host = "soak.example"
+	q.Host = standin.Host
 	for k, v := range header {
 		q.Header[k] = v
 	}
@@ -156,7 +153,7 @@
 	if err != nil {
 		return 0, ""
 	}
-	if r.StatusCode == http.StatusOK && header != nil && r.Header.Get("Response-Signature") == "" {
+	if r.StatusCode == http.StatusOK && header != nil && !standin.Signed(r.Header) {
 		s.fault("a success without the server's signature: %q", data)
 	}
 	return r.StatusCode, string(data)
@@ -166,10 +163,9 @@
 func (s *soak) ask(caller int, r *rand.Rand) {
 	for n := 0; s.ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%d-%d-%d", s.seed, caller, n)
-		kind := []string{"once", "again", "stream"}[r.IntN(3)]
-		header := http.Header{"Request-Id": {id}, "Deadline-Ms": {"2000"}}
+		kind := standin.Kinds[r.IntN(len(standin.Kinds))]
 		url := fmt.Sprintf("http://%s:%d/%s/x", s.entry(r.IntN(soakEntries)), s.port+2, kind)
-		status, body := s.call(http.MethodPost, url, "body", header, 3*time.Second)
+		status, body := s.call(http.MethodPost, url, "body", standin.RequestHeader(id, 2000), 3*time.Second)
 		s.judge(id, kind, status, body)
 		time.Sleep(time.Duration(r.IntN(20)) * time.Millisecond)
 	}
@@ -177,7 +173,7 @@
 
 func (s *soak) judge(id, kind string, status int, body string) {
 	want := "answer " + id
-	if kind == "stream" {
+	if kind == standin.Stream {
 		want = ""
 		for i := range soakEvents {
 			want += fmt.Sprintf("id: %d\ndata: %s\n\n", i+1, id)
@@ -191,26 +187,16 @@
 	if status == http.StatusOK {
 		s.served++
 	}
-	if kind == "once" && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
+	if kind == standin.Once && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
 		s.refused[id] = true
 	}
 }
 
-func (s *soak) config(version uint64) string {
-	var routes []string
-	for _, kind := range []string{"once", "again", "stream"} {
-		t := map[string]string{"once": "unsafe", "again": "safe", "stream": "streaming"}[kind]
-		routes = append(routes, fmt.Sprintf(`{"Name":%q,"Hostname":"soak.example","PathPrefix":"/%s/","RouteType":%q,"TimeoutMs":2000,"TargetLatencyMs":300,"Backend":"app","MaxAttempts":2,"Resumable":%v}`,
-			kind, kind, t, kind == "stream"))
-	}
-	return fmt.Sprintf(`{"Version":%d,"Routes":[%s],"Services":[{"Name":"app","MaxConns":500}],"Limits":{"MaxBodyBytes":65536}}`, version, strings.Join(routes, ","))
-}
-
 // operate sends configurations and reads them back: what is read must never be
 // older than what was acknowledged before.
 func (s *soak) operate(r *rand.Rand) {
 	for version := uint64(2); s.ctx.Err() == nil; version++ {
-		if status, _ := s.call(http.MethodPut, s.operators(r.IntN(soakControls))+"/v1/config", s.config(version), nil, time.Second); status == http.StatusOK {
+		if status, _ := s.call(http.MethodPut, s.operators(r.IntN(soakControls))+standin.ConfigPath, standin.Config(version), nil, time.Second); status == http.StatusOK {
 			s.mu.Lock()
 			s.acked = max(s.acked, version)
 			s.mu.Unlock()
@@ -224,15 +210,15 @@
 	s.mu.Lock()
 	least := s.acked
 	s.mu.Unlock()
-	status, body := s.call(http.MethodGet, s.operators(control)+"/v1/config", "", nil, time.Second)
+	status, body := s.call(http.MethodGet, s.operators(control)+standin.ConfigPath, "", nil, time.Second)
 	if status != http.StatusOK {
 		return 0, false
 	}
-	var got struct{ Version uint64 }
-	if err := json.Unmarshal([]byte(body), &got); err != nil || got.Version < least {
-		s.fault("read version %d after %d was acknowledged: %v", got.Version, least, err)
+	version, err := standin.Version(body)
+	if err != nil || version < least {
+		s.fault("read version %d after %d was acknowledged: %v", version, least, err)
 	}
-	return got.Version, true
+	return version, true
 }
 
 // harm injects one fault after the other; several overlap.
@@ -320,7 +306,7 @@
 		s.start(fmt.Sprint("entry-", i), true)
 	}
 	require.Eventually(t, func() bool {
-		status, _ := s.call(http.MethodPut, s.operators(0)+"/v1/config", s.config(1), nil, time.Second)
+		status, _ := s.call(http.MethodPut, s.operators(0)+standin.ConfigPath, standin.Config(1), nil, time.Second)
 		return status == http.StatusOK
 	}, patience, 50*time.Millisecond)
 	var wg sync.WaitGroup
--- /dev/null
+++ b/internal/loading/giving.go
@@ -0,0 +1,207 @@
+package loading
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// begin gives the order of an action.
+func (d *Driver) begin(e *engine, a Action, now time.Time) {
+	if e == nil || e.phase != phaseKnown {
+		return
+	}
+	e.order, e.given, e.tries = a, now, 0
+	e.phase = phaseUncertain
+	d.publish(e)
+	d.give(e, now)
+}
+
+// give sends the order under way, for the first time or again.
+func (d *Driver) give(e *engine, now time.Time) {
+	e.phase = phaseGiving
+	e.tries++
+	d.token++
+	o := Order{
+		Server: e.id, Load: e.order.Load, Model: e.order.Model, Adapter: e.order.Adapter, Taken: e.taken,
+		Holder: d.cfg.Holder, Token: d.term<<tokenBits | d.token,
+	}
+	if e.order.FromStore {
+		d.begun[e.pool] = append(d.begun[e.pool], now)
+	}
+	address := e.address
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		outcome, err := d.send(address, o)
+		d.answered(e, o, outcome, err)
+		d.wake()
+	}()
+}
+
+// tokenBits is the part of a token that counts a leader's orders; the term is
+// above it, so that tokens grow over all leaders.
+const tokenBits = 24
+
+// errNotLeading says that the order did not leave.
+var errNotLeading = errors.New("this host's lead is not confirmed")
+
+func (d *Driver) send(address string, o Order) (Outcome, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderWait)
+	defer cancel()
+	if err := d.confirm(ctx); err != nil {
+		return OutcomeUnknown, errors.Newf("confirm lead: %w", errNotLeading)
+	}
+	outcome, err := d.cfg.Engines.Give(ctx, address, o)
+	if err != nil {
+		return OutcomeUnknown, errors.Newf("give order: %w", err)
+	}
+	return outcome, nil
+}
+
+// confirm has a quorum confirm that this host leads, unless it did just now. A
+// leader that was cut off or frozen would otherwise give orders beside its
+// successor's.
+func (d *Driver) confirm(ctx context.Context) error {
+	d.mu.Lock()
+	began, last := d.cfg.Now(), d.confirmed
+	d.mu.Unlock()
+	if began.Sub(last) < confirmFor {
+		return nil
+	}
+	if err := d.cfg.Confirm(ctx); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if began.After(d.confirmed) {
+		d.confirmed = began
+	}
+	return nil
+}
+
+// answered takes an engine's answer to an order in.
+func (d *Driver) answered(e *engine, o Order, outcome Outcome, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.cfg.Now()
+	d.cfg.Log.Info("order given", "server", o.Server, "load", o.Load, "model", o.Model, "adapter", o.Adapter,
+		"taken", o.Taken, "token", o.Token, "from-store", e.order.FromStore, "outcome", outcome.String(), "error", text(err))
+	if d.cfg.Ordered != nil {
+		d.cfg.Ordered(outcome, o.Load, o.Adapter != "")
+	}
+	if d.engines[e.id] != e {
+		return
+	}
+	switch outcome {
+	case OutcomeTaken:
+		d.accepted(e, now)
+	case OutcomeHolds:
+		if !o.Load && o.Adapter != "" {
+			// An adapter goes at once, which counts as an order that was taken.
+			e.taken++
+		}
+		d.finish(e, now)
+	case OutcomeConflict, OutcomeRefused:
+		// The state differs from what was believed; reports lag behind it.
+		e.phase, e.notBefore = phaseUnknown, now.Add(reportLag)
+	case OutcomeOther:
+		delete(d.engines, e.id)
+	case OutcomeUnknown:
+		e.notBefore = now.Add(againSoon)
+		e.phase = phaseUncertain
+		if errors.Is(err, errNotLeading) && e.tries == 1 {
+			e.phase = phaseKnown
+		}
+	}
+	d.publish(e)
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func (d *Driver) accepted(e *engine, now time.Time) {
+	e.taken++
+	e.touched = now
+	e.phase = phaseWorking
+	switch {
+	case e.order.Adapter != "" && e.order.Load:
+		e.due = now.Add(adapterLoad)
+		d.wg.Add(1)
+		go func() {
+			defer d.wg.Done()
+			time.Sleep(adapterLoad)
+			d.wake()
+		}()
+	case e.order.Adapter != "":
+		d.finish(e, now)
+	case e.order.Load:
+		e.due = now.Add(d.loadTime(e) + dueSlack)
+	default:
+		e.due = now.Add(dueSlack)
+	}
+}
+
+func (d *Driver) loadTime(e *engine) time.Duration { return d.loadTimeOf(e, e.order.Model) }
+
+func (d *Driver) loadTimeOf(e *engine, model string) time.Duration {
+	for _, m := range d.pools[e.pool].GetEngine().GetModels() {
+		if m.GetName() != model {
+			continue
+		}
+		switch {
+		case e.inMemory[model]:
+			return time.Duration(m.GetLoadMemoryMs()) * time.Millisecond
+		case e.onDisk[model]:
+			return time.Duration(m.GetLoadDiskMs()) * time.Millisecond
+		}
+		return time.Duration(m.GetLoadStoreMs()) * time.Millisecond
+	}
+	return 0
+}
+
+// ask asks an engine for a report.
+func (d *Driver) ask(e *engine, now time.Time) {
+	address, phase, taken := e.address, e.phase, e.taken
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), orderWait)
+		defer cancel()
+		r, err := d.cfg.Engines.Ask(ctx, address, e.id)
+		d.reported(e, phase, taken, now, r, err)
+		d.wake()
+	}()
+}
+
+// reported takes a report in, if nothing has changed since it was asked for.
+func (d *Driver) reported(e *engine, asked phase, taken uint64, at time.Time, r Report, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil {
+		d.cfg.Log.Info("no report", "server", e.id, "error", err.Error())
+		return
+	}
+	if d.engines[e.id] != e || e.phase != asked || e.taken != taken || at.Sub(e.touched) < reportLag {
+		return
+	}
+	now := d.cfg.Now()
+	d.cfg.Log.V(1).Info("report", "server", e.id, "taken", r.Taken, "busy", r.Busy, "held", len(r.Held))
+	if r.Busy {
+		return
+	}
+	if asked == phaseWorking && d.seenDone(e, r.Held) {
+		d.finish(e, now)
+	} else if asked == phaseWorking {
+		d.cfg.Log.Info("order not carried out", "server", e.id, "load", e.order.Load, "model", e.order.Model, "taken", r.Taken)
+	}
+	e.taken = r.Taken
+	e.learn(r.Held, now)
+	e.phase = phaseKnown
+	d.publish(e)
+}
