Read a server's id and address without its lock only where they never change

Found by reading: the server chosen for a request was asked for its id and address while the leader's word could replace what holds them. Both never change in an incarnation's life and stand beside it now. A word of announcements and a time of the pace that nothing used are gone; the soak looks for data races in the processes' logs.

--- a/cmd/fennelyard/soak_test.go
+++ b/cmd/fennelyard/soak_test.go
@@ -343,6 +343,10 @@
 		require.False(s.t, s.refused[id], "seed %d: %s ran %d times and was said not to have run", s.seed, id, n)
 	}
 	require.Empty(s.t, s.broken, "seed %d", s.seed)
+	for name, p := range s.fleet.processes {
+		// The program is built as this test is: with the race detector in CI.
+		require.NotContains(s.t, p.log.String(), "DATA RACE", "seed %d: %s", s.seed, name)
+	}
 	require.Positive(s.t, s.served, "seed %d", s.seed)
 	s.t.Logf("seed %d: %d requests served, %d refused as not run, version %d acknowledged", s.seed, s.served, len(s.refused), s.acked)
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -30,7 +30,7 @@
 	defer f.mu.Unlock()
 	var able []*server
 	for _, s := range f.servers {
-		if s.view.GetPool() != pool || !s.ready() || slices.Contains(not, s.view.GetId()) {
+		if s.view.GetPool() != pool || !s.ready() || slices.Contains(not, s.id) {
 			continue
 		}
 		if c.Model != "" && !s.holds(c.Model, c.Adapter, now) {
@@ -54,7 +54,7 @@
 // entry: entries that all took the first one would meet there.
 func leastBusy(able []*server, random func(int) int) *server {
 	slices.SortFunc(able, func(a, b *server) int {
-		return cmp.Or(cmp.Compare(a.running, b.running), cmp.Compare(a.view.GetId(), b.view.GetId()))
+		return cmp.Or(cmp.Compare(a.running, b.running), cmp.Compare(a.id, b.id))
 	})
 	n := 1
 	for n < len(able) && able[n].running == able[0].running {
@@ -92,7 +92,7 @@
 	}
 	order := slices.Clone(able)
 	slices.SortFunc(order, func(a, b *server) int {
-		return cmp.Or(cmp.Compare(weight(c.Model, b), weight(c.Model, a)), cmp.Compare(a.view.GetId(), b.view.GetId()))
+		return cmp.Or(cmp.Compare(weight(c.Model, b), weight(c.Model, a)), cmp.Compare(a.id, b.id))
 	})
 	forLong := len(order) - max(len(order)/shortPart, 1)
 	long := c.PromptTokens >= longPrompt
@@ -109,7 +109,7 @@
 	key := affinity(c)
 	other := otherPart(able, c)
 	slices.SortFunc(able, func(a, b *server) int {
-		return cmp.Or(cmp.Compare(weight(key, b), weight(key, a)), cmp.Compare(a.view.GetId(), b.view.GetId()))
+		return cmp.Or(cmp.Compare(weight(key, b), weight(key, a)), cmp.Compare(a.id, b.id))
 	})
 	var best *server
 	var bestCost float64
@@ -141,4 +141,4 @@
 // weight orders servers for a key alike at every entry (rendezvous hashing), so
 // that entries send what shares a prompt part to the same engine without a word
 // to each other.
-func weight(key string, s *server) uint64 { return xxhash.Sum64String(key + "/" + s.view.GetId()) }
+func weight(key string, s *server) uint64 { return xxhash.Sum64String(key + "/" + s.id) }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -200,7 +200,7 @@
 	patience := x.patience(cancel, left)
 	defer patience.Stop()
 	sent := time.Now()
-	answer, err := x.g.cfg.Sender.Send(ctx, s.view.GetAddress(), x.request(left, 0))
+	answer, err := x.g.cfg.Sender.Send(ctx, s.address, x.request(left, 0))
 	if err != nil {
 		return x.failed(s, err)
 	}
@@ -241,7 +241,7 @@
 func (x *exchange) request(left time.Duration, after int64) *relay.Request {
 	h := relay.PassedOn(x.r.Header)
 	x.g.cfg.Codec.Mark(h, Mark{
-		Server: x.server.view.GetId(), Left: left, After: after, Urgency: int(min(x.route.GetPriority(), 9)),
+		Server: x.server.id, Left: left, After: after, Urgency: int(min(x.route.GetPriority(), 9)),
 	})
 	id := x.call.ID
 	return &relay.Request{
@@ -258,7 +258,7 @@
 		return false
 	}
 	x.g.fleet.bad(s, time.Now())
-	x.tried = append(x.tried, s.view.GetId())
+	x.tried = append(x.tried, s.id)
 	if errors.Is(err, relay.ErrNotSent) {
 		x.attempts--
 		return x.timeLeft()
@@ -287,7 +287,7 @@
 
 // notRun deals with a server's word that it did not run the request.
 func (x *exchange) notRun(s *server, answer *relay.Answer, v Verdict) bool {
-	x.cause = errors.Newf("server %s: status %d, not run", s.view.GetId(), answer.Status)
+	x.cause = errors.Newf("server %s: status %d, not run", s.id, answer.Status)
 	if v.Elsewhere && x.call.Model != "" {
 		x.g.fleet.lacks(s, x.call.Model, x.call.Adapter, time.Now())
 		return x.timeLeft()
@@ -297,8 +297,7 @@
 		x.g.fleet.lacks(s, x.call.Model, x.call.Adapter, time.Now())
 		return x.timeLeft()
 	}
-	x.tried = append(x.tried, s.view.GetId())
-	x.g.pace(x.pool).shed(time.Now())
+	x.tried = append(x.tried, s.id)
 	if x.attempts >= busyTries {
 		x.giveUp(OutcomeBusy, x.g.pace(x.pool).wait())
 		return false
@@ -358,8 +357,8 @@
 	}
 	x.g.fleet.good(s)
 	if answer.Status >= http.StatusInternalServerError && x.mayRepeatNow() {
-		x.cause = errors.Newf("server %s: status %d", s.view.GetId(), answer.Status)
-		x.tried = append(x.tried, s.view.GetId())
+		x.cause = errors.Newf("server %s: status %d", s.id, answer.Status)
+		x.tried = append(x.tried, s.id)
 		return true
 	}
 	x.pass(answer)
@@ -384,7 +383,7 @@
 	if time.Until(x.deadline) < minLeft {
 		return false
 	}
-	tried := slices.Concat(x.tried, []string{x.server.view.GetId()})
+	tried := slices.Concat(x.tried, []string{x.server.id})
 	return x.g.fleet.choose(x.pool, &x.call, tried, time.Now(), x.random) != nil &&
 		x.g.budget(x.pool).peek(time.Now(), x.g.entryCount())
 }
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -18,7 +18,7 @@
 	}
 	server := ""
 	if x.server != nil {
-		server = x.server.view.GetId()
+		server = x.server.id
 	}
 	g.cfg.Requests.Info("request", "id", x.call.ID, "outcome", x.outcome.String(), "status", x.status, "route", route,
 		"version", version, "pool", x.pool, "model", x.call.Model, "adapter", x.call.Adapter, "server", server,
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -23,7 +23,9 @@
 
 // server is a backend server's incarnation as this entry sees it.
 type server struct {
-	view *schema.RosterServer
+	// id and address never change; all else is guarded by the fleet's mutex.
+	id, address string
+	view        *schema.RosterServer
 	// models holds the adapters of each model that the server holds.
 	models map[string]map[string]bool
 	// running is the number of this entry's requests there.
@@ -51,7 +53,9 @@
 }
 
 func newServer(v *schema.RosterServer) *server {
-	s := &server{parts: map[string]uint64{}, absent: map[string]time.Time{}}
+	s := &server{
+		id: v.GetId(), address: v.GetAddress(), parts: map[string]uint64{}, absent: map[string]time.Time{},
+	}
 	s.update(v)
 	return s
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -43,7 +43,7 @@
 		}
 		x.cause = err
 		x.g.fleet.bad(s, time.Now())
-		x.tried = append(x.tried, s.view.GetId())
+		x.tried = append(x.tried, s.id)
 		if s, answer = x.resume(last); answer == nil {
 			x.giveUp(OutcomeCut, 0)
 			return false
@@ -110,8 +110,8 @@
 		}
 		x.server = s
 		x.attempts++
-		x.tried = append(x.tried, s.view.GetId())
-		answer, err := x.g.cfg.Sender.Send(x.ctx, s.view.GetAddress(), x.request(left, last))
+		x.tried = append(x.tried, s.id)
+		answer, err := x.g.cfg.Sender.Send(x.ctx, s.address, x.request(left, last))
 		if err != nil {
 			x.cause = err
 			x.g.fleet.bad(s, time.Now())
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -89,13 +89,12 @@
 	return x.deadline
 }
 
-// pace is how long a plain pool's servers take for a request, and whether they
-// refuse. All methods are safe from any goroutine.
+// pace is how long a plain pool's servers take for a request. All methods are
+// safe from any goroutine.
 type pace struct {
 	mu sync.Mutex
 	// mean is the moving mean of the time from dispatch to answer.
 	mean time.Duration
-	full time.Time
 }
 
 // paceWeight is the weight of a new time in the mean: some ten requests, about a
@@ -111,12 +110,6 @@
 	p.mean += (took - p.mean) / paceWeight
 }
 
-func (p *pace) shed(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.full = now
-}
-
 // wait is when a refused caller should come back: once what is there now should
 // have been served.
 func (p *pace) wait() time.Duration {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -38,8 +38,6 @@
 	Slots      int
 	// Leaving is set once the server takes no new work.
 	Leaving bool
-	// Remaining is how long a leaving server stays; 0: not told.
-	Remaining time.Duration
 	// Sequence grows with each announcement of an incarnation.
 	Sequence uint64
 	// Held are the models in an engine's accelerator memory.
