--- a/internal/loading/driver_test.go
+++ b/internal/loading/driver_test.go
@@ -315,6 +315,8 @@
 // and three on top. Orders that were carried out late count as well.
 func checkPace(t *testing.T, s *site) {
 	const window = 5 * time.Second
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	limit := 3*window.Seconds()*1.1 + 3
 	for i, from := range s.stores {
 		n := 0
