Drop what nothing reads, and say an error's text in one place

Found by reading the whole change: entries told the leader which of its words they had taken, which it never read; a count of entries and one of open connections had no reader; the text of an error for a log line stood three times and is now logbook.Text.

--- a/internal/gateway/attend.go
+++ b/internal/gateway/attend.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 
+	"fennelyard/internal/logbook"
 	"fennelyard/internal/schema"
 )
 
@@ -78,12 +79,12 @@
 func (a *attendant) logEnd(address string, err error) {
 	if a.found {
 		a.found = false
-		a.g.cfg.Log.Info("leader lost", "address", address, "error", text(err))
+		a.g.cfg.Log.Info("leader lost", "address", address, "error", logbook.Text(err))
 		return
 	}
 	if time.Since(a.told) > time.Second {
 		a.told = time.Now()
-		a.g.cfg.Log.Info("no leader found", "asked", address, "error", text(err))
+		a.g.cfg.Log.Info("no leader found", "asked", address, "error", logbook.Text(err))
 	}
 }
 
@@ -138,12 +139,11 @@
 		return errors.Newf("attend: %w", err)
 	}
 	a.named, a.pruned = map[string]bool{}, false
-	var sequence lastSequence
 	var wg sync.WaitGroup
 	wg.Add(1)
 	go func() {
 		defer wg.Done()
-		a.speak(ctx, stream, &sequence)
+		a.speak(ctx, stream)
 	}()
 	defer wg.Wait()
 	defer cancel(nil)
@@ -162,34 +162,15 @@
 			a.g.cfg.Log.Info("leader found", "address", address)
 		}
 		a.take(news)
-		sequence.set(news.GetSequence())
 	}
 }
 
-// lastSequence is the number of the last word taken in.
-type lastSequence struct {
-	mu sync.Mutex
-	n  uint64
-}
-
-func (s *lastSequence) set(n uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.n = n
-}
-
-func (s *lastSequence) get() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.n
-}
-
-func (a *attendant) speak(ctx context.Context, stream grpc.BidiStreamingClient[schema.EntryNews, schema.LeaderNews], taken *lastSequence) {
+func (a *attendant) speak(ctx context.Context, stream grpc.BidiStreamingClient[schema.EntryNews, schema.LeaderNews]) {
 	news := &schema.EntryNews{Entry: a.g.cfg.Self, After: a.g.cfg.Replica.Revision()}
 	ticker := time.NewTicker(speakEvery)
 	defer ticker.Stop()
 	for {
-		news.Stopping, news.Taken = a.g.stopping.Load(), taken.get()
+		news.Stopping = a.g.stopping.Load()
 		news.Demands, news.Loads = a.g.asked.collect(), a.g.fleet.loads()
 		if err := stream.Send(news); err != nil {
 			return
@@ -246,10 +227,3 @@
 	}
 	return time.Since(a.heard)
 }
-
-func text(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fennelyard/internal/logbook"
 	"fennelyard/internal/schema"
 )
 
@@ -24,7 +25,7 @@
 		"version", version, "pool", x.pool, "model", x.call.Model, "adapter", x.call.Adapter, "server", server,
 		"attempts", x.attempts, "runs", x.runs, "tried", x.tried, "waited-ms", x.waited.Milliseconds(),
 		"first-ms", x.first.Milliseconds(), "pause-ms", x.pause.Milliseconds(), "took-ms", took.Milliseconds(), "wait-ms", x.call.Wait.Milliseconds(), "prompt", x.call.PromptTokens, "at-once", x.atOnce, "unread", x.unread,
-		"leader-age-ms", g.attend.age().Milliseconds(), "cause", text(x.cause))
+		"leader-age-ms", g.attend.age().Milliseconds(), "cause", logbook.Text(x.cause))
 	if g.cfg.Served != nil {
 		g.cfg.Served(Served{
 			Kind: kind, Outcome: x.outcome, Status: x.status, Took: took, First: x.first, Attempts: x.attempts,
--- a/internal/loading/giving.go
+++ b/internal/loading/giving.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"fennelyard/internal/logbook"
 )
 
 // begin gives the order of an action.
@@ -87,7 +89,7 @@
 	defer d.mu.Unlock()
 	now := d.cfg.Now()
 	d.cfg.Log.Info("order given", "server", o.Server, "load", o.Load, "model", o.Model, "adapter", o.Adapter,
-		"taken", o.Taken, "token", o.Token, "from-store", e.order.FromStore, "outcome", outcome.String(), "error", text(err))
+		"taken", o.Taken, "token", o.Token, "from-store", e.order.FromStore, "outcome", outcome.String(), "error", logbook.Text(err))
 	if d.cfg.Ordered != nil {
 		d.cfg.Ordered(outcome, o.Load, o.Adapter != "")
 	}
@@ -118,13 +120,6 @@
 	d.publish(e)
 }
 
-func text(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 func (d *Driver) accepted(e *engine, now time.Time) {
 	e.taken++
 	e.touched = now
--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -119,3 +119,11 @@
 func (b *Book) logger(free, verbosity int) logr.Logger {
 	return logr.FromSlogHandler(slog.NewJSONHandler(writer{b, free}, &slog.HandlerOptions{Level: slog.Level(-verbosity)}))
 }
+
+// Text returns an error's text for a log line, or "" without one.
+func Text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -77,7 +76,6 @@
 type Sender struct {
 	cfg    Config
 	dialer net.Dialer
-	open   atomic.Int64
 }
 
 // NewSender returns a Sender.
@@ -88,9 +86,6 @@
 	}}
 }
 
-// Open returns the number of open connections.
-func (s *Sender) Open() int { return int(s.open.Load()) }
-
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var inner error
 	err := c.Control(func(fd uintptr) {
@@ -126,12 +121,10 @@
 	if err != nil {
 		return nil, errors.Newf("connect to %s: %v: %w", address, err, ErrNotSent)
 	}
-	s.open.Add(1)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	end := func() {
 		stop()
 		_ = conn.Close()
-		s.open.Add(-1)
 	}
 	answer, err := exchange(conn, q)
 	if err != nil {
--- a/internal/role/api.go
+++ b/internal/role/api.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"fennelyard/internal/ledger"
+	"fennelyard/internal/logbook"
 	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
 )
@@ -59,7 +60,7 @@
 	}
 	err := c.commit(ctx, &schema.Command{Body: &schema.Command_PutConfiguration{PutConfiguration: q}})
 	c.cfg.Log.Info("configuration put", "version", q.GetConfiguration().GetVersion(), "routes", len(q.GetRoutes()),
-		"pools", len(q.GetPools()), "bytes", len(q.GetConfiguration().GetDocument()), "error", text(err))
+		"pools", len(q.GetPools()), "bytes", len(q.GetConfiguration().GetDocument()), "error", logbook.Text(err))
 	return err
 }
 
@@ -119,7 +120,7 @@
 		err := c.commit(context.WithoutCancel(ctx), &schema.Command{Body: &schema.Command_DepartServer{
 			DepartServer: &schema.DepartServer{Server: id},
 		}})
-		c.cfg.Log.Info("server leaves", "server", id, "error", text(err))
+		c.cfg.Log.Info("server leaves", "server", id, "error", logbook.Text(err))
 		if err != nil {
 			return err
 		}
@@ -134,13 +135,6 @@
 	return yes
 }
 
-func text(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // Refused logs what a caller of the control host sent and could not be read.
 func (c *Control) Refused(what string, err error) {
 	c.cfg.Log.Info("refused", "what", what, "error", err.Error())
--- a/internal/roster/entries.go
+++ b/internal/roster/entries.go
@@ -136,10 +136,3 @@
 	slices.SortFunc(list.Entries, func(a, b *schema.RosterEntry) int { return cmp.Compare(a.GetHost(), b.GetHost()) })
 	return list
 }
-
-// EntryCount returns the number of entries that attend.
-func (r *Roster) EntryCount() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.entries)
-}
