--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -34,6 +34,7 @@
 	OutcomeCut                         // cut
 	OutcomeTimeout                     // timeout
 	OutcomeCallerGone                  // caller-gone
+	OutcomeStopping                    // entry-stopping
 )
 
 const (
@@ -42,6 +43,9 @@
 	// better time: a little more than a change of leader or of a server takes to
 	// be noticed.
 	refuseAfter = 500 * time.Millisecond
+	// elsewhereAfter is when callers of a stopping entry are asked to come back:
+	// another entry serves them at once.
+	elsewhereAfter = 50 * time.Millisecond
 	// minLeft is the least time left with which a request is still sent.
 	minLeft = 10 * time.Millisecond
 	// writeSlack is how long beyond its deadline an answer may take to be written.
@@ -130,6 +134,7 @@
 	x.deadline = x.began.Add(wait)
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(x.g.ended, cancel)()
 	x.ctx = ctx
 	x.pool = share(x.route, x.random)
 	x.g.budget(x.pool).earn(x.began, x.g.entryCount())
@@ -257,6 +262,10 @@
 		x.giveUp(OutcomeCallerGone, 0)
 		return false
 	}
+	if x.g.ended.Err() != nil {
+		x.endNow(err)
+		return false
+	}
 	x.g.fleet.bad(s, time.Now())
 	x.tried = append(x.tried, s.id)
 	if errors.Is(err, relay.ErrNotSent) {
@@ -267,6 +276,14 @@
 	return x.timeLeft() && x.repeat()
 }
 
+// endNow answers a request whose dispatch the end of this entry broke off.
+func (x *exchange) endNow(err error) {
+	if !errors.Is(err, relay.ErrNotSent) {
+		x.runs++
+	}
+	x.giveUp(OutcomeStopping, elsewhereAfter)
+}
+
 func (x *exchange) timeLeft() bool {
 	if time.Until(x.deadline) < minLeft {
 		x.giveUp(OutcomeTimeout, 0)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -55,10 +56,16 @@
 	table    atomic.Pointer[table]
 	entries  atomic.Pointer[[]*schema.RosterEntry]
 	stopping atomic.Bool
+	// sendBy is until when a stopping gateway sends requests on, in Unix
+	// nanoseconds; 0: it does not stop.
+	sendBy   atomic.Int64
 	inFlight atomic.Int64
-	stop     chan struct{}
-	done     chan struct{}
-	once     sync.Once
+	// ended is canceled when every request must have its final answer at once.
+	ended context.Context
+	end   context.CancelFunc
+	stop  chan struct{}
+	done  chan struct{}
+	once  sync.Once
 
 	mu sync.Mutex
 	// budgets and paces are kept by pool; guarded by mu.
@@ -73,6 +80,7 @@
 		budgets: map[string]*budget{}, paces: map[string]*pace{},
 	}
 	g.attend = &attendant{g: g}
+	g.ended, g.end = context.WithCancel(context.Background())
 	go func() {
 		defer close(g.done)
 		g.attend.run()
@@ -85,8 +93,10 @@
 func (g *Gateway) Ready() bool { return g.table.Load() != nil && !g.stopping.Load() }
 
 // Stopping tells the leader, and with it all entries, to send callers here no
-// longer. Requests that come are served on.
-func (g *Gateway) Stopping() {
+// longer. Requests are served on, but none is sent to a server after sendBy: what
+// still waits then is refused as not run, and another entry can take it.
+func (g *Gateway) Stopping(sendBy time.Time) {
+	g.sendBy.Store(sendBy.UnixNano())
 	g.stopping.Store(true)
 	select {
 	case g.asked.urgent <- struct{}{}:
@@ -97,8 +107,13 @@
 // InFlight returns the number of requests at hand.
 func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
 
+// End gives every request its final answer at once, whatever its server does.
+// Answers that are under way break off.
+func (g *Gateway) End() { g.end() }
+
 // Close ends the stream to the leader.
 func (g *Gateway) Close() {
+	g.end()
 	g.once.Do(func() { close(g.stop) })
 	<-g.done
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -34,6 +34,10 @@
 			x.cause = err
 			x.giveUp(OutcomeCallerGone, 0)
 			return false
+		case x.g.ended.Err() != nil:
+			x.cause = err
+			x.giveUp(OutcomeStopping, elsewhereAfter)
+			return false
 		case x.ctx.Err() != nil:
 			x.cause = err
 			x.giveUp(OutcomeTimeout, 0)
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -30,8 +30,8 @@
 	timer := time.NewTimer(recheck)
 	defer timer.Stop()
 	for {
-		if after, hopeless := x.hopeless(t, time.Now()); hopeless {
-			x.giveUp(OutcomeNoModel, after)
+		if outcome, after, hopeless := x.hopeless(t, time.Now()); hopeless {
+			x.giveUp(outcome, after)
 			return false
 		}
 		select {
@@ -43,28 +43,40 @@
 				return true
 			}
 		case <-x.ctx.Done():
-			if x.r.Context().Err() != nil {
-				x.giveUp(OutcomeCallerGone, 0)
-			} else {
-				x.giveUp(OutcomeTimeout, refuseAfter)
-			}
+			x.waitEnded()
 			return false
 		}
 	}
 }
 
-// hopeless tells whether a request for a model that no server holds cannot be
-// served in time, and when to come back.
-func (x *exchange) hopeless(t target, now time.Time) (after time.Duration, yes bool) {
-	e, known := x.g.asked.expect(t, x.began)
+// waitEnded answers a request whose time to wait is over.
+func (x *exchange) waitEnded() {
 	switch {
-	case !known:
-		return refuseAfter, now.Sub(x.began) > unknownWait
-	case e.ready.IsZero():
-		return refuseAfter, now.Sub(x.began) > unknownWait
+	case x.r.Context().Err() != nil:
+		x.giveUp(OutcomeCallerGone, 0)
+	case x.g.ended.Err() != nil:
+		x.giveUp(OutcomeStopping, elsewhereAfter)
 	default:
-		return max(e.ready.Sub(now), refuseAfter), e.ready.Add(firstToken).After(x.firstBy())
+		x.giveUp(OutcomeTimeout, refuseAfter)
+	}
+}
+
+// hopeless tells whether a request for a model that no server holds cannot be
+// served in time, as what it ends then, and when to come back.
+func (x *exchange) hopeless(t target, now time.Time) (o Outcome, after time.Duration, yes bool) {
+	e, known := x.g.asked.expect(t, x.began)
+	expected := known && !e.ready.IsZero()
+	if by := x.g.sendBy.Load(); by != 0 {
+		// A request that waits until the process ends would be cut off without an
+		// answer, by the only party that knows that it has not run.
+		if last := time.Unix(0, by); !now.Before(last) || expected && e.ready.After(last) {
+			return OutcomeStopping, elsewhereAfter, true
+		}
+	}
+	if !expected {
+		return OutcomeNoModel, refuseAfter, now.Sub(x.began) > unknownWait
 	}
+	return OutcomeNoModel, max(e.ready.Sub(now), refuseAfter), e.ready.Add(firstToken).After(x.firstBy())
 }
 
 const (
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -24,9 +24,14 @@
 	// What is taken later could still run when the process must end, and would be
 	// cut off; a caller that finds the port closed goes to another entry at once.
 	acceptShare = 0.35
-	// endShare is the part of the stop limit at which the process ends whatever
-	// is in flight: what is not over by then would be killed a moment later.
-	endShare   = 0.95
+	// sendShare is the part of the stop limit until which a request that waits for
+	// its model is sent on: most answers take less than the quarter that is left.
+	sendShare = 0.7
+	// endShare is the part of the stop limit at which whatever is in flight gets
+	// its final answer, and closeShare the part at which the process ends: what is
+	// not over by then would be killed a moment later.
+	endShare   = 0.94
+	closeShare = 0.97
 	drainCheck = 50 * time.Millisecond
 )
 
@@ -152,7 +157,7 @@
 func (e *Entry) Drain(ctx context.Context) {
 	limit := e.cfg.Settings.Get().GetStopLimit().AsDuration()
 	began := time.Now()
-	e.gateway.Stopping()
+	e.gateway.Stopping(began.Add(portion(limit, sendShare)))
 	e.cfg.Log.Info("draining", "in-flight", e.gateway.InFlight(), "limit-ms", limit.Milliseconds())
 	// Each answer from now on asks its caller to connect anew elsewhere, and
 	// idle connections are closed.
@@ -165,7 +170,10 @@
 			accepts = false
 			e.refuseCallers()
 		}
-		if gone > portion(limit, endShare) || !accepts && e.gateway.InFlight() == 0 {
+		if gone > portion(limit, endShare) {
+			e.gateway.End()
+		}
+		if gone > portion(limit, closeShare) || !accepts && e.gateway.InFlight() == 0 {
 			break
 		}
 		<-ticker.C
