--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -131,6 +131,8 @@
 type bed struct {
 	g   *gateway.Gateway
 	url string
+	// wait is how long callers say that they wait, in milliseconds.
+	wait string
 }
 
 // newBed serves one pool of the backends on routes for each kind of request.
@@ -160,7 +162,7 @@
 	time.Sleep(20 * time.Millisecond)
 	s := httptest.NewServer(g)
 	t.Cleanup(s.Close)
-	return &bed{g, s.URL}
+	return &bed{g, s.URL, "2000"}
 }
 
 func routes() []*schema.Route {
@@ -202,7 +204,7 @@
 	require.NoError(t, err)
 	q.Host = "h.example"
 	q.Header.Set("X-Id", "42")
-	q.Header.Set("X-Wait", "2000")
+	q.Header.Set("X-Wait", b.wait)
 	q.Header.Set("X-Model", model)
 	r, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(q)
 	if err != nil {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -9,6 +9,20 @@
 	"github.com/stretchr/testify/require"
 )
 
+// patientBed serves callers that wait for longer than any test may take: an
+// answer comes at once or never.
+func patientBed(t *testing.T, backends ...*backend) *bed {
+	t.Helper()
+	b := newBed(t, backends...)
+	b.wait = "3600000"
+	patient := routes()
+	for _, r := range patient {
+		r.TimeoutMs = 3600000
+	}
+	b.g.Configure(configuration(2, patient...))
+	return b
+}
+
 // A caller waits for a model that no server holds while its entry is stopped.
 // Nothing has been sent, and the process ends before the caller's time is over:
 // the caller is refused as not run, with the moment to ask another entry, where
@@ -29,7 +43,7 @@
 	release := make(chan struct{})
 	defer close(release)
 	silent := newBackend(t, func(net.Conn, *http.Request) { <-release })
-	b := newBed(t, silent)
+	b := patientBed(t, silent)
 	sent, waits := make(chan result, 1), make(chan result, 1)
 	go func() { sent <- b.call(t, "/once/x", "body", "") }()
 	go func() { waits <- b.call(t, "/events/x", "body", "rare") }()
