--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -110,6 +110,17 @@
 // is not at an end.
 func (a *Answer) Close() { a.close() }
 
+// Reset closes a connection and drops what it has not delivered. After a plain
+// close the kernel goes on sending what a partition holds up: a request that was
+// given up long ago would reach its server once the partition heals, and run.
+func Reset(conn net.Conn) {
+	if c, ok := conn.(*net.TCPConn); ok {
+		// It fails only on a connection that is closed already.
+		_ = c.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // Send sends a request and waits for the answer's header. The context's end
 // closes the connection at once, also while the body is read.
 func (s *Sender) Send(ctx context.Context, address string, q *Request) (*Answer, error) {
@@ -121,41 +132,46 @@
 	if err != nil {
 		return nil, errors.Newf("connect to %s: %v: %w", address, err, ErrNotSent)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	end := func() {
-		stop()
-		_ = conn.Close()
-	}
-	answer, err := exchange(conn, q)
+	stop := context.AfterFunc(ctx, func() { Reset(conn) })
+	answer, body, err := exchange(conn, q)
 	if err != nil {
-		end()
+		stop()
+		Reset(conn)
 		return nil, err
 	}
-	answer.close = end
+	answer.close = func() {
+		stop()
+		if body.ended {
+			_ = conn.Close()
+			return
+		}
+		Reset(conn)
+	}
 	return answer, nil
 }
 
-func exchange(conn net.Conn, q *Request) (*Answer, error) {
+func exchange(conn net.Conn, q *Request) (*Answer, *wholeReader, error) {
 	if n, err := conn.Write(q.encode()); err != nil {
 		if n == 0 {
-			return nil, errors.Newf("write request: %v: %w", err, ErrNotSent)
+			return nil, nil, errors.Newf("write request: %v: %w", err, ErrNotSent)
 		}
-		return nil, errors.Newf("write request: %v: %w", err, ErrBroken)
+		return nil, nil, errors.Newf("write request: %v: %w", err, ErrBroken)
 	}
 	in := bufio.NewReaderSize(conn, readBuffer)
 	for range foreignLimit {
 		r, err := readAnswer(in, q.Method)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		if q.Own(r.Header) {
-			return &Answer{Status: r.StatusCode, Header: r.Header, Body: wholeReader{r.Body}}, nil
+			body := &wholeReader{r: r.Body}
+			return &Answer{Status: r.StatusCode, Header: r.Header, Body: body}, body, nil
 		}
 		if _, err = io.Copy(io.Discard, r.Body); err != nil {
-			return nil, errors.Newf("pass over another answer: %v: %w", err, ErrBroken)
+			return nil, nil, errors.Newf("pass over another answer: %v: %w", err, ErrBroken)
 		}
 	}
-	return nil, ErrForeign
+	return nil, nil, ErrForeign
 }
 
 // readAnswer reads the next final answer; interim ones are passed over.
@@ -189,10 +205,13 @@
 // without a length ends with its connection, and a reset is no regular end.
 type wholeReader struct {
 	r io.Reader
+	// ended is set once the regular end was read.
+	ended bool
 }
 
-func (w wholeReader) Read(p []byte) (int, error) {
+func (w *wholeReader) Read(p []byte) (int, error) {
 	n, err := w.r.Read(p)
+	w.ended = w.ended || errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
 	if err != nil && !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return n, errors.Newf("read body: %v: %w", err, ErrBroken)
 	}
