--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,8 +30,10 @@
 	view        *schema.RosterServer
 	// models holds the adapters of each model that the server holds.
 	models map[string]map[string]bool
-	// running is the number of this entry's requests there.
+	// running is the number of this entry's requests there, and runs the same by
+	// model; models without any are left out.
 	running int
+	runs    map[string]int
 	// unread is the number of prompt tokens that this entry sent there and that
 	// are not known to be read.
 	unread int
@@ -55,6 +59,7 @@
 func newServer(v *schema.RosterServer) *server {
 	s := &server{
 		id: v.GetId(), address: v.GetAddress(), parts: map[string]uint64{}, absent: map[string]time.Time{},
+		runs: map[string]int{},
 	}
 	s.update(v)
 	return s
@@ -177,7 +182,10 @@
 	for id, s := range f.servers {
 		s.told = load{s.running, s.unread}
 		if len(s.models) > 0 && s.running > 0 {
-			out = append(out, &schema.EngineLoad{Server: id, Running: uint32(s.running), Unread: uint32(max(s.unread, 0))})
+			out = append(out, &schema.EngineLoad{
+				Server: id, Running: uint32(s.running), Unread: uint32(max(s.unread, 0)),
+				Models: slices.Sorted(maps.Keys(s.runs)),
+			})
 		}
 	}
 	return out
@@ -208,6 +216,9 @@
 	defer f.mu.Unlock()
 	tokens, running, unread = s.uncached(c), s.running, s.unread
 	s.running++
+	if c.Model != "" {
+		s.runs[c.Model]++
+	}
 	s.unread += tokens
 	s.remember(c)
 	return tokens, running, unread
@@ -221,10 +232,13 @@
 }
 
 // end notes that a request is over there.
-func (f *fleet) end(s *server) {
+func (f *fleet) end(s *server, c *Call) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s.running--
+	if s.runs[c.Model]--; s.runs[c.Model] <= 0 {
+		delete(s.runs, c.Model)
+	}
 }
 
 // good and bad note whether the server answered.
--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -7,10 +7,26 @@
 	"fennelyard/internal/schema"
 )
 
-// rateWindow is the time over which the rate of a model's requests is averaged:
-// demand moves between models within some seconds, and a shorter window would
-// take a pause of a rare model for its end.
-const rateWindow = 8 * time.Second
+const (
+	// rateWindow is the time over which the rate of a model's requests is averaged:
+	// demand moves between models within some seconds, and a shorter window would
+	// take a pause of a rare model for its end.
+	rateWindow = 8 * time.Second
+	// riseWindow is the window of a second average, which follows demand that
+	// rises: the difference of the two tells how fast.
+	riseWindow = 2 * time.Second
+	// riseLeast is how many requests within riseWindow a rise is believed from. A
+	// rare model that is asked for once in ten seconds has three of them within two
+	// seconds about once in an hour.
+	riseLeast = 2.5
+	// riseSure is by how many standard deviations of the average over riseWindow
+	// the two averages must differ: without it the noise of even demand makes each
+	// busy model seem to rise half of the time.
+	riseSure = 2
+	// riseAhead is for how long demand that rises is taken to rise on: about half
+	// the time of a load from the weight store, as a rise ends at some point.
+	riseAhead = 3 * time.Second
+)
 
 // target names a model, or an adapter of it.
 type target struct {
@@ -21,20 +37,38 @@
 
 // demand is what all entries were asked for of one target.
 type demand struct {
-	rate  float64
-	asked time.Time
+	// rate and recent are averages over rateWindow and riseWindow, as of asked.
+	rate   float64
+	recent float64
+	asked  time.Time
 	// waiting holds the requests that wait now, by entry.
 	waiting map[string]int
 }
 
 func (d *demand) arrive(n int, now time.Time) {
-	d.rate = d.rateAt(now) + float64(n)/rateWindow.Seconds()
+	d.rate = d.average(d.rate, rateWindow, now) + float64(n)/rateWindow.Seconds()
+	d.recent = d.average(d.recent, riseWindow, now) + float64(n)/riseWindow.Seconds()
 	d.asked = now
 }
 
-// rateAt lets the rate decay since the last arrival.
+// average lets an average decay since the last arrival.
+func (d *demand) average(of float64, window time.Duration, now time.Time) float64 {
+	return of * math.Exp(-now.Sub(d.asked).Seconds()/window.Seconds())
+}
+
+// rateAt is the rate to be expected riseAhead from now. An average lags behind
+// demand that grows evenly by its window, so that the two averages differ by the
+// growth in the time between their windows. Without the forecast a model that
+// becomes busy within six seconds gets its second replica ten seconds after its
+// first callers, all of whom wait for one engine meanwhile.
 func (d *demand) rateAt(now time.Time) float64 {
-	return d.rate * math.Exp(-now.Sub(d.asked).Seconds()/rateWindow.Seconds())
+	rate, recent := d.average(d.rate, rateWindow, now), d.average(d.recent, riseWindow, now)
+	deviation := math.Sqrt(rate / (2 * riseWindow.Seconds()))
+	if recent < rate+riseSure*deviation || recent*riseWindow.Seconds() < riseLeast {
+		return rate
+	}
+	growth := (recent - rate) / (rateWindow - riseWindow).Seconds()
+	return recent + growth*(riseWindow+riseAhead).Seconds()
 }
 
 func (d *demand) sum() int {
--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -20,9 +20,11 @@
 	// A host that was frozen in between gives its order within a moment of its
 	// thaw, and engines are promised no order of an old leader after that.
 	confirmFor = 150 * time.Millisecond
-	// leaseMargin is added to the pause between two leaders' orders: it covers
-	// confirmFor and the way of an order to its engine.
-	leaseMargin = time.Second
+	// leaseMargin is added to the pause between two leaders' orders. An order of
+	// the old leader arrives within confirmFor, for which its last confirmation
+	// holds, and orderWait, after which its connection is reset; the rest is for a
+	// host that sees late that it leads no longer.
+	leaseMargin = confirmFor + orderWait + 50*time.Millisecond
 	// adapterLoad is how long an adapter takes that the engine fetches; requests
 	// that come sooner are refused as not run and sent again.
 	adapterLoad = 15 * time.Millisecond
@@ -333,11 +335,12 @@
 	slices.SortFunc(in.Adapters, func(a, b AdapterDemand) int {
 		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
 	})
+	runs := d.cfg.Roster.Runs()
 	for _, e := range d.engines {
 		if e.pool != p.GetName() {
 			continue
 		}
-		v := e.view()
+		v := e.view(runs[e.id])
 		if now.Before(e.notBefore) {
 			v.Busy = true
 		}
--- a/internal/loading/engine.go
+++ b/internal/loading/engine.go
@@ -97,11 +97,13 @@
 	return ""
 }
 
-// view is the engine as Decide sees it.
-func (e *engine) view() *Engine {
+// view is the engine as Decide sees it, with the models that have requests there.
+func (e *engine) view(runs map[string]bool) *Engine {
 	v := &Engine{ID: e.id, InMemory: e.inMemory, OnDisk: e.onDisk, Busy: e.phase != phaseKnown, Leaving: e.unloading()}
 	for _, name := range slices.Sorted(maps.Keys(e.held)) {
-		v.Held = append(v.Held, *e.held[name])
+		h := *e.held[name]
+		h.Runs = runs[name]
+		v.Held = append(v.Held, h)
 	}
 	if e.phase > phaseKnown && e.order.Adapter == "" {
 		if e.order.Load {
--- a/internal/loading/order.go
+++ b/internal/loading/order.go
@@ -60,9 +60,10 @@
 }
 
 const (
-	// orderWait is how long an engine's answer to an order is waited for; an
-	// answer takes a round trip.
-	orderWait = 800 * time.Millisecond
+	// orderWait is how long an engine's answer to an order is waited for. An answer
+	// takes a round trip; whatever this is longer, a new leader waits longer before
+	// it gives orders, and callers of rare models wait with it.
+	orderWait = 400 * time.Millisecond
 	// reportLag is how old a report may be when it comes: engines report a state
 	// of some hundred milliseconds ago.
 	reportLag = 400 * time.Millisecond
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -23,12 +23,15 @@
 	// minHold keeps a model for a moment after its load: demand for two models
 	// could otherwise push them out of one engine in turns, and neither is served.
 	minHold = 2 * time.Second
-	// askedGuard keeps a model that was asked for a moment ago: an unload waits
-	// for its runs to end, and the engine takes no other order meanwhile.
-	askedGuard = 1500 * time.Millisecond
+	// askedGuard keeps a model that was asked for a moment ago: a request that its
+	// entry has not reported yet may be on its way to the engine.
+	askedGuard = 400 * time.Millisecond
 	// backgroundLoads is how many loads for stock may be under way at once; the
 	// rest of the store's full speed is left to models that callers wait for.
 	backgroundLoads = 3
+	// busyPart is the part of the engines, one in so many, that may have orders
+	// while more are given for stock.
+	busyPart = 4
 )
 
 // Model is a model of a pool with what is known of its demand.
@@ -40,7 +43,8 @@
 	FromStore  time.Duration
 	FromDisk   time.Duration
 	FromMemory time.Duration
-	// Rate is the number of requests a second, averaged over some seconds.
+	// Rate is the number of requests a second that is expected in the seconds to
+	// come.
 	Rate float64
 	// Asked is when a request last came.
 	Asked time.Time
@@ -54,6 +58,8 @@
 type Held struct {
 	Model string
 	Since time.Time
+	// Runs is set while requests for it are at the engine.
+	Runs bool
 	// Adapters tells when each adapter was last asked for.
 	Adapters map[string]time.Time
 }
@@ -215,8 +221,8 @@
 		if !ok {
 			continue
 		}
-		cost := p.loadTime(e, m).Seconds()
-		if cost += loss; cost < bestCost {
+		cost := p.loadTime(e, m).Seconds() + loss + p.blockedBy(e, m)
+		if cost < bestCost {
 			best, bestCost, bestVictim = i, cost, victim
 		}
 	}
@@ -266,6 +272,26 @@
 	return !e.InMemory[m.Name] && !e.OnDisk[m.Name]
 }
 
+// blockedBy is what it costs that an engine takes no other order while it loads,
+// in requests that wait: models of which it has a copy can't be brought back
+// there meanwhile. How likely the engines with the other copies are free grows
+// with their number, and with its square by a rule of thumb.
+func (p *plan) blockedBy(e *Engine, m *Model) float64 {
+	var sum float64
+	for name, there := range e.OnDisk {
+		if !there || p.replicas[name] > 0 || name == m.Name {
+			continue
+		}
+		if old := p.in.Models[name]; old != nil {
+			sum += max(old.Rate, leastRate) / float64(p.copies[name]*p.copies[name])
+		}
+	}
+	return sum * p.loadTime(e, m).Seconds()
+}
+
+// leastRate is the rate that a model counts with that nobody has asked for.
+const leastRate = 0.02
+
 func (p *plan) loadTime(e *Engine, m *Model) time.Duration {
 	switch {
 	case e.InMemory[m.Name]:
@@ -356,7 +382,10 @@
 	if old == nil {
 		return true
 	}
-	if p.in.Now.Sub(h.Since) < minHold || old.Waiting > 0 {
+	if p.in.Now.Sub(h.Since) < minHold || old.Waiting > 0 || h.Runs {
+		// An unload waits for the model's runs to end, and the engine takes no other
+		// order meanwhile: streams of seconds kept a third of the engines from
+		// loading what callers waited for.
 		return false
 	}
 	if p.replicas[h.Model] > max(needed(old), 1) {
@@ -394,7 +423,7 @@
 		return cmp.Or(cmp.Compare(p.copies[a.Name], p.copies[b.Name]), b.Asked.Compare(a.Asked), cmp.Compare(a.Name, b.Name))
 	})
 	for _, m := range missing {
-		if p.in.StoreRunning >= backgroundLoads || p.in.StoreLoads <= 0 {
+		if p.in.StoreRunning >= backgroundLoads || p.in.StoreLoads <= 0 || !p.quiet() {
 			return
 		}
 		p.place(&Model{
@@ -404,6 +433,11 @@
 	}
 }
 
+// quiet reports whether no caller would miss an engine that loads for stock.
+func (p *plan) quiet() bool {
+	return len(p.blocked) == 0 && busyPart*len(p.taken) <= len(p.in.Engines)
+}
+
 // adapter loads an adapter beside its model, where there is a place, or else
 // makes a place by dropping the adapter that was not asked for the longest.
 func (p *plan) adapter(d AdapterDemand) {
--- a/internal/loading/plan_test.go
+++ b/internal/loading/plan_test.go
@@ -53,6 +53,13 @@
 	full := engine("e1", "hot", "old")
 	young := engine("e1", "a", "b")
 	young.Held[0].Since, young.Held[1].Since = now, now
+	running := engine("e1", "other")
+	running.Held[0].Runs = true
+	running.OnDisk["m"] = true
+	small := input(nil).MemoryMB - 45000
+	onlyCopy, twoCopies := engine("e1"), engine("e2")
+	onlyCopy.OnDisk["asked"] = true
+	twoCopies.OnDisk["known"], onlyCopy.OnDisk["known"] = true, true
 	withAdapters := engine("e1", "m")
 	for i := range 8 {
 		withAdapters.Held[0].Adapters[fmt.Sprint("a", i)] = now.Add(time.Duration(i) * time.Second)
@@ -81,6 +88,18 @@
 			input([]*loading.Model{model("m", waiting), model("a", nil), model("b", nil)}, young),
 			nil,
 		},
+		"a model with requests at the engine stays": {
+			func() loading.Input {
+				in := input([]*loading.Model{model("m", waiting), model("other", nil)}, running)
+				in.MemoryMB = small
+				return in
+			}(),
+			nil,
+		},
+		"a load from the store keeps clear of an engine that others are brought back to": {
+			input([]*loading.Model{model("m", waiting), model("asked", busy(0.2)), model("known", busy(0.2))}, onlyCopy, twoCopies),
+			[]loading.Action{{Engine: "e2", Load: true, Model: "m", FromStore: true}},
+		},
 		"a busy model gets another replica": {
 			input([]*loading.Model{model("m", busy(4))}, engine("e1", "m"), engine("e2")),
 			[]loading.Action{{Engine: "e2", Load: true, Model: "m", FromStore: true}},
--- a/internal/roster/entries.go
+++ b/internal/roster/entries.go
@@ -63,6 +63,27 @@
 	}
 }
 
+// Runs returns the models that entries have requests for at each engine.
+func (r *Roster) Runs() map[string]map[string]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[string]map[string]bool{}
+	for _, a := range r.entries {
+		if a.silent {
+			continue
+		}
+		for _, l := range a.loads {
+			for _, model := range l.GetModels() {
+				if out[l.GetServer()] == nil {
+					out[l.GetServer()] = map[string]bool{}
+				}
+				out[l.GetServer()][model] = true
+			}
+		}
+	}
+	return out
+}
+
 // maxLoads bounds how many engines' loads are passed on in one word, the
 // busiest: at 25 bytes each and three words a second, 5 KB/s an entry.
 const maxLoads = 64
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -126,3 +126,16 @@
 	r.Leave(2, "e1")
 	require.Empty(t, r.Entries(0).GetEntries())
 }
+
+// An engine's model must not be unloaded while any entry has a request for it
+// there; the end of the entry's stream ends its word.
+func TestRunsOfAllEntries(t *testing.T) {
+	r, _ := newRoster()
+	r.Attend(1, &schema.RosterEntry{Host: "e1"})
+	r.Attend(2, &schema.RosterEntry{Host: "e2"})
+	r.Load(1, "e1", []*schema.EngineLoad{{Server: "s", Models: []string{"a"}}})
+	r.Load(2, "e2", []*schema.EngineLoad{{Server: "s", Models: []string{"b"}}})
+	require.Equal(t, map[string]map[string]bool{"s": {"a": true, "b": true}}, r.Runs())
+	r.Leave(1, "e1")
+	require.Equal(t, map[string]map[string]bool{"s": {"b": true}}, r.Runs())
+}
