--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -128,6 +128,8 @@
 	// elapsed counts ticks since word of a leader, or on a leader since the
 	// last quorum check.
 	elapsed          int
+	// met is set once a leader was heard, or elected here, since the start.
+	met bool
 	heartbeatElapsed int
 	timeout          int
 	uncommittedBytes int
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -46,6 +46,25 @@
 	assert.EqualValues(t, 2, c.Commit())
 }
 
+// TestFirstElectionAfterAStart: every member starts at once, as after a loss of
+// power, and nobody leads. A member asks for pre-votes well before an election
+// timeout; once it has met a leader it waits for the whole timeout, or every
+// short silence would depose a leader that lives.
+func TestFirstElectionAfterAStart(t *testing.T) {
+	quiet := func(c *consensus.Core) (ticks int) {
+		for c.Role() == consensus.RoleFollower {
+			c.Tick()
+			ticks++
+		}
+		return ticks
+	}
+	c := memberOf(2)
+	assert.Equal(t, 3, quiet(c))
+	c = memberOf(2)
+	c.Step(&schema.ConsensusMessage{Kind: schema.MessageKind_MESSAGE_KIND_APPEND, From: 1, To: 2, Term: 1, Index: 1, LogTerm: 1})
+	assert.Equal(t, 10, quiet(c))
+}
+
 // elect makes a core the leader of the second term with the vote of member 2.
 func elect(t *testing.T, c *consensus.Core) {
 	t.Helper()
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -91,6 +91,7 @@
 		c.vote = 0
 	}
 	c.leader = leader
+	c.met = c.met || leader != 0
 	c.progress = nil
 	c.reads = nil
 	c.votes = nil
@@ -99,9 +100,18 @@
 	c.resetTimeout()
 }
 
+// earlyPart is the part of the election timeout, one in so many, after which a
+// member that has not met a leader since its start asks for pre-votes. After all
+// members lost power nobody leads, and every tick more leaves callers unserved;
+// where somebody leads, the pre-vote is ignored and changes nothing.
+const earlyPart = 3
+
 func (c *Core) resetTimeout() {
 	c.elapsed = 0
 	c.timeout = c.cfg.ElectionTicks + c.cfg.Random(c.cfg.ElectionTicks)
+	if !c.met {
+		c.timeout = max((c.cfg.ElectionTicks+c.cfg.Random(c.cfg.ElectionTicks))/earlyPart, 1)
+	}
 }
 
 func (c *Core) campaign(pre, transfer bool) {
@@ -138,7 +148,7 @@
 	free := pre && m.GetTerm() > c.term || c.vote == m.GetFrom() || c.vote == 0 && c.leader == 0
 	current := m.GetLogTerm() > c.log.lastTerm() ||
 		m.GetLogTerm() == c.log.lastTerm() && m.GetIndex() >= c.log.last()
-	if !free || !current {
+	if !free || !current || pre && c.goesFirst(m) {
 		c.send(&schema.ConsensusMessage{Kind: kind, To: m.GetFrom(), Term: c.term, Reject: true})
 		return
 	}
@@ -149,6 +159,16 @@
 	c.send(&schema.ConsensusMessage{Kind: kind, To: m.GetFrom(), Term: m.GetTerm()})
 }
 
+// goesFirst reports whether this member asked for pre-votes at the same moment as
+// another whose log is no better, and has the lower id. Were the two to grant
+// each other's, both would become candidates, vote for themselves and wait for
+// another timeout. It holds within a tick only: a member whose own requests reach
+// nobody must not keep the others from electing one.
+func (c *Core) goesFirst(m *schema.ConsensusMessage) bool {
+	same := m.GetLogTerm() == c.log.lastTerm() && m.GetIndex() == c.log.last()
+	return c.role == RolePreCandidate && c.elapsed == 0 && same && c.cfg.ID < m.GetFrom()
+}
+
 func (c *Core) handleVoteReply(m *schema.ConsensusMessage, role Role) {
 	if c.role != role {
 		return
@@ -188,7 +208,7 @@
 
 func (c *Core) becomeLeader() {
 	c.role = RoleLeader
-	c.leader = c.cfg.ID
+	c.leader, c.met = c.cfg.ID, true
 	c.votes = nil
 	c.elapsed, c.heartbeatElapsed = 0, 0
 	c.progress = map[uint64]*progress{}
--- a/internal/gateway/attend.go
+++ b/internal/gateway/attend.go
@@ -23,7 +23,12 @@
 	// leaderSilence is how long the leader may say nothing; it speaks every
 	// 300 ms, and the first word comes within a round trip.
 	leaderSilence = 1200 * time.Millisecond
-	nextPause     = 50 * time.Millisecond
+	// firstSilence is how long the first word of a host is waited for when all
+	// control hosts are asked the first time: a host without power does not answer
+	// at all, and each of them would otherwise keep callers waiting for a second.
+	// It doubles with each time around, as a slow host needs longer.
+	firstSilence = 150 * time.Millisecond
+	nextPause    = 50 * time.Millisecond
 )
 
 // errNotLeader says that the host asked does not lead.
@@ -35,6 +40,8 @@
 	// The fields below belong to the goroutine of run.
 	leader string
 	next   int
+	// around counts the times that all hosts were asked in vain.
+	around int
 	named  map[string]bool
 	// found is set while a leader is followed; told is when it was last logged
 	// that there is none.
@@ -111,9 +118,22 @@
 		return ""
 	}
 	a.next++
+	if a.next%len(all) == 0 {
+		a.around++
+	}
 	return all[a.next%len(all)]
 }
 
+// patience is how long a host's first word is waited for after all hosts were
+// asked so many times in vain.
+func patience(around int) time.Duration {
+	for wait := firstSilence; ; wait *= 2 {
+		if around--; around < 0 || wait >= leaderSilence {
+			return min(wait, leaderSilence)
+		}
+	}
+}
+
 // attend follows one leader until it is lost.
 func (a *attendant) attend(address string) error {
 	client, err := a.g.cfg.Dialer.Client(address)
@@ -132,7 +152,7 @@
 		case <-over:
 		}
 	}()
-	silence := time.AfterFunc(leaderSilence, func() { cancel(errors.New("silent")) })
+	silence := time.AfterFunc(patience(a.around), func() { cancel(errors.New("silent")) })
 	defer silence.Stop()
 	stream, err := client.Attend(ctx)
 	if err != nil {
@@ -158,7 +178,7 @@
 			return errNotLeader
 		}
 		if first {
-			a.leader, a.found = address, true
+			a.leader, a.found, a.around = address, true, 0
 			a.g.cfg.Log.Info("leader found", "address", address)
 		}
 		a.take(news)
--- a/internal/gateway/attend_test.go
+++ b/internal/gateway/attend_test.go
@@ -89,3 +89,11 @@
 	defer g.Close()
 	require.Eventually(t, func() bool { return g.State().Version == 3 }, 20*time.Second, 5*time.Millisecond)
 }
+
+// A host without power does not answer at all. It costs callers a moment while
+// all are asked the first time, and more only where every host is slow.
+func TestPatienceWithSilentHosts(t *testing.T) {
+	for around, want := range []time.Duration{150, 300, 600, 1200, 1200} {
+		require.Equal(t, want*time.Millisecond, gateway.Patience(around), around)
+	}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -46,6 +46,10 @@
 	// elsewhereAfter is when callers of a stopping entry are asked to come back:
 	// another entry serves them at once.
 	elsewhereAfter = 50 * time.Millisecond
+	// startWait is until how long after its start an entry waits for its first
+	// configuration: a group whose hosts all lost power leads again within a second
+	// and a half of their return, where no host is lost.
+	startWait = 3 * time.Second
 	// minLeft is the least time left with which a request is still sent.
 	minLeft = 10 * time.Millisecond
 	// writeSlack is how long beyond its deadline an answer may take to be written.
@@ -96,7 +100,13 @@
 // open finds the route and reads the request; it answers by itself where that
 // fails.
 func (x *exchange) open() bool {
-	x.table = x.g.table.Load()
+	if x.table = x.g.table.Load(); x.table == nil {
+		// Callers leave where a request is not taken off the connection.
+		if !x.read() {
+			return false
+		}
+		x.table = x.firstTable()
+	}
 	if x.table == nil {
 		x.refuse(http.StatusServiceUnavailable, OutcomeNoConfig, refuseAfter)
 		return false
@@ -105,23 +115,57 @@
 		x.refuse(http.StatusNotFound, OutcomeNoRoute, 0)
 		return false
 	}
-	limit := int64(x.table.limits.GetMaxBodyBytes())
-	if limit == 0 {
-		limit = defaultBody
+	return x.read()
+}
+
+// read reads the body, once.
+func (x *exchange) read() bool {
+	if x.body != nil {
+		return true
+	}
+	limit := int64(defaultBody)
+	if x.table != nil && x.table.limits.GetMaxBodyBytes() > 0 {
+		limit = int64(x.table.limits.GetMaxBodyBytes())
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	if err != nil {
-		x.cause = err
-		status := http.StatusBadRequest
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			status = http.StatusRequestEntityTooLarge
-		}
-		x.refuse(status, OutcomeBadBody, 0)
-		return false
+	if err == nil {
+		x.body = body
+		return true
 	}
-	x.body = body
-	return true
+	x.cause = err
+	status := http.StatusBadRequest
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	x.refuse(status, OutcomeBadBody, 0)
+	return false
+}
+
+// firstTable returns the configuration in force. An entry that started a moment
+// ago waits for its first one: it comes as soon as the control group leads, and a
+// caller who is refused meanwhile and told a time is mostly refused again. One
+// that is cut off from the group refuses at once, as it has no word of when.
+func (x *exchange) firstTable() *table {
+	if t := x.g.table.Load(); t != nil {
+		return t
+	}
+	wait := startWait - x.began.Sub(x.g.began)
+	if x.call.Wait > 0 {
+		wait = min(wait, x.call.Wait/2)
+	}
+	if wait <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-x.g.configured:
+	case <-timer.C:
+	case <-x.g.ended.Done():
+	case <-x.r.Context().Done():
+	}
+	return x.g.table.Load()
 }
 
 // serve sends the request to one server after the other until one has answered
@@ -193,7 +237,7 @@
 	defer cancel()
 	unread, atOnce, before := x.g.fleet.begin(s, &x.call)
 	x.atOnce, x.unread = atOnce, before
-	defer x.g.fleet.end(s)
+	defer x.g.fleet.end(s, &x.call)
 	read := false
 	markRead := func() {
 		if !read {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,10 @@
 	asked    *asked
 	attend   *attendant
 	table    atomic.Pointer[table]
+	// began is when the gateway started, and configured is closed at its first
+	// configuration.
+	began      time.Time
+	configured chan struct{}
 	entries  atomic.Pointer[[]*schema.RosterEntry]
 	stopping atomic.Bool
 	// sendBy is until when a stopping gateway sends requests on, in Unix
@@ -76,7 +80,7 @@
 // New starts a gateway. It refuses requests until it knows a configuration.
 func New(cfg Config) *Gateway {
 	g := &Gateway{
-		cfg: cfg, fleet: newFleet(), asked: newAsked(), stop: make(chan struct{}), done: make(chan struct{}),
+		cfg: cfg, fleet: newFleet(), asked: newAsked(), began: time.Now(), configured: make(chan struct{}), stop: make(chan struct{}), done: make(chan struct{}),
 		budgets: map[string]*budget{}, paces: map[string]*pace{},
 	}
 	g.attend = &attendant{g: g}
@@ -155,6 +159,9 @@
 		return
 	}
 	g.table.Store(t)
+	if old == nil {
+		close(g.configured)
+	}
 	if old == nil || t.version != old.version {
 		g.cfg.Log.Info("configuration in force", "version", t.version, "routes", len(g.routes(t)), "pools", len(t.pools),
 			"revision", c.GetRevision(), "revision-before", before)
