--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -127,9 +127,9 @@
 	reads    []pendingRead
 	// elapsed counts ticks since word of a leader, or on a leader since the
 	// last quorum check.
-	elapsed          int
+	elapsed int
 	// met is set once a leader was heard, or elected here, since the start.
-	met bool
+	met              bool
 	heartbeatElapsed int
 	timeout          int
 	uncommittedBytes int
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,17 +49,17 @@
 
 // Gateway serves callers' requests. All methods are safe from any goroutine.
 type Gateway struct {
-	cfg      Config
-	fleet    *fleet
-	asked    *asked
-	attend   *attendant
-	table    atomic.Pointer[table]
+	cfg    Config
+	fleet  *fleet
+	asked  *asked
+	attend *attendant
+	table  atomic.Pointer[table]
 	// began is when the gateway started, and configured is closed at its first
 	// configuration.
 	began      time.Time
 	configured chan struct{}
-	entries  atomic.Pointer[[]*schema.RosterEntry]
-	stopping atomic.Bool
+	entries    atomic.Pointer[[]*schema.RosterEntry]
+	stopping   atomic.Bool
 	// sendBy is until when a stopping gateway sends requests on, in Unix
 	// nanoseconds; 0: it does not stop.
 	sendBy   atomic.Int64
