--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -101,8 +101,25 @@
 	StoreRunning int
 }
 
+//go:generate go tool stringer -type=Reason -linecomment
+
+// Reason is why an order is given.
+type Reason int
+
+// The reasons of orders.
+const (
+	// ReasonWaiting: callers wait for a model that no engine has.
+	ReasonWaiting Reason = iota // waiting
+	// ReasonBusy: the replicas of a model have too many requests.
+	ReasonBusy // busy
+	// ReasonStock: there are too few copies of a model, or an adapter is loaded
+	// ahead.
+	ReasonStock // stock
+)
+
 // Action is one order to give.
 type Action struct {
+	Reason  Reason
 	Engine  string
 	Load    bool
 	Model   string
@@ -140,7 +157,11 @@
 	p := &plan{in: in, replicas: map[string]int{}, copies: map[string]int{}, taken: map[string]bool{}}
 	p.count()
 	for _, m := range p.wanted() {
-		if why, ok := p.place(m); !ok {
+		reason := ReasonWaiting
+		if p.replicas[m.Name] > 0 {
+			reason = ReasonBusy
+		}
+		if why, ok := p.place(m, reason); !ok {
 			p.blocked = append(p.blocked, why)
 		}
 	}
@@ -212,52 +233,55 @@
 }
 
 // place finds the engine that has the model soonest at the least loss.
-func (p *plan) place(m *Model) (why Blocked, ok bool) {
+func (p *plan) place(m *Model, reason Reason) (why Blocked, ok bool) {
 	best, bestCost := -1, math.Inf(1)
 	var bestVictim string
 	why = Blocked{Model: m.Name, Rate: m.Rate}
 	for i, e := range p.in.Engines {
-		victim, loss, ok := p.possible(e, m, &why)
+		victims, loss, ok := p.possible(e, m, &why)
 		if !ok {
 			continue
 		}
-		cost := p.loadTime(e, m).Seconds() + loss + p.blockedBy(e, m)
+		cost := p.loadTime(e, m).Seconds() + loss + blockedWeight*p.blockedBy(e, m, victims)
 		if cost < bestCost {
-			best, bestCost, bestVictim = i, cost, victim
+			best, bestCost, bestVictim = i, cost, ""
+			if len(victims) > 0 {
+				bestVictim = victims[0]
+			}
 		}
 	}
 	if best < 0 {
 		return why, false
 	}
-	p.order(p.in.Engines[best], m, bestVictim)
+	p.order(p.in.Engines[best], m, bestVictim, reason)
 	return why, true
 }
 
 // possible tells whether an engine can load a model now, or begin to make room.
-func (p *plan) possible(e *Engine, m *Model, why *Blocked) (victim string, loss float64, ok bool) {
+func (p *plan) possible(e *Engine, m *Model, why *Blocked) (victims []string, loss float64, ok bool) {
 	switch {
 	case holds(e, m.Name):
 		why.Holding++
-		return "", 0, false
+		return nil, 0, false
 	case p.taken[e.ID]:
 		why.Busy++
-		return "", 0, false
+		return nil, 0, false
 	case p.fromStore(e, m) && p.in.StoreLoads <= 0:
 		why.Store++
-		return "", 0, false
+		return nil, 0, false
 	}
-	if victim, loss, ok = p.room(e, m); !ok {
+	if victims, loss, ok = p.room(e, m); !ok {
 		why.Full++
 	}
-	return victim, loss, ok
+	return victims, loss, ok
 }
 
-func (p *plan) order(e *Engine, m *Model, victim string) {
+func (p *plan) order(e *Engine, m *Model, victim string, reason Reason) {
 	p.taken[e.ID] = true
 	p.replicas[m.Name]++
 	if victim != "" {
 		p.replicas[victim]--
-		p.out = append(p.out, Action{Engine: e.ID, Model: victim, For: m.Name})
+		p.out = append(p.out, Action{Reason: reason, Engine: e.ID, Model: victim, For: m.Name})
 		return
 	}
 	store := p.fromStore(e, m)
@@ -265,21 +289,23 @@
 		p.in.StoreLoads--
 		p.in.StoreRunning++
 	}
-	p.out = append(p.out, Action{Engine: e.ID, Load: true, Model: m.Name, FromStore: store})
+	p.out = append(p.out, Action{Reason: reason, Engine: e.ID, Load: true, Model: m.Name, FromStore: store})
 }
 
 func (p *plan) fromStore(e *Engine, m *Model) bool {
 	return !e.InMemory[m.Name] && !e.OnDisk[m.Name]
 }
 
-// blockedBy is what it costs that an engine takes no other order while it loads,
-// in requests that wait: models of which it has a copy can't be brought back
-// there meanwhile. How likely the engines with the other copies are free grows
-// with their number, and with its square by a rule of thumb.
-func (p *plan) blockedBy(e *Engine, m *Model) float64 {
+// blockedBy is how many requests will wait because an engine takes no other order
+// while it loads: models of which it has a copy can't be brought back there
+// meanwhile, those that go for the load among them. How likely the engines with
+// the other copies are free grows with their number, and with its square by a
+// rule of thumb.
+func (p *plan) blockedBy(e *Engine, m *Model, victims []string) float64 {
 	var sum float64
 	for name, there := range e.OnDisk {
-		if !there || p.replicas[name] > 0 || name == m.Name {
+		gone := slices.Contains(victims, name) && p.replicas[name] <= 1
+		if !there || p.replicas[name] > 0 && !gone || name == m.Name {
 			continue
 		}
 		if old := p.in.Models[name]; old != nil {
@@ -292,6 +318,10 @@
 // leastRate is the rate that a model counts with that nobody has asked for.
 const leastRate = 0.02
 
+// blockedWeight is how many seconds of load time one request that will wait
+// counts for.
+const blockedWeight = 4.0
+
 func (p *plan) loadTime(e *Engine, m *Model) time.Duration {
 	switch {
 	case e.InMemory[m.Name]:
@@ -340,11 +370,11 @@
 	return largest * float64(p.in.Places)
 }
 
-// room tells which model would have to go first, if any, and what that loses.
-func (p *plan) room(e *Engine, m *Model) (victim string, loss float64, ok bool) {
+// room tells which models would have to go, in their order, and what that loses.
+func (p *plan) room(e *Engine, m *Model) (victims []string, loss float64, ok bool) {
 	free := p.in.MemoryMB - p.reserve() - p.used(e)
 	if free >= m.MemoryMB {
-		return "", 0, true
+		return nil, 0, true
 	}
 	var order []Held
 	for _, h := range e.Held {
@@ -358,14 +388,12 @@
 	for _, h := range order {
 		loss += p.value(h.Model)
 		free += p.sizeOf(h.Model)
-		if victim == "" {
-			victim = h.Model
-		}
+		victims = append(victims, h.Model)
 		if free >= m.MemoryMB {
-			return victim, loss, true
+			return victims, loss, true
 		}
 	}
-	return "", 0, false
+	return nil, 0, false
 }
 
 // sizeOf takes a model that the configuration no longer names for as large as
@@ -429,7 +457,7 @@
 		p.place(&Model{
 			Name: m.Name, MemoryMB: m.MemoryMB, AdapterMB: m.AdapterMB, FromStore: m.FromStore,
 			FromDisk: m.FromDisk, FromMemory: m.FromMemory, Rate: math.Inf(1),
-		})
+		}, ReasonStock)
 	}
 }
 
@@ -485,7 +513,7 @@
 		}
 		held[model+"/"+adapter] = true
 		p.taken[e.ID] = true
-		p.out = append(p.out, Action{Engine: e.ID, Load: true, Model: model, Adapter: adapter})
+		p.out = append(p.out, Action{Reason: ReasonStock, Engine: e.ID, Load: true, Model: model, Adapter: adapter})
 	}
 }
 
--- a/internal/loading/plan_test.go
+++ b/internal/loading/plan_test.go
@@ -102,11 +102,11 @@
 		},
 		"a busy model gets another replica": {
 			input([]*loading.Model{model("m", busy(4))}, engine("e1", "m"), engine("e2")),
-			[]loading.Action{{Engine: "e2", Load: true, Model: "m", FromStore: true}},
+			[]loading.Action{{Reason: loading.ReasonBusy, Engine: "e2", Load: true, Model: "m", FromStore: true}},
 		},
 		"a model of which there is no copy is loaded for stock": {
 			input([]*loading.Model{model("m", nil)}, engine("e1")),
-			[]loading.Action{{Engine: "e1", Load: true, Model: "m", FromStore: true}},
+			[]loading.Action{{Reason: loading.ReasonStock, Engine: "e1", Load: true, Model: "m", FromStore: true}},
 		},
 		"the store's pace binds": {
 			func() loading.Input {
@@ -129,7 +129,7 @@
 				busy(1)(m)
 				m.Adapters = []string{"a1"}
 			})}, engine("e1", "m")),
-			[]loading.Action{{Engine: "e1", Load: true, Model: "m", Adapter: "a1"}},
+			[]loading.Action{{Reason: loading.ReasonStock, Engine: "e1", Load: true, Model: "m", Adapter: "a1"}},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
