--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -309,7 +309,54 @@
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
-	return &schema.ReadReply{Revision: revision}, nil
+	return &schema.ReadReply{Revision: revision, Term: g.Status().Term}, nil
+}
+
+// Catch returns the term of a leader that led at some moment after the call,
+// once this member has applied all that was committed by then.
+func (g *Group) Catch(ctx context.Context) (term uint64, err error) {
+	s := g.Status()
+	if s.Current {
+		_, err = g.Confirm(ctx)
+		return s.Term, err
+	}
+	if s.LeaderHost == "" {
+		return 0, consensus.ErrNotLeader
+	}
+	client, err := g.cfg.Dialer.Client(s.LeaderHost)
+	if err != nil {
+		return 0, errors.Newf("reach leader: %w", err)
+	}
+	reply, err := client.Read(ctx, &schema.ReadRequest{})
+	if err != nil {
+		return 0, errors.Newf("ask leader: %w", err)
+	}
+	if reply.GetNotLeader() {
+		return 0, consensus.ErrNotLeader
+	}
+	return reply.GetTerm(), g.applied(ctx, reply.GetRevision())
+}
+
+// appliedCheck is how often a member looks whether it has applied the log up to
+// an index: not every command is announced.
+const appliedCheck = 3 * time.Millisecond
+
+// applied waits until this member has applied the log up to an index.
+func (g *Group) applied(ctx context.Context, index uint64) error {
+	ticker := time.NewTicker(appliedCheck)
+	defer ticker.Stop()
+	for {
+		var at uint64
+		g.ledger.View(func(h ledger.Heads, _ *ledger.Records) { at = h.Index })
+		if at >= index {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Newf("catch up with the leader: %w", ctx.Err())
+		case <-ticker.C:
+		}
+	}
 }
 
 func (g *Group) fetch(ctx context.Context, q *schema.FetchRequest) (*schema.FetchReply, error) {
--- a/internal/ledger/configuration.go
+++ b/internal/ledger/configuration.go
@@ -21,6 +21,7 @@
 	routePrefix     = "route/"
 	poolPrefix      = "pool/"
 	departurePrefix = "departure/"
+	holderPrefix    = "order-holder/"
 )
 
 // RouteKey returns the key of a route's record.
@@ -32,6 +33,25 @@
 // DepartureKey returns the key of a backend server's departure.
 func DepartureKey(server string) string { return departurePrefix + server }
 
+// HolderKey returns the key of an engine's order holder.
+func HolderKey(server string) string { return holderPrefix + server }
+
+// OrderHolder returns the host that gives an engine its orders, or nil.
+func (r *Records) OrderHolder(server string) *schema.OrderHolder {
+	return r.byKey[HolderKey(server)].GetOrderHolder()
+}
+
+// OrderHolders returns all order holders, in no order.
+func (r *Records) OrderHolders() []*schema.OrderHolder {
+	var out []*schema.OrderHolder
+	for _, rec := range r.byKey {
+		if h := rec.GetOrderHolder(); h != nil {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // Configuration returns the head of the complete configuration in force, or
 // nil.
 func (r *Records) Configuration() *schema.Configuration {
@@ -94,6 +114,26 @@
 	return accepted()
 }
 
+// assignHolders records which hosts give engines their orders. It is in the log
+// before the first order leaves: every later leader goes on through the same
+// host, so that no engine sees two hosts take turns. A change from another holder
+// than the recorded one is passed over: its leader knew too little.
+func (l *Ledger) assignHolders(q *schema.AssignOrderHolders) *schema.Result {
+	for _, c := range q.GetChanges() {
+		h := c.GetHolder()
+		if l.records.OrderHolder(h.GetServer()).GetHost() != c.GetFrom() {
+			continue
+		}
+		l.putChanged(&schema.Record{Key: HolderKey(h.GetServer()), Value: &schema.Record_OrderHolder{OrderHolder: h}})
+	}
+	for _, server := range q.GetForgotten() {
+		if l.records.Record(HolderKey(server)) != nil {
+			l.drop(HolderKey(server))
+		}
+	}
+	return accepted()
+}
+
 // IsRouting reports whether a key is a route's or a pool's.
 func IsRouting(key string) bool {
 	return strings.HasPrefix(key, routePrefix) || strings.HasPrefix(key, poolPrefix)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -490,3 +490,28 @@
 		_ = ledger.New().Restore(data)
 	})
 }
+
+// A leader that knows too little names another holder of an engine's orders than
+// the recorded one, or none. Its change is passed over: were it taken, two hosts
+// would give the engine orders within one lease.
+func TestOrderHoldersChangeOnlyFromTheRecordedOne(t *testing.T) {
+	b := newBook(t)
+	change := func(from, to string, forgotten ...string) {
+		b.apply(&schema.Command{Body: &schema.Command_AssignOrderHolders{AssignOrderHolders: &schema.AssignOrderHolders{
+			Changes: []*schema.HolderChange{{From: from, Holder: &schema.OrderHolder{Server: "s", Host: to}}}, Forgotten: forgotten,
+		}}})
+	}
+	holder := func() (host string) {
+		b.l.View(func(_ ledger.Heads, r *ledger.Records) { host = r.OrderHolder("s").GetHost() })
+		return host
+	}
+	change("", "a")
+	change("", "b")
+	assert.Equal(t, "a", holder())
+	change("b", "c")
+	assert.Equal(t, "a", holder())
+	change("a", "b")
+	assert.Equal(t, "b", holder())
+	change("x", "y", "s")
+	assert.Empty(t, holder())
+}
--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -156,12 +156,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.cfg.Now()
-	// A new leader gives no orders for a while; loads under way go on.
-	idle := max(d.since.Add(d.cfg.OrderLease+leaseMargin).Sub(now), 0)
 	var out []*schema.LoadForecast
 	for _, x := range waiting {
 		f := &schema.LoadForecast{Pool: x.GetPool(), Model: x.GetModel(), Adapter: x.GetAdapter(), ReadyInMs: -1}
 		for _, e := range d.engines {
+			// A new holder gives no orders for a while; loads under way go on.
+			idle := max(e.ordersFrom.Sub(now), 0)
 			if in, ok := d.readyIn(e, x, idle, now); ok && (f.ReadyInMs < 0 || in.Milliseconds() < f.ReadyInMs) {
 				f.ReadyInMs = in.Milliseconds()
 			}
@@ -184,6 +184,8 @@
 		return d.couldIn(e, x.GetModel(), idle)
 	}
 	switch {
+	case e.order.Load && e.order.Model == x.GetModel() && idle > 0:
+		return idle + d.loadTime(e), true
 	case e.order.Load && e.order.Model == x.GetModel():
 		return remaining(now.Sub(e.given), d.loadTime(e)), true
 	case !e.order.Load && e.order.For == x.GetModel():
--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -16,15 +16,25 @@
 const (
 	// tick is how often the driver looks at its engines when nothing wakes it.
 	tick = 100 * time.Millisecond
-	// confirmFor is how long a quorum's word that this host leads is relied on.
-	// A host that was frozen in between gives its order within a moment of its
-	// thaw, and engines are promised no order of an old leader after that.
+	// confirmFor is how long a quorum's word is relied on who leads and who holds
+	// an engine's orders. A host that was frozen in between gives its order within
+	// a moment of its thaw, and engines are promised no order of an old holder after
+	// that.
 	confirmFor = 150 * time.Millisecond
-	// leaseMargin is added to the pause between two leaders' orders. An order of
-	// the old leader arrives within confirmFor, for which its last confirmation
-	// holds, and orderWait, after which its connection is reset; the rest is for a
-	// host that sees late that it leads no longer.
+	// leaseMargin is added to the pause between two holders' orders. An order of
+	// the old holder arrives within confirmFor, for which its last confirmation
+	// holds, and orderWait, after which its connection is reset; the rest is for
+	// the way in between.
 	leaseMargin = confirmFor + orderWait + 50*time.Millisecond
+	// holderPatience and holderTries are for how long, and how often, an engine's
+	// order holder may fail to send its orders before another host takes them over:
+	// a host restarts within a second. enginePatience and engineTries are the same
+	// for an engine that does not answer its holder: most often it is the engine
+	// that is gone, or that answers late, and another holder costs a lease.
+	holderPatience = time.Second
+	holderTries    = 3
+	enginePatience = 4 * time.Second
+	engineTries    = 6
 	// adapterLoad is how long an adapter takes that the engine fetches; requests
 	// that come sooner are refused as not run and sent again.
 	adapterLoad = 15 * time.Millisecond
@@ -37,6 +47,9 @@
 	// firstTerm is the term of a group's first leader: nobody can have given orders
 	// before it.
 	firstTerm = 1
+	// forgetHolders is after how long the holders of engines that nobody has heard
+	// of are dropped from the log.
+	forgetHolders = 5 * time.Minute
 	// storeSpeed is how many loads the weight store serves at full speed unless
 	// the settings say otherwise; more at once make each one longer.
 	storeSpeed = 4
@@ -50,16 +63,15 @@
 
 // Config configures a Driver. All fields are required.
 type Config struct {
-	Holder     string
 	Leadership func() Leadership
-	// Confirm returns nil only if this host led at some moment after the call.
-	Confirm func(context.Context) error
-	Engines Engines
-	Roster  *roster.Roster
+	Holders    Holders
+	// Ask asks an engine for a report.
+	Ask    func(ctx context.Context, address, server string) (Report, error)
+	Roster *roster.Roster
 	// Pools returns the pools in force.
 	Pools func() []*schema.Pool
-	// OrderLease is the time between the last order of one leader and the first
-	// of the next.
+	// OrderLease is the time between the last order of one holder of an engine's
+	// orders and the first of the next.
 	OrderLease time.Duration
 	// LoadWindow is the time over which loads from the weight store are counted.
 	LoadWindow time.Duration
@@ -93,8 +105,8 @@
 	pools map[string]*schema.Pool
 	// told is when a model was last logged as blocked.
 	told map[string]time.Time
-	// confirmed is when the last confirmation that succeeded was asked for.
-	confirmed time.Time
+	// assigning is set while holders are being recorded.
+	assigning bool
 }
 
 // NewDriver starts a driver. It gives no order until this host leads.
@@ -167,6 +179,9 @@
 		}
 	case phaseGiving, phaseUncertain:
 	}
+	if e.holder.Host == "" {
+		d.recall(e)
+	}
 	d.publish(e)
 	d.wake()
 }
@@ -221,9 +236,10 @@
 		}
 		d.tend(e, now)
 	}
-	if !d.leads || now.Sub(d.since) < d.cfg.OrderLease+leaseMargin {
+	if !d.leads {
 		return
 	}
+	d.assign(now)
 	for _, p := range d.pools {
 		actions, blocked := Decide(d.input(p, now))
 		for _, a := range actions {
@@ -263,13 +279,13 @@
 	if l.Leads {
 		d.since, d.token = now, 0
 		if l.Term == firstTerm {
-			d.since = now.Add(-d.cfg.OrderLease - leaseMargin - d.cfg.LoadWindow)
+			d.since = now.Add(-d.cfg.LoadWindow)
 		}
 		d.cfg.Roster.Begin()
 		d.engines = map[string]*engine{}
 		d.demands = map[target]*demand{}
 		d.begun = map[string][]time.Time{}
-		d.cfg.Log.Info("leading", "term", l.Term, "orders-from-ms", (d.cfg.OrderLease + leaseMargin).Milliseconds())
+		d.cfg.Log.Info("leading", "term", l.Term)
 	} else if d.leads {
 		d.cfg.Log.Info("no longer leading", "term", d.term)
 	}
@@ -297,6 +313,9 @@
 		e.notBefore = now.Add(againSoon)
 		d.ask(e, now)
 	case phaseUncertain:
+		if now.Before(e.ordersFrom) {
+			return
+		}
 		e.notBefore = now.Add(againSoon)
 		d.give(e, now)
 	case phaseKnown, phaseGiving:
@@ -341,7 +360,7 @@
 			continue
 		}
 		v := e.view(runs[e.id])
-		if now.Before(e.notBefore) {
+		if now.Before(e.notBefore) || e.holder.Host == "" || now.Before(e.ordersFrom) {
 			v.Busy = true
 		}
 		if v.FromStore {
--- a/internal/loading/driver_test.go
+++ b/internal/loading/driver_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -55,8 +56,9 @@
 	held  map[string]map[string]bool
 	disk  map[string]bool
 	busy  bool
-	// last is the order that came last, and when.
+	// last is the order that came last, from whom and when.
 	last   loading.Order
+	lastBy string
 	lastAt time.Time
 }
 
@@ -84,7 +86,7 @@
 // reach returns the engines as the host at an index reaches them.
 func (s *site) reach() loading.Engines {
 	return loading.Engines{
-		Give: func(ctx context.Context, _ string, o loading.Order) (loading.Outcome, error) {
+		Give: func(ctx context.Context, _, holder string, o loading.Order) (loading.Outcome, error) {
 			s.mu.Lock()
 			fate := s.random.Float64()
 			late := time.Duration(2000+s.random.IntN(10000)) * time.Millisecond
@@ -95,11 +97,11 @@
 			}
 			if fate < s.lost {
 				// It arrives after all, long after anybody waits for it.
-				time.AfterFunc(late, func() { s.take(o, true) })
+				time.AfterFunc(late, func() { s.take(holder, o, true) })
 				<-ctx.Done()
 				return loading.OutcomeUnknown, errors.New("late")
 			}
-			return s.take(o, false), nil
+			return s.take(holder, o, false), nil
 		},
 		Ask: func(_ context.Context, _ string, server string) (loading.Report, error) {
 			s.mu.Lock()
@@ -125,7 +127,7 @@
 // take carries an order out as an engine does: under its precondition, one at a
 // time. A model engine that is ordered to hold too much crashes: here the test
 // fails instead.
-func (s *site) take(o loading.Order, late bool) loading.Outcome {
+func (s *site) take(holder string, o loading.Order, late bool) loading.Outcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.engines[o.Server]
@@ -133,7 +135,7 @@
 		return loading.OutcomeConflict
 	}
 	if !late {
-		s.judge(e, o)
+		s.judge(e, holder, o)
 	}
 	adapters, holds := e.held[o.Model]
 	switch {
@@ -193,25 +195,37 @@
 
 // judge fails the test when two holders take turns too soon or under tokens that
 // do not grow.
-func (s *site) judge(e *standin, o loading.Order) {
-	if e.last.Holder != "" && o.Holder != e.last.Holder && time.Since(e.lastAt) < lease {
-		s.t.Errorf("seed %d: %s orders %v after %s", s.seed, o.Holder, time.Since(e.lastAt), e.last.Holder)
+func (s *site) judge(e *standin, holder string, o loading.Order) {
+	if e.lastBy != "" && holder != e.lastBy && time.Since(e.lastAt) < lease {
+		s.t.Errorf("seed %d: %s orders %v after %s", s.seed, holder, time.Since(e.lastAt), e.lastBy)
 	}
 	if o.Token <= e.last.Token {
 		s.t.Errorf("seed %d: token %d after %d", s.seed, o.Token, e.last.Token)
 	}
-	e.last, e.lastAt = o, time.Now()
+	e.last, e.lastBy, e.lastAt = o, holder, time.Now()
 }
 
-// hosts are two control hosts, of which one leads at a time.
+// hosts are three control hosts, of which one leads at a time. Any of them may be
+// cut off from the others for a while.
 type hosts struct {
-	mu      sync.Mutex
-	leader  int
-	term    uint64
+	s       *site
 	drivers []*loading.Driver
 	rosters []*roster.Roster
+	hands   []*loading.Hand
+
+	mu     sync.Mutex
+	leader int
+	term   uint64
+	// holders is what the group's log holds.
+	holders map[string]loading.Holder
+	// cut holds until when a host reaches no other.
+	cut [hostCount]time.Time
 }
 
+const hostCount = 3
+
+func hostName(i int) string { return fmt.Sprint("host-", i) }
+
 func (h *hosts) leads(i int) loading.Leadership {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -224,22 +238,102 @@
 	h.leader, h.term = i, h.term+1
 }
 
+// sever cuts a host off from the others; one that led is replaced.
+func (h *hosts) sever(i int, d time.Duration) {
+	h.mu.Lock()
+	h.cut[i] = time.Now().Add(d)
+	led := h.leader == i
+	h.mu.Unlock()
+	if led {
+		h.elect((i + 1) % hostCount)
+	}
+}
+
+func (h *hosts) reaches(from, to int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	return from == to || now.After(h.cut[from]) && now.After(h.cut[to])
+}
+
+func (h *hosts) of(server string) loading.Holder {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.holders[server]
+}
+
+// holdersAt is the log as the host at an index reaches it.
+func (h *hosts) holdersAt(i int) loading.Holders {
+	return loading.Holders{
+		Of: h.of,
+		Recorded: func() []string {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return slices.Collect(maps.Keys(h.holders))
+		},
+		Hosts: func() []string { return []string{hostName(0), hostName(1), hostName(2)} },
+		Record: func(_ context.Context, changes map[string]loading.HolderChange, _ []string) error {
+			time.Sleep(10 * time.Millisecond)
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			if h.leader != i {
+				return errors.New("another leads")
+			}
+			for server, c := range changes {
+				if h.holders[server].Host == c.From {
+					h.holders[server] = c.To
+				}
+			}
+			return nil
+		},
+		Give: func(ctx context.Context, holder string, term uint64, address string, o loading.Order) (loading.Outcome, error) {
+			to := slices.IndexFunc([]string{hostName(0), hostName(1), hostName(2)}, func(n string) bool { return n == holder })
+			if !h.reaches(i, to) {
+				// The partition may hold the call up until it heals.
+				h.s.mu.Lock()
+				late := time.Duration(h.s.random.IntN(8000)) * time.Millisecond
+				h.s.mu.Unlock()
+				time.AfterFunc(late, func() { _, _ = h.hands[to].Give(context.Background(), term, address, o) })
+				<-ctx.Done()
+				return loading.OutcomeUnknown, errors.Newf("cut off: %w", loading.ErrNoHolder)
+			}
+			time.Sleep(2 * time.Millisecond)
+			return h.hands[to].Give(ctx, term, address, o)
+		},
+	}
+}
+
+// catch is the group's word to the host at an index.
+func (h *hosts) catch(i int) (uint64, error) {
+	time.Sleep(3 * time.Millisecond)
+	h.mu.Lock()
+	leader, term := h.leader, h.term
+	h.mu.Unlock()
+	if !h.reaches(i, leader) {
+		return 0, errors.New("cut off")
+	}
+	return term, nil
+}
+
 func newHosts(s *site) *hosts {
-	h := &hosts{term: 2}
-	for i := range 2 {
+	h := &hosts{s: s, term: 2, holders: map[string]loading.Holder{}}
+	for i := range hostCount {
 		r := roster.New(roster.Config{
 			AnnounceEvery: 1200 * time.Millisecond, Departed: func(string) bool { return false }, Now: time.Now, Log: logr.Discard(),
 		})
 		h.rosters = append(h.rosters, r)
-		h.drivers = append(h.drivers, loading.NewDriver(loading.Config{
-			Holder: fmt.Sprint("host-", i), Leadership: func() loading.Leadership { return h.leads(i) },
-			Confirm: func(context.Context) error {
-				if !h.leads(i).Leads {
-					return errors.New("another leads")
-				}
-				return nil
+		engines := s.reach()
+		h.hands = append(h.hands, loading.NewHand(loading.HandConfig{
+			Catch: func(context.Context) (uint64, error) { return h.catch(i) },
+			Holds: func(server string) bool { return h.of(server).Host == hostName(i) },
+			Give: func(ctx context.Context, address string, o loading.Order) (loading.Outcome, error) {
+				return engines.Give(ctx, address, hostName(i), o)
 			},
-			Engines: s.reach(), Roster: r, Pools: func() []*schema.Pool { return []*schema.Pool{s.pool} },
+			Now: time.Now, Log: logr.Discard(),
+		}))
+		h.drivers = append(h.drivers, loading.NewDriver(loading.Config{
+			Leadership: func() loading.Leadership { return h.leads(i) }, Holders: h.holdersAt(i), Ask: engines.Ask,
+			Roster: r, Pools: func() []*schema.Pool { return []*schema.Pool{s.pool} },
 			OrderLease: lease, LoadWindow: 5 * time.Second, Now: time.Now, Log: logr.Discard(),
 		}))
 	}
@@ -283,7 +377,8 @@
 	h := newHosts(s)
 	for beat := range uint64(50) {
 		s.mu.Lock()
-		change := s.random.IntN(12) == 0
+		change, cut, host := s.random.IntN(12) == 0, s.random.IntN(15) == 0, s.random.IntN(hostCount)
+		length := time.Duration(s.random.IntN(9000)) * time.Millisecond
 		var demands []*schema.ModelDemand
 		for range 3 {
 			d := &schema.ModelDemand{Pool: "llm", Model: fmt.Sprint("m", s.random.IntN(8)), Arrived: uint32(s.random.IntN(9)), Waiting: 1}
@@ -293,8 +388,11 @@
 			demands = append(demands, d)
 		}
 		s.mu.Unlock()
-		if change {
-			h.elect(1 - h.leader)
+		if cut {
+			h.sever(host, length)
+		}
+		if change && h.reaches(h.leader, host) {
+			h.elect(host)
 		}
 		h.announce(s, beat+1)
 		for j := range h.drivers {
@@ -304,9 +402,7 @@
 		}
 		time.Sleep(1200 * time.Millisecond)
 	}
-	for _, d := range h.drivers {
-		d.Stop()
-	}
+	h.stop()
 	time.Sleep(time.Minute)
 	checkPace(t, s)
 }
@@ -353,9 +449,7 @@
 			}
 		}
 		require.True(t, found)
-		for _, d := range h.drivers {
-			d.Stop()
-		}
+		h.stop()
 	})
 }
 
@@ -364,24 +458,81 @@
 	return time.Duration(list[0].GetReadyInMs()) * time.Millisecond
 }
 
-// The leader has just changed and gives no orders for four seconds. Callers of a
-// model that lies on an engine's disk are told when it can be there, so that
-// those with time are kept; of a model without any copy nothing is promised.
-func TestForecastWhileNoOrdersAreGiven(t *testing.T) {
+// await waits until something holds, in simulated time, and returns how long.
+func await(t *testing.T, holds func() bool) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for !holds() {
+		require.Less(t, time.Since(began), time.Minute)
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+func (s *site) holds(engine, model string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engines[engine].held[model] != nil
+}
+
+// ask has callers wait for a model that lies on the disk of e2.
+func (h *hosts) ask(sequence uint64) {
+	h.announce(h.s, sequence)
+	for i := range h.drivers {
+		if h.leads(i).Leads {
+			h.drivers[i].Demand("entry", []*schema.ModelDemand{{Pool: "llm", Model: "m3", Waiting: 1, Arrived: 1}})
+		}
+	}
+}
+
+// The leader is lost while callers wait for a rare model. The next leader goes on
+// through the same order holder, and the model is there after a report and a
+// load; with orders from the leaders themselves it took the lease and a second.
+func TestOrdersGoOnThroughAChangeOfLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 1)
 		s.engines["e2"].disk["m3"] = true
 		h := newHosts(s)
-		h.elect(1)
 		h.announce(s, 1)
-		time.Sleep(200 * time.Millisecond)
+		await(t, func() bool { return h.of("e2").Host != "" })
+		h.elect(1)
+		h.ask(2)
+		took := await(t, func() bool { return s.holds("e2", "m3") })
+		require.Less(t, took, 1500*time.Millisecond)
+		h.stop()
+	})
+}
+
+func (h *hosts) stop() {
+	for _, d := range h.drivers {
+		d.Stop()
+	}
+}
+
+// The host that holds an engine's orders is cut off. Another takes them over after
+// a lease, in which callers of a model on the engine's disk are told when it can
+// be there, so that those with time are kept; of a model without any copy nothing
+// is promised.
+func TestOrderHolderIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1)
+		s.engines["e2"].disk["m3"] = true
+		h := newHosts(s)
+		for id := range s.engines {
+			h.holders[id] = loading.Holder{Host: hostName(0), Settled: true}
+		}
+		h.sever(0, time.Hour)
+		began := time.Now()
+		h.ask(1)
+		await(t, func() bool { return h.of("e2").Host != hostName(0) })
+		time.Sleep(100 * time.Millisecond)
 		got := forecast(h.drivers[1], "m3")
 		require.Greater(t, got, lease)
 		require.Less(t, got, lease+3*time.Second)
 		require.Negative(t, forecast(h.drivers[1], "m4"))
-		for _, d := range h.drivers {
-			d.Stop()
-		}
+		await(t, func() bool { return s.holds("e2", "m3") })
+		require.Less(t, time.Since(began), lease+4*time.Second)
+		h.stop()
 	})
 }
 
@@ -400,9 +551,7 @@
 			time.Sleep(1200 * time.Millisecond)
 		}
 		require.Greater(t, forecast(h.drivers[0], "m4"), 5*time.Second)
-		for _, d := range h.drivers {
-			d.Stop()
-		}
+		h.stop()
 		time.Sleep(2 * time.Minute)
 	})
 }
--- a/internal/loading/engine.go
+++ b/internal/loading/engine.go
@@ -50,6 +50,15 @@
 	touched time.Time
 	// notBefore holds the next order or report back after a failure.
 	notBefore time.Time
+	// holder is who gives this engine its orders, the zero value before one is
+	// recorded. ordersFrom is when it may begin to: after another holder's last.
+	holder     Holder
+	ordersFrom time.Time
+	// missed counts orders in a row without an answer, since missedFrom. unheld is
+	// set where the last one failed at the holder, not at the engine.
+	missed     int
+	missedFrom time.Time
+	unheld     bool
 }
 
 // learn takes what the engine holds from its own word.
--- a/internal/loading/giving.go
+++ b/internal/loading/giving.go
@@ -27,16 +27,19 @@
 	d.token++
 	o := Order{
 		Server: e.id, Load: e.order.Load, Model: e.order.Model, Adapter: e.order.Adapter, Taken: e.taken,
-		Holder: d.cfg.Holder, Token: d.term<<tokenBits | d.token,
+		Token: d.term<<tokenBits | d.token,
 	}
 	if e.order.FromStore {
 		d.begun[e.pool] = append(d.begun[e.pool], now)
 	}
-	address := e.address
+	address, holder, term := e.address, e.holder.Host, d.term
 	d.wg.Add(1)
 	go func() {
 		defer d.wg.Done()
-		outcome, err := d.send(address, o)
+		// The holder asks who leads and then the engine.
+		ctx, cancel := context.WithTimeout(context.Background(), confirmFor+orderWait)
+		defer cancel()
+		outcome, err := d.cfg.Holders.Give(ctx, holder, term, address, o)
 		d.answered(e, o, outcome, err)
 		d.wake()
 	}()
@@ -46,56 +49,20 @@
 // above it, so that tokens grow over all leaders.
 const tokenBits = 24
 
-// errNotLeading says that the order did not leave.
-var errNotLeading = errors.New("this host's lead is not confirmed")
-
-func (d *Driver) send(address string, o Order) (Outcome, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), orderWait)
-	defer cancel()
-	if err := d.confirm(ctx); err != nil {
-		return OutcomeUnknown, errors.Newf("confirm lead: %w", errNotLeading)
-	}
-	outcome, err := d.cfg.Engines.Give(ctx, address, o)
-	if err != nil {
-		return OutcomeUnknown, errors.Newf("give order: %w", err)
-	}
-	return outcome, nil
-}
-
-// confirm has a quorum confirm that this host leads, unless it did just now. A
-// leader that was cut off or frozen would otherwise give orders beside its
-// successor's.
-func (d *Driver) confirm(ctx context.Context) error {
-	d.mu.Lock()
-	began, last := d.cfg.Now(), d.confirmed
-	d.mu.Unlock()
-	if began.Sub(last) < confirmFor {
-		return nil
-	}
-	if err := d.cfg.Confirm(ctx); err != nil {
-		return err
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if began.After(d.confirmed) {
-		d.confirmed = began
-	}
-	return nil
-}
-
 // answered takes an engine's answer to an order in.
 func (d *Driver) answered(e *engine, o Order, outcome Outcome, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.cfg.Now()
 	d.cfg.Log.Info("order given", "server", o.Server, "load", o.Load, "model", o.Model, "adapter", o.Adapter,
-		"taken", o.Taken, "token", o.Token, "from-store", e.order.FromStore, "reason", e.order.Reason.String(), "outcome", outcome.String(), "error", logbook.Text(err))
+		"taken", o.Taken, "token", o.Token, "holder", e.holder.Host, "from-store", e.order.FromStore, "reason", e.order.Reason.String(), "outcome", outcome.String(), "error", logbook.Text(err))
 	if d.cfg.Ordered != nil {
 		d.cfg.Ordered(outcome, o.Load, o.Adapter != "")
 	}
 	if d.engines[e.id] != e {
 		return
 	}
+	e.miss(outcome, err, now)
 	switch outcome {
 	case OutcomeTaken:
 		d.accepted(e, now)
@@ -113,7 +80,7 @@
 	case OutcomeUnknown:
 		e.notBefore = now.Add(againSoon)
 		e.phase = phaseUncertain
-		if errors.Is(err, errNotLeading) && e.tries == 1 {
+		if errors.Is(err, ErrNotSent) && e.tries == 1 {
 			e.phase = phaseKnown
 		}
 	}
@@ -168,7 +135,7 @@
 		defer d.wg.Done()
 		ctx, cancel := context.WithTimeout(context.Background(), orderWait)
 		defer cancel()
-		r, err := d.cfg.Engines.Ask(ctx, address, e.id)
+		r, err := d.cfg.Ask(ctx, address, e.id)
 		d.reported(e, phase, taken, now, r, err)
 		d.wake()
 	}()
--- /dev/null
+++ b/internal/loading/hand.go
@@ -0,0 +1,120 @@
+package loading
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"fennelyard/internal/logbook"
+)
+
+var (
+	// ErrNotSent says that an order did not leave for its engine.
+	ErrNotSent = errors.New("the order did not leave")
+	// ErrNoHolder says that the engine's order holder gave no answer; the order may
+	// have left.
+	ErrNoHolder = errors.New("the order holder gave no answer")
+)
+
+// HandConfig configures a Hand. All fields are required.
+type HandConfig struct {
+	// Catch returns the term of a leader that led at some moment after the call,
+	// once this host has applied all that was committed by then.
+	Catch func(context.Context) (term uint64, err error)
+	// Holds reports whether this host is the engine's order holder, by what it has
+	// applied.
+	Holds func(server string) bool
+	// Give sends an order to an engine.
+	Give func(ctx context.Context, address string, o Order) (Outcome, error)
+	Now  func() time.Time
+	Log  logr.Logger
+}
+
+// Hand gives engines the orders of whoever leads. An engine's orders come from
+// one host, its order holder, under every leader: were they to come from the
+// leader itself, engines would take none for the whole lease after each change of
+// leader, and callers of rare models would wait with them. All methods are safe
+// from any goroutine.
+type Hand struct {
+	cfg HandConfig
+
+	mu sync.Mutex
+	// caught and term are when the last successful call of Catch began and what it
+	// returned; guarded by mu, as all below.
+	caught time.Time
+	term   uint64
+	// tokens holds the highest token that was given to each engine.
+	tokens map[string]uint64
+}
+
+// NewHand returns a Hand.
+func NewHand(cfg HandConfig) *Hand { return &Hand{cfg: cfg, tokens: map[string]uint64{}} }
+
+// tokensKept bounds the tokens that are remembered; terms keep the orders of
+// different leaders apart without them.
+const tokensKept = 4096
+
+// Give sends an order of the leader of a term to an engine, unless another host
+// may be its order holder by now, another leader may have begun, or a later order
+// went first. Its error is ErrNotSent where the order did not leave.
+func (h *Hand) Give(ctx context.Context, term uint64, address string, o Order) (Outcome, error) {
+	if err := h.check(ctx, term, o); err != nil {
+		h.cfg.Log.Info("order not sent", "server", o.Server, "term", term, "token", o.Token, "error", logbook.Text(err))
+		return OutcomeUnknown, errors.Newf("%v: %w", err, ErrNotSent)
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderWait)
+	defer cancel()
+	outcome, err := h.cfg.Give(ctx, address, o)
+	if err != nil {
+		return OutcomeUnknown, errors.Newf("give order: %w", err)
+	}
+	return outcome, nil
+}
+
+func (h *Hand) check(ctx context.Context, term uint64, o Order) error {
+	present, err := h.catch(ctx)
+	switch {
+	case err != nil:
+		return errors.Newf("learn who leads: %w", err)
+	case present != term:
+		return errors.Newf("the order is of term %d, the present one is %d", term, present)
+	case !h.cfg.Holds(o.Server):
+		return errors.New("this host does not hold the engine's orders")
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if o.Token <= h.tokens[o.Server] {
+		return errors.New("a later order went first")
+	}
+	if len(h.tokens) >= tokensKept {
+		clear(h.tokens)
+	}
+	h.tokens[o.Server] = o.Token
+	return nil
+}
+
+// catch relies on what was learned within confirmFor. A host that was cut off or
+// frozen meanwhile learns before it sends that another holds the engine's orders.
+func (h *Hand) catch(ctx context.Context) (uint64, error) {
+	h.mu.Lock()
+	began, caught, term := h.cfg.Now(), h.caught, h.term
+	h.mu.Unlock()
+	if began.Sub(caught) < confirmFor {
+		return term, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmFor)
+	defer cancel()
+	term, err := h.cfg.Catch(ctx)
+	if err != nil {
+		return 0, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if began.After(h.caught) {
+		h.caught, h.term = began, term
+	}
+	return term, nil
+}
--- a/internal/loading/order.go
+++ b/internal/loading/order.go
@@ -39,9 +39,8 @@
 	Adapter string
 	// Taken is how many orders the engine must have taken before this one.
 	Taken uint64
-	// Holder names this host, Token grows with every order over all holders.
-	Holder string
-	Token  uint64
+	// Token grows with every order over all leaders.
+	Token uint64
 }
 
 // Report is what an engine says of itself when asked.
@@ -55,10 +54,42 @@
 
 // Engines reaches the engines. Both functions are required.
 type Engines struct {
-	Give func(ctx context.Context, address string, o Order) (Outcome, error)
+	// Give sends an order under the name of the host that sends it.
+	Give func(ctx context.Context, address, holder string, o Order) (Outcome, error)
 	Ask  func(ctx context.Context, address, server string) (Report, error)
 }
 
+// Holder is the control host that gives an engine its orders.
+type Holder struct {
+	Host string
+	// Settled is set once the lease of an earlier holder is over, or where there
+	// was none.
+	Settled bool
+}
+
+// HolderChange gives an engine's orders to a host in place of another.
+type HolderChange struct {
+	From string
+	To   Holder
+}
+
+// Holders keeps each engine's order holder. All functions are required.
+type Holders struct {
+	// Of returns an engine's recorded holder, or the zero value.
+	Of func(server string) Holder
+	// Recorded returns the engines that have a holder.
+	Recorded func() []string
+	// Hosts returns the hosts that may be holders.
+	Hosts func() []string
+	// Record records changes of holders, by engine, where From is what is recorded,
+	// and forgets some engines. Without an error it is durable at a quorum, and Of
+	// tells what became of it.
+	Record func(ctx context.Context, changes map[string]HolderChange, forgotten []string) error
+	// Give has an engine's holder give it an order. Its error is ErrNotSent where
+	// the order did not leave.
+	Give func(ctx context.Context, host string, term uint64, address string, o Order) (Outcome, error)
+}
+
 const (
 	// orderWait is how long an engine's answer to an order is waited for. An answer
 	// takes a round trip; whatever this is longer, a new leader waits longer before
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -151,6 +151,7 @@
 	Watch      func(*schema.WatchRequest, grpc.ServerStreamingServer[schema.Changes]) error
 	SendReport func(context.Context, *schema.Report) (*schema.ReportReply, error)
 	Fetch      func(context.Context, *schema.FetchRequest) (*schema.FetchReply, error)
+	GiveOrder  func(context.Context, *schema.GiveOrderRequest) (*schema.GiveOrderReply, error)
 	Attend     func(grpc.BidiStreamingServer[schema.EntryNews, schema.LeaderNews]) error
 }
 
@@ -237,6 +238,11 @@
 	return s.h.Watch(q, stream)
 }
 
+// GiveOrder implements schema.PeerServer.
+func (s *Server) GiveOrder(ctx context.Context, q *schema.GiveOrderRequest) (*schema.GiveOrderReply, error) {
+	return answer(ctx, s.h.GiveOrder, q)
+}
+
 // Attend implements schema.PeerServer.
 func (s *Server) Attend(stream grpc.BidiStreamingServer[schema.EntryNews, schema.LeaderNews]) error {
 	if s.h.Attend == nil {
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -64,6 +64,7 @@
 	group   *control.Group
 	roster  *roster.Roster
 	driver  *loading.Driver
+	hand    *loading.Hand
 	server  *peer.Server
 	http    *http.Server
 	streams atomic.Uint64
@@ -106,9 +107,9 @@
 		_ = operators.Close()
 		return err
 	}
-	c.startDriver(s)
+	c.startOrders(s)
 	handlers := c.group.Handlers()
-	handlers.Attend = c.attend
+	handlers.Attend, handlers.GiveOrder = c.attend, c.giveOrder
 	c.server = peer.NewServer(peer.ServerConfig{Listener: peers, Handlers: handlers})
 	c.http = newServer(c.cfg.Handler(c))
 	c.wg.Add(2)
@@ -143,24 +144,6 @@
 	return nil
 }
 
-func (c *Control) startDriver(s *schema.JoinSettings) {
-	c.driver = loading.NewDriver(loading.Config{
-		Holder: s.GetHost(),
-		Leadership: func() loading.Leadership {
-			st := c.group.Status()
-			return loading.Leadership{Leads: st.Current, Term: st.Term}
-		},
-		Confirm: func(ctx context.Context) error {
-			_, err := c.group.Confirm(ctx)
-			return err
-		},
-		Engines: c.cfg.Engines, Roster: c.roster, Pools: c.pools,
-		OrderLease: s.GetOrderLease().AsDuration(), LoadWindow: s.GetLoadWindow().AsDuration(),
-		Now: time.Now, Log: c.cfg.Log.WithName("loading"),
-		Ordered: func(o loading.Outcome, load, adapter bool) { c.cfg.Metrics.Order(o.String(), load, adapter) },
-	})
-}
-
 func (c *Control) pools() []*schema.Pool {
 	var out []*schema.Pool
 	c.group.Ledger().View(func(_ ledger.Heads, r *ledger.Records) { out = r.Pools() })
--- a/internal/role/join_test.go
+++ b/internal/role/join_test.go
@@ -13,7 +13,6 @@
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
-	"fennelyard/internal/loading"
 	"fennelyard/internal/metrics"
 	"fennelyard/internal/role"
 	"fennelyard/internal/schema"
@@ -25,6 +24,8 @@
 	port  int
 	seeds []string
 	hosts map[string]*role.Control
+	// engines, where set, takes the hosts' orders.
+	engines *engines
 }
 
 func newCluster(t *testing.T, ips ...string) *cluster {
@@ -51,7 +52,7 @@
 	s, err := role.LoadSettings(file)
 	require.NoError(c.t, err)
 	h, err := role.NewControl(role.ControlConfig{
-		Settings: s, Metrics: metrics.New(), Log: logr.Discard(), Engines: loading.Engines{},
+		Settings: s, Metrics: metrics.New(), Log: logr.Discard(), Engines: c.engines.reach(),
 		Handler: func(*role.Control) http.Handler { return http.NotFoundHandler() },
 	})
 	require.NoError(c.t, err)
