--- a/internal/role/api.go
+++ b/internal/role/api.go
@@ -20,6 +20,10 @@
 	// commitWait is how long a caller of the control host waits for the group;
 	// callers go to another host after a second.
 	commitWait = 900 * time.Millisecond
+	// tellWait is how long a server that leaves waits for the entries to be told.
+	// Its word counts from the acknowledgement on, and a leader that is short of
+	// processor time tells entries seconds later; the server then says it again.
+	tellWait = 600 * time.Millisecond
 )
 
 var (
@@ -111,7 +115,8 @@
 // Depart takes a backend server's word that it ends. A server that had no answer
 // says it again, and the first word may have been recorded after its caller was
 // gone: the entries are told whether or not the record is new, or the second word
-// would be acknowledged and requests would still be sent there.
+// would be acknowledged and requests would still be sent there. Without an error
+// all entries that speak have been told.
 func (c *Control) Depart(ctx context.Context, id string) error {
 	if err := c.elsewhere(); err != nil {
 		return err
@@ -125,7 +130,12 @@
 			return err
 		}
 	}
-	c.roster.Depart(id)
+	ctx, cancel := context.WithTimeout(ctx, tellWait)
+	defer cancel()
+	if err := c.roster.AwaitTold(ctx, c.roster.Depart(id)); err != nil {
+		c.cfg.Log.Info("departure not told", "server", id, "error", logbook.Text(err))
+		return errors.Newf("tell entries: %v: %w", err, ErrUnsure)
+	}
 	return nil
 }
 
--- a/internal/role/attend.go
+++ b/internal/role/attend.go
@@ -123,6 +123,7 @@
 		if err := a.stream.Send(news); err != nil {
 			return errors.Newf("tell entry: %w", err)
 		}
+		a.c.roster.Told(a.number, a.entry.GetHost(), a.roster)
 		select {
 		case <-ctx.Done():
 			return nil
--- a/internal/roster/entries.go
+++ b/internal/roster/entries.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"context"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"fennelyard/internal/schema"
 )
 
@@ -24,6 +27,8 @@
 	silent bool
 	// loads is what the entry has at the engines.
 	loads []*schema.EngineLoad
+	// told is the change number that the entry has been told of.
+	told uint64
 }
 
 // Attend notes that an entry speaks on a stream; stream numbers grow.
@@ -75,6 +80,48 @@
 	return r.runs[run{server, model}] > 0
 }
 
+// Told notes that an entry was told of all changes up to a number.
+func (r *Roster) Told(stream uint64, host string, change uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a := r.entries[host]; a != nil && a.stream == stream {
+		a.told = change
+	}
+}
+
+// toldCheck is how often AwaitTold looks; servers leave a few times a minute.
+const toldCheck = 10 * time.Millisecond
+
+// AwaitTold waits until every entry that speaks has been told of a change.
+func (r *Roster) AwaitTold(ctx context.Context, change uint64) error {
+	ticker := time.NewTicker(toldCheck)
+	defer ticker.Stop()
+	for {
+		behind := r.behind(change)
+		if behind == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Newf("%d entries have not been told: %w", behind, ctx.Err())
+		case <-ticker.C:
+		}
+	}
+}
+
+// behind counts the entries that speak and have not been told of a change.
+func (r *Roster) behind(change uint64) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, a := range r.entries {
+		if !a.silent && a.told < change {
+			n++
+		}
+	}
+	return n
+}
+
 // run names a model at an engine.
 type run struct{ server, model string }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -228,13 +228,23 @@
 	}
 }
 
-// Depart marks a server that has said that it ends.
-func (r *Roster) Depart(id string) {
+// Depart marks a server that has said that it ends. It returns the change number
+// that entries must have been told of to know it. Entries may know a server from
+// an earlier leader that this one has not heard of: they are told that it is gone.
+func (r *Roster) Depart(id string) uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if s := r.servers[id]; s != nil && s.view.GetState() == schema.RosterState_ROSTER_STATE_READY {
+	s := r.servers[id]
+	if s == nil {
+		s = &server{heard: r.cfg.Now()}
+		r.servers[id] = s
+		r.setView(s, &schema.RosterServer{Id: id, State: schema.RosterState_ROSTER_STATE_GONE})
+		return s.change
+	}
+	if s.view.GetState() == schema.RosterState_ROSTER_STATE_READY {
 		r.setView(s, withState(s.view, schema.RosterState_ROSTER_STATE_LEAVING))
 	}
+	return s.change
 }
 
 // Hold records which models an engine holds ready.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -1,7 +1,9 @@
 package roster_test
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -142,3 +144,43 @@
 	r.Leave(1, "e1")
 	require.False(t, r.Runs("s", "a"))
 }
+
+// A server leaves while the leader is too busy to tell one entry. Were its word
+// acknowledged now, that entry would send it requests long after; it is once the
+// entry has been told, or has fallen silent.
+func TestDepartureWaitsForEveryEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, c := newRoster()
+		require.True(t, r.Announce(word("s", "a:1", 1)))
+		r.Attend(1, &schema.RosterEntry{Host: "e1"})
+		r.Attend(2, &schema.RosterEntry{Host: "e2"})
+		change := r.Depart("s")
+		r.Told(1, "e1", change)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		require.Error(t, r.AwaitTold(ctx, change))
+		done := make(chan error, 1)
+		go func() { done <- r.AwaitTold(context.Background(), change) }()
+		r.Told(2, "e2", change)
+		require.NoError(t, <-done)
+		r.Attend(3, &schema.RosterEntry{Host: "e3"})
+		go func() { done <- r.AwaitTold(context.Background(), change) }()
+		c.now = c.now.Add(2 * time.Second)
+		r.Hear(1, "e1", false)
+		r.Hear(2, "e2", false)
+		r.SweepEntries()
+		require.NoError(t, <-done)
+	})
+}
+
+// A server leaves just after a change of leader, before the new one has heard of
+// it. Entries still know it from the old leader and would send it requests until
+// the new one has heard all servers, seconds later: they must be told now.
+func TestDepartureOfAServerThatWasNotHeard(t *testing.T) {
+	r, _ := newRoster()
+	require.Positive(t, r.Depart("s"))
+	views, _ := r.Since(0)
+	require.Len(t, views, 1)
+	require.Equal(t, schema.RosterState_ROSTER_STATE_GONE, views[0].GetState())
+	require.False(t, r.Ready("s"))
+}
