--- a/cmd/fennelyard/join.go
+++ b/cmd/fennelyard/join.go
@@ -78,7 +78,9 @@
 	}
 	set := metrics.New()
 	set.Gauge("log_lines_dropped", "Log lines that were dropped.", func() float64 { return float64(book.Dropped()) })
-	p, err := start(s, set, log, book.Requests(verbosity).WithValues("host", s.Get().GetHost()))
+	p, err := awaitRoom(c.Context(), log, func() (hostRole, error) {
+		return start(s, set, log, book.Requests(verbosity).WithValues("host", s.Get().GetHost()))
+	})
 	if err != nil {
 		log.Error(err, "not started")
 		return err
@@ -129,6 +131,30 @@
 	return e, nil
 }
 
+// roomCheck is how often a host whose disk is full tries to start: whoever makes
+// room has it back within a moment.
+const roomCheck = time.Second
+
+// awaitRoom starts a host, and waits where its disk takes no more bytes: ending
+// instead would have it started again several times a second, and each start
+// would look like another failure.
+func awaitRoom(ctx context.Context, log logr.Logger, start func() (hostRole, error)) (hostRole, error) {
+	for first := true; ; first = false {
+		p, err := start()
+		if err == nil || !errors.Is(err, syscall.ENOSPC) {
+			return p, err
+		}
+		if first {
+			log.Info("waiting for room on the disk", "error", err.Error())
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(roomCheck):
+		}
+	}
+}
+
 // reloads returns the signals that ask for the settings to be read again.
 func reloads() <-chan os.Signal {
 	c := make(chan os.Signal, 1)
