--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -160,7 +160,9 @@
 		case <-ticker.C:
 		case <-d.kick:
 		}
-		pause := time.Duration(d.round()) * roundGap
+		// Never without a pause: the race detector's own code ends the process, now and
+		// then, where a select meets a timer of no time in simulated time.
+		pause := time.Duration(max(d.round(), 1)) * roundGap
 		select {
 		case <-d.stop:
 			return
