--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -197,6 +197,8 @@
 		return "the request's body did not come whole or was too large: " + q.text("cause")
 	case "caller-gone":
 		return "the caller left first"
+	case "entry-stopping":
+		return fmt.Sprintf("the entry was stopped and had no time left to serve it, after %v of waiting for a model: %s", waited, q.text("cause"))
 	case "server-failed":
 		return "server " + q.text("server") + " answered with status " + q.text("status")
 	}
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"fennelyard/internal/gateway"
 	"fennelyard/internal/story"
 )
 
@@ -39,10 +40,8 @@
 // Every outcome that a request can be logged with has a sentence of its own.
 func TestEveryOutcomeHasACause(t *testing.T) {
 	seen := map[string]bool{}
-	for _, outcome := range []string{
-		"served", "server-failed", "no-route", "no-configuration", "no-server", "no-model", "busy", "repeat-budget",
-		"outcome-unknown", "cut", "timeout", "caller-gone", "bad-body",
-	} {
+	for o := gateway.OutcomeServed; !strings.HasPrefix(o.String(), "Outcome("); o++ {
+		outcome := o.String()
 		lines, err := story.Read(strings.NewReader(
 			`{"time":"2026-01-02T03:04:03Z","msg":"request","id":"1","outcome":"` + outcome + `"}`))
 		require.NoError(t, err)
@@ -52,4 +51,5 @@
 		require.False(t, seen[cause], "%s: %s", outcome, cause)
 		seen[cause] = true
 	}
+	require.GreaterOrEqual(t, len(seen), 14)
 }
