--- /dev/null
+++ b/internal/loading/site_test.go
@@ -0,0 +1,189 @@
+package loading_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fennelyard/internal/loading"
+	"fennelyard/internal/schema"
+)
+
+// site is a few engines that take orders as the platform's do, and lose or delay
+// some. It checks what it is ordered.
+type site struct {
+	t    *testing.T
+	seed uint64
+	pool *schema.Pool
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	engines map[string]*standin
+	// lost is the share of orders without an answer; half of these arrive.
+	lost   float64
+	stores []time.Time
+	// storeTime is how long a load from the weight store takes.
+	storeTime time.Duration
+}
+
+// standin is one engine.
+type standin struct {
+	id    string
+	taken uint64
+	held  map[string]map[string]bool
+	disk  map[string]bool
+	busy  bool
+	// last is the order that came last, from whom and when.
+	last   loading.Order
+	lastBy string
+	lastAt time.Time
+}
+
+func newSite(t *testing.T, seed uint64) *site {
+	s := &site{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 3)), engines: map[string]*standin{}, storeTime: 6 * time.Second}
+	s.pool = &schema.Pool{Name: "llm", Engine: &schema.EngineSpec{MemoryMb: memoryMB, AdapterPlaces: places, LoadsPerSecond: 3}}
+	for i := range 8 {
+		s.pool.Engine.Models = append(s.pool.Engine.Models, &schema.ModelSpec{
+			Name: fmt.Sprint("m", i), MemoryMb: []float64{16100, 34300}[i%2], AdapterMb: 40, Adapters: []string{"a1", "a2", "a3", "a4"},
+			LoadStoreMs: 6000, LoadDiskMs: 500, LoadMemoryMs: 400,
+		})
+	}
+	for i := range 4 {
+		id := fmt.Sprint("e", i)
+		s.engines[id] = &standin{id: id, held: map[string]map[string]bool{}, disk: map[string]bool{}}
+	}
+	return s
+}
+
+func (s *site) spec(name string) *schema.ModelSpec {
+	i := slices.IndexFunc(s.pool.GetEngine().GetModels(), func(m *schema.ModelSpec) bool { return m.GetName() == name })
+	return s.pool.GetEngine().GetModels()[i]
+}
+
+// reach returns the engines as the host at an index reaches them.
+func (s *site) reach() loading.Engines {
+	return loading.Engines{
+		Give: func(ctx context.Context, _, holder string, o loading.Order) (loading.Outcome, error) {
+			s.mu.Lock()
+			fate := s.random.Float64()
+			late := time.Duration(2000+s.random.IntN(10000)) * time.Millisecond
+			s.mu.Unlock()
+			if fate < s.lost/2 {
+				<-ctx.Done()
+				return loading.OutcomeUnknown, errors.New("lost")
+			}
+			if fate < s.lost {
+				// It arrives after all, long after anybody waits for it.
+				time.AfterFunc(late, func() { s.take(holder, o, true) })
+				<-ctx.Done()
+				return loading.OutcomeUnknown, errors.New("late")
+			}
+			return s.take(holder, o, false), nil
+		},
+		Ask: func(_ context.Context, _ string, server string) (loading.Report, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			e := s.engines[server]
+			return loading.Report{Held: e.views(), Busy: e.busy, Taken: e.taken}, nil
+		},
+	}
+}
+
+func (e *standin) views() []*schema.HeldModel {
+	var out []*schema.HeldModel
+	for name, adapters := range e.held {
+		v := &schema.HeldModel{Name: name}
+		for a := range adapters {
+			v.Adapters = append(v.Adapters, a)
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+// take carries an order out as an engine does: under its precondition, one at a
+// time. A model engine that is ordered to hold too much crashes: here the test
+// fails instead.
+func (s *site) take(holder string, o loading.Order, late bool) loading.Outcome {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.engines[o.Server]
+	if o.Taken != e.taken || e.busy {
+		return loading.OutcomeConflict
+	}
+	if !late {
+		s.judge(e, holder, o)
+	}
+	adapters, holds := e.held[o.Model]
+	switch {
+	case o.Adapter != "" && !holds:
+		return loading.OutcomeConflict
+	case o.Adapter != "" && o.Load == adapters[o.Adapter], o.Adapter == "" && o.Load == holds:
+		return loading.OutcomeHolds
+	case o.Adapter != "" && o.Load:
+		adapters[o.Adapter] = true
+	case o.Adapter != "":
+		delete(adapters, o.Adapter)
+	case o.Load:
+		s.load(e, o.Model)
+	default:
+		e.busy = true
+		time.AfterFunc(50*time.Millisecond, func() { s.end(e, func() { delete(e.held, o.Model) }) })
+	}
+	e.taken++
+	s.weigh(e, o)
+	return loading.OutcomeTaken
+}
+
+func (s *site) load(e *standin, model string) {
+	e.busy = true
+	took := 500 * time.Millisecond
+	if !e.disk[model] {
+		took = s.storeTime
+		s.stores = append(s.stores, time.Now())
+	}
+	s.weigh(e, loading.Order{Load: true, Model: model})
+	time.AfterFunc(took, func() {
+		s.end(e, func() { e.held[model], e.disk[model] = map[string]bool{}, true })
+	})
+}
+
+func (s *site) end(e *standin, f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+	e.busy = false
+}
+
+// weigh fails the test when an engine holds more than fits.
+func (s *site) weigh(e *standin, o loading.Order) {
+	sum, n := 0.0, 0
+	for name, adapters := range e.held {
+		sum += s.spec(name).GetMemoryMb() + 40*float64(len(adapters))
+		n += len(adapters)
+	}
+	if o.Load && o.Adapter == "" {
+		sum += s.spec(o.Model).GetMemoryMb()
+	}
+	if sum > memoryMB || n > places {
+		s.t.Errorf("seed %d: %s holds %.0f MB and %d adapters after %+v", s.seed, e.id, sum, n, o)
+	}
+}
+
+// judge fails the test when two holders take turns too soon or under tokens that
+// do not grow.
+func (s *site) judge(e *standin, holder string, o loading.Order) {
+	if e.lastBy != "" && holder != e.lastBy && time.Since(e.lastAt) < lease {
+		s.t.Errorf("seed %d: %s orders %v after %s", s.seed, holder, time.Since(e.lastAt), e.lastBy)
+	}
+	if o.Token <= e.last.Token {
+		s.t.Errorf("seed %d: token %d after %d", s.seed, o.Token, e.last.Token)
+	}
+	e.last, e.lastBy, e.lastAt = o, holder, time.Now()
+}
