Weigh engines by what is observed of them, and set some apart only for long prompts

Both figures were of one site's prompts, like the rate at which engines read.

Change: the reading rate is a least-squares line through times to first events; a prompt is long by the part of the shortest allowed pause that reading it takes, and engines are set apart only where long prompts are most of what there is to read; a rank costs a sixth of reading the shared part. On the earlier sites these give the figures that stood there.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -9,18 +9,13 @@
 )
 
 const (
-	// readRate is how many prompt tokens an engine reads in a millisecond. It only
-	// weighs reading against the other costs; engines of half or twice the speed
-	// are chosen well enough by it.
-	readRate = 38.0
 	// runCost is what one more request costs those that run beside it: each takes
 	// part in every step of the engine.
 	runCost = 4.0 // ms
-	// rankCost keeps the requests of one shared prompt part on few engines, the
-	// same ones for all entries: an engine further down the order must be that
-	// much less busy, per place. Reading a shared part of 6,300 tokens again takes
-	// 165 ms, so that a hot part spreads after a handful waits.
-	rankCost = 25.0 // ms
+	// spreadAfter is after how many requests that share a prompt part an engine gives
+	// some to the next in the part's order: a hot part spreads after a handful waits,
+	// for the price of reading it once more.
+	spreadAfter = 6.0
 )
 
 // choose returns the best server for a call, or nil when none can serve it.
@@ -47,7 +42,7 @@
 	if c.Model == "" {
 		return leastBusy(able, random)
 	}
-	return cheapest(able, c)
+	return cheapest(able, c, f.seen(pool))
 }
 
 // leastBusy picks at random among the servers with the fewest requests of this
@@ -63,11 +58,6 @@
 	return able[random(n)]
 }
 
-// longPrompt is from how many tokens on a prompt counts as long: an engine makes
-// no tokens for its other requests while it reads, and a few of these in a row
-// are a pause that callers of short requests notice.
-const longPrompt = 3800
-
 const (
 	// otherPartCost is what an engine costs that the other sort of prompt has for
 	// itself. Mean worth over the standard days of a deployment with 18 engines,
@@ -86,8 +76,8 @@
 // long ones the rest, so that reading the long ones does not hold up the events
 // of the short. A request of the other sort comes only when its own part is much
 // busier.
-func otherPart(able []*server, c *Call) map[*server]bool {
-	if len(able) < 2 {
+func otherPart(able []*server, c *Call, o *observed) map[*server]bool {
+	if len(able) < 2 || !o.apart() {
 		return nil
 	}
 	order := slices.Clone(able)
@@ -95,7 +85,7 @@
 		return cmp.Or(cmp.Compare(weight(c.Model, b), weight(c.Model, a)), cmp.Compare(a.id, b.id))
 	})
 	forLong := len(order) - max(len(order)/shortPart, 1)
-	long := c.PromptTokens >= longPrompt
+	long := o.isLong(c)
 	other := map[*server]bool{}
 	for i, s := range order {
 		if (i < forLong) != long {
@@ -105,16 +95,17 @@
 	return other
 }
 
-func cheapest(able []*server, c *Call) *server {
+func cheapest(able []*server, c *Call, o *observed) *server {
 	key := affinity(c)
-	other := otherPart(able, c)
+	other := otherPart(able, c, o)
+	rate, rankCost := o.readRate(), o.shared(c)/spreadAfter
 	slices.SortFunc(able, func(a, b *server) int {
 		return cmp.Or(cmp.Compare(weight(key, b), weight(key, a)), cmp.Compare(a.id, b.id))
 	})
 	var best *server
 	var bestCost float64
 	for rank, s := range able {
-		cost := float64(s.unread+s.others.unread+s.uncached(c))/readRate +
+		cost := float64(s.unread+s.others.unread+s.uncached(c))/rate +
 			runCost*float64(s.running+s.others.running) + rankCost*float64(rank)
 		if other[s] {
 			cost += otherPartCost
--- a/internal/gateway/choose_test.go
+++ b/internal/gateway/choose_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -70,10 +71,15 @@
 	require.Equal(t, again.Peek(long("p")), e.Peek(long("p")))
 }
 
-// Long prompts hold up the events of other requests: the two sorts use different
-// engines of a model while there are two.
+// Long prompts hold up the events of other requests: where they are most of what
+// there is to read, the two sorts use different engines of a model.
 func TestLongAndShortPromptsKeepApart(t *testing.T) {
 	e := gateway.NewEngines(6)
+	e.Allow(500 * time.Millisecond)
+	for i := range 200 {
+		e.Serve(long(fmt.Sprint(i)))
+		e.Serve(short(fmt.Sprint(i)))
+	}
 	longs, shorts := map[string]bool{}, map[string]bool{}
 	for i := range 40 {
 		longs[e.Peek(long(fmt.Sprint(i)))] = true
@@ -86,6 +92,49 @@
 	}
 }
 
+// Another deployment's prompts are all short. Its callers must have all engines of
+// a model: pressed onto a third of them, their streams paused and queued there while
+// the others had nothing to do. The same holds while a long prompt comes now and
+// then. Prompts as long as elsewhere are no long ones where engines read ten times as
+// fast: they go where the part that all of them share was read.
+func TestShortPromptsHaveAllEngines(t *testing.T) {
+	for name, x := range map[string]struct {
+		every int
+		rate  float64
+		bulk  func(string) *gateway.Call
+		least int
+	}{
+		"no long prompt":       {every: 1 << 30, rate: 40, bulk: short, least: 6},
+		"one long in twenty":   {every: 20, rate: 40, bulk: short, least: 6},
+		"fast engines' prompt": {every: 1 << 30, rate: 400, bulk: long, least: 3},
+	} {
+		e := gateway.NewEngines(6)
+		e.Allow(500 * time.Millisecond)
+		e.Read(x.rate)
+		for i := range 400 {
+			if i%x.every == x.every-1 {
+				e.Serve(long(fmt.Sprint(i)))
+			}
+			e.Serve(x.bulk(fmt.Sprint(i)))
+		}
+		seen := map[string]bool{}
+		for i := range 60 {
+			seen[e.Peek(x.bulk(fmt.Sprint(i)))] = true
+		}
+		require.GreaterOrEqual(t, len(seen), x.least, name)
+	}
+}
+
+// The rate at which engines read is learned from times to first events, whatever
+// else is in them.
+func TestReadRateIsLearned(t *testing.T) {
+	for _, rate := range []float64{13, 40, 120} {
+		e := gateway.NewEngines(1)
+		e.Read(rate)
+		require.InEpsilon(t, rate, e.ReadRate(), 0.15)
+	}
+}
+
 func TestFailedEngineGoesLast(t *testing.T) {
 	for _, c := range []*gateway.Call{long("p"), short("p")} {
 		e := gateway.NewEngines(2)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -246,6 +246,12 @@
 	patience := x.patience(cancel, left)
 	defer patience.Stop()
 	sent := time.Now()
+	markFirst := func() {
+		if !read && x.call.Model != "" {
+			x.g.fleet.firstRead(x.pool, before+unread, time.Since(sent))
+		}
+		markRead()
+	}
 	answer, err := x.g.cfg.Sender.Send(ctx, s.address, x.request(left, 0))
 	if err != nil {
 		return x.failed(s, err)
@@ -257,7 +263,7 @@
 	}
 	x.runs++
 	if x.route.GetStream() && answer.Status == http.StatusOK && verdict.Signed {
-		return x.stream(s, answer, patience, markRead)
+		return x.stream(s, answer, patience, markFirst)
 	}
 	patience.Stop()
 	defer func() { x.g.pace(x.pool).observe(time.Since(sent)) }()
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -53,6 +53,29 @@
 	return e.f.choose("p", c, nil, time.Now(), func(int) int { return 0 }).view.GetId()
 }
 
+// Allow sets the longest pause of the pool's streams.
+func (e *Engines) Allow(gap time.Duration) { e.f.seen("p").gap = gap }
+
+// Serve sends a call and ends it.
+func (e *Engines) Serve(c *Call) {
+	s := e.f.choose("p", c, nil, time.Now(), func(int) int { return 0 })
+	tokens, _, _ := e.f.begin(s, c)
+	e.f.read(s, tokens)
+	e.f.end(s, c)
+}
+
+// Read has first events come as from engines that read so many tokens in a
+// millisecond and take 40 ms for all else.
+func (e *Engines) Read(rate float64) {
+	for i := range 400 {
+		tokens := i * 37 % 2000
+		e.f.firstRead("p", tokens, 40*time.Millisecond+time.Duration(float64(tokens)/rate*float64(time.Millisecond)))
+	}
+}
+
+// ReadRate is what was learned of it.
+func (e *Engines) ReadRate() float64 { return e.f.seen("p").readRate() }
+
 // Fail notes a failure.
 func (e *Engines) Fail(id string) { e.f.bad(e.f.servers[id], time.Now()) }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -159,6 +159,7 @@
 		// A configuration never goes back within the life of an entry.
 		return
 	}
+	g.fleet.gaps(t)
 	g.table.Store(t)
 	if old == nil {
 		close(g.configured)
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -122,10 +122,39 @@
 	mu      sync.Mutex
 	servers map[string]*server
 	changed chan struct{}
+	// pools is what was observed of each pool's engines and prompts.
+	pools map[string]*observed
 }
 
 func newFleet() *fleet {
-	return &fleet{servers: map[string]*server{}, changed: make(chan struct{})}
+	return &fleet{servers: map[string]*server{}, changed: make(chan struct{}), pools: map[string]*observed{}}
+}
+
+// seen returns what was observed of a pool; mu is held.
+func (f *fleet) seen(pool string) *observed {
+	o := f.pools[pool]
+	if o == nil {
+		o = newObserved()
+		f.pools[pool] = o
+	}
+	return o
+}
+
+// gaps takes in the shortest pauses that the configuration allows each pool.
+func (f *fleet) gaps(t *table) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name := range t.pools {
+		f.seen(name).gap = t.gapOf(name)
+	}
+}
+
+// firstRead notes how long the first event of a request took that had so many
+// tokens to be read before it.
+func (f *fleet) firstRead(pool string, tokens int, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seen(pool).read(tokens, took)
 }
 
 // update takes the leader's word in. With settled, named holds every server that
@@ -210,14 +239,16 @@
 }
 
 // begin notes that a request is about to be sent. It returns how many of its
-// tokens the server has to read, and what this entry had there before.
+// tokens the server has to read, and what was there before: requests of
+// this entry, and tokens of all entries that are not read.
 func (f *fleet) begin(s *server, c *Call) (tokens, running, unread int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	tokens, running, unread = s.uncached(c), s.running, s.unread
+	tokens, running, unread = s.uncached(c), s.running, s.unread+s.others.unread
 	s.running++
 	if c.Model != "" {
 		s.runs[c.Model]++
+		f.seen(s.view.GetPool()).arrive(c)
 	}
 	s.unread += tokens
 	s.remember(c)
