Give an attempt up with a repeat in hand only, and never once it has begun

Cause: after one and a half times the aim an attempt was broken off, whether or not a repeat was to be had.

Beginning and giving up exclude each other.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -59,6 +59,9 @@
 // errCallerGone says that the caller has left or its time is over.
 var errCallerGone = errors.New("the caller has gone")
 
+// errGivenUp says that the attempt was given up for one at another server.
+var errGivenUp = errors.New("the server has shown nothing for long")
+
 // exchange is one request of a caller.
 type exchange struct {
 	g      *Gateway
@@ -78,6 +81,8 @@
 	// attempts counts dispatches, runs those that may have run.
 	attempts int
 	runs     int
+	// paid is set where the last attempt was given up with a repeat in hand.
+	paid bool
 	// tried are the servers that are not asked again.
 	tried  []string
 	server *server
@@ -193,10 +198,11 @@
 	if !x.find() {
 		return false
 	}
-	if x.attempts > 0 && !x.g.budget(x.pool).spend(time.Now(), x.g.entryCount()) {
+	if x.attempts > 0 && !x.paid && !x.g.budget(x.pool).spend(time.Now(), x.g.entryCount()) {
 		x.giveUp(OutcomeBudget, refuseAfter)
 		return false
 	}
+	x.paid = false
 	left := time.Until(x.deadline)
 	if left < minLeft {
 		x.giveUp(OutcomeTimeout, 0)
@@ -244,7 +250,7 @@
 	}
 	defer markRead()
 	patience := x.patience(cancel, left)
-	defer patience.Stop()
+	defer patience.begin()
 	sent := time.Now()
 	markFirst := func() {
 		if !read && x.call.Model != "" {
@@ -254,42 +260,26 @@
 	}
 	answer, err := x.g.cfg.Sender.Send(ctx, s.address, x.request(left, 0))
 	if err != nil {
+		x.paid = !patience.begin()
 		return x.failed(s, err)
 	}
 	defer answer.Close()
 	verdict := x.g.cfg.Codec.Judge(answer.Status, answer.Header)
 	if verdict.NotRun {
+		x.paid = !patience.begin()
 		return x.notRun(s, answer, verdict)
 	}
 	x.runs++
 	if x.route.GetStream() && answer.Status == http.StatusOK && verdict.Signed {
 		return x.stream(s, answer, patience, markFirst)
 	}
-	patience.Stop()
+	if x.paid = !patience.begin(); x.paid {
+		return x.failedIn(s, errGivenUp)
+	}
 	defer func() { x.g.pace(x.pool).observe(time.Since(sent)) }()
 	return x.whole(s, answer, verdict)
 }
 
-// patience ends an attempt that has shown nothing for long, where the request
-// may be sent elsewhere.
-func (x *exchange) patience(cancel func(), left time.Duration) *time.Timer {
-	aim := time.Duration(x.route.GetAimMs()) * time.Millisecond
-	timer := time.AfterFunc(min(max(aim*3/2, patienceLeast), left*2/3), cancel)
-	if !x.mayRepeat() {
-		timer.Stop()
-	}
-	return timer
-}
-
-// patienceLeast is the least time without a word after which a repeatable
-// request is sent elsewhere: the longest that a sound server takes for a short
-// request.
-const patienceLeast = 450 * time.Millisecond
-
-func (x *exchange) mayRepeat() bool {
-	return x.route.GetRepeat() != schema.Repeat_REPEAT_NEVER && x.runs+1 < int(max(x.route.GetMaxAttempts(), 1))
-}
-
 func (x *exchange) request(left time.Duration, after int64) *relay.Request {
 	h := relay.PassedOn(x.r.Header)
 	x.g.cfg.Codec.Mark(h, Mark{
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -91,3 +91,14 @@
 
 // FirstWordWait returns how long a host's first word is waited for.
 func FirstWordWait(around int) time.Duration { return firstWordWait(around) }
+
+// Patience is the patience of one attempt.
+type Patience struct{ p *patience }
+
+// NewPatience starts the patience of an attempt that cancel ends.
+func NewPatience(after time.Duration, cancel func(), repeat func() bool) *Patience {
+	return &Patience{newPatience(after, cancel, repeat)}
+}
+
+// Begin notes that the answer has begun.
+func (p *Patience) Begin() bool { return p.p.begin() }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -137,13 +137,17 @@
 
 // newBed serves one pool of the backends on routes for each kind of request.
 func newBed(t *testing.T, backends ...*backend) *bed {
+	t.Helper()
+	return newBedWith(t, gateway.BudgetConfig{Ratio: 0.2, Window: 10 * time.Millisecond, Slack: 100}, backends...)
+}
+
+func newBedWith(t *testing.T, budget gateway.BudgetConfig, backends ...*backend) *bed {
 	t.Helper()
 	dialer := peer.NewDialer(peer.DialerConfig{})
 	g := gateway.New(gateway.Config{
 		Self: &schema.RosterEntry{Host: "e", CallerAddress: "127.0.0.1:1"}, Seeds: func() []string { return nil }, Dialer: dialer,
 		Replica: ledger.NewReplica(), Sender: relay.NewSender(relay.Config{}), Codec: codec(),
-		Budget: gateway.BudgetConfig{Ratio: 0.2, Window: 10 * time.Millisecond, Slack: 100},
-		Log:    logr.Discard(), Requests: logr.Discard(),
+		Budget: budget, Log: logr.Discard(), Requests: logr.Discard(),
 	})
 	t.Cleanup(func() {
 		g.Close()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -17,12 +17,12 @@
 // stream passes a stream on, event by event. When its server fails, a stream
 // that may be resumed goes on at another one after the last event that has left;
 // the caller sees one answer under the first server's header.
-func (x *exchange) stream(s *server, answer *relay.Answer, patience *time.Timer, read func()) bool {
+func (x *exchange) stream(s *server, answer *relay.Answer, patience *patience, read func()) bool {
 	last := x.call.After
 	for {
-		err := x.events(answer, &last, func() {
-			patience.Stop()
+		err := x.events(answer, &last, func() bool {
 			read()
+			return patience.begin()
 		})
 		answer.Close()
 		switch {
@@ -43,6 +43,7 @@
 			x.giveUp(OutcomeTimeout, 0)
 			return false
 		case !x.started:
+			x.paid = !patience.begin()
 			return x.failedIn(s, err)
 		}
 		x.cause = err
@@ -56,7 +57,7 @@
 }
 
 // events passes events on until the stream ends; nil is a regular end.
-func (x *exchange) events(answer *relay.Answer, last *int64, begun func()) error {
+func (x *exchange) events(answer *relay.Answer, last *int64, begun func() bool) error {
 	in := relay.NewEvents(answer.Body)
 	out := http.NewResponseController(x.w)
 	for came := time.Now(); ; came = time.Now() {
@@ -76,7 +77,9 @@
 			}
 			return err
 		}
-		begun()
+		if !begun() {
+			return errGivenUp
+		}
 		if first, to, ok := relay.IDs(b); ok {
 			if x.started && first != *last+1 {
 				return errGap
