Learn how fast engines read from those with nothing to read, and log it

Change: only first events of requests that found nothing to read before them are learned from; each request's line says the rate and whether engines are set apart. Measured: rates of 20 to 45 in 96 of 100 requests.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -253,8 +253,9 @@
 	defer patience.begin()
 	sent := time.Now()
 	markFirst := func() {
-		if !read && x.call.Model != "" {
-			x.g.fleet.firstRead(x.pool, before+unread, time.Since(sent))
+		// What others have there is known late, and would blur what is learned.
+		if !read && x.call.Model != "" && before == 0 {
+			x.g.fleet.firstRead(x.pool, unread, time.Since(sent))
 		}
 		markRead()
 	}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -17,6 +17,10 @@
 	if x.route != nil {
 		kind, route = kindOf(x.route), x.route.GetName()
 	}
+	rate, apart := 0, false
+	if x.call.Model != "" {
+		rate, apart = g.fleet.reading(x.pool)
+	}
 	server := ""
 	if x.server != nil {
 		server = x.server.id
@@ -24,7 +28,8 @@
 	g.cfg.Requests.Info("request", "id", x.call.ID, "outcome", x.outcome.String(), "status", x.status, "route", route,
 		"version", version, "pool", x.pool, "model", x.call.Model, "adapter", x.call.Adapter, "server", server,
 		"attempts", x.attempts, "runs", x.runs, "tried", x.tried, "waited-ms", x.waited.Milliseconds(),
-		"first-ms", x.first.Milliseconds(), "pause-ms", x.pause.Milliseconds(), "took-ms", took.Milliseconds(), "wait-ms", x.call.Wait.Milliseconds(), "prompt", x.call.PromptTokens, "at-once", x.atOnce, "unread", x.unread,
+		"first-ms", x.first.Milliseconds(), "pause-ms", x.pause.Milliseconds(), "took-ms", took.Milliseconds(), "wait-ms", x.call.Wait.Milliseconds(), "prompt", x.call.PromptTokens,
+		"at-once", x.atOnce, "unread", x.unread, "read-rate", rate, "apart", apart,
 		"leader-age-ms", g.attend.age().Milliseconds(), "cause", logbook.Text(x.cause))
 	if g.cfg.Served != nil {
 		g.cfg.Served(Served{
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -157,6 +157,15 @@
 	f.seen(pool).read(tokens, took)
 }
 
+// reading returns how many tokens a pool's engines seem to read in a millisecond,
+// and whether some of them are set apart for long prompts.
+func (f *fleet) reading(pool string) (rate int, apart bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	o := f.seen(pool)
+	return int(o.readRate()), o.apart()
+}
+
 // update takes the leader's word in. With settled, named holds every server that
 // the leader knows, and all others are gone.
 func (f *fleet) update(views []*schema.RosterServer, settled bool, named map[string]bool) {
