Let a pool's allowance of repeats grow from an entry's start

Cause: it was made, empty, at the pool's first request, which therefore could never be sent to a second server. Change: it grows from the start on, empty as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -227,7 +227,9 @@
 	defer g.mu.Unlock()
 	b := g.budgets[pool]
 	if b == nil {
-		b = newBudget(g.cfg.Budget, time.Now())
+		// It grows from the start on, not from the first request, which could not be sent
+		// again.
+		b = newBudget(g.cfg.Budget, g.began)
 		g.budgets[pool] = b
 	}
 	return b
