Count a model's crowding by the time that its prompts take to read

Cause: how many replicas a busy model is given followed from its requests alone, four pairs of them a second and replica; where prompts are read in a tenth of the time the same pairs hold each other up for a tenth as long, and replicas take places that rare models need. Change: entries tell for how long engines read what was sent for each model, and the pairs are counted by that, 200 ms a second.

--- a/internal/gateway/asked.go
+++ b/internal/gateway/asked.go
@@ -30,6 +30,8 @@
 	// arrived counts since the last word to the leader; guarded by mu, as all
 	// below.
 	arrived map[target]int
+	// reading is for how long engines read what was sent since the last word.
+	reading map[target]time.Duration
 	waiting map[target]int
 	// told holds the targets whose waiting requests the leader knows of.
 	told     map[target]bool
@@ -38,7 +40,7 @@
 
 func newAsked() *asked {
 	return &asked{
-		urgent: make(chan struct{}, 1), arrived: map[target]int{}, waiting: map[target]int{},
+		urgent: make(chan struct{}, 1), arrived: map[target]int{}, reading: map[target]time.Duration{}, waiting: map[target]int{},
 		told: map[target]bool{}, expected: map[target]expectation{},
 	}
 }
@@ -49,6 +51,13 @@
 	a.arrived[t]++
 }
 
+// read notes for how long an engine will read a request's prompt.
+func (a *asked) read(t target, d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.reading[t] += d
+}
+
 // wait notes that a request waits for a target; the leader is told at once.
 func (a *asked) wait(t target, n int) {
 	a.mu.Lock()
@@ -84,9 +93,10 @@
 	add := func(t target) {
 		out = append(out, &schema.ModelDemand{
 			Pool: t.pool, Model: t.model, Adapter: t.adapter,
-			Arrived: uint32(a.arrived[t]), Waiting: uint32(a.waiting[t]),
+			Arrived: uint32(a.arrived[t]), Waiting: uint32(a.waiting[t]), ReadUs: uint64(a.reading[t].Microseconds()),
 		})
 		delete(a.arrived, t)
+		delete(a.reading, t)
 	}
 	for t := range a.waiting {
 		add(t)
@@ -100,6 +110,9 @@
 	for t := range a.arrived {
 		add(t)
 	}
+	for t := range a.reading {
+		add(t)
+	}
 	for t := range a.waiting {
 		a.told[t] = true
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -240,6 +240,9 @@
 	defer cancel()
 	unread, atOnce, before := x.g.fleet.begin(s, &x.call)
 	x.atOnce, x.unread = atOnce, before
+	if x.call.Model != "" {
+		x.g.asked.read(x.target(), x.g.fleet.readTime(x.pool, unread))
+	}
 	defer x.g.fleet.end(s, &x.call)
 	read := false
 	markRead := func() {
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -166,6 +166,13 @@
 	return int(o.readRate()), o.apart()
 }
 
+// readTime is how long a pool's engines read so many tokens.
+func (f *fleet) readTime(pool string, tokens int) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(float64(tokens) / f.seen(pool).readRate() * float64(time.Millisecond))
+}
+
 // update takes the leader's word in. With settled, named holds every server that
 // the leader knows, and all others are gone.
 func (f *fleet) update(views []*schema.RosterServer, settled bool, named map[string]bool) {
--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -41,11 +41,15 @@
 	rate   float64
 	recent float64
 	asked  time.Time
+	// reading is the part of an engine's time that reading its prompts takes, an
+	// average as rate is.
+	reading float64
 	// waiting holds the requests that wait now, by entry.
 	waiting map[string]int
 }
 
-func (d *demand) arrive(n int, now time.Time) {
+func (d *demand) arrive(n int, reading time.Duration, now time.Time) {
+	d.reading = d.average(d.reading, rateWindow, now) + reading.Seconds()/rateWindow.Seconds()
 	d.rate = d.average(d.rate, rateWindow, now) + float64(n)/rateWindow.Seconds()
 	d.recent = d.average(d.recent, riseWindow, now) + float64(n)/riseWindow.Seconds()
 	d.asked = now
@@ -71,6 +75,15 @@
 	return recent + growth*(riseWindow+riseAhead).Seconds()
 }
 
+// readTime is how long an engine reads a prompt on average; 0: none was sent yet.
+func (d *demand) readTime(now time.Time) time.Duration {
+	rate := d.average(d.rate, rateWindow, now)
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(d.average(d.reading, rateWindow, now) / rate * float64(time.Second))
+}
+
 func (d *demand) sum() int {
 	n := 0
 	for _, w := range d.waiting {
@@ -95,7 +108,7 @@
 		}
 		if t.adapter != "" {
 			d.noteAdapter(t, x, now)
-			whole := &schema.ModelDemand{Arrived: x.GetArrived()}
+			whole := &schema.ModelDemand{Arrived: x.GetArrived(), ReadUs: x.GetReadUs()}
 			d.note(entry, target{t.pool, t.model, ""}, whole, now)
 		}
 	}
@@ -111,8 +124,8 @@
 		m = &demand{waiting: map[string]int{}, asked: now}
 		d.demands[t] = m
 	}
-	if x.GetArrived() > 0 {
-		m.arrive(int(x.GetArrived()), now)
+	if x.GetArrived() > 0 || x.GetReadUs() > 0 {
+		m.arrive(int(x.GetArrived()), time.Duration(x.GetReadUs())*time.Microsecond, now)
 	}
 	if x.GetModel() == "" {
 		return false
--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -344,7 +344,7 @@
 	for name, known := range p.models {
 		m := *known
 		if x := d.demands[target{p.name, name, ""}]; x != nil {
-			m.Rate, m.Asked, m.Waiting = x.rateAt(now), x.asked, x.sum()
+			m.Rate, m.Asked, m.Waiting, m.Read = x.rateAt(now), x.asked, x.sum(), x.readTime(now)
 		}
 		in.Models[name] = &m
 	}
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -10,16 +10,18 @@
 )
 
 const (
-	// crowding is how much the requests of a model must get in each other's way,
-	// in pairs a second and replica, for one more replica. Each request is held up
-	// by those that come to its engine: with r requests a second on n replicas
-	// another one takes r*r/(n*(n+1)) of such pairs away. A busy model is given a
-	// replica for each two requests a second by it, one with less than 2.8 a second
-	// keeps its only one: there, room for another model serves more callers. Mean
-	// worth over the standard days of two deployments, two plays each: 0.641 and
-	// 0.654 with 4, 0.615 and 0.660 with 2; with a plain rate of 3 a replica 0.646
-	// and 0.638.
-	crowding = 4.0
+	// crowding is for how long the requests of a model must hold each other up, in a
+	// second, that one more replica takes away. Each request is held up by those that
+	// come to its engine while their prompts are read: with r requests a second on n
+	// replicas another one takes r*r/(n*(n+1)) of such pairs away, of the time that an
+	// engine reads each. Where that is 50 ms a busy model is given a replica for each
+	// two requests a second by it, and where it is 10 ms one for each four or five; a
+	// model with less keeps its only one: there, room for another model serves more
+	// callers.
+	crowding = 200 * time.Millisecond
+	// readAtFirst is how long an engine is taken to read a prompt before any was
+	// timed.
+	readAtFirst = 50 * time.Millisecond
 	// minHold keeps a model for a moment after its load: demand for two models
 	// could otherwise push them out of one engine in turns, and neither is served.
 	minHold = 2 * time.Second
@@ -46,6 +48,8 @@
 	// Rate is the number of requests a second that is expected in the seconds to
 	// come.
 	Rate float64
+	// Read is how long an engine reads one of its prompts; 0: not known.
+	Read time.Duration
 	// Asked is when a request last came.
 	Asked time.Time
 	// Waiting is the number of requests that wait for a replica.
@@ -212,8 +216,8 @@
 	if m.Rate < rareRate {
 		return 0
 	}
-	// The least n with r*r <= crowding*n*(n+1).
-	return max(int(math.Ceil(math.Sqrt(m.Rate*m.Rate/crowding+0.25)-0.5)), 1)
+	// The least n with r*r*read <= crowding*n*(n+1).
+	return max(int(math.Ceil(math.Sqrt(m.Rate*m.Rate*cmp.Or(m.Read, readAtFirst).Seconds()/crowding.Seconds()+0.25)-0.5)), 1)
 }
 
 // rareRate is below how many requests a second a model counts as rare: on
