Keep the room that was made for a model until it is loaded

Cause: an order that drops a model for another one was followed by a round that knew nothing of it; whoever was most urgent then took the room, most often the model that had just been dropped. Change: the room is kept for half a second for its model.

--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -367,6 +367,7 @@
 			continue
 		}
 		v := e.view(d.cfg.Roster.Runs)
+		v.Cleared = e.clearedFor(now)
 		if now.Before(e.notBefore) || e.holder.Host == "" || now.Before(e.ordersFrom) {
 			v.Busy = true
 		}
--- a/internal/loading/engine.go
+++ b/internal/loading/engine.go
@@ -48,6 +48,9 @@
 	// touched is when an order last changed something here: older words of the
 	// engine about what it holds are not believed.
 	touched time.Time
+	// cleared is the model that the last order made room for, until clearedKeep
+	// after touched; "": none.
+	cleared string
 	// notBefore holds the next order or report back after a failure.
 	notBefore time.Time
 	// holder is who gives this engine its orders, the zero value before one is
@@ -106,6 +109,18 @@
 	return ""
 }
 
+// clearedKeep is for how long the room that an order made is kept for its model: its
+// load is due in the next round, which comes within a tenth of a second.
+const clearedKeep = 500 * time.Millisecond
+
+// clearedFor returns the model that room was made for a moment ago, or "".
+func (e *engine) clearedFor(now time.Time) string {
+	if now.Sub(e.touched) > clearedKeep {
+		return ""
+	}
+	return e.cleared
+}
+
 // view is the engine as Decide sees it; runs tells whether a model has requests
 // there.
 func (e *engine) view(runs func(server, model string) bool) *Engine {
@@ -128,6 +143,7 @@
 // done applies the order under way to what is held.
 func (e *engine) done(now time.Time) {
 	o := e.order
+	e.cleared = ""
 	switch {
 	case o.Load && o.Adapter == "":
 		if e.held[o.Model] == nil {
@@ -140,6 +156,7 @@
 		}
 	case o.Adapter == "":
 		delete(e.held, o.Model)
+		e.cleared = o.For
 	default:
 		if h := e.held[o.Model]; h != nil {
 			delete(h.Adapters, o.Adapter)
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -82,6 +82,8 @@
 	Leaving string
 	// FromStore is set while the load under way is from the weight store.
 	FromStore bool
+	// Cleared is the model that room was made for a moment ago; "": none.
+	Cleared string
 }
 
 // AdapterDemand is an adapter that requests wait for.
@@ -168,6 +170,7 @@
 	p := &plan{in: in, replicas: map[string]int{}, copies: map[string]int{}, taken: map[string]bool{}, copiesOnly: map[string]float64{}}
 	p.count()
 	p.reserved = p.reserve()
+	p.useCleared()
 	for _, m := range p.wanted() {
 		reason := ReasonWaiting
 		if p.replicas[m.Name] > 0 {
@@ -185,6 +188,32 @@
 	return p.out, p.blocked
 }
 
+// useCleared loads what room was made for. Were it left to the round that follows,
+// the model that had to go, which somebody asks for by then, would often be loaded
+// back in its place: both wait for two orders, and the one that room was made for
+// waits on. On heavy days every third model that was dropped came back at once.
+func (p *plan) useCleared() {
+	for _, e := range slices.Clone(p.free) {
+		m := p.in.Models[e.Cleared]
+		if m == nil || holds(e, m.Name) || !p.lacks(m) || p.in.MemoryMB-p.reserved-p.used(e) < m.MemoryMB {
+			continue
+		}
+		if p.fromStore(e, m) && p.in.StoreLoads <= 0 {
+			continue
+		}
+		reason := ReasonWaiting
+		if p.replicas[m.Name] > 0 {
+			reason = ReasonBusy
+		}
+		p.order(e, m, "", reason)
+	}
+}
+
+// lacks reports whether a model is to be given one more replica.
+func (p *plan) lacks(m *Model) bool {
+	return m.Waiting > 0 && p.replicas[m.Name] == 0 || p.replicas[m.Name] < needed(m)
+}
+
 func (p *plan) count() {
 	for _, e := range p.in.Engines {
 		if e.Busy {
@@ -231,7 +260,7 @@
 func (p *plan) wanted() []*Model {
 	var out []*Model
 	for _, m := range p.in.Models {
-		if m.Waiting > 0 && p.replicas[m.Name] == 0 || p.replicas[m.Name] < needed(m) {
+		if p.lacks(m) {
 			out = append(out, m)
 		}
 	}
--- a/internal/loading/plan_test.go
+++ b/internal/loading/plan_test.go
@@ -108,6 +108,18 @@
 			input([]*loading.Model{model("m", nil)}, engine("e1")),
 			[]loading.Action{{Reason: loading.ReasonStock, Engine: "e1", Load: true, Model: "m", FromStore: true}},
 		},
+		"room that was made for a model is not given back": {
+			func() loading.Input {
+				e := engine("e1", "hot")
+				e.Cleared, e.OnDisk["old"], e.OnDisk["m"] = "m", true, true
+				in := input([]*loading.Model{model("m", waiting), model("hot", busy(1)), model("old", func(m *loading.Model) {
+					m.Waiting, m.Rate, m.Asked = 3, 0.2, now
+				})}, e)
+				in.MemoryMB = 65000
+				return in
+			}(),
+			[]loading.Action{{Engine: "e1", Load: true, Model: "m"}},
+		},
 		"the store's pace binds": {
 			func() loading.Input {
 				in := input([]*loading.Model{model("m", waiting)}, engine("e1"))
