Give models whose replicas are full their next one before rare models

Nothing but the rate of its requests was known of a model's load. Change: entries tell for how long engines had what ended, so that the leader knows how many slots a model's requests fill; models are ordered by how many callers a second are not served in time for want of a replica, and a model is owed as many replicas as keep half of their slots free.

--- a/internal/gateway/asked.go
+++ b/internal/gateway/asked.go
@@ -32,6 +32,8 @@
 	arrived map[target]int
 	// reading is for how long engines read what was sent since the last word.
 	reading map[target]time.Duration
+	// ran is for how long engines had the requests that ended since the last word.
+	ran     map[target]time.Duration
 	waiting map[target]int
 	// told holds the targets whose waiting requests the leader knows of.
 	told     map[target]bool
@@ -40,7 +42,8 @@
 
 func newAsked() *asked {
 	return &asked{
-		urgent: make(chan struct{}, 1), arrived: map[target]int{}, reading: map[target]time.Duration{}, waiting: map[target]int{},
+		urgent: make(chan struct{}, 1), arrived: map[target]int{}, reading: map[target]time.Duration{},
+		ran: map[target]time.Duration{}, waiting: map[target]int{},
 		told: map[target]bool{}, expected: map[target]expectation{},
 	}
 }
@@ -58,6 +61,13 @@
 	a.reading[t] += d
 }
 
+// end notes for how long an engine had a request.
+func (a *asked) end(t target, d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ran[t] += d
+}
+
 // wait notes that a request waits for a target; the leader is told at once.
 func (a *asked) wait(t target, n int) {
 	a.mu.Lock()
@@ -94,9 +104,11 @@
 		out = append(out, &schema.ModelDemand{
 			Pool: t.pool, Model: t.model, Adapter: t.adapter,
 			Arrived: uint32(a.arrived[t]), Waiting: uint32(a.waiting[t]), ReadUs: uint64(a.reading[t].Microseconds()),
+			RanUs: uint64(a.ran[t].Microseconds()),
 		})
 		delete(a.arrived, t)
 		delete(a.reading, t)
+		delete(a.ran, t)
 	}
 	for t := range a.waiting {
 		add(t)
@@ -113,6 +125,9 @@
 	for t := range a.reading {
 		add(t)
 	}
+	for t := range a.ran {
+		add(t)
+	}
 	for t := range a.waiting {
 		a.told[t] = true
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -255,6 +255,9 @@
 	patience := x.patience(cancel, left)
 	defer patience.begin()
 	sent := time.Now()
+	if x.call.Model != "" {
+		defer func() { x.g.asked.end(x.target(), time.Since(sent)) }()
+	}
 	markFirst := func() {
 		// What others have there is known late, and would blur what is learned.
 		if !read && x.call.Model != "" && before == 0 {
--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -44,11 +44,16 @@
 	// reading is the part of an engine's time that reading its prompts takes, an
 	// average as rate is.
 	reading float64
+	// running is how many requests are at engines at once, an average likewise.
+	running float64
 	// waiting holds the requests that wait now, by entry.
 	waiting map[string]int
 }
 
-func (d *demand) arrive(n int, reading time.Duration, now time.Time) {
+// arrive notes requests, for how long engines read what was sent, and for how long
+// they had what ended.
+func (d *demand) arrive(n int, reading, ran time.Duration, now time.Time) {
+	d.running = d.average(d.running, rateWindow, now) + ran.Seconds()/rateWindow.Seconds()
 	d.reading = d.average(d.reading, rateWindow, now) + reading.Seconds()/rateWindow.Seconds()
 	d.rate = d.average(d.rate, rateWindow, now) + float64(n)/rateWindow.Seconds()
 	d.recent = d.average(d.recent, riseWindow, now) + float64(n)/riseWindow.Seconds()
@@ -75,13 +80,14 @@
 	return recent + growth*(riseWindow+riseAhead).Seconds()
 }
 
-// readTime is how long an engine reads a prompt on average; 0: none was sent yet.
-func (d *demand) readTime(now time.Time) time.Duration {
-	rate := d.average(d.rate, rateWindow, now)
-	if rate <= 0 {
-		return 0
+// times are how long an engine reads a prompt and how long it has a request, on
+// average; 0: nothing was sent yet.
+func (d *demand) times() (read, run time.Duration) {
+	if d.rate <= 0 {
+		return 0, 0
 	}
-	return time.Duration(d.average(d.reading, rateWindow, now) / rate * float64(time.Second))
+	// All averages decay alike, so that their ratios stay.
+	return time.Duration(d.reading / d.rate * float64(time.Second)), time.Duration(d.running / d.rate * float64(time.Second))
 }
 
 func (d *demand) sum() int {
@@ -108,7 +114,7 @@
 		}
 		if t.adapter != "" {
 			d.noteAdapter(t, x, now)
-			whole := &schema.ModelDemand{Arrived: x.GetArrived(), ReadUs: x.GetReadUs()}
+			whole := &schema.ModelDemand{Arrived: x.GetArrived(), ReadUs: x.GetReadUs(), RanUs: x.GetRanUs()}
 			d.note(entry, target{t.pool, t.model, ""}, whole, now)
 		}
 	}
@@ -124,8 +130,8 @@
 		m = &demand{waiting: map[string]int{}, asked: now}
 		d.demands[t] = m
 	}
-	if x.GetArrived() > 0 || x.GetReadUs() > 0 {
-		m.arrive(int(x.GetArrived()), time.Duration(x.GetReadUs())*time.Microsecond, now)
+	if x.GetArrived() > 0 || x.GetReadUs() > 0 || x.GetRanUs() > 0 {
+		m.arrive(int(x.GetArrived()), time.Duration(x.GetReadUs())*time.Microsecond, time.Duration(x.GetRanUs())*time.Microsecond, now)
 	}
 	if x.GetModel() == "" {
 		return false
--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -183,7 +183,7 @@
 		e = &engine{id: a.ID, pool: a.Pool, held: map[string]*Held{}}
 		d.engines[a.ID] = e
 	}
-	e.address = a.Address
+	e.address, e.slots = a.Address, a.Slots
 	e.inMemory, e.onDisk = setOf(a.InMemory), setOf(a.OnDisk)
 	switch e.phase {
 	case phaseUnknown:
@@ -344,7 +344,8 @@
 	for name, known := range p.models {
 		m := *known
 		if x := d.demands[target{p.name, name, ""}]; x != nil {
-			m.Rate, m.Asked, m.Waiting, m.Read = x.rateAt(now), x.asked, x.sum(), x.readTime(now)
+			m.Rate, m.Asked, m.Waiting = x.rateAt(now), x.asked, x.sum()
+			m.Read, m.Run = x.times()
 		}
 		in.Models[name] = &m
 	}
@@ -374,6 +375,7 @@
 		if v.FromStore {
 			in.StoreRunning++
 		}
+		in.Slots = max(in.Slots, e.slots)
 		in.Engines = append(in.Engines, v)
 	}
 	slices.SortFunc(in.Engines, func(a, b *Engine) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/loading/engine.go
+++ b/internal/loading/engine.go
@@ -32,7 +32,9 @@
 	id      string
 	pool    string
 	address string
-	phase   phase
+	// slots is how many requests the engine works on at once.
+	slots int
+	phase phase
 	// taken is the number of orders that the engine has taken; valid from
 	// phaseKnown on.
 	taken uint64
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -50,6 +50,8 @@
 	Rate float64
 	// Read is how long an engine reads one of its prompts; 0: not known.
 	Read time.Duration
+	// Run is how long an engine has one of its requests; 0: not known.
+	Run time.Duration
 	// Asked is when a request last came.
 	Asked time.Time
 	// Waiting is the number of requests that wait for a replica.
@@ -95,9 +97,11 @@
 // Input is what Decide decides from; it is not changed.
 type Input struct {
 	Now time.Time
-	// MemoryMB and Places are each engine's memory and places for adapters.
+	// MemoryMB and Places are each engine's memory and places for adapters, and Slots
+	// how many requests it works on at once; 0: not known.
 	MemoryMB float64
 	Places   int
+	Slots    int
 	Models   map[string]*Model
 	Engines  []*Engine
 	Adapters []AdapterDemand
@@ -211,7 +215,7 @@
 
 // lacks reports whether a model is to be given one more replica.
 func (p *plan) lacks(m *Model) bool {
-	return m.Waiting > 0 && p.replicas[m.Name] == 0 || p.replicas[m.Name] < needed(m)
+	return m.Waiting > 0 && p.replicas[m.Name] == 0 || p.replicas[m.Name] < p.needed(m)
 }
 
 func (p *plan) count() {
@@ -238,25 +242,57 @@
 	}
 }
 
-// needed is how many replicas a model's demand calls for. A rare model is owed
+// needed is how many replicas a model's demand calls for: as many as keep its
+// requests from crowding, and from filling the engines' slots. A rare model is owed
 // none while nobody waits for it: with all rare models wanted all the time the
 // engines would do nothing but change them for one another.
-func needed(m *Model) int {
+func (p *plan) needed(m *Model) int {
 	if m.Rate < rareRate {
 		return 0
 	}
 	// The least n with r*r*read <= crowding*n*(n+1).
-	return max(int(math.Ceil(math.Sqrt(m.Rate*m.Rate*cmp.Or(m.Read, readAtFirst).Seconds()/crowding.Seconds()+0.25)-0.5)), 1)
+	n := math.Sqrt(m.Rate*m.Rate*cmp.Or(m.Read, readAtFirst).Seconds()/crowding.Seconds()+0.25) - 0.5
+	return max(int(math.Ceil(max(n, p.enginesFull(m)/fill))), 1)
 }
 
+// enginesFull is how many engines' slots the requests of a model fill.
+func (p *plan) enginesFull(m *Model) float64 {
+	if p.in.Slots == 0 {
+		return 0
+	}
+	return m.Rate * m.Run.Seconds() / float64(p.in.Slots)
+}
+
+// fill is the part of its slots up to which an engine is given requests of one model:
+// an engine holds several, and requests come in bursts.
+const fill = 0.5
+
+// hurt is how many callers a second a model has that are not served in time for want
+// of a replica: all of them where no engine has it, and those beyond its replicas'
+// slots. A model that has become busy while its engines were changed for rare ones was
+// served by one engine of twelve for twenty seconds: each rare model, with a caller or
+// two, went first.
+func (p *plan) hurt(m *Model) float64 {
+	n := p.replicas[m.Name]
+	if n == 0 {
+		return m.Rate + float64(m.Waiting)
+	}
+	full := p.enginesFull(m)
+	return m.Rate * max(0, 1-float64(n)*hurtFrom/max(full, hurtFrom))
+}
+
+// hurtFrom is the part of its replicas' slots that a model's requests fill from which
+// on some of them queue.
+const hurtFrom = 0.8
+
 // rareRate is below how many requests a second a model counts as rare: on
 // average it is asked for again only after several times the second that it
 // takes to bring back from an engine's disk.
 const rareRate = 0.25
 
-// wanted returns the models that lack a replica, the most urgent first: those
-// that requests wait for and that no engine has, then those whose replicas have
-// the most requests each.
+// wanted returns the models that lack a replica, the most urgent first: those with
+// the most callers that are not served in time, then those whose replicas have the
+// most requests each.
 func (p *plan) wanted() []*Model {
 	var out []*Model
 	for _, m := range p.in.Models {
@@ -266,7 +302,7 @@
 	}
 	slices.SortFunc(out, func(a, b *Model) int {
 		return cmp.Or(
-			cmp.Compare(min(p.replicas[a.Name], 1), min(p.replicas[b.Name], 1)),
+			cmp.Compare(p.hurt(b), p.hurt(a)),
 			cmp.Compare(b.Rate/float64(p.replicas[b.Name]+1), a.Rate/float64(p.replicas[a.Name]+1)),
 			cmp.Compare(b.Waiting, a.Waiting),
 			cmp.Compare(a.Name, b.Name),
@@ -480,7 +516,7 @@
 		// order meanwhile: for up to three seconds, by the logs of heavy days.
 		return false
 	}
-	if p.replicas[h.Model] > max(needed(old), 1) {
+	if p.replicas[h.Model] > max(p.needed(old), 1) {
 		return true
 	}
 	return p.in.Now.Sub(old.Asked) > askedGuard && (m.Waiting > 0 || old.Rate < m.Rate)
@@ -495,7 +531,7 @@
 	}
 	idle := p.in.Now.Sub(m.Asked).Seconds()
 	likely := m.Rate + 1/(1+max(idle, 0))
-	if n := p.replicas[model]; n > max(needed(m), 1) {
+	if n := p.replicas[model]; n > max(p.needed(m), 1) {
 		return likely / (10 * float64(n))
 	}
 	return likely
