Drop only idle adapters, and give a busy model's replicas its adapters

Cause: the adapter to drop was the one not asked for the longest, with or without requests. Change: entries tell which adapters have requests; only others are dropped, and free places take further copies of those that are asked for most.

--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -31,7 +31,7 @@
 	// models holds the adapters of each model that the server holds.
 	models map[string]map[string]bool
 	// running is the number of this entry's requests there, and runs the same by
-	// model; models without any are left out.
+	// model, and by model/adapter; those without any are left out.
 	running int
 	runs    map[string]int
 	// unread is the number of prompt tokens that this entry sent there and that
@@ -51,6 +51,19 @@
 	absent map[string]time.Time
 }
 
+// count adds a request to the runs of its model and adapter, or takes it off.
+func (s *server) count(c *Call, by int) {
+	names := []string{c.Model}
+	if c.Adapter != "" {
+		names = append(names, c.Model+"/"+c.Adapter)
+	}
+	for _, name := range names {
+		if s.runs[name] += by; s.runs[name] <= 0 {
+			delete(s.runs, name)
+		}
+	}
+}
+
 // load is what is at an engine.
 type load struct {
 	running, unread int
@@ -263,7 +276,7 @@
 	tokens, running, unread = s.uncached(c), s.running, s.unread+s.others.unread
 	s.running++
 	if c.Model != "" {
-		s.runs[c.Model]++
+		s.count(c, 1)
 		f.seen(s.view.GetPool()).arrive(c)
 	}
 	s.unread += tokens
@@ -283,9 +296,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s.running--
-	if s.runs[c.Model]--; s.runs[c.Model] <= 0 {
-		delete(s.runs, c.Model)
-	}
+	s.count(c, -1)
 }
 
 // good and bad note whether the server answered.
--- a/internal/loading/adapters.go
+++ b/internal/loading/adapters.go
@@ -7,16 +7,26 @@
 )
 
 // adapter loads an adapter beside its model, where there is a place, or else
-// makes a place by dropping the adapter that was not asked for the longest.
+// makes a place by dropping an idle adapter, the one that was not asked for the
+// longest. One with requests is never dropped: the engine takes no other order until
+// they have ended, and those that wait for other adapters there wait with it.
 func (p *plan) adapter(d AdapterDemand) {
 	var best *Engine
+	var victim heldAdapter
 	bestFree := math.MinInt
 	for _, e := range p.free {
 		if !holds(e, d.Model) || e.Leaving == d.Model {
 			continue
 		}
-		if free := p.in.Places - adapters(e); free > bestFree {
-			best, bestFree = e, free
+		free := p.in.Places - adapters(e)
+		var idle heldAdapter
+		if free <= 0 {
+			if idle = oldestIdle(e); idle.adapter == "" {
+				continue
+			}
+		}
+		if free > bestFree {
+			best, bestFree, victim = e, free, idle
 		}
 	}
 	if best == nil {
@@ -27,19 +37,21 @@
 		p.out = append(p.out, Action{Engine: best.ID, Load: true, Model: d.Model, Adapter: d.Adapter})
 		return
 	}
-	model, adapter := oldest(best)
-	p.out = append(p.out, Action{Engine: best.ID, Model: model, Adapter: adapter, For: d.Model})
+	p.out = append(p.out, Action{Engine: best.ID, Model: victim.model, Adapter: victim.adapter, For: d.Model})
 }
 
-// stockAdapters fills free places with adapters of busy models that no engine
-// holds. They load in milliseconds, but only while there is a leader that may
-// give orders: their callers would wait for seconds after a change of leader.
+// stockAdapters fills free places with adapters of busy models: first with those that
+// no engine holds, then with further copies of those that are asked for. They load in
+// milliseconds, but only while there is a leader that may give orders: their callers
+// would wait for seconds after a change of leader. And a model's new replica serves
+// none of its adapters' callers before it has them: with each adapter on one engine,
+// that engine had a hundred requests for 48 slots beside replicas that had ten.
 func (p *plan) stockAdapters() {
-	held := map[string]bool{}
+	held := map[heldAdapter]int{}
 	for _, e := range p.in.Engines {
 		for _, h := range e.Held {
 			for a := range h.Adapters {
-				held[h.Model+"/"+a] = true
+				held[heldAdapter{h.Model, a}]++
 			}
 		}
 	}
@@ -47,33 +59,52 @@
 		if adapters(e) >= p.in.Places {
 			continue
 		}
-		model, adapter := p.unheld(e, held)
-		if adapter == "" {
+		next := p.missing(e, held)
+		if next.adapter == "" {
 			continue
 		}
-		held[model+"/"+adapter] = true
+		held[next]++
 		p.take(e)
-		p.out = append(p.out, Action{Reason: ReasonStock, Engine: e.ID, Load: true, Model: model, Adapter: adapter})
+		p.out = append(p.out, Action{Reason: ReasonStock, Engine: e.ID, Load: true, Model: next.model, Adapter: next.adapter})
 	}
 }
 
-// unheld returns an adapter that no engine holds of the busiest model of an
-// engine that has such an adapter.
-func (p *plan) unheld(e *Engine, held map[string]bool) (model, adapter string) {
-	rate := stockRate
+// heldAdapter names an adapter of a model.
+type heldAdapter struct{ model, adapter string }
+
+// missing returns the adapter that an engine should hold next: one that no engine
+// holds of the busiest model, or else the one that it lacks with the most requests for
+// each copy.
+func (p *plan) missing(e *Engine, held map[heldAdapter]int) heldAdapter {
+	var unheld, further heldAdapter
+	rate, each := stockRate, copyRate
 	for _, h := range e.Held {
 		m := p.in.Models[h.Model]
-		if m == nil || m.Rate < rate {
+		if m == nil {
 			continue
 		}
-		i := slices.IndexFunc(m.Adapters, func(a string) bool { return !held[h.Model+"/"+a] })
-		if i >= 0 {
-			model, adapter, rate = h.Model, m.Adapters[i], m.Rate
+		for _, a := range m.Adapters {
+			at := heldAdapter{h.Model, a}
+			if _, has := h.Adapters[a]; has {
+				continue
+			}
+			if n := held[at]; n == 0 && m.Rate >= rate && (unheld.model != h.Model) {
+				unheld, rate = at, m.Rate
+			} else if r := m.AdapterRate[a] / float64(n+1); n > 0 && r > each {
+				further, each = at, r
+			}
 		}
 	}
-	return model, adapter
+	if unheld.adapter != "" {
+		return unheld
+	}
+	return further
 }
 
+// copyRate is from how many requests a second for each copy on an adapter is given
+// another one: of one that is asked for less often a single engine serves all.
+const copyRate = 0.1
+
 // stockRate is from how many requests a second on a model's adapters are loaded
 // ahead: of a model that is asked for less often, most would never be used.
 const stockRate = 0.5
@@ -86,14 +117,24 @@
 	return n
 }
 
-func oldest(e *Engine) (model, adapter string) {
+// oldestIdle returns the adapter without requests that was not asked for the longest.
+func oldestIdle(e *Engine) heldAdapter {
+	var out heldAdapter
 	var at time.Time
 	for _, h := range e.Held {
-		for a, asked := range h.Adapters {
-			if adapter == "" || asked.Before(at) || asked.Equal(at) && h.Model+a < model+adapter {
-				model, adapter, at = h.Model, a, asked
+		for a, last := range h.Adapters {
+			if h.AdapterRuns[a] {
+				continue
+			}
+			this := heldAdapter{h.Model, a}
+			if out.adapter == "" || last.Before(at) || last.Equal(at) && this.less(out) {
+				out, at = this, last
 			}
 		}
 	}
-	return model, adapter
+	return out
+}
+
+func (a heldAdapter) less(b heldAdapter) bool {
+	return a.model < b.model || a.model == b.model && a.adapter < b.adapter
 }
--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -350,12 +350,18 @@
 		in.Models[name] = &m
 	}
 	for t, x := range d.demands {
-		if t.pool != p.name || t.adapter == "" || x.sum() == 0 {
+		m := in.Models[t.model]
+		if t.pool != p.name || t.adapter == "" || m == nil {
 			continue
 		}
-		if m := in.Models[t.model]; m != nil {
-			m.Waiting += x.sum()
+		if m.AdapterRate == nil {
+			m.AdapterRate = map[string]float64{}
 		}
+		m.AdapterRate[t.adapter] = x.average(x.rate, rateWindow, now)
+		if x.sum() == 0 {
+			continue
+		}
+		m.Waiting += x.sum()
 		if !d.heldOrComing(t) {
 			in.Adapters = append(in.Adapters, AdapterDemand{Model: t.model, Adapter: t.adapter})
 		}
--- a/internal/loading/engine.go
+++ b/internal/loading/engine.go
@@ -130,6 +130,10 @@
 	for _, name := range slices.Sorted(maps.Keys(e.held)) {
 		h := *e.held[name]
 		h.Runs = runs(e.id, name)
+		h.AdapterRuns = map[string]bool{}
+		for a := range h.Adapters {
+			h.AdapterRuns[a] = h.Runs && runs(e.id, name+"/"+a)
+		}
 		v.Held = append(v.Held, h)
 	}
 	if e.phase > phaseKnown && e.order.Adapter == "" {
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -56,8 +56,10 @@
 	Asked time.Time
 	// Waiting is the number of requests that wait for a replica.
 	Waiting int
-	// Adapters are the names of its adapters.
-	Adapters []string
+	// Adapters are the names of its adapters, and AdapterRate the requests a second of
+	// those that are asked for.
+	Adapters    []string
+	AdapterRate map[string]float64
 }
 
 // Held is a model in an engine's memory.
@@ -66,8 +68,10 @@
 	Since time.Time
 	// Runs is set while requests for it are at the engine.
 	Runs bool
-	// Adapters tells when each adapter was last asked for.
-	Adapters map[string]time.Time
+	// Adapters tells when each adapter was last asked for, and AdapterRuns which of
+	// them have requests at the engine.
+	Adapters    map[string]time.Time
+	AdapterRuns map[string]bool
 }
 
 // Engine is an engine that takes new work.
--- a/internal/loading/plan_test.go
+++ b/internal/loading/plan_test.go
@@ -136,6 +136,31 @@
 			}(),
 			[]loading.Action{{Engine: "e1", Model: "m", Adapter: "a0", For: "m"}},
 		},
+		"an adapter with requests is not dropped for another": {
+			func() loading.Input {
+				e := engine("e1", "m")
+				for i := range 8 {
+					e.Held[0].Adapters[fmt.Sprint("a", i)] = now.Add(time.Duration(i) * time.Second)
+				}
+				e.Held[0].AdapterRuns = map[string]bool{"a0": true, "a1": true}
+				in := input([]*loading.Model{model("m", busy(1))}, e)
+				in.Adapters = []loading.AdapterDemand{{Model: "m", Adapter: "a9"}}
+				return in
+			}(),
+			[]loading.Action{{Engine: "e1", Model: "m", Adapter: "a2", For: "m"}},
+		},
+		"a busy model's new replica takes the adapters that are asked for most": {
+			func() loading.Input {
+				first := engine("e1", "m")
+				first.Held[0].Adapters["a1"], first.Held[0].Adapters["a2"] = now, now
+				first.Busy = true
+				return input([]*loading.Model{model("m", func(m *loading.Model) {
+					busy(1)(m)
+					m.Adapters, m.AdapterRate = []string{"a1", "a2"}, map[string]float64{"a1": 1, "a2": 3}
+				})}, first, engine("e2", "m"))
+			}(),
+			[]loading.Action{{Reason: loading.ReasonStock, Engine: "e2", Load: true, Model: "m", Adapter: "a2"}},
+		},
 		"free places take adapters of busy models ahead": {
 			input([]*loading.Model{model("m", func(m *loading.Model) {
 				busy(1)(m)
