Make room soon after a change of leader

Cause: a new leader took every model that it heard of for one that had been loaded just then, and kept it for two seconds. Change: such models are kept for half a second, in which entries say what is asked for. TestRoomIsMadeSoonAfterAChangeOfLeader fails without it.

--- a/internal/loading/driver_test.go
+++ b/internal/loading/driver_test.go
@@ -329,6 +329,27 @@
 	})
 }
 
+// The same, where the engine is full of models that nobody asks for: the next leader
+// hears of them for the first time, and makes room as soon as it has heard of demand.
+// It kept them for two seconds, as if they had been loaded just then.
+func TestRoomIsMadeSoonAfterAChangeOfLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1)
+		e := s.engines["e2"]
+		e.disk["m3"] = true
+		e.held["m1"], e.held["m5"] = map[string]bool{}, map[string]bool{}
+		h := newHosts(s)
+		h.announce(s, 1)
+		await(t, func() bool { return h.of("e2").Host != "" })
+		time.Sleep(3 * time.Second)
+		h.elect(1)
+		h.ask(2)
+		took := await(t, func() bool { return s.holds("e2", "m3") })
+		require.Less(t, took, 2500*time.Millisecond)
+		h.stop()
+	})
+}
+
 func (h *hosts) stop() {
 	for _, d := range h.drivers {
 		d.Stop()
--- a/internal/loading/engine.go
+++ b/internal/loading/engine.go
@@ -66,13 +66,19 @@
 	unheld     bool
 }
 
+// heardHold keeps a model for a moment after a leader has first heard that an engine
+// holds it: until entries have said what is asked for. Were it kept for as long as one
+// that was loaded just now, no room could be made anywhere for two seconds after each
+// change of leader, and callers of rare models waited out their aim.
+const heardHold = 500 * time.Millisecond
+
 // learn takes what the engine holds from its own word.
 func (e *engine) learn(held []*schema.HeldModel, now time.Time) {
 	next := map[string]*Held{}
 	for _, h := range held {
 		old := e.held[h.GetName()]
 		if old == nil {
-			old = &Held{Model: h.GetName(), Since: now, Adapters: map[string]time.Time{}}
+			old = &Held{Model: h.GetName(), Since: now.Add(heardHold - minHold), Adapters: map[string]time.Time{}}
 		}
 		fresh := map[string]time.Time{}
 		for _, a := range h.GetAdapters() {
