Place busy models apart, and count the room that a replica has beside others

Change: an engine counts by how much of its slots is in use, and a replica by what the engine's other models leave it.

--- a/internal/loading/driver_test.go
+++ b/internal/loading/driver_test.go
@@ -160,7 +160,7 @@
 		h.drivers = append(h.drivers, loading.NewDriver(loading.Config{
 			Leadership: func() loading.Leadership { return h.leads(i) }, Holders: h.holdersAt(i), Ask: engines.Ask,
 			Roster: r, Pools: func() []*schema.Pool { return []*schema.Pool{s.pool} },
-			Known: func() []*schema.KnownServer { return s.known },
+			Known:      func() []*schema.KnownServer { return s.known },
 			OrderLease: lease, LoadWindow: 5 * time.Second, Now: time.Now, Log: logr.Discard(),
 		}))
 	}
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -164,6 +164,10 @@
 	// copiesOnly holds, for each engine that was looked at, the requests a second
 	// for models that no engine holds and that it has a copy of.
 	copiesOnly map[string]float64
+	// load is how much of each engine's slots the requests for its models fill.
+	load map[*Engine]float64
+	// rooms holds what roomEach has worked out, by model.
+	rooms map[string]float64
 	// free are the engines that take an order; order takes them off.
 	free []*Engine
 	// reserved is the memory that is kept free at each engine.
@@ -175,8 +179,9 @@
 // Decide returns the orders that are due, at most one for each engine, and the
 // models that are wanted and can't be loaded.
 func Decide(in Input) ([]Action, []Blocked) {
-	p := &plan{in: in, replicas: map[string]int{}, copies: map[string]int{}, taken: map[string]bool{}, copiesOnly: map[string]float64{}}
+	p := &plan{in: in, replicas: map[string]int{}, copies: map[string]int{}, taken: map[string]bool{}, copiesOnly: map[string]float64{}, load: map[*Engine]float64{}, rooms: map[string]float64{}}
 	p.count()
+	p.weigh()
 	p.reserved = p.reserve()
 	p.useCleared()
 	for _, m := range p.wanted() {
@@ -256,9 +261,57 @@
 	}
 	// The least n with r*r*read <= crowding*n*(n+1).
 	n := math.Sqrt(m.Rate*m.Rate*cmp.Or(m.Read, readAtFirst).Seconds()/crowding.Seconds()+0.25) - 0.5
-	return max(int(math.Ceil(max(n, p.enginesFull(m)/fill))), 1)
+	return max(int(math.Ceil(max(n, p.enginesFull(m)/fill/p.roomEach(m)))), 1)
 }
 
+// weigh works out how much of each engine's slots is in use.
+func (p *plan) weigh() {
+	for _, e := range p.in.Engines {
+		for _, h := range e.Held {
+			p.load[e] += p.shareAt(h.Model)
+		}
+		if e.Coming != "" && !holds(e, e.Coming) {
+			p.load[e] += p.shareAt(e.Coming)
+		}
+	}
+}
+
+// shareAt is how much of an engine's slots the requests for one replica of a model
+// fill.
+func (p *plan) shareAt(model string) float64 {
+	m := p.in.Models[model]
+	if m == nil || p.replicas[model] == 0 {
+		return 0
+	}
+	return p.enginesFull(m) / float64(p.replicas[model])
+}
+
+// roomEach is the part of its slots that an engine that holds a model has for it, on
+// average: the rest have requests for the engine's other models. Two busy models on
+// the same three engines of twelve had three replicas each, as many as either needs
+// alone, and 250 requests for 144 slots.
+func (p *plan) roomEach(m *Model) float64 {
+	if room, known := p.rooms[m.Name]; known {
+		return room
+	}
+	sum, n := 0.0, 0
+	for _, e := range p.in.Engines {
+		if holds(e, m.Name) && e.Leaving != m.Name {
+			sum += 1 - min(max(p.load[e]-p.shareAt(m.Name), 0), 1-roomLeast)
+			n++
+		}
+	}
+	p.rooms[m.Name] = 1
+	if n > 0 {
+		p.rooms[m.Name] = sum / float64(n)
+	}
+	return p.rooms[m.Name]
+}
+
+// roomLeast is the part of an engine's slots that a model gets beside others however
+// busy they are.
+const roomLeast = 0.2
+
 // enginesFull is how many engines' slots the requests of a model fill.
 func (p *plan) enginesFull(m *Model) float64 {
 	if p.in.Slots == 0 {
@@ -281,7 +334,7 @@
 	if n == 0 {
 		return m.Rate + float64(m.Waiting)
 	}
-	full := p.enginesFull(m)
+	full := p.enginesFull(m) / p.roomEach(m)
 	return m.Rate * max(0, 1-float64(n)*hurtFrom/max(full, hurtFrom))
 }
 
@@ -328,7 +381,7 @@
 		if !ok {
 			continue
 		}
-		cost := p.loadTime(e, m).Seconds() + loss + blockedWeight*p.blockedBy(e, m, victims)
+		cost := p.loadTime(e, m).Seconds() + loss + blockedWeight*p.blockedBy(e, m, victims) + fullWeight*p.load[e]
 		if cost < bestCost {
 			best, bestCost, bestVictim = e, cost, ""
 			if len(victims) > 0 {
@@ -343,6 +396,11 @@
 	return why, true
 }
 
+// fullWeight is how many seconds of load time an engine counts for all of whose slots
+// are in use: as long as its requests wait for a slot there, which is about as long as
+// one runs, for each of the few seconds until the next replica is there.
+const fullWeight = 4.0
+
 // possible tells whether an engine can load a model now, or begin to make room.
 func (p *plan) possible(e *Engine, m *Model, why *Blocked) (victims []string, loss float64, ok bool) {
 	switch {
--- a/internal/loading/plan_test.go
+++ b/internal/loading/plan_test.go
@@ -45,6 +45,13 @@
 func waiting(m *loading.Model)            { m.Waiting, m.Asked = 1, now }
 func busy(r float64) func(*loading.Model) { return func(m *loading.Model) { m.Rate, m.Asked = r, now } }
 
+// served is a model whose prompts are short and whose requests run for a second.
+func served(r float64) func(*loading.Model) {
+	return func(m *loading.Model) {
+		m.Rate, m.Asked, m.Read, m.Run = r, now, time.Millisecond, time.Second
+	}
+}
+
 func TestDecide(t *testing.T) {
 	onDisk := engine("e2", "other")
 	onDisk.OnDisk["m"] = true
@@ -104,6 +111,25 @@
 			input([]*loading.Model{model("m", busy(4))}, engine("e1", "m"), engine("e2")),
 			[]loading.Action{{Reason: loading.ReasonBusy, Engine: "e2", Load: true, Model: "m", FromStore: true}},
 		},
+		"a busy model's next replica goes where no other busy model is": {
+			func() loading.Input {
+				e1, e2, e3 := engine("e1", "m"), engine("e2", "hot"), engine("e3")
+				e2.OnDisk["m"], e3.OnDisk["m"] = true, true
+				in := input([]*loading.Model{model("m", served(40)), model("hot", served(20))}, e1, e2, e3)
+				in.Slots = 48
+				return in
+			}(),
+			[]loading.Action{{Reason: loading.ReasonBusy, Engine: "e3", Load: true, Model: "m"}},
+		},
+		"replicas beside another busy model count for what they have": {
+			func() loading.Input {
+				in := input([]*loading.Model{model("m", served(22)), model("hot", served(22))}, engine("e1", "m", "hot"), engine("e2"))
+				in.Engines[1].OnDisk["m"], in.Engines[1].OnDisk["hot"] = true, true
+				in.Slots = 48
+				return in
+			}(),
+			[]loading.Action{{Reason: loading.ReasonBusy, Engine: "e2", Load: true, Model: "hot"}},
+		},
 		"a model of which there is no copy is loaded for stock": {
 			input([]*loading.Model{model("m", nil)}, engine("e1")),
 			[]loading.Action{{Reason: loading.ReasonStock, Engine: "e1", Load: true, Model: "m", FromStore: true}},
