--- a/internal/gateway/attend.go
+++ b/internal/gateway/attend.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/logbook"
 	"fennelyard/internal/schema"
@@ -184,7 +185,9 @@
 			a.leader, a.found, a.around = address, true, 0
 			a.g.cfg.Log.Info("leader found", "address", address)
 		}
-		a.take(news)
+		if err := a.take(news); err != nil {
+			return errors.Newf("take word: %w", err)
+		}
 	}
 }
 
@@ -217,14 +220,31 @@
 	}
 }
 
-func (a *attendant) take(news *schema.LeaderNews) {
+// changesOf returns the changes that the leader tells, nil: none.
+func changesOf(news *schema.LeaderNews) (*schema.Changes, error) {
+	if len(news.GetEncodedChanges()) == 0 {
+		return news.GetChanges(), nil
+	}
+	c := &schema.Changes{}
+	if err := proto.Unmarshal(news.GetEncodedChanges(), c); err != nil {
+		return nil, errors.Newf("decode changes: %w", err)
+	}
+	return c, nil
+}
+
+func (a *attendant) take(news *schema.LeaderNews) error {
 	a.mu.Lock()
 	a.heard = time.Now()
 	if known := news.GetControlAddresses(); len(known) > 0 {
 		a.known = known
 	}
 	a.mu.Unlock()
-	if c := news.GetChanges(); c != nil {
+	c, err := changesOf(news)
+	if err != nil {
+		// The leader takes them for told; only a new stream brings them again.
+		return err
+	}
+	if c != nil {
 		a.g.configure(c)
 	}
 	for _, s := range news.GetServers() {
@@ -243,6 +263,7 @@
 		a.g.setEntries(l.GetEntries())
 	}
 	a.g.asked.forecast(news.GetForecasts(), time.Now())
+	return nil
 }
 
 // age returns how long ago the leader last spoke.
--- a/internal/role/attend.go
+++ b/internal/role/attend.go
@@ -200,13 +200,9 @@
 	news := &schema.LeaderNews{Sequence: a.sequence}
 	news.Entries = a.c.roster.Entries(a.roster)
 	news.Servers, a.roster = a.c.roster.Since(a.roster)
-	c := forEntries(a.c.group.Ledger().Since(a.revision))
-	if a.revision == 0 || len(c.GetRecords()) > 0 || c.GetWhole() {
-		news.Changes = c
-	}
 	// What entries are not told counts as told: the orders' holders would be looked
 	// through for every word.
-	a.revision = c.GetRevision()
+	news.EncodedChanges, a.revision = a.c.changes.since(a.c.group.Ledger(), a.revision)
 	if !a.settled && a.c.roster.Settled() {
 		news.Settled, a.settled = true, true
 	}
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -68,6 +68,7 @@
 	server  *peer.Server
 	http    *http.Server
 	streams atomic.Uint64
+	changes encodedChanges
 	stop    chan struct{}
 	done    chan struct{}
 	once    sync.Once
