Let the first word to an entry be made from an empty log

Cause: the words that are encoded once were kept by revision in a map that is made when the revision changes; at revision 0, before the first configuration, it was not there. Change: the map is made at the first call. TestChangesOfAnEmptyLedger fails without it.

--- a/internal/role/attend_test.go
+++ b/internal/role/attend_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
+	"fennelyard/internal/ledger"
 	"fennelyard/internal/role"
 	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
@@ -63,3 +65,13 @@
 		require.Equal(t, 18*time.Millisecond, time.Since(began))
 	})
 }
+
+// An entry attends a leader whose log is still empty, as when a deployment starts for
+// the first time. The leader's process ended there, and was back a second later.
+func TestChangesOfAnEmptyLedger(t *testing.T) {
+	data, revision := role.ChangesSince(ledger.New(), 0)
+	require.Zero(t, revision)
+	c := &schema.Changes{}
+	require.NoError(t, proto.Unmarshal(data, c))
+	require.Empty(t, c.GetRecords())
+}
--- a/internal/role/changes.go
+++ b/internal/role/changes.go
@@ -28,7 +28,7 @@
 	defer e.mu.Unlock()
 	var present uint64
 	l.View(func(h ledger.Heads, _ *ledger.Records) { present = h.Index })
-	if present != e.revision {
+	if e.after == nil || present != e.revision {
 		e.revision, e.after = present, map[uint64][]byte{}
 	}
 	if data, known := e.after[after]; known {
--- a/internal/role/export_test.go
+++ b/internal/role/export_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 
+	"fennelyard/internal/ledger"
 	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
 )
@@ -68,3 +69,9 @@
 	_, a.a.roster = a.a.c.roster.Since(a.a.roster)
 	return a.a.rest(ctx, a.ticker, nil, a.a.c.roster.Changed())
 }
+
+// ChangesSince returns what an entry at a revision lacks, as the leader encodes it for
+// the first time.
+func ChangesSince(l *ledger.Ledger, after uint64) ([]byte, uint64) {
+	return (&encodedChanges{}).since(l, after)
+}
