--- a/internal/loading/engine.go
+++ b/internal/loading/engine.go
@@ -48,7 +48,7 @@
 	due   time.Time
 	// atOnce is how many loads the weight store had when it began this one, with it.
 	atOnce int
-	tries int
+	tries  int
 	// touched is when an order last changed something here: older words of the
 	// engine about what it holds are not believed.
 	touched time.Time
