Say once what the last changes said twice

No behaviour changes. A decision's engines that take no order are those that are not free, without a second set; why a model is given a replica, how long an engine takes to load one, and whether the store serves an order stand once each. What an entry has to tell of a target is one tally in place of three maps. Pauses that routes allow are taken in one pass over them, not one for each pool. The two loops that run while a host leads are one, records of one kind are collected by one function, and the log's servers are looked through once a second instead of twice. A recalled server needs no look before its announcement, which refuses what is known. Requests that can't be repeated start no timer. The leader's changes have one field, the same bytes on the wire as before; the tests' leaders encode theirs, no assertion changed.

--- a/internal/gateway/asked.go
+++ b/internal/gateway/asked.go
@@ -21,19 +21,23 @@
 	ready time.Time
 }
 
+// tally is what happened for a target in a while.
+type tally struct {
+	arrived int
+	// reading is for how long engines read what was sent, ran for how long they had
+	// what ended.
+	reading, ran time.Duration
+}
+
 // asked collects what callers ask for, for the leader. All methods are safe
 // from any goroutine.
 type asked struct {
 	urgent chan struct{}
 
 	mu sync.Mutex
-	// arrived counts since the last word to the leader; guarded by mu, as all
-	// below.
-	arrived map[target]int
-	// reading is for how long engines read what was sent since the last word.
-	reading map[target]time.Duration
-	// ran is for how long engines had the requests that ended since the last word.
-	ran     map[target]time.Duration
+	// since is what has happened since the last word to the leader; guarded by mu, as
+	// all below.
+	since   map[target]tally
 	waiting map[target]int
 	// told holds the targets whose waiting requests the leader knows of.
 	told     map[target]bool
@@ -42,30 +46,24 @@
 
 func newAsked() *asked {
 	return &asked{
-		urgent: make(chan struct{}, 1), arrived: map[target]int{}, reading: map[target]time.Duration{},
-		ran: map[target]time.Duration{}, waiting: map[target]int{},
+		urgent: make(chan struct{}, 1), since: map[target]tally{}, waiting: map[target]int{},
 		told: map[target]bool{}, expected: map[target]expectation{},
 	}
 }
 
-func (a *asked) arrive(t target) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.arrived[t]++
-}
+func (a *asked) arrive(t target) { a.note(t, tally{arrived: 1}) }
 
 // read notes for how long an engine will read a request's prompt.
-func (a *asked) read(t target, d time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.reading[t] += d
-}
+func (a *asked) read(t target, d time.Duration) { a.note(t, tally{reading: d}) }
 
 // end notes for how long an engine had a request.
-func (a *asked) end(t target, d time.Duration) {
+func (a *asked) end(t target, d time.Duration) { a.note(t, tally{ran: d}) }
+
+func (a *asked) note(t target, more tally) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.ran[t] += d
+	sum := a.since[t]
+	a.since[t] = tally{sum.arrived + more.arrived, sum.reading + more.reading, sum.ran + more.ran}
 }
 
 // wait notes that a request waits for a target; the leader is told at once.
@@ -101,14 +99,12 @@
 	defer a.mu.Unlock()
 	var out []*schema.ModelDemand
 	add := func(t target) {
+		n := a.since[t]
 		out = append(out, &schema.ModelDemand{
-			Pool: t.pool, Model: t.model, Adapter: t.adapter,
-			Arrived: uint32(a.arrived[t]), Waiting: uint32(a.waiting[t]), ReadUs: uint64(a.reading[t].Microseconds()),
-			RanUs: uint64(a.ran[t].Microseconds()),
+			Pool: t.pool, Model: t.model, Adapter: t.adapter, Arrived: uint32(n.arrived), Waiting: uint32(a.waiting[t]),
+			ReadUs: uint64(n.reading.Microseconds()), RanUs: uint64(n.ran.Microseconds()),
 		})
-		delete(a.arrived, t)
-		delete(a.reading, t)
-		delete(a.ran, t)
+		delete(a.since, t)
 	}
 	for t := range a.waiting {
 		add(t)
@@ -119,13 +115,7 @@
 			delete(a.told, t)
 		}
 	}
-	for t := range a.arrived {
-		add(t)
-	}
-	for t := range a.reading {
-		add(t)
-	}
-	for t := range a.ran {
+	for t := range a.since {
 		add(t)
 	}
 	for t := range a.waiting {
--- a/internal/gateway/attend.go
+++ b/internal/gateway/attend.go
@@ -222,11 +222,11 @@
 
 // changesOf returns the changes that the leader tells, nil: none.
 func changesOf(news *schema.LeaderNews) (*schema.Changes, error) {
-	if len(news.GetEncodedChanges()) == 0 {
-		return news.GetChanges(), nil
+	if len(news.GetChanges()) == 0 {
+		return nil, nil
 	}
 	c := &schema.Changes{}
-	if err := proto.Unmarshal(news.GetEncodedChanges(), c); err != nil {
+	if err := proto.Unmarshal(news.GetChanges(), c); err != nil {
 		return nil, errors.Newf("decode changes: %w", err)
 	}
 	return c, nil
--- a/internal/gateway/attend_test.go
+++ b/internal/gateway/attend_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/gateway"
 	"fennelyard/internal/ledger"
@@ -38,9 +39,18 @@
 	})
 }
 
+// encoded is a configuration as the leader sends it.
+func encoded(c *schema.Changes) []byte {
+	data, err := proto.Marshal(c)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
 // beats tells an entry a configuration and then speaks every few milliseconds.
 func beats(stream attendStream) error {
-	news := &schema.LeaderNews{Changes: configuration(3, routes()...)}
+	news := &schema.LeaderNews{Changes: encoded(configuration(3, routes()...))}
 	for {
 		if err := stream.Send(news); err != nil {
 			return err
@@ -79,7 +89,7 @@
 // gets what is newer there.
 func TestEntryLeavesASilentLeader(t *testing.T) {
 	silent := newLeader(t, func(s attendStream) error {
-		if err := s.Send(&schema.LeaderNews{Changes: configuration(2, routes()...)}); err != nil {
+		if err := s.Send(&schema.LeaderNews{Changes: encoded(configuration(2, routes()...))}); err != nil {
 			return err
 		}
 		<-s.Context().Done()
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -42,7 +42,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for name := range t.pools {
-		f.seen(name).gap = t.gapOf(name)
+		f.seen(name).gap = t.gaps[name]
 	}
 }
 
--- a/internal/gateway/observed.go
+++ b/internal/gateway/observed.go
@@ -161,22 +161,3 @@
 	}
 	return float64(tokens) / o.readRate()
 }
-
-// gapOf returns the shortest pause that a stream to a pool is allowed; 0: none is
-// told.
-func (t *table) gapOf(pool string) time.Duration {
-	least := time.Duration(math.MaxInt64)
-	for _, routes := range t.byHost {
-		for _, r := range routes {
-			for _, s := range r.GetShares() {
-				if gap := time.Duration(r.GetGapMs()) * time.Millisecond; s.GetPool() == pool && r.GetStream() && gap > 0 {
-					least = min(least, gap)
-				}
-			}
-		}
-	}
-	if least == math.MaxInt64 {
-		return 0
-	}
-	return least
-}
--- a/internal/gateway/patience.go
+++ b/internal/gateway/patience.go
@@ -21,7 +21,7 @@
 // can be sent elsewhere at once. An attempt that is given up without that ends in an
 // error for its caller, while its server, most often one with a queue, would have
 // answered late: after all hosts had lost power, entries broke off 59 streams in a
-// moment and had no repeat for any. All methods are safe from any goroutine.
+// moment and had no repeat for any. The zero value never gives up. All methods are safe from any goroutine.
 type patience struct {
 	cancel func()
 	// repeat takes a repeat, or returns false when none is to be had.
@@ -64,14 +64,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.begun = !p.gaveUp
-	p.timer.Stop()
+	if p.timer != nil {
+		p.timer.Stop()
+	}
 	return p.begun
 }
 
 // patience returns the patience of the attempt at hand.
 func (x *exchange) patience(cancel func(), left time.Duration) *patience {
 	if !x.mayRepeat() {
-		return &patience{timer: time.NewTimer(left)}
+		return &patience{}
 	}
 	aim := time.Duration(x.route.GetAimMs()) * time.Millisecond
 	// What the attempt works on is not touched by the timer.
--- a/internal/gateway/table.go
+++ b/internal/gateway/table.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/schema"
@@ -20,6 +21,8 @@
 	// byHost holds the routes of a host, the longest prefix first.
 	byHost map[string][]*schema.Route
 	pools  map[string]*schema.Pool
+	// gaps is the shortest pause that a stream to each pool is allowed; 0: none is told.
+	gaps map[string]time.Duration
 }
 
 func newTable(r *ledger.Records) *table {
@@ -29,10 +32,11 @@
 	}
 	t := &table{
 		version: head.GetVersion(), limits: head.GetLimits(),
-		byHost: map[string][]*schema.Route{}, pools: map[string]*schema.Pool{},
+		byHost: map[string][]*schema.Route{}, pools: map[string]*schema.Pool{}, gaps: map[string]time.Duration{},
 	}
 	for _, route := range r.Routes() {
 		t.byHost[route.GetHost()] = append(t.byHost[route.GetHost()], route)
+		t.allow(route)
 	}
 	for _, routes := range t.byHost {
 		slices.SortFunc(routes, func(a, b *schema.Route) int { return cmp.Compare(len(b.GetPrefix()), len(a.GetPrefix())) })
@@ -43,6 +47,19 @@
 	return t
 }
 
+// allow notes the pauses that a route allows the streams of its pools.
+func (t *table) allow(r *schema.Route) {
+	gap := time.Duration(r.GetGapMs()) * time.Millisecond
+	if !r.GetStream() || gap <= 0 {
+		return
+	}
+	for _, s := range r.GetShares() {
+		if least := t.gaps[s.GetPool()]; least == 0 || gap < least {
+			t.gaps[s.GetPool()] = gap
+		}
+	}
+}
+
 // match returns the route of a request, or nil.
 func (t *table) match(host, path string) *schema.Route {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && t.byHost[host] == nil {
--- a/internal/ledger/configuration.go
+++ b/internal/ledger/configuration.go
@@ -43,10 +43,15 @@
 
 // OrderHolders returns all order holders, in no order.
 func (r *Records) OrderHolders() []*schema.OrderHolder {
-	var out []*schema.OrderHolder
+	return valuesOf(r, (*schema.Record).GetOrderHolder)
+}
+
+// valuesOf returns the values of one kind, in no order.
+func valuesOf[T any](r *Records, value func(*schema.Record) *T) []*T {
+	var out []*T
 	for _, rec := range r.byKey {
-		if h := rec.GetOrderHolder(); h != nil {
-			out = append(out, h)
+		if v := value(rec); v != nil {
+			out = append(out, v)
 		}
 	}
 	return out
--- a/internal/ledger/known.go
+++ b/internal/ledger/known.go
@@ -10,13 +10,7 @@
 // KnownServers returns the backend servers that a leader recorded and none has
 // forgotten, in no order.
 func (r *Records) KnownServers() []*schema.KnownServer {
-	var out []*schema.KnownServer
-	for _, rec := range r.byKey {
-		if k := rec.GetKnownServer(); k != nil {
-			out = append(out, k)
-		}
-	}
-	return out
+	return valuesOf(r, (*schema.Record).GetKnownServer)
 }
 
 // rememberServers records which backend servers there are. They announce themselves
--- a/internal/loading/cost.go
+++ b/internal/loading/cost.go
@@ -44,11 +44,14 @@
 // counts for.
 const blockedWeight = 4.0
 
-func (p *plan) loadTime(e *Engine, m *Model) time.Duration {
+func (p *plan) loadTime(e *Engine, m *Model) time.Duration { return m.loadTime(e.InMemory, e.OnDisk) }
+
+// loadTime is how long an engine takes to load a model that has copies of some.
+func (m *Model) loadTime(inMemory, onDisk map[string]bool) time.Duration {
 	switch {
-	case e.InMemory[m.Name]:
+	case inMemory[m.Name]:
 		return m.FromMemory
-	case e.OnDisk[m.Name]:
+	case onDisk[m.Name]:
 		return m.FromDisk
 	}
 	return m.FromStore
--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -297,6 +297,8 @@
 	if l.Leads == d.leads && l.Term == d.term {
 		return
 	}
+	led, term := d.leads, d.term
+	d.leads, d.term = l.Leads, l.Term
 	if l.Leads {
 		d.since, d.token = now, 0
 		if l.Term == firstTerm {
@@ -307,12 +309,10 @@
 		d.demands = map[target]*demand{}
 		d.begun = map[string][]time.Time{}
 		d.cfg.Log.Info("leading", "term", l.Term)
-		d.leads, d.term = l.Leads, l.Term
 		d.recallServers(now)
-	} else if d.leads {
-		d.cfg.Log.Info("no longer leading", "term", d.term)
+	} else if led {
+		d.cfg.Log.Info("no longer leading", "term", term)
 	}
-	d.leads, d.term = l.Leads, l.Term
 }
 
 // tend asks about an engine where its state is not known or an end is overdue.
--- a/internal/loading/engine.go
+++ b/internal/loading/engine.go
@@ -111,6 +111,9 @@
 	return out
 }
 
+// fromStore reports whether the weight store serves the order under way.
+func (e *engine) fromStore() bool { return e.phase > phaseKnown && e.order.Load && e.order.FromStore }
+
 // unloading names the model that the order under way drops, or "".
 func (e *engine) unloading() string {
 	if e.phase > phaseKnown && !e.order.Load && e.order.Adapter == "" {
@@ -146,7 +149,7 @@
 	}
 	if e.phase > phaseKnown && e.order.Adapter == "" {
 		if e.order.Load {
-			v.Coming, v.FromStore = e.order.Model, e.order.FromStore
+			v.Coming, v.FromStore = e.order.Model, e.fromStore()
 		} else {
 			v.Coming = e.order.For
 		}
--- a/internal/loading/giving.go
+++ b/internal/loading/giving.go
@@ -116,18 +116,18 @@
 func (d *Driver) loadTime(e *engine) time.Duration { return d.loadTimeOf(e, e.order.Model) }
 
 func (d *Driver) loadTimeOf(e *engine, model string) time.Duration {
-	p := d.pools[e.pool]
-	if p == nil || p.models[model] == nil {
-		return 0
+	if m := d.modelOf(e, model); m != nil {
+		return m.loadTime(e.inMemory, e.onDisk)
 	}
-	switch m := p.models[model]; {
-	case e.inMemory[model]:
-		return m.FromMemory
-	case e.onDisk[model]:
-		return m.FromDisk
-	default:
-		return m.FromStore
+	return 0
+}
+
+// modelOf returns a model of an engine's pool, or nil.
+func (d *Driver) modelOf(e *engine, model string) *Model {
+	if p := d.pools[e.pool]; p != nil {
+		return p.models[model]
 	}
+	return nil
 }
 
 // ask asks an engine for a report.
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -13,7 +13,6 @@
 	in       Input
 	replicas map[string]int
 	copies   map[string]int
-	taken    map[string]bool
 	// copiesOnly holds, for each engine that was looked at, the requests a second
 	// for models that no engine holds and that it has a copy of.
 	copiesOnly map[string]float64
@@ -33,7 +32,7 @@
 // models that are wanted and can't be loaded.
 func Decide(in Input) ([]Action, []Blocked) {
 	p := &plan{
-		in: in, replicas: map[string]int{}, copies: map[string]int{}, taken: map[string]bool{}, copiesOnly: map[string]float64{},
+		in: in, replicas: map[string]int{}, copies: map[string]int{}, copiesOnly: map[string]float64{},
 		load: map[*Engine]float64{}, rooms: map[string]float64{},
 	}
 	p.count()
@@ -41,11 +40,7 @@
 	p.reserved = p.reserve()
 	p.useCleared()
 	for _, m := range p.wanted() {
-		reason := ReasonWaiting
-		if p.replicas[m.Name] > 0 {
-			reason = ReasonBusy
-		}
-		if why, ok := p.place(m, reason); !ok {
+		if why, ok := p.place(m, p.reason(m)); !ok {
 			p.blocked = append(p.blocked, why)
 		}
 	}
@@ -70,11 +65,7 @@
 		if p.fromStore(e, m) && p.in.StoreLoads <= 0 {
 			continue
 		}
-		reason := ReasonWaiting
-		if p.replicas[m.Name] > 0 {
-			reason = ReasonBusy
-		}
-		p.order(e, m, "", reason)
+		p.order(e, m, "", p.reason(m))
 	}
 }
 
@@ -83,11 +74,20 @@
 	return m.Waiting > 0 && p.replicas[m.Name] == 0 || p.replicas[m.Name] < p.needed(m)
 }
 
+// reason is why a model is given a replica.
+func (p *plan) reason(m *Model) Reason {
+	if p.replicas[m.Name] > 0 {
+		return ReasonBusy
+	}
+	return ReasonWaiting
+}
+
+// busy counts the engines that take no order.
+func (p *plan) busy() int { return len(p.in.Engines) - len(p.free) }
+
 func (p *plan) count() {
 	for _, e := range p.in.Engines {
-		if e.Busy {
-			p.taken[e.ID] = true
-		} else {
+		if !e.Busy {
 			p.free = append(p.free, e)
 		}
 		if e.Coming != "" {
@@ -135,7 +135,7 @@
 	var best *Engine
 	bestCost := math.Inf(1)
 	var bestVictim string
-	why = Blocked{Model: m.Name, Rate: m.Rate, Busy: len(p.in.Engines) - len(p.free)}
+	why = Blocked{Model: m.Name, Rate: m.Rate, Busy: p.busy()}
 	for _, e := range p.free {
 		victims, loss, ok := p.possible(e, m, &why)
 		if !ok {
@@ -179,7 +179,6 @@
 
 // take rules an engine out for the rest of the round.
 func (p *plan) take(e *Engine) {
-	p.taken[e.ID] = true
 	p.free = slices.DeleteFunc(p.free, func(f *Engine) bool { return f == e })
 }
 
--- a/internal/loading/stock.go
+++ b/internal/loading/stock.go
@@ -57,5 +57,5 @@
 
 // quiet reports whether no caller would miss an engine that loads for stock.
 func (p *plan) quiet() bool {
-	return len(p.blocked) == 0 && busyPart*len(p.taken) <= len(p.in.Engines)
+	return len(p.blocked) == 0 && busyPart*p.busy() <= len(p.in.Engines)
 }
--- a/internal/loading/store.go
+++ b/internal/loading/store.go
@@ -67,8 +67,8 @@
 
 // fromStore is how long the load under way takes where the store has no other.
 func (d *Driver) fromStore(e *engine) time.Duration {
-	if p := d.pools[e.pool]; p != nil && p.models[e.order.Model] != nil {
-		return p.models[e.order.Model].FromStore
+	if m := d.modelOf(e, e.order.Model); m != nil {
+		return m.FromStore
 	}
 	return 0
 }
@@ -77,7 +77,7 @@
 func (d *Driver) fromStoreNow(pool string) int {
 	n := 0
 	for _, e := range d.engines {
-		if e.pool == pool && e.phase > phaseKnown && e.order.Load && e.order.FromStore {
+		if e.pool == pool && e.fromStore() {
 			n++
 		}
 	}
--- a/internal/role/attend.go
+++ b/internal/role/attend.go
@@ -202,7 +202,7 @@
 	news.Servers, a.roster = a.c.roster.Since(a.roster)
 	// What entries are not told counts as told: the orders' holders would be looked
 	// through for every word.
-	news.EncodedChanges, a.revision = a.c.changes.since(a.c.group.Ledger(), a.revision)
+	news.Changes, a.revision = a.c.changes.since(a.c.group.Ledger(), a.revision)
 	if !a.settled && a.c.roster.Settled() {
 		news.Settled, a.settled = true, true
 	}
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -116,7 +116,7 @@
 	c.wg.Add(3)
 	go func() {
 		defer c.wg.Done()
-		c.remember()
+		c.whileLeading(rememberEvery, c.remember)
 	}()
 	go func() {
 		defer c.wg.Done()
@@ -124,7 +124,7 @@
 	}()
 	go func() {
 		defer c.wg.Done()
-		c.sweep()
+		c.whileLeading(sweepEvery, c.sweep)
 	}()
 	return nil
 }
@@ -155,8 +155,10 @@
 	return out
 }
 
-func (c *Control) sweep() {
-	ticker := time.NewTicker(sweepEvery)
+// whileLeading calls a function every so often, whenever this host leads, until it
+// stops.
+func (c *Control) whileLeading(every time.Duration, f func()) {
+	ticker := time.NewTicker(every)
 	defer ticker.Stop()
 	for {
 		select {
@@ -165,12 +167,16 @@
 		case <-ticker.C:
 		}
 		if c.group.Status().Current {
-			c.roster.Sweep()
-			c.roster.SweepEntries()
+			f()
 		}
 	}
 }
 
+func (c *Control) sweep() {
+	c.roster.Sweep()
+	c.roster.SweepEntries()
+}
+
 // Failed is closed when the control member ended by itself; Err tells why. The
 // process must then end: what its disk holds is no longer known.
 func (c *Control) Failed() <-chan struct{} { return c.group.Done() }
--- a/internal/role/known.go
+++ b/internal/role/known.go
@@ -17,27 +17,19 @@
 // record of 10 KB.
 const rememberEvery = time.Second
 
-// remember records which backend servers there are, while this host leads.
+// remember records which backend servers have come and gone. Until a new leader has
+// heard all, it would forget those that it has not.
 func (c *Control) remember() {
-	ticker := time.NewTicker(rememberEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-c.stop:
-			return
-		case <-ticker.C:
-		}
-		// Until a new leader has heard all, it would forget those that it has not.
-		if !c.group.Status().Current || !c.roster.Settled() && c.recordsServers() {
-			continue
-		}
-		q := c.serverChanges()
-		if len(q.GetServers())+len(q.GetForgotten()) == 0 {
-			continue
-		}
-		err := c.commit(context.Background(), &schema.Command{Body: &schema.Command_RememberServers{RememberServers: q}})
-		c.cfg.Log.Info("servers recorded", "come", len(q.GetServers()), "gone", len(q.GetForgotten()), "error", logbook.Text(err))
+	known := c.knownServers()
+	if len(known) > 0 && !c.roster.Settled() {
+		return
 	}
+	q := c.serverChanges(known)
+	if len(q.GetServers())+len(q.GetForgotten()) == 0 {
+		return
+	}
+	err := c.commit(context.Background(), &schema.Command{Body: &schema.Command_RememberServers{RememberServers: q}})
+	c.cfg.Log.Info("servers recorded", "come", len(q.GetServers()), "gone", len(q.GetForgotten()), "error", logbook.Text(err))
 }
 
 func (c *Control) knownServers() []*schema.KnownServer {
@@ -46,14 +38,12 @@
 	return out
 }
 
-func (c *Control) recordsServers() bool { return len(c.knownServers()) > 0 }
-
 // serverChanges is the difference between the servers that take new work and those
 // that are recorded.
-func (c *Control) serverChanges() *schema.RememberServers {
+func (c *Control) serverChanges(known []*schema.KnownServer) *schema.RememberServers {
 	q := &schema.RememberServers{}
 	present := c.roster.Known()
-	for _, k := range c.knownServers() {
+	for _, k := range known {
 		switch now := present[k.GetId()]; {
 		case now == nil:
 			q.Forgotten = append(q.Forgotten, k.GetId())
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -171,8 +171,9 @@
 // yet. One that announces itself at the same address takes its place at once. It
 // returns false where the server is known.
 func (r *Roster) Recall(a Announcement) bool {
+	// No word of a server that is known is older.
 	a.Sequence = 0
-	if r.Knows(a.ID) || !r.Announce(a) {
+	if !r.Announce(a) {
 		return false
 	}
 	r.mu.Lock()
@@ -183,13 +184,6 @@
 	return true
 }
 
-// Knows reports whether a server was heard, whatever its state.
-func (r *Roster) Knows(id string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.servers[id] != nil
-}
-
 // Known returns the servers that take new work, as they are recorded for the next
 // leader.
 func (r *Roster) Known() map[string]*schema.KnownServer {
