--- /dev/null
+++ b/cmd/fennelyard/known_red_test.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// script returns the script that runs the project's tests.
+func script(t *testing.T) string {
+	t.Helper()
+	path, err := filepath.Abs(filepath.Join("..", "..", ".ci", "tests"))
+	require.NoError(t, err)
+	return path
+}
+
+// module writes a module with a package of two tests and one of one, and lists some of
+// them as known to fail.
+func module(t *testing.T, list string, failing ...string) string {
+	t.Helper()
+	folder := t.TempDir()
+	write := func(name, text string) {
+		path := filepath.Join(folder, name)
+		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o700))
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	}
+	body := func(name string) string {
+		text := "func " + name + "(t *testing.T) { t.Log(\"ran\")"
+		for _, f := range failing {
+			if f == name {
+				text += "; t.Fail()"
+			}
+		}
+		return text + " }\n"
+	}
+	const head = "\n\nimport \"testing\"\n\n"
+	write("go.mod", "module scratch\n\ngo 1.26\n")
+	write("one/one_test.go", "package one"+head+body("TestFirst")+body("TestSecond"))
+	write("two/two_test.go", "package two"+head+body("TestThird"))
+	if list != "" {
+		write("KNOWN-RED.txt", list)
+	}
+	return folder
+}
+
+// A list of known failures that passed over too much would hide a new failure, and one
+// that passed over too little would keep everything else from landing.
+func TestKnownFailuresArePassedOver(t *testing.T) {
+	for name, x := range map[string]struct {
+		list    string
+		failing []string
+		passes  bool
+		says    string
+	}{
+		"nothing listed, nothing fails": {passes: true},
+		"nothing listed, one fails":     {failing: []string{"TestSecond"}},
+		"the listed one fails": {
+			list: "./one TestSecond: seen, cause, issue\n", failing: []string{"TestSecond"}, passes: true,
+			says: "./one TestSecond: seen, cause, issue",
+		},
+		"the listed one passes":             {list: "./one TestSecond: seen\n", passes: true, says: "./one TestSecond: seen"},
+		"another of the package fails":      {list: "./one TestSecond: seen\n", failing: []string{"TestFirst"}},
+		"one of another package fails":      {list: "./one TestSecond: seen\n", failing: []string{"TestThird"}},
+		"listed under another package":      {list: "./two TestSecond: seen\n", failing: []string{"TestSecond"}},
+		"a listed one does not exist":       {list: "./one TestGone: seen\n"},
+		"more are listed than may be there": {list: strings.Repeat("./one TestFirst: seen\n", 4)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := exec.Command(script(t))
+			c.Dir = module(t, x.list, x.failing...)
+			out, err := c.CombinedOutput()
+			require.Equal(t, x.passes, err == nil, "%s", out)
+			require.Contains(t, string(out), x.says)
+		})
+	}
+}
