Log who is in the control group and what a newcomer is answered

Cause: the incident's logs can't tell a host that nobody takes in from one that is taken in and does not finish; neither writes a line, and no metric shows that the group has lost its reserve. No decision is changed.

--- a/internal/consensus/member.go
+++ b/internal/consensus/member.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/schema"
 )
@@ -69,6 +71,9 @@
 	// LeaderChanged, where set, is called on each change of leader or role. It
 	// must not block.
 	LeaderChanged func(MemberStatus)
+	// MembersChanged, where set, is called when the membership or the silent voters
+	// are others. It must not block.
+	MembersChanged func(MemberStatus)
 }
 
 // MemberStatus is what a member knows of itself.
@@ -83,6 +88,9 @@
 	// Current is true on a leader that has committed in its term.
 	Current    bool
 	Membership *schema.Membership
+	// Silent names the hosts of voters that have not answered this leader for some
+	// time; empty on other members.
+	Silent []string
 }
 
 type proposal struct {
@@ -507,7 +515,7 @@
 	s := MemberStatus{
 		ID: m.cfg.Storage.ID(), Role: m.core.Role(), Term: m.core.Term(), Leader: m.core.Leader(),
 		Commit: m.core.Commit(), Applied: m.applied, Current: m.core.Current(),
-		Membership: m.core.Membership(),
+		Membership: m.core.Membership(), Silent: m.silentHosts(),
 	}
 	for _, member := range s.Membership.GetMembers() {
 		if member.GetId() == s.Leader {
@@ -522,4 +530,8 @@
 	if changed && m.cfg.LeaderChanged != nil {
 		m.cfg.LeaderChanged(s)
 	}
+	same := proto.Equal(old.Membership, s.Membership) && slices.Equal(old.Silent, s.Silent)
+	if !same && m.cfg.MembersChanged != nil {
+		m.cfg.MembersChanged(s)
+	}
 }
--- a/internal/control/form.go
+++ b/internal/control/form.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/status"
 
 	"fennelyard/internal/consensus"
 	"fennelyard/internal/schema"
@@ -127,6 +128,8 @@
 func (g *Group) askAll() (members []*schema.Member, formed, all bool) {
 	members = append(members, g.selfMember())
 	all = true
+	var answers []string
+	defer func() { g.asking.note(g.cfg.Log, answers) }()
 	for _, h := range g.candidates() {
 		if !h.GetControl() || h.GetName() == g.cfg.Self.GetName() {
 			continue
@@ -134,8 +137,10 @@
 		reply, err := g.ask(h)
 		if err != nil {
 			all = false
+			answers = append(answers, h.GetName()+": "+status.Code(err).String())
 			continue
 		}
+		answers = append(answers, h.GetName()+": "+standing(reply))
 		formed = formed || reply.GetFormed()
 		members = append(members, &schema.Member{
 			Id: reply.GetId(), Host: h.GetName(), Address: h.GetPeerAddress(),
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -61,6 +61,7 @@
 	ledger *ledger.Ledger
 	links  *links
 	lately lately
+	asking asking
 	stop   chan struct{}
 	done   chan struct{}
 	once   sync.Once
@@ -121,6 +122,10 @@
 		LeaderChanged: func(s consensus.MemberStatus) {
 			g.cfg.Log.Info("control role", "role", s.Role.String(), "term", s.Term, "leader", s.LeaderHost)
 		},
+		MembersChanged: func(s consensus.MemberStatus) {
+			voters, learners := hostsOf(s.Membership)
+			g.cfg.Log.Info("control members", "voters", voters, "learners", learners, "silent", s.Silent)
+		},
 	})
 	if err != nil {
 		return errors.Newf("start control member: %w", err)
--- a/internal/role/api.go
+++ b/internal/role/api.go
@@ -62,9 +62,11 @@
 	if err := c.elsewhere(); err != nil {
 		return err
 	}
+	began := time.Now()
 	err := c.commit(ctx, &schema.Command{Body: &schema.Command_PutConfiguration{PutConfiguration: q}})
 	c.cfg.Log.Info("configuration put", "version", q.GetConfiguration().GetVersion(), "routes", len(q.GetRoutes()),
-		"pools", len(q.GetPools()), "bytes", len(q.GetConfiguration().GetDocument()), "error", logbook.Text(err))
+		"pools", len(q.GetPools()), "bytes", len(q.GetConfiguration().GetDocument()),
+		"took-ms", time.Since(began).Milliseconds(), "error", logbook.Text(err))
 	return err
 }
 
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -109,6 +109,7 @@
 		return err
 	}
 	c.startOrders(s)
+	c.gauges()
 	handlers := c.group.Handlers()
 	handlers.Attend, handlers.GiveOrder = c.attend, c.giveOrder
 	c.server = peer.NewServer(peer.ServerConfig{Listener: peers, Handlers: handlers})
@@ -149,6 +150,17 @@
 	return nil
 }
 
+// gauges tell how many voters the group has and how many more losses it bears: both
+// fall long before the group stops.
+func (c *Control) gauges() {
+	c.cfg.Metrics.Gauge("control_voters", "Voters of the control group, as this host knows it.", func() float64 {
+		return float64(len(c.voters()))
+	})
+	c.cfg.Metrics.Gauge("control_voters_silent", "Voters that this leader has not heard for a second or more; 0 on other hosts.", func() float64 {
+		return float64(len(c.group.Status().Silent))
+	})
+}
+
 func (c *Control) pools() []*schema.Pool {
 	var out []*schema.Pool
 	c.group.Ledger().View(func(_ ledger.Heads, r *ledger.Records) { out = r.Pools() })
