--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -42,6 +42,8 @@
 type DialerConfig struct {
 	// Credentials are nil for plain TCP.
 	Credentials credentials.TransportCredentials
+	// Dial connects to an address; nil: over TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Dialer keeps one connection per peer address. It is safe from any goroutine.
@@ -49,6 +51,8 @@
 	cfg   DialerConfig
 	mu    sync.Mutex
 	conns map[string]*connection
+	// closed is set once no connection may be made any more; guarded by mu.
+	closed bool
 }
 
 type connection struct {
@@ -69,17 +73,26 @@
 func (d *Dialer) Client(address string) (schema.PeerClient, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.closed {
+		// A call that comes while its host stops would leave a connection that nobody
+		// closes, with its goroutines.
+		return nil, errors.Newf("dial %s: %w", address, net.ErrClosed)
+	}
 	if c, ok := d.conns[address]; ok {
 		return schema.NewPeerClient(c.conn), nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address,
+	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(d.cfg.Credentials),
 		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second, Backoff: flatBackoff()}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingWait, PermitWithoutStream: true}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithUnaryInterceptor(d.watchSilence(address)),
-	)
+	}
+	if d.cfg.Dial != nil {
+		options = append(options, grpc.WithContextDialer(d.cfg.Dial))
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
 		return nil, errors.Newf("dial %s: %w", address, err)
 	}
@@ -136,6 +149,7 @@
 func (d *Dialer) Close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.closed = true
 	for address, c := range d.conns {
 		_ = c.conn.Close()
 		delete(d.conns, address)
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"path/filepath"
@@ -53,6 +52,10 @@
 	Handler func(*Control) http.Handler
 	Metrics *metrics.Set
 	Log     logr.Logger
+	// Network is how the host reaches others and is reached; the zero value: over TCP.
+	Network Network
+	// Random returns a number from 0 to below n; it spreads elections. nil: by chance.
+	Random func(n int) int
 }
 
 // Control is a control host. All methods are safe from any goroutine.
@@ -77,10 +80,14 @@
 
 // NewControl starts a control host. When it fails nothing is left running.
 func NewControl(cfg ControlConfig) (*Control, error) {
+	cfg.Network.fill()
+	if cfg.Random == nil {
+		cfg.Random = rand.IntN
+	}
 	s := cfg.Settings.Get()
 	address := settings.PeerAddress(s.GetIp(), s)
 	c := &Control{
-		cfg: cfg, dialer: peer.NewDialer(peer.DialerConfig{}), stop: make(chan struct{}), done: make(chan struct{}),
+		cfg: cfg, dialer: peer.NewDialer(peer.DialerConfig{Dial: cfg.Network.Dial}), stop: make(chan struct{}), done: make(chan struct{}),
 		self: &schema.HostSettings{Name: address, PeerAddress: address, DataCentre: s.GetDataCentre(), Control: true},
 	}
 	c.roster = roster.New(roster.Config{
@@ -94,11 +101,11 @@
 }
 
 func (c *Control) start(s *schema.JoinSettings) error {
-	peers, err := net.Listen("tcp", c.self.GetPeerAddress())
+	peers, err := c.cfg.Network.Listen("tcp", c.self.GetPeerAddress())
 	if err != nil {
 		return errors.Newf("listen for hosts: %w", err)
 	}
-	operators, err := net.Listen("tcp", s.GetOperatorAddress())
+	operators, err := c.cfg.Network.Listen("tcp", s.GetOperatorAddress())
 	if err != nil {
 		_ = peers.Close()
 		return errors.Newf("listen for operators: %w", err)
@@ -142,7 +149,7 @@
 	c.group, err = control.NewGroup(control.Config{
 		Group: groupID, Self: c.self, Seeds: c.cfg.Settings.Seeds, Founding: s.GetFounding(),
 		Storage: c.storage, Dialer: c.dialer, Heartbeat: heartbeat, Election: election,
-		SnapshotAfter: snapshotAfter, SilentTicks: silentTicks, Random: rand.IntN, Log: c.cfg.Log.WithName("group"),
+		SnapshotAfter: snapshotAfter, SilentTicks: silentTicks, Random: c.cfg.Random, Log: c.cfg.Log.WithName("group"),
 	})
 	if err != nil {
 		return errors.Newf("start control member: %w", err)
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -47,6 +47,9 @@
 	Metrics   *metrics.Set
 	Log       logr.Logger
 	Requests  logr.Logger
+	// Network is how the entry reaches control hosts and is reached; the zero value:
+	// over TCP.
+	Network Network
 }
 
 // Entry takes callers' requests. All methods are safe from any goroutine.
@@ -65,7 +68,8 @@
 
 // NewEntry starts an entry. When it fails nothing is left running.
 func NewEntry(cfg EntryConfig) (*Entry, error) {
-	e := &Entry{cfg: cfg, dialer: peer.NewDialer(peer.DialerConfig{}), done: make(chan struct{})}
+	cfg.Network.fill()
+	e := &Entry{cfg: cfg, dialer: peer.NewDialer(peer.DialerConfig{Dial: cfg.Network.Dial}), done: make(chan struct{})}
 	s := cfg.Settings.Get()
 	e.gateway = gateway.New(gateway.Config{
 		Self: &schema.RosterEntry{
@@ -118,7 +122,7 @@
 		if x.address == "" {
 			continue
 		}
-		l, err := net.Listen("tcp", x.address)
+		l, err := e.cfg.Network.Listen("tcp", x.address)
 		if err != nil {
 			return errors.Newf("listen: %w", err)
 		}
--- a/internal/role/export_test.go
+++ b/internal/role/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -75,3 +76,12 @@
 func ChangesSince(l *ledger.Ledger, after uint64) ([]byte, uint64) {
 	return (&encodedChanges{}).since(l, after)
 }
+
+// Members tells the membership as this host knows it.
+func (c *Control) Members() string {
+	s := c.group.Status()
+	return fmt.Sprint(s.Role, " of term ", s.Term, " knows ", s.Membership.GetMembers())
+}
+
+// Version returns the version of the configuration in force at this entry.
+func (e *Entry) Version() uint64 { return uint64(e.gateway.State().Version) }
--- /dev/null
+++ b/internal/role/site_test.go
@@ -0,0 +1,218 @@
+package role_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	"github.com/stretchr/testify/require"
+
+	"fennelyard/internal/loading"
+	"fennelyard/internal/metrics"
+	"fennelyard/internal/role"
+	"fennelyard/internal/schema"
+	"fennelyard/internal/standin"
+)
+
+const (
+	sitePeerPort     = 7000
+	siteOperatorPort = 8000
+	siteSeeds        = 3
+)
+
+// site is a whole deployment on simulated time: control hosts and entries over a network
+// in memory. The first three control hosts are the seeds. It belongs to one synctest
+// bubble and one goroutine.
+type site struct {
+	t       *testing.T
+	network *standin.Network
+	random  *rand.Rand
+	// control holds what runs; a host without power is absent.
+	control map[string]*role.Control
+	entries map[string]*role.Entry
+	// next is the host that asks for votes first, "": by chance.
+	next string
+	// closing are hosts without power whose goroutines end in the background.
+	closing []<-chan struct{}
+}
+
+func newSite(t *testing.T, seed int64, control, entries int) *site {
+	s := &site{
+		t: t, network: standin.NewNetwork(), random: rand.New(rand.NewSource(seed)),
+		control: map[string]*role.Control{}, entries: map[string]*role.Entry{},
+	}
+	for i := range control {
+		s.startControl(controlIP(i), t.TempDir(), true)
+	}
+	for i := range entries {
+		s.startEntry(fmt.Sprintf("10.0.1.%d", i+1))
+	}
+	return s
+}
+
+// controlIP is the address of a control host; those below siteSeeds are the seeds.
+func controlIP(i int) string { return fmt.Sprintf("10.0.0.%d", i+1) }
+
+func (s *site) settings(ip, more string) *role.Settings {
+	s.t.Helper()
+	var seeds []string
+	for i := range siteSeeds {
+		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", controlIP(i), siteOperatorPort)))
+	}
+	text := fmt.Sprintf("host: h-%s\ndata-centre: a\nip: %s\npeer-port: %d\nseeds: [%s]\n%s", ip, ip, sitePeerPort, strings.Join(seeds, ","), more)
+	file := filepath.Join(s.t.TempDir(), "settings.yaml")
+	require.NoError(s.t, os.WriteFile(file, []byte(text), 0o600))
+	out, err := role.LoadSettings(file)
+	require.NoError(s.t, err)
+	return out
+}
+
+func (s *site) at(ip string) role.Network {
+	return role.Network{Listen: s.network.Listen, Dial: s.network.From(ip)}
+}
+
+// startControl starts a control host on a disk.
+func (s *site) startControl(ip, disk string, founding bool) {
+	s.t.Helper()
+	more := fmt.Sprintf("founding: %v\ndata-folder: %s\noperator-address: %s:%d\n", founding, disk, ip, siteOperatorPort)
+	own := rand.New(rand.NewSource(s.random.Int63()))
+	c, err := role.NewControl(role.ControlConfig{
+		Settings: s.settings(ip, more), Metrics: metrics.New(), Log: siteLog(ip), Engines: loading.Engines{},
+		Handler: func(*role.Control) http.Handler { return http.NotFoundHandler() }, Network: s.at(ip),
+		Random: func(n int) int {
+			switch s.next {
+			case "":
+				return own.Intn(n)
+			case ip:
+				return 0
+			}
+			return n - 1
+		},
+	})
+	require.NoError(s.t, err)
+	s.control[ip] = c
+}
+
+func (s *site) startEntry(ip string) {
+	s.t.Helper()
+	none := func(*role.Entry) http.Handler { return http.NotFoundHandler() }
+	e, err := role.NewEntry(role.EntryConfig{
+		Settings: s.settings(ip, fmt.Sprintf("caller-address: %s:9000\nready-address: %s:9001\n", ip, ip)),
+		Ready:    none, Directory: none, Metrics: metrics.New(), Log: siteLog(ip), Requests: logr.Discard(), Network: s.at(ip),
+	})
+	require.NoError(s.t, err)
+	s.entries[ip] = e
+}
+
+// siteLog writes what hosts log where SITE_LOG is set, with simulated time.
+func siteLog(ip string) logr.Logger {
+	if os.Getenv("SITE_LOG") == "" {
+		return logr.Discard()
+	}
+	return funcrLog(ip)
+}
+
+// powerOff ends a control host at once: nothing that it does from here on is heard.
+func (s *site) powerOff(ip string) {
+	s.network.Off(ip)
+	c, over := s.control[ip], make(chan struct{})
+	delete(s.control, ip)
+	go func() {
+		defer close(over)
+		c.Close()
+	}()
+	s.closing = append(s.closing, over)
+}
+
+// close ends everything.
+func (s *site) close() {
+	for _, e := range s.entries {
+		e.Close()
+	}
+	for ip := range s.control {
+		s.powerOff(ip)
+	}
+	for _, over := range s.closing {
+		<-over
+	}
+}
+
+// leader returns the control host that leads, or "".
+func (s *site) leader() string {
+	for ip, c := range s.control {
+		if _, leads := c.Voters(); leads {
+			return ip
+		}
+	}
+	return ""
+}
+
+// await passes simulated time until something holds, or fails.
+func (s *site) await(limit time.Duration, what string, holds func() bool) {
+	s.t.Helper()
+	for began := time.Now(); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Since(began) > limit {
+			require.FailNow(s.t, "not in time", "%s, after %s; members as the hosts know them: %s", what, limit, s.members())
+		}
+	}
+}
+
+func (s *site) members() string {
+	var out []string
+	for ip, c := range s.control {
+		out = append(out, ip+" "+c.Members())
+	}
+	slices.Sort(out)
+	return strings.Join(out, "; ")
+}
+
+// put sends a version to a control host, as an operator does who tries each in turn, and
+// returns the host that acknowledged it, or "".
+func (s *site) put(version uint64) string {
+	for range siteSeeds {
+		for ip, c := range s.control {
+			q := &schema.PutConfiguration{Configuration: &schema.Configuration{Version: version, Document: strconv.AppendUint(nil, version, 10)}}
+			if c.PutConfiguration(context.Background(), q) == nil {
+				return ip
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return ""
+}
+
+// oldest returns the lowest version in force at an entry.
+func (s *site) oldest() uint64 {
+	var out []uint64
+	for _, e := range s.entries {
+		out = append(out, e.Version())
+	}
+	return slices.Min(out)
+}
+
+// voters returns the number of voters as the leader knows it; 0: none leads.
+func (s *site) voters() int {
+	for _, c := range s.control {
+		if n, leads := c.Voters(); leads {
+			return n
+		}
+	}
+	return 0
+}
+
+// funcrLog prints a host's log lines with simulated time.
+func funcrLog(ip string) logr.Logger {
+	return funcr.New(func(prefix, args string) {
+		fmt.Println(time.Now().Format("05.000"), ip, prefix, args)
+	}, funcr.Options{})
+}
