--- a/internal/role/site_test.go
+++ b/internal/role/site_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,17 +41,24 @@
 	// control holds what runs; a host without power is absent.
 	control map[string]*role.Control
 	entries map[string]*role.Entry
-	// next is the host that asks for votes first, "": by chance.
-	next string
+	// next is the number of the control host that will lead once the present leader is
+	// lost, noOne: chance decides. Hosts settle when to ask for votes as they hear a new
+	// leader, so that it must be set before that one is elected.
+	next atomic.Int64
 	// closing are hosts without power whose goroutines end in the background.
 	closing []<-chan struct{}
 }
 
-func newSite(t *testing.T, seed int64, control, entries int) *site {
+// noOne leaves it to chance who leads next.
+const noOne = -1
+
+// newSite starts a deployment whose first leader is followed by another.
+func newSite(t *testing.T, seed int64, control, entries, next int) *site {
 	s := &site{
 		t: t, network: standin.NewNetwork(), random: rand.New(rand.NewSource(seed)),
 		control: map[string]*role.Control{}, entries: map[string]*role.Entry{},
 	}
+	s.next.Store(int64(next))
 	for i := range control {
 		s.startControl(controlIP(i), t.TempDir(), true)
 	}
@@ -90,11 +98,13 @@
 		Settings: s.settings(ip, more), Metrics: metrics.New(), Log: siteLog(ip), Engines: loading.Engines{},
 		Handler: func(*role.Control) http.Handler { return http.NotFoundHandler() }, Network: s.at(ip),
 		Random: func(n int) int {
-			switch s.next {
-			case "":
+			switch next := int(s.next.Load()); {
+			case next == noOne:
 				return own.Intn(n)
-			case ip:
-				return 0
+			case ip == controlIP(next):
+				// Not 0: the others heed no request for as long as they may hear the
+				// old leader.
+				return min(2, n-1)
 			}
 			return n - 1
 		},
