Have a newcomer told who leads, so that any leader takes it in

Cause: a host with an empty disk asks the seeds; only a leader takes it in, and the others answered without naming one. Under a leader that is no seed it stayed out for good, and three such losses left two voters of five. Class: a request that one host alone can grant, sent to hosts that neither pass it on nor say whose it is. Ruled out: taking in by any member (only the leader may change the membership); passing the request on (the asked host would wait for the leader, and the newcomer for it). Change: a host's answer names the leader and the members. 'control role' is also logged when only the leader's name becomes known. Looked for elsewhere: entries are named the leader, and know all members; operators and servers are sent on to it; orders through holders ask the leader; hosts by settings know all hosts. None has the fault.

--- a/internal/consensus/member.go
+++ b/internal/consensus/member.go
@@ -526,7 +526,8 @@
 	old := m.status
 	m.status = s
 	m.mu.Unlock()
-	changed := old.Role != s.Role || old.Leader != s.Leader || old.Term != s.Term || old.Current != s.Current
+	changed := old.Role != s.Role || old.Leader != s.Leader || old.Term != s.Term || old.Current != s.Current ||
+		old.LeaderHost != s.LeaderHost
 	if changed && m.cfg.LeaderChanged != nil {
 		m.cfg.LeaderChanged(s)
 	}
--- a/internal/control/asking.go
+++ b/internal/control/asking.go
@@ -1,29 +1,78 @@
 package control
 
 import (
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/go-logr/logr"
+	"google.golang.org/grpc/status"
 
 	"fennelyard/internal/schema"
 )
 
-// askingKeep is how long answers that stay the same are not logged again: a host that
-// is not taken in asks once a second, for as long as that lasts.
-const askingKeep = 10 * time.Second
+const (
+	// askingKeep is how long answers that stay the same are not logged again: a host
+	// that is not taken in asks once a second, for as long as that lasts.
+	askingKeep = 10 * time.Second
+	// namedMost bounds the addresses that are remembered from answers: control groups
+	// have a few members, and each that is asked may be down for helloWait.
+	namedMost = 16
+)
 
-// asking logs what the hosts answer of whom this one asks to be taken in. Without it a
-// host that nobody takes in writes no line at all. It belongs to one goroutine at a
-// time; the zero value is ready for use.
+// asking is what a host learns while it asks others to take it in. It belongs to one
+// goroutine at a time; the zero value is ready for use.
 type asking struct {
+	// named are members' addresses that hosts named in the last answers.
+	named []string
+
+	// asked, leaders and answers are of the present time around.
+	asked   []string
+	leaders []string
+	answers []string
+
 	last   string
 	logged time.Time
 }
 
-// note logs the answers if they are others than before, or were logged long ago.
-func (a *asking) note(log logr.Logger, answers []string) {
-	text := strings.Join(answers, ", ")
+// begin starts a time around.
+func (a *asking) begin() { a.asked, a.leaders, a.answers = nil, nil, nil }
+
+// note takes one host's answer.
+func (a *asking) note(x helloAnswer) {
+	address := x.host.GetPeerAddress()
+	a.asked = append(a.asked, address)
+	if x.err != nil {
+		a.answers = append(a.answers, address+": "+status.Code(x.err).String())
+		return
+	}
+	a.answers = append(a.answers, address+": "+standing(x.reply))
+	if leader := x.reply.GetLeaderAddress(); leader != "" {
+		a.leaders = append(a.leaders, leader)
+	}
+	for _, x := range x.reply.GetMemberAddresses() {
+		if x != "" && !slices.Contains(a.named, x) {
+			a.named = append(a.named, x)
+		}
+	}
+	// The oldest go first: hosts that were replaced are named no longer.
+	a.named = a.named[max(len(a.named)-namedMost, 0):]
+}
+
+// unaskedLeader returns a leader that was named and has not been asked, or "".
+func (a *asking) unaskedLeader() string {
+	for _, leader := range a.leaders {
+		if !slices.Contains(a.asked, leader) {
+			return leader
+		}
+	}
+	return ""
+}
+
+// end logs the answers if they are others than before, or were logged long ago. Without
+// it a host that nobody takes in writes no line at all.
+func (a *asking) end(log logr.Logger) {
+	text := strings.Join(a.answers, ", ")
 	if text == a.last && time.Since(a.logged) < askingKeep {
 		return
 	}
@@ -31,12 +80,15 @@
 	log.Info("asks to be taken in", "answers", text)
 }
 
-// standing is a host's answer in a word.
+// standing is a host's answer in a few words.
 func standing(reply *schema.HelloReply) string {
-	if reply.GetFormed() {
-		return "formed"
+	switch {
+	case !reply.GetFormed():
+		return "not formed"
+	case reply.GetLeaderAddress() == "":
+		return "formed, knows no leader"
 	}
-	return "not formed"
+	return "formed, led by " + reply.GetLeaderAddress()
 }
 
 // hostsOf returns the hosts of a membership's voters and learners.
--- a/internal/control/form.go
+++ b/internal/control/form.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"google.golang.org/grpc/status"
 
 	"fennelyard/internal/consensus"
 	"fennelyard/internal/schema"
@@ -28,6 +28,12 @@
 		return reply, nil
 	}
 	s := m.Status()
+	for _, x := range s.Membership.GetMembers() {
+		reply.MemberAddresses = append(reply.MemberAddresses, g.addressOf(x))
+		if x.GetId() == s.Leader {
+			reply.LeaderAddress = g.addressOf(x)
+		}
+	}
 	// A voter outside the membership in force is a host whose disk was replaced.
 	known := slices.ContainsFunc(s.Membership.GetMembers(), func(x *schema.Member) bool {
 		return x.GetId() == q.GetMember().GetId() && !x.GetLearner()
@@ -38,6 +44,17 @@
 	return reply, nil
 }
 
+// addressOf returns a member's peer address; hosts that the settings name carry none in
+// the membership.
+func (g *Group) addressOf(m *schema.Member) string {
+	for _, h := range g.cfg.Hosts {
+		if h.GetName() == m.GetHost() {
+			return h.GetPeerAddress()
+		}
+	}
+	return m.GetAddress()
+}
+
 // configured keeps a host that is not a control member by the settings out.
 func (g *Group) configured(m *schema.Member) bool {
 	if g.cfg.Seeds != nil {
@@ -103,13 +120,13 @@
 }
 
 // candidates returns the hosts that may be members: by the settings, or the
-// seeds and the members that were met since. Seeds go stale as hosts are
+// seeds, the members, and the hosts that others named. Seeds go stale as hosts are
 // replaced; members met are what is left then.
 func (g *Group) candidates() []*schema.HostSettings {
 	if g.cfg.Seeds == nil {
-		return g.cfg.Hosts
+		return slices.Clone(g.cfg.Hosts)
 	}
-	addresses := slices.Clone(g.cfg.Seeds())
+	addresses := slices.Concat(g.cfg.Seeds(), g.asking.named)
 	if m := g.current(); m != nil {
 		for _, x := range m.Status().Membership.GetMembers() {
 			addresses = append(addresses, x.GetAddress())
@@ -123,32 +140,66 @@
 	return out
 }
 
-// askAll returns the members that answered, whether any of them is in a group,
-// and whether all of them answered.
+// askAll asks every candidate, and then the leader, if they name one that is none of
+// them, to take this host in. It returns the members that answered, whether any of them
+// is in a group, and whether all of them answered.
+//
+// A host with an empty disk knows the seeds only, and a leader alone takes it in. Were
+// the leader not named, the host would stay out for as long as a host leads that is no
+// seed: the group bears one loss less, and after a few such losses no quorum is left.
 func (g *Group) askAll() (members []*schema.Member, formed, all bool) {
 	members = append(members, g.selfMember())
 	all = true
-	var answers []string
-	defer func() { g.asking.note(g.cfg.Log, answers) }()
-	for _, h := range g.candidates() {
-		if !h.GetControl() || h.GetName() == g.cfg.Self.GetName() {
-			continue
-		}
-		reply, err := g.ask(h)
-		if err != nil {
+	g.asking.begin()
+	defer g.asking.end(g.cfg.Log)
+	for _, x := range g.askEach(g.others()) {
+		if x.err != nil {
 			all = false
-			answers = append(answers, h.GetName()+": "+status.Code(err).String())
 			continue
 		}
-		answers = append(answers, h.GetName()+": "+standing(reply))
-		formed = formed || reply.GetFormed()
+		formed = formed || x.reply.GetFormed()
 		members = append(members, &schema.Member{
-			Id: reply.GetId(), Host: h.GetName(), Address: h.GetPeerAddress(),
+			Id: x.reply.GetId(), Host: x.host.GetName(), Address: x.host.GetPeerAddress(),
 		})
 	}
+	if leader := g.asking.unaskedLeader(); leader != "" && leader != g.cfg.Self.GetPeerAddress() {
+		g.askEach([]*schema.HostSettings{{Name: leader, PeerAddress: leader, Control: true}})
+	}
 	return members, formed, all
 }
 
+// others returns the candidates but this host.
+func (g *Group) others() []*schema.HostSettings {
+	return slices.DeleteFunc(g.candidates(), func(h *schema.HostSettings) bool {
+		return !h.GetControl() || h.GetName() == g.cfg.Self.GetName()
+	})
+}
+
+// helloAnswer is what a host said, or why it said nothing.
+type helloAnswer struct {
+	host  *schema.HostSettings
+	reply *schema.HelloReply
+	err   error
+}
+
+// askEach asks hosts at the same time: each that is down keeps its answer for helloWait,
+// and a host whose disk was lost has a few seconds to be a voter again.
+func (g *Group) askEach(hosts []*schema.HostSettings) []helloAnswer {
+	out := make([]helloAnswer, len(hosts))
+	var wg sync.WaitGroup
+	for i, h := range hosts {
+		wg.Go(func() {
+			reply, err := g.ask(h)
+			out[i] = helloAnswer{h, reply, err}
+		})
+	}
+	wg.Wait()
+	for _, x := range out {
+		g.asking.note(x)
+	}
+	return out
+}
+
 func (g *Group) ask(h *schema.HostSettings) (*schema.HelloReply, error) {
 	client, err := g.cfg.Dialer.Client(h.GetPeerAddress())
 	if err != nil {
