Tell the starts of a backend server apart, and check the words that servers send

Cause: a server may now start again under its id, and its counts begin anew. By reading and by test: its announcements were dropped until it had spoken more often than before; one that had left was leaving for ever; what the earlier start held, and its orders, were believed of the next. Words of other programs were taken as they came: any state but one counted as ready, an address could be empty, slots zero, names in any case. Ruled out: a new key for everything (an engine would see two order holders within a lease); the number of orders as proof (an order to an earlier start fits the next). Announcements and reports are decoded into checked types with a typed reason, names to the letter; entries of lists hold each by itself. A pool that the configuration in force does not know is refused; the tests' fixture names its pool now, its checks are the same.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -31,7 +31,7 @@
 
 // Mark is what a request carries to a backend server.
 type Mark struct {
-	// Server is the incarnation that the request is for.
+	// Server is the id of the server that the request is for.
 	Server string
 	Left   time.Duration
 	// After is the last event that need not be sent again; 0: all are wanted.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -142,5 +142,5 @@
 
 // weight orders servers for a key alike at every entry (rendezvous hashing), so
 // that entries send what shares a prompt part to the same engine without a word
-// to each other.
-func weight(key string, s *server) uint64 { return xxhash.Sum64String(key + "/" + s.id) }
+// to each other. A server keeps its place when it starts again.
+func weight(key string, s *server) uint64 { return xxhash.Sum64String(key + "/" + s.server) }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -293,7 +293,7 @@
 func (x *exchange) request(left time.Duration, after int64) *relay.Request {
 	h := relay.PassedOn(x.r.Header)
 	x.g.cfg.Codec.Mark(h, Mark{
-		Server: x.server.id, Left: left, After: after, Urgency: int(min(x.route.GetPriority(), 9)),
+		Server: x.server.server, Left: left, After: after, Urgency: int(min(x.route.GetPriority(), 9)),
 	})
 	id := x.call.ID
 	return &relay.Request{
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -42,6 +42,9 @@
 	return &Engines{f, func(int) int { return 0 }}
 }
 
+// Believe takes engines in as from the leader.
+func (e *Engines) Believe(views ...*schema.RosterServer) { e.f.update(views, false, nil) }
+
 // Hear takes in what all entries have there.
 func (e *Engines) Hear(loads ...*schema.EngineLoad) { e.f.hear(loads) }
 
@@ -52,6 +55,14 @@
 	return s.view.GetId()
 }
 
+// Able reports whether any engine can serve a call.
+func (e *Engines) Able(c *Call) bool {
+	return e.f.choose("p", c, nil, time.Now(), e.random) != nil
+}
+
+// ToRead returns how many of a call's tokens an engine has to read, by its start's key.
+func (e *Engines) ToRead(key string, c *Call) int { return e.f.servers[key].uncached(c) }
+
 // Peek chooses an engine for a call.
 func (e *Engines) Peek(c *Call) string {
 	return e.f.choose("p", c, nil, time.Now(), e.random).view.GetId()
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"fennelyard/internal/incarnation"
 	"fennelyard/internal/schema"
 )
 
@@ -79,9 +80,9 @@
 		old := f.servers[v.GetId()]
 		switch {
 		case v.GetState() == schema.RosterState_ROSTER_STATE_GONE:
-			delete(f.servers, v.GetId())
+			f.drop(v.GetId())
 		case old == nil:
-			f.servers[v.GetId()] = newServer(v)
+			f.add(newServer(v))
 		case !old.ready() && v.GetState() == schema.RosterState_ROSTER_STATE_READY:
 			// What was said to leave never comes back: a new leader may not know.
 		default:
@@ -98,6 +99,33 @@
 	f.announce()
 }
 
+// add takes a server in, in place of its earlier starts: what they held is gone, and a
+// leader that never knew them does not say so. mu is held.
+func (f *fleet) add(s *server) {
+	born := incarnation.Parse(s.id).Born
+	for id, old := range f.servers {
+		if old.server == s.server && incarnation.Parse(id).Born < born {
+			delete(f.servers, id)
+		}
+	}
+	f.servers[s.id] = s
+}
+
+// drop leaves out an incarnation, or all of a server where its id stands alone: a leader
+// that knows none of its starts passes on that it has ended. mu is held.
+func (f *fleet) drop(key string) {
+	delete(f.servers, key)
+	name := incarnation.Parse(key)
+	if name.Born != 0 {
+		return
+	}
+	for id, s := range f.servers {
+		if s.server == name.Server {
+			delete(f.servers, id)
+		}
+	}
+}
+
 func (f *fleet) announce() {
 	close(f.changed)
 	f.changed = make(chan struct{})
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fennelyard/internal/incarnation"
 	"fennelyard/internal/schema"
 )
 
@@ -22,9 +23,10 @@
 
 // server is a backend server's incarnation as this entry sees it.
 type server struct {
-	// id and address never change; all else is guarded by the fleet's mutex.
-	id, address string
-	view        *schema.RosterServer
+	// id is the incarnation's key and server the server's id. Both and address never
+	// change; all else is guarded by the fleet's mutex.
+	id, server, address string
+	view                *schema.RosterServer
 	// models holds the adapters of each model that the server holds.
 	models map[string]map[string]bool
 	// running is the number of this entry's requests there, and runs the same by
@@ -68,7 +70,7 @@
 
 func newServer(v *schema.RosterServer) *server {
 	s := &server{
-		id: v.GetId(), address: v.GetAddress(), parts: map[string]uint64{}, absent: map[string]time.Time{},
+		id: v.GetId(), server: incarnation.ServerOf(v.GetId()), address: v.GetAddress(), parts: map[string]uint64{}, absent: map[string]time.Time{},
 		runs: map[string]int{},
 	}
 	s.update(v)
--- /dev/null
+++ b/internal/incarnation/incarnation_test.go
@@ -0,0 +1,28 @@
+package incarnation_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelyard/internal/incarnation"
+)
+
+func TestKeysAreTakenApart(t *testing.T) {
+	for name, x := range map[string]struct {
+		of  incarnation.Name
+		key string
+	}{
+		"a start":                     {incarnation.Name{Server: "i-7f", Born: 1784556072000}, "i-7f@1784556072000"},
+		"no start told":               {incarnation.Name{Server: "i-7f"}, "i-7f"},
+		"an id that looks like a key": {incarnation.Name{Server: "i@5"}, "i@5@0"},
+		"an id with the separator":    {incarnation.Name{Server: "a@b", Born: 7}, "a@b@7"},
+		"no id":                       {incarnation.Name{}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, x.key, x.of.String())
+			require.Equal(t, x.of, incarnation.Parse(x.key))
+		})
+	}
+	require.Equal(t, incarnation.Name{Server: "a@b"}, incarnation.Parse("a@b"))
+}
--- a/internal/ledger/configuration.go
+++ b/internal/ledger/configuration.go
@@ -63,8 +63,11 @@
 	return r.byKey[ConfigurationKey].GetConfiguration()
 }
 
-// Departed reports whether a backend server's incarnation takes no new work.
-func (r *Records) Departed(server string) bool { return r.byKey[DepartureKey(server)] != nil }
+// Departure returns the record that a backend server's incarnation takes no new work,
+// or nil.
+func (r *Records) Departure(server string) *schema.Departure {
+	return r.byKey[DepartureKey(server)].GetDeparture()
+}
 
 // Routes returns all routes, in no order.
 func (r *Records) Routes() []*schema.Route { return slices.Collect(maps.Values(r.routes)) }
--- a/internal/loading/adapters.go
+++ b/internal/loading/adapters.go
@@ -18,7 +18,7 @@
 		if !holds(e, d.Model) || e.Leaving == d.Model {
 			continue
 		}
-		free := p.in.Places - adapters(e)
+		free := p.freePlaces(e)
 		var idle heldAdapter
 		if free <= 0 {
 			if idle = oldestIdle(e); idle.adapter == "" {
@@ -56,7 +56,7 @@
 		}
 	}
 	for _, e := range slices.Clone(p.free) {
-		if adapters(e) >= p.in.Places {
+		if p.freePlaces(e) <= 0 {
 			continue
 		}
 		next := p.missing(e, held)
@@ -123,7 +123,7 @@
 	var at time.Time
 	for _, h := range e.Held {
 		for a, last := range h.Adapters {
-			if h.AdapterRuns[a] {
+			if h.AdapterRuns[a] || slices.Contains(e.Late, AdapterDemand{Model: h.Model, Adapter: a}) {
 				continue
 			}
 			this := heldAdapter{h.Model, a}
--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -107,6 +107,12 @@
 	leads   bool
 	token   uint64
 	engines map[string]*engine
+	// late are the loads that may be carried out by the next start of a server that is
+	// gone.
+	late map[string][]sentLoad
+	// leases is when the present holder of a server's orders may begin, where this
+	// leader has replaced the one before; engines come and go with their starts.
+	leases  map[string]time.Time
 	demands map[target]*demand
 	// begun holds when each load from the store may have begun, by pool.
 	begun map[string][]time.Time
@@ -126,7 +132,7 @@
 func NewDriver(cfg Config) *Driver {
 	d := &Driver{
 		cfg: cfg, kick: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
-		engines: map[string]*engine{}, demands: map[target]*demand{}, begun: map[string][]time.Time{}, stores: map[string]*store{},
+		engines: map[string]*engine{}, late: map[string][]sentLoad{}, leases: map[string]time.Time{}, demands: map[target]*demand{}, begun: map[string][]time.Time{}, stores: map[string]*store{},
 		told: map[string]time.Time{}, forecasts: map[target]forecast{},
 	}
 	go func() {
@@ -181,7 +187,8 @@
 	now := d.cfg.Now()
 	e := d.engines[a.ID]
 	if e == nil {
-		e = &engine{id: a.ID, pool: a.Pool, held: map[string]*Held{}}
+		e = newEngine(a.ID, a.Pool)
+		d.succeed(e, now)
 		d.engines[a.ID] = e
 	}
 	e.address, e.slots = a.Address, a.Slots
@@ -250,6 +257,7 @@
 	for id, e := range d.engines {
 		if !d.cfg.Roster.Ready(id) {
 			if e.phase != phaseGiving {
+				d.keepLate(e, now)
 				delete(d.engines, id)
 			}
 			continue
@@ -306,6 +314,7 @@
 		}
 		d.cfg.Roster.Begin()
 		d.engines = map[string]*engine{}
+		d.leases = map[string]time.Time{}
 		d.demands = map[target]*demand{}
 		d.begun = map[string][]time.Time{}
 		d.cfg.Log.Info("leading", "term", l.Term)
@@ -382,8 +391,8 @@
 			continue
 		}
 		v := e.view(d.cfg.Roster.Runs)
-		v.Cleared = e.clearedFor(now)
-		if now.Before(e.notBefore) || e.holder.Host == "" || now.Before(e.ordersFrom) {
+		v.Cleared, v.Late = e.clearedFor(now), e.lateLoads(now)
+		if now.Before(e.notBefore) || e.holder.Host == "" || now.Before(e.ordersFrom) || now.Before(e.unheard) {
 			v.Busy = true
 		}
 		if v.FromStore {
--- a/internal/loading/driver_test.go
+++ b/internal/loading/driver_test.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
+	"fennelyard/internal/incarnation"
 	"fennelyard/internal/loading"
 	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
@@ -151,7 +152,7 @@
 		engines := s.reach()
 		h.hands = append(h.hands, loading.NewHand(loading.HandConfig{
 			Catch: func(context.Context) (uint64, error) { return h.catch(i) },
-			Holds: func(server string) bool { return h.of(server).Host == hostName(i) },
+			Holds: func(key string) bool { return h.of(incarnation.ServerOf(key)).Host == hostName(i) },
 			Give: func(ctx context.Context, address string, o loading.Order) (loading.Outcome, error) {
 				return engines.Give(ctx, address, hostName(i), o)
 			},
@@ -175,7 +176,7 @@
 		h.drivers[i].Follow()
 		for id := range s.engines {
 			s.mu.Lock()
-			a := roster.Announcement{ID: id, Pool: "llm", Address: id, Sequence: sequence, Held: s.engines[id].views()}
+			a := roster.Announcement{ID: s.engines[id].key(), Pool: "llm", Address: id, Sequence: sequence, Held: s.engines[id].views()}
 			for name := range s.engines[id].disk {
 				a.OnDisk = append(a.OnDisk, name)
 			}
@@ -183,6 +184,9 @@
 			if h.rosters[i].Announce(a) {
 				h.drivers[i].Announced(a)
 			}
+			if s.restarts {
+				require.True(s.t, h.rosters[i].Ready(a.ID), "seed %d: %s has announced itself", s.seed, a.ID)
+			}
 		}
 	}
 }
@@ -194,12 +198,45 @@
 func TestOrdersUnderFaults(t *testing.T) {
 	for i := range *schedules {
 		seed := *firstSeed + uint64(i)
-		synctest.Test(t, func(t *testing.T) { runSchedule(t, seed) })
+		synctest.Test(t, func(t *testing.T) { runSchedule(t, newSite(t, seed)) })
+	}
+}
+
+// Beside all that, engines crash and start again under their ids. An order to the start
+// before that had no answer is carried out by the next, whose count of orders has come
+// to the same number: an engine that is filled up by then is ordered to hold more than
+// fits and ends, with every answer that it is at. Each start is heard from its first
+// word, whoever leads.
+func TestOrdersWhileEnginesStartAgain(t *testing.T) {
+	for i := range *schedules {
+		seed := *firstSeed + uint64(i)
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(t, seed)
+			s.restarts = true
+			runSchedule(t, s)
+		})
 	}
 }
 
-func runSchedule(t *testing.T, seed uint64) {
-	s := newSite(t, seed)
+// restartSome has each engine start again now and then, and the log take note of those
+// that were heard before it.
+func (s *site) restartSome() {
+	s.mu.Lock()
+	s.known = nil
+	var due []string
+	for _, id := range slices.Sorted(maps.Keys(s.engines)) {
+		s.known = append(s.known, &schema.KnownServer{Id: s.engines[id].key(), Pool: "llm", Address: id})
+		if s.random.IntN(10) == 0 {
+			due = append(due, id)
+		}
+	}
+	s.mu.Unlock()
+	for _, id := range due {
+		s.restart(id)
+	}
+}
+
+func runSchedule(t *testing.T, s *site) {
 	s.lost = s.random.Float64() * 0.5
 	h := newHosts(s)
 	for beat := range uint64(50) {
@@ -215,6 +252,9 @@
 			demands = append(demands, d)
 		}
 		s.mu.Unlock()
+		if s.restarts {
+			s.restartSome()
+		}
 		if cut {
 			h.sever(host, length)
 		}
--- a/internal/loading/engine.go
+++ b/internal/loading/engine.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"fennelyard/internal/incarnation"
 	"fennelyard/internal/schema"
 )
 
@@ -29,7 +30,9 @@
 
 // engine is what the leader knows of one engine's incarnation.
 type engine struct {
+	// id is the incarnation's key, server the server's id.
 	id      string
+	server  string
 	pool    string
 	address string
 	// slots is how many requests the engine works on at once.
@@ -66,6 +69,17 @@
 	missed     int
 	missedFrom time.Time
 	unheld     bool
+	// unproved are loads that were ordered and had no answer that proves what became of
+	// them, late those to earlier starts of the server; the oldest go first.
+	unproved, late []sentLoad
+	// unheard is until when orders that an earlier leader gave to an earlier start may
+	// be carried out here.
+	unheard time.Time
+}
+
+// newEngine returns an engine of which nothing is known but its incarnation.
+func newEngine(id, pool string) *engine {
+	return &engine{id: id, server: incarnation.ServerOf(id), pool: pool, held: map[string]*Held{}}
 }
 
 // heardHold keeps a model for a moment after a leader has first heard that an engine
--- a/internal/loading/giving.go
+++ b/internal/loading/giving.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/incarnation"
 	"fennelyard/internal/logbook"
 )
 
@@ -80,11 +81,14 @@
 		// The state differs from what was believed; reports lag behind it.
 		e.phase, e.notBefore = phaseUnknown, now.Add(reportLag)
 	case OutcomeOther:
+		d.keepLate(e, now)
 		delete(d.engines, e.id)
 	case OutcomeUnknown:
 		e.notBefore = now.Add(againSoon)
 		e.phase = phaseUncertain
-		if errors.Is(err, ErrNotSent) && e.tries == 1 {
+		if !errors.Is(err, ErrNotSent) {
+			e.doubt(now)
+		} else if e.tries == 1 {
 			e.phase = phaseKnown
 		}
 	}
@@ -138,12 +142,28 @@
 		defer d.wg.Done()
 		ctx, cancel := context.WithTimeout(context.Background(), orderWait)
 		defer cancel()
-		r, err := d.cfg.Ask(ctx, address, e.id)
+		r, err := d.report(ctx, address, e.id)
 		d.reported(e, phase, taken, now, r, err)
 		d.wake()
 	}()
 }
 
+// errOtherStart says that another start of the server than the one asked for reports.
+var errOtherStart = errors.New("another start of the server reports")
+
+// report asks an engine for a report. One of another start says nothing of this one,
+// whose announcement tells of it within a moment.
+func (d *Driver) report(ctx context.Context, address, id string) (Report, error) {
+	r, err := d.cfg.Ask(ctx, address, id)
+	if err != nil {
+		return Report{}, err
+	}
+	if born := incarnation.Parse(id).Born; born != 0 && r.Born != 0 && r.Born != born {
+		return Report{}, errors.Newf("start %d: %w", r.Born, errOtherStart)
+	}
+	return r, nil
+}
+
 // reported takes a report in, if nothing has changed since it was asked for.
 func (d *Driver) reported(e *engine, asked phase, taken uint64, at time.Time, r Report, err error) {
 	d.mu.Lock()
--- a/internal/loading/hand.go
+++ b/internal/loading/hand.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"fennelyard/internal/incarnation"
 	"fennelyard/internal/logbook"
 )
 
@@ -24,9 +25,9 @@
 	// Catch returns the term of a leader that led at some moment not longer than
 	// LeadFor before the call, once this host has applied what was committed then.
 	Catch func(context.Context) (term uint64, err error)
-	// Holds reports whether this host is the engine's order holder, by what it has
-	// applied.
-	Holds func(server string) bool
+	// Holds reports whether this host is the order holder of the engine of an
+	// incarnation's key, by what it has applied.
+	Holds func(key string) bool
 	// Give sends an order to an engine.
 	Give func(ctx context.Context, address string, o Order) (Outcome, error)
 	Now  func() time.Time
@@ -46,7 +47,8 @@
 	// returned; guarded by mu, as all below.
 	caught time.Time
 	term   uint64
-	// tokens holds the highest token that was given to each engine.
+	// tokens holds the highest token that was given to each engine, by the server's id:
+	// an order to an earlier start that was held up must not follow one to the next.
 	tokens map[string]uint64
 }
 
@@ -86,13 +88,14 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if o.Token <= h.tokens[o.Server] {
+	server := incarnation.ServerOf(o.Server)
+	if o.Token <= h.tokens[server] {
 		return errors.New("a later order went first")
 	}
 	if len(h.tokens) >= tokensKept {
 		clear(h.tokens)
 	}
-	h.tokens[o.Server] = o.Token
+	h.tokens[server] = o.Token
 	return nil
 }
 
--- a/internal/loading/holders.go
+++ b/internal/loading/holders.go
@@ -37,11 +37,16 @@
 const recordWait = time.Second
 
 // recall takes an engine's holder from the log. Where the holder has changed a
-// short while ago nobody knows when, and the lease begins with this leadership.
+// short while ago nobody knows when, and the lease begins with this leadership, or with
+// the change where this leader made it: to an earlier start of the engine's server.
 func (d *Driver) recall(e *engine) {
-	e.holder = d.cfg.Holders.Of(e.id)
-	if e.holder.Host != "" && !e.holder.Settled {
-		e.ordersFrom = d.since.Add(d.cfg.OrderLease + leaseMargin)
+	e.holder = d.cfg.Holders.Of(e.server)
+	if e.holder.Host == "" || e.holder.Settled {
+		return
+	}
+	e.ordersFrom = d.since.Add(d.cfg.OrderLease + leaseMargin)
+	if from := d.leases[e.server]; from.After(e.ordersFrom) {
+		e.ordersFrom = from
 	}
 }
 
@@ -68,7 +73,7 @@
 	}()
 }
 
-// choose returns the holders to record. It spreads engines over the hosts, each to
+// choose returns the holders to record, by server. It spreads engines over the hosts, each to
 // the one with the fewest, and never gives one back to the holder that it lost.
 func (d *Driver) choose(now time.Time) map[string]HolderChange {
 	next := map[string]HolderChange{}
@@ -81,7 +86,7 @@
 		case e.holder.Host == "" || e.lost(now):
 			due = append(due, e)
 		case !e.holder.Settled && now.After(e.ordersFrom):
-			next[e.id] = HolderChange{From: e.holder.Host, To: Holder{Host: e.holder.Host, Settled: true}}
+			next[e.server] = HolderChange{From: e.holder.Host, To: Holder{Host: e.holder.Host, Settled: true}}
 		}
 	}
 	if len(due) == 0 {
@@ -91,7 +96,7 @@
 	hosts := d.cfg.Holders.Hosts()
 	for _, e := range due {
 		if host := fewest(hosts, e.holder.Host, load); host != "" {
-			next[e.id] = HolderChange{From: e.holder.Host, To: Holder{Host: host, Settled: e.holder.Host == ""}}
+			next[e.server] = HolderChange{From: e.holder.Host, To: Holder{Host: host, Settled: e.holder.Host == ""}}
 			load[host]++
 		}
 	}
@@ -115,8 +120,12 @@
 		return nil
 	}
 	var out []string
+	known := map[string]bool{}
+	for _, e := range d.engines {
+		known[e.server] = true
+	}
 	for _, server := range d.cfg.Holders.Recorded() {
-		if d.engines[server] == nil {
+		if !known[server] {
 			out = append(out, server)
 		}
 	}
@@ -136,8 +145,8 @@
 	if err != nil {
 		return
 	}
-	for server, c := range changes {
-		if e := d.engines[server]; e != nil {
+	for _, e := range d.engines {
+		if c, changed := changes[e.server]; changed {
 			d.hold(e, c, now)
 		}
 	}
@@ -146,10 +155,11 @@
 // hold goes on with the holder that is recorded, after a lease unless the change
 // is this leader's own and there was none before.
 func (d *Driver) hold(e *engine, c HolderChange, now time.Time) {
-	recorded := d.cfg.Holders.Of(e.id)
+	recorded := d.cfg.Holders.Of(e.server)
 	if recorded != c.To || !c.To.Settled {
 		// What the old holder sent last may still arrive for leaseMargin.
 		e.ordersFrom = now.Add(d.cfg.OrderLease + leaseMargin)
+		d.leases[e.server] = e.ordersFrom
 		d.cfg.Log.Info("order holder replaced", "server", e.id, "from", c.From, "to", recorded.Host, "meant", c.To.Host,
 			"missed", e.missed, "orders-from-ms", (d.cfg.OrderLease + leaseMargin).Milliseconds())
 	}
--- a/internal/loading/input.go
+++ b/internal/loading/input.go
@@ -56,9 +56,13 @@
 	FromStore bool
 	// Cleared is the model that room was made for a moment ago; "": none.
 	Cleared string
+	// Late are the models, and adapters, that orders to earlier starts of the server may
+	// yet bring. They must have room, or the engine ends.
+	Late []AdapterDemand
 }
 
-// AdapterDemand is an adapter that requests wait for.
+// AdapterDemand is an adapter that requests wait for, or that may come; without Adapter
+// the model itself.
 type AdapterDemand struct {
 	Model   string
 	Adapter string
--- a/internal/loading/order.go
+++ b/internal/loading/order.go
@@ -32,7 +32,8 @@
 
 // Order is an order to an engine.
 type Order struct {
-	// Server is the incarnation that the order is for; no other carries it out.
+	// Server is the key of the incarnation that the order is for. Engines tell their
+	// servers apart, but not one start from the next: see sentLoad.
 	Server  string
 	Load    bool
 	Model   string
@@ -50,6 +51,8 @@
 	Busy bool
 	// Taken is the number of orders that the engine has taken.
 	Taken uint64
+	// Born is the start that reports, in Unix milliseconds by its clock; 0: not told.
+	Born int64
 	// InMemory and OnDisk name the models that the engine has copies of.
 	InMemory []string
 	OnDisk   []string
@@ -59,7 +62,8 @@
 type Engines struct {
 	// Give sends an order under the name of the host that sends it.
 	Give func(ctx context.Context, address, holder string, o Order) (Outcome, error)
-	Ask  func(ctx context.Context, address, server string) (Report, error)
+	// Ask asks the engine of an incarnation's key for a report.
+	Ask func(ctx context.Context, address, server string) (Report, error)
 }
 
 // Holder is the control host that gives an engine its orders.
@@ -76,7 +80,8 @@
 	To   Holder
 }
 
-// Holders keeps each engine's order holder. All functions are required.
+// Holders keeps each engine's order holder, by the server's id: an engine must not see
+// two holders take turns because it started again in between. All functions are required.
 type Holders struct {
 	// Of returns an engine's recorded holder, or the zero value.
 	Of func(server string) Holder
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -59,7 +59,7 @@
 func (p *plan) useCleared() {
 	for _, e := range slices.Clone(p.free) {
 		m := p.in.Models[e.Cleared]
-		if m == nil || holds(e, m.Name) || !p.lacks(m) || p.in.MemoryMB-p.reserved-p.used(e) < m.MemoryMB {
+		if m == nil || holds(e, m.Name) || !p.lacks(m) || p.freeMemory(e) < m.MemoryMB {
 			continue
 		}
 		if p.fromStore(e, m) && p.in.StoreLoads <= 0 {
--- a/internal/loading/recall.go
+++ b/internal/loading/recall.go
@@ -42,7 +42,7 @@
 func (d *Driver) recallEngine(k *schema.KnownServer, term uint64, at time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), orderWait)
 	defer cancel()
-	r, err := d.cfg.Ask(ctx, k.GetAddress(), k.GetId())
+	r, err := d.report(ctx, k.GetAddress(), k.GetId())
 	if err != nil {
 		d.cfg.Log.Info("engine not recalled", "server", k.GetId(), "error", logbook.Text(err))
 		return
--- a/internal/loading/room.go
+++ b/internal/loading/room.go
@@ -28,6 +28,36 @@
 	return sum
 }
 
+// freeMemory returns the memory that models may be loaded into: what is left beside
+// those that are there and those that late orders may bring.
+func (p *plan) freeMemory(e *Engine) float64 {
+	free := p.in.MemoryMB - p.reserved - p.used(e)
+	for _, l := range e.Late {
+		if l.Adapter == "" && !holds(e, l.Model) {
+			free -= p.sizeOf(l.Model)
+		}
+	}
+	return free
+}
+
+// freePlaces is the same for places of adapters.
+func (p *plan) freePlaces(e *Engine) int {
+	free := p.in.Places - adapters(e)
+	for _, l := range e.Late {
+		if l.Adapter != "" && !holdsAdapter(e, l) {
+			free--
+		}
+	}
+	return free
+}
+
+func holdsAdapter(e *Engine, l AdapterDemand) bool {
+	return slices.ContainsFunc(e.Held, func(h Held) bool {
+		_, there := h.Adapters[l.Adapter]
+		return h.Model == l.Model && there
+	})
+}
+
 // reserve is the memory for a full set of the largest adapters. It is kept free
 // at each engine: an adapter must never be what does not fit.
 func (p *plan) reserve() float64 {
@@ -40,13 +70,14 @@
 
 // room tells which models would have to go, in their order, and what that loses.
 func (p *plan) room(e *Engine, m *Model) (victims []string, loss float64, ok bool) {
-	free := p.in.MemoryMB - p.reserved - p.used(e)
+	free := p.freeMemory(e)
 	if free >= m.MemoryMB {
 		return nil, 0, true
 	}
 	var order []Held
 	for _, h := range e.Held {
-		if p.evictable(h, m) {
+		// What a late order may bring back leaves no room.
+		if p.evictable(h, m) && !slices.Contains(e.Late, AdapterDemand{Model: h.Model}) {
 			order = append(order, h)
 		}
 	}
--- a/internal/loading/site_test.go
+++ b/internal/loading/site_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/incarnation"
 	"fennelyard/internal/loading"
 	"fennelyard/internal/schema"
 )
@@ -25,6 +26,9 @@
 	// known is what the log holds of the engines.
 	known []*schema.KnownServer
 
+	// restarts has engines start again under their ids while the schedule runs.
+	restarts bool
+
 	mu      sync.Mutex
 	random  *rand.Rand
 	engines map[string]*standin
@@ -37,7 +41,9 @@
 
 // standin is one engine.
 type standin struct {
-	id    string
+	id string
+	// born tells its starts apart: it may start again under its id.
+	born  int64
 	taken uint64
 	held  map[string]map[string]bool
 	disk  map[string]bool
@@ -92,12 +98,27 @@
 		Ask: func(_ context.Context, _ string, server string) (loading.Report, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			e := s.engines[server]
-			return loading.Report{Held: e.views(), Busy: e.busy, Taken: e.taken, OnDisk: slices.Collect(maps.Keys(e.disk))}, nil
+			e := s.engines[incarnation.ServerOf(server)]
+			return loading.Report{
+				Held: e.views(), Busy: e.busy, Taken: e.taken, OnDisk: slices.Collect(maps.Keys(e.disk)), Born: e.born,
+			}, nil
 		},
 	}
 }
 
+// key is the key of the engine's present start.
+func (e *standin) key() string { return incarnation.Name{Server: e.id, Born: e.born}.String() }
+
+// restart ends an engine and starts it again under its id: it holds nothing in memory,
+// has taken no order, and has its disk.
+func (s *site) restart(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.engines[id]
+	e.born = time.Now().UnixMilli()
+	e.held, e.taken, e.busy = map[string]map[string]bool{}, 0, false
+}
+
 func (e *standin) views() []*schema.HeldModel {
 	var out []*schema.HeldModel
 	for name, adapters := range e.held {
@@ -116,7 +137,8 @@
 func (s *site) take(holder string, o loading.Order, late bool) loading.Outcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := s.engines[o.Server]
+	// An engine checks its id and the number of orders, not the start that is meant.
+	e := s.engines[incarnation.ServerOf(o.Server)]
 	if o.Taken != e.taken || e.busy {
 		return loading.OutcomeConflict
 	}
@@ -137,7 +159,8 @@
 		s.load(e, o.Model)
 	default:
 		e.busy = true
-		time.AfterFunc(50*time.Millisecond, func() { s.end(e, func() { delete(e.held, o.Model) }) })
+		born := e.born
+		time.AfterFunc(50*time.Millisecond, func() { s.end(e, born, func() { delete(e.held, o.Model) }) })
 	}
 	e.taken++
 	s.weigh(e, o)
@@ -152,14 +175,19 @@
 		s.stores = append(s.stores, time.Now())
 	}
 	s.weigh(e, loading.Order{Load: true, Model: model})
+	born := e.born
 	time.AfterFunc(took, func() {
-		s.end(e, func() { e.held[model], e.disk[model] = map[string]bool{}, true })
+		s.end(e, born, func() { e.held[model], e.disk[model] = map[string]bool{}, true })
 	})
 }
 
-func (s *site) end(e *standin, f func()) {
+// end ends an order, unless the engine has started again since the start that took it.
+func (s *site) end(e *standin, born int64, f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if e.born != born {
+		return
+	}
 	f()
 	e.busy = false
 }
--- a/internal/metrics/joined.go
+++ b/internal/metrics/joined.go
@@ -29,9 +29,15 @@
 	s.connections = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "backend_connections_total", Help: "Connections to backend servers by result.",
 	}, []string{"result"})
-	s.registry.MustRegister(s.served, s.servedTime, s.servedFirst, s.dispatches, s.orders, s.connections)
+	s.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "refused_words_total", Help: "What servers and operators sent and could not be taken, by what it was and why.",
+	}, []string{"what", "reason"})
+	s.registry.MustRegister(s.served, s.servedTime, s.servedFirst, s.dispatches, s.orders, s.connections, s.refused)
 }
 
+// Refused counts a word that could not be taken.
+func (s *Set) Refused(what, reason string) { s.refused.WithLabelValues(what, reason).Inc() }
+
 // Served records the end of a request on a route.
 func (s *Set) Served(kind, outcome string, status int, took, first time.Duration, attempts int) {
 	s.served.WithLabelValues(kind, outcome, strconv.Itoa(status)).Inc()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -33,6 +33,7 @@
 	dispatches    *prometheus.CounterVec
 	orders        *prometheus.CounterVec
 	connections   *prometheus.CounterVec
+	refused       *prometheus.CounterVec
 }
 
 // New returns a set with a registry of its own.
--- a/internal/role/api.go
+++ b/internal/role/api.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/incarnation"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/logbook"
 	"fennelyard/internal/roster"
@@ -36,6 +37,8 @@
 	ErrUnsure = errors.New("the control group gives no answer now")
 	// ErrNothing says that there is no configuration yet.
 	ErrNothing = errors.New("there is no configuration yet")
+	// ErrNoPool says that the configuration in force does not know a server's pool.
+	ErrNoPool = errors.New("the configuration knows no such pool")
 )
 
 // ElsewhereError says that another host leads.
@@ -128,12 +131,17 @@
 // Announce takes a backend server's announcement. Without an error the server
 // is known to this leader, and a leaving one to every later leader as well.
 func (c *Control) Announce(ctx context.Context, a roster.Announcement) error {
+	if err := c.elsewhere(); err != nil {
+		return err
+	}
+	// Who leaves is heard whatever its pool: it may have been known under another.
+	if !a.Leaving && !c.knowsPool(a.Pool) {
+		return errors.Newf("%q: %w", a.Pool, ErrNoPool)
+	}
 	if a.Leaving {
-		if err := c.Depart(ctx, a.ID); err != nil {
+		if err := c.depart(ctx, a.ID); err != nil {
 			return err
 		}
-	} else if err := c.elsewhere(); err != nil {
-		return err
 	}
 	if c.roster.Announce(a) && !a.Leaving && c.roster.Ready(a.ID) {
 		c.driver.Announced(a)
@@ -141,12 +149,28 @@
 	return nil
 }
 
-// Depart takes a backend server's word that it ends. A server that had no answer
+// knowsPool reports whether a server of a pool can be of use. Before there is a
+// configuration nobody can tell.
+func (c *Control) knowsPool(name string) bool {
+	yes := false
+	c.group.Ledger().View(func(_ ledger.Heads, r *ledger.Records) {
+		yes = r.Configuration() == nil || r.Record(ledger.PoolKey(name)) != nil
+	})
+	return yes
+}
+
+// Depart takes a backend server's word that it ends; it names the server, not the start
+// that it means.
+func (c *Control) Depart(ctx context.Context, server string) error {
+	return c.depart(ctx, c.roster.Ending(server))
+}
+
+// depart takes the word that an incarnation ends. A server that had no answer
 // says it again, and the first word may have been recorded after its caller was
 // gone: the entries are told whether or not the record is new, or the second word
 // would be acknowledged and requests would still be sent there. Without an error
 // all entries that speak have been told.
-func (c *Control) Depart(ctx context.Context, id string) error {
+func (c *Control) depart(ctx context.Context, id string) error {
 	if err := c.elsewhere(); err != nil {
 		return err
 	}
@@ -168,15 +192,17 @@
 	return nil
 }
 
+// departed reports whether an incarnation is recorded as leaving. A server that ended
+// while the leader knew no start of it is recorded by its id alone, which counts for
+// the starts until then.
 func (c *Control) departed(id string) bool {
-	var yes bool
-	c.group.Ledger().View(func(_ ledger.Heads, r *ledger.Records) { yes = r.Departed(id) })
-	return yes
-}
-
-// Refused logs what a caller of the control host sent and could not be read.
-func (c *Control) Refused(what string, err error) {
-	c.cfg.Log.Info("refused", "what", what, "error", err.Error())
+	var own, unnamed *schema.Departure
+	name := incarnation.Parse(id)
+	c.group.Ledger().View(func(_ ledger.Heads, r *ledger.Records) {
+		own = r.Departure(id)
+		unnamed = r.Departure(incarnation.Name{Server: name.Server}.String())
+	})
+	return own != nil || unnamed != nil && name.Born <= unnamed.GetAtMs()
 }
 
 // Ready reports whether this leader sends new work to a backend server.
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -72,10 +72,12 @@
 	http    *http.Server
 	streams atomic.Uint64
 	changes encodedChanges
-	stop    chan struct{}
-	done    chan struct{}
-	once    sync.Once
-	wg      sync.WaitGroup
+	// refusals bound the log.
+	refusals refusals
+	stop     chan struct{}
+	done     chan struct{}
+	once     sync.Once
+	wg       sync.WaitGroup
 }
 
 // NewControl starts a control host. When it fails nothing is left running.
--- a/internal/role/control_test.go
+++ b/internal/role/control_test.go
@@ -48,7 +48,7 @@
 	t.Cleanup(c.Close)
 	require.Eventually(t, func() bool {
 		return c.PutConfiguration(context.Background(), &schema.PutConfiguration{
-			Configuration: &schema.Configuration{Version: 1},
+			Configuration: &schema.Configuration{Version: 1}, Pools: []*schema.Pool{{Name: "app"}},
 		}) == nil
 	}, 20*time.Second, 20*time.Millisecond)
 	return c
--- a/internal/role/orders.go
+++ b/internal/role/orders.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/incarnation"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/loading"
 	"fennelyard/internal/schema"
@@ -17,7 +18,9 @@
 	log, host := c.cfg.Log.WithName("loading"), s.GetHost()
 	c.hand = loading.NewHand(loading.HandConfig{
 		Catch: func(ctx context.Context) (uint64, error) { return c.group.Catch(ctx, loading.LeadFor) },
-		Holds: func(server string) bool { return c.holderOf(server).Host == c.self.GetPeerAddress() },
+		Holds: func(key string) bool {
+			return c.holderOf(incarnation.ServerOf(key)).Host == c.self.GetPeerAddress()
+		},
 		Give: func(ctx context.Context, address string, o loading.Order) (loading.Outcome, error) {
 			return c.cfg.Engines.Give(ctx, address, host, o)
 		},
@@ -36,6 +39,8 @@
 	})
 }
 
+// holderOf returns who gives a server its orders, whichever start of it is meant: an
+// engine must not see two holders take turns because it started again in between.
 func (c *Control) holderOf(server string) loading.Holder {
 	var h *schema.OrderHolder
 	c.group.Ledger().View(func(_ ledger.Heads, r *ledger.Records) { h = r.OrderHolder(server) })
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-logr/logr"
 
+	"fennelyard/internal/incarnation"
 	"fennelyard/internal/schema"
 )
 
@@ -30,7 +31,7 @@
 
 // Announcement is a backend server's word about one incarnation of itself.
 type Announcement struct {
-	// ID names the incarnation.
+	// ID is the key of the incarnation.
 	ID         string
 	Pool       string
 	Address    string
@@ -81,7 +82,9 @@
 	began   time.Time
 	change  uint64
 	servers map[string]*server
+	// holders are by address, starts by the server's id.
 	holders map[string]*holder
+	starts  map[string]*start
 	changed chan struct{}
 	entries map[string]*attendance
 	// runs counts the entries that have requests for a model at an engine.
@@ -105,6 +108,7 @@
 	r.began = r.cfg.Now()
 	r.servers = map[string]*server{}
 	r.holders = map[string]*holder{}
+	r.starts = map[string]*start{}
 	if r.changed == nil {
 		r.changed = make(chan struct{})
 	}
@@ -143,7 +147,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.servers[a.ID]
-	if s != nil && a.Sequence <= s.sequence || !r.holds(a) {
+	if s != nil && a.Sequence <= s.sequence || !r.succeeds(a) || !r.holds(a) {
 		return false
 	}
 	state := schema.RosterState_ROSTER_STATE_READY
@@ -173,7 +177,7 @@
 func (r *Roster) Recall(a Announcement) bool {
 	// No word of a server that is known is older.
 	a.Sequence = 0
-	if !r.Announce(a) {
+	if r.knowsOther(a.ID) || !r.Announce(a) {
 		return false
 	}
 	r.mu.Lock()
@@ -184,6 +188,14 @@
 	return true
 }
 
+// knowsOther reports whether another start of a server is believed to live.
+func (r *Roster) knowsOther(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.starts[incarnation.ServerOf(id)]
+	return h != nil && h.id != id
+}
+
 // Known returns the servers that take new work, as they are recorded for the next
 // leader.
 func (r *Roster) Known() map[string]*schema.KnownServer {
@@ -212,24 +224,37 @@
 		r.holders[a.Address] = &holder{id: a.ID}
 		return true
 	}
-	if h.id == a.ID {
-		h.challenger = ""
+	if incarnation.ServerOf(h.id) == incarnation.ServerOf(a.ID) {
+		// Of starts of one server succeeds has decided.
+		h.id, h.challenger = a.ID, ""
 		return true
 	}
-	old := r.servers[h.id]
-	speaks := old != nil && r.cfg.Now().Sub(old.heard) < r.cfg.AnnounceEvery*3/2
-	if speaks && h.challenger != a.ID {
+	return r.challenge(h, a, "its address announces another server")
+}
+
+// challenge lets an announcement of another incarnation take a holder's place, unless
+// the holder still speaks and the other is heard the first time.
+func (r *Roster) challenge(h *holder, a Announcement, reason string) bool {
+	if r.speaks(h.id) && h.challenger != a.ID {
 		h.challenger = a.ID
 		r.cfg.Log.Info("announcement held back", "server", a.ID, "address", a.Address, "holder", h.id, "sequence", a.Sequence)
 		return false
 	}
+	old := r.servers[h.id]
 	h.id, h.challenger = a.ID, ""
 	if old != nil {
-		r.gone(old, "its address announces another server")
+		r.gone(old, reason)
 	}
 	return true
 }
 
+// speaks reports whether an incarnation was heard within an announcement's time and a
+// half.
+func (r *Roster) speaks(id string) bool {
+	s := r.servers[id]
+	return s != nil && r.cfg.Now().Sub(s.heard) < r.cfg.AnnounceEvery*3/2
+}
+
 func (r *Roster) setView(s *server, view *schema.RosterServer) {
 	if s.view != nil && same(s.view, view) {
 		return
@@ -313,6 +338,9 @@
 			if h := r.holders[s.view.GetAddress()]; h != nil && h.id == id {
 				delete(r.holders, s.view.GetAddress())
 			}
+			if server := incarnation.ServerOf(id); r.starts[server] != nil && r.starts[server].id == id {
+				delete(r.starts, server)
+			}
 		}
 	}
 }
