--- a/internal/gateway/attend.go
+++ b/internal/gateway/attend.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -59,6 +60,9 @@
 	known []string
 	// heard is when the leader last spoke; guarded by mu.
 	heard time.Time
+	// taken is the sequence of the last word of the present stream that is in force
+	// here.
+	taken atomic.Uint64
 }
 
 func (a *attendant) run() {
@@ -163,6 +167,7 @@
 		return errors.Newf("attend: %w", err)
 	}
 	a.named, a.pruned = map[string]bool{}, false
+	a.taken.Store(0)
 	var wg sync.WaitGroup
 	wg.Add(1)
 	go func() {
@@ -198,6 +203,7 @@
 	for due := true; ; {
 		news.Stopping = a.g.stopping.Load()
 		news.Demands = a.g.asked.collect()
+		news.Taken = a.taken.Load()
 		if due {
 			news.Loads, news.LoadsTold = a.g.fleet.loads(), true
 		}
@@ -263,6 +269,10 @@
 		a.g.setEntries(l.GetEntries())
 	}
 	a.g.asked.forecast(news.GetForecasts(), time.Now())
+	a.taken.Store(news.GetSequence())
+	if news.GetConfirm() {
+		a.g.speakSoon()
+	}
 	return nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,11 @@
 func (g *Gateway) Stopping(sendBy time.Time) {
 	g.sendBy.Store(&sendBy)
 	g.stopping.Store(true)
+	g.speakSoon()
+}
+
+// speakSoon has the next word to the leader leave at once.
+func (g *Gateway) speakSoon() {
 	select {
 	case g.asked.urgent <- struct{}{}:
 	default:
--- a/internal/role/api.go
+++ b/internal/role/api.go
@@ -65,7 +65,7 @@
 
 // PutConfiguration puts a complete configuration in force. Without an error it
 // is durable at a quorum, or one with a version at least as high is, and the entries
-// that speak have been told, but for one that takes longer than configureWait.
+// that speak have said that they have it, but for one that takes longer than configureWait.
 func (c *Control) PutConfiguration(ctx context.Context, q *schema.PutConfiguration) error {
 	if err := c.elsewhere(); err != nil {
 		return err
@@ -84,7 +84,7 @@
 	return err
 }
 
-// tellConfiguration waits until the entries have been told of the newest configuration. A leader
+// tellConfiguration waits until the entries have the newest configuration. A leader
 // that acknowledged first and then lost power left all of them with the configuration
 // before: until they noticed and another host led, 1.2 s at the best, callers were served
 // by it, and where an election needed a second round for longer than a change may take.
--- a/internal/role/attend.go
+++ b/internal/role/attend.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -74,6 +76,11 @@
 	stream attendStream
 	number uint64
 	entry  *schema.RosterEntry
+	// mu guards sent: what each word tells that the entry has not said to have taken,
+	// the oldest first.
+	mu   sync.Mutex
+	sent []sentWord
+
 	// waiting holds the latest targets that requests wait for at the entry, until
 	// speak takes them.
 	waiting chan []*schema.ModelDemand
@@ -102,8 +109,42 @@
 	}
 }
 
+// sentWord is how far the entry is told by a word.
+type sentWord struct {
+	sequence uint64
+	far      roster.Told
+}
+
+// sentMost bounds the words that are remembered: an entry confirms with each of its own,
+// three a second at the least, and the leader speaks a hundred times a second at the most.
+const sentMost = 256
+
+// note remembers how far a word tells the entry.
+func (a *attending) note(sequence uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.sent) >= sentMost {
+		// What is dropped is confirmed by a later word.
+		a.sent = a.sent[1:]
+	}
+	a.sent = append(a.sent, sentWord{sequence, roster.Told{Change: a.roster, Revision: a.revision}})
+}
+
+// confirm notes how far the entry is by its own word. That a word was written to the
+// stream says nothing: a leader that loses power a moment later never sent it, and
+// whoever was told that all entries know would be wrong.
+func (a *attending) confirm(taken uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for len(a.sent) > 0 && a.sent[0].sequence <= taken {
+		a.c.roster.Told(a.number, a.entry.GetHost(), a.sent[0].far)
+		a.sent = a.sent[1:]
+	}
+}
+
 func (a *attending) hear(news *schema.EntryNews) {
 	host := a.entry.GetHost()
+	a.confirm(news.GetTaken())
 	a.c.roster.Hear(a.number, host, news.GetStopping())
 	if news.GetLoadsTold() {
 		a.c.roster.Load(a.number, host, news.GetLoads())
@@ -143,10 +184,10 @@
 		if a.due {
 			news.Loads, a.due = a.c.roster.Loads(), false
 		}
+		a.note(news.GetSequence())
 		if err := a.stream.Send(news); err != nil {
 			return errors.Newf("tell entry: %w", err)
 		}
-		a.c.roster.Told(a.number, a.entry.GetHost(), roster.Told{Change: a.roster, Revision: a.revision})
 		if !a.rest(ctx, ticker, known, changed) {
 			return nil
 		}
@@ -211,9 +252,15 @@
 		a.members = strings.Join(addresses, " ")
 		news.ControlAddresses = addresses
 	}
+	news.Confirm = news.Changes != nil || slices.ContainsFunc(news.GetServers(), leaves)
 	return news
 }
 
+// leaves reports whether a server takes no new work: its own word waits for the entries.
+func leaves(s *schema.RosterServer) bool {
+	return s.GetState() != schema.RosterState_ROSTER_STATE_READY
+}
+
 func (c *Control) addresses() []string {
 	var out []string
 	for _, m := range c.group.Status().Membership.GetMembers() {
--- a/internal/role/site_test.go
+++ b/internal/role/site_test.go
@@ -40,6 +40,8 @@
 	random  *rand.Rand
 	// control holds what runs; a host without power is absent.
 	control map[string]*role.Control
+	// disks are the control hosts' folders.
+	disks   map[string]string
 	entries map[string]*role.Entry
 	// next is the number of the control host that will lead once the present leader is
 	// lost, noOne: chance decides. Hosts settle when to ask for votes as they hear a new
@@ -56,7 +58,7 @@
 func newSite(t *testing.T, seed int64, control, entries, next int) *site {
 	s := &site{
 		t: t, network: standin.NewNetwork(), random: rand.New(rand.NewSource(seed)),
-		control: map[string]*role.Control{}, entries: map[string]*role.Entry{},
+		control: map[string]*role.Control{}, disks: map[string]string{}, entries: map[string]*role.Entry{},
 	}
 	s.next.Store(int64(next))
 	for i := range control {
@@ -110,7 +112,7 @@
 		},
 	})
 	require.NoError(s.t, err)
-	s.control[ip] = c
+	s.control[ip], s.disks[ip] = c, disk
 }
 
 func (s *site) startEntry(ip string) {
@@ -132,8 +134,9 @@
 	return funcrLog(ip)
 }
 
-// powerOff ends a control host at once: nothing that it does from here on is heard.
-func (s *site) powerOff(ip string) {
+// powerOff ends a control host at once: nothing that it does from here on is heard. Its
+// disk can be used again once the channel is closed.
+func (s *site) powerOff(ip string) <-chan struct{} {
 	s.network.Off(ip)
 	c, over := s.control[ip], make(chan struct{})
 	delete(s.control, ip)
@@ -142,6 +145,7 @@
 		c.Close()
 	}()
 	s.closing = append(s.closing, over)
+	return over
 }
 
 // close ends everything.
--- a/internal/roster/entries.go
+++ b/internal/roster/entries.go
@@ -31,7 +31,7 @@
 	silent bool
 	// loads is what the entry has at the engines.
 	loads []*schema.EngineLoad
-	// told is how far the entry has been told.
+	// told is how far the entry has been told, by its own word.
 	told Told
 }
 
@@ -93,7 +93,7 @@
 	return r.runs[run{server, model}] > 0
 }
 
-// Told notes how far an entry was told.
+// Told notes how far an entry says that it was told.
 func (r *Roster) Told(stream uint64, host string, far Told) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
