Have the soak's servers crash and start again under their ids

The soak's backend servers lived for the whole run. Each now ends after 1.5 to 5.5 s, cuts off what it is at, and is back within 0.3 s under its id at another address.

--- a/cmd/fennelyard/soak_test.go
+++ b/cmd/fennelyard/soak_test.go
@@ -117,10 +117,31 @@
 	}
 }
 
-// announce tells the control hosts of a server until the soak ends.
-func (s *soak) announce(i int, address string) {
-	for sequence := 1; s.ctx.Err() == nil; sequence++ {
-		path, body := standin.Announcement(fmt.Sprint("i-", i), address, sequence)
+// live runs a backend server that crashes now and then and starts again under its id, at
+// another address, until the soak ends.
+func (s *soak) live(i int, r *rand.Rand) {
+	for s.ctx.Err() == nil {
+		server, err := net.Listen("tcp", fmt.Sprintf("127.0.3.%d:0", 21+i))
+		if err != nil {
+			s.fault("server %d: %v", i, err)
+			return
+		}
+		h := &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Second}
+		go func() { _ = h.Serve(server) }()
+		life, crash := context.WithTimeout(s.ctx, time.Duration(1500+r.IntN(4000))*time.Millisecond)
+		s.announce(life, i, server.Addr().String())
+		crash()
+		// It cuts off whatever it is at.
+		_ = h.Close()
+		time.Sleep(time.Duration(r.IntN(300)) * time.Millisecond)
+	}
+}
+
+// announce tells the control hosts of one start of a server until it ends.
+func (s *soak) announce(life context.Context, i int, address string) {
+	born := time.Now().UnixMilli()
+	for sequence := 1; life.Err() == nil; sequence++ {
+		path, body := standin.Announcement(fmt.Sprint("i-", i), address, born, sequence)
 		for c := range soakControls {
 			status, _ := s.call(http.MethodPut, s.operators((i+c)%soakControls)+path, body, nil, 500*time.Millisecond)
 			if status == http.StatusOK {
@@ -274,8 +295,8 @@
 }
 
 // Hosts are killed, stopped, paused and restarted in overlapping series while
-// callers ask, an operator changes the configuration and servers announce
-// themselves. No request that must not run twice does, none that was said not to
+// callers ask, an operator changes the configuration, and servers announce
+// themselves, crash and start again under their ids. No request that must not run twice does, none that was said not to
 // have run did, every success is the whole answer to its own request, and no
 // acknowledged configuration is ever taken back.
 func TestSoak(t *testing.T) {
@@ -311,12 +332,7 @@
 	}, patience, 50*time.Millisecond)
 	var wg sync.WaitGroup
 	for i := range soakServers {
-		server, err := net.Listen("tcp", fmt.Sprintf("127.0.3.%d:0", 21+i))
-		require.NoError(t, err)
-		h := &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Second}
-		go func() { _ = h.Serve(server) }()
-		defer func() { _ = h.Close() }()
-		wg.Go(func() { s.announce(i, server.Addr().String()) })
+		wg.Go(func() { s.live(i, rand.New(rand.NewPCG(seed, uint64(300+i)))) })
 	}
 	for i := range 6 {
 		wg.Go(func() { s.ask(i, rand.New(rand.NewPCG(seed, uint64(i)))) })
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -224,7 +224,7 @@
 		r.holders[a.Address] = &holder{id: a.ID}
 		return true
 	}
-	if incarnation.ServerOf(h.id) == incarnation.ServerOf(a.ID) {
+	if h.id == a.ID || incarnation.ServerOf(h.id) == incarnation.ServerOf(a.ID) {
 		// Of starts of one server succeeds has decided.
 		h.id, h.challenger = a.ID, ""
 		return true
