Ask the members that are named, not the leader alone

Cause: with the leader's name taken out of the answers all tests passed, as the members are named too: two safeguards for one failure. Change: a newcomer asks the candidates, and in the same round the members that they name; one of them leads. The leader's name stays for the newcomer's log. Result: the tests of lost disks and of the newcomer pass; without the members' names the latter fails.

--- a/internal/control/asking.go
+++ b/internal/control/asking.go
@@ -26,9 +26,8 @@
 	// named are members' addresses that hosts named in the last answers.
 	named []string
 
-	// asked, leaders and answers are of the present time around.
+	// asked and answers are of the present time around.
 	asked   []string
-	leaders []string
 	answers []string
 
 	last   string
@@ -36,7 +35,7 @@
 }
 
 // begin starts a time around.
-func (a *asking) begin() { a.asked, a.leaders, a.answers = nil, nil, nil }
+func (a *asking) begin() { a.asked, a.answers = nil, nil }
 
 // note takes one host's answer.
 func (a *asking) note(x helloAnswer) {
@@ -47,26 +46,18 @@
 		return
 	}
 	a.answers = append(a.answers, address+": "+standing(x.reply))
-	if leader := x.reply.GetLeaderAddress(); leader != "" {
-		a.leaders = append(a.leaders, leader)
-	}
-	for _, x := range x.reply.GetMemberAddresses() {
-		if x != "" && !slices.Contains(a.named, x) {
-			a.named = append(a.named, x)
+	for _, named := range x.reply.GetMemberAddresses() {
+		if named != "" && !slices.Contains(a.named, named) {
+			a.named = append(a.named, named)
 		}
 	}
 	// The oldest go first: hosts that were replaced are named no longer.
 	a.named = a.named[max(len(a.named)-namedMost, 0):]
 }
 
-// unaskedLeader returns a leader that was named and has not been asked, or "".
-func (a *asking) unaskedLeader() string {
-	for _, leader := range a.leaders {
-		if !slices.Contains(a.asked, leader) {
-			return leader
-		}
-	}
-	return ""
+// hasAsked reports whether a host was asked this time around.
+func (a *asking) hasAsked(h *schema.HostSettings) bool {
+	return slices.Contains(a.asked, h.GetPeerAddress())
 }
 
 // end logs the answers if they are others than before, or were logged long ago. Without
--- a/internal/control/form.go
+++ b/internal/control/form.go
@@ -140,12 +140,12 @@
 	return out
 }
 
-// askAll asks every candidate, and then the leader, if they name one that is none of
-// them, to take this host in. It returns the members that answered, whether any of them
-// is in a group, and whether all of them answered.
+// askAll asks every candidate, and then the members that they name, to take this host in.
+// It returns the candidates that answered, whether any of them is in a group, and whether
+// all of them answered.
 //
 // A host with an empty disk knows the seeds only, and a leader alone takes it in. Were
-// the leader not named, the host would stay out for as long as a host leads that is no
+// the others not named, the host would stay out for as long as a host leads that is no
 // seed: the group bears one loss less, and after a few such losses no quorum is left.
 func (g *Group) askAll() (members []*schema.Member, formed, all bool) {
 	members = append(members, g.selfMember())
@@ -162,8 +162,8 @@
 			Id: x.reply.GetId(), Host: x.host.GetName(), Address: x.host.GetPeerAddress(),
 		})
 	}
-	if leader := g.asking.unaskedLeader(); leader != "" && leader != g.cfg.Self.GetPeerAddress() {
-		g.askEach([]*schema.HostSettings{{Name: leader, PeerAddress: leader, Control: true}})
+	if g.cfg.Seeds != nil {
+		g.askEach(slices.DeleteFunc(g.others(), func(h *schema.HostSettings) bool { return g.asking.hasAsked(h) }))
 	}
 	return members, formed, all
 }
