--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -53,3 +53,24 @@
 	}
 	require.GreaterOrEqual(t, len(seen), 14)
 }
+
+const startLogs = `
+{"time":"2026-01-02T03:04:01Z","level":"INFO","msg":"order given","host":"core-1","logger":"loading","server":"s1@1000","model":"m","outcome":"taken"}
+{"time":"2026-01-02T03:04:02Z","level":"INFO","msg":"server gone","host":"core-1","logger":"roster","server":"s1@1000","reason":"the server has started again"}
+{"time":"2026-01-02T03:04:02Z","level":"INFO","msg":"order given","host":"core-1","logger":"loading","server":"s1@2000","model":"other","outcome":"taken"}
+{"time":"2026-01-02T03:04:03Z","level":"INFO","msg":"request","host":"e1","id":"42","outcome":"outcome-unknown","status":502,"server":"s1@1000","took-ms":1500,"cause":"reset"}
+`
+
+// A request was at a server that crashed and started again under its id. Its story is of
+// the start that had it, up to the line that says that it has ended: what the next start
+// was ordered has nothing to do with it.
+func TestStoryIsOfOneStart(t *testing.T) {
+	lines, err := story.Read(strings.NewReader(startLogs))
+	require.NoError(t, err)
+	s, err := story.Tell("42", lines)
+	require.NoError(t, err)
+	require.Contains(t, story.Cause(s.Requests[0]), "server s1@1000 took the request")
+	require.Len(t, s.Beliefs, 2)
+	require.Contains(t, s.Beliefs[0].String(), "order given model=m outcome=taken server=s1@1000")
+	require.Contains(t, s.Beliefs[1].String(), "reason=the server has started again")
+}
