--- a/internal/consensus/join.go
+++ b/internal/consensus/join.go
@@ -15,9 +15,6 @@
 	// without an answer: two processes under one host name must not push each
 	// other out.
 	goneTicks = 40
-	// quietElections is after how many election timeouts without an answer a voter is
-	// told as silent: one lost message and its repeat take less than one.
-	quietElections = 2
 )
 
 // tendMembership takes one step towards the wanted members, if one is due.
@@ -59,22 +56,6 @@
 	return -1
 }
 
-// silentHosts names the hosts of voters that a leader has not heard lately. Each of
-// them is a loss that the group no longer bears.
-func (m *Member) silentHosts() []string {
-	if m.core.Role() != RoleLeader {
-		return nil
-	}
-	var out []string
-	for _, x := range m.core.Membership().GetMembers() {
-		_, silent, ok := m.core.Match(x.GetId())
-		if ok && !x.GetLearner() && x.GetId() != m.cfg.Storage.ID() && silent > quietElections*m.core.cfg.ElectionTicks {
-			out = append(out, x.GetHost())
-		}
-	}
-	return out
-}
-
 // makesVoter reports whether a membership has the member as a voter.
 func makesVoter(next *schema.Membership, id uint64) bool {
 	return next != nil && isVoter(next, id)
--- a/internal/consensus/member.go
+++ b/internal/consensus/member.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/schema"
 )
@@ -76,23 +74,6 @@
 	MembersChanged func(MemberStatus)
 }
 
-// MemberStatus is what a member knows of itself.
-type MemberStatus struct {
-	ID         uint64
-	Role       Role
-	Term       uint64
-	Leader     uint64
-	LeaderHost string
-	Commit     uint64
-	Applied    uint64
-	// Current is true on a leader that has committed in its term.
-	Current    bool
-	Membership *schema.Membership
-	// Silent names the hosts of voters that have not answered this leader for some
-	// time; empty on other members.
-	Silent []string
-}
-
 type proposal struct {
 	data  []byte
 	term  uint64
@@ -208,13 +189,6 @@
 	<-m.done
 }
 
-// Status returns the member's latest status.
-func (m *Member) Status() MemberStatus {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.status
-}
-
 // Step takes in a message of another member. It drops the message when too
 // many wait; senders repeat what matters.
 func (m *Member) Step(msg *schema.ConsensusMessage) {
@@ -510,29 +484,3 @@
 	m.core.Compact(m.applied - min(m.applied, m.cfg.SnapshotAfter/keepDivisor))
 	return nil
 }
-
-func (m *Member) publish() {
-	s := MemberStatus{
-		ID: m.cfg.Storage.ID(), Role: m.core.Role(), Term: m.core.Term(), Leader: m.core.Leader(),
-		Commit: m.core.Commit(), Applied: m.applied, Current: m.core.Current(),
-		Membership: m.core.Membership(), Silent: m.silentHosts(),
-	}
-	for _, member := range s.Membership.GetMembers() {
-		if member.GetId() == s.Leader {
-			s.LeaderHost = member.GetHost()
-		}
-	}
-	m.mu.Lock()
-	old := m.status
-	m.status = s
-	m.mu.Unlock()
-	changed := old.Role != s.Role || old.Leader != s.Leader || old.Term != s.Term || old.Current != s.Current ||
-		old.LeaderHost != s.LeaderHost
-	if changed && m.cfg.LeaderChanged != nil {
-		m.cfg.LeaderChanged(s)
-	}
-	same := proto.Equal(old.Membership, s.Membership) && slices.Equal(old.Silent, s.Silent)
-	if !same && m.cfg.MembersChanged != nil {
-		m.cfg.MembersChanged(s)
-	}
-}
