Refuse words that name no start of a server that tells its starts, before anything is recorded

Cause, found by reading: such a word that says that the server leaves was recorded under the id alone, which counts for every start until then, and told to all entries. Test: TestWordWithoutAStartTakesNoServerOut failed before.

--- a/internal/role/api.go
+++ b/internal/role/api.go
@@ -39,6 +39,9 @@
 	ErrNothing = errors.New("there is no configuration yet")
 	// ErrNoPool says that the configuration in force does not know a server's pool.
 	ErrNoPool = errors.New("the configuration knows no such pool")
+	// ErrNoStart says that a word does not tell which start of a server it is of, while
+	// the server does.
+	ErrNoStart = errors.New("the server's start is not told")
 )
 
 // ElsewhereError says that another host leads.
@@ -134,6 +137,9 @@
 	if err := c.elsewhere(); err != nil {
 		return err
 	}
+	if c.roster.LacksStart(a.ID) {
+		return errors.Newf("%q: %w", a.ID, ErrNoStart)
+	}
 	// Who leaves is heard whatever its pool: it may have been known under another.
 	if !a.Leaving && !c.knowsPool(a.Pool) {
 		return errors.Newf("%q: %w", a.Pool, ErrNoPool)
--- a/internal/role/control_test.go
+++ b/internal/role/control_test.go
@@ -68,3 +68,17 @@
 	require.NoError(t, c.Depart(context.Background(), "i-1"))
 	require.False(t, c.Ready("i-1"))
 }
+
+// Somebody else's word says that a server leaves. It has the server's id and not its
+// start. Taken for the server's own it would be recorded under the id, and every entry
+// would give up a server that lives.
+func TestWordWithoutAStartTakesNoServerOut(t *testing.T) {
+	c := newControl(t)
+	own := roster.Announcement{ID: "i-1@1784556072000", Pool: "app", Address: "127.0.0.1:1", Slots: 1, Sequence: 1}
+	require.NoError(t, c.Announce(context.Background(), own))
+	foreign := roster.Announcement{ID: "i-1", Pool: "app", Address: "127.0.0.1:9", Slots: 1, Sequence: 2, Leaving: true}
+	require.ErrorIs(t, c.Announce(context.Background(), foreign), role.ErrNoStart)
+	own.Sequence = 3
+	require.NoError(t, c.Announce(context.Background(), own))
+	require.True(t, c.Ready(own.ID))
+}
--- a/internal/roster/starts.go
+++ b/internal/roster/starts.go
@@ -37,7 +37,7 @@
 	case h.id == a.ID:
 		return true
 	case name.Born == 0:
-		// The server says its starts; this word is somebody else's.
+		// Not the server's own: see LacksStart.
 		return false
 	case incarnation.Parse(h.id).Born > name.Born:
 		if r.speaks(h.id) {
@@ -51,6 +51,19 @@
 	return true
 }
 
+// LacksStart reports whether a key names no start of a server that tells its starts: the
+// word that it came with is somebody else's.
+func (r *Roster) LacksStart(id string) bool {
+	name := incarnation.Parse(id)
+	if name.Born != 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.starts[name.Server]
+	return h != nil && incarnation.Parse(h.id).Born != 0
+}
+
 // endStart puts a start in the place of the one believed to live.
 func (r *Roster) endStart(h *start, id, reason string) {
 	old := h.id
