--- a/internal/loading/late.go
+++ b/internal/loading/late.go
@@ -11,17 +11,16 @@
 // up to 12 s over one whose answer is lost, and it has orderWait to leave.
 const orderFlight = 12*time.Second + orderWait
 
-// sentLoad is a load whose outcome is not known.
+// sentLoad is a load whose outcome is not known. An engine checks an order against the
+// number of those that it has taken. That number begins anew with a start under the same
+// id, so that an order to the start before that had no answer fits the next once it has
+// taken as many. What it brings must have room then: an engine that is ordered to hold
+// more than fits ends, with all its answers.
 type sentLoad struct {
 	model, adapter string
 	at             time.Time
 }
 
-// Late orders: an engine checks an order against the number of those that it has taken. That number
-// begins anew with a start under the same id, so that an order to the start before that
-// had no answer fits the next once it has taken as many. What it brings must have room
-// then: an engine that is ordered to hold more than fits ends, with all its answers.
-
 // recent drops what can no longer be carried out.
 func recent(loads []sentLoad, now time.Time) []sentLoad {
 	return slices.DeleteFunc(loads, func(l sentLoad) bool { return now.Sub(l.at) > orderFlight })
