--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -11,6 +11,12 @@
 // Configure takes changes in as from the leader.
 func (g *Gateway) Configure(c *schema.Changes) { g.configure(c) }
 
+// Take takes a leader's word in.
+func (g *Gateway) Take(news *schema.LeaderNews) error {
+	a := &attendant{g: g, named: map[string]bool{}}
+	return a.take(news)
+}
+
 // Believe takes servers in as from the leader.
 func (g *Gateway) Believe(settled bool, views ...*schema.RosterServer) {
 	named := map[string]bool{}
