Have entries confirm at once only where somebody waits for it

Change: who is about to wait says so first; other words are confirmed with the entry's next, within 0.3 s.

--- a/internal/role/api.go
+++ b/internal/role/api.go
@@ -73,6 +73,7 @@
 	if err := c.elsewhere(); err != nil {
 		return err
 	}
+	defer c.roster.Expect()()
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, commitWait)
 	defer cancel()
@@ -180,6 +181,7 @@
 	if err := c.elsewhere(); err != nil {
 		return err
 	}
+	defer c.roster.Expect()()
 	if !c.departed(id) {
 		err := c.commit(context.WithoutCancel(ctx), &schema.Command{Body: &schema.Command_DepartServer{
 			DepartServer: &schema.DepartServer{Server: id},
--- a/internal/role/attend.go
+++ b/internal/role/attend.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -252,15 +251,12 @@
 		a.members = strings.Join(addresses, " ")
 		news.ControlAddresses = addresses
 	}
-	news.Confirm = news.Changes != nil || slices.ContainsFunc(news.GetServers(), leaves)
+	// A word that nobody waits for is confirmed with the entry's next one: each that is
+	// confirmed at once costs the leader another 60 µs for each entry.
+	news.Confirm = a.c.roster.Awaited()
 	return news
 }
 
-// leaves reports whether a server takes no new work: its own word waits for the entries.
-func leaves(s *schema.RosterServer) bool {
-	return s.GetState() != schema.RosterState_ROSTER_STATE_READY
-}
-
 func (c *Control) addresses() []string {
 	var out []string
 	for _, m := range c.group.Status().Membership.GetMembers() {
--- a/internal/roster/entries.go
+++ b/internal/roster/entries.go
@@ -123,6 +123,26 @@
 	}
 }
 
+// Expect notes that somebody will wait until the entries have been told of a change that
+// is about to be made, until the function returned is called.
+func (r *Roster) Expect() func() {
+	r.expect(1)
+	return func() { r.expect(-1) }
+}
+
+func (r *Roster) expect(by int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.awaited += by
+}
+
+// Awaited reports whether anybody waits until the entries have been told.
+func (r *Roster) Awaited() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.awaited > 0
+}
+
 // behind counts the entries that speak and have not been told so far.
 func (r *Roster) behind(far Told) int {
 	r.mu.Lock()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -89,6 +89,8 @@
 	entries map[string]*attendance
 	// runs counts the entries that have requests for a model at an engine.
 	runs map[run]int
+	// awaited counts those who wait until the entries have been told.
+	awaited int
 	// entriesChange is the change number of the list of entries.
 	entriesChange uint64
 	// loads is the sum of the entries' loads as of loadsAt; it is told to many
