Withhold the acknowledgement of a configuration that entries lack

A configuration of 1,534 routes was acknowledged while none of 68 entries had it ('behind' in the log); the leader lost its lead over the words to them, and three more did, for 5 s. Ruled out: entries that take a change and do not apply it (they log it as they take it). Change: while entries that speak lack the newest configuration the operator is told that the outcome is unsure, for 3 s at most; sent again, it is acknowledged once they have it.

--- a/internal/role/api.go
+++ b/internal/role/api.go
@@ -68,7 +68,7 @@
 
 // PutConfiguration puts a complete configuration in force. Without an error it
 // is durable at a quorum, or one with a version at least as high is, and the entries
-// that speak have said that they have it, but for one that takes longer than configureWait.
+// that speak have said that they have it, or have been behind for withholdFor.
 func (c *Control) PutConfiguration(ctx context.Context, q *schema.PutConfiguration) error {
 	if err := c.elsewhere(); err != nil {
 		return err
@@ -80,7 +80,11 @@
 	err := c.commit(ctx, &schema.Command{Body: &schema.Command_PutConfiguration{PutConfiguration: q}})
 	behind := ""
 	if err == nil {
-		behind = logbook.Text(c.tellConfiguration(ctx))
+		untold := c.tellConfiguration(ctx)
+		behind = logbook.Text(untold)
+		if c.withheld.hold(untold) {
+			err = errors.Newf("tell entries: %v: %w", untold, ErrUnsure)
+		}
 	}
 	c.cfg.Log.Info("configuration put", "version", q.GetConfiguration().GetVersion(), "routes", len(q.GetRoutes()),
 		"pools", len(q.GetPools()), "bytes", len(q.GetConfiguration().GetDocument()),
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -74,6 +74,8 @@
 	changes encodedChanges
 	// refusals bound the log.
 	refusals refusals
+	// withheld are acknowledgements of configurations that entries lack.
+	withheld withheld
 	stop     chan struct{}
 	done     chan struct{}
 	once     sync.Once
--- a/internal/role/export_test.go
+++ b/internal/role/export_test.go
@@ -85,3 +85,9 @@
 
 // Version returns the version of the configuration in force at this entry.
 func (e *Entry) Version() uint64 { return uint64(e.gateway.State().Version) }
+
+// Withheld is what tells whether acknowledgements of configurations are withheld.
+type Withheld struct{ w withheld }
+
+// Hold notes whether entries are behind.
+func (w *Withheld) Hold(untold error) bool { return w.w.hold(untold) }
