--- /dev/null
+++ b/internal/attendance/attendance.go
@@ -0,0 +1,399 @@
+// Package attendance is what a control host knows of the entries that attend it: which
+// there are, what they are asked for, what they have at the engines and how far they have
+// been told. The leader is told the sum, in one word for all of them: told one by one, 291
+// entries cost a leader of a quarter of a core more than all else that it did.
+package attendance
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"fennelyard/internal/roster"
+	"fennelyard/internal/schema"
+)
+
+// Silence is how long an entry may say nothing before callers are no longer sent to it.
+// Entries speak every 300 ms; a frozen one says nothing while its connections stay open.
+const Silence = 1200 * time.Millisecond
+
+// behindMost is how many of the entries that are told no further than others are named.
+const behindMost = 4
+
+// Config configures Entries. All fields are required.
+type Config struct {
+	Now func() time.Time
+	Log logr.Logger
+}
+
+// Entries are the entries that attend a control host. All methods are safe from any
+// goroutine.
+type Entries struct {
+	cfg Config
+	// urgent holds a token while the leader should be told soon.
+	urgent chan struct{}
+
+	mu sync.Mutex
+	// entries are by the entry's host; guarded by mu, as all below.
+	entries map[string]*attendee
+	// waiting is how many requests wait for each target at all entries that speak.
+	waiting map[target]uint32
+	// since is what was asked for since the last word to the leader, and said the
+	// targets whose waiting requests it has been told of.
+	since map[target]*schema.ModelDemand
+	said  map[target]bool
+	// loads is what all entries that speak have at the engines.
+	loads map[string]*engineLoad
+	// listed is set while the leader knows the list of entries as it is.
+	listed bool
+	// confirm is how far the entries were told by a word that somebody may wait for.
+	confirm Told
+}
+
+// attendee is one entry's stream.
+type attendee struct {
+	entry *schema.RosterEntry
+	// stream tells its newer stream to this host from an older one that ends late, and
+	// number is the entry's own count, over all hosts.
+	stream, number uint64
+	stopping       bool
+	silent         bool
+	heard          time.Time
+	loads          []*schema.EngineLoad
+	waiting        map[target]uint32
+	// told is how far the entry has been told, by its own word.
+	told Told
+}
+
+// engineLoad is the sum of what entries have at an engine.
+type engineLoad struct {
+	running, unread uint32
+	// models counts the entries that have requests for a model, or for an adapter of one.
+	models map[string]int
+}
+
+// target names a model, or an adapter of it.
+type target struct{ pool, model, adapter string }
+
+// Told is how far an entry, or a host with all of its entries, has been told.
+type Told struct {
+	// Known is of the leader's roster, Revision of the log.
+	Known    roster.Position
+	Revision uint64
+}
+
+// reaches reports whether all of far has been told.
+func (t Told) reaches(far Told) bool { return !t.Known.Before(far.Known) && t.Revision >= far.Revision }
+
+// New returns an attendance of nobody.
+func New(cfg Config) *Entries {
+	return &Entries{
+		cfg: cfg, urgent: make(chan struct{}, 1), entries: map[string]*attendee{}, waiting: map[target]uint32{},
+		since: map[target]*schema.ModelDemand{}, said: map[target]bool{}, loads: map[string]*engineLoad{},
+	}
+}
+
+// Urgent receives when the leader should be told at once: requests wait, or what somebody
+// may wait for has been told to all entries.
+func (e *Entries) Urgent() <-chan struct{} { return e.urgent }
+
+func (e *Entries) hurry() {
+	select {
+	case e.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// Attend notes that an entry speaks on a stream to this host; stream numbers grow, and
+// number is the entry's own.
+func (e *Entries) Attend(stream uint64, entry *schema.RosterEntry, number uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if old := e.entries[entry.GetHost()]; old != nil {
+		e.empty(old)
+	}
+	e.entries[entry.GetHost()] = &attendee{entry: entry, stream: stream, number: number, heard: e.cfg.Now(), waiting: map[target]uint32{}}
+	e.listed = false
+	e.cfg.Log.Info("entry attends", "entry", entry.GetHost(), "address", entry.GetCallerAddress(), "attending", len(e.entries))
+}
+
+// present returns an entry if the stream is its newest; mu is held.
+func (e *Entries) present(stream uint64, host string) *attendee {
+	if a := e.entries[host]; a != nil && a.stream == stream {
+		return a
+	}
+	return nil
+}
+
+// Hear takes in an entry's word.
+func (e *Entries) Hear(stream uint64, host string, news *schema.EntryNews) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a := e.present(stream, host)
+	if a == nil {
+		return
+	}
+	a.heard = e.cfg.Now()
+	if a.stopping != news.GetStopping() || a.silent {
+		a.stopping, a.silent, e.listed = news.GetStopping(), false, false
+		e.cfg.Log.Info("entry state", "entry", host, "stopping", a.stopping, "silent", false)
+		e.hurry()
+	}
+	if news.GetLoadsTold() {
+		e.load(a, news.GetLoads())
+	}
+	for _, d := range news.GetDemands() {
+		e.demand(a, d)
+	}
+}
+
+// demand adds what an entry was asked for; mu is held.
+func (e *Entries) demand(a *attendee, d *schema.ModelDemand) {
+	t := target{d.GetPool(), d.GetModel(), d.GetAdapter()}
+	sum := e.sum(t)
+	sum.Arrived += d.GetArrived()
+	sum.ReadUs += d.GetReadUs()
+	sum.RanUs += d.GetRanUs()
+	e.wait(a, t, d.GetWaiting())
+	if d.GetWaiting() > 0 {
+		e.hurry()
+	}
+}
+
+// wait sets how many requests wait for a target at an entry; mu is held.
+func (e *Entries) wait(a *attendee, t target, n uint32) {
+	e.waiting[t] += n - a.waiting[t]
+	if e.waiting[t] == 0 {
+		delete(e.waiting, t)
+	}
+	if n == 0 {
+		delete(a.waiting, t)
+	} else {
+		a.waiting[t] = n
+	}
+}
+
+// load sets what an entry has at the engines; mu is held.
+func (e *Entries) load(a *attendee, loads []*schema.EngineLoad) {
+	for _, l := range a.loads {
+		sum := e.loads[l.GetServer()]
+		sum.running -= l.GetRunning()
+		sum.unread -= l.GetUnread()
+		for _, m := range l.GetModels() {
+			if sum.models[m]--; sum.models[m] == 0 {
+				delete(sum.models, m)
+			}
+		}
+	}
+	for _, l := range loads {
+		sum := e.loads[l.GetServer()]
+		if sum == nil {
+			sum = &engineLoad{models: map[string]int{}}
+			e.loads[l.GetServer()] = sum
+		}
+		sum.running += l.GetRunning()
+		sum.unread += l.GetUnread()
+		for _, m := range l.GetModels() {
+			sum.models[m]++
+		}
+	}
+	a.loads = loads
+}
+
+// empty forgets what waits at an entry that has gone, and what it had at the engines: that
+// is not known to have ended, but nobody says so either. mu is held.
+func (e *Entries) empty(a *attendee) {
+	for t := range a.waiting {
+		e.wait(a, t, 0)
+	}
+	e.load(a, nil)
+}
+
+// Told notes how far an entry says that it was told.
+func (e *Entries) Told(stream uint64, host string, far Told) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a := e.present(stream, host)
+	if a == nil {
+		return
+	}
+	lacked := !e.least().reaches(e.confirm)
+	a.told = far
+	if lacked && e.least().reaches(e.confirm) {
+		e.hurry()
+	}
+}
+
+// Expect notes that somebody may wait until all entries have been told so far.
+func (e *Entries) Expect(far Told) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.confirm.Known.Before(far.Known) {
+		e.confirm.Known = far.Known
+	}
+	e.confirm.Revision = max(e.confirm.Revision, far.Revision)
+}
+
+// least is how far all entries that speak have been told; mu is held. With none it is
+// further than anything.
+func (e *Entries) least() Told {
+	out := Told{Known: roster.Furthest, Revision: ^uint64(0)}
+	for _, a := range e.entries {
+		if !a.silent {
+			out = out.least(a.told)
+		}
+	}
+	return out
+}
+
+// least is how far both have been told.
+func (t Told) least(u Told) Told {
+	if u.Known.Before(t.Known) {
+		t.Known = u.Known
+	}
+	t.Revision = min(t.Revision, u.Revision)
+	return t
+}
+
+// Count returns the number of entries that attend.
+func (e *Entries) Count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.entries)
+}
+
+// Leave notes the end of an entry's stream.
+func (e *Entries) Leave(stream uint64, host string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a := e.present(stream, host)
+	if a == nil {
+		return
+	}
+	e.empty(a)
+	delete(e.entries, host)
+	e.listed = false
+	e.cfg.Log.Info("entry left", "entry", host, "attending", len(e.entries))
+	e.hurry()
+}
+
+// Sweep leaves out entries that have fallen silent.
+func (e *Entries) Sweep() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for host, a := range e.entries {
+		if a.silent || e.cfg.Now().Sub(a.heard) <= Silence {
+			continue
+		}
+		a.silent, e.listed = true, false
+		e.empty(a)
+		e.cfg.Log.Info("entry state", "entry", host, "stopping", a.stopping, "silent", true)
+		e.hurry()
+	}
+}
+
+// Begin forgets what a leader was told: a word to another one begins with everything.
+func (e *Entries) Begin() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.listed = false
+	clear(e.said)
+}
+
+// News returns the next word to the leader, of entries that are told by a host which
+// itself has been told so far; with loads also what they have at the engines.
+func (e *Entries) News(own Told, loads bool) *schema.HostNews {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	far := own.least(e.least())
+	news := &schema.HostNews{
+		Known: far.Known.Message(), Revision: far.Revision, Behind: e.behind(far, own), Demands: e.demands(),
+	}
+	if loads {
+		news.Loads, news.LoadsTold = e.engines(), true
+	}
+	if !e.listed {
+		news.Entries, news.EntriesTold, e.listed = e.list(), true, true
+	}
+	return news
+}
+
+// behind names entries that hold back how far all are told; mu is held.
+func (e *Entries) behind(far, own Told) []string {
+	if far == own {
+		return nil
+	}
+	var out []string
+	for host, a := range e.entries {
+		if !a.silent && len(out) < behindMost && (a.told.Known == far.Known && far.Known.Before(own.Known) ||
+			a.told.Revision == far.Revision && far.Revision < own.Revision) {
+			out = append(out, host)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// demands is what the leader does not know yet. What waits is said each time, what no
+// longer waits once; mu is held.
+func (e *Entries) demands() []*schema.ModelDemand {
+	for t := range e.waiting {
+		e.sum(t)
+	}
+	for t := range e.said {
+		e.sum(t)
+	}
+	out := make([]*schema.ModelDemand, 0, len(e.since))
+	clear(e.said)
+	for t, d := range e.since {
+		if d.Waiting = e.waiting[t]; d.Waiting > 0 {
+			e.said[t] = true
+		}
+		out = append(out, d)
+	}
+	clear(e.since)
+	return out
+}
+
+// sum returns what was asked for of a target since the last word; mu is held.
+func (e *Entries) sum(t target) *schema.ModelDemand {
+	d := e.since[t]
+	if d == nil {
+		d = &schema.ModelDemand{Pool: t.pool, Model: t.model, Adapter: t.adapter}
+		e.since[t] = d
+	}
+	return d
+}
+
+// engines is what all entries that speak have at the engines; mu is held.
+func (e *Entries) engines() []*schema.EngineLoad {
+	out := make([]*schema.EngineLoad, 0, len(e.loads))
+	for id, sum := range e.loads {
+		if sum.running == 0 && sum.unread == 0 && len(sum.models) == 0 {
+			delete(e.loads, id)
+			continue
+		}
+		out = append(out, &schema.EngineLoad{
+			Server: id, Running: sum.running, Unread: sum.unread, Models: slices.Sorted(maps.Keys(sum.models)),
+		})
+	}
+	return out
+}
+
+// list is every entry that speaks; mu is held.
+func (e *Entries) list() []*schema.AttendingEntry {
+	out := []*schema.AttendingEntry{}
+	for _, a := range e.entries {
+		if !a.silent {
+			out = append(out, &schema.AttendingEntry{Entry: a.entry, Stopping: a.stopping, Stream: a.number})
+		}
+	}
+	slices.SortFunc(out, func(a, b *schema.AttendingEntry) int {
+		return cmp.Compare(a.GetEntry().GetHost(), b.GetEntry().GetHost())
+	})
+	return out
+}
--- a/internal/gateway/attend.go
+++ b/internal/gateway/attend.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"slices"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,73 +12,105 @@
 	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/logbook"
+	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
 )
 
 const (
-	// speakEvery is the time between two words of an entry to the leader. It is
-	// a quarter of the silence after which the leader leaves the entry out.
+	// speakEvery is the time between two words of an entry to its control host. It is
+	// a quarter of the silence after which the host leaves the entry out.
 	speakEvery = 300 * time.Millisecond
-	// speakPause is the least time between two words, for each entry that the
-	// leader hears and 5 ms at least: demand that comes meanwhile goes in one word.
-	// A word and its answer cost the leader 60 µs of a core (BenchmarkLeader), and it
+	// speakPause is the least time between two words, for each entry that the host
+	// hears and 5 ms at least: demand that comes meanwhile goes in one word.
+	// A word and its answer cost the host 60 µs of a core (BenchmarkLeader), and it
 	// spends 4% on all of them at most. A word after a longer silence leaves at once.
 	speakPause      = 1500 * time.Microsecond
 	speakPauseLeast = 5 * time.Millisecond
-	// leaderSilence is how long the leader may say nothing; it speaks every
+	// hostSilence is how long the host may say nothing; it speaks every
 	// 300 ms, and the first word comes within a round trip.
-	leaderSilence = 1200 * time.Millisecond
+	hostSilence = 1200 * time.Millisecond
 	// firstSilence is how long the first word of a host is waited for when all
 	// control hosts are asked the first time: a host without power does not answer
 	// at all, and each of them would otherwise keep callers waiting for a second.
 	// It doubles with each time around, as a slow host needs longer.
 	firstSilence = 150 * time.Millisecond
-	nextPause    = 50 * time.Millisecond
+	// nextPause is the time between two hosts that are asked the first time around. It
+	// doubles with each time around, three times at most: while no host has a leader, 300
+	// entries would otherwise ask them 6,000 times a second.
+	nextPause      = 50 * time.Millisecond
+	pauseDoublings = 3
+	pauseMost      = 400 * time.Millisecond
+	// refusedPause is the time until another host is asked after one has refused: it has
+	// kept this entry waiting already.
+	refusedPause = 10 * time.Millisecond
+	// moveSpread is the time over which entries move to a host that they prefer, each at a
+	// moment of its own: a host that comes back is not met by a ninth of them at once.
+	moveSpread = 2 * time.Second
 )
 
-// errNotLeader says that the host asked does not lead.
-var errNotLeader = errors.New("the host does not lead")
+var (
+	// errNotLeader says that the host asked does not tell what the leader says.
+	errNotLeader = errors.New("the host does not hear the leader")
+	// errMove says that the entry prefers another host.
+	errMove = errors.New("a nearer control host, or one with fewer entries, is there")
+	// errEarlierTerm says that a host's word is of a leader before the last one heard of.
+	errEarlierTerm = errors.New("the word is of an earlier leader")
+	errHostSilent  = errors.New("the host is silent")
+	errStopping    = errors.New("stopping")
+)
 
-// attendant keeps the stream to the leader.
+// attendant keeps the stream to a control host, which tells what the leader says.
 type attendant struct {
 	g *Gateway
 	// The fields below belong to the goroutine of run.
-	leader string
-	next   int
-	// around counts the times that all hosts were asked in vain.
-	around int
-	named  map[string]bool
-	// found is set while a leader is followed; told is when it was last logged
+	hosts *controlHosts
+	// moveAt is when to move to a host that is preferred, the zero time: there is none.
+	moveAt time.Time
+	// started is the entry's start in Unix milliseconds. Streams are numbered from there,
+	// so that a later one has the greater number also after a restart.
+	started uint64
+	// found is set while a host is attended; told is when it was last logged
 	// that there is none.
 	found bool
 	told  time.Time
-	// pruned is set once servers unknown to a settled leader were dropped.
+	// known is how far the leader's roster is known; named are the servers that were named
+	// since it was told whole, and pruned is set once all others were dropped.
+	known  roster.Position
+	named  map[string]bool
 	pruned bool
 
-	mu sync.Mutex
-	// known are the peer addresses of control hosts that were met; guarded by mu.
-	known []string
-	// heard is when the leader last spoke; guarded by mu.
-	heard time.Time
+	// streams counts the streams to control hosts.
+	streams atomic.Uint64
+	// attending is how many entries attend the host, by its last word.
+	attending atomic.Int64
 	// taken is the sequence of the last word of the present stream that is in force
 	// here.
 	taken atomic.Uint64
+
+	mu sync.Mutex
+	// host is the address of the host that is attended, "": none; guarded by mu.
+	host string
+	// heard is when the leader last spoke; guarded by mu.
+	heard time.Time
+}
+
+func newAttendant(g *Gateway) *attendant {
+	return &attendant{
+		g: g, hosts: newControlHosts(g.cfg.Self, g.cfg.Seeds), named: map[string]bool{},
+		started: uint64(time.Now().UnixMilli()),
+	}
 }
 
 func (a *attendant) run() {
 	for {
-		address := a.pick()
-		if address != "" {
+		pause := a.hosts.pause()
+		if address := a.hosts.next(time.Now()); address != "" {
 			err := a.attend(address)
 			a.logEnd(address, err)
-			if errors.Is(err, errNotLeader) {
-				a.pauseOr(nextPause / 5)
-				continue
-			}
-			a.leader = ""
-			a.g.cfg.Dialer.Renew(address)
+			a.setHost("")
+			pause = a.ended(address, err)
 		}
-		if !a.pauseOr(nextPause) {
+		if !a.pauseOr(pause) {
 			return
 		}
 		select {
@@ -89,17 +121,36 @@
 	}
 }
 
-// logEnd logs that a leader was lost, and at most once a second that none is
+// ended notes why a stream ended, and returns how long to wait before the next one.
+func (a *attendant) ended(address string, err error) time.Duration {
+	if errors.Is(err, errMove) {
+		return 0
+	}
+	lost := a.found
+	a.found = false
+	a.hosts.fail(address, time.Now())
+	switch {
+	case errors.Is(err, errNotLeader), errors.Is(err, errEarlierTerm):
+		return max(a.hosts.pause()-nextPause, refusedPause)
+	case errors.Is(err, errHostSilent):
+		a.g.cfg.Dialer.Renew(address)
+	}
+	if lost {
+		return refusedPause
+	}
+	return a.hosts.pause()
+}
+
+// logEnd logs that a host was lost, and at most once a second that none is
 // found: the control hosts are tried many times a second.
 func (a *attendant) logEnd(address string, err error) {
 	if a.found {
-		a.found = false
-		a.g.cfg.Log.Info("leader lost", "address", address, "error", logbook.Text(err))
+		a.g.cfg.Log.Info("control host left", "address", address, "error", logbook.Text(err))
 		return
 	}
 	if time.Since(a.told) > time.Second {
 		a.told = time.Now()
-		a.g.cfg.Log.Info("no leader found", "asked", address, "error", logbook.Text(err))
+		a.g.cfg.Log.Info("no control host found", "asked", address, "error", logbook.Text(err))
 	}
 }
 
@@ -112,41 +163,27 @@
 	}
 }
 
-// pick returns the leader that was named last, or else the next control host.
-func (a *attendant) pick() string {
-	if a.leader != "" {
-		return a.leader
-	}
+func (a *attendant) setHost(address string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	all := slices.Concat(a.known, a.g.cfg.Seeds())
-	slices.Sort(all)
-	all = slices.Compact(all)
-	if len(all) == 0 {
-		return ""
-	}
-	a.next++
-	if a.next%len(all) == 0 {
-		a.around++
-	}
-	return all[a.next%len(all)]
+	a.host = address
 }
 
 // firstWordWait is how long a host's first word is waited for after all hosts
 // were asked so many times in vain.
 func firstWordWait(around int) time.Duration {
 	for wait := firstSilence; ; wait *= 2 {
-		if around--; around < 0 || wait >= leaderSilence {
-			return min(wait, leaderSilence)
+		if around--; around < 0 || wait >= hostSilence {
+			return min(wait, hostSilence)
 		}
 	}
 }
 
-// attend follows one leader until it is lost.
+// attend attends one host until it is lost, or another is preferred.
 func (a *attendant) attend(address string) error {
 	client, err := a.g.cfg.Dialer.Client(address)
 	if err != nil {
-		return errors.Newf("reach leader: %w", err)
+		return errors.Newf("reach control host: %w", err)
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
@@ -156,48 +193,90 @@
 		// It ends with the stream or with the gateway.
 		select {
 		case <-a.g.stop:
-			cancel(errors.New("stopping"))
+			cancel(errStopping)
 		case <-over:
 		}
 	}()
-	silence := time.AfterFunc(firstWordWait(a.around), func() { cancel(errors.New("silent")) })
+	silence := time.AfterFunc(firstWordWait(a.hosts.around()), func() { cancel(errHostSilent) })
 	defer silence.Stop()
 	stream, err := client.Attend(ctx)
 	if err != nil {
 		return errors.Newf("attend: %w", err)
 	}
-	a.named, a.pruned = map[string]bool{}, false
 	a.taken.Store(0)
+	a.moveAt = time.Time{}
+	first := &schema.EntryNews{
+		Entry: a.g.cfg.Self, After: a.g.cfg.Replica.Revision(), Known: a.known.Message(), Stream: a.started + a.streams.Add(1),
+	}
 	var wg sync.WaitGroup
 	wg.Add(1)
 	go func() {
 		defer wg.Done()
-		a.speak(ctx, stream)
+		a.speak(ctx, stream, first)
 	}()
 	defer wg.Wait()
 	defer cancel(nil)
-	for first := true; ; first = false {
+	for told := false; ; {
 		news, err := stream.Recv()
 		if err != nil {
-			return errors.Newf("hear leader: %v: %w", context.Cause(ctx), err)
+			if cause := context.Cause(ctx); cause != nil {
+				err = cause
+			}
+			return errors.Newf("hear control host: %w", err)
 		}
-		silence.Reset(leaderSilence)
+		silence.Reset(hostSilence)
 		if news.GetNotLeader() {
-			a.leader = news.GetLeaderAddress()
+			a.refused(news)
 			return errNotLeader
 		}
-		if first {
-			a.leader, a.found, a.around = address, true, 0
-			a.g.cfg.Log.Info("leader found", "address", address)
+		if news.GetWait() {
+			continue
+		}
+		if !told {
+			told = true
+			a.begin(address, news)
 		}
 		if err := a.take(news); err != nil {
 			return errors.Newf("take word: %w", err)
 		}
+		if a.moves(address, time.Now()) {
+			return errMove
+		}
 	}
 }
 
-func (a *attendant) speak(ctx context.Context, stream grpc.BidiStreamingClient[schema.EntryNews, schema.LeaderNews]) {
-	news := &schema.EntryNews{Entry: a.g.cfg.Self, After: a.g.cfg.Replica.Revision()}
+// begin notes that a host tells what the leader says.
+func (a *attendant) begin(address string, news *schema.LeaderNews) {
+	a.found = true
+	a.hosts.found(address)
+	a.setHost(address)
+	a.g.cfg.Log.Info("control host attended", "address", address, "term", news.GetKnown().GetTerm(),
+		"leader-age-ms", news.GetLeaderAgeMs(), "whole", news.GetWhole())
+}
+
+// refused takes in what a host says that tells nothing.
+func (a *attendant) refused(news *schema.LeaderNews) {
+	if known := news.GetControlAddresses(); len(known) > 0 {
+		a.hosts.members = known
+	}
+	a.hosts.hint = news.GetLeaderAddress()
+}
+
+// moves reports whether to go to a host that this entry prefers, now.
+func (a *attendant) moves(from string, now time.Time) bool {
+	switch to := a.hosts.better(from, now); {
+	case to == "":
+		a.moveAt = time.Time{}
+	case a.moveAt.IsZero():
+		a.moveAt = now.Add(rand.N(moveSpread))
+	case now.After(a.moveAt):
+		a.g.cfg.Log.Info("control host preferred", "from", from, "to", to)
+		return true
+	}
+	return false
+}
+
+func (a *attendant) speak(ctx context.Context, stream grpc.BidiStreamingClient[schema.EntryNews, schema.LeaderNews], news *schema.EntryNews) {
 	ticker := time.NewTicker(speakEvery)
 	defer ticker.Stop()
 	for due := true; ; {
@@ -214,7 +293,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(max(speakPauseLeast, time.Duration(a.g.entryCount())*speakPause)):
+		case <-time.After(max(speakPauseLeast, time.Duration(a.attending.Load())*speakPause)):
 		}
 		select {
 		case <-ctx.Done():
@@ -239,29 +318,30 @@
 }
 
 func (a *attendant) take(news *schema.LeaderNews) error {
-	a.mu.Lock()
-	a.heard = time.Now()
-	if known := news.GetControlAddresses(); len(known) > 0 {
-		a.known = known
+	known := roster.PositionOf(news.GetKnown())
+	if known.Term < a.known.Term {
+		return errEarlierTerm
 	}
+	a.mu.Lock()
+	a.heard = time.Now().Add(-time.Duration(news.GetLeaderAgeMs()) * time.Millisecond)
 	a.mu.Unlock()
+	a.attending.Store(int64(news.GetAttending()))
+	if members := news.GetControlAddresses(); len(members) > 0 {
+		a.hosts.members = members
+	}
+	if l := news.GetHosts(); l != nil {
+		a.hosts.named = l.GetHosts()
+	}
 	c, err := changesOf(news)
 	if err != nil {
-		// The leader takes them for told; only a new stream brings them again.
+		// The host takes them for told; only a new stream brings them again.
 		return err
 	}
 	if c != nil {
 		a.g.configure(c)
 	}
-	for _, s := range news.GetServers() {
-		a.named[s.GetId()] = s.GetState() != schema.RosterState_ROSTER_STATE_GONE
-	}
-	prune := news.GetSettled() && !a.pruned
-	if len(news.GetServers()) > 0 || prune {
-		a.g.fleet.update(news.GetServers(), prune, a.named)
-		a.pruned = a.pruned || prune
-		a.g.logServers(news)
-	}
+	a.takeServers(news)
+	a.known = known
 	if l := news.GetLoads(); l != nil {
 		a.g.fleet.hear(l.GetLoads())
 	}
@@ -276,6 +356,30 @@
 	return nil
 }
 
+// takeServers takes the servers in that a word names.
+func (a *attendant) takeServers(news *schema.LeaderNews) {
+	if news.GetWhole() {
+		a.named, a.pruned = map[string]bool{}, false
+	}
+	for _, s := range news.GetServers() {
+		a.named[s.GetId()] = s.GetState() != schema.RosterState_ROSTER_STATE_GONE
+	}
+	prune := news.GetSettled() && !a.pruned
+	if len(news.GetServers()) == 0 && !prune {
+		return
+	}
+	a.g.fleet.update(news.GetServers(), prune, a.named)
+	a.pruned = a.pruned || prune
+	a.g.logServers(news)
+}
+
+// attended returns the host that is attended, "": none.
+func (a *attendant) attended() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.host
+}
+
 // age returns how long ago the leader last spoke.
 func (a *attendant) age() time.Duration {
 	a.mu.Lock()
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -13,8 +13,7 @@
 
 // Take takes a leader's word in.
 func (g *Gateway) Take(news *schema.LeaderNews) error {
-	a := &attendant{g: g, named: map[string]bool{}}
-	return a.take(news)
+	return newAttendant(g).take(news)
 }
 
 // Believe takes servers in as from the leader.
@@ -139,3 +138,29 @@
 
 // Begin notes that the answer has begun.
 func (p *Patience) Begin() bool { return p.p.begin() }
+
+// ControlHosts are the control hosts that an entry can attend.
+type ControlHosts struct{ h *controlHosts }
+
+// NewControlHosts returns what an entry knows that has only seeds.
+func NewControlHosts(self *schema.RosterEntry, seeds []string) *ControlHosts {
+	return &ControlHosts{newControlHosts(self, func() []string { return seeds })}
+}
+
+// Name takes in which hosts follow the leader.
+func (c *ControlHosts) Name(hosts ...*schema.ControlHost) { c.h.named = hosts }
+
+// Next returns the host to ask next.
+func (c *ControlHosts) Next(now time.Time) string { return c.h.next(now) }
+
+// Better returns a host that is preferred to another.
+func (c *ControlHosts) Better(than string, now time.Time) string { return c.h.better(than, now) }
+
+// Fail notes that a host was asked in vain, Found that one was not.
+func (c *ControlHosts) Fail(address string, now time.Time) { c.h.fail(address, now) }
+
+// Found notes that a host tells what the leader says.
+func (c *ControlHosts) Found(address string) { c.h.found(address) }
+
+// Pause is how long to wait before the next host is asked.
+func (c *ControlHosts) Pause() time.Duration { return c.h.pause() }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -144,6 +144,19 @@
 	return len(f.servers)
 }
 
+// readyCount is the number of servers that take new work.
+func (f *fleet) readyCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, s := range f.servers {
+		if s.ready() {
+			n++
+		}
+	}
+	return n
+}
+
 // loads returns what this entry has at the engines, for the leader.
 func (f *fleet) loads() []*schema.EngineLoad {
 	f.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,7 +84,7 @@
 		stop: make(chan struct{}), done: make(chan struct{}),
 		budgets: map[string]*budget{}, paces: map[string]*pace{},
 	}
-	g.attend = &attendant{g: g}
+	g.attend = newAttendant(g)
 	g.ended, g.end = context.WithCancel(context.Background())
 	go func() {
 		defer close(g.done)
@@ -134,16 +134,25 @@
 // State is what a gateway believes, for metrics.
 type State struct {
 	Version int64
+	// Servers are known, and Ready of them take new work.
 	Servers int
+	Ready   int
 	Entries int
 	Waiting int
 	// LeaderAge is how long ago the leader spoke; negative: never.
 	LeaderAge time.Duration
+	// Host is the control host that tells this entry what the leader says, "": none, and
+	// Streams counts the streams to such hosts.
+	Host    string
+	Streams uint64
 }
 
 // State returns what the gateway believes.
 func (g *Gateway) State() State {
-	s := State{Servers: g.fleet.count(), Entries: g.entryCount(), Waiting: g.asked.waitingCount(), LeaderAge: g.attend.age()}
+	s := State{
+		Servers: g.fleet.count(), Ready: g.fleet.readyCount(), Entries: g.entryCount(), Waiting: g.asked.waitingCount(), LeaderAge: g.attend.age(),
+		Host: g.attend.attended(), Streams: g.attend.streams.Load(),
+	}
 	if t := g.table.Load(); t != nil {
 		s.Version = int64(t.version)
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -167,6 +167,7 @@
 	Fetch      func(context.Context, *schema.FetchRequest) (*schema.FetchReply, error)
 	GiveOrder  func(context.Context, *schema.GiveOrderRequest) (*schema.GiveOrderReply, error)
 	Attend     func(grpc.BidiStreamingServer[schema.EntryNews, schema.LeaderNews]) error
+	Follow     func(grpc.BidiStreamingServer[schema.HostNews, schema.LeaderNews]) error
 }
 
 // ServerConfig configures a Server.
@@ -265,6 +266,14 @@
 	return s.h.Attend(stream)
 }
 
+// Follow implements schema.PeerServer.
+func (s *Server) Follow(stream grpc.BidiStreamingServer[schema.HostNews, schema.LeaderNews]) error {
+	if s.h.Follow == nil {
+		return status.Error(codes.Unimplemented, "this host has no control role")
+	}
+	return s.h.Follow(stream)
+}
+
 func answer[Q, R any](ctx context.Context, h func(context.Context, Q) (R, error), q Q) (R, error) {
 	if h == nil {
 		var none R
--- a/internal/role/attend.go
+++ b/internal/role/attend.go
@@ -9,23 +9,29 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 
+	"fennelyard/internal/attendance"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
 )
 
 const (
-	// beat is the longest time between two words of the leader to an entry.
+	// beat is the longest time between two words of a control host to an entry.
 	beat = 300 * time.Millisecond
 	// gatherLeast is how long changes are gathered into one word at the least: an
 	// order's end and what follows from it come within a few milliseconds.
 	gatherLeast = 4 * time.Millisecond
-	// gatherPerEntry is how much longer they are gathered for each entry that
-	// attends. A word costs the leader 40 µs of a core (BenchmarkLeader), so that
-	// words to all entries take 2.6% of one at most. Without it 68 entries were told
-	// of each change at once, 200 times a second, by a leader of a quarter of a core
-	// that then had no time left to say who leads.
+	// gatherPerEntry is how much longer they are gathered for each entry that attends this
+	// host. A word costs 40 µs of a core (BenchmarkLeader), so that words to all of them
+	// take 2.6% of one at most. Without it entries were told of each change at once, 200
+	// times a second.
 	gatherPerEntry = 1500 * time.Microsecond
+	// parkFor is how long an entry that comes while this host is out of touch with the
+	// leader waits here: most often one is being elected, and asking other hosts
+	// meanwhile, each of 300 entries many times a second, would keep them from it.
+	parkFor = time.Second
+	// parkCheck is how often a host that is out of touch looks whether it is again.
+	parkCheck = 20 * time.Millisecond
 )
 
 // gatherFor is the least time between two words to an entry that waits for none of
@@ -37,28 +43,18 @@
 type attendStream = grpc.BidiStreamingServer[schema.EntryNews, schema.LeaderNews]
 
 // attend answers an entry that wants to know what the leader knows. It returns
-// when either side is gone or this host leads no longer.
+// when either side is gone or this host is out of touch with the leader.
 func (c *Control) attend(stream attendStream) error {
-	s := c.group.Status()
-	if !s.Current {
-		news := &schema.LeaderNews{NotLeader: true, LeaderAddress: s.LeaderHost}
-		if err := stream.Send(news); err != nil {
-			return errors.Newf("name the leader: %w", err)
-		}
-		return nil
-	}
-	c.driver.Follow()
 	first, err := stream.Recv()
 	if err != nil {
 		return errors.Newf("hear entry: %w", err)
 	}
-	a := &attending{
-		c: c, stream: stream, number: c.streams.Add(1), entry: first.GetEntry(), revision: first.GetAfter(),
-		waiting: make(chan []*schema.ModelDemand, 1),
+	if in, err := c.park(stream, roster.PositionOf(first.GetKnown()).Term); !in {
+		return err
 	}
-	c.roster.Attend(a.number, a.entry)
-	defer c.roster.Leave(a.number, a.entry.GetHost())
-	defer c.driver.Forget(a.entry.GetHost())
+	a := newAttending(c, stream, first)
+	c.entries.Attend(a.number, a.entry, first.GetStream())
+	defer c.entries.Leave(a.number, a.entry.GetHost())
 	a.hear(first)
 	ctx, cancel := context.WithCancel(stream.Context())
 	go func() {
@@ -69,33 +65,82 @@
 	return a.speak(ctx)
 }
 
+// park keeps an entry while this host is out of touch with the leader, or knows only one
+// of an earlier term than the entry. It returns whether it is in touch.
+func (c *Control) park(stream attendStream, term uint64) (bool, error) {
+	began, said := time.Now(), time.Time{}
+	for {
+		if c.inTouch() && c.mirror.At().Term >= term {
+			return true, nil
+		}
+		if time.Since(began) > parkFor {
+			return false, c.refuse(stream)
+		}
+		if time.Since(said) > beat {
+			said = time.Now()
+			if err := stream.Send(&schema.LeaderNews{Wait: true, LeaderAgeMs: c.leaderAge()}); err != nil {
+				return false, errors.Newf("tell entry to wait: %w", err)
+			}
+		}
+		select {
+		case <-stream.Context().Done():
+			return false, nil
+		case <-c.stop:
+			return false, nil
+		case <-time.After(parkCheck):
+		}
+	}
+}
+
+// refuse sends an entry to another host.
+func (c *Control) refuse(stream attendStream) error {
+	news := &schema.LeaderNews{NotLeader: true, ControlAddresses: c.addresses(), LeaderAgeMs: c.leaderAge()}
+	if err := stream.Send(news); err != nil {
+		return errors.Newf("refuse entry: %w", err)
+	}
+	return nil
+}
+
+// leaderAge is how long ago the leader spoke, in ms; -1: it was never heard.
+func (c *Control) leaderAge() int64 {
+	heard, _ := c.mirror.Heard()
+	if heard.IsZero() {
+		return -1
+	}
+	return time.Since(heard).Milliseconds()
+}
+
 // attending is one entry's stream.
 type attending struct {
 	c      *Control
 	stream attendStream
 	number uint64
 	entry  *schema.RosterEntry
+	pace   pace
 	// mu guards sent: what each word tells that the entry has not said to have taken,
 	// the oldest first.
 	mu   sync.Mutex
 	sent []sentWord
 
-	// waiting holds the latest targets that requests wait for at the entry, until
-	// speak takes them.
-	waiting chan []*schema.ModelDemand
-
-	// The fields below belong to speak.
-	revision uint64
-	roster   uint64
-	settled  bool
+	// The fields below belong to speak. far is how far the entry is told.
+	far      attendance.Told
 	members  string
 	sequence uint64
-	// wants are the targets that requests wait for, by the entry's last word, and
-	// asked is set until they are answered with forecasts.
-	wants []*schema.ModelDemand
-	asked bool
-	// due is set when the entry is to be told the engines' loads.
-	due bool
+}
+
+func newAttending(c *Control, stream attendStream, first *schema.EntryNews) *attending {
+	a := &attending{
+		c: c, stream: stream, number: c.streams.Add(1), entry: first.GetEntry(),
+		far: attendance.Told{Known: roster.PositionOf(first.GetKnown()), Revision: first.GetAfter()},
+	}
+	a.pace = pace{
+		beat: beat, gather: func() time.Duration { return gatherFor(c.entries.Count()) }, ended: c.stop,
+		log:    func() <-chan struct{} { return c.group.Ledger().Changed() },
+		roster: c.mirror.Changed, answered: c.mirror.Answered,
+		brings:  func(wants []*schema.ModelDemand) bool { return c.mirror.Brings(a.far.Known, wants) },
+		waiting: make(chan question, 1),
+	}
+	return a
 }
 
 func (a *attending) listen() {
@@ -111,11 +156,11 @@
 // sentWord is how far the entry is told by a word.
 type sentWord struct {
 	sequence uint64
-	far      roster.Told
+	far      attendance.Told
 }
 
 // sentMost bounds the words that are remembered: an entry confirms with each of its own,
-// three a second at the least, and the leader speaks a hundred times a second at the most.
+// three a second at the least, and the host speaks a hundred times a second at the most.
 const sentMost = 256
 
 // note remembers how far a word tells the entry.
@@ -126,137 +171,84 @@
 		// What is dropped is confirmed by a later word.
 		a.sent = a.sent[1:]
 	}
-	a.sent = append(a.sent, sentWord{sequence, roster.Told{Change: a.roster, Revision: a.revision}})
+	a.sent = append(a.sent, sentWord{sequence, a.far})
 }
 
 // confirm notes how far the entry is by its own word. That a word was written to the
-// stream says nothing: a leader that loses power a moment later never sent it, and
+// stream says nothing: a host that loses power a moment later never sent it, and
 // whoever was told that all entries know would be wrong.
 func (a *attending) confirm(taken uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for len(a.sent) > 0 && a.sent[0].sequence <= taken {
-		a.c.roster.Told(a.number, a.entry.GetHost(), a.sent[0].far)
+		a.c.entries.Told(a.number, a.entry.GetHost(), a.sent[0].far)
 		a.sent = a.sent[1:]
 	}
 }
 
 func (a *attending) hear(news *schema.EntryNews) {
-	host := a.entry.GetHost()
 	a.confirm(news.GetTaken())
-	a.c.roster.Hear(a.number, host, news.GetStopping())
-	if news.GetLoadsTold() {
-		a.c.roster.Load(a.number, host, news.GetLoads())
-	}
-	a.c.driver.Demand(host, news.GetDemands())
-	if len(news.GetDemands()) == 0 {
-		return
-	}
-	var waiting []*schema.ModelDemand
-	for _, d := range news.GetDemands() {
-		if d.GetWaiting() > 0 {
-			waiting = append(waiting, d)
-		}
-	}
-	// The latest word replaces one that speak has not come to.
-	select {
-	case <-a.waiting:
-	default:
-	}
-	a.waiting <- waiting
+	a.c.entries.Hear(a.number, a.entry.GetHost(), news)
+	a.pace.hear(news.GetDemands())
 }
 
-// speak tells the entry what changes. The first word holds everything.
+// speak tells the entry what changes. The first word holds everything that it lacks.
 func (a *attending) speak(ctx context.Context) error {
-	ticker := time.NewTicker(beat)
-	defer ticker.Stop()
-	a.due = true
+	a.pace.start()
+	defer a.pace.ticker.Stop()
 	for {
-		if !a.c.group.Status().Current {
-			return nil
+		if !a.c.inTouch() {
+			return a.c.refuse(a.stream)
 		}
-		known, changed := a.c.group.Ledger().Changed(), a.c.roster.Changed()
+		a.pace.watch()
 		news := a.news()
-		if a.asked {
-			news.Forecasts, a.asked = a.c.driver.Forecasts(a.wants), false
-		}
-		if a.due {
-			news.Loads, a.due = a.c.roster.Loads(), false
-		}
 		a.note(news.GetSequence())
+		if news.GetConfirm() {
+			a.c.entries.Expect(a.far)
+		}
 		if err := a.stream.Send(news); err != nil {
 			return errors.Newf("tell entry: %w", err)
 		}
-		if !a.rest(ctx, ticker, known, changed) {
+		if !a.pace.rest(ctx) || !a.pace.settle(ctx) {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(gatherLeast):
-		}
-	}
-}
-
-// rest waits until another word is due: at once where callers of the entry wait
-// for what has changed or ask when it will be there, else when changes have been
-// gathered. It returns false when there is no entry to tell any more.
-func (a *attending) rest(ctx context.Context, ticker *time.Ticker, known, changed <-chan struct{}) bool {
-	gather := time.NewTimer(gatherFor(a.c.roster.EntryCount()))
-	defer gather.Stop()
-	gathered, pending := false, false
-	for !gathered || !pending {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-a.c.stop:
-			return false
-		case a.wants = <-a.waiting:
-			if a.asked = len(a.wants) > 0; a.asked {
-				return true
-			}
-		case <-ticker.C:
-			a.due = true
-			return true
-		case <-gather.C:
-			gathered = true
-		case <-known:
-			known, pending = nil, true
-		case <-changed:
-			// A stream without waiting callers is not woken by each change.
-			changed, pending = nil, true
-			if len(a.wants) > 0 {
-				changed = a.c.roster.Changed()
-				if a.c.roster.Brings(a.roster, a.wants) {
-					return true
-				}
-			}
-		}
 	}
-	return true
 }
 
 func (a *attending) news() *schema.LeaderNews {
 	a.sequence++
-	news := &schema.LeaderNews{Sequence: a.sequence}
-	news.Entries = a.c.roster.Entries(a.roster)
-	news.Servers, a.roster = a.c.roster.Since(a.roster)
+	news := a.c.mirror.Since(a.far.Known)
+	news.Sequence, news.LeaderAgeMs, news.Attending = a.sequence, a.c.leaderAge(), uint32(a.c.entries.Count())
+	a.far.Known = roster.PositionOf(news.GetKnown())
 	// What entries are not told counts as told: the orders' holders would be looked
 	// through for every word.
-	news.Changes, a.revision = a.c.changes.since(a.c.group.Ledger(), a.revision)
-	if !a.settled && a.c.roster.Settled() {
-		news.Settled, a.settled = true, true
-	}
+	news.Changes, a.far.Revision = a.c.changes.since(a.c.group.Ledger(), a.far.Revision)
 	if addresses := a.c.addresses(); strings.Join(addresses, " ") != a.members {
 		a.members = strings.Join(addresses, " ")
 		news.ControlAddresses = addresses
 	}
-	// A word that nobody waits for is confirmed with the entry's next one: each that is
-	// confirmed at once costs the leader another 60 µs for each entry.
-	news.Confirm = a.c.roster.Awaited()
+	if a.pace.asked {
+		news.Forecasts = a.c.mirror.Forecasts(a.pace.wants, a.pace.askedAt)
+		a.pace.asked = len(news.GetForecasts()) == 0
+	}
+	if a.pace.due {
+		news.Loads, a.pace.due = a.c.mirror.Loads(), false
+	}
+	// A word that nobody waits for is confirmed with the entry's next one.
+	news.Confirm = news.GetConfirm() || len(news.GetChanges()) > 0 || departs(news.GetServers())
 	return news
 }
 
+// departs reports whether one of some servers takes no new work.
+func departs(servers []*schema.RosterServer) bool {
+	for _, s := range servers {
+		if s.GetState() != schema.RosterState_ROSTER_STATE_READY {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Control) addresses() []string {
 	var out []string
 	for _, m := range c.group.Status().Membership.GetMembers() {
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"fennelyard/internal/attendance"
 	"fennelyard/internal/consensus"
 	"fennelyard/internal/control"
 	"fennelyard/internal/ledger"
@@ -65,7 +66,12 @@
 	storage *consensus.Storage
 	dialer  *peer.Dialer
 	group   *control.Group
+	// roster is what this host believes while it leads, and mirror what the leader says;
+	// entries are those that attend this host.
 	roster  *roster.Roster
+	mirror  *roster.Mirror
+	entries *attendance.Entries
+	lag     lag
 	driver  *loading.Driver
 	hand    *loading.Hand
 	server  *peer.Server
@@ -95,8 +101,10 @@
 		self: &schema.HostSettings{Name: address, PeerAddress: address, DataCentre: s.GetDataCentre(), Control: true},
 	}
 	c.roster = roster.New(roster.Config{
-		AnnounceEvery: s.GetAnnounceEvery().AsDuration(), Departed: c.departed, Now: time.Now, Log: cfg.Log.WithName("roster"),
+		Self: address, AnnounceEvery: s.GetAnnounceEvery().AsDuration(), Departed: c.departed, Now: time.Now, Log: cfg.Log.WithName("roster"),
 	})
+	c.mirror = roster.NewMirror(roster.MirrorConfig{Now: time.Now, Log: cfg.Log.WithName("mirror")})
+	c.entries = attendance.New(attendance.Config{Now: time.Now, Log: cfg.Log.WithName("attendance")})
 	if err := c.start(s); err != nil {
 		c.Close()
 		return nil, err
@@ -122,14 +130,22 @@
 	c.startOrders(s)
 	c.gauges()
 	handlers := c.group.Handlers()
-	handlers.Attend, handlers.GiveOrder = c.attend, c.giveOrder
+	handlers.Attend, handlers.Follow, handlers.GiveOrder = c.attend, c.lead, c.giveOrder
 	c.server = peer.NewServer(peer.ServerConfig{Listener: peers, Handlers: handlers})
 	c.http = newServer(c.cfg.Handler(c))
-	c.wg.Add(3)
+	c.wg.Add(5)
 	go func() {
 		defer c.wg.Done()
 		c.whileLeading(rememberEvery, c.remember)
 	}()
+	go func() {
+		defer c.wg.Done()
+		c.follow()
+	}()
+	go func() {
+		defer c.wg.Done()
+		c.every(sweepEvery, c.sweepFollowing)
+	}()
 	go func() {
 		defer c.wg.Done()
 		serve(c.http, operators, c.cfg.Log)
@@ -170,6 +186,18 @@
 	c.cfg.Metrics.Gauge("control_voters_silent", "Voters that this leader has not heard for a second or more; 0 on other hosts.", func() float64 {
 		return float64(len(c.group.Status().Silent))
 	})
+	c.cfg.Metrics.Gauge("control_entries_attending", "Entries that this control host tells what the leader says.", func() float64 {
+		return float64(c.entries.Count())
+	})
+	c.cfg.Metrics.Gauge("control_leader_age_seconds", "Time since this control host heard the leader; below 0: never.", func() float64 {
+		return float64(c.leaderAge()) / float64(time.Second/time.Millisecond)
+	})
+	c.cfg.Metrics.Gauge("control_log_lags", "1 while this control host's log lags so much that it tells entries nothing.", func() float64 {
+		if c.lags() {
+			return 1
+		}
+		return 0
+	})
 }
 
 func (c *Control) pools() []*schema.Pool {
@@ -181,6 +209,15 @@
 // whileLeading calls a function every so often, whenever this host leads, until it
 // stops.
 func (c *Control) whileLeading(every time.Duration, f func()) {
+	c.every(every, func() {
+		if c.group.Status().Current {
+			f()
+		}
+	})
+}
+
+// every calls a function every so often until the host stops.
+func (c *Control) every(every time.Duration, f func()) {
 	ticker := time.NewTicker(every)
 	defer ticker.Stop()
 	for {
@@ -188,16 +225,21 @@
 		case <-c.stop:
 			return
 		case <-ticker.C:
-		}
-		if c.group.Status().Current {
 			f()
 		}
 	}
 }
 
+// sweep leaves out what the leader no longer hears.
 func (c *Control) sweep() {
 	c.roster.Sweep()
-	c.roster.SweepEntries()
+	c.roster.SweepHosts()
+}
+
+// sweepFollowing leaves out the entries that this host no longer hears.
+func (c *Control) sweepFollowing() {
+	c.entries.Sweep()
+	c.mirror.Sweep()
 }
 
 // Failed is closed when the control member ended by itself; Err tells why. The
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -100,8 +100,10 @@
 	}{
 		{"configuration_version", "Version of the configuration in force at this entry.", func(s gateway.State) float64 { return float64(s.Version) }},
 		{"known_servers", "Backend servers that this entry knows.", func(s gateway.State) float64 { return float64(s.Servers) }},
+		{"ready_servers", "Backend servers that take new work, as this entry knows.", func(s gateway.State) float64 { return float64(s.Ready) }},
 		{"known_entries", "Entries that callers are told of.", func(s gateway.State) float64 { return float64(s.Entries) }},
 		{"waiting_requests", "Requests that wait for a model.", func(s gateway.State) float64 { return float64(s.Waiting) }},
+		{"control_host_streams", "Streams to control hosts since the start.", func(s gateway.State) float64 { return float64(s.Streams) }},
 		{"leader_age_seconds", "Time since the leader spoke; below 0: never.", func(s gateway.State) float64 { return s.LeaderAge.Seconds() }},
 	} {
 		e.cfg.Metrics.Gauge(x.name, x.help, func() float64 { return x.read(e.gateway.State()) })
--- a/internal/role/export_test.go
+++ b/internal/role/export_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strconv"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -43,10 +42,11 @@
 	return false
 }
 
-// Attending is one entry's stream at a leader that hears engine i-1.
+// Attending is the pace of one entry's stream, where the roster hears engine i-1.
 type Attending struct {
-	a      *attending
-	ticker *time.Ticker
+	p     pace
+	r     *roster.Roster
+	known uint64
 }
 
 // NewAttending returns a stream, of as many as entries attend.
@@ -55,20 +55,25 @@
 		AnnounceEvery: time.Second, Departed: func(string) bool { return false }, Now: time.Now, Log: logr.Discard(),
 	})
 	r.Announce(roster.Announcement{ID: "i-1", Pool: "llm", Address: "e:1", Sequence: 1})
-	for i := range entries {
-		r.Attend(uint64(i+1), &schema.RosterEntry{Host: strconv.Itoa(i)})
+	a := &Attending{r: r}
+	a.p = pace{
+		beat: beat, gather: func() time.Duration { return gatherFor(entries) }, log: never, roster: r.Changed, answered: always,
+		brings:  func(wants []*schema.ModelDemand) bool { return r.Brings(a.known, wants) },
+		waiting: make(chan question, 1),
 	}
-	c := &Control{roster: r, stop: make(chan struct{})}
-	return &Attending{a: &attending{c: c, waiting: make(chan []*schema.ModelDemand, 1)}, ticker: time.NewTicker(beat)}, r
+	a.p.start()
+	return a, r
 }
 
 // Wait notes what callers of the entry wait for.
-func (a *Attending) Wait(d *schema.ModelDemand) { a.a.waiting <- []*schema.ModelDemand{d} }
+func (a *Attending) Wait(d *schema.ModelDemand) { a.p.hear([]*schema.ModelDemand{d}) }
 
 // Rest returns when a word to the entry is due, of all changes so far.
 func (a *Attending) Rest(ctx context.Context) bool {
-	_, a.a.roster = a.a.c.roster.Since(a.a.roster)
-	return a.a.rest(ctx, a.ticker, nil, a.a.c.roster.Changed())
+	a.p.watch()
+	_, a.known = a.r.Since(a.known)
+	a.p.asked = false
+	return a.p.rest(ctx)
 }
 
 // ChangesSince returns what an entry at a revision lacks, as the leader encodes it for
@@ -86,6 +91,29 @@
 // Version returns the version of the configuration in force at this entry.
 func (e *Entry) Version() uint64 { return uint64(e.gateway.State().Version) }
 
+// Attends returns the IP address of the control host that tells this entry what the leader
+// says, "": none.
+func (e *Entry) Attends() string {
+	host := e.gateway.State().Host
+	if host == "" {
+		return ""
+	}
+	return ipOf(host)
+}
+
+// Servers returns how many backend servers this entry knows.
+func (e *Entry) Servers() int { return e.gateway.State().Servers }
+
+// ReadyServers returns how many of them take new work.
+func (e *Entry) ReadyServers() int { return e.gateway.State().Ready }
+
+// Lag tells whether a control host's log lags.
+type Lag struct{ l lag }
+
+// Holds reports whether a host lags that has applied so much of the log, and the leader
+// so much.
+func (l *Lag) Holds(applied, leaders uint64) bool { return l.l.holds(applied, leaders, time.Now()) }
+
 // Withheld is what tells whether acknowledgements of configurations are withheld.
 type Withheld struct{ w withheld }
 
--- /dev/null
+++ b/internal/role/lead.go
@@ -0,0 +1,146 @@
+package role
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+
+	"fennelyard/internal/ledger"
+	"fennelyard/internal/schema"
+)
+
+const (
+	// hostBeat is the longest time between two words of the leader and a control host to
+	// each other. It is a part of how old the engines' loads are that entries know, and
+	// nine hosts are 180 words a second, 1% of a core.
+	hostBeat = 100 * time.Millisecond
+	// hostGather is how long the leader gathers changes into one word to a control host
+	// that waits for none of them: 450 words a second at most to nine hosts, 2% of a core.
+	hostGather = 20 * time.Millisecond
+)
+
+type followStream = grpc.BidiStreamingServer[schema.HostNews, schema.LeaderNews]
+
+// lead answers a control host that wants to know what the leader knows. It returns when
+// either side is gone or this host leads no longer.
+func (c *Control) lead(stream followStream) error {
+	s := c.group.Status()
+	if !s.Current {
+		if err := stream.Send(&schema.LeaderNews{NotLeader: true, LeaderAddress: s.LeaderHost}); err != nil {
+			return errors.Newf("name the leader: %w", err)
+		}
+		return nil
+	}
+	c.driver.Follow()
+	first, err := stream.Recv()
+	if err != nil {
+		return errors.Newf("hear host: %w", err)
+	}
+	l := newLeading(c, stream, first.GetHost(), s.Term)
+	c.roster.Follow(l.number, l.host)
+	defer c.roster.Unfollow(l.number, l.address())
+	defer c.driver.Forget(l.address())
+	l.hear(first)
+	ctx, cancel := context.WithCancel(stream.Context())
+	go func() {
+		// It ends with the stream, which ends with this call.
+		defer cancel()
+		l.listen()
+	}()
+	return l.speak(ctx)
+}
+
+// leading is one control host's stream at the leader.
+type leading struct {
+	c      *Control
+	stream followStream
+	number uint64
+	host   *schema.ControlHost
+	term   uint64
+	pace   pace
+
+	// The fields below belong to speak. change is how far the host is told.
+	change   uint64
+	sequence uint64
+}
+
+func newLeading(c *Control, stream followStream, host *schema.ControlHost, term uint64) *leading {
+	l := &leading{c: c, stream: stream, number: c.streams.Add(1), host: host, term: term}
+	l.pace = pace{
+		beat: hostBeat, gather: func() time.Duration { return hostGather }, ended: c.stop,
+		// Control hosts have the log themselves.
+		log: never, roster: c.roster.Changed, answered: always,
+		brings:  func(wants []*schema.ModelDemand) bool { return c.roster.Brings(l.change, wants) },
+		waiting: make(chan question, 1),
+	}
+	return l
+}
+
+// never returns a channel that is not closed, always one that is.
+func never() <-chan struct{} { return nil }
+
+func always() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
+
+func (l *leading) address() string { return l.host.GetAddress() }
+
+func (l *leading) listen() {
+	for {
+		news, err := l.stream.Recv()
+		if err != nil {
+			return
+		}
+		l.hear(news)
+	}
+}
+
+func (l *leading) hear(news *schema.HostNews) {
+	l.c.roster.Hear(l.number, l.address(), l.term, news)
+	l.c.driver.Demand(l.address(), news.GetDemands())
+	l.pace.hear(news.GetDemands())
+}
+
+// speak tells the host what changes. The first word holds everything.
+func (l *leading) speak(ctx context.Context) error {
+	l.pace.start()
+	defer l.pace.ticker.Stop()
+	for {
+		s := l.c.group.Status()
+		if !s.Current || s.Term != l.term || l.c.roster.Silent(l.number, l.address()) {
+			return nil
+		}
+		l.pace.watch()
+		if err := l.stream.Send(l.news()); err != nil {
+			return errors.Newf("tell host: %w", err)
+		}
+		if !l.pace.rest(ctx) || !l.pace.settle(ctx) {
+			return nil
+		}
+	}
+}
+
+func (l *leading) news() *schema.LeaderNews {
+	l.sequence++
+	news := l.c.roster.News(l.change)
+	l.change = news.GetKnown().GetChange()
+	news.Sequence, news.Known.Term = l.sequence, l.term
+	news.Revision, news.Lagging = l.c.applied(), l.c.roster.Lagging(l.number, l.address())
+	if l.pace.asked {
+		news.Forecasts, l.pace.asked = l.c.driver.Forecasts(l.pace.wants), false
+	}
+	if l.pace.due {
+		news.Loads, l.pace.due = l.c.roster.Loads(), false
+	}
+	return news
+}
+
+// applied is the index up to which this host has applied the log.
+func (c *Control) applied() (index uint64) {
+	c.group.Ledger().View(func(h ledger.Heads, _ *ledger.Records) { index = h.Index })
+	return index
+}
--- a/internal/role/leader_bench_test.go
+++ b/internal/role/leader_bench_test.go
@@ -10,11 +10,14 @@
 	"path/filepath"
 	"runtime/pprof"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/loading"
 	"fennelyard/internal/metrics"
@@ -25,13 +28,14 @@
 )
 
 const (
-	benchEntries  = 68
-	benchEngines  = 112
-	benchModels   = 375
-	benchAdapters = 560
+	// benchHosts are the control hosts of a group; entries spread over them.
+	benchHosts    = 9
+	benchEngines  = 240
+	benchModels   = 494
+	benchAdapters = 1069
 	// benchBusy of the models have most of the requests.
-	benchBusy    = 22
-	benchRate    = 500 // requests a second, over all entries
+	benchBusy    = 30
+	benchRate    = 560 // requests a second, over all entries
 	benchHeld    = 3
 	benchOnDisk  = 12
 	benchLoad    = 600 * time.Millisecond
@@ -147,141 +151,252 @@
 	return &schema.Pool{Name: "llm", Engine: spec}
 }
 
-// speakFor plays one entry: it tells the leader of its requests and of those that
-// wait for a model, and takes in what it is told.
-func speakFor(ctx context.Context, b *testing.B, f *farm, address string, number int) (words, bytes *int, wait func()) {
-	dialer := peer.NewDialer(peer.DialerConfig{})
-	client, err := dialer.Client(address)
-	require.NoError(b, err)
+// speaker plays one entry, or the entries of a whole host together.
+type speaker struct {
+	f       *farm
+	number  int
+	rate    float64
+	random  *rand.Rand
+	waiting map[string]uint32
+	words   atomic.Int64
+	bytes   atomic.Int64
+}
+
+func newSpeaker(f *farm, number int, rate float64) *speaker {
+	return &speaker{f: f, number: number, rate: rate, random: rand.New(rand.NewPCG(uint64(number), 1)), waiting: map[string]uint32{}}
+}
+
+// ask is a request; urgent is set where it waits for a model.
+func (s *speaker) ask(n int) (demands []*schema.ModelDemand, urgent bool) {
+	m := fmt.Sprint("m", s.random.IntN(benchModels))
+	if n%5 != 0 {
+		m = fmt.Sprint("m", s.random.IntN(benchBusy))
+	}
+	demands = append(demands, &schema.ModelDemand{Pool: "llm", Model: m, Arrived: 1})
+	if !s.f.holds(m) {
+		s.waiting[m]++
+		urgent = true
+	}
+	for w := range s.waiting {
+		if s.f.holds(w) {
+			delete(s.waiting, w)
+		}
+		demands = append(demands, &schema.ModelDemand{Pool: "llm", Model: w, Waiting: s.waiting[w]})
+	}
+	return demands, urgent
+}
+
+func (s *speaker) loads() []*schema.EngineLoad {
+	var out []*schema.EngineLoad
+	for i := range 10 {
+		out = append(out, &schema.EngineLoad{Server: fmt.Sprint("i-", (s.number+i*11)%benchEngines), Running: 2, Unread: 100, Models: []string{"m1", "m2"}})
+	}
+	return out
+}
+
+// hear takes in words until the stream ends.
+func (s *speaker) hear(recv func() (*schema.LeaderNews, error), took func(*schema.LeaderNews)) {
+	for {
+		news, err := recv()
+		if err != nil {
+			return
+		}
+		s.words.Add(1)
+		s.bytes.Add(int64(proto.Size(news)))
+		took(news)
+	}
+}
+
+// speakFor plays one entry at a control host: it tells of its requests, of those that wait
+// for a model and three times a second of what it has at the engines.
+func (s *speaker) speakFor(ctx context.Context, client schema.PeerClient) error {
 	stream, err := client.Attend(ctx)
-	require.NoError(b, err)
-	words, bytes = new(int), new(int)
-	var wg sync.WaitGroup
-	wg.Add(2)
-	go func() {
-		defer wg.Done()
-		for {
-			news, err := stream.Recv()
-			if err != nil {
-				return
-			}
-			*words++
-			*bytes += len(news.String())
+	if err != nil {
+		return err
+	}
+	var taken atomic.Uint64
+	go s.hear(stream.Recv, func(n *schema.LeaderNews) { taken.Store(n.GetSequence()) })
+	news := &schema.EntryNews{
+		Entry: &schema.RosterEntry{Host: fmt.Sprint("entry-", s.number), CallerAddress: fmt.Sprint("127.0.0.1:", s.number+1)}, Stream: 1,
+	}
+	requests, beat := time.NewTicker(time.Duration(float64(time.Second)/s.rate)), time.NewTicker(300*time.Millisecond)
+	defer requests.Stop()
+	defer beat.Stop()
+	for n := 0; ; n++ {
+		urgent := n == 0
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-beat.C:
+			news.LoadsTold, news.Loads, urgent = true, s.loads(), true
+		case <-requests.C:
+			var demands []*schema.ModelDemand
+			demands, urgent = s.ask(n)
+			news.Demands = append(news.Demands, demands...)
 		}
-	}()
-	go func() {
-		defer wg.Done()
-		random := rand.New(rand.NewPCG(uint64(number), 1))
-		news := &schema.EntryNews{Entry: &schema.RosterEntry{Host: fmt.Sprint("entry-", number), CallerAddress: fmt.Sprint("127.0.0.1:", number+1)}}
-		waiting := map[string]uint32{}
-		ticker := time.NewTicker(time.Second * benchEntries / benchRate)
-		defer ticker.Stop()
-		for n := 0; ; n++ {
-			urgent := false
-			m := fmt.Sprint("m", random.IntN(benchModels))
-			if n%5 != 0 {
-				m = fmt.Sprint("m", random.IntN(benchBusy))
-			}
-			d := &schema.ModelDemand{Pool: "llm", Model: m, Arrived: 1}
-			if !f.holds(m) {
-				waiting[m]++
-				urgent = true
-			}
-			news.Demands = append(news.Demands, d)
-			for w := range waiting {
-				if f.holds(w) {
-					delete(waiting, w)
-				}
-				news.Demands = append(news.Demands, &schema.ModelDemand{Pool: "llm", Model: w, Waiting: waiting[w]})
-			}
-			if urgent || n%3 == 0 {
-				for i := range 10 {
-					news.LoadsTold = n%3 == 0
-					news.Loads = append(news.Loads, &schema.EngineLoad{Server: fmt.Sprint("i-", (number+i*11)%benchEngines), Running: 2, Unread: 100, Models: []string{"m1", "m2"}})
-				}
-				if stream.Send(news) != nil {
-					return
-				}
-				news = &schema.EntryNews{}
-			}
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-			}
+		if !urgent {
+			continue
 		}
-	}()
-	return words, bytes, func() { wg.Wait(); dialer.Close() }
+		news.Taken = taken.Load()
+		if stream.Send(news) != nil {
+			return nil
+		}
+		news = &schema.EntryNews{}
+	}
+}
+
+// followFor plays a control host with entries of its own.
+func (s *speaker) followFor(ctx context.Context, client schema.PeerClient, entries int) error {
+	stream, err := client.Follow(ctx)
+	if err != nil {
+		return err
+	}
+	var known atomic.Pointer[schema.RosterPosition]
+	go s.hear(stream.Recv, func(n *schema.LeaderNews) { known.Store(n.GetKnown()) })
+	news := &schema.HostNews{Host: &schema.ControlHost{Address: fmt.Sprint("10.0.0.", s.number, ":1")}, EntriesTold: true}
+	for i := range entries {
+		news.Entries = append(news.Entries, &schema.AttendingEntry{Stream: 1, Entry: &schema.RosterEntry{Host: fmt.Sprint("entry-", s.number, "-", i)}})
+	}
+	ticker := time.NewTicker(100 * time.Millisecond)
+	defer ticker.Stop()
+	for n := 0; ; {
+		for range int(s.rate / 10) {
+			n++
+			demands, _ := s.ask(n)
+			news.Demands = append(news.Demands, demands...)
+		}
+		news.Known, news.LoadsTold, news.Loads = known.Load(), true, s.loads()
+		if stream.Send(news) != nil {
+			return nil
+		}
+		news = &schema.HostNews{}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
 }
 
-// BenchmarkLeader drives one leader as the largest deployment in use does, for
-// twenty seconds: entries that say what is asked for, engines that announce
-// themselves and take orders. Its goroutines bear the profile label role=leader,
-// so that
+// BenchmarkLeader drives the leader, and one more of nine control hosts, as the largest
+// deployment in use does, for twenty seconds: entries that say what is asked for, spread
+// over the hosts, engines that announce themselves and take orders. The goroutines of the
+// two bear the profile labels role=leader and role=host, so that
 //
-//	go test ./internal/role -run xxx -bench Leader -benchtime 1x -cpuprofile p
+//	go test ./internal/role -run xxx -bench Leader/entries-300 -benchtime 1x -cpuprofile p
 //	go tool pprof -top -tagfocus role=leader p
 //
-// says what the leader spends, and on what. Words to entries: 2,669 a second while each
-// change was told at once, 856 since changes are gathered.
+// says what the leader spends, and on what.
 func BenchmarkLeader(b *testing.B) {
-	for range b.N {
-		f := newFarm(rand.New(rand.NewPCG(1, 1)))
-		var c *role.Control
-		var address string
-		pprof.Do(context.Background(), pprof.Labels("role", "leader"), func(context.Context) { c, address = benchControl(b, f) })
-		ctx, cancel := context.WithTimeout(context.Background(), benchRunning)
-		defer cancel()
-		var waits []func()
-		var words, bytes []*int
-		for i := range benchEntries {
-			w, n, wait := speakFor(ctx, b, f, address, i)
-			words, bytes, waits = append(words, w), append(bytes, n), append(waits, wait)
-		}
-		var wg sync.WaitGroup
-		for i, e := range f.engines {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				time.Sleep(benchBeat * time.Duration(i) / benchEngines)
-				for ctx.Err() == nil {
-					pprof.Do(ctx, pprof.Labels("role", "leader"), func(ctx context.Context) { _ = c.Announce(ctx, f.announcement(e)) })
-					time.Sleep(benchBeat)
-				}
-			}()
-		}
-		wg.Wait()
-		for _, wait := range waits {
-			wait()
-		}
-		c.Close()
-		sum, size := 0, 0
-		for i := range words {
-			sum, size = sum+*words[i], size+*bytes[i]
+	for _, entries := range []int{30, 100, 300, 640} {
+		b.Run(fmt.Sprint("entries-", entries), func(b *testing.B) {
+			for range b.N {
+				benchLeader(b, entries)
+			}
+		})
+	}
+}
+
+func benchLeader(b *testing.B, entries int) {
+	f := newFarm(rand.New(rand.NewPCG(1, 1)))
+	g := newBenchGroup(b, f)
+	defer g.close()
+	ctx, cancel := context.WithTimeout(context.Background(), benchRunning)
+	defer cancel()
+	var wg sync.WaitGroup
+	each, rate := entries/benchHosts, benchRate/float64(entries)
+	speakers := map[string][]*speaker{}
+	for i := range benchHosts {
+		switch i {
+		case 0, 1:
+			name := []string{"leader", "host"}[i]
+			for n := range each {
+				s := newSpeaker(f, i*each+n, rate)
+				speakers[name] = append(speakers[name], s)
+				wg.Go(func() { assert.NoError(b, s.speakFor(ctx, g.clients[i])) })
+			}
+		default:
+			s := newSpeaker(f, i, rate*float64(each))
+			wg.Go(func() { assert.NoError(b, s.followFor(ctx, g.clients[0], each)) })
 		}
-		orders := uint64(0)
-		for _, e := range f.engines {
-			orders += e.taken
+	}
+	for i, e := range f.engines {
+		wg.Go(func() {
+			time.Sleep(benchBeat * time.Duration(i) / benchEngines)
+			for ctx.Err() == nil {
+				pprof.Do(ctx, pprof.Labels("role", "leader"), func(ctx context.Context) { _ = g.hosts[0].Announce(ctx, f.announcement(e)) })
+				time.Sleep(benchBeat)
+			}
+		})
+	}
+	wg.Wait()
+	orders := uint64(0)
+	for _, e := range f.engines {
+		orders += e.taken
+	}
+	b.ReportMetric(float64(orders)/benchRunning.Seconds(), "orders/s")
+	for name, list := range speakers {
+		words, bytes := int64(0), int64(0)
+		for _, s := range list {
+			words, bytes = words+s.words.Load(), bytes+s.bytes.Load()
 		}
-		b.ReportMetric(float64(sum)/benchRunning.Seconds(), "words/s")
-		b.ReportMetric(float64(size)/benchRunning.Seconds(), "bytes/s")
-		b.ReportMetric(float64(orders)/benchRunning.Seconds(), "orders/s")
+		b.ReportMetric(float64(words)/benchRunning.Seconds(), name+"-words/s")
+		b.ReportMetric(float64(bytes)/benchRunning.Seconds()/float64(each), "bytes/s-an-entry-of-"+name)
 	}
 }
 
-func benchControl(b *testing.B, f *farm) (*role.Control, string) {
-	folder := b.TempDir()
-	file := filepath.Join(folder, "settings.yaml")
-	ports := make([]int, 2)
+// benchGroup is a group of two control hosts, the first of which leads.
+type benchGroup struct {
+	hosts   []*role.Control
+	clients []schema.PeerClient
+	dialer  *peer.Dialer
+}
+
+func newBenchGroup(b *testing.B, f *farm) *benchGroup {
+	g := &benchGroup{dialer: peer.NewDialer(peer.DialerConfig{})}
+	ports := benchPorts(b, 2)
+	for i, name := range []string{"leader", "host"} {
+		ip := fmt.Sprint("127.0.9.", i+1)
+		pprof.Do(context.Background(), pprof.Labels("role", name), func(context.Context) {
+			g.hosts = append(g.hosts, benchControl(b, f, ip, ports))
+		})
+		client, err := g.dialer.Client(fmt.Sprint(ip, ":", ports[0]))
+		require.NoError(b, err)
+		g.clients = append(g.clients, client)
+	}
+	require.Eventually(b, func() bool {
+		n, leads := g.hosts[0].Voters()
+		return leads && n == 2 && g.hosts[0].PutConfiguration(context.Background(), &schema.PutConfiguration{
+			Configuration: &schema.Configuration{Version: 1}, Pools: []*schema.Pool{benchPool()},
+		}) == nil
+	}, 20*time.Second, 20*time.Millisecond)
+	return g
+}
+
+func (g *benchGroup) close() {
+	g.dialer.Close()
+	for _, h := range g.hosts {
+		h.Close()
+	}
+}
+
+func benchPorts(b *testing.B, n int) []int {
+	ports := make([]int, n)
 	for i := range ports {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", "127.0.9.1:0")
 		require.NoError(b, err)
 		ports[i] = l.Addr().(*net.TCPAddr).Port
 		require.NoError(b, l.Close())
 	}
-	text := fmt.Sprintf("host: core-1\ndata-centre: a\nip: 127.0.0.1\npeer-port: %d\nseeds: [\"127.0.0.1:%d\"]\n"+
-		"founding: true\ndata-folder: %s\noperator-address: 127.0.0.1:%d\nannounce-every: 1200ms\nload-window: 5s\norder-lease: 3s\n",
-		ports[0], ports[1], folder, ports[1])
+	return ports
+}
+
+func benchControl(b *testing.B, f *farm, ip string, ports []int) *role.Control {
+	folder := b.TempDir()
+	file := filepath.Join(folder, "settings.yaml")
+	text := fmt.Sprintf("host: core-%s\ndata-centre: a\nip: %s\npeer-port: %d\nseeds: [\"127.0.9.1:%d\"]\n"+
+		"founding: true\ndata-folder: %s\noperator-address: %s:%d\nannounce-every: 1200ms\nload-window: 5s\norder-lease: 3s\n",
+		ip, ip, ports[0], ports[1], folder, ip, ports[1])
 	require.NoError(b, os.WriteFile(file, []byte(text), 0o600))
 	s, err := role.LoadSettings(file)
 	require.NoError(b, err)
@@ -290,10 +405,5 @@
 		Handler: func(*role.Control) http.Handler { return http.NotFoundHandler() },
 	})
 	require.NoError(b, err)
-	require.Eventually(b, func() bool {
-		return c.PutConfiguration(context.Background(), &schema.PutConfiguration{
-			Configuration: &schema.Configuration{Version: 1}, Pools: []*schema.Pool{benchPool()},
-		}) == nil
-	}, 20*time.Second, 20*time.Millisecond)
-	return c, fmt.Sprint("127.0.0.1:", ports[0])
+	return c
 }
--- /dev/null
+++ b/internal/roster/hosts_test.go
@@ -0,0 +1,223 @@
+package roster_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelyard/internal/roster"
+	"fennelyard/internal/schema"
+)
+
+// term is the one that the roster's leader leads in.
+const term = 3
+
+// leaderHost is the address of the leader's own host.
+const leaderHost = "h0"
+
+func controlHost(address string) *schema.ControlHost { return &schema.ControlHost{Address: address} }
+
+// attend is a control host's word that some entries attend it, each on its first stream.
+func attend(hosts ...string) *schema.HostNews {
+	n := &schema.HostNews{EntriesTold: true}
+	for _, h := range hosts {
+		n.Entries = append(n.Entries, &schema.AttendingEntry{Entry: &schema.RosterEntry{Host: h, CallerAddress: h + ":1"}, Stream: 1})
+	}
+	return n
+}
+
+// told is a control host's word that it and its entries know the roster so far.
+func told(change uint64, behind ...string) *schema.HostNews {
+	return &schema.HostNews{Known: &schema.RosterPosition{Term: term, Change: change}, Behind: behind}
+}
+
+func directory(r *roster.Roster) []string {
+	out := []string{}
+	for _, e := range r.Entries(0).GetEntries() {
+		out = append(out, e.GetHost())
+	}
+	return out
+}
+
+// led returns the roster of a leader that has led for some time.
+func led() (*roster.Roster, *clock) {
+	r, c := newRoster()
+	c.now = c.now.Add(time.Minute)
+	r.SweepHosts()
+	return r, c
+}
+
+// Callers are sent to the entries of all hosts, but for those that prepare to stop.
+func TestDirectoryHoldsTheEntriesOfAllHosts(t *testing.T) {
+	r, _ := led()
+	r.Follow(1, controlHost("h1"))
+	r.Follow(2, controlHost("h2"))
+	r.Hear(1, "h1", term, attend("e1", "e2"))
+	r.Hear(2, "h2", term, attend("e3"))
+	require.Equal(t, []string{"e1", "e2", "e3"}, directory(r))
+	stopping := attend("e1", "e2")
+	stopping.Entries[1].Stopping = true
+	r.Hear(1, "h1", term, stopping)
+	require.Equal(t, []string{"e1", "e3"}, directory(r))
+}
+
+// A control host restarts, or is cut off. Its entries live and attend another one within
+// a second or two: they stay in the directory meanwhile, or callers would crowd on the
+// others whenever a control host restarts. An entry that ended with it goes in the end.
+func TestEntriesOfALostHostStayInTheDirectoryForAWhile(t *testing.T) {
+	r, c := led()
+	r.Follow(1, controlHost("h1"))
+	r.Follow(2, controlHost("h2"))
+	r.Hear(1, "h1", term, attend("e1", "e2"))
+	r.Unfollow(1, "h1")
+	require.Equal(t, []string{"e1", "e2"}, directory(r))
+	r.Hear(2, "h2", term, attend("e1"))
+	c.now = c.now.Add(3 * time.Second)
+	r.Hear(2, "h2", term, &schema.HostNews{})
+	r.SweepHosts()
+	require.Equal(t, []string{"e1", "e2"}, directory(r))
+	c.now = c.now.Add(time.Second)
+	r.Hear(2, "h2", term, &schema.HostNews{})
+	r.SweepHosts()
+	require.Equal(t, []string{"e1"}, directory(r))
+}
+
+// An entry has moved, and the host that it left has not noticed. What the later host says
+// of it counts: an entry that prepares to stop would otherwise get callers for as long as
+// the earlier one speaks for it.
+func TestEntryAtTwoHostsIsBelievedAtTheLater(t *testing.T) {
+	r, _ := led()
+	r.Follow(1, controlHost("h1"))
+	r.Follow(2, controlHost("h2"))
+	moved := attend("e1")
+	moved.Entries[0].Stream, moved.Entries[0].Stopping = 2, true
+	r.Hear(2, "h2", term, moved)
+	r.Hear(1, "h1", term, attend("e1"))
+	require.Empty(t, directory(r))
+}
+
+// A host's stream is renewed before its old one is noticed to have ended; the end of the
+// old one must not take its entries out of what counts.
+func TestEndOfAHostsOlderStreamChangesNothing(t *testing.T) {
+	r, _ := led()
+	r.Follow(1, controlHost("h1"))
+	r.Follow(2, controlHost("h1"))
+	r.Unfollow(1, "h1")
+	require.Len(t, r.Hosts(0).GetHosts(), 1)
+	r.Unfollow(2, "h1")
+	require.Empty(t, r.Hosts(0).GetHosts())
+}
+
+// A leader has just begun. Told at once, the list of the first host that finds it would
+// send all callers to the entries of that one.
+func TestNewLeaderTellsNoListBeforeItCanKnow(t *testing.T) {
+	r, c := newRoster()
+	r.Follow(1, controlHost("h1"))
+	r.Hear(1, "h1", term, attend("e1"))
+	_, change := r.Since(0)
+	require.Nil(t, r.News(0).GetEntries())
+	require.Nil(t, r.News(0).GetHosts())
+	r.SweepHosts()
+	require.Nil(t, r.News(0).GetEntries())
+	c.now = c.now.Add(1100 * time.Millisecond)
+	r.Hear(1, "h1", term, &schema.HostNews{})
+	r.SweepHosts()
+	// Also to a host that has been told all changes until then.
+	news := r.News(change)
+	require.Len(t, news.GetEntries().GetEntries(), 1)
+	require.Len(t, news.GetHosts().GetHosts(), 1)
+	require.Nil(t, r.News(news.GetKnown().GetChange()).GetEntries())
+}
+
+// Where there are enough others, entries are not sent to the leader: what 33 of them say
+// would cost it as much as all its decisions. With few hosts each counts.
+func TestLeaderIsSparedEntries(t *testing.T) {
+	for hosts, listed := range map[int]int{1: 1, 3: 3, 5: 5, 6: 5, 9: 8} {
+		r, _ := led()
+		for i := range hosts {
+			r.Follow(uint64(i+1), controlHost(fmt.Sprint("h", i)))
+		}
+		list := r.Hosts(0).GetHosts()
+		require.Len(t, list, listed)
+		require.Equal(t, listed == hosts, slices.ContainsFunc(list, func(h *schema.ControlHost) bool { return h.GetAddress() == leaderHost }))
+	}
+}
+
+// An engine's model must not be unloaded while any entry has a request for it
+// there; the end of the host's stream ends its word.
+func TestRunsOfAllHosts(t *testing.T) {
+	r, _ := newRoster()
+	r.Follow(1, controlHost("h1"))
+	r.Follow(2, controlHost("h2"))
+	load := func(stream uint64, host, model string) {
+		n := &schema.HostNews{LoadsTold: true}
+		if model != "" {
+			n.Loads = []*schema.EngineLoad{{Server: "s", Models: []string{model}}}
+		}
+		r.Hear(stream, host, term, n)
+	}
+	load(1, "h1", "a")
+	load(2, "h2", "b")
+	require.True(t, r.Runs("s", "a"))
+	require.True(t, r.Runs("s", "b"))
+	load(2, "h2", "")
+	require.False(t, r.Runs("s", "b"))
+	r.Unfollow(1, "h1")
+	require.False(t, r.Runs("s", "a"))
+}
+
+// A server leaves while one host, or an entry of it, has not been told. Were its word
+// acknowledged now, that entry would send it requests long after; it is once the host
+// says that all know, or has fallen silent, or tells entries nothing.
+func TestDepartureWaitsForEveryHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, c := newRoster()
+		require.True(t, r.Announce(word("s", "a:1", 1)))
+		r.Follow(1, controlHost("h1"))
+		r.Follow(2, controlHost("h2"))
+		change := r.Depart("s")
+		far := roster.Told{Change: change}
+		await := func() chan error {
+			done := make(chan error, 1)
+			go func() { done <- r.AwaitTold(context.Background(), far) }()
+			time.Sleep(50 * time.Millisecond)
+			synctest.Wait()
+			return done
+		}
+		r.Hear(1, "h1", term, told(change))
+		r.Hear(2, "h2", term, told(change-1, "e7"))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		require.ErrorContains(t, r.AwaitTold(ctx, far), "h2 e7")
+		// A host knows the number from another leader: it says nothing of this one's.
+		other := told(change + 9)
+		other.Known.Term = term - 1
+		r.Hear(2, "h2", term, other)
+		done := await()
+		require.Empty(t, done)
+		r.Hear(2, "h2", term, told(change))
+		require.NoError(t, <-done)
+
+		r.Follow(3, controlHost("h3"))
+		done = await()
+		require.Empty(t, done)
+		lagging := told(0)
+		lagging.Lagging = true
+		r.Hear(3, "h3", term, lagging)
+		require.NoError(t, <-done)
+
+		r.Hear(3, "h3", term, told(0))
+		done = await()
+		require.Empty(t, done)
+		c.now = c.now.Add(2 * time.Second)
+		r.Hear(1, "h1", term, told(change))
+		r.Hear(2, "h2", term, told(change))
+		r.SweepHosts()
+		require.NoError(t, <-done)
+	})
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -48,8 +48,10 @@
 	OnDisk   []string
 }
 
-// Config configures a Roster. All fields are required.
+// Config configures a Roster. All fields are required but Self.
 type Config struct {
+	// Self is the address of this control host.
+	Self string
 	// AnnounceEvery is the time between a server's announcements.
 	AnnounceEvery time.Duration
 	// Departed tells of servers that an earlier leader recorded as leaving.
@@ -86,13 +88,18 @@
 	holders map[string]*holder
 	starts  map[string]*start
 	changed chan struct{}
-	entries map[string]*attendance
-	// runs counts the entries that have requests for a model at an engine.
+	// hosts are the control hosts that follow this leader, by address.
+	hosts map[string]*following
+	// runs counts the control hosts whose entries have requests for a model at an engine.
 	runs map[run]int
 	// awaited counts those who wait until the entries have been told.
 	awaited int
-	// entriesChange is the change number of the list of entries.
-	entriesChange uint64
+	// hostsChange and entriesChange are the change numbers of the lists of control hosts
+	// and of entries, and settledChange the one by which the leader has heard every server
+	// that lives; 0: it has not yet.
+	hostsChange, entriesChange, settledChange uint64
+	// listed is set once this leader tells the lists of control hosts and of entries.
+	listed bool
 	// loads is the sum of the entries' loads as of loadsAt; it is told to many
 	// entries and not changed.
 	loads   *schema.EngineLoads
@@ -114,10 +121,11 @@
 	if r.changed == nil {
 		r.changed = make(chan struct{})
 	}
-	if r.entries == nil {
-		r.entries = map[string]*attendance{}
+	if r.hosts == nil {
+		r.hosts = map[string]*following{}
 		r.runs = map[run]int{}
 	}
+	r.settledChange, r.listed = 0, false
 }
 
 // Begin forgets all servers: this host begins to lead, and what it heard when
@@ -330,6 +338,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
+	if r.settledChange == 0 && r.settled() {
+		r.settledChange = r.touch()
+	}
 	for id, s := range r.servers {
 		silent := now.Sub(s.heard)
 		if silent > missedBeats*r.cfg.AnnounceEvery {
@@ -352,14 +363,20 @@
 func (r *Roster) Settled() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.cfg.Now().Sub(r.began) > settleBeats*r.cfg.AnnounceEvery
+	return r.settled()
 }
 
+func (r *Roster) settled() bool { return r.cfg.Now().Sub(r.began) > settleBeats*r.cfg.AnnounceEvery }
+
 // Since returns the servers that changed after a change number, and the number
 // that the answer leads to.
 func (r *Roster) Since(after uint64) ([]*schema.RosterServer, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.since(after)
+}
+
+func (r *Roster) since(after uint64) ([]*schema.RosterServer, uint64) {
 	var out []*schema.RosterServer
 	for _, s := range r.servers {
 		if s.change > after {
@@ -375,14 +392,19 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range r.servers {
-		if s.change > after && s.view.GetState() == schema.RosterState_ROSTER_STATE_READY &&
-			slices.ContainsFunc(wants, func(w *schema.ModelDemand) bool { return holdsTarget(s.view, w) }) {
+		if s.change > after && holdsAny(s.view, wants) {
 			return true
 		}
 	}
 	return false
 }
 
+// holdsAny reports whether a server takes new work and holds one of some targets.
+func holdsAny(v *schema.RosterServer, wants []*schema.ModelDemand) bool {
+	return v.GetState() == schema.RosterState_ROSTER_STATE_READY &&
+		slices.ContainsFunc(wants, func(w *schema.ModelDemand) bool { return holdsTarget(v, w) })
+}
+
 func holdsTarget(v *schema.RosterServer, w *schema.ModelDemand) bool {
 	return v.GetPool() == w.GetPool() && slices.ContainsFunc(v.GetModels(), func(m *schema.HeldModel) bool {
 		return m.GetName() == w.GetModel() && (w.GetAdapter() == "" || slices.Contains(m.GetAdapters(), w.GetAdapter()))
