Take servers' announcements at any control host

Cause: 245 servers announced themselves to the leader alone, 200 calls a second to a host that has least time for them. Change: a control host in touch with the leader takes the word of a server that takes new work, and tells the leader what is new in it; a repeat is a key and a number. Who leaves is sent to the leader as before. Words carry when they were heard, and one from before an order is no proof of its end. A new leader hears of all servers with the hosts' first word.

--- a/internal/attendance/attendance.go
+++ b/internal/attendance/attendance.go
@@ -101,7 +101,8 @@
 // may wait for has been told to all entries.
 func (e *Entries) Urgent() <-chan struct{} { return e.urgent }
 
-func (e *Entries) hurry() {
+// Hurry has the leader told at once.
+func (e *Entries) Hurry() {
 	select {
 	case e.urgent <- struct{}{}:
 	default:
@@ -141,7 +142,7 @@
 	if a.stopping != news.GetStopping() || a.silent {
 		a.stopping, a.silent, e.listed = news.GetStopping(), false, false
 		e.cfg.Log.Info("entry state", "entry", host, "stopping", a.stopping, "silent", false)
-		e.hurry()
+		e.Hurry()
 	}
 	if news.GetLoadsTold() {
 		e.load(a, news.GetLoads())
@@ -160,7 +161,7 @@
 	sum.RanUs += d.GetRanUs()
 	e.wait(a, t, d.GetWaiting())
 	if d.GetWaiting() > 0 {
-		e.hurry()
+		e.Hurry()
 	}
 }
 
@@ -224,7 +225,7 @@
 	lacked := !e.least().reaches(e.confirm)
 	a.told = far
 	if lacked && e.least().reaches(e.confirm) {
-		e.hurry()
+		e.Hurry()
 	}
 }
 
@@ -278,7 +279,7 @@
 	delete(e.entries, host)
 	e.listed = false
 	e.cfg.Log.Info("entry left", "entry", host, "attending", len(e.entries))
-	e.hurry()
+	e.Hurry()
 }
 
 // Sweep leaves out entries that have fallen silent.
@@ -292,7 +293,7 @@
 		a.silent, e.listed = true, false
 		e.empty(a)
 		e.cfg.Log.Info("entry state", "entry", host, "stopping", a.stopping, "silent", true)
-		e.hurry()
+		e.Hurry()
 	}
 }
 
--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -185,6 +185,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.cfg.Now()
+	said := a.At(now)
 	e := d.engines[a.ID]
 	if e == nil {
 		e = newEngine(a.ID, a.Pool)
@@ -197,11 +198,12 @@
 	case phaseUnknown:
 		e.learn(a.Held, now)
 	case phaseKnown:
-		if now.Sub(e.touched) > beatLag {
+		if said.Sub(e.touched) > beatLag {
 			e.learn(a.Held, now)
 		}
 	case phaseWorking:
-		if d.seenDone(e, a.Held) {
+		// A word that a control host heard before the order shows what was before it.
+		if said.After(e.given) && d.seenDone(e, a.Held) {
 			d.finish(e, now)
 		}
 	case phaseGiving, phaseUncertain:
--- a/internal/role/api.go
+++ b/internal/role/api.go
@@ -136,13 +136,19 @@
 	return head.GetDocument(), nil
 }
 
-// Announce takes a backend server's announcement. Without an error the server
-// is known to this leader, and a leaving one to every later leader as well.
+// Announce takes a backend server's announcement. Without an error the server is known to
+// the leader or about to be, and a leaving one to every later leader as well. A host that
+// follows takes the word of a server that takes new work for the leader; of one that
+// leaves the leader itself must know.
 func (c *Control) Announce(ctx context.Context, a roster.Announcement) error {
-	if err := c.elsewhere(); err != nil {
-		return err
+	leads := c.group.Status().Current
+	if !leads && (a.Leaving || !c.inTouch()) {
+		return c.elsewhere()
 	}
-	if c.roster.LacksStart(a.ID) {
+	if leads {
+		c.driver.Follow()
+	}
+	if leads && c.roster.LacksStart(a.ID) || !leads && c.mirror.LacksStart(a.ID) {
 		return errors.Newf("%q: %w", a.ID, ErrNoStart)
 	}
 	// Who leaves is heard whatever its pool: it may have been known under another.
@@ -154,10 +160,19 @@
 			return err
 		}
 	}
+	if leads {
+		c.take(a)
+	} else if c.heard.Announce(a) {
+		c.entries.Hurry()
+	}
+	return nil
+}
+
+// take takes an announcement in at the leader.
+func (c *Control) take(a roster.Announcement) {
 	if c.roster.Announce(a) && !a.Leaving && c.roster.Ready(a.ID) {
 		c.driver.Announced(a)
 	}
-	return nil
 }
 
 // knowsPool reports whether a server of a pool can be of use. Before there is a
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -67,9 +67,11 @@
 	dialer  *peer.Dialer
 	group   *control.Group
 	// roster is what this host believes while it leads, and mirror what the leader says;
-	// entries are those that attend this host.
+	// entries are those that attend this host, and heard the servers that announce
+	// themselves here.
 	roster  *roster.Roster
 	mirror  *roster.Mirror
+	heard   *roster.Heard
 	entries *attendance.Entries
 	lag     lag
 	driver  *loading.Driver
@@ -104,6 +106,7 @@
 		Self: address, AnnounceEvery: s.GetAnnounceEvery().AsDuration(), Departed: c.departed, Now: time.Now, Log: cfg.Log.WithName("roster"),
 	})
 	c.mirror = roster.NewMirror(roster.MirrorConfig{Now: time.Now, Log: cfg.Log.WithName("mirror")})
+	c.heard = roster.NewHeard(time.Now)
 	c.entries = attendance.New(attendance.Config{Now: time.Now, Log: cfg.Log.WithName("attendance")})
 	if err := c.start(s); err != nil {
 		c.Close()
--- a/internal/role/follow.go
+++ b/internal/role/follow.go
@@ -83,6 +83,7 @@
 		return errors.Newf("follow: %w", err)
 	}
 	c.entries.Begin()
+	c.heard.Begin(c.cfg.Settings.Get().GetAnnounceEvery().AsDuration())
 	wg.Add(1)
 	go func() {
 		defer wg.Done()
@@ -136,7 +137,7 @@
 	host := &schema.ControlHost{Address: c.self.GetPeerAddress(), DataCentre: c.self.GetDataCentre()}
 	for due := true; ; {
 		news := c.entries.News(attendance.Told{Known: c.mirror.At(), Revision: c.applied()}, due)
-		news.Host, news.Lagging = host, c.lags()
+		news.Host, news.Lagging, news.Servers = host, c.lags(), c.heard.News()
 		if err := stream.Send(news); err != nil {
 			return
 		}
--- a/internal/role/lead.go
+++ b/internal/role/lead.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc"
 
 	"fennelyard/internal/ledger"
+	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
 )
 
@@ -60,6 +61,8 @@
 	host   *schema.ControlHost
 	term   uint64
 	pace   pace
+	// heard belongs to whoever hears.
+	heard roster.HeardReader
 
 	// The fields below belong to speak. change is how far the host is told.
 	change   uint64
@@ -103,6 +106,12 @@
 	l.c.roster.Hear(l.number, l.address(), l.term, news)
 	l.c.driver.Demand(l.address(), news.GetDemands())
 	l.pace.hear(news.GetDemands())
+	now := time.Now()
+	for _, h := range news.GetServers() {
+		if a, known := l.heard.Read(h, now); known && !l.c.roster.LacksStart(a.ID) {
+			l.c.take(a)
+		}
+	}
 }
 
 // speak tells the host what changes. The first word holds everything.
--- a/internal/role/tree_test.go
+++ b/internal/role/tree_test.go
@@ -181,3 +181,62 @@
 		require.False(t, l.Holds(40, 60))
 	})
 }
+
+// Servers announce themselves to hosts that do not lead. Entries know them all the same,
+// and go on knowing them when the leader is lost: the next one hears of each server at
+// once from the hosts that have its word. Somebody else's word of a server without its
+// start is refused there as well, and one that leaves is sent to the leader, who alone can
+// promise that all entries know.
+func TestServersAnnounceThemselvesToAnyHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := treeSite(t, 15, 8)
+		defer s.close()
+		leader := s.leader()
+		require.NoError(t, s.control[leader].PutConfiguration(context.Background(), &schema.PutConfiguration{
+			Configuration: &schema.Configuration{Version: 2}, Pools: []*schema.Pool{{Name: "app"}},
+		}))
+		host := s.control[s.someFollower()]
+		word := func(i int, sequence uint64) roster.Announcement {
+			return roster.Announcement{
+				ID: fmt.Sprintf("i-%d@1784556072000", i), Pool: "app", Address: fmt.Sprint("10.9.9.9:", i+1), Slots: 1, Sequence: sequence,
+			}
+		}
+		all := func(n int) func() bool {
+			return func() bool {
+				for _, e := range s.entries {
+					if e.ReadyServers() != n {
+						return false
+					}
+				}
+				return true
+			}
+		}
+		s.await(time.Second, "the pool's configuration", func() bool { return host.Announce(context.Background(), word(0, 1)) == nil })
+		for i := range 5 {
+			require.NoError(t, host.Announce(context.Background(), word(i, 2)))
+		}
+		s.await(200*time.Millisecond, "five servers", all(5))
+		foreign := word(0, 9)
+		foreign.ID = "i-0"
+		require.ErrorIs(t, host.Announce(context.Background(), foreign), role.ErrNoStart)
+		leaving := word(4, 3)
+		leaving.Leaving = true
+		var elsewhere *role.ElsewhereError
+		require.ErrorAs(t, host.Announce(context.Background(), leaving), &elsewhere)
+		require.NoError(t, s.control[leader].Announce(context.Background(), leaving))
+		require.True(t, all(4)())
+		require.NoError(t, host.Announce(context.Background(), word(3, 3)))
+
+		s.powerOff(leader)
+		s.await(3*time.Second, "another leader", func() bool { return s.leader() != "" })
+		for i := range 20 {
+			require.True(t, all(4)(), i)
+			time.Sleep(100 * time.Millisecond)
+		}
+		// The server that had left says once more that it is there, to a host that the
+		// leader before had not told.
+		_ = host.Announce(context.Background(), word(4, 4))
+		time.Sleep(time.Second)
+		require.True(t, all(4)())
+	})
+}
--- a/internal/roster/mirror.go
+++ b/internal/roster/mirror.go
@@ -7,6 +7,7 @@
 	"github.com/go-logr/logr"
 	"google.golang.org/protobuf/proto"
 
+	"fennelyard/internal/incarnation"
 	"fennelyard/internal/schema"
 )
 
@@ -264,6 +265,23 @@
 	return out
 }
 
+// LacksStart reports whether a key names no start of a server that tells its starts, as far
+// as the leader has said: see Roster.LacksStart.
+func (m *Mirror) LacksStart(id string) bool {
+	name := incarnation.Parse(id)
+	if name.Born != 0 {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for other, s := range m.servers {
+		if start := incarnation.Parse(other); start.Born != 0 && start.Server == name.Server && s.gone.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // Loads returns what all entries have at the engines, as the leader last said.
 func (m *Mirror) Loads() *schema.EngineLoads {
 	m.mu.Lock()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -46,6 +46,16 @@
 	// InMemory and OnDisk name the models whose weights the engine has a copy of.
 	InMemory []string
 	OnDisk   []string
+	// Said is when a control host heard it; the zero value: now.
+	Said time.Time
+}
+
+// At returns when an announcement that is taken in now was heard.
+func (a *Announcement) At(now time.Time) time.Time {
+	if a.Said.IsZero() {
+		return now
+	}
+	return a.Said
 }
 
 // Config configures a Roster. All fields are required but Self.
@@ -176,7 +186,7 @@
 	} else {
 		view.Models = s.view.GetModels()
 	}
-	s.sequence, s.heard = a.Sequence, r.cfg.Now()
+	s.sequence, s.heard = a.Sequence, a.At(r.cfg.Now())
 	r.setView(s, view)
 	return true
 }
@@ -279,7 +289,11 @@
 
 func same(a, b *schema.RosterServer) bool {
 	return a.GetState() == b.GetState() && a.GetPool() == b.GetPool() && a.GetAddress() == b.GetAddress() &&
-		a.GetSlots() == b.GetSlots() && slices.EqualFunc(a.GetModels(), b.GetModels(), func(x, y *schema.HeldModel) bool {
+		a.GetSlots() == b.GetSlots() && sameModels(a.GetModels(), b.GetModels())
+}
+
+func sameModels(a, b []*schema.HeldModel) bool {
+	return slices.EqualFunc(a, b, func(x, y *schema.HeldModel) bool {
 		return x.GetName() == y.GetName() && slices.Equal(x.GetAdapters(), y.GetAdapters())
 	})
 }
