--- a/internal/consensus/storage.go
+++ b/internal/consensus/storage.go
@@ -63,6 +63,9 @@
 	// Reserve is left free on the disk for elections and snapshots, in bytes;
 	// 0: 64 MiB.
 	Reserve uint64
+	// BeforeWrite, where set, is called before each write, which is as slow as it: a disk
+	// that stalls.
+	BeforeWrite func()
 }
 
 // Storage keeps what a member promised. Every method that writes returns only
@@ -239,11 +242,18 @@
 	return entries, nil
 }
 
+func (s *Storage) beforeWrite() {
+	if s.cfg.BeforeWrite != nil {
+		s.cfg.BeforeWrite()
+	}
+}
+
 // Save stores a Ready's hard state, snapshot and entries in one synced step.
 func (s *Storage) Save(r Ready) error {
 	if r.HardState == nil && r.Snapshot == nil && len(r.Entries) == 0 {
 		return nil
 	}
+	s.beforeWrite()
 	err := s.db.Update(func(tx *bbolt.Tx) error {
 		if r.Snapshot != nil {
 			if err := replaceSnapshot(tx, r.Snapshot); err != nil {
@@ -333,6 +343,7 @@
 
 // SaveSnapshot stores a snapshot and drops the entries that it covers.
 func (s *Storage) SaveSnapshot(snapshot *schema.SnapshotState) error {
+	s.beforeWrite()
 	err := s.db.Update(func(tx *bbolt.Tx) error {
 		if err := replaceSnapshot(tx, snapshot); err != nil {
 			return err
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -55,6 +55,9 @@
 	Log     logr.Logger
 	// Network is how the host reaches others and is reached; the zero value: over TCP.
 	Network Network
+	// BeforeWrite, where set, is called before each write to the disk, which is as slow as
+	// it.
+	BeforeWrite func()
 	// Random returns a number from 0 to below n; it spreads elections. nil: by chance.
 	Random func(n int) int
 }
@@ -165,6 +168,7 @@
 	c.storage, err = consensus.OpenStorage(consensus.StorageConfig{
 		Folder: filepath.Join(s.GetDataFolder(), "control"), Group: groupID, NewID: consensus.RandomID,
 		FreeBytes: consensus.FreeBytes, Reserve: uint64(s.GetDiskMb()) << 20 / diskReserveShare,
+		BeforeWrite: c.cfg.BeforeWrite,
 	})
 	if err != nil {
 		return errors.Newf("open state: %w", err)
--- a/internal/role/schedule_test.go
+++ b/internal/role/schedule_test.go
@@ -30,6 +30,9 @@
 	scheduleEnd    = 8 * time.Second
 	scheduleStep   = 50 * time.Millisecond
 	changeEvery    = 500 * time.Millisecond
+	// allKinds is the number of kinds of fault, and kindsAtFirst without disks that stall
+	// and entries that are added: seeds that failed then are tried as they were.
+	allKinds, kindsAtFirst = 10, 8
 )
 
 // A configuration that an operator was told is in force comes back older, or stays
@@ -41,22 +44,27 @@
 	// Seeds that failed once, all by one cause: words that were written to an entry's
 	// stream counted as told, the leader lost power with the acknowledgement, and the
 	// election that followed took longer than a change may.
-	seeds := []int64{1325, 1570, 1600, 1766}
-	for i := range *configSchedules {
-		seeds = append(seeds, *configFirstSeed+int64(i))
+	for _, seed := range []int64{1325, 1570, 1600, 1766} {
+		trySchedule(t, seed, kindsAtFirst)
 	}
-	for _, seed := range seeds {
-		t.Run(strconv.FormatInt(seed, 10), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { runConfigSchedule(t, seed) })
-		})
+	for i := range *configSchedules {
+		trySchedule(t, *configFirstSeed+int64(i), allKinds)
 	}
 }
 
+func trySchedule(t *testing.T, seed int64, kinds int) {
+	t.Run(strconv.FormatInt(seed, 10), func(t *testing.T) {
+		t.Parallel()
+		synctest.Test(t, func(t *testing.T) { runConfigSchedule(t, seed, kinds) })
+	})
+}
+
 // schedule is one run. It belongs to one goroutine.
 type schedule struct {
 	*site
-	seed  int64
+	seed int64
+	// kinds is how many kinds of fault there are.
+	kinds int
 	begun time.Time
 	// next is the version of the next change.
 	nextVersion uint64
@@ -80,9 +88,9 @@
 	do func()
 }
 
-func runConfigSchedule(t *testing.T, seed int64) {
+func runConfigSchedule(t *testing.T, seed int64, kinds int) {
 	s := &schedule{
-		site: newSite(t, seed, scheduleControl, *configEntries, noOne), seed: seed, begun: time.Now(), nextVersion: 2,
+		site: newSite(t, seed, scheduleControl, *configEntries, noOne), seed: seed, kinds: kinds, begun: time.Now(), nextVersion: 2,
 		acked: map[uint64]time.Time{}, seen: map[string]uint64{}, outOfTouch: map[string]time.Time{},
 		lost: map[string]bool{},
 	}
@@ -203,7 +211,11 @@
 func (s *schedule) fault() {
 	length := time.Duration(300+s.random.Intn(2500)) * time.Millisecond
 	entry := slices.Sorted(maps.Keys(s.entries))[s.random.Intn(len(s.entries))]
-	switch kind := s.random.Intn(8); {
+	switch kind := s.random.Intn(s.kinds); {
+	case kind == 8:
+		s.stallDisk(s.someHost(), length)
+	case kind == 9:
+		s.addHost()
 	case kind == 0:
 		s.cutEntry(entry, length)
 	case kind == 1:
@@ -308,6 +320,23 @@
 	})
 }
 
+// stallDisk keeps a control host's disk from writing, which loses nothing.
+func (s *schedule) stallDisk(ip string, length time.Duration) {
+	s.note("the disk of %s stalls for %s", ip, length)
+	s.stall(ip, length)
+}
+
+// addHost starts an entry more, up to twice as many.
+func (s *schedule) addHost() {
+	if len(s.entries) >= 2**configEntries {
+		return
+	}
+	ip := fmt.Sprintf("10.0.1.%d", len(s.entries)+1)
+	s.note("entry %s is added", ip)
+	s.startEntry(ip)
+	s.outOfTouch[ip] = time.Now().Add(catchUp)
+}
+
 // cutEntry cuts an entry off from all control hosts.
 func (s *schedule) cutEntry(ip string, length time.Duration) {
 	s.note("entry %s is cut off", ip)
--- a/internal/role/site_test.go
+++ b/internal/role/site_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -47,6 +48,10 @@
 	// lost, noOne: chance decides. Hosts settle when to ask for votes as they hear a new
 	// leader, so that it must be set before that one is elected.
 	next atomic.Int64
+	// stalls are until when a host's disk takes no write, by its IP address; guarded by
+	// stallsMu.
+	stallsMu sync.Mutex
+	stalls   map[string]time.Time
 	// closing are hosts without power whose goroutines end in the background.
 	closing []<-chan struct{}
 }
@@ -59,6 +64,7 @@
 	s := &site{
 		t: t, network: standin.NewNetwork(), random: rand.New(rand.NewSource(seed)),
 		control: map[string]*role.Control{}, disks: map[string]string{}, entries: map[string]*role.Entry{},
+		stalls: map[string]time.Time{},
 	}
 	s.next.Store(int64(next))
 	for i := range control {
@@ -99,6 +105,7 @@
 	c, err := role.NewControl(role.ControlConfig{
 		Settings: s.settings(ip, more), Metrics: metrics.New(), Log: siteLog(ip), Engines: loading.Engines{},
 		Handler: func(*role.Control) http.Handler { return http.NotFoundHandler() }, Network: s.at(ip),
+		BeforeWrite: func() { time.Sleep(s.stalledFor(ip)) },
 		Random: func(n int) int {
 			switch next := int(s.next.Load()); {
 			case next == noOne:
@@ -134,6 +141,20 @@
 	return funcrLog(ip)
 }
 
+// stall keeps a host's disk from writing for some time. A write that has waited goes on
+// when the stall is over.
+func (s *site) stall(ip string, length time.Duration) {
+	s.stallsMu.Lock()
+	defer s.stallsMu.Unlock()
+	s.stalls[ip] = time.Now().Add(length)
+}
+
+func (s *site) stalledFor(ip string) time.Duration {
+	s.stallsMu.Lock()
+	defer s.stallsMu.Unlock()
+	return time.Until(s.stalls[ip])
+}
+
 // powerOff ends a control host at once: nothing that it does from here on is heard. Its
 // disk can be used again once the channel is closed.
 func (s *site) powerOff(ip string) <-chan struct{} {
