Send entries on at once from a host that has lost its leader

Ruled out: a late acknowledgement's bound (acknowledged 1.9 s after it was sent, in the cut; the entry lacked it 3 s later). Change: only a host that has heard no leader since it started keeps an entry waiting. Result: the test of nine hosts cut in two fails before and passes after.

--- a/internal/role/attend.go
+++ b/internal/role/attend.go
@@ -26,11 +26,11 @@
 	// take 2.6% of one at most. Without it entries were told of each change at once, 200
 	// times a second.
 	gatherPerEntry = 1500 * time.Microsecond
-	// parkFor is how long an entry that comes while this host is out of touch with the
-	// leader waits here: most often one is being elected, and asking other hosts
-	// meanwhile, each of 300 entries many times a second, would keep them from it.
+	// parkFor is how long an entry waits at a host that has not heard a leader since it
+	// started: all hosts start at once, and asked in turn by 300 entries, each many times a
+	// second, they would be kept from electing one.
 	parkFor = time.Second
-	// parkCheck is how often a host that is out of touch looks whether it is again.
+	// parkCheck is how often such a host looks whether it has heard one.
 	parkCheck = 20 * time.Millisecond
 )
 
@@ -65,15 +65,17 @@
 	return a.speak(ctx)
 }
 
-// park keeps an entry while this host is out of touch with the leader, or knows only one
-// of an earlier term than the entry. It returns whether it is in touch.
+// park keeps an entry that comes while this host has not heard a leader since it started.
+// One that has lost its leader, or whose log lags, or that knows only a leader of an
+// earlier term than the entry, sends it on at once: it may be cut off from a leader that
+// others hear. park returns whether the entry can be told what the leader says.
 func (c *Control) park(stream attendStream, term uint64) (bool, error) {
 	began, said := time.Now(), time.Time{}
 	for {
 		if c.inTouch() && c.mirror.At().Term >= term {
 			return true, nil
 		}
-		if time.Since(began) > parkFor {
+		if heard, _ := c.mirror.Heard(); !heard.IsZero() || time.Since(began) > parkFor {
 			return false, c.refuse(stream)
 		}
 		if time.Since(said) > beat {
--- a/internal/role/tree_test.go
+++ b/internal/role/tree_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,9 +17,11 @@
 
 // treeSite starts five control hosts and entries that all have the first configuration, and
 // have settled with the hosts that they prefer.
-func treeSite(t *testing.T, seed int64, entries int) *site {
-	s := newSite(t, seed, 5, entries, noOne)
-	s.await(20*time.Second, "five voters", func() bool { return s.voters() == 5 })
+func treeSite(t *testing.T, seed int64, entries int) *site { return treeSiteOf(t, seed, 5, entries) }
+
+func treeSiteOf(t *testing.T, seed int64, control, entries int) *site {
+	s := newSite(t, seed, control, entries, noOne)
+	s.await(20*time.Second, "the voters", func() bool { return s.voters() == control })
 	s.await(time.Second, "an acknowledgement", func() bool { return s.put(1) != "" })
 	s.await(inForce, "the first configuration in force", func() bool { return s.oldest() == 1 })
 	time.Sleep(6 * time.Second)
@@ -128,6 +131,46 @@
 	}
 }
 
+// The control hosts are cut in two, the leader with three others on the smaller side;
+// entries reach all of them. The larger side elects a leader and acknowledges changes. An
+// entry that attended a host of the smaller side must have them in time: if each host there
+// that it asks next kept it waiting for a leader, it would be told of none for seconds.
+func TestEntriesLeaveTheSideWithoutALeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := treeSiteOf(t, 16, 9, 18)
+		defer s.close()
+		small := []string{s.leader()}
+		for ip := range s.control {
+			if len(small) < 4 && ip != small[0] {
+				small = append(small, ip)
+			}
+		}
+		for ip := range s.control {
+			for _, other := range small {
+				if !slices.Contains(small, ip) {
+					s.network.Cut(ip, other, true)
+					s.network.Cut(other, ip, true)
+				}
+			}
+		}
+		acked := map[uint64]time.Time{}
+		for version := uint64(2); version < 18; version++ {
+			if s.put(version) != "" {
+				acked[version] = time.Now()
+			}
+			for began := time.Now(); time.Since(began) < 400*time.Millisecond; time.Sleep(20 * time.Millisecond) {
+				for v, at := range acked {
+					require.False(t, time.Since(at) > inForce && s.oldest() < v, "version %d, acknowledged %s ago; %v", v, time.Since(at), s.attended())
+				}
+			}
+		}
+		require.NotEmpty(t, acked)
+		for _, ip := range small {
+			require.Zero(t, s.attended()[ip])
+		}
+	})
+}
+
 // A server says that it leaves, to a leader that most entries do not attend. Once that is
 // acknowledged no entry sends it anything: each has taken the word, over its own host.
 func TestDepartureIsKnownAtEveryEntryOnceAcknowledged(t *testing.T) {
