Refuse a long prompt at once whose engine has too much to read

Change: a long prompt that would wait for longer than its aim leaves is refused as not run, with the time at which the engine should have read it.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -220,7 +220,7 @@
 			if x.call.Model == "" && !x.fits() {
 				return false
 			}
-			return true
+			return !x.backlogged()
 		}
 		if x.call.Model == "" {
 			x.giveUp(OutcomeNoServer, refuseAfter)
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -203,3 +203,16 @@
 	_, ok := a.a.expect(target{"p", model, ""}, began)
 	return ok
 }
+
+// TooLong reports whether a call with an aim is refused, as the engine that it would be
+// sent to has too much to read.
+func (e *Engines) TooLong(c *Call, aim time.Duration) bool {
+	return e.f.backlog(e.f.choose("p", c, nil, time.Now(), e.random), c).tooLong(aim)
+}
+
+// HasRead notes that an engine has read tokens that were sent to it, End that a call has
+// ended there.
+func (e *Engines) HasRead(id string, tokens int) { e.f.read(e.f.servers[id], tokens) }
+
+// End notes that a call has ended at an engine.
+func (e *Engines) End(id string, c *Call) { e.f.end(e.f.servers[id], c, 0) }
