Ask a few engines at a time for reports

Change: 24 reports are asked for at a time; an engine that has been heard of meanwhile is not asked twice.

--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -59,6 +59,11 @@
 	triesSoon     = 3
 	againLongest  = 4 * againSoon
 	triesToDouble = 2
+	// asksAtOnce is how many engines are asked for a report at a time. A leader that has
+	// just begun asks all of them, and its host of a quarter of a core must say in between
+	// that it leads: with 240 asked at once leaders lost their lead over it, and the next
+	// one asked all again, nine times in fourteen seconds.
+	asksAtOnce = 24
 	// beatLag is how old an announcement may be when it comes.
 	beatLag = 1500 * time.Millisecond
 	// firstTerm is the term of a group's first leader: nobody can have given orders
@@ -131,6 +136,8 @@
 	forecasts map[target]forecast
 	// told is when a model was last logged as blocked.
 	told map[string]time.Time
+	// asking holds a token for each report that is asked for.
+	asking chan struct{}
 	// assigning is set while holders are being recorded.
 	assigning bool
 }
@@ -140,7 +147,7 @@
 	d := &Driver{
 		cfg: cfg, kick: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
 		engines: map[string]*engine{}, late: map[string][]sentLoad{}, leases: map[string]time.Time{}, demands: map[target]*demand{}, begun: map[string][]time.Time{}, stores: map[string]*store{},
-		told: map[string]time.Time{}, forecasts: map[target]forecast{},
+		told: map[string]time.Time{}, forecasts: map[target]forecast{}, asking: make(chan struct{}, asksAtOnce),
 	}
 	go func() {
 		defer close(d.done)
@@ -340,7 +347,6 @@
 	}
 	switch e.phase {
 	case phaseUnknown:
-		e.notBefore = now.Add(againSoon)
 		d.ask(e, now)
 	case phaseWorking:
 		if now.Before(e.due) {
@@ -351,7 +357,6 @@
 			d.publish(e)
 			return
 		}
-		e.notBefore = now.Add(againSoon)
 		d.ask(e, now)
 	case phaseUncertain:
 		if now.Before(e.ordersFrom) {
--- a/internal/loading/giving.go
+++ b/internal/loading/giving.go
@@ -141,12 +141,20 @@
 	return nil
 }
 
-// ask asks an engine for a report.
+// ask asks an engine for a report, unless as many are asked as may be at once: it is its
+// turn in a later round then.
 func (d *Driver) ask(e *engine, now time.Time) {
+	select {
+	case d.asking <- struct{}{}:
+	default:
+		return
+	}
+	e.notBefore = now.Add(againSoon)
 	address, phase, taken := e.address, e.phase, e.taken
 	d.wg.Add(1)
 	go func() {
 		defer d.wg.Done()
+		defer func() { <-d.asking }()
 		ctx, cancel := context.WithTimeout(context.Background(), orderWait)
 		defer cancel()
 		r, err := d.report(ctx, address, e.id)
--- a/internal/loading/recall.go
+++ b/internal/loading/recall.go
@@ -26,6 +26,12 @@
 		d.wg.Add(1)
 		go func() {
 			defer d.wg.Done()
+			select {
+			case d.asking <- struct{}{}:
+			case <-d.stop:
+				return
+			}
+			defer func() { <-d.asking }()
 			d.recallEngine(k, term, now)
 		}()
 	}
@@ -40,6 +46,9 @@
 // recallEngine asks an engine what it holds, and takes the answer for its
 // announcement unless one has come meanwhile.
 func (d *Driver) recallEngine(k *schema.KnownServer, term uint64, at time.Time) {
+	if !d.recalls(term) || d.knows(k.GetId()) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), orderWait)
 	defer cancel()
 	r, err := d.report(ctx, k.GetAddress(), k.GetId())
@@ -61,6 +70,13 @@
 	}
 }
 
+// knows reports whether an engine has been heard of, and is asked for that.
+func (d *Driver) knows(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.engines[id] != nil
+}
+
 // recalls reports whether this host still leads in a term.
 func (d *Driver) recalls(term uint64) bool {
 	d.mu.Lock()
--- /dev/null
+++ b/internal/loading/recall_test.go
@@ -0,0 +1,77 @@
+package loading_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"fennelyard/internal/loading"
+	"fennelyard/internal/roster"
+	"fennelyard/internal/schema"
+)
+
+// A host begins to lead before 240 engines, of which it knows from the log and by their
+// first words. It asks each what it holds, a few at a time: a host that asks all at once
+// does not come to say that it leads, is taken for lost, and the next one does the same.
+func TestNewLeaderAsksAFewEnginesAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const engines, answer = 240, 20 * time.Millisecond
+		var mu sync.Mutex
+		asked, atOnce, most := map[string]int{}, 0, 0
+		r := roster.New(roster.Config{
+			AnnounceEvery: time.Second, Departed: func(string) bool { return false }, Now: time.Now, Log: logr.Discard(),
+		})
+		d := loading.NewDriver(loading.Config{
+			Leadership: func() loading.Leadership { return loading.Leadership{Leads: true, Term: 2} },
+			Holders: loading.Holders{
+				Of: func(string) loading.Holder { return loading.Holder{} }, Recorded: func() []string { return nil },
+				Hosts:  func() []string { return nil },
+				Record: func(context.Context, map[string]loading.HolderChange, []string) error { return nil },
+			},
+			Ask: func(_ context.Context, _, server string) (loading.Report, error) {
+				mu.Lock()
+				asked[server]++
+				atOnce++
+				most = max(most, atOnce)
+				mu.Unlock()
+				time.Sleep(answer)
+				mu.Lock()
+				defer mu.Unlock()
+				atOnce--
+				return loading.Report{}, nil
+			},
+			Roster: r,
+			Known: func() []*schema.KnownServer {
+				var out []*schema.KnownServer
+				for i := range engines / 2 {
+					out = append(out, &schema.KnownServer{Id: fmt.Sprint("e", i), Pool: "llm", Address: fmt.Sprint("a:", i)})
+				}
+				return out
+			},
+			Pools:      func() []*schema.Pool { return []*schema.Pool{{Name: "llm", Engine: &schema.EngineSpec{MemoryMb: 1}}} },
+			OrderLease: lease, LoadWindow: 5 * time.Second, Now: time.Now, Log: logr.Discard(),
+		})
+		defer d.Stop()
+		d.Follow()
+		for i := range engines {
+			a := roster.Announcement{ID: fmt.Sprint("e", i), Pool: "llm", Address: fmt.Sprint("a:", i), Sequence: 1}
+			if i >= engines/2 && r.Announce(a) {
+				d.Announced(a)
+			}
+		}
+		took := await(t, func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return len(asked) == engines
+		})
+		require.Less(t, took, 3*time.Second)
+		require.LessOrEqual(t, most, 24)
+		require.GreaterOrEqual(t, most, 12)
+	})
+}
