--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -44,6 +44,10 @@
 	Founding bool
 	Storage  *consensus.Storage
 	Dialer   *peer.Dialer
+	// Asking is the dialer of questions to the leader; nil: Dialer. A connection on which
+	// calls keep timing out is replaced, and with many questions to a busy leader at a time
+	// that must not be the one on which it says that it leads.
+	Asking *peer.Dialer
 	// Heartbeat is the tick of the group, Election the shortest election
 	// timeout.
 	Heartbeat     time.Duration
@@ -329,7 +333,11 @@
 	if s.LeaderHost == "" {
 		return 0, consensus.ErrNotLeader
 	}
-	client, err := g.cfg.Dialer.Client(s.LeaderHost)
+	dialer := g.cfg.Asking
+	if dialer == nil {
+		dialer = g.cfg.Dialer
+	}
+	client, err := dialer.Client(s.LeaderHost)
 	if err != nil {
 		return 0, errors.Newf("reach leader: %w", err)
 	}
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -68,10 +68,11 @@
 	self    *schema.HostSettings
 	storage *consensus.Storage
 	dialer  *peer.Dialer
-	// news connects to the leader that this host follows: a stream that has fallen silent
-	// is renewed with its connection, and elections must not lose theirs for it.
-	news  *peer.Dialer
-	group *control.Group
+	// news connects to the leader that this host follows, and orders to holders of orders
+	// and to the leader for theirs: connections that have fallen silent are renewed, and
+	// elections must not lose theirs for it.
+	news, orders *peer.Dialer
+	group        *control.Group
 	// roster is what this host believes while it leads, and mirror what the leader says;
 	// entries are those that attend this host, and heard the servers that announce
 	// themselves here.
@@ -106,7 +107,8 @@
 	address := settings.PeerAddress(s.GetIp(), s)
 	c := &Control{
 		cfg: cfg, dialer: peer.NewDialer(peer.DialerConfig{Dial: cfg.Network.Dial}),
-		news: peer.NewDialer(peer.DialerConfig{Dial: cfg.Network.Dial}), stop: make(chan struct{}), done: make(chan struct{}),
+		news:   peer.NewDialer(peer.DialerConfig{Dial: cfg.Network.Dial}),
+		orders: peer.NewDialer(peer.DialerConfig{Dial: cfg.Network.Dial}), stop: make(chan struct{}), done: make(chan struct{}),
 		self: &schema.HostSettings{Name: address, PeerAddress: address, DataCentre: s.GetDataCentre(), Control: true},
 	}
 	c.roster = roster.New(roster.Config{
@@ -179,7 +181,7 @@
 	}
 	c.group, err = control.NewGroup(control.Config{
 		Group: groupID, Self: c.self, Seeds: c.cfg.Settings.Seeds, Founding: s.GetFounding(),
-		Storage: c.storage, Dialer: c.dialer, Heartbeat: heartbeat, Election: election,
+		Storage: c.storage, Dialer: c.dialer, Asking: c.orders, Heartbeat: heartbeat, Election: election,
 		SnapshotAfter: snapshotAfter, SilentTicks: silentTicks, Random: c.cfg.Random, Log: c.cfg.Log.WithName("group"),
 	})
 	if err != nil {
@@ -283,6 +285,7 @@
 		c.wg.Wait()
 		c.dialer.Close()
 		c.news.Close()
+		c.orders.Close()
 		if c.storage != nil {
 			if err := c.storage.Close(); err != nil {
 				c.cfg.Log.Error(err, "state not closed")
--- a/internal/role/orders.go
+++ b/internal/role/orders.go
@@ -82,7 +82,7 @@
 	if holder == c.self.GetPeerAddress() {
 		return c.hand.Give(ctx, term, address, o)
 	}
-	client, err := c.dialer.Client(holder)
+	client, err := c.orders.Client(holder)
 	if err != nil {
 		return loading.OutcomeUnknown, errors.Newf("reach order holder: %v: %w", err, loading.ErrNotSent)
 	}
