--- a/internal/role/tree_test.go
+++ b/internal/role/tree_test.go
@@ -203,6 +203,34 @@
 	})
 }
 
+// The disk of a control host stalls for ten seconds: it hears the leader, and its log stands
+// still. Its entries must have what operators change meanwhile, and operators must be
+// answered: after a moment the host sends its entries elsewhere, and nobody waits for it.
+// When its disk goes on it takes entries again.
+func TestStalledDiskHoldsNobodyUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := treeSite(t, 17, 12)
+		defer s.close()
+		host := s.someFollower()
+		s.stall(host, 10*time.Second)
+		began, acked := time.Now(), map[uint64]time.Time{}
+		for version := uint64(2); time.Since(began) < 9*time.Second; version++ {
+			asked := time.Now()
+			s.await(3*time.Second, "an acknowledgement", func() bool { return s.put(version) != "" })
+			acked[version] = time.Now()
+			if time.Since(began) > 4*time.Second {
+				require.Less(t, time.Since(asked), time.Second)
+				require.Zero(t, s.attended()[host])
+			}
+			time.Sleep(200 * time.Millisecond)
+			for v, at := range acked {
+				require.False(t, time.Since(at) > inForce && s.oldest() < v, "version %d", v)
+			}
+		}
+		s.await(10*time.Second, "entries at the host again", func() bool { return s.attended()[host] > 0 })
+	})
+}
+
 // A control host's disk is slow: it follows the leader, and its log lags. For a second that
 // is let pass, as logs lag by a moment all the time; then its entries must go elsewhere. It
 // counts again once it has what the leader had when it began to lag.
