--- a/internal/gateway/attend.go
+++ b/internal/gateway/attend.go
@@ -46,6 +46,10 @@
 	// refusedPause is the time until another host is asked after one has refused: it has
 	// kept this entry waiting already.
 	refusedPause = 10 * time.Millisecond
+	// movePause is the time until a host that is preferred is asked. It is not 0: the race
+	// detector's own code ends the process, now and then, where a select meets a timer of no
+	// time in simulated time.
+	movePause = time.Millisecond
 	// moveSpread is the time over which entries move to a host that they prefer, each at a
 	// moment of its own: a host that comes back is not met by a ninth of them at once.
 	moveSpread = 2 * time.Second
@@ -55,7 +59,7 @@
 	// errNotLeader says that the host asked does not tell what the leader says.
 	errNotLeader = errors.New("the host does not hear the leader")
 	// errMove says that the entry prefers another host.
-	errMove = errors.New("a nearer control host, or one with fewer entries, is there")
+	errMove = errors.New("a control host that this entry prefers is there")
 	// errEarlierTerm says that a host's word is of a leader before the last one heard of.
 	errEarlierTerm = errors.New("the word is of an earlier leader")
 	errHostSilent  = errors.New("the host is silent")
@@ -127,7 +131,7 @@
 // ended notes why a stream ended, and returns how long to wait before the next one.
 func (a *attendant) ended(address string, err error) time.Duration {
 	if errors.Is(err, errMove) {
-		return 0
+		return movePause
 	}
 	lost := a.found
 	a.found = false
