--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -114,7 +114,7 @@
 	c.roster = roster.New(roster.Config{
 		Self: address, AnnounceEvery: s.GetAnnounceEvery().AsDuration(), Departed: c.departed, Now: time.Now, Log: cfg.Log.WithName("roster"),
 	})
-	c.mirror = roster.NewMirror(roster.MirrorConfig{Now: time.Now, Log: cfg.Log.WithName("mirror")})
+	c.mirror = roster.NewMirror(roster.MirrorConfig{Now: time.Now})
 	c.heard = roster.NewHeard(time.Now)
 	c.entries = attendance.New(attendance.Config{Now: time.Now, Log: cfg.Log.WithName("attendance")})
 	if err := c.start(s); err != nil {
--- a/internal/roster/mirror.go
+++ b/internal/roster/mirror.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-logr/logr"
 	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/incarnation"
@@ -14,7 +13,6 @@
 // MirrorConfig configures a Mirror. All fields are required.
 type MirrorConfig struct {
 	Now func() time.Time
-	Log logr.Logger
 }
 
 // Mirror is a control host's copy of the leader's roster, by the leader's words. Entries
--- a/internal/roster/mirror_test.go
+++ b/internal/roster/mirror_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
 	"fennelyard/internal/roster"
@@ -19,7 +18,7 @@
 
 func newMirror() (*roster.Mirror, *clock) {
 	c := &clock{now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)}
-	return roster.NewMirror(roster.MirrorConfig{Now: func() time.Time { return c.now }, Log: logr.Discard()}), c
+	return roster.NewMirror(roster.MirrorConfig{Now: func() time.Time { return c.now }}), c
 }
 
 func server(id string, state schema.RosterState, models ...string) *schema.RosterServer {
