--- a/internal/attendance/attendance_test.go
+++ b/internal/attendance/attendance_test.go
@@ -146,6 +146,16 @@
 	check(0, 0, 1)
 }
 
+// urgent reports whether the leader is to be told at once.
+func urgent(e *attendance.Entries) bool {
+	select {
+	case <-e.Urgent():
+		return true
+	default:
+		return false
+	}
+}
+
 // A change is acknowledged once all entries have it. One of them is behind: the host must
 // not say more than that one knows, and says which it is. Silent entries count for
 // nothing, and a host without entries speaks for itself.
@@ -183,50 +193,34 @@
 // last one does, not with the host's next beat.
 func TestLeaderIsToldAtOnceWhenTheLastEntryKnows(t *testing.T) {
 	e, _ := newEntries()
-	urgent := func() bool {
-		select {
-		case <-e.Urgent():
-			return true
-		default:
-			return false
-		}
-	}
 	e.Attend(1, entry("e1"), 1)
 	e.Attend(2, entry("e2"), 1)
-	require.False(t, urgent())
+	require.False(t, urgent(e))
 	e.Expect(far(0, 5))
 	e.Told(1, "e1", far(0, 5))
-	require.False(t, urgent())
+	require.False(t, urgent(e))
 	e.Told(2, "e2", far(0, 4))
-	require.False(t, urgent())
+	require.False(t, urgent(e))
 	e.Told(2, "e2", far(0, 6))
-	require.True(t, urgent())
+	require.True(t, urgent(e))
 	e.Told(2, "e2", far(0, 7))
-	require.False(t, urgent())
+	require.False(t, urgent(e))
 }
 
 // Requests wait for a model at one entry, then at another as well. The leader is told at
 // once that somebody waits, and with the next beat that more do.
 func TestLeaderIsToldAtOnceOfANewModel(t *testing.T) {
 	e, _ := newEntries()
-	urgent := func() bool {
-		select {
-		case <-e.Urgent():
-			return true
-		default:
-			return false
-		}
-	}
 	e.Attend(1, entry("e1"), 1)
 	e.Attend(2, entry("e2"), 1)
 	wait := func(stream uint64, host, model string, n uint32) {
 		e.Hear(stream, host, &schema.EntryNews{Demands: []*schema.ModelDemand{{Pool: "p", Model: model, Waiting: n}}})
 	}
 	wait(1, "e1", "m", 1)
-	require.True(t, urgent())
+	require.True(t, urgent(e))
 	wait(2, "e2", "m", 1)
 	wait(1, "e1", "m", 2)
-	require.False(t, urgent())
+	require.False(t, urgent(e))
 	wait(2, "e2", "n", 1)
-	require.True(t, urgent())
+	require.True(t, urgent(e))
 }
--- a/internal/gateway/backlog.go
+++ b/internal/gateway/backlog.go
@@ -21,10 +21,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	o := f.seen(s.view.GetPool())
-	reading := func(tokens int) time.Duration {
-		return time.Duration(float64(tokens) / o.readRate() * float64(time.Millisecond))
-	}
-	return backlog{before: reading(max(s.unread, 0) + s.others.unread), own: reading(s.uncached(c)), waits: o.isLong(c)}
+	return backlog{before: o.readTime(max(s.unread, 0) + s.others.unread), own: o.readTime(s.uncached(c)), waits: o.isLong(c)}
 }
 
 // tooLong reports whether a call of a route with an aim should not be sent: its first event
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -68,7 +68,7 @@
 func (f *fleet) readTime(pool string, tokens int) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Duration(float64(tokens) / f.seen(pool).readRate() * float64(time.Millisecond))
+	return f.seen(pool).readTime(tokens)
 }
 
 // update takes the leader's word in. With settled, named holds every server that
--- a/internal/gateway/observed.go
+++ b/internal/gateway/observed.go
@@ -89,6 +89,11 @@
 	return min(max(spread/slope, readRateAtFirst/10), readRateAtFirst*10)
 }
 
+// readTime is how long an engine reads so many tokens.
+func (o *observed) readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / o.readRate() * float64(time.Millisecond))
+}
+
 // arrive notes a request's prompt.
 func (o *observed) arrive(c *Call) {
 	long := 0.0
--- a/internal/roster/told.go
+++ b/internal/roster/told.go
@@ -54,13 +54,6 @@
 	r.awaited += by
 }
 
-// Awaited reports whether anybody waits until the entries have been told.
-func (r *Roster) Awaited() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.awaited > 0
-}
-
 // behind names the hosts that speak and have not been told so far, each with entries of
 // its own that hold it back.
 func (r *Roster) behind(far Told) []string {
