Tell whether a server has ended at which attempts broke off, and of which request

Callers' requests broke off while one server after the other ended. The logs said neither whether the server had ended or only the connection, nor whether the attempts were of one request that was repeated: a line named route, model and size. Both are needed to tell the hypotheses of the incident apart.

An entry now tries the address of a server at which an attempt broke off, and says what it answers: a refused connection is a process that has ended.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -16,6 +16,8 @@
 type Call struct {
 	// ID names this attempt of the caller.
 	ID string
+	// Caller is the secret by which the caller is known, empty for one without a name.
+	Caller string
 	// Wait is how long the caller will wait; 0: not told.
 	Wait time.Duration
 	// Model is empty for requests to plain services; Adapter may be empty.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/quarantine"
 	"fennelyard/internal/relay"
 	"fennelyard/internal/schema"
 )
@@ -95,6 +96,8 @@
 	// chosen: requests, and prompt tokens not read.
 	atOnce int
 	unread int
+	// key names the request as its caller repeats it; the zero value: it was not needed yet.
+	key quarantine.Key
 	// started is set once a byte of the answer has left.
 	started bool
 	status  int
@@ -314,6 +317,7 @@
 		return false
 	}
 	x.g.fleet.bad(s, time.Now())
+	x.brokeOff(s, err)
 	x.tried = append(x.tried, s.id)
 	if errors.Is(err, relay.ErrNotSent) {
 		x.attempts--
@@ -323,6 +327,26 @@
 	return x.timeLeft() && x.repeat()
 }
 
+// brokeOff has the end of a server looked into at which an attempt broke off. What the
+// caller's leaving, the time's end or this entry broke off says nothing about the server;
+// one that leaves ends anyhow, whatever it runs.
+func (x *exchange) brokeOff(s *server, err error) {
+	if !errors.Is(err, relay.ErrBroken) || x.paid || x.ctx.Err() != nil || !x.g.fleet.takesWork(s) {
+		return
+	}
+	x.g.inquest.brokeOff(s.id, s.address, x.suspectKey())
+}
+
+// suspectKey returns the request's key.
+func (x *exchange) suspectKey() quarantine.Key {
+	if x.key == (quarantine.Key{}) {
+		x.key = quarantine.Request{
+			Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI, Caller: x.call.Caller, Body: x.body,
+		}.Key()
+	}
+	return x.key
+}
+
 // endNow answers a request whose dispatch the end of this entry broke off.
 func (x *exchange) endNow(err error) {
 	if !errors.Is(err, relay.ErrNotSent) {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -256,6 +256,13 @@
 	s.count(c, -1)
 }
 
+// takesWork reports whether a server takes new work, as far as is known.
+func (f *fleet) takesWork(s *server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.ready()
+}
+
 // good and bad note whether the server answered.
 func (f *fleet) good(s *server) {
 	f.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/peer"
+	"fennelyard/internal/quarantine"
 	"fennelyard/internal/relay"
 	"fennelyard/internal/schema"
 )
@@ -53,7 +54,9 @@
 	fleet  *fleet
 	asked  *asked
 	attend *attendant
-	table  atomic.Pointer[table]
+	// inquest finds out which servers have ended under requests.
+	inquest *inquest
+	table   atomic.Pointer[table]
 	// began is when the gateway started, and configured is closed at its first
 	// configuration.
 	began      time.Time
@@ -85,6 +88,9 @@
 		budgets: map[string]*budget{}, paces: map[string]*pace{},
 	}
 	g.attend = newAttendant(g)
+	g.inquest = newInquest(inquestConfig{
+		Presence: cfg.Sender.Presence, Ended: func(string, []quarantine.Key) {}, Log: cfg.Log.WithName("inquest"),
+	})
 	g.ended, g.end = context.WithCancel(context.Background())
 	go func() {
 		defer close(g.done)
@@ -125,6 +131,7 @@
 func (g *Gateway) Close() {
 	g.end()
 	g.once.Do(func() { close(g.stop) })
+	g.inquest.close()
 	<-g.done
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -142,12 +142,23 @@
 }
 
 func newBedWith(t *testing.T, budget gateway.BudgetConfig, backends ...*backend) *bed {
+	t.Helper()
+	return newBedOf(t, budget, logr.Discard(), backends...)
+}
+
+// newBedLogging is a bed that logs what it believes.
+func newBedLogging(t *testing.T, log logr.Logger, backends ...*backend) *bed {
+	t.Helper()
+	return newBedOf(t, gateway.BudgetConfig{Ratio: 0.2, Window: 10 * time.Millisecond, Slack: 100}, log, backends...)
+}
+
+func newBedOf(t *testing.T, budget gateway.BudgetConfig, log logr.Logger, backends ...*backend) *bed {
 	t.Helper()
 	dialer := peer.NewDialer(peer.DialerConfig{})
 	g := gateway.New(gateway.Config{
 		Self: &schema.RosterEntry{Host: "e", CallerAddress: "127.0.0.1:1"}, Seeds: func() []string { return nil }, Dialer: dialer,
 		Replica: ledger.NewReplica(), Sender: relay.NewSender(relay.Config{}), Codec: codec(),
-		Budget: budget, Log: logr.Discard(), Requests: logr.Discard(),
+		Budget: budget, Log: log, Requests: logr.Discard(),
 	})
 	t.Cleanup(func() {
 		g.Close()
--- /dev/null
+++ b/internal/gateway/inquest.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"fennelyard/internal/quarantine"
+	"fennelyard/internal/relay"
+)
+
+const (
+	// inquestAskers is how many addresses are tried at once. One that does not answer
+	// takes half a second, and a rack that loses its power has a dozen servers.
+	inquestAskers = 4
+	// inquestQueue bounds the servers that wait to be tried.
+	inquestQueue = 64
+	// inquestKeys bounds the requests that are remembered of a server until it is known
+	// whether it has ended: as many as run at an engine.
+	inquestKeys = 128
+	// inquestTries and inquestPause are how often an address that still answers is tried:
+	// the last connections of a process that ends may close before its port does.
+	inquestTries = 2
+	inquestPause = 50 * time.Millisecond
+	// inquestForget is how long what was found of a server is kept. Its attempts break off
+	// within moments of each other.
+	inquestForget = 10 * time.Second
+	// keysLogged bounds the keys in a log line.
+	keysLogged = 16
+)
+
+// inquestConfig configures an inquest. All fields are required.
+type inquestConfig struct {
+	Presence func(ctx context.Context, address string) relay.Presence
+	// Ended is told of the requests whose attempts broke off as their server ended.
+	Ended func(server string, keys []quarantine.Key)
+	Log   logr.Logger
+}
+
+// inquest finds out, where attempts break off, whether the server has ended: then the
+// requests that it ran may be the reason. An answer that is lost, a path that is cut and
+// a server that is slow say nothing about a request. All methods are safe from any
+// goroutine.
+type inquest struct {
+	cfg   inquestConfig
+	queue chan *inquiry
+	ctx   context.Context
+	stop  context.CancelFunc
+	done  chan struct{}
+
+	mu sync.Mutex
+	// inquiries are by the server's incarnation; guarded by mu.
+	inquiries map[string]*inquiry
+}
+
+// inquiry is about one incarnation of a server.
+type inquiry struct {
+	server, address string
+	// The fields below are guarded by the inquest's mutex. keys are of the attempts that
+	// broke off there and are not told yet.
+	keys []quarantine.Key
+	// asking is set until the address has been tried.
+	asking bool
+	// ended is set once the server is known to have ended, which it stays.
+	ended bool
+	// found is when the address was last tried.
+	found time.Time
+}
+
+func newInquest(cfg inquestConfig) *inquest {
+	q := &inquest{cfg: cfg, queue: make(chan *inquiry, inquestQueue), done: make(chan struct{}), inquiries: map[string]*inquiry{}}
+	q.ctx, q.stop = context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for range inquestAskers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			q.run()
+		}()
+	}
+	go func() {
+		defer close(q.done)
+		wg.Wait()
+	}()
+	return q
+}
+
+// close ends the inquest.
+func (q *inquest) close() {
+	q.stop()
+	<-q.done
+}
+
+// brokeOff notes that an attempt broke off at a server.
+func (q *inquest) brokeOff(server, address string, key quarantine.Key) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.forget(time.Now())
+	i := q.inquiries[server]
+	if i == nil {
+		i = &inquiry{server: server, address: address}
+		q.inquiries[server] = i
+	}
+	if len(i.keys) < inquestKeys {
+		i.keys = append(i.keys, key)
+	}
+	if i.asking {
+		return
+	}
+	select {
+	case q.queue <- i:
+		i.asking = true
+	default:
+		// Nothing is learned of this server until its next attempt breaks off.
+		q.cfg.Log.Info("server not asked after", "server", server, "waiting", inquestQueue)
+	}
+}
+
+// forget drops what was found long ago; mu is held.
+func (q *inquest) forget(now time.Time) {
+	for server, i := range q.inquiries {
+		if !i.asking && now.Sub(i.found) > inquestForget {
+			delete(q.inquiries, server)
+		}
+	}
+}
+
+func (q *inquest) run() {
+	for {
+		select {
+		case <-q.ctx.Done():
+			return
+		case i := <-q.queue:
+			q.ask(i)
+		}
+	}
+}
+
+// ask tries an address unless its server is known to have ended.
+func (q *inquest) ask(i *inquiry) {
+	q.mu.Lock()
+	known := i.ended
+	q.mu.Unlock()
+	presence := relay.PresenceRefused
+	for try := 0; !known && try < inquestTries; try++ {
+		if try > 0 && !q.pause() {
+			return
+		}
+		if presence = q.cfg.Presence(q.ctx, i.address); presence != relay.PresenceListening {
+			break
+		}
+	}
+	if q.ctx.Err() != nil {
+		return
+	}
+	q.conclude(i, presence)
+}
+
+func (q *inquest) pause() bool {
+	select {
+	case <-q.ctx.Done():
+		return false
+	case <-time.After(inquestPause):
+		return true
+	}
+}
+
+// conclude tells what an address has answered.
+func (q *inquest) conclude(i *inquiry, presence relay.Presence) {
+	q.mu.Lock()
+	keys := i.keys
+	i.keys, i.asking, i.found = nil, false, time.Now()
+	i.ended = presence == relay.PresenceRefused
+	q.mu.Unlock()
+	q.cfg.Log.Info("attempts broke off", "server", i.server, "address", i.address, "answers", presence.String(),
+		"ended", presence == relay.PresenceRefused, "attempts", len(keys), "keys", keyTexts(keys))
+	if presence == relay.PresenceRefused {
+		q.cfg.Ended(i.server, keys)
+	}
+}
+
+// keyTexts returns a few keys as a log line has them.
+func keyTexts(keys []quarantine.Key) []string {
+	var out []string
+	for _, k := range keys[:min(len(keys), keysLogged)] {
+		out = append(out, k.String())
+	}
+	return out
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -48,6 +48,7 @@
 		}
 		x.cause = err
 		x.g.fleet.bad(s, time.Now())
+		x.brokeOff(s, err)
 		x.tried = append(x.tried, s.id)
 		if s, answer = x.resume(last); answer == nil {
 			x.giveUp(OutcomeCut, 0)
@@ -122,6 +123,7 @@
 		if err != nil {
 			x.cause = err
 			x.g.fleet.bad(s, time.Now())
+			x.brokeOff(s, err)
 			if !errors.Is(err, relay.ErrNotSent) {
 				x.runs++
 			}
--- /dev/null
+++ b/internal/quarantine/key.go
@@ -0,0 +1,51 @@
+// Package quarantine finds the requests that end the servers that run them. Under such
+// a request, repeated by its caller, a server after the other ends, and whatever ran
+// beside it breaks off.
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"io"
+)
+
+// keyBytes is the length of a Key: requests that differ share one by chance in no
+// deployment's life.
+const keyBytes = 16
+
+// Key names a request, alike each time that its caller repeats it and at every entry. It
+// is a digest: nothing of the request can be read from it.
+type Key [keyBytes]byte
+
+// String returns the key in hexadecimal digits.
+func (k Key) String() string { return hex.EncodeToString(k[:]) }
+
+// Request is what stays the same when a caller repeats a request. Ids and times to wait
+// are new each time.
+type Request struct {
+	Method string
+	Host   string
+	// Target is the path and query as the caller wrote them.
+	Target string
+	// Caller is the secret by which the caller is known; empty for one without a name.
+	Caller string
+	Body   []byte
+}
+
+// Key returns the request's key.
+func (r Request) Key() Key {
+	h := sha256.New()
+	var length [8]byte
+	// Each part's length goes before it: parts that are cut in another way differ.
+	for _, part := range []string{r.Method, r.Host, r.Target, r.Caller} {
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		// Writing to a hash does not fail.
+		_, _ = h.Write(length[:])
+		_, _ = io.WriteString(h, part)
+	}
+	_, _ = h.Write(r.Body)
+	var k Key
+	copy(k[:], h.Sum(nil))
+	return k
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -68,6 +68,8 @@
 type Config struct {
 	// Dialed, where set, is told of each connection that was tried.
 	Dialed func(took time.Duration, err error)
+	// Dial connects to an address; nil: over TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Sender sends requests, each on a connection of its own. A kept connection may
@@ -80,10 +82,28 @@
 
 // NewSender returns a Sender.
 func NewSender(cfg Config) *Sender {
-	return &Sender{cfg: cfg, dialer: net.Dialer{
+	s := &Sender{cfg: cfg, dialer: net.Dialer{
 		Timeout: dialWait, Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probes},
 	}}
+	if s.cfg.Dial == nil {
+		s.cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return s.dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	return s
+}
+
+// dial connects to an address within dialWait.
+func (s *Sender) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialWait)
+	defer cancel()
+	began := time.Now()
+	conn, err := s.cfg.Dial(ctx, address)
+	if s.cfg.Dialed != nil {
+		s.cfg.Dialed(time.Since(began), err)
+	}
+	return conn, err
 }
 
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
@@ -124,11 +144,7 @@
 // Send sends a request and waits for the answer's header. The context's end
 // closes the connection at once, also while the body is read.
 func (s *Sender) Send(ctx context.Context, address string, q *Request) (*Answer, error) {
-	began := time.Now()
-	conn, err := s.dialer.DialContext(ctx, "tcp", address)
-	if s.cfg.Dialed != nil {
-		s.cfg.Dialed(time.Since(began), err)
-	}
+	conn, err := s.dial(ctx, address)
 	if err != nil {
 		return nil, errors.Newf("connect to %s: %v: %w", address, err, ErrNotSent)
 	}
