Bring the incident about: a request that ends its servers is sent on and on

A caller repeats a request under which each server ends that begins to run it, at three entries in turn. 60 servers ended in 15 s of simulated time, 46 of them later than 3 s after the third; ordinary requests beside it broke off.

--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -76,8 +76,10 @@
 			Host: s.GetHost(), DataCentre: s.GetDataCentre(), CallerAddress: s.GetCallerAddress(),
 		},
 		Seeds: cfg.Settings.Seeds, Dialer: e.dialer, Replica: ledger.NewReplica(),
-		Sender: relay.NewSender(relay.Config{Dialed: func(_ time.Duration, err error) { cfg.Metrics.Connected(err) }}),
-		Codec:  cfg.Codec, Log: cfg.Log.WithName("entry"), Requests: cfg.Requests,
+		Sender: relay.NewSender(relay.Config{
+			Dialed: func(_ time.Duration, err error) { cfg.Metrics.Connected(err) }, Dial: cfg.Network.Dial,
+		}),
+		Codec: cfg.Codec, Log: cfg.Log.WithName("entry"), Requests: cfg.Requests,
 		Budget: gateway.BudgetConfig{
 			Ratio: s.GetRepeatRatio(), Window: s.GetRepeatWindow().AsDuration(), Slack: int(s.GetRepeatSlack()),
 		},
--- a/internal/role/export_test.go
+++ b/internal/role/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -91,6 +92,9 @@
 // Version returns the version of the configuration in force at this entry.
 func (e *Entry) Version() uint64 { return uint64(e.gateway.State().Version) }
 
+// Callers serves callers' requests at this entry.
+func (e *Entry) Callers() http.Handler { return e.gateway }
+
 // Attends returns the IP address of the control host that tells this entry what the leader
 // says, "": none.
 func (e *Entry) Attends() string {
--- a/internal/role/site_test.go
+++ b/internal/role/site_test.go
@@ -39,11 +39,15 @@
 	t       *testing.T
 	network *standin.Network
 	random  *rand.Rand
-	// control holds what runs; a host without power is absent.
-	control map[string]*role.Control
+	// control holds what runs; a host without power is absent. Others than the site's
+	// goroutine read it under controlMu.
+	controlMu sync.Mutex
+	control   map[string]*role.Control
 	// disks are the control hosts' folders.
 	disks   map[string]string
 	entries map[string]*role.Entry
+	// calls counts callers' requests.
+	calls int
 	// next is the number of the control host that will lead once the present leader is
 	// lost, noOne: chance decides. Hosts settle when to ask for votes as they hear a new
 	// leader, so that it must be set before that one is elected.
@@ -119,6 +123,8 @@
 		},
 	})
 	require.NoError(s.t, err)
+	s.controlMu.Lock()
+	defer s.controlMu.Unlock()
 	s.control[ip], s.disks[ip] = c, disk
 }
 
@@ -127,7 +133,7 @@
 	none := func(*role.Entry) http.Handler { return http.NotFoundHandler() }
 	e, err := role.NewEntry(role.EntryConfig{
 		Settings: s.settings(ip, fmt.Sprintf("caller-address: %s:9000\nready-address: %s:9001\n", ip, ip)),
-		Ready:    none, Directory: none, Metrics: metrics.New(), Log: siteLog(ip), Requests: logr.Discard(), Network: s.at(ip),
+		Codec:    backendCodec(), Ready: none, Directory: none, Metrics: metrics.New(), Log: siteLog(ip), Requests: logr.Discard(), Network: s.at(ip),
 	})
 	require.NoError(s.t, err)
 	s.entries[ip] = e
@@ -160,7 +166,9 @@
 func (s *site) powerOff(ip string) <-chan struct{} {
 	s.network.Off(ip)
 	c, over := s.control[ip], make(chan struct{})
+	s.controlMu.Lock()
 	delete(s.control, ip)
+	s.controlMu.Unlock()
 	go func() {
 		defer close(over)
 		c.Close()
