Hold back requests that end the servers that run them

Callers saw: a request under which every server ended was taken from its caller again and again.

Cause: an entry forgets a request as it ends. Limits on attempts, on repeats and ejection of servers all hold within one request or for one server; nothing knew a request again that its caller repeats, least of all at another entry. Class: a failure that follows its input from server to server, met by safeguards that only look at servers.

Ruled out: our own repeats multiply it (one attempt each throughout); another cause that it stands beside (what runs beside differs, the key is the same).

Change: where an attempt breaks off and the server's address refuses connections, the server has ended, and the entry accuses the request by its key. Accusations add up over entries, by server: they go up and down the streams between entries, control hosts and the leader, and every entry refuses a request at once, as not run, that has ended three servers, with the time after which it may try once more. A run to its end clears it. A server that leaves, a lost path and a lost answer are no evidence.

Why it holds: books of evidence only grow and merge the same in any order, so that a lost host or a repeated word changes nothing; the count is by server, not by attempt.

--- a/internal/gateway/attend.go
+++ b/internal/gateway/attend.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/logbook"
+	"fennelyard/internal/quarantine"
 	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
 )
@@ -286,7 +287,8 @@
 func (a *attendant) speak(ctx context.Context, stream grpc.BidiStreamingClient[schema.EntryNews, schema.LeaderNews], news *schema.EntryNews) {
 	ticker := time.NewTicker(speakEvery)
 	defer ticker.Stop()
-	for due := true; ; {
+	for due, suspects := true, uint64(0); ; {
+		news.Suspects, suspects = a.g.book.Since(suspects, quarantine.PartNoted)
 		news.Stopping = a.g.stopping.Load()
 		news.Demands = a.g.asked.collect()
 		news.Taken = a.taken.Load()
@@ -375,6 +377,7 @@
 	if l := news.GetEntries(); l != nil {
 		a.g.setEntries(l.GetEntries())
 	}
+	a.g.book.Take(news.GetSuspects(), true)
 	a.g.asked.forecast(news.GetForecasts(), time.Now())
 	a.taken.Store(news.GetSequence())
 	if news.GetConfirm() {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -36,6 +36,7 @@
 	OutcomeTimeout                     // timeout
 	OutcomeCallerGone                  // caller-gone
 	OutcomeStopping                    // entry-stopping
+	OutcomeHeldBack                    // held-back
 )
 
 const (
@@ -185,6 +186,9 @@
 	defer cancel()
 	defer context.AfterFunc(x.g.ended, cancel)()
 	x.ctx = ctx
+	if x.heldBack() {
+		return
+	}
 	x.pool = share(x.route, x.random)
 	x.g.budget(x.pool).earn(x.began, x.g.entryCount())
 	if x.call.Model != "" {
@@ -196,9 +200,42 @@
 
 func (x *exchange) target() target { return target{x.pool, x.call.Model, x.call.Adapter} }
 
+// heldBack refuses a request at once that is known to end the servers that run it. Its
+// caller would have the answer that it had before, or none, and whatever ran beside it
+// would break off. It is looked at before each attempt: the word may come while it waits,
+// or from its own last attempt.
+func (x *exchange) heldBack() bool {
+	left, held := x.quarantined()
+	if held {
+		x.giveUp(OutcomeHeldBack, left)
+	}
+	return held
+}
+
+// quarantined returns for how long the request is held back, and whether it is.
+func (x *exchange) quarantined() (time.Duration, bool) {
+	if !x.suspect() {
+		return 0, false
+	}
+	return x.g.book.Held(x.suspectKey())
+}
+
+// suspect reports whether the request may be under suspicion. For most it costs no digest
+// of the body.
+func (x *exchange) suspect() bool {
+	return !x.g.book.Empty() && x.g.book.Suspects(x.asRepeated().Hint())
+}
+
+// ranWhole notes that a server lived through the request.
+func (x *exchange) ranWhole() {
+	if x.suspect() && x.g.book.Clear(x.suspectKey()) {
+		x.g.speakSoon()
+	}
+}
+
 // step makes one attempt; it returns whether another one is due.
 func (x *exchange) step() bool {
-	if !x.find() {
+	if !x.find() || x.heldBack() {
 		return false
 	}
 	if x.attempts > 0 && !x.paid && !x.g.budget(x.pool).spend(time.Now(), x.g.entryCount()) {
@@ -337,12 +374,17 @@
 	x.g.inquest.brokeOff(s.id, s.address, x.suspectKey())
 }
 
+// asRepeated is what stays the same when the caller repeats the request.
+func (x *exchange) asRepeated() quarantine.Request {
+	return quarantine.Request{
+		Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI, Caller: x.call.Caller, Body: x.body,
+	}
+}
+
 // suspectKey returns the request's key.
 func (x *exchange) suspectKey() quarantine.Key {
 	if x.key == (quarantine.Key{}) {
-		x.key = quarantine.Request{
-			Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI, Caller: x.call.Caller, Body: x.body,
-		}.Key()
+		x.key = x.asRepeated().Key()
 	}
 	return x.key
 }
@@ -444,6 +486,7 @@
 		return x.failedIn(s, errors.Newf("status %d without a signature", answer.Status))
 	}
 	x.g.fleet.good(s)
+	x.ranWhole()
 	if answer.Status >= http.StatusInternalServerError && x.mayRepeatNow() {
 		x.cause = errors.Newf("server %s: status %d", s.id, answer.Status)
 		x.tried = append(x.tried, s.id)
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -247,3 +247,14 @@
 
 // Close ends it.
 func (q *Inquest) Close() { q.q.close() }
+
+// Suspected returns how many servers have ended, as far as this entry has found, under the
+// request under which most have.
+func (g *Gateway) Suspected() int {
+	most := 0
+	list, _ := g.book.Since(0, quarantine.PartAll)
+	for _, s := range list {
+		most = max(most, len(s.GetEnded()))
+	}
+	return most
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,8 +54,10 @@
 	fleet  *fleet
 	asked  *asked
 	attend *attendant
-	// inquest finds out which servers have ended under requests.
+	// inquest finds out which servers have ended under requests, and book is what is known
+	// of such requests.
 	inquest *inquest
+	book    *quarantine.Book
 	table   atomic.Pointer[table]
 	// began is when the gateway started, and configured is closed at its first
 	// configuration.
@@ -88,9 +90,8 @@
 		budgets: map[string]*budget{}, paces: map[string]*pace{},
 	}
 	g.attend = newAttendant(g)
-	g.inquest = newInquest(inquestConfig{
-		Presence: cfg.Sender.Presence, Ended: func(string, []quarantine.Key) {}, Log: cfg.Log.WithName("inquest"),
-	})
+	g.book = quarantine.New(quarantine.Config{Now: time.Now, Log: cfg.Log.WithName("quarantine")})
+	g.inquest = newInquest(inquestConfig{Presence: cfg.Sender.Presence, Ended: g.accuse, Log: cfg.Log.WithName("inquest")})
 	g.ended, g.end = context.WithCancel(context.Background())
 	go func() {
 		defer close(g.done)
@@ -112,6 +113,15 @@
 	g.speakSoon()
 }
 
+// accuse notes that a server ended under requests, and tells the control host at once: the
+// next repeat comes to any entry.
+func (g *Gateway) accuse(server string, keys []quarantine.Key) {
+	for _, key := range keys {
+		g.book.Accuse(key, server)
+	}
+	g.speakSoon()
+}
+
 // speakSoon has the next word to the leader leave at once.
 func (g *Gateway) speakSoon() {
 	select {
@@ -146,6 +156,8 @@
 	Ready   int
 	Entries int
 	Waiting int
+	// HeldBack counts the requests that are held back, as they end their servers.
+	HeldBack int
 	// LeaderAge is how long ago the leader spoke; negative: never.
 	LeaderAge time.Duration
 	// Host is the control host that tells this entry what the leader says, "": none, and
@@ -157,7 +169,7 @@
 // State returns what the gateway believes.
 func (g *Gateway) State() State {
 	s := State{
-		Servers: g.fleet.count(), Ready: g.fleet.readyCount(), Entries: g.entryCount(), Waiting: g.asked.waitingCount(), LeaderAge: g.attend.age(),
+		Servers: g.fleet.count(), Ready: g.fleet.readyCount(), Entries: g.entryCount(), Waiting: g.asked.waitingCount(), HeldBack: g.book.HeldCount(), LeaderAge: g.attend.age(),
 		Host: g.attend.attended(), Streams: g.attend.streams.Load(),
 	}
 	if t := g.table.Load(); t != nil {
--- a/internal/gateway/outcome_string.go
+++ b/internal/gateway/outcome_string.go
@@ -22,11 +22,12 @@
 	_ = x[OutcomeTimeout-11]
 	_ = x[OutcomeCallerGone-12]
 	_ = x[OutcomeStopping-13]
+	_ = x[OutcomeHeldBack-14]
 }
 
-const _Outcome_name = "servedserver-failedno-routeno-configurationbad-bodyno-serverno-modelbusyrepeat-budgetoutcome-unknowncuttimeoutcaller-goneentry-stopping"
+const _Outcome_name = "servedserver-failedno-routeno-configurationbad-bodyno-serverno-modelbusyrepeat-budgetoutcome-unknowncuttimeoutcaller-goneentry-stoppingheld-back"
 
-var _Outcome_index = [...]uint8{0, 6, 19, 27, 43, 51, 60, 68, 72, 85, 100, 103, 110, 121, 135}
+var _Outcome_index = [...]uint8{0, 6, 19, 27, 43, 51, 60, 68, 72, 85, 100, 103, 110, 121, 135, 144}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,6 +28,7 @@
 		switch {
 		case err == nil:
 			x.g.fleet.good(s)
+			x.ranWhole()
 			x.status, x.outcome = http.StatusOK, OutcomeServed
 			return false
 		case errors.Is(err, errCallerGone):
@@ -111,6 +112,9 @@
 		if x.route.GetRepeat() != schema.Repeat_REPEAT_RESUME || x.runs >= int(x.route.GetMaxAttempts()) {
 			return nil, nil
 		}
+		if _, held := x.quarantined(); held {
+			return nil, nil
+		}
 		left := time.Until(x.deadline)
 		s := x.g.fleet.choose(x.pool, &x.call, x.tried, time.Now(), x.random)
 		if s == nil || left < minLeft || !x.g.budget(x.pool).spend(time.Now(), x.g.entryCount()) {
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -64,6 +64,9 @@
 // hopeless tells whether a request for a model that no server holds cannot be
 // served in time, as what it ends then, and when to come back.
 func (x *exchange) hopeless(t target, now time.Time) (o Outcome, after time.Duration, yes bool) {
+	if left, held := x.quarantined(); held {
+		return OutcomeHeldBack, left, true
+	}
 	e, known := x.g.asked.expect(t, x.began)
 	expected := known && !e.ready.IsZero()
 	// A request that waits until the process ends would be cut off without an answer,
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -8,15 +8,27 @@
 	"encoding/binary"
 	"encoding/hex"
 	"io"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	hintBytes = 8
+	// digestBytes is the length of a digest: requests that differ share one by chance in
+	// no deployment's life.
+	digestBytes = 16
 )
 
-// keyBytes is the length of a Key: requests that differ share one by chance in no
-// deployment's life.
-const keyBytes = 16
+// Key names a request, alike each time that its caller repeats it and at every entry: a
+// Hint, and a digest from which nothing of the request can be read.
+type Key [hintBytes + digestBytes]byte
 
-// Key names a request, alike each time that its caller repeats it and at every entry. It
-// is a digest: nothing of the request can be read from it.
-type Key [keyBytes]byte
+// Hint tells most requests apart and is had in a fraction of a microsecond, where the
+// digest of a long body takes as long as sending it on.
+type Hint uint64
+
+// Hint returns the key's hint.
+func (k Key) Hint() Hint { return Hint(binary.BigEndian.Uint64(k[:])) }
 
 // String returns the key in hexadecimal digits.
 func (k Key) String() string { return hex.EncodeToString(k[:]) }
@@ -33,6 +45,11 @@
 	Body   []byte
 }
 
+// Hint returns the hint of the request's key.
+func (r Request) Hint() Hint {
+	return Hint(xxhash.Sum64String(r.Target) + uint64(len(r.Body)))
+}
+
 // Key returns the request's key.
 func (r Request) Key() Key {
 	h := sha256.New()
@@ -46,6 +63,7 @@
 	}
 	_, _ = h.Write(r.Body)
 	var k Key
-	copy(k[:], h.Sum(nil))
+	binary.BigEndian.PutUint64(k[:], uint64(r.Hint()))
+	copy(k[hintBytes:], h.Sum(nil))
 	return k
 }
--- a/internal/quarantine/key_test.go
+++ b/internal/quarantine/key_test.go
@@ -27,5 +27,6 @@
 		other := base
 		change(&other)
 		require.NotEqual(t, base.Key(), other.Key(), name)
+		require.Equal(t, other.Hint(), other.Key().Hint(), name)
 	}
 }
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,351 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"fennelyard/internal/schema"
+)
+
+const (
+	// enough is how many servers must have ended under a request before it is held back.
+	// What runs beside a harmful request breaks off with it, and is repeated as well: at
+	// two servers many requests have met one, at three hardly any.
+	enough = 3
+	// holdFirst is for how long a request is held back that has just ended enough servers.
+	// Then it may try once: a server that was mended runs it, and each one more that ends
+	// doubles the time.
+	holdFirst     = 5 * time.Minute
+	holdDoublings = 6
+	// forgetAfter is how long a suspicion is remembered beyond the time of holding back: a
+	// caller that repeats a request does so sooner.
+	forgetAfter = time.Hour
+	// recordsMost bounds the requests that are remembered: a busy engine that ends brings
+	// some hundred under suspicion. They take a MB.
+	recordsMost = 4096
+	// recordsKept is how many are left when there are too many.
+	recordsKept = recordsMost * 7 / 8
+	// serversMost bounds the servers that are remembered of a request.
+	serversMost = 16
+	// tellMost bounds the requests in one word to another host: 15 KB.
+	tellMost = 256
+)
+
+// Config configures a Book. All fields are required.
+type Config struct {
+	Now func() time.Time
+	Log logr.Logger
+}
+
+// Book is what a host knows of requests under which servers ended. Books are brought
+// together by telling each other: the same words in any order, once or more often, make the
+// same book, so that evidence of several entries adds up and no host's loss takes it away.
+// All methods are safe from any goroutine.
+type Book struct {
+	cfg Config
+	// size is the number of records, for those who need not look.
+	size atomic.Int64
+
+	mu sync.Mutex
+	// change grows with each change of a record; guarded by mu, as all below.
+	change  uint64
+	records map[Key]*record
+	// hints counts the records by the hints of their keys.
+	hints map[Hint]int
+	// held is closed and replaced when a request is held back, or no longer.
+	held chan struct{}
+}
+
+// record is what is known of one request.
+type record struct {
+	// ended are the servers that ended under it; true: the request has since run to its
+	// end somewhere, which clears it of this one.
+	ended map[string]bool
+	// last is when the last of them ended.
+	last time.Time
+	// change is the number of the last change, and noted of the last that this host was
+	// not told by the leader.
+	change, noted uint64
+}
+
+// blamed is the number of servers that count against the request.
+func (r *record) blamed() int {
+	n := 0
+	for _, cleared := range r.ended {
+		if !cleared {
+			n++
+		}
+	}
+	return n
+}
+
+// until is when the request may be tried again; the zero time: it is not held back.
+func (r *record) until() time.Time {
+	n := r.blamed()
+	if n < enough {
+		return time.Time{}
+	}
+	return r.last.Add(holdFirst << min(n-enough, holdDoublings))
+}
+
+// New returns an empty book.
+func New(cfg Config) *Book {
+	return &Book{cfg: cfg, records: map[Key]*record{}, hints: map[Hint]int{}, held: make(chan struct{})}
+}
+
+// Empty reports whether no request is under suspicion.
+func (b *Book) Empty() bool { return b.size.Load() == 0 }
+
+// Suspects reports whether a request may be under suspicion whose key has a hint.
+func (b *Book) Suspects(h Hint) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hints[h] > 0
+}
+
+// Held returns for how long a request is held back, and whether it is.
+func (b *Book) Held(key Key) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.records[key]
+	if r == nil {
+		return 0, false
+	}
+	left := r.until().Sub(b.cfg.Now())
+	return left, left > 0
+}
+
+// HeldCount returns how many requests are held back.
+func (b *Book) HeldCount() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n, now := 0, b.cfg.Now()
+	for _, r := range b.records {
+		if r.until().After(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// Changed returns a channel that is closed when the next request is held back, or no
+// longer.
+func (b *Book) Changed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.held
+}
+
+// Accuse notes that a server ended under a request.
+func (b *Book) Accuse(key Key, server string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.record(key)
+	if _, known := r.ended[server]; known || len(r.ended) >= serversMost {
+		return
+	}
+	before := r.until()
+	r.ended[server], r.last = false, b.cfg.Now()
+	b.note(r, true)
+	b.tell(key, r, before)
+}
+
+// Clear notes that a request has run to its end: it does not end servers by itself. It
+// reports whether that is news.
+func (b *Book) Clear(key Key) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.records[key]
+	if r == nil || r.blamed() == 0 {
+		return false
+	}
+	before := r.until()
+	for server := range r.ended {
+		r.ended[server] = true
+	}
+	b.note(r, true)
+	b.tell(key, r, before)
+	return true
+}
+
+// record returns what is known of a request; mu is held.
+func (b *Book) record(key Key) *record {
+	r := b.records[key]
+	if r == nil {
+		b.forget()
+		r = &record{ended: map[string]bool{}}
+		b.records[key] = r
+		b.hints[key.Hint()]++
+		b.size.Store(int64(len(b.records)))
+	}
+	return r
+}
+
+// note numbers a change; mu is held.
+func (b *Book) note(r *record, own bool) {
+	b.change++
+	r.change = b.change
+	if own {
+		r.noted = b.change
+	}
+}
+
+// tell logs where a request is held back from now on, for longer or no longer; mu is held.
+func (b *Book) tell(key Key, r *record, before time.Time) {
+	until := r.until()
+	if until.Equal(before) {
+		return
+	}
+	close(b.held)
+	b.held = make(chan struct{})
+	b.cfg.Log.Info("request held back", "key", key.String(), "servers", slices.Sorted(maps.Keys(r.ended)), "blamed", r.blamed(),
+		"for-ms", max(until.Sub(b.cfg.Now()).Milliseconds(), 0))
+}
+
+// drop forgets one request; mu is held.
+func (b *Book) drop(key Key) {
+	delete(b.records, key)
+	if b.hints[key.Hint()]--; b.hints[key.Hint()] == 0 {
+		delete(b.hints, key.Hint())
+	}
+}
+
+// forget drops what is over, and what weighs least where there is too much; mu is held.
+func (b *Book) forget() {
+	if len(b.records) < recordsMost {
+		return
+	}
+	now := b.cfg.Now()
+	for key, r := range b.records {
+		if now.Sub(r.last) > forgetAfter && now.Sub(r.until()) > forgetAfter {
+			b.drop(key)
+		}
+	}
+	if len(b.records) <= recordsKept {
+		return
+	}
+	keys := slices.SortedFunc(maps.Keys(b.records), func(k, l Key) int {
+		r, s := b.records[k], b.records[l]
+		return cmp.Or(cmp.Compare(r.blamed(), s.blamed()), r.last.Compare(s.last))
+	})
+	for _, key := range keys[:len(keys)-recordsKept] {
+		b.drop(key)
+	}
+	b.cfg.Log.Info("suspicions dropped", "count", len(keys)-recordsKept, "left", recordsKept)
+}
+
+// Part is the part of a book that somebody needs.
+type Part int
+
+// The parts.
+const (
+	// PartAll is for hosts that may lead next.
+	PartAll Part = iota
+	// PartNoted is what this host has not been told by the leader: the leader needs it.
+	PartNoted
+	// PartHeld is for entries: requests that have been held back.
+	PartHeld
+)
+
+// number is the change by which somebody knows a record, 0: they don't need it.
+func (p Part) number(r *record) uint64 {
+	switch {
+	case p == PartNoted:
+		return r.noted
+	case p == PartHeld && len(r.ended) < enough:
+		return 0
+	}
+	return r.change
+}
+
+// Since returns what has changed in a part since a change, 0 for all, and up to which
+// change that is: a bounded number of records, the rest with the next call.
+func (b *Book) Since(after uint64, part Part) ([]*schema.Suspect, uint64) {
+	if b.Empty() {
+		return nil, after
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if after == b.change {
+		return nil, after
+	}
+	var keys []Key
+	for key, r := range b.records {
+		if part.number(r) > after {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(k, l Key) int { return cmp.Compare(part.number(b.records[k]), part.number(b.records[l])) })
+	to := b.change
+	if len(keys) > tellMost {
+		keys = keys[:tellMost]
+		to = part.number(b.records[keys[tellMost-1]])
+	}
+	out := make([]*schema.Suspect, 0, len(keys))
+	for _, key := range keys {
+		out = append(out, b.message(key))
+	}
+	return out, to
+}
+
+// message needs mu.
+func (b *Book) message(key Key) *schema.Suspect {
+	r := b.records[key]
+	s := &schema.Suspect{Key: key[:], AgeMs: b.cfg.Now().Sub(r.last).Milliseconds()}
+	for _, server := range slices.Sorted(maps.Keys(r.ended)) {
+		s.Ended = append(s.Ended, &schema.EndedServer{Server: server, Cleared: r.ended[server]})
+	}
+	return s
+}
+
+// Take takes in what another host tells. It reports whether any of it is news.
+func (b *Book) Take(list []*schema.Suspect, fromLeader bool) bool {
+	if len(list) == 0 {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	news := false
+	for _, s := range list {
+		var key Key
+		if len(s.GetKey()) != len(key) {
+			b.cfg.Log.Info("suspicion not taken", "reason", "its key has another length", "bytes", len(s.GetKey()))
+			continue
+		}
+		copy(key[:], s.GetKey())
+		news = b.merge(key, s, !fromLeader) || news
+	}
+	return news
+}
+
+// merge adds what is said of a request to what is known; mu is held.
+func (b *Book) merge(key Key, s *schema.Suspect, own bool) bool {
+	r := b.record(key)
+	before, more, changed := r.until(), false, false
+	for _, e := range s.GetEnded() {
+		cleared, known := r.ended[e.GetServer()]
+		switch {
+		case !known && len(r.ended) < serversMost:
+			r.ended[e.GetServer()], more, changed = e.GetCleared(), true, true
+		case known && e.GetCleared() && !cleared:
+			r.ended[e.GetServer()], changed = true, true
+		}
+	}
+	if !changed {
+		return false
+	}
+	// Only another server that ended makes a suspicion younger: told in a circle, it would
+	// be each time by as long as the word was on its way.
+	if at := b.cfg.Now().Add(-time.Duration(s.GetAgeMs()) * time.Millisecond); more && at.After(r.last) {
+		r.last = at
+	}
+	b.note(r, own)
+	b.tell(key, r, before)
+	return true
+}
--- a/internal/role/attend.go
+++ b/internal/role/attend.go
@@ -11,6 +11,7 @@
 
 	"fennelyard/internal/attendance"
 	"fennelyard/internal/ledger"
+	"fennelyard/internal/quarantine"
 	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
 )
@@ -126,7 +127,9 @@
 	sent []sentWord
 
 	// The fields below belong to speak. far is how far the entry is told.
-	far      attendance.Told
+	far attendance.Told
+	// suspects is how far it is told of requests that end their servers.
+	suspects uint64
 	members  string
 	sequence uint64
 }
@@ -139,7 +142,7 @@
 	a.pace = pace{
 		beat: beat, gather: func() time.Duration { return gatherFor(c.entries.Count()) }, ended: c.stop,
 		log:    func() <-chan struct{} { return c.group.Ledger().Changed() },
-		roster: c.mirror.Changed, answered: c.mirror.Answered,
+		roster: c.mirror.Changed, held: c.book.Changed, answered: c.mirror.Answered,
 		answers: func(q question) bool { return len(a.forecasts(q)) > 0 },
 		brings:  func(wants []*schema.ModelDemand) bool { return c.mirror.Brings(a.far.Known, wants) },
 		waiting: make(chan question, 1),
@@ -192,6 +195,9 @@
 
 func (a *attending) hear(news *schema.EntryNews) {
 	a.confirm(news.GetTaken())
+	if a.c.book.Take(news.GetSuspects(), false) {
+		a.c.entries.Hurry()
+	}
 	a.c.entries.Hear(a.number, a.entry.GetHost(), news)
 	a.pace.hear(news.GetDemands())
 }
@@ -235,6 +241,7 @@
 		news.Forecasts = a.forecasts(a.pace.question)
 		a.pace.asked = len(news.GetForecasts()) == 0
 	}
+	news.Suspects, a.suspects = a.c.book.Since(a.suspects, quarantine.PartHeld)
 	if a.pace.due {
 		news.Loads, a.pace.due = a.c.mirror.Loads(), false
 	}
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -20,6 +20,7 @@
 	"fennelyard/internal/loading"
 	"fennelyard/internal/metrics"
 	"fennelyard/internal/peer"
+	"fennelyard/internal/quarantine"
 	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
 	"fennelyard/internal/settings"
@@ -80,6 +81,8 @@
 	mirror  *roster.Mirror
 	heard   *roster.Heard
 	entries *attendance.Entries
+	// book is what is known of requests that end their servers.
+	book    *quarantine.Book
 	lag     lag
 	driver  *loading.Driver
 	hand    *loading.Hand
@@ -116,6 +119,7 @@
 	})
 	c.mirror = roster.NewMirror(roster.MirrorConfig{Now: time.Now})
 	c.heard = roster.NewHeard(time.Now)
+	c.book = quarantine.New(quarantine.Config{Now: time.Now, Log: cfg.Log.WithName("quarantine")})
 	c.entries = attendance.New(attendance.Config{Now: time.Now, Log: cfg.Log.WithName("attendance")})
 	if err := c.start(s); err != nil {
 		c.Close()
@@ -205,6 +209,9 @@
 	c.cfg.Metrics.Gauge("control_leader_age_seconds", "Time since this control host heard the leader; below 0: never.", func() float64 {
 		return float64(c.leaderAge()) / float64(time.Second/time.Millisecond)
 	})
+	c.cfg.Metrics.Gauge("control_requests_held_back", "Requests that end their servers, and that entries hold back.", func() float64 {
+		return float64(c.book.HeldCount())
+	})
 	c.cfg.Metrics.Gauge("control_log_lags", "1 while this control host's log lags so much that it tells entries nothing.", func() float64 {
 		if c.lags() {
 			return 1
--- a/internal/role/export_test.go
+++ b/internal/role/export_test.go
@@ -58,7 +58,7 @@
 	r.Announce(roster.Announcement{ID: "i-1", Pool: "llm", Address: "e:1", Sequence: 1})
 	a := &Attending{r: r}
 	a.p = pace{
-		beat: beat, gather: func() time.Duration { return gatherFor(entries) }, log: never, roster: r.Changed, answered: never, answers: always,
+		beat: beat, gather: func() time.Duration { return gatherFor(entries) }, log: never, roster: r.Changed, held: never, answered: never, answers: always,
 		brings:  func(wants []*schema.ModelDemand) bool { return r.Brings(a.known, wants) },
 		waiting: make(chan question, 1),
 	}
--- a/internal/role/follow.go
+++ b/internal/role/follow.go
@@ -10,6 +10,7 @@
 
 	"fennelyard/internal/attendance"
 	"fennelyard/internal/logbook"
+	"fennelyard/internal/quarantine"
 	"fennelyard/internal/schema"
 )
 
@@ -107,6 +108,7 @@
 		if !c.mirror.Take(news) {
 			return errors.Newf("term %d: %w", news.GetKnown().GetTerm(), errOtherLeader)
 		}
+		c.book.Take(news.GetSuspects(), true)
 	}
 }
 
@@ -135,9 +137,10 @@
 	ticker := time.NewTicker(hostBeat)
 	defer ticker.Stop()
 	host := &schema.ControlHost{Address: c.self.GetPeerAddress(), DataCentre: c.self.GetDataCentre()}
-	for due := true; ; {
+	for due, suspects := true, uint64(0); ; {
 		news := c.entries.News(attendance.Told{Known: c.mirror.At(), Revision: c.applied()}, due)
 		news.Host, news.Lagging, news.Servers = host, c.lags(), c.heard.News()
+		news.Suspects, suspects = c.book.Since(suspects, quarantine.PartNoted)
 		if err := stream.Send(news); err != nil {
 			return
 		}
--- a/internal/role/harmful_test.go
+++ b/internal/role/harmful_test.go
@@ -60,6 +60,7 @@
 				defer b.close()
 				s.repeat(10*time.Second, path)
 				got := s.repeat(5*time.Second, path)
+				t.Logf("%d servers ended, %d retries later", b.endedUnder(), b.sentAfter(heldBackIn))
 				require.GreaterOrEqual(t, b.endedUnder(), 3)
 				require.LessOrEqual(t, b.sentAfter(heldBackIn), retriesAllowed, "%d servers ended", b.endedUnder())
 				require.Equal(t, 503, got.harmful.status)
--- a/internal/role/lead.go
+++ b/internal/role/lead.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc"
 
 	"fennelyard/internal/ledger"
+	"fennelyard/internal/quarantine"
 	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
 )
@@ -69,6 +70,8 @@
 	// The fields below belong to speak. change is how far the host is told.
 	change   uint64
 	sequence uint64
+	// suspects is how far it is told of requests that end their servers.
+	suspects uint64
 }
 
 func newLeading(c *Control, stream followStream, host *schema.ControlHost, term uint64) *leading {
@@ -76,7 +79,7 @@
 	l.pace = pace{
 		beat: hostBeat, gather: l.gatherFor, ended: c.stop,
 		// Control hosts have the log themselves.
-		log: never, roster: c.roster.Changed, answered: never, answers: always,
+		log: never, roster: c.roster.Changed, held: c.book.Changed, answered: never, answers: always,
 		brings:  func(wants []*schema.ModelDemand) bool { return c.roster.Brings(l.change, wants) },
 		waiting: make(chan question, 1),
 	}
@@ -111,6 +114,7 @@
 	l.c.roster.Hear(l.number, l.address(), l.term, news)
 	l.c.driver.Demand(l.address(), news.GetDemands())
 	l.pace.hear(news.GetDemands())
+	l.c.book.Take(news.GetSuspects(), false)
 	now := time.Now()
 	for _, h := range news.GetServers() {
 		if a, known := l.heard.Read(h, now); known && !l.c.roster.LacksStart(a.ID) {
@@ -147,6 +151,7 @@
 	if l.pace.asked {
 		news.Forecasts, l.pace.asked = l.c.driver.Forecasts(l.pace.question.wants), false
 	}
+	news.Suspects, l.suspects = l.c.book.Since(l.suspects, quarantine.PartAll)
 	if l.pace.due {
 		news.Loads, l.pace.due = l.c.roster.Loads(), false
 	}
--- a/internal/role/pace.go
+++ b/internal/role/pace.go
@@ -17,6 +17,9 @@
 	// log and roster return channels that are closed at the next change of either, and
 	// answered one that is closed when there are more forecasts.
 	log, roster, answered func() <-chan struct{}
+	// held returns a channel that is closed when a request is held back that ends its
+	// servers, or no longer.
+	held func() <-chan struct{}
 	// answers reports whether there are forecasts of what the other end wants.
 	answers func(question) bool
 	// brings reports whether a change that was not told brings what the other end wants.
@@ -28,7 +31,7 @@
 
 	ticker *time.Ticker
 	// watched are the channels as of before the last word was put together.
-	logChanged, rosterChanged <-chan struct{}
+	logChanged, rosterChanged, heldChanged <-chan struct{}
 	// question is the last one of the other end, and asked is set until it is answered with
 	// forecasts.
 	question question
@@ -55,7 +58,7 @@
 // watch notes that a word is about to be put together: what changes from here on is due
 // with the next one.
 func (p *pace) watch() {
-	p.logChanged, p.rosterChanged = p.log(), p.roster()
+	p.logChanged, p.rosterChanged, p.heldChanged = p.log(), p.roster(), p.held()
 }
 
 // hear notes the latest targets that requests wait for at the other end. A later word
@@ -111,6 +114,8 @@
 			gathered = true
 		case <-p.logChanged:
 			p.logChanged, pending = nil, true
+		case <-p.heldChanged:
+			p.heldChanged, pending = nil, true
 		case <-p.rosterChanged:
 			// A stream without waiting requests is not woken by each change.
 			p.rosterChanged, pending = nil, true
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -153,6 +153,10 @@
 // belongs reports whether a line is about what a request depended on.
 func (s *Story) belongs(l, q *Line) bool {
 	from := q.At.Add(-q.milliseconds("took-ms") - before)
+	if names(l, q.text("key")) && l.At.Before(q.At) {
+		// What made a request suspect may be long ago.
+		return true
+	}
 	if l.At.Before(from) || l.At.After(q.At) {
 		return false
 	}
@@ -171,6 +175,15 @@
 	return false
 }
 
+// names reports whether a line is about a request that has a key.
+func names(l *Line, key string) bool {
+	if key == "" {
+		return false
+	}
+	keys, _ := l.fields["keys"].([]any)
+	return l.text("key") == key || slices.Contains(keys, any(key))
+}
+
 // Cause says in a sentence what decided a request's end.
 func Cause(q *Line) string {
 	waited, first, pause := q.milliseconds("waited-ms"), q.milliseconds("first-ms"), q.milliseconds("pause-ms")
@@ -197,6 +210,8 @@
 		return "the request's body did not come whole or was too large: " + q.text("cause")
 	case "caller-gone":
 		return "the caller left first"
+	case "held-back":
+		return "the same request had ended three servers that ran it, see key " + q.text("key") + "; it is held back"
 	case "entry-stopping":
 		return fmt.Sprintf("the entry was stopped and had no time left to serve it, after %v of waiting for a model: %s", waited, q.text("cause"))
 	case "server-failed":
