Remember requests that end their servers through every loss

A request that had ended three servers would end as many again after all hosts lost power at once: what was known of it was in memory only. A host that had just started also told its entries of servers and routes a moment before it knew what is held back, and an entry took the configuration with which it begins to serve before that.

The leader now records in the log, once a second and only where it has changed, the requests that are one server from being held back or beyond, and each new leader takes them in before it speaks to a host. Suspicions come before all else in a word. A server's address is tried again where a packet may be lost.

--- a/internal/gateway/attend.go
+++ b/internal/gateway/attend.go
@@ -361,6 +361,8 @@
 	if l := news.GetHosts(); l != nil {
 		a.hosts.named = l.GetHosts()
 	}
+	// Before the configuration, with which an entry that has just started begins to serve.
+	a.g.book.Take(news.GetSuspects(), true)
 	c, err := changesOf(news)
 	if err != nil {
 		// The host takes them for told; only a new stream brings them again.
@@ -377,7 +379,6 @@
 	if l := news.GetEntries(); l != nil {
 		a.g.setEntries(l.GetEntries())
 	}
-	a.g.book.Take(news.GetSuspects(), true)
 	a.g.asked.forecast(news.GetForecasts(), time.Now())
 	a.taken.Store(news.GetSequence())
 	if news.GetConfirm() {
--- a/internal/gateway/inquest.go
+++ b/internal/gateway/inquest.go
@@ -20,9 +20,10 @@
 	// inquestKeys bounds the requests that are remembered of a server until it is known
 	// whether it has ended: as many as run at an engine.
 	inquestKeys = 128
-	// inquestTries and inquestPause are how often an address that still answers is tried:
-	// the last connections of a process that ends may close before its port does.
-	inquestTries = 2
+	// inquestTries and inquestPause are how often an address is tried that does not refuse:
+	// the last connections of a process that ends may close before its port does, and a packet
+	// may be lost.
+	inquestTries = 3
 	inquestPause = 50 * time.Millisecond
 	// inquestForget is how long what was found of a server is kept. Its attempts break off
 	// within moments of each other.
@@ -148,7 +149,7 @@
 		if try > 0 && !q.pause() {
 			return
 		}
-		if presence = q.cfg.Presence(q.ctx, i.address); presence != relay.PresenceListening {
+		if presence = q.cfg.Presence(q.ctx, i.address); presence == relay.PresenceRefused {
 			break
 		}
 	}
--- a/internal/gateway/inquest_test.go
+++ b/internal/gateway/inquest_test.go
@@ -29,7 +29,8 @@
 	}{
 		"ended":                         {[]relay.Presence{relay.PresenceRefused}, true},
 		"ends a moment later":           {[]relay.Presence{relay.PresenceListening, relay.PresenceRefused}, true},
-		"lives":                         {[]relay.Presence{relay.PresenceListening, relay.PresenceListening}, false},
+		"a packet was lost":             {[]relay.Presence{relay.PresenceSilent, relay.PresenceRefused}, true},
+		"lives":                         {[]relay.Presence{relay.PresenceListening}, false},
 		"can't be reached":              {[]relay.Presence{relay.PresenceSilent}, false},
 		"listens and can't be reached":  {[]relay.Presence{relay.PresenceListening, relay.PresenceSilent}, false},
 		"ended, and another comes soon": {[]relay.Presence{relay.PresenceRefused, relay.PresenceListening}, true},
--- /dev/null
+++ b/internal/ledger/suspects_test.go
@@ -0,0 +1,41 @@
+package ledger_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"fennelyard/internal/ledger"
+	"fennelyard/internal/schema"
+)
+
+// Recorded suspects are there for the next leader, also through a snapshot, until they are
+// forgotten. Entries are told them by the leader and not as records.
+func TestSuspectsAreRemembered(t *testing.T) {
+	l := ledger.New()
+	apply := func(index uint64, q *schema.RememberSuspects) {
+		data, err := proto.Marshal(&schema.Command{Body: &schema.Command_RememberSuspects{RememberSuspects: q}})
+		require.NoError(t, err)
+		r := l.Apply(index, data)
+		require.Equal(t, schema.ResultCode_RESULT_CODE_OK, r.(*schema.Result).GetCode())
+	}
+	of := func(key byte, servers ...string) *schema.KnownSuspect {
+		s := &schema.Suspect{Key: []byte{key}}
+		for _, id := range servers {
+			s.Ended = append(s.Ended, &schema.EndedServer{Server: id})
+		}
+		return &schema.KnownSuspect{Suspect: s, AtMs: 5}
+	}
+	apply(1, &schema.RememberSuspects{Suspects: []*schema.KnownSuspect{of(1, "a"), of(2, "a", "b")}})
+	apply(2, &schema.RememberSuspects{Suspects: []*schema.KnownSuspect{of(2, "a", "b", "c")}, Forgotten: [][]byte{{1}, {9}}})
+	data, err := l.Snapshot()
+	require.NoError(t, err)
+	restored := ledger.New()
+	require.NoError(t, restored.Restore(data))
+	restored.View(func(_ ledger.Heads, r *ledger.Records) {
+		require.Len(t, r.KnownSuspects(), 1)
+		require.Len(t, r.KnownSuspects()[0].GetSuspect().GetEnded(), 3)
+	})
+	require.False(t, ledger.IsRouting(ledger.SuspectKey([]byte{2})))
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -26,6 +26,8 @@
 	// forgetAfter is how long a suspicion is remembered beyond the time of holding back: a
 	// caller that repeats a request does so sooner.
 	forgetAfter = time.Hour
+	// expireEvery is how often it is looked for what can be forgotten.
+	expireEvery = time.Minute
 	// recordsMost bounds the requests that are remembered: a busy engine that ends brings
 	// some hundred under suspicion. They take a MB.
 	recordsMost = 4096
@@ -58,6 +60,8 @@
 	records map[Key]*record
 	// hints counts the records by the hints of their keys.
 	hints map[Hint]int
+	// expired is when it was last looked for what can be forgotten.
+	expired time.Time
 	// held is closed and replaced when a request is held back, or no longer.
 	held chan struct{}
 }
@@ -216,17 +220,24 @@
 	}
 }
 
-// forget drops what is over, and what weighs least where there is too much; mu is held.
-func (b *Book) forget() {
-	if len(b.records) < recordsMost {
-		return
-	}
+// expire drops what is over; mu is held.
+func (b *Book) expire() {
 	now := b.cfg.Now()
+	b.expired = now
 	for key, r := range b.records {
 		if now.Sub(r.last) > forgetAfter && now.Sub(r.until()) > forgetAfter {
 			b.drop(key)
 		}
 	}
+	b.size.Store(int64(len(b.records)))
+}
+
+// forget drops what is over, and what weighs least where there is too much; mu is held.
+func (b *Book) forget() {
+	if len(b.records) < recordsMost {
+		return
+	}
+	b.expire()
 	if len(b.records) <= recordsKept {
 		return
 	}
@@ -251,6 +262,8 @@
 	PartNoted
 	// PartHeld is for entries: requests that have been held back.
 	PartHeld
+	// PartLikely is for the log: requests that one more server would have held back.
+	PartLikely
 )
 
 // number is the change by which somebody knows a record, 0: they don't need it.
@@ -258,7 +271,7 @@
 	switch {
 	case p == PartNoted:
 		return r.noted
-	case p == PartHeld && len(r.ended) < enough:
+	case p == PartHeld && len(r.ended) < enough, p == PartLikely && len(r.ended) < enough-1:
 		return 0
 	}
 	return r.change
@@ -272,6 +285,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.cfg.Now().Sub(b.expired) > expireEvery {
+		b.expire()
+	}
 	if after == b.change {
 		return nil, after
 	}
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -82,14 +82,16 @@
 	heard   *roster.Heard
 	entries *attendance.Entries
 	// book is what is known of requests that end their servers.
-	book    *quarantine.Book
-	lag     lag
-	driver  *loading.Driver
-	hand    *loading.Hand
-	server  *peer.Server
-	http    *http.Server
-	streams atomic.Uint64
-	changes encodedChanges
+	book *quarantine.Book
+	// recalled is the last term in which the recorded ones were taken in.
+	recalled atomic.Uint64
+	lag      lag
+	driver   *loading.Driver
+	hand     *loading.Hand
+	server   *peer.Server
+	http     *http.Server
+	streams  atomic.Uint64
+	changes  encodedChanges
 	// refusals bound the log.
 	refusals refusals
 	// withheld are acknowledgements of configurations that entries lack.
@@ -149,11 +151,15 @@
 	handlers.Attend, handlers.Follow, handlers.GiveOrder = c.attend, c.lead, c.giveOrder
 	c.server = peer.NewServer(peer.ServerConfig{Listener: peers, Handlers: handlers})
 	c.http = newServer(c.cfg.Handler(c))
-	c.wg.Add(5)
+	c.wg.Add(6)
 	go func() {
 		defer c.wg.Done()
 		c.whileLeading(rememberEvery, c.remember)
 	}()
+	go func() {
+		defer c.wg.Done()
+		c.whileLeading(rememberEvery, c.rememberSuspects)
+	}()
 	go func() {
 		defer c.wg.Done()
 		c.follow()
--- a/internal/role/follow.go
+++ b/internal/role/follow.go
@@ -105,10 +105,12 @@
 		if first {
 			c.cfg.Log.Info("leader followed", "leader", leader, "term", news.GetKnown().GetTerm())
 		}
+		// Before the mirror, whose word lets entries be told: an entry that has just started
+		// must not serve before it knows what is held back.
+		c.book.Take(news.GetSuspects(), true)
 		if !c.mirror.Take(news) {
 			return errors.Newf("term %d: %w", news.GetKnown().GetTerm(), errOtherLeader)
 		}
-		c.book.Take(news.GetSuspects(), true)
 	}
 }
 
--- a/internal/role/lead.go
+++ b/internal/role/lead.go
@@ -38,6 +38,7 @@
 		return nil
 	}
 	c.driver.Follow()
+	c.recallSuspects(s.Term)
 	first, err := stream.Recv()
 	if err != nil {
 		return errors.Newf("hear host: %w", err)
--- /dev/null
+++ b/internal/role/suspects.go
@@ -0,0 +1,93 @@
+package role
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"fennelyard/internal/ledger"
+	"fennelyard/internal/logbook"
+	"fennelyard/internal/quarantine"
+	"fennelyard/internal/schema"
+)
+
+// recallSuspects takes in, once in a term, the requests that end their servers as earlier
+// leaders recorded them.
+func (c *Control) recallSuspects(term uint64) {
+	if c.recalled.Swap(term) == term {
+		return
+	}
+	known := c.knownSuspects()
+	if len(known) == 0 {
+		return
+	}
+	list := make([]*schema.Suspect, 0, len(known))
+	for _, k := range known {
+		s := proto.CloneOf(k.GetSuspect())
+		// The clock of the leader before may have been ahead.
+		s.AgeMs += max(time.Now().UnixMilli()-k.GetAtMs(), 0)
+		list = append(list, s)
+	}
+	c.book.Take(list, false)
+	c.cfg.Log.Info("suspects recalled", "count", len(list), "term", term)
+}
+
+func (c *Control) knownSuspects() []*schema.KnownSuspect {
+	var out []*schema.KnownSuspect
+	c.group.Ledger().View(func(_ ledger.Heads, r *ledger.Records) { out = r.KnownSuspects() })
+	return out
+}
+
+// rememberSuspects records which requests end their servers: entries and hosts know them,
+// but all of them may lose power at once.
+func (c *Control) rememberSuspects() {
+	c.recallSuspects(c.group.Status().Term)
+	q := c.suspectChanges()
+	if len(q.GetSuspects())+len(q.GetForgotten()) == 0 {
+		return
+	}
+	err := c.commit(context.Background(), &schema.Command{Body: &schema.Command_RememberSuspects{RememberSuspects: q}})
+	c.cfg.Log.Info("suspects recorded", "come", len(q.GetSuspects()), "gone", len(q.GetForgotten()), "error", logbook.Text(err))
+}
+
+// suspectChanges is the difference between the requests that are likely to end their
+// servers and those that are recorded.
+func (c *Control) suspectChanges() *schema.RememberSuspects {
+	recorded := map[string]*schema.Suspect{}
+	for _, k := range c.knownSuspects() {
+		recorded[string(k.GetSuspect().GetKey())] = k.GetSuspect()
+	}
+	q, now := &schema.RememberSuspects{}, time.Now().UnixMilli()
+	for at := uint64(0); ; {
+		list, to := c.book.Since(at, quarantine.PartLikely)
+		if len(list) == 0 {
+			break
+		}
+		at = to
+		for _, s := range list {
+			if !sameServers(recorded[string(s.GetKey())], s) {
+				q.Suspects = append(q.Suspects, &schema.KnownSuspect{Suspect: s, AtMs: now})
+			}
+			delete(recorded, string(s.GetKey()))
+		}
+	}
+	for _, s := range recorded {
+		q.Forgotten = append(q.Forgotten, bytes.Clone(s.GetKey()))
+	}
+	return q
+}
+
+// sameServers reports whether the same servers ended under two suspects.
+func sameServers(one, other *schema.Suspect) bool {
+	if len(one.GetEnded()) != len(other.GetEnded()) {
+		return false
+	}
+	for i, e := range one.GetEnded() {
+		if !proto.Equal(e, other.GetEnded()[i]) {
+			return false
+		}
+	}
+	return true
+}
