Hold back requests that end their servers on listed hosts as well

The same cause stood in the path of deployments with listed hosts: a booking or a completion under which its server ends went to one server after the other, one for each repeat of its caller, with a key or without.

Its entries accuse a request as the others do, and the group records it: the log brings it to every entry and through every restart. Two entries' records of one request are joined, of more than 4,096 those of least weight go. What finds out whether a server has ended moves beside the book.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -102,6 +102,7 @@
 	id       string
 	customer string
 	kind     string
+	method   string
 	// path is the path and query at the backend server.
 	path     string
 	target   target
@@ -118,7 +119,7 @@
 func (e *Entry) check(c echo.Context, kind string) (*incoming, *refusal.Refusal) {
 	q := c.Request()
 	in := &incoming{
-		id: strconv.FormatUint(e.cfg.RandomID(), 36), kind: kind, began: time.Now(), path: q.URL.RequestURI(),
+		id: strconv.FormatUint(e.cfg.RandomID(), 36), kind: kind, method: q.Method, began: time.Now(), path: q.URL.RequestURI(),
 		customer: q.Header.Get(routing.HeaderCustomer), key: q.Header.Get(HeaderKey),
 		first: q.Header.Get(HeaderAttempt) == "1",
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,8 @@
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/membership"
 	"fennelyard/internal/metrics"
+	"fennelyard/internal/quarantine"
+	"fennelyard/internal/relay"
 	"fennelyard/internal/routing"
 	"fennelyard/internal/schema"
 )
@@ -68,6 +70,11 @@
 	sender *routing.Sender
 	keeper *claim.Keeper
 	heard  *backend.Heard
+	// inquest finds out which servers have ended under requests, book is what is known of
+	// such requests, and suspects holds a token while there is more to record.
+	inquest  *quarantine.Inquest
+	book     *quarantine.Book
+	suspects chan struct{}
 	// forecasts holds the leader's word by target.
 	forecasts *forecasts
 	servers   []*http.Server
@@ -99,7 +106,7 @@
 	e := &Entry{
 		cfg: cfg, table: routing.NewTable(routing.PolicyWeighted, cfg.Random),
 		budget: routing.NewBudget(), sender: routing.NewSender(), heard: backend.NewHeard(),
-		forecasts: newForecasts(), kick: make(chan struct{}, 1),
+		forecasts: newForecasts(), kick: make(chan struct{}, 1), suspects: make(chan struct{}, 1),
 		stop: make(chan struct{}), done: make(chan struct{}),
 	}
 	e.gate = admission.NewGate(admission.Config{
@@ -109,11 +116,15 @@
 		Entry: cfg.Self.GetName(), Incarnation: cfg.Incarnation, Propose: cfg.Control.Propose,
 		Attempt: cfg.RandomID, Log: cfg.Log,
 	})
+	e.book = quarantine.New(quarantine.Config{Now: time.Now, Log: cfg.Log.WithName("quarantine")})
+	e.inquest = quarantine.NewInquest(quarantine.InquestConfig{
+		Presence: relay.NewSender(relay.Config{}).Presence, Ended: e.accuse, Log: cfg.Log.WithName("inquest"),
+	})
 	e.gauges()
 	e.serve(cfg.CallerListener, e.callerRoutes())
 	e.serve(cfg.OperatorListener, e.operatorRoutes())
 	e.serve(cfg.BackendListener, e.backendRoutes())
-	e.wg.Add(3)
+	e.wg.Add(4)
 	go func() {
 		defer e.wg.Done()
 		e.awaitReady()
@@ -122,6 +133,10 @@
 		defer e.wg.Done()
 		e.report()
 	}()
+	go func() {
+		defer e.wg.Done()
+		e.recordSuspects()
+	}()
 	go func() {
 		defer e.wg.Done()
 		e.watch()
@@ -140,6 +155,8 @@
 		func() float64 { return float64(e.cfg.Replica.Revision()) })
 	e.cfg.Metrics.Gauge("ejected_servers", "Backend servers that are left out for failures.",
 		func() float64 { return float64(e.table.Ejected(time.Now())) })
+	e.cfg.Metrics.Gauge("requests_held_back", "Requests that this entry holds back, as they end their servers.",
+		func() float64 { return float64(e.book.HeldCount()) })
 	e.cfg.Metrics.Gauge("heard_servers", "Backend servers that announce themselves to this entry.",
 		func() float64 { return float64(e.heard.Len()) })
 }
@@ -246,6 +263,7 @@
 			}
 		}
 		close(e.stop)
+		e.inquest.Close()
 		e.sender.Close()
 	})
 	<-e.done
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -57,6 +57,9 @@
 
 // repeatable serves a request that may run more than once.
 func (e *Entry) repeatable(c echo.Context, in *incoming, stream bool) error {
+	if refused := e.heldBack(in); refused != nil {
+		return e.refuse(c, in, refused)
+	}
 	ctx, cancel := context.WithDeadline(c.Request().Context(), in.deadline)
 	defer cancel()
 	ticket, refused := e.enter(in)
@@ -120,6 +123,9 @@
 // one makes one attempt. It is not finished when another one should follow.
 func (a *attempts) one(ctx context.Context, c echo.Context) (finished, served bool, r *refusal.Refusal) {
 	e, in := a.e, a.in
+	if r := e.heldBack(in); r != nil {
+		return true, false, r
+	}
 	chosen, ok := a.pick()
 	if !ok {
 		return a.noReplica(ctx)
@@ -134,6 +140,7 @@
 	reply, err := e.sender.Send(ctx, call)
 	if err != nil {
 		a.done(chosen, routing.Result{OK: ctx.Err() != nil, Reported: -1})
+		e.brokeOff(ctx, in, chosen, err)
 		return a.failed(ctx, chosen, err)
 	}
 	defer reply.Close()
@@ -212,8 +219,10 @@
 	}
 	a.done(chosen, routing.Result{OK: err == nil || ctx.Err() != nil, FirstByte: reply.FirstByte(), Reported: reply.Outstanding()})
 	if err != nil {
+		a.e.brokeOff(ctx, a.in, chosen, err)
 		return a.failed(ctx, chosen, err)
 	}
+	a.e.ranWhole(a.in)
 	a.e.cfg.Metrics.FirstByte(a.in.kind, time.Since(a.in.began), a.cold)
 	copyHeader(c.Response().Header(), reply.Header())
 	c.Response().Header().Set(routing.HeaderRequestID, a.in.id)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -160,6 +160,10 @@
 			r.notRun(refused)
 			return
 		}
+		if refused := e.heldBack(in); refused != nil {
+			r.notRun(refused)
+			return
+		}
 		chosen, ok := r.pick(exclude)
 		if !ok {
 			refused := r.wait(exclude)
@@ -217,6 +221,7 @@
 	reply, err := e.sender.Send(ctx, call)
 	if err != nil {
 		e.table.Done(time.Now(), to, r.in.target.name, r.in.body, routing.Result{Reported: -1})
+		e.brokeOff(ctx, r.in, to, err)
 		if errors.Is(err, routing.ErrNotRun) {
 			return refusal.NotRun, nil, err
 		}
@@ -232,9 +237,11 @@
 		OK: err == nil, FirstByte: reply.FirstByte(), Reported: reply.Outstanding(),
 	})
 	if err != nil {
+		e.brokeOff(ctx, r.in, to, err)
 		// The server answered, so it ran; the answer is not whole.
 		return refusal.Ran, nil, err
 	}
+	e.ranWhole(r.in)
 	return refusal.Ran, &schema.Answer{
 		Status: uint32(reply.Status()), ContentType: reply.Header().Get("Content-Type"), Body: body,
 	}, nil
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -78,6 +78,9 @@
 ) (finished, served bool, r *refusal.Refusal) {
 	s := &streamCopy{a: a, c: c}
 	err := s.copy(ctx, reply)
+	if err != nil {
+		a.e.brokeOff(ctx, a.in, chosen, err)
+	}
 	for resumes := 0; err != nil && s.lastID > 0 && resumes < maxResumes && ctx.Err() == nil; resumes++ {
 		err = s.resume(ctx, call)
 	}
@@ -85,6 +88,7 @@
 		OK: err == nil || ctx.Err() != nil, FirstByte: reply.FirstByte(), Reported: reply.Outstanding(),
 	})
 	if err == nil {
+		a.e.ranWhole(a.in)
 		return true, true, nil
 	}
 	if !s.began {
--- a/internal/entry/supply.go
+++ b/internal/entry/supply.go
@@ -152,6 +152,7 @@
 	defer sweep.Stop()
 	for {
 		changed := e.cfg.Replica.Changed()
+		e.takeSuspects()
 		e.refresh(e.gate.Queues())
 		select {
 		case <-e.stop:
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -371,7 +371,7 @@
 	if !errors.Is(err, relay.ErrBroken) || x.paid || x.ctx.Err() != nil || !x.g.fleet.takesWork(s) {
 		return
 	}
-	x.g.inquest.brokeOff(s.id, s.address, x.suspectKey())
+	x.g.inquest.BrokeOff(s.id, s.address, x.suspectKey())
 }
 
 // asRepeated is what stays the same when the caller repeats the request.
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -1,15 +1,11 @@
 package gateway
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
-	"github.com/go-logr/logr"
-
 	"fennelyard/internal/quarantine"
-	"fennelyard/internal/relay"
 	"fennelyard/internal/schema"
 )
 
@@ -232,22 +228,6 @@
 // End notes that a call has ended at an engine.
 func (e *Engines) End(id string, c *Call) { e.f.end(e.f.servers[id], c, 0) }
 
-// Inquest finds out which servers have ended.
-type Inquest struct{ q *inquest }
-
-// NewInquest starts one.
-func NewInquest(presence func(context.Context, string) relay.Presence, ended func(string, []quarantine.Key), log logr.Logger) *Inquest {
-	return &Inquest{newInquest(inquestConfig{Presence: presence, Ended: ended, Log: log})}
-}
-
-// BrokeOff notes that an attempt broke off at a server.
-func (q *Inquest) BrokeOff(server, address string, key quarantine.Key) {
-	q.q.brokeOff(server, address, key)
-}
-
-// Close ends it.
-func (q *Inquest) Close() { q.q.close() }
-
 // Suspected returns how many servers have ended, as far as this entry has found, under the
 // request under which most have.
 func (g *Gateway) Suspected() int {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,7 +56,7 @@
 	attend *attendant
 	// inquest finds out which servers have ended under requests, and book is what is known
 	// of such requests.
-	inquest *inquest
+	inquest *quarantine.Inquest
 	book    *quarantine.Book
 	table   atomic.Pointer[table]
 	// began is when the gateway started, and configured is closed at its first
@@ -91,7 +91,7 @@
 	}
 	g.attend = newAttendant(g)
 	g.book = quarantine.New(quarantine.Config{Now: time.Now, Log: cfg.Log.WithName("quarantine")})
-	g.inquest = newInquest(inquestConfig{Presence: cfg.Sender.Presence, Ended: g.accuse, Log: cfg.Log.WithName("inquest")})
+	g.inquest = quarantine.NewInquest(quarantine.InquestConfig{Presence: cfg.Sender.Presence, Ended: g.accuse, Log: cfg.Log.WithName("inquest")})
 	g.ended, g.end = context.WithCancel(context.Background())
 	go func() {
 		defer close(g.done)
@@ -141,7 +141,7 @@
 func (g *Gateway) Close() {
 	g.end()
 	g.once.Do(func() { close(g.stop) })
-	g.inquest.close()
+	g.inquest.Close()
 	<-g.done
 }
 
--- /dev/null
+++ b/internal/host/export_test.go
@@ -0,0 +1,9 @@
+package host
+
+import "fennelyard/internal/ledger"
+
+// Suspects returns how many requests the log names under which servers ended.
+func (h *Host) Suspects() (n int) {
+	h.group.Ledger().View(func(_ ledger.Heads, r *ledger.Records) { n = len(r.KnownSuspects()) })
+	return n
+}
--- a/internal/host/path_test.go
+++ b/internal/host/path_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -39,11 +38,11 @@
 	for i := 0; i+1 < len(header); i += 2 {
 		q.Header.Set(header[i], header[i+1])
 	}
-	resp, err := http.DefaultClient.Do(q)
-	require.NoError(b.t, err)
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	require.NoError(b.t, err)
+	return b.do(q)
+}
+
+// replyOf is a whole answer.
+func replyOf(resp *http.Response, data []byte) reply {
 	out := reply{status: resp.StatusCode, header: resp.Header, body: data}
 	var e struct {
 		Error struct {
--- a/internal/ledger/suspects.go
+++ b/internal/ledger/suspects.go
@@ -1,7 +1,11 @@
 package ledger
 
 import (
+	"bytes"
+	"cmp"
 	"encoding/hex"
+	"maps"
+	"slices"
 
 	"fennelyard/internal/schema"
 )
@@ -21,12 +25,61 @@
 // nobody else would know them, and each would end as many servers again.
 func (l *Ledger) rememberSuspects(q *schema.RememberSuspects) *schema.Result {
 	for _, k := range q.GetSuspects() {
+		key := SuspectKey(k.GetSuspect().GetKey())
 		l.putChanged(&schema.Record{
-			Key: SuspectKey(k.GetSuspect().GetKey()), Value: &schema.Record_KnownSuspect{KnownSuspect: k},
+			Key: key, Value: &schema.Record_KnownSuspect{KnownSuspect: joined(l.records.Record(key).GetKnownSuspect(), k)},
 		})
 	}
 	for _, key := range q.GetForgotten() {
 		l.drop(SuspectKey(key))
 	}
+	l.dropSuspects()
 	return accepted()
 }
+
+// joined is what two hosts know of one request together: each may have seen servers end
+// that the other has not. Without news it is what was recorded.
+func joined(old, k *schema.KnownSuspect) *schema.KnownSuspect {
+	if old == nil {
+		return k
+	}
+	ended := map[string]bool{}
+	for _, e := range old.GetSuspect().GetEnded() {
+		ended[e.GetServer()] = e.GetCleared()
+	}
+	news := false
+	for _, e := range k.GetSuspect().GetEnded() {
+		cleared, known := ended[e.GetServer()]
+		news = news || !known || e.GetCleared() && !cleared
+		ended[e.GetServer()] = cleared || e.GetCleared()
+	}
+	if !news {
+		return old
+	}
+	out := &schema.KnownSuspect{
+		Suspect: &schema.Suspect{Key: k.GetSuspect().GetKey(), AgeMs: k.GetSuspect().GetAgeMs()}, AtMs: k.GetAtMs(),
+	}
+	for _, server := range slices.Sorted(maps.Keys(ended)) {
+		out.Suspect.Ended = append(out.Suspect.Ended, &schema.EndedServer{Server: server, Cleared: ended[server]})
+	}
+	return out
+}
+
+// suspectsMost bounds the records: a MB of them.
+const suspectsMost = 4096
+
+// dropSuspects drops the suspects of least weight where there are too many: those under
+// which the fewest servers ended, and of these the oldest. An eighth goes at once.
+func (l *Ledger) dropSuspects() {
+	all := l.records.KnownSuspects()
+	if len(all) <= suspectsMost {
+		return
+	}
+	slices.SortFunc(all, func(a, b *schema.KnownSuspect) int {
+		return cmp.Or(cmp.Compare(len(a.GetSuspect().GetEnded()), len(b.GetSuspect().GetEnded())),
+			cmp.Compare(a.GetAtMs(), b.GetAtMs()), bytes.Compare(a.GetSuspect().GetKey(), b.GetSuspect().GetKey()))
+	})
+	for _, k := range all[:len(all)-suspectsMost*7/8] {
+		l.drop(SuspectKey(k.GetSuspect().GetKey()))
+	}
+}
--- a/internal/gateway/inquest.go
+++ b/internal/quarantine/inquest.go
@@ -1,4 +1,4 @@
-package gateway
+package quarantine
 
 import (
 	"context"
@@ -7,7 +7,6 @@
 
 	"github.com/go-logr/logr"
 
-	"fennelyard/internal/quarantine"
 	"fennelyard/internal/relay"
 )
 
@@ -32,20 +31,20 @@
 	keysLogged = 16
 )
 
-// inquestConfig configures an inquest. All fields are required.
-type inquestConfig struct {
+// InquestConfig configures an Inquest. All fields are required.
+type InquestConfig struct {
 	Presence func(ctx context.Context, address string) relay.Presence
 	// Ended is told of the requests whose attempts broke off as their server ended.
-	Ended func(server string, keys []quarantine.Key)
+	Ended func(server string, keys []Key)
 	Log   logr.Logger
 }
 
-// inquest finds out, where attempts break off, whether the server has ended: then the
+// Inquest finds out, where attempts break off, whether the server has ended: then the
 // requests that it ran may be the reason. An answer that is lost, a path that is cut and
 // a server that is slow say nothing about a request. All methods are safe from any
 // goroutine.
-type inquest struct {
-	cfg   inquestConfig
+type Inquest struct {
+	cfg   InquestConfig
 	queue chan *inquiry
 	ctx   context.Context
 	stop  context.CancelFunc
@@ -61,7 +60,7 @@
 	server, address string
 	// The fields below are guarded by the inquest's mutex. keys are of the attempts that
 	// broke off there and are not told yet.
-	keys []quarantine.Key
+	keys []Key
 	// asking is set until the address has been tried.
 	asking bool
 	// ended is set once the server is known to have ended, which it stays.
@@ -70,8 +69,9 @@
 	found time.Time
 }
 
-func newInquest(cfg inquestConfig) *inquest {
-	q := &inquest{cfg: cfg, queue: make(chan *inquiry, inquestQueue), done: make(chan struct{}), inquiries: map[string]*inquiry{}}
+// NewInquest starts an inquest.
+func NewInquest(cfg InquestConfig) *Inquest {
+	q := &Inquest{cfg: cfg, queue: make(chan *inquiry, inquestQueue), done: make(chan struct{}), inquiries: map[string]*inquiry{}}
 	q.ctx, q.stop = context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for range inquestAskers {
@@ -88,14 +88,14 @@
 	return q
 }
 
-// close ends the inquest.
-func (q *inquest) close() {
+// Close ends the inquest.
+func (q *Inquest) Close() {
 	q.stop()
 	<-q.done
 }
 
-// brokeOff notes that an attempt broke off at a server.
-func (q *inquest) brokeOff(server, address string, key quarantine.Key) {
+// BrokeOff notes that an attempt broke off at a server.
+func (q *Inquest) BrokeOff(server, address string, key Key) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.forget(time.Now())
@@ -120,7 +120,7 @@
 }
 
 // forget drops what was found long ago; mu is held.
-func (q *inquest) forget(now time.Time) {
+func (q *Inquest) forget(now time.Time) {
 	for server, i := range q.inquiries {
 		if !i.asking && now.Sub(i.found) > inquestForget {
 			delete(q.inquiries, server)
@@ -128,7 +128,7 @@
 	}
 }
 
-func (q *inquest) run() {
+func (q *Inquest) run() {
 	for {
 		select {
 		case <-q.ctx.Done():
@@ -140,7 +140,7 @@
 }
 
 // ask tries an address unless its server is known to have ended.
-func (q *inquest) ask(i *inquiry) {
+func (q *Inquest) ask(i *inquiry) {
 	q.mu.Lock()
 	known := i.ended
 	q.mu.Unlock()
@@ -159,7 +159,7 @@
 	q.conclude(i, presence)
 }
 
-func (q *inquest) pause() bool {
+func (q *Inquest) pause() bool {
 	select {
 	case <-q.ctx.Done():
 		return false
@@ -169,7 +169,7 @@
 }
 
 // conclude tells what an address has answered.
-func (q *inquest) conclude(i *inquiry, presence relay.Presence) {
+func (q *Inquest) conclude(i *inquiry, presence relay.Presence) {
 	q.mu.Lock()
 	keys := i.keys
 	i.keys, i.asking, i.found = nil, false, time.Now()
@@ -183,7 +183,7 @@
 }
 
 // keyTexts returns a few keys as a log line has them.
-func keyTexts(keys []quarantine.Key) []string {
+func keyTexts(keys []Key) []string {
 	var out []string
 	for _, k := range keys[:min(len(keys), keysLogged)] {
 		out = append(out, k.String())
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -37,6 +37,7 @@
 	Stopping                    // stopping
 	NotReady                    // not-ready
 	Internal                    // internal
+	HeldBack                    // held-back
 )
 
 // Outcome tells whether a request ran at a backend server.
--- a/internal/standin/announcer.go
+++ b/internal/standin/announcer.go
@@ -127,7 +127,10 @@
 	a.mu.Unlock()
 }
 
+// stopSoon announces nothing from the next turn on.
+func (a *announcer) stopSoon() { a.once.Do(func() { close(a.stop) }) }
+
 func (a *announcer) close() {
-	a.once.Do(func() { close(a.stop) })
+	a.stopSoon()
 	<-a.done
 }
--- a/internal/standin/application.go
+++ b/internal/standin/application.go
@@ -26,6 +26,10 @@
 	Work time.Duration
 	// Runs, where set, counts the runs of all servers of a service together.
 	Runs *Runs
+	// HarmfulBody, where set, is the body of a request under which the server ends as soon
+	// as it begins to run it; Ended, where set, is called then.
+	HarmfulBody string
+	Ended       func()
 	// Handle, where set, answers in place of the booking; for faults.
 	Handle http.HandlerFunc
 }
@@ -118,6 +122,10 @@
 	if err != nil {
 		return
 	}
+	if a.cfg.HarmfulBody != "" && string(body) == a.cfg.HarmfulBody {
+		a.crash()
+		return
+	}
 	n := 0
 	if q.Method != http.MethodGet {
 		n = a.cfg.Runs.Add(q.Header.Get("Idempotency-Key"))
@@ -130,6 +138,16 @@
 	})
 }
 
+// crash ends the server at once, as a process does that ends by what it runs. Close is
+// still to be called.
+func (a *Application) crash() {
+	if a.cfg.Ended != nil {
+		a.cfg.Ended()
+	}
+	a.announcer.stopSoon()
+	_ = a.server.Close()
+}
+
 // Leave announces to all entries that the server is about to stop.
 func (a *Application) Leave() {
 	a.mu.Lock()
