Count the age of news from when a quorum took the leader for one

The hosts are cut in two, the leader on the smaller side. It steps down when its quorum check is due, up to 1.2 s later; until then its hosts hear it and count 1.8 s from its last word, while the larger side elects a leader after 0.6 s and acknowledges.

Ruled out: entries that ask several hosts of the smaller side in turn (the one that was late was told by its first host all the while).

The leader now says how long ago the last of its heartbeat rounds began that a quorum has answered, and each heartbeat is a round. Hosts that are cut off count from the cut, whatever their leader says; one that is frozen can't claim to have led meanwhile. No leader can be elected sooner than an election's time after that round.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -1,6 +1,8 @@
 package consensus
 
 import (
+	"slices"
+
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -200,6 +202,24 @@
 	return p.match, p.heard, true
 }
 
+// Rounds returns the number of the last heartbeat round that this leader began, and of the
+// last that a quorum has answered; 0 on other members.
+func (c *Core) Rounds() (begun, answered uint64) {
+	if c.role != RoleLeader {
+		return 0, 0
+	}
+	var rounds []uint64
+	for _, id := range c.voters() {
+		if id == c.cfg.ID {
+			rounds = append(rounds, c.round)
+			continue
+		}
+		rounds = append(rounds, c.progress[id].round)
+	}
+	slices.Sort(rounds)
+	return c.round, rounds[len(rounds)-c.quorum()]
+}
+
 // Current reports whether a leader has committed an entry of its own term, so
 // that its commit index covers everything acknowledged before.
 func (c *Core) Current() bool {
@@ -293,9 +313,8 @@
 	if !c.Current() {
 		return ErrNotCurrent
 	}
-	c.round++
-	c.reads = append(c.reads, pendingRead{id: id, index: c.log.commit, round: c.round})
 	c.broadcastHeartbeat()
+	c.reads = append(c.reads, pendingRead{id: id, index: c.log.commit, round: c.round})
 	c.confirmReads()
 	return nil
 }
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -213,6 +213,8 @@
 	c.elapsed, c.heartbeatElapsed = 0, 0
 	c.progress = map[uint64]*progress{}
 	c.refreshProgress()
+	// A round of its own: answers to the entry below are the first that confirm this leader.
+	c.round++
 	// The empty entry commits what predecessors left, which the leader may not
 	// count as committed by itself.
 	c.appendOwn(schema.EntryKind_ENTRY_KIND_EMPTY, nil)
--- a/internal/consensus/member.go
+++ b/internal/consensus/member.go
@@ -112,7 +112,11 @@
 	snapshotAt uint64
 	roomErr    error
 	ticks      int
-	joins      map[string]*schema.Member
+	// rounds are this leader's heartbeat rounds. stepped is when the loop last took something
+	// in: a round that it begins by that waits for the disk before it is sent.
+	rounds  rounds
+	stepped time.Time
+	joins   map[string]*schema.Member
 
 	mu sync.Mutex
 	// status is guarded by mu.
@@ -285,6 +289,7 @@
 		case f := <-m.calls:
 			f()
 		}
+		m.stepped = time.Now()
 		m.drain()
 		if err := m.process(); err != nil {
 			return err
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -58,6 +58,7 @@
 
 // broadcastHeartbeat also frees members whose last append was lost.
 func (c *Core) broadcastHeartbeat() {
+	c.round++
 	for _, m := range c.Membership().GetMembers() {
 		id := m.GetId()
 		if id == c.cfg.ID {
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -22,7 +23,10 @@
 	Commit     uint64
 	Applied    uint64
 	// Current is true on a leader that has committed in its term.
-	Current    bool
+	Current bool
+	// Confirmed is the last moment at which a quorum is known to have taken this member for
+	// the leader; the zero time on other members.
+	Confirmed  time.Time
 	Membership *schema.Membership
 	// Silent names the hosts of voters that have not answered this leader for some
 	// time; empty on other members.
@@ -41,6 +45,7 @@
 	s := MemberStatus{
 		ID: m.cfg.Storage.ID(), Role: m.core.Role(), Term: m.core.Term(), Leader: m.core.Leader(),
 		Commit: m.core.Commit(), Applied: m.applied, Current: m.core.Current(),
+		Confirmed:  m.confirmed(),
 		Membership: m.core.Membership(), Silent: m.silentHosts(),
 	}
 	for _, member := range s.Membership.GetMembers() {
@@ -63,6 +68,12 @@
 	}
 }
 
+// confirmed is when a quorum last took this member for the leader.
+func (m *Member) confirmed() time.Time {
+	begun, answered := m.core.Rounds()
+	return m.rounds.confirmed(m.stepped, begun, answered)
+}
+
 // silentHosts names the hosts of voters that a leader has not heard lately. Each of
 // them is a loss that the group no longer bears.
 func (m *Member) silentHosts() []string {
--- a/internal/role/lead.go
+++ b/internal/role/lead.go
@@ -148,6 +148,9 @@
 	news := l.c.roster.News(l.change)
 	l.change = news.GetKnown().GetChange()
 	news.Sequence, news.Known.Term = l.sequence, l.term
+	// Not when this host speaks: one that is cut off takes itself for the leader for a
+	// second, in which another is elected.
+	news.LeaderAgeMs = time.Since(l.c.group.Status().Confirmed).Milliseconds()
 	news.Revision, news.Lagging = l.c.applied(), l.c.roster.Lagging(l.number, l.address())
 	if l.pace.asked {
 		news.Forecasts, l.pace.asked = l.c.driver.Forecasts(l.pace.question.wants), false
--- a/internal/role/tree_test.go
+++ b/internal/role/tree_test.go
@@ -253,6 +253,37 @@
 	})
 }
 
+// The leader is cut off from most control hosts and, with three others, not from its
+// entries. It goes on for a second before it notices. Changes can be acknowledged on the
+// larger side as soon as an election is over there, 0.6 s after the cut, and must then be in
+// force within two seconds: by then no entry may be told by the smaller side any more. If
+// what the old leader says in that second counted as news, entries would stay a second longer.
+func TestEntriesLeaveALeaderWithoutAQuorum(t *testing.T) {
+	const electionOver = 600 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		s := treeSiteOf(t, 17, 9, 18)
+		defer s.close()
+		small := []string{s.leader()}
+		for _, ip := range s.controlIPs() {
+			if len(small) < 4 && ip != small[0] {
+				small = append(small, ip)
+			}
+		}
+		for ip := range s.control {
+			for _, other := range small {
+				if !slices.Contains(small, ip) {
+					s.network.Cut(ip, other, true)
+					s.network.Cut(other, ip, true)
+				}
+			}
+		}
+		time.Sleep(electionOver + inForce)
+		for ip, n := range s.attended() {
+			require.False(t, ip == "" || slices.Contains(small, ip), "%d entries attend %q, of %v", n, ip, small)
+		}
+	})
+}
+
 // Servers announce themselves to hosts that do not lead. Entries know them all the same,
 // and go on knowing them when the leader is lost: the next one hears of each server at
 // once from the hosts that have its word. Somebody else's word of a server without its
--- a/internal/roster/mirror.go
+++ b/internal/roster/mirror.go
@@ -41,7 +41,7 @@
 	entriesAt, hostsAt Position
 	loads              *schema.EngineLoads
 	forecasts          map[forecastOf]forecast
-	// heard is when the leader last spoke, and revision what its log had applied then.
+	// heard is when the leader last spoke, or rather when it was known to lead, and revision what its log had applied then.
 	heard    time.Time
 	revision uint64
 	// awaited is set while somebody waits until all entries are told, and unawaited while
@@ -96,7 +96,8 @@
 	if advanced {
 		m.at = at
 	}
-	m.heard, m.revision = m.cfg.Now(), news.GetRevision()
+	m.heard = m.cfg.Now().Add(-time.Duration(news.GetLeaderAgeMs()) * time.Millisecond)
+	m.revision = news.GetRevision()
 	m.awaited, m.unawaited = news.GetConfirm(), news.GetLagging()
 	changed := m.takeServers(news)
 	changed = m.takeLists(news) || changed || advanced && m.awaited
