Hold nothing back that has just run to its end here

Found by reading, in the mend of requests that end their servers: three servers of a pool lose their processes at once, as a rack does, while many callers ask the same, an empty lookup of one path. It was at all three, so that it was held back: all of its callers were refused for five minutes after the servers were back.

Entries now remember for 30 s which requests ran to their end, in a fixed table by a sum with a seed of the process.

The new test failed before (503 for 200).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,10 +71,11 @@
 	keeper *claim.Keeper
 	heard  *backend.Heard
 	// inquest finds out which servers have ended under requests, book is what is known of
-	// such requests, and suspects holds a token while there is more to record.
-	inquest  *quarantine.Inquest
-	book     *quarantine.Book
-	suspects chan struct{}
+	// such requests, completed which have run to their end here, and suspects holds a token while there is more to record.
+	inquest   *quarantine.Inquest
+	book      *quarantine.Book
+	completed *quarantine.Completed
+	suspects  chan struct{}
 	// forecasts holds the leader's word by target.
 	forecasts *forecasts
 	servers   []*http.Server
@@ -117,6 +118,7 @@
 		Attempt: cfg.RandomID, Log: cfg.Log,
 	})
 	e.book = quarantine.New(quarantine.Config{Now: time.Now, Log: cfg.Log.WithName("quarantine")})
+	e.completed = quarantine.NewCompleted(time.Now)
 	e.inquest = quarantine.NewInquest(quarantine.InquestConfig{
 		Presence: relay.NewSender(relay.Config{}).Presence, Ended: e.accuse, Log: cfg.Log.WithName("inquest"),
 	})
--- a/internal/entry/harmful.go
+++ b/internal/entry/harmful.go
@@ -41,6 +41,11 @@
 	if !held {
 		return nil
 	}
+	if e.completed.Lately(in.asRepeated()) {
+		// Others have met servers that ended; here it has run to its end.
+		e.clear(key)
+		return nil
+	}
 	return refusal.New(refusal.HeldBack, "servers ended that ran this request before (%s)", key).After(left)
 }
 
@@ -50,6 +55,9 @@
 	if ctx.Err() != nil || errors.Is(err, routing.ErrNotRun) || errors.Is(err, routing.ErrSilent) {
 		return
 	}
+	if e.completed.Lately(in.asRepeated()) {
+		return
+	}
 	works := false
 	e.cfg.Replica.View(func(r *ledger.Records) { works = e.takesWork(r.Server(at.Server), at.Incarnation) })
 	if works {
@@ -60,10 +68,15 @@
 
 // ranWhole notes that a server lived through a request.
 func (e *Entry) ranWhole(in *incoming) {
-	if e.book.Empty() || !e.book.Suspects(in.asRepeated().Hint()) {
-		return
+	e.completed.Note(in.asRepeated())
+	if !e.book.Empty() && e.book.Suspects(in.asRepeated().Hint()) {
+		e.clear(in.asRepeated().Key())
 	}
-	if e.book.Clear(in.asRepeated().Key()) {
+}
+
+// clear notes, and has recorded, that a request does not end servers.
+func (e *Entry) clear(key quarantine.Key) {
+	if e.book.Clear(key) {
 		e.recordSoon()
 	}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -217,7 +217,13 @@
 	if !x.suspect() {
 		return 0, false
 	}
-	return x.g.book.Held(x.suspectKey())
+	left, held := x.g.book.Held(x.suspectKey())
+	if held && x.g.completed.Lately(x.asRepeated()) {
+		// Others have met servers that ended; here it has run to its end.
+		x.clear()
+		return 0, false
+	}
+	return left, held
 }
 
 // suspect reports whether the request may be under suspicion. For most it costs no digest
@@ -228,7 +234,15 @@
 
 // ranWhole notes that a server lived through the request.
 func (x *exchange) ranWhole() {
-	if x.suspect() && x.g.book.Clear(x.suspectKey()) {
+	x.g.completed.Note(x.asRepeated())
+	if x.suspect() {
+		x.clear()
+	}
+}
+
+// clear notes, and tells, that the request does not end servers.
+func (x *exchange) clear() {
+	if x.g.book.Clear(x.suspectKey()) {
 		x.g.speakSoon()
 	}
 }
@@ -366,11 +380,15 @@
 
 // brokeOff has the end of a server looked into at which an attempt broke off. What the
 // caller's leaving, the time's end or this entry broke off says nothing about the server;
-// one that leaves ends anyhow, whatever it runs.
+// one that leaves ends anyhow, whatever it runs; and a request that has just run to its end
+// elsewhere has not ended this one.
 func (x *exchange) brokeOff(s *server, err error) {
 	if !errors.Is(err, relay.ErrBroken) || x.paid || x.ctx.Err() != nil || !x.g.fleet.takesWork(s) {
 		return
 	}
+	if x.g.completed.Lately(x.asRepeated()) {
+		return
+	}
 	x.g.inquest.BrokeOff(s.id, s.address, x.suspectKey())
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,11 +54,12 @@
 	fleet  *fleet
 	asked  *asked
 	attend *attendant
-	// inquest finds out which servers have ended under requests, and book is what is known
-	// of such requests.
-	inquest *quarantine.Inquest
-	book    *quarantine.Book
-	table   atomic.Pointer[table]
+	// inquest finds out which servers have ended under requests, book is what is known of
+	// such requests, and completed which have run to their end here.
+	inquest   *quarantine.Inquest
+	book      *quarantine.Book
+	completed *quarantine.Completed
+	table     atomic.Pointer[table]
 	// began is when the gateway started, and configured is closed at its first
 	// configuration.
 	began      time.Time
@@ -91,6 +92,7 @@
 	}
 	g.attend = newAttendant(g)
 	g.book = quarantine.New(quarantine.Config{Now: time.Now, Log: cfg.Log.WithName("quarantine")})
+	g.completed = quarantine.NewCompleted(time.Now)
 	g.inquest = quarantine.NewInquest(quarantine.InquestConfig{Presence: cfg.Sender.Presence, Ended: g.accuse, Log: cfg.Log.WithName("inquest")})
 	g.ended, g.end = context.WithCancel(context.Background())
 	go func() {
--- a/internal/role/backends_test.go
+++ b/internal/role/backends_test.go
@@ -44,6 +44,8 @@
 	mu sync.Mutex
 	// starts is how many incarnations there were; guarded by mu, as all below.
 	starts int
+	// processes are those that live.
+	processes map[*backendProcess]bool
 	// reached is when the harmful request reached a server, and ended when a server ended
 	// under it.
 	reached, ended []time.Time
@@ -64,7 +66,7 @@
 // startBackends starts servers, and puts a configuration in force with a route for requests
 // that may be repeated and one for those that may not.
 func startBackends(s *site, n int) *backends {
-	b := &backends{s: s, stop: make(chan struct{})}
+	b := &backends{s: s, stop: make(chan struct{}), processes: map[*backendProcess]bool{}}
 	route := func(name string, repeat schema.Repeat) *schema.Route {
 		return &schema.Route{
 			Name: name, Host: "h.example", Prefix: "/" + name + "/", Repeat: repeat, TimeoutMs: 3000, AimMs: 300, MaxAttempts: 2,
@@ -122,6 +124,8 @@
 		return
 	}
 	p := &backendProcess{b: b, id: id, l: l, ended: make(chan struct{})}
+	b.hold(p, true)
+	defer b.hold(p, false)
 	var wg sync.WaitGroup
 	wg.Add(1)
 	go func() {
@@ -143,6 +147,31 @@
 	}
 }
 
+func (b *backends) hold(p *backendProcess, lives bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if lives {
+		b.processes[p] = true
+	} else {
+		delete(b.processes, p)
+	}
+}
+
+// endSome ends some servers at once, whatever they run.
+func (b *backends) endSome(n int) {
+	b.mu.Lock()
+	var some []*backendProcess
+	for p := range b.processes {
+		if len(some) < n {
+			some = append(some, p)
+		}
+	}
+	b.mu.Unlock()
+	for _, p := range some {
+		p.end()
+	}
+}
+
 // announce tells any control host that takes it.
 func (b *backends) announce(a roster.Announcement) {
 	b.s.controlMu.Lock()
@@ -274,15 +303,11 @@
 	after float64
 }
 
-// call sends a request to an entry.
+// call sends a request to an entry. Others than the site's goroutine may call as well.
 func (s *site) call(ip, path, body string) (out reply) {
 	e := s.entries[ip]
-	if e == nil {
-		return reply{}
-	}
 	q := httptest.NewRequest(http.MethodPost, "http://h.example"+path, strings.NewReader(body))
-	s.calls++
-	q.Header.Set("X-Id", strconv.Itoa(s.calls))
+	q.Header.Set("X-Id", strconv.FormatInt(s.calls.Add(1), 10))
 	defer func() {
 		if recover() != nil {
 			out = reply{}
--- a/internal/role/harmful_test.go
+++ b/internal/role/harmful_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,6 +74,35 @@
 	}
 }
 
+// Many callers ask the same, an empty lookup of one path, when all three servers end at
+// once, as a rack does. The request was at all of them. It had run to its end at every entry
+// a moment before, so that it is not what ended them; held back, it would be refused to all
+// of its callers for minutes after the servers are back.
+func TestPopularRequestIsNotHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := treeSite(t, 34, 3)
+		defer s.close()
+		b := startBackends(s, 3)
+		defer b.close()
+		var wg sync.WaitGroup
+		for i := range 60 {
+			wg.Go(func() {
+				for range 10 {
+					s.call(fmt.Sprintf("10.0.1.%d", 1+i%3), "/once/x", "")
+				}
+			})
+		}
+		time.Sleep(5*backendRun + backendRun/2)
+		b.endSome(3)
+		wg.Wait()
+		s.await(3*backendDown, "the servers", func() bool { return s.entries["10.0.1.1"].ReadyServers() >= 3 })
+		time.Sleep(heldBackIn)
+		for i := range 30 {
+			require.Equal(t, 200, s.call(fmt.Sprintf("10.0.1.%d", 1+i%3), "/once/x", "").status)
+		}
+	})
+}
+
 // restartEntry ends an entry's process and starts it again, with nothing of what it knew.
 func (s *site) restartEntry(ip string) {
 	s.entries[ip].Close()
--- a/internal/role/site_test.go
+++ b/internal/role/site_test.go
@@ -47,7 +47,7 @@
 	disks   map[string]string
 	entries map[string]*role.Entry
 	// calls counts callers' requests.
-	calls int
+	calls atomic.Int64
 	// next is the number of the control host that will lead once the present leader is
 	// lost, noOne: chance decides. Hosts settle when to ask for votes as they hear a new
 	// leader, so that it must be set before that one is elected.
