--- a/cmd/fennelyard/soak_test.go
+++ b/cmd/fennelyard/soak_test.go
@@ -41,8 +41,20 @@
 	soakEntries  = 3
 	soakServers  = 3
 	soakEvents   = 8
+	// harmfulBody is the body of a request under which a backend server ends.
+	harmfulBody = "harmful"
+	// harmfulWaves is how often each entry is asked once more in the end.
+	harmfulWaves = 3
 )
 
+// soakConfig is what a soak is made of.
+type soakConfig struct {
+	entries, servers int
+	// life returns how long a backend server lives unless a request ends it, and down for
+	// how long it is down then.
+	life, down func(*rand.Rand) time.Duration
+}
+
 // soak runs real processes and injects faults from outside them.
 type soak struct {
 	t      *testing.T
@@ -50,7 +62,9 @@
 	fleet  *fleet
 	port   int
 	folder string
-	ctx    context.Context
+	soakConfig
+	// ctx ends the callers and the faults, and alive the backend servers.
+	ctx, alive context.Context
 
 	mu sync.Mutex
 	// runs counts how often a backend server ran a request, by id; refused holds
@@ -58,8 +72,10 @@
 	runs    map[string]int
 	refused map[string]bool
 	served  int
-	acked   uint64
-	broken  []string
+	// ended counts the servers that ended under the harmful request.
+	ended  int
+	acked  uint64
+	broken []string
 }
 
 func (s *soak) fault(format string, args ...any) {
@@ -96,8 +112,19 @@
 
 // serve is a backend server: it counts each run and answers under the request's
 // id, as a whole or in events.
-func (s *soak) serve(w http.ResponseWriter, q *http.Request) {
+func (s *soak) serve(w http.ResponseWriter, q *http.Request, crash func()) {
 	id, kind, after := standin.Accept(w, q)
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return
+	}
+	if string(body) == harmfulBody {
+		s.mu.Lock()
+		s.ended++
+		s.mu.Unlock()
+		crash()
+		return
+	}
 	s.mu.Lock()
 	s.runs[id]++
 	twice := s.runs[id] > 1 && kind == standin.Once
@@ -120,20 +147,24 @@
 // live runs a backend server that crashes now and then and starts again under its id, at
 // another address, until the soak ends.
 func (s *soak) live(i int, r *rand.Rand) {
-	for s.ctx.Err() == nil {
+	for s.alive.Err() == nil {
 		server, err := net.Listen("tcp", fmt.Sprintf("127.0.3.%d:0", 21+i))
 		if err != nil {
 			s.fault("server %d: %v", i, err)
 			return
 		}
-		h := &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Second}
+		life, end := context.WithTimeout(s.alive, s.life(r))
+		h := &http.Server{ReadHeaderTimeout: time.Second}
+		crash := func() {
+			end()
+			// It cuts off whatever it is at.
+			_ = h.Close()
+		}
+		h.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { s.serve(w, q, crash) })
 		go func() { _ = h.Serve(server) }()
-		life, crash := context.WithTimeout(s.ctx, time.Duration(1500+r.IntN(4000))*time.Millisecond)
 		s.announce(life, i, server.Addr().String())
 		crash()
-		// It cuts off whatever it is at.
-		_ = h.Close()
-		time.Sleep(time.Duration(r.IntN(300)) * time.Millisecond)
+		time.Sleep(s.down(r))
 	}
 }
 
@@ -148,7 +179,10 @@
 				break
 			}
 		}
-		time.Sleep(200 * time.Millisecond)
+		select {
+		case <-life.Done():
+		case <-time.After(200 * time.Millisecond):
+		}
 	}
 }
 
@@ -185,13 +219,71 @@
 	for n := 0; s.ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%d-%d-%d", s.seed, caller, n)
 		kind := standin.Kinds[r.IntN(len(standin.Kinds))]
-		url := fmt.Sprintf("http://%s:%d/%s/x", s.entry(r.IntN(soakEntries)), s.port+2, kind)
+		url := fmt.Sprintf("http://%s:%d/%s/x", s.entry(r.IntN(s.entries)), s.port+2, kind)
 		status, body := s.call(http.MethodPost, url, "body", standin.RequestHeader(id, 2000), 3*time.Second)
 		s.judge(id, kind, status, body)
 		time.Sleep(time.Duration(r.IntN(20)) * time.Millisecond)
 	}
 }
 
+// repeat sends the harmful request again and again, at any entry.
+func (s *soak) repeat(r *rand.Rand) {
+	for n := 0; s.ctx.Err() == nil; n++ {
+		s.sendHarmful(r.IntN(s.entries), n)
+		time.Sleep(time.Duration(50+r.IntN(200)) * time.Millisecond)
+	}
+}
+
+func (s *soak) sendHarmful(entry, n int) (status int) {
+	url := fmt.Sprintf("http://%s:%d/%s/x", s.entry(entry), s.port+2, standin.Once)
+	status, _ = s.call(http.MethodPost, url, harmfulBody, standin.RequestHeader(fmt.Sprintf("h-%d-%d", s.seed, n), 2000), 3*time.Second)
+	return status
+}
+
+// endedUnder returns how many servers have ended under the harmful request.
+func (s *soak) endedUnder() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended
+}
+
+// judgeHarmful judges, once all is back, that every entry holds the harmful request back
+// while it serves others, whatever was lost that knew it.
+func (s *soak) judgeHarmful() {
+	waves := 0
+	require.Eventually(s.t, func() bool {
+		waves++
+		return s.heldBack(waves)
+	}, patience, 50*time.Millisecond, "seed %d: the harmful request is not held back everywhere", s.seed)
+	before := s.endedUnder()
+	for wave := range harmfulWaves {
+		s.heldBack(waves + wave)
+	}
+	require.Equal(s.t, before, s.endedUnder(), "seed %d: held back, and a server ended", s.seed)
+}
+
+// heldBack reports whether every entry refuses the harmful request, and then serves another.
+func (s *soak) heldBack(wave int) bool {
+	for i := range s.entries {
+		if s.sendHarmful(i, -wave) != http.StatusServiceUnavailable {
+			return false
+		}
+	}
+	for i := range s.entries {
+		if !s.serves(i, fmt.Sprint("last-", wave)) {
+			return false
+		}
+	}
+	return true
+}
+
+// serves reports whether an entry serves a request that all others send as well.
+func (s *soak) serves(entry int, id string) bool {
+	url := fmt.Sprintf("http://%s:%d/%s/x", s.entry(entry), s.port+2, standin.Again)
+	status, _ := s.call(http.MethodPost, url, "body", standin.RequestHeader(fmt.Sprint(id, "-", entry), 2000), 3*time.Second)
+	return status == http.StatusOK
+}
+
 func (s *soak) judge(id, kind string, status int, body string) {
 	want := "answer " + id
 	if kind == standin.Stream {
@@ -248,7 +340,7 @@
 	for i := range soakControls {
 		names = append(names, fmt.Sprint("core-", i))
 	}
-	for i := range soakEntries {
+	for i := range s.entries {
 		names = append(names, fmt.Sprint("entry-", i))
 	}
 	var wg sync.WaitGroup
@@ -296,7 +388,8 @@
 
 // Hosts are killed, stopped, paused and restarted in overlapping series while
 // callers ask, an operator changes the configuration, and servers announce
-// themselves, crash and start again under their ids. No request that must not run twice does, none that was said not to
+// themselves, crash and start again under their ids, and one caller repeats a request under
+// which servers end. That one is held back in the end, and no other. No request that must not run twice does, none that was said not to
 // have run did, every success is the whole answer to its own request, and no
 // acknowledged configuration is ever taken back.
 func TestSoak(t *testing.T) {
@@ -310,20 +403,45 @@
 }
 
 func runSoak(t *testing.T, seed uint64) {
-	l, err := net.Listen("tcp", "127.0.3.1:0")
-	require.NoError(t, err)
+	s, end := newSoak(t, seed, soakConfig{
+		entries: soakEntries, servers: soakServers,
+		life: func(r *rand.Rand) time.Duration { return time.Duration(1500+r.IntN(4000)) * time.Millisecond },
+		down: func(r *rand.Rand) time.Duration { return time.Duration(r.IntN(300)) * time.Millisecond },
+	})
+	defer end()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	s := &soak{
+	s.ctx = ctx
+	var wg sync.WaitGroup
+	for i := range 6 {
+		wg.Go(func() { s.ask(i, rand.New(rand.NewPCG(seed, uint64(i)))) })
+	}
+	wg.Go(func() { s.operate(rand.New(rand.NewPCG(seed, 100))) })
+	wg.Go(func() { s.repeat(rand.New(rand.NewPCG(seed, 400))) })
+	harmed := make(chan struct{})
+	time.AfterFunc(*soakFor, func() { close(harmed) })
+	wg.Go(func() { s.harm(rand.New(rand.NewPCG(seed, 200))) })
+	<-harmed
+	cancel()
+	wg.Wait()
+	s.conclude()
+}
+
+// newSoak starts hosts and backend servers; end ends the servers.
+func newSoak(t *testing.T, seed uint64, cfg soakConfig) (s *soak, end func()) {
+	l, err := net.Listen("tcp", "127.0.3.1:0")
+	require.NoError(t, err)
+	alive, cancel := context.WithCancel(context.Background())
+	s = &soak{
 		t: t, seed: seed, fleet: &fleet{t: t, processes: map[string]*process{}}, port: l.Addr().(*net.TCPAddr).Port, folder: t.TempDir(),
-		ctx: ctx, runs: map[string]int{}, refused: map[string]bool{},
+		soakConfig: cfg, ctx: alive, alive: alive, runs: map[string]int{}, refused: map[string]bool{},
 	}
 	require.NoError(t, l.Close())
 	t.Cleanup(s.fleet.close)
 	for i := range soakControls {
 		s.start(fmt.Sprint("core-", i), true)
 	}
-	for i := range soakEntries {
+	for i := range s.entries {
 		s.start(fmt.Sprint("entry-", i), true)
 	}
 	require.Eventually(t, func() bool {
@@ -331,20 +449,13 @@
 		return status == http.StatusOK
 	}, patience, 50*time.Millisecond)
 	var wg sync.WaitGroup
-	for i := range soakServers {
+	for i := range s.servers {
 		wg.Go(func() { s.live(i, rand.New(rand.NewPCG(seed, uint64(300+i)))) })
 	}
-	for i := range 6 {
-		wg.Go(func() { s.ask(i, rand.New(rand.NewPCG(seed, uint64(i)))) })
+	return s, func() {
+		cancel()
+		wg.Wait()
 	}
-	wg.Go(func() { s.operate(rand.New(rand.NewPCG(seed, 100))) })
-	harmed := make(chan struct{})
-	time.AfterFunc(*soakFor, func() { close(harmed) })
-	wg.Go(func() { s.harm(rand.New(rand.NewPCG(seed, 200))) })
-	<-harmed
-	cancel()
-	wg.Wait()
-	s.conclude()
 }
 
 // conclude waits until all is back and judges what was seen.
@@ -353,6 +464,7 @@
 		version, ok := s.read(0)
 		return ok && version >= s.acked
 	}, patience, 50*time.Millisecond, "seed %d: the configuration does not come back", s.seed)
+	s.judgeHarmful()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, n := range s.runs {
@@ -364,5 +476,6 @@
 		require.NotContains(s.t, p.log.String(), "DATA RACE", "seed %d: %s", s.seed, name)
 	}
 	require.Positive(s.t, s.served, "seed %d", s.seed)
-	s.t.Logf("seed %d: %d requests served, %d refused as not run, version %d acknowledged", s.seed, s.served, len(s.refused), s.acked)
+	s.t.Logf("seed %d: %d requests served, %d refused as not run, version %d acknowledged, %d servers ended under the harmful request",
+		s.seed, s.served, len(s.refused), s.acked, s.ended)
 }
