Show operators which requests are held back, and let them release one

An operator who is paged for a request that is held back had only log lines, and no way to let it through again once the servers were mended, but five minutes' patience.

`fennelyard harmful list|show|release` asks any host's operator address; a release is a clearance, which spreads as all others do, and is logged with who asked. The test of real processes lists, shows, fails on bad keys, releases, and finds the request sent to servers again.

--- /dev/null
+++ b/cmd/fennelyard/harmful.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"fennelyard/internal/quarantine"
+	"fennelyard/internal/schema"
+)
+
+func newHarmful() *cobra.Command {
+	c := &cobra.Command{
+		Use: "harmful", Short: "Requests that end the servers that run them",
+		Long: `harmful shows the requests under which backend servers ended, as a host knows them,
+and releases one that is held back. A host's operator address answers, a control
+host's where hosts find each other through seeds.`,
+		Example: "  fennelyard harmful list --address 10.0.0.1:7002",
+	}
+	c.AddCommand(newHarmfulList(), newHarmfulShow(), newHarmfulRelease())
+	return c
+}
+
+func newHarmfulList() *cobra.Command {
+	var flags operatorFlags
+	var all bool
+	c := &cobra.Command{
+		Use: "list --address IP:PORT", Short: "List the requests that are held back",
+		Example: "  fennelyard harmful list --address 10.0.0.1:7002 --all --output json",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			list, err := flags.client().Suspects(c.Context())
+			if err != nil {
+				return err
+			}
+			if !all {
+				list = heldBackOf(list)
+			}
+			return write(c, flags.output, list, func(w io.Writer) {
+				table(w, "KEY\tSERVERS ENDED\tCLEARED\tLAST\tHELD BACK FOR", func(t io.Writer) {
+					for _, s := range list.GetSuspects() {
+						_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%s ago\t%s\n", s.GetKey(), len(s.GetEndedServers()), len(s.GetClearedServers()),
+							milliseconds(s.GetLastEndedAgoMs()), milliseconds(s.GetHeldBackForMs()))
+					}
+				})
+			})
+		},
+	}
+	flags.addRead(c)
+	c.Flags().BoolVar(&all, "all", false, "also those that are only under suspicion")
+	return c
+}
+
+func heldBackOf(list *schema.SuspectList) *schema.SuspectList {
+	out := &schema.SuspectList{}
+	for _, s := range list.GetSuspects() {
+		if s.GetHeldBackForMs() > 0 {
+			out.Suspects = append(out.Suspects, s)
+		}
+	}
+	return out
+}
+
+func milliseconds(ms uint64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+func newHarmfulShow() *cobra.Command {
+	var flags operatorFlags
+	c := &cobra.Command{
+		Use: "show KEY --address IP:PORT", Short: "Show the servers that ended under a request",
+		Example: "  fennelyard harmful show 0011223344556677889900112233445566778899aabbccdd --address 10.0.0.1:7002",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if err := checkKey(args[0]); err != nil {
+				return err
+			}
+			list, err := flags.client().Suspects(c.Context())
+			if err != nil {
+				return err
+			}
+			for _, s := range list.GetSuspects() {
+				if s.GetKey() == args[0] {
+					return write(c, flags.output, s, func(w io.Writer) { writeSuspect(w, s) })
+				}
+			}
+			return errors.Newf("no request under suspicion has the key %s: %w", args[0], errRefused)
+		},
+	}
+	flags.addRead(c)
+	return c
+}
+
+func writeSuspect(w io.Writer, s *schema.SuspectView) {
+	_, _ = fmt.Fprintf(w, "request %s: %d servers ended, the last %s ago; held back for %s\n", s.GetKey(), len(s.GetEndedServers()),
+		milliseconds(s.GetLastEndedAgoMs()), milliseconds(s.GetHeldBackForMs()))
+	for _, server := range s.GetEndedServers() {
+		_, _ = fmt.Fprintln(w, "  ended:  ", server)
+	}
+	for _, server := range s.GetClearedServers() {
+		_, _ = fmt.Fprintln(w, "  cleared:", server)
+	}
+}
+
+func newHarmfulRelease() *cobra.Command {
+	var flags operatorFlags
+	c := &cobra.Command{
+		Use: "release KEY --address IP:PORT", Short: "Hold a request back no longer",
+		Long: `release clears a request of the servers that ended under it, at every entry within
+a second. Where it ends servers again it is held back again after the third.`,
+		Example: "  fennelyard harmful release 0011223344556677889900112233445566778899aabbccdd --address 10.0.0.1:7002 --operator ann",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if err := checkKey(args[0]); err != nil {
+				return err
+			}
+			reply, err := flags.client().Release(c.Context(), args[0], &schema.ReleaseRequest{Operator: flags.operator})
+			if err != nil {
+				return err
+			}
+			return write(c, flags.output, reply, func(w io.Writer) { _, _ = fmt.Fprintln(w, "released", args[0]) })
+		},
+	}
+	flags.addRead(c)
+	flags.addOperator(c)
+	return c
+}
+
+func checkKey(text string) error {
+	if _, err := quarantine.ParseKey(text); err != nil {
+		return errors.Newf("%v: %w", err, errUsage)
+	}
+	return nil
+}
--- a/cmd/fennelyard/harmful_test.go
+++ b/cmd/fennelyard/harmful_test.go
@@ -6,12 +6,15 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protojson"
 
+	"fennelyard/internal/schema"
 	"fennelyard/platform/standin"
 )
 
@@ -63,5 +66,40 @@
 	t.Logf("%d servers ended under the harmful request, the last after %s; ordinary requests by status: %v",
 		s.endedUnder(), last.Round(time.Millisecond), outcomes)
 	s.judgeHarmful()
+	s.operateHarmful()
 	require.Empty(t, s.broken)
 }
+
+// operateHarmful has an operator find the request that is held back, at any control host, and
+// release it: each entry sends it to a server again. What is no key, or a key of nothing, is a
+// clear error.
+func (s *soak) operateHarmful() {
+	at := func(i int) string { return fmt.Sprintf("%s:%d", s.control(i), s.port+1) }
+	list := &schema.SuspectList{}
+	code, out, errOut := command("harmful", "list", "--address", at(0), "--output", "json")
+	require.Equal(s.t, exitOK, code, errOut)
+	require.NoError(s.t, protojson.Unmarshal([]byte(out), list))
+	require.Len(s.t, list.GetSuspects(), 1)
+	key := list.GetSuspects()[0].GetKey()
+	code, out, errOut = command("harmful", "show", key, "--address", at(1))
+	require.Equal(s.t, exitOK, code, errOut)
+	require.Contains(s.t, out, "3 servers ended")
+	for verb, more := range map[string][]string{"show": nil, "release": {"--operator", "ann"}} {
+		code, _, errOut = command(append([]string{"harmful", verb, "xyz", "--address", at(0)}, more...)...)
+		require.Equal(s.t, exitUsage, code)
+		require.Contains(s.t, errOut, "not a request's key")
+		code, _, errOut = command(append([]string{"harmful", verb, strings.Repeat("0", len(key)), "--address", at(0)}, more...)...)
+		require.Equal(s.t, exitRefused, code)
+		require.Contains(s.t, errOut, "no request under suspicion has the key")
+	}
+	before := s.endedUnder()
+	code, _, errOut = command("harmful", "release", key, "--address", at(2), "--operator", "ann")
+	require.Equal(s.t, exitOK, code, errOut)
+	for i := range s.entries {
+		require.Eventually(s.t, func() bool {
+			return s.sendHarmful(i, -9) != http.StatusServiceUnavailable || s.endedUnder() >= before+3
+		},
+			patience, 20*time.Millisecond)
+	}
+	require.Greater(s.t, s.endedUnder(), before)
+}
--- a/cmd/fennelyard/operate.go
+++ b/cmd/fennelyard/operate.go
@@ -33,10 +33,14 @@
 
 func (f *operatorFlags) addWrite(c *cobra.Command) {
 	f.addRead(c)
-	c.Flags().StringVar(&f.operator, "operator", os.Getenv("USER"), "name of the operator")
+	f.addOperator(c)
 	c.Flags().StringVar(&f.command, "command-id", "", "id of the command; give the same one to send it again")
 }
 
+func (f *operatorFlags) addOperator(c *cobra.Command) {
+	c.Flags().StringVar(&f.operator, "operator", os.Getenv("USER"), "name of the operator")
+}
+
 func (f *operatorFlags) client() *operator.Client { return operator.NewClient(f.address) }
 
 func (f *operatorFlags) id() string {
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -250,14 +250,7 @@
 		c.Response().Header().Set("Retry-After", strconv.Itoa(int(seconds)))
 	}
 	c.Response().Header().Set(routing.HeaderOutcome, r.Outcome().String())
-	return writeProto(c, r.Status(), errorReply(id, r))
-}
-
-func errorReply(id string, r *refusal.Refusal) *schema.ErrorReply {
-	return &schema.ErrorReply{Error: &schema.ErrorBody{
-		Code: r.Code().String(), Message: r.Message(), Outcome: r.Outcome().String(),
-		RetryAfterMs: uint32(r.RetryAfter().Milliseconds()), RequestId: id,
-	}}
+	return writeProto(c, r.Status(), r.Reply(id))
 }
 
 func writeProto(c echo.Context, status int, m proto.Message) error {
--- a/internal/entry/harmful.go
+++ b/internal/entry/harmful.go
@@ -74,11 +74,14 @@
 	}
 }
 
-// clear notes, and has recorded, that a request does not end servers.
-func (e *Entry) clear(key quarantine.Key) {
-	if e.book.Clear(key) {
+// clear notes, and has recorded, that a request does not end servers. It reports whether
+// that is news.
+func (e *Entry) clear(key quarantine.Key) bool {
+	news := e.book.Clear(key)
+	if news {
 		e.recordSoon()
 	}
+	return news
 }
 
 // accuse notes that a server ended under requests.
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/control"
+	"fennelyard/internal/operator"
 	"fennelyard/internal/refusal"
 	"fennelyard/internal/schema"
 )
@@ -33,6 +34,9 @@
 	r.POST("/v1/plans/:number/reject", func(c echo.Context) error { return e.decide(c, false) })
 	r.POST("/v1/servers/:name/forget", e.forget)
 	r.GET("/v1/status", e.status)
+	operator.AddSuspects(r, operator.SuspectsConfig{
+		List: e.book.List, Release: e.clear, Log: e.cfg.Log.WithName("quarantine"),
+	})
 	return r
 }
 
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -173,7 +173,7 @@
 func (s *streamCopy) cut(err error) {
 	r := refusal.New(refusal.StreamCut, "the stream broke: %v", err).WithOutcome(refusal.Unknown)
 	s.a.e.cfg.Metrics.Refusal(r.Code().String(), r.Outcome().String())
-	data, merr := protojson.Marshal(errorReply(s.a.in.id, r))
+	data, merr := protojson.Marshal(r.Reply(s.a.in.id))
 	if merr != nil {
 		return
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -73,6 +74,17 @@
 	return out, c.call(ctx, http.MethodGet, "/v1/status", nil, out)
 }
 
+// Suspects lists the requests under which servers ended, as the host knows them.
+func (c *Client) Suspects(ctx context.Context) (*schema.SuspectList, error) {
+	out := &schema.SuspectList{}
+	return out, c.call(ctx, http.MethodGet, SuspectsPath, nil, out)
+}
+
+// Release has a request held back no longer.
+func (c *Client) Release(ctx context.Context, key string, q *schema.ReleaseRequest) (*schema.OperatorReply, error) {
+	return c.command(ctx, SuspectsPath+"/"+url.PathEscape(key)+"/release", q)
+}
+
 func (c *Client) command(ctx context.Context, path string, q proto.Message) (*schema.OperatorReply, error) {
 	out := &schema.OperatorReply{}
 	return out, c.call(ctx, http.MethodPost, path, q, out)
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -10,6 +10,7 @@
 	"io"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -27,6 +28,20 @@
 // digest of a long body takes as long as sending it on.
 type Hint uint64
 
+// ErrKey says that a text is no key.
+var ErrKey = errors.New("not a request's key")
+
+// ParseKey reads what String returns.
+func ParseKey(text string) (Key, error) {
+	var k Key
+	data, err := hex.DecodeString(text)
+	if err != nil || len(data) != len(k) {
+		return Key{}, errors.Newf("%q: %w", text, ErrKey)
+	}
+	copy(k[:], data)
+	return k, nil
+}
+
 // Hint returns the key's hint.
 func (k Key) Hint() Hint { return Hint(binary.BigEndian.Uint64(k[:])) }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -138,6 +138,32 @@
 	return n
 }
 
+// List returns all requests under suspicion, those that are held back for the longest first.
+func (b *Book) List() []*schema.SuspectView {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.cfg.Now()
+	out := make([]*schema.SuspectView, 0, len(b.records))
+	for key, r := range b.records {
+		v := &schema.SuspectView{
+			Key: key.String(), LastEndedAgoMs: uint64(now.Sub(r.last).Milliseconds()),
+			HeldBackForMs: uint64(max(r.until().Sub(now).Milliseconds(), 0)),
+		}
+		for _, server := range slices.Sorted(maps.Keys(r.ended)) {
+			v.EndedServers = append(v.EndedServers, server)
+			if r.ended[server] {
+				v.ClearedServers = append(v.ClearedServers, server)
+			}
+		}
+		out = append(out, v)
+	}
+	slices.SortFunc(out, func(v, w *schema.SuspectView) int {
+		return cmp.Or(cmp.Compare(w.GetHeldBackForMs(), v.GetHeldBackForMs()),
+			cmp.Compare(len(w.GetEndedServers()), len(v.GetEndedServers())), cmp.Compare(v.GetKey(), w.GetKey()))
+	})
+	return out
+}
+
 // Changed returns a channel that is closed when the next request is held back, or no
 // longer.
 func (b *Book) Changed() <-chan struct{} {
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"fennelyard/internal/schema"
 )
 
 //go:generate go tool stringer -type=Code,Outcome -linecomment
@@ -94,6 +96,14 @@
 	return fmt.Sprintf("%s (%s): %s", r.code, r.outcome, r.message)
 }
 
+// Reply returns the refusal of a request as callers and operators get it.
+func (r *Refusal) Reply(id string) *schema.ErrorReply {
+	return &schema.ErrorReply{Error: &schema.ErrorBody{
+		Code: r.code.String(), Message: r.message, Outcome: r.outcome.String(),
+		RetryAfterMs: uint32(r.RetryAfter().Milliseconds()), RequestId: id,
+	}}
+}
+
 // Status returns the HTTP status that goes with the code.
 func (r *Refusal) Status() int {
 	switch r.code {
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -150,7 +150,7 @@
 	handlers := c.group.Handlers()
 	handlers.Attend, handlers.Follow, handlers.GiveOrder = c.attend, c.lead, c.giveOrder
 	c.server = peer.NewServer(peer.ServerConfig{Listener: peers, Handlers: handlers})
-	c.http = newServer(c.cfg.Handler(c))
+	c.http = newServer(c.operatorHandler())
 	c.wg.Add(6)
 	go func() {
 		defer c.wg.Done()
--- a/internal/role/suspects.go
+++ b/internal/role/suspects.go
@@ -3,16 +3,40 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
 	"time"
 
+	"github.com/labstack/echo/v4"
 	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/logbook"
+	"fennelyard/internal/operator"
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/schema"
 )
 
+// operatorHandler answers what the platform's operators ask, and beside it the product's own
+// questions about requests that end their servers.
+func (c *Control) operatorHandler() http.Handler {
+	own := echo.New()
+	operator.AddSuspects(own, operator.SuspectsConfig{List: c.book.List, Release: c.release, Log: c.cfg.Log.WithName("quarantine")})
+	mux := http.NewServeMux()
+	mux.Handle(operator.SuspectsPath, own)
+	mux.Handle(operator.SuspectsPath+"/", own)
+	mux.Handle("/", c.cfg.Handler(c))
+	return mux
+}
+
+// release has a request held back no longer, here and, as news goes, everywhere.
+func (c *Control) release(key quarantine.Key) bool {
+	released := c.book.Clear(key)
+	if released {
+		c.entries.Hurry()
+	}
+	return released
+}
+
 // recallSuspects takes in, once in a term, the requests that end their servers as earlier
 // leaders recorded them.
 func (c *Control) recallSuspects(term uint64) {
