Tell of harmful requests within a host's share of control traffic

A thousand different requests a second that end three servers each are some 80 bytes each to every entry, and up to 256 of them were told in a word, eleven words a second: far over the 18 KB that a host may spend on control. Found by counting, for the size that decides the design.

--- a/internal/gateway/attend.go
+++ b/internal/gateway/attend.go
@@ -287,8 +287,9 @@
 func (a *attendant) speak(ctx context.Context, stream grpc.BidiStreamingClient[schema.EntryNews, schema.LeaderNews], news *schema.EntryNews) {
 	ticker := time.NewTicker(speakEvery)
 	defer ticker.Stop()
-	for due, suspects := true, uint64(0); ; {
-		news.Suspects, suspects = a.g.book.Since(suspects, quarantine.PartNoted)
+	suspects := a.g.book.Reader(quarantine.PartNoted)
+	for due := true; ; {
+		news.Suspects = suspects.Next()
 		news.Stopping = a.g.stopping.Load()
 		news.Demands = a.g.asked.collect()
 		news.Taken = a.taken.Load()
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -35,8 +35,6 @@
 	recordsKept = recordsMost * 7 / 8
 	// serversMost bounds the servers that are remembered of a request.
 	serversMost = 16
-	// tellMost bounds the requests in one word to another host: 15 KB.
-	tellMost = 256
 )
 
 // Config configures a Book. All fields are required.
@@ -309,12 +307,17 @@
 	if b.Empty() {
 		return nil, after
 	}
+	return b.since(after, part, tellMost)
+}
+
+// since is Since with at most so many records.
+func (b *Book) since(after uint64, part Part, most int) ([]*schema.Suspect, uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.cfg.Now().Sub(b.expired) > expireEvery {
 		b.expire()
 	}
-	if after == b.change {
+	if after == b.change || most == 0 {
 		return nil, after
 	}
 	var keys []Key
@@ -325,9 +328,9 @@
 	}
 	slices.SortFunc(keys, func(k, l Key) int { return cmp.Compare(part.number(b.records[k]), part.number(b.records[l])) })
 	to := b.change
-	if len(keys) > tellMost {
-		keys = keys[:tellMost]
-		to = part.number(b.records[keys[tellMost-1]])
+	if len(keys) > most {
+		keys = keys[:most]
+		to = part.number(b.records[keys[most-1]])
 	}
 	out := make([]*schema.Suspect, 0, len(keys))
 	for _, key := range keys {
--- a/internal/role/attend.go
+++ b/internal/role/attend.go
@@ -128,8 +128,8 @@
 
 	// The fields below belong to speak. far is how far the entry is told.
 	far attendance.Told
-	// suspects is how far it is told of requests that end their servers.
-	suspects uint64
+	// suspects reads what it is told of requests that end their servers.
+	suspects *quarantine.Reader
 	members  string
 	sequence uint64
 }
@@ -137,7 +137,7 @@
 func newAttending(c *Control, stream attendStream, first *schema.EntryNews) *attending {
 	a := &attending{
 		c: c, stream: stream, number: c.streams.Add(1), entry: first.GetEntry(),
-		far: attendance.Told{Known: roster.PositionOf(first.GetKnown()), Revision: first.GetAfter()},
+		suspects: c.book.Reader(quarantine.PartHeld), far: attendance.Told{Known: roster.PositionOf(first.GetKnown()), Revision: first.GetAfter()},
 	}
 	a.pace = pace{
 		beat: beat, gather: func() time.Duration { return gatherFor(c.entries.Count()) }, ended: c.stop,
@@ -241,7 +241,7 @@
 		news.Forecasts = a.forecasts(a.pace.question)
 		a.pace.asked = len(news.GetForecasts()) == 0
 	}
-	news.Suspects, a.suspects = a.c.book.Since(a.suspects, quarantine.PartHeld)
+	news.Suspects = a.suspects.Next()
 	if a.pace.due {
 		news.Loads, a.pace.due = a.c.mirror.Loads(), false
 	}
--- a/internal/role/follow.go
+++ b/internal/role/follow.go
@@ -139,10 +139,11 @@
 	ticker := time.NewTicker(hostBeat)
 	defer ticker.Stop()
 	host := &schema.ControlHost{Address: c.self.GetPeerAddress(), DataCentre: c.self.GetDataCentre()}
-	for due, suspects := true, uint64(0); ; {
+	suspects := c.book.Reader(quarantine.PartNoted)
+	for due := true; ; {
 		news := c.entries.News(attendance.Told{Known: c.mirror.At(), Revision: c.applied()}, due)
 		news.Host, news.Lagging, news.Servers = host, c.lags(), c.heard.News()
-		news.Suspects, suspects = c.book.Since(suspects, quarantine.PartNoted)
+		news.Suspects = suspects.Next()
 		if err := stream.Send(news); err != nil {
 			return
 		}
--- a/internal/role/lead.go
+++ b/internal/role/lead.go
@@ -71,12 +71,12 @@
 	// The fields below belong to speak. change is how far the host is told.
 	change   uint64
 	sequence uint64
-	// suspects is how far it is told of requests that end their servers.
-	suspects uint64
+	// suspects reads what it is told of requests that end their servers.
+	suspects *quarantine.Reader
 }
 
 func newLeading(c *Control, stream followStream, host *schema.ControlHost, term uint64) *leading {
-	l := &leading{c: c, stream: stream, number: c.streams.Add(1), host: host, term: term}
+	l := &leading{c: c, stream: stream, number: c.streams.Add(1), host: host, term: term, suspects: c.book.Reader(quarantine.PartAll)}
 	l.pace = pace{
 		beat: hostBeat, gather: l.gatherFor, ended: c.stop,
 		// Control hosts have the log themselves.
@@ -155,7 +155,7 @@
 	if l.pace.asked {
 		news.Forecasts, l.pace.asked = l.c.driver.Forecasts(l.pace.question.wants), false
 	}
-	news.Suspects, l.suspects = l.c.book.Since(l.suspects, quarantine.PartAll)
+	news.Suspects = l.suspects.Next()
 	if l.pace.due {
 		news.Loads, l.pace.due = l.c.roster.Loads(), false
 	}
