--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,15 +115,6 @@
 	g.speakSoon()
 }
 
-// accuse notes that a server ended under requests, and tells the control host at once: the
-// next repeat comes to any entry.
-func (g *Gateway) accuse(server string, keys []quarantine.Key) {
-	for _, key := range keys {
-		g.book.Accuse(key, server)
-	}
-	g.speakSoon()
-}
-
 // speakSoon has the next word to the leader leave at once.
 func (g *Gateway) speakSoon() {
 	select {
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -74,3 +74,23 @@
 	require.Contains(t, s.Beliefs[0].String(), "order given model=m outcome=taken server=s1@1000")
 	require.Contains(t, s.Beliefs[1].String(), "reason=the server has started again")
 }
+
+const harmfulLogs = `
+{"time":"2026-01-02T03:03:01Z","level":"INFO","msg":"attempts broke off","host":"e2","logger":"entry/inquest","server":"s1","answers":"refused","ended":true,"keys":["k0","k1"]}
+{"time":"2026-01-02T03:03:01Z","level":"INFO","msg":"attempts broke off","host":"e2","logger":"entry/inquest","server":"s5","answers":"refused","ended":true,"keys":["k0"]}
+{"time":"2026-01-02T03:03:02Z","level":"INFO","msg":"request held back","host":"e2","logger":"entry/quarantine","key":"k1","servers":["s1","s2","s3"],"blamed":3}
+{"time":"2026-01-02T03:04:03Z","level":"INFO","msg":"request","host":"e1","id":"42","key":"k1","outcome":"held-back","status":503,"took-ms":1}
+`
+
+// A caller complains of a refusal; the request's key leads to the servers that had ended
+// under it a minute before, at another entry, and not to those that ended under others.
+func TestHeldBackRequestLeadsToTheServersThatEnded(t *testing.T) {
+	lines, err := story.Read(strings.NewReader(harmfulLogs))
+	require.NoError(t, err)
+	s, err := story.Tell("42", lines)
+	require.NoError(t, err)
+	require.Contains(t, story.Cause(s.Requests[0]), "ended three servers that ran it, see key k1")
+	require.Len(t, s.Beliefs, 2)
+	require.Contains(t, s.Beliefs[0].String(), "server=s1")
+	require.Contains(t, s.Beliefs[1].String(), "request held back")
+}
