Put proxies before the soak's backend servers: delays, resets, silence in a direction

One connection in five to a server is held up, reset after some bytes of the answer, silent after some, or swallowed with its request, by a seed, while hosts are killed, stopped and paused, servers crash, and a harmful request is repeated. What must hold is what held before: nothing runs twice that must not, what was said not to have run has not, every success is whole, no configuration goes back, and only the harmful request is held back. A proxy ends with its server, so that the server's end still shows.

--- a/cmd/fennelyard/harmful_test.go
+++ b/cmd/fennelyard/harmful_test.go
@@ -26,17 +26,17 @@
 // many servers ended, after how long, and how many ordinary requests were served is logged.
 func TestHarmfulCaller(t *testing.T) {
 	const entries, servers, callers, each = 7, 12, 3, 10 * time.Millisecond
-	s, end := newSoak(t, 1, soakConfig{
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s, end := newSoak(ctx, t, 1, soakConfig{
 		entries: entries, servers: servers,
 		life: func(*rand.Rand) time.Duration { return time.Hour }, down: func(*rand.Rand) time.Duration { return time.Second },
 	})
 	defer end()
-	ctx, cancel := context.WithTimeout(context.Background(), *harmfulFor)
-	defer cancel()
-	s.ctx = ctx
 	for i := range entries {
 		require.Eventually(t, func() bool { return s.serves(i, "first") }, patience, 50*time.Millisecond, "entry %d", i)
 	}
+	time.AfterFunc(*harmfulFor, cancel)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	outcomes := map[int]int{}
--- /dev/null
+++ b/cmd/fennelyard/proxy_test.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// proxyFault is what a proxy does to a connection.
+type proxyFault int
+
+// The faults.
+const (
+	proxyPasses proxyFault = iota
+	// proxyDelays holds each piece of the answer up.
+	proxyDelays
+	// proxyResets ends the connection with a reset after some bytes of the answer.
+	proxyResets
+	// proxySilences passes the request on and, after some bytes, nothing of the answer.
+	proxySilences
+	// proxySwallows passes nothing of the request on, and never answers.
+	proxySwallows
+	proxyFaults
+)
+
+const (
+	// proxyHarms is how many connections there are to one that is not left alone.
+	proxyHarms = 5
+	// proxyDelayMost is how long a piece is held up at the most.
+	proxyDelayMost = 150 * time.Millisecond
+	// proxyBytesMost is after how many bytes of an answer a fault strikes at the latest: in
+	// its header, its body, or not at all.
+	proxyBytesMost = 400
+)
+
+// proxy stands before a backend server and does to its connections what networks do. It
+// ends with its context, as the server's process does.
+type proxy struct {
+	l      net.Listener
+	target string
+	// calm is over when no connection is to be harmed any more.
+	calm context.Context
+	wg   sync.WaitGroup
+
+	mu sync.Mutex
+	// random is guarded by mu.
+	random *rand.Rand
+}
+
+// newProxy starts a proxy at an address before a server; it harms connections until calm
+// is over.
+func newProxy(ctx, calm context.Context, l net.Listener, target string, random *rand.Rand) *proxy {
+	p := &proxy{l: l, target: target, calm: calm, random: random}
+	p.wg.Go(func() {
+		<-ctx.Done()
+		_ = l.Close()
+	})
+	p.wg.Go(func() {
+		for {
+			near, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.wg.Go(func() { p.serve(ctx, near) })
+		}
+	})
+	return p
+}
+
+// close waits until all has ended; the context must be over.
+func (p *proxy) close() { p.wg.Wait() }
+
+// draw returns what happens to a connection: a fault, after how many bytes, and for how
+// long pieces are held up.
+func (p *proxy) draw() (fault proxyFault, after int64, delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.calm.Err() != nil || p.random.IntN(proxyHarms) != 0 {
+		return proxyPasses, 0, 0
+	}
+	return proxyFault(p.random.IntN(int(proxyFaults))), p.random.Int64N(proxyBytesMost), rand.N(proxyDelayMost)
+}
+
+func (p *proxy) serve(ctx context.Context, near net.Conn) {
+	defer func() { _ = near.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = near.Close() })
+	defer stop()
+	fault, after, delay := p.draw()
+	if fault == proxySwallows {
+		_, _ = io.Copy(io.Discard, near)
+		return
+	}
+	far, err := net.Dial("tcp", p.target)
+	if err != nil {
+		return
+	}
+	defer func() { _ = far.Close() }()
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		// The server must learn that its caller has gone.
+		_, _ = io.Copy(far, near)
+		_ = far.Close()
+	}()
+	answer(near, far, fault, after, delay)
+	if fault == proxySilences {
+		<-gone
+	}
+}
+
+// answer passes a server's bytes on as a fault has it.
+func answer(near, far net.Conn, fault proxyFault, after int64, delay time.Duration) {
+	switch fault {
+	case proxyResets:
+		_, _ = io.CopyN(near, far, after)
+		if c, ok := near.(*net.TCPConn); ok {
+			_ = c.SetLinger(0)
+		}
+	case proxySilences:
+		_, _ = io.CopyN(near, far, after)
+		_, _ = io.Copy(io.Discard, far)
+	case proxyDelays:
+		piece := make([]byte, 1<<10)
+		for {
+			n, err := far.Read(piece)
+			time.Sleep(delay)
+			if _, werr := near.Write(piece[:n]); err != nil || werr != nil {
+				return
+			}
+		}
+	default:
+		_, _ = io.Copy(near, far)
+	}
+}
--- a/cmd/fennelyard/soak_test.go
+++ b/cmd/fennelyard/soak_test.go
@@ -50,6 +50,8 @@
 // soakConfig is what a soak is made of.
 type soakConfig struct {
 	entries, servers int
+	// proxied puts a proxy that does what networks do before each backend server.
+	proxied bool
 	// life returns how long a backend server lives unless a request ends it, and down for
 	// how long it is down then.
 	life, down func(*rand.Rand) time.Duration
@@ -148,11 +150,7 @@
 // another address, until the soak ends.
 func (s *soak) live(i int, r *rand.Rand) {
 	for s.alive.Err() == nil {
-		server, err := net.Listen("tcp", fmt.Sprintf("127.0.3.%d:0", 21+i))
-		if err != nil {
-			s.fault("server %d: %v", i, err)
-			return
-		}
+		server := s.listen(i)
 		life, end := context.WithTimeout(s.alive, s.life(r))
 		h := &http.Server{ReadHeaderTimeout: time.Second}
 		crash := func() {
@@ -162,12 +160,27 @@
 		}
 		h.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { s.serve(w, q, crash) })
 		go func() { _ = h.Serve(server) }()
-		s.announce(life, i, server.Addr().String())
+		address, closed := server.Addr().String(), func() {}
+		if s.proxied {
+			p := newProxy(life, s.ctx, s.listen(i), address, r)
+			address, closed = p.l.Addr().String(), p.close
+		}
+		s.announce(life, i, address)
 		crash()
+		closed()
 		time.Sleep(s.down(r))
 	}
 }
 
+// listen returns a port at a backend server's address.
+func (s *soak) listen(i int) net.Listener {
+	l, err := net.Listen("tcp", fmt.Sprintf("127.0.3.%d:0", 21+i))
+	if err != nil {
+		panic(err)
+	}
+	return l
+}
+
 // announce tells the control hosts of one start of a server until it ends.
 func (s *soak) announce(life context.Context, i int, address string) {
 	born := time.Now().UnixMilli()
@@ -403,15 +416,14 @@
 }
 
 func runSoak(t *testing.T, seed uint64) {
-	s, end := newSoak(t, seed, soakConfig{
-		entries: soakEntries, servers: soakServers,
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s, end := newSoak(ctx, t, seed, soakConfig{
+		entries: soakEntries, servers: soakServers, proxied: true,
 		life: func(r *rand.Rand) time.Duration { return time.Duration(1500+r.IntN(4000)) * time.Millisecond },
 		down: func(r *rand.Rand) time.Duration { return time.Duration(r.IntN(300)) * time.Millisecond },
 	})
 	defer end()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	s.ctx = ctx
 	var wg sync.WaitGroup
 	for i := range 6 {
 		wg.Go(func() { s.ask(i, rand.New(rand.NewPCG(seed, uint64(i)))) })
@@ -427,14 +439,15 @@
 	s.conclude()
 }
 
-// newSoak starts hosts and backend servers; end ends the servers.
-func newSoak(t *testing.T, seed uint64, cfg soakConfig) (s *soak, end func()) {
+// newSoak starts hosts and backend servers. Callers and faults end with the context; end
+// ends the servers.
+func newSoak(ctx context.Context, t *testing.T, seed uint64, cfg soakConfig) (s *soak, end func()) {
 	l, err := net.Listen("tcp", "127.0.3.1:0")
 	require.NoError(t, err)
 	alive, cancel := context.WithCancel(context.Background())
 	s = &soak{
 		t: t, seed: seed, fleet: &fleet{t: t, processes: map[string]*process{}}, port: l.Addr().(*net.TCPAddr).Port, folder: t.TempDir(),
-		soakConfig: cfg, ctx: alive, alive: alive, runs: map[string]int{}, refused: map[string]bool{},
+		soakConfig: cfg, ctx: ctx, alive: alive, runs: map[string]int{}, refused: map[string]bool{},
 	}
 	require.NoError(t, l.Close())
 	t.Cleanup(s.fleet.close)
--- a/internal/consensus/rounds.go
+++ b/internal/consensus/rounds.go
@@ -10,16 +10,19 @@
 // leader was the leader at the moment at which it began: a leader that is frozen, or cut
 // off, and that takes itself for one, can't tell by its own word.
 type rounds struct {
+	// began are rounds by ascending number: the last that a quorum has answered, where it is
+	// known, and those after it.
 	began []begunRound
 }
 
+// begunRound is a heartbeat round and when it began, or a moment later.
 type begunRound struct {
 	number uint64
 	at     time.Time
 }
 
-// confirmed notes that the last round begun was so not before a moment, and returns when
-// the last one began that a quorum has answered; the zero time: none is known.
+// confirmed notes the last round that was begun, now where it is new, and returns when the
+// last one began that a quorum has answered; the zero time: none is known.
 func (r *rounds) confirmed(now time.Time, begun, answered uint64) time.Time {
 	if begun == 0 {
 		r.began = nil
--- a/internal/entry/harmful.go
+++ b/internal/entry/harmful.go
@@ -102,25 +102,32 @@
 // recordSuspects has the group record what this entry itself finds, so that every entry
 // knows it and it outlasts them all. Until that succeeds this entry acts on it alone.
 func (e *Entry) recordSuspects() {
-	for at := uint64(0); ; {
+	for recorded := uint64(0); ; {
 		select {
 		case <-e.stop:
 			return
 		case <-e.suspects:
+			recorded = e.recordSince(recorded)
 		}
-		for {
-			list, to := e.book.Since(at, quarantine.PartNoted)
-			if len(list) == 0 {
-				break
-			}
-			if err := e.propose(list); err != nil {
-				e.cfg.Log.Info("suspects not recorded", "count", len(list), "error", err.Error())
-				if !e.pause(suspectRetry) {
-					return
-				}
-				continue
-			}
-			at = to
+	}
+}
+
+// recordSince has all recorded that has changed since a change of the book. It returns up
+// to which change that is; less than all only where the entry stops.
+func (e *Entry) recordSince(change uint64) uint64 {
+	for {
+		list, to := e.book.Since(change, quarantine.PartNoted)
+		if len(list) == 0 {
+			return to
+		}
+		err := e.propose(list)
+		if err == nil {
+			change = to
+			continue
+		}
+		e.cfg.Log.Info("suspects not recorded", "count", len(list), "error", err.Error())
+		if !e.pause(suspectRetry) {
+			return change
 		}
 	}
 }
--- a/internal/gateway/attend.go
+++ b/internal/gateway/attend.go
@@ -98,7 +98,7 @@
 	mu sync.Mutex
 	// host is the address of the host that is attended, "": none; guarded by mu.
 	host string
-	// heard is when the leader last spoke; guarded by mu.
+	// heard is when the leader was last known to lead; guarded by mu.
 	heard time.Time
 }
 
@@ -412,7 +412,7 @@
 	return a.host
 }
 
-// age returns how long ago the leader last spoke.
+// age returns how long ago the leader was known to lead.
 func (a *attendant) age() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -275,19 +275,22 @@
 	b.cfg.Log.Info("suspicions dropped", "count", len(keys)-recordsKept, "left", recordsKept)
 }
 
+//go:generate go tool stringer -type=Part -linecomment
+
 // Part is the part of a book that somebody needs.
 type Part int
 
 // The parts.
 const (
 	// PartAll is for hosts that may lead next.
-	PartAll Part = iota
+	PartAll Part = iota // all
 	// PartNoted is what this host has not been told by the leader: the leader needs it.
-	PartNoted
+	PartNoted // noted
 	// PartHeld is for entries: requests that have been held back.
-	PartHeld
-	// PartLikely is for the log: requests that one more server would have held back.
-	PartLikely
+	PartHeld // held
+	// PartLikely is for the log: requests that one more server would have held back, or that
+	// are.
+	PartLikely // likely
 )
 
 // number is the change by which somebody knows a record, 0: they don't need it.
--- a/internal/roster/mirror.go
+++ b/internal/roster/mirror.go
@@ -41,7 +41,8 @@
 	entriesAt, hostsAt Position
 	loads              *schema.EngineLoads
 	forecasts          map[forecastOf]forecast
-	// heard is when the leader last spoke, or rather when it was known to lead, and revision what its log had applied then.
+	// heard is when, by the leader's last word, a quorum took it for the leader, and revision
+	// what its log had applied as it spoke.
 	heard    time.Time
 	revision uint64
 	// awaited is set while somebody waits until all entries are told, and unawaited while
@@ -317,7 +318,7 @@
 	return m.unawaited
 }
 
-// Heard returns when the leader last spoke, the zero time for never, and what its log had
+// Heard returns when the leader was last known to lead, the zero time for never, and what its log had
 // applied by then.
 func (m *Mirror) Heard() (at time.Time, revision uint64) {
 	m.mu.Lock()
