--- a/internal/quarantine/reader.go
+++ b/internal/quarantine/reader.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// tellRate is how many requests a second one host tells another at most: 12 KB, two
-	// thirds of what a host may spend on control. Whoever repeats a thousand different
-	// harmful requests a second is held back a little later.
-	tellRate = 150.0
-	// tellMost is how many are told at once.
+	// tellRate is how many requests a second one host tells another at most: 6 KB, what the
+	// words about servers and loads leave of a host's 18 KB for control. Whoever repeats a
+	// thousand different harmful requests a second is held back a little later.
+	tellRate = 75.0
+	// tellMost is how many are told at once, after as many seconds in which fewer were.
 	tellMost = 256
 )
 
