Wait for what the host knows, not for a time, in the test of harmful bookings

The test waited 50 ms for the end of a server to be looked into; with one core's share for a dozen programs that took longer, the next booking went out before its entry could know, and ended two more servers. That is allowed: what is known counts, and the wait decided the verdict by time. The test now waits until the host lists as many ended servers as there are; the bound of 4 stays, and holds whatever the machine does.

--- a/internal/host/harmful_test.go
+++ b/internal/host/harmful_test.go
@@ -8,7 +8,6 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -49,8 +48,8 @@
 				if got = book(harmful); got.code == "held-back" && got.outcome == "not-run" {
 					break
 				}
-				// The end of a server is looked into while its caller has its answer.
-				time.Sleep(50 * time.Millisecond)
+				// The end of a server is looked into while its caller has its answer already.
+				b.eventually("what ended known", func() bool { return int64(b.accused()) == ended.Load() })
 			}
 			require.Equal(t, "held-back", got.code)
 			require.Equal(t, "not-run", got.outcome)
@@ -70,6 +69,18 @@
 	}
 }
 
+// accused returns how many servers have ended, as the host knows, under the request under
+// which most have.
+func (b *bed) accused() int {
+	list, err := b.oper.Suspects(context.Background())
+	require.NoError(b.t, err)
+	most := 0
+	for _, s := range list.GetSuspects() {
+		most = max(most, len(s.GetEndedServers()))
+	}
+	return most
+}
+
 // book sends one booking without the client's retries.
 func (b *bed) book(method, body, key string) reply {
 	b.t.Helper()
