Keep one copy of writing answers, and of how old a recorded suspect is

The operators' calls on suspects wrote answers with a copy of what entries of listed hosts have, and both kinds of host aged recorded suspects in loops of their own: Records.Suspects serves both now, and operator.WriteProto both. Two lists are compared by slices.EqualFunc, as elsewhere. No behaviour changes.

--- a/internal/entry/backends.go
+++ b/internal/entry/backends.go
@@ -8,6 +8,7 @@
 	"github.com/labstack/echo/v4"
 
 	"fennelyard/internal/backend"
+	"fennelyard/internal/operator"
 	"fennelyard/internal/refusal"
 	"fennelyard/internal/schema"
 )
@@ -36,7 +37,7 @@
 	if e.heard.Take(a, time.Now()) && a.GetServer().GetLeaving() {
 		e.refresh(e.gate.Queues())
 	}
-	return writeProto(c, http.StatusOK, &schema.AnnounceReply{
+	return operator.WriteProto(c, http.StatusOK, &schema.AnnounceReply{
 		Addresses: e.backendAddresses(), EveryMs: uint32(announceEvery.Milliseconds()),
 	})
 }
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -13,12 +12,11 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
-	"google.golang.org/protobuf/encoding/protojson"
-	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/admission"
 	"fennelyard/internal/claim"
 	"fennelyard/internal/directory"
+	"fennelyard/internal/operator"
 	"fennelyard/internal/refusal"
 	"fennelyard/internal/routing"
 	"fennelyard/internal/schema"
@@ -78,7 +76,7 @@
 		Addresses: directory.Choose(e.hosts(), centre, e.cfg.Random),
 		KeepMs:    uint32(e.cfg.Settings.GetEntry().GetDirectoryKeep().AsDuration().Milliseconds()),
 	}
-	return writeProto(c, http.StatusOK, reply)
+	return operator.WriteProto(c, http.StatusOK, reply)
 }
 
 func (e *Entry) hosts() []directory.Host {
@@ -250,15 +248,5 @@
 		c.Response().Header().Set("Retry-After", strconv.Itoa(int(seconds)))
 	}
 	c.Response().Header().Set(routing.HeaderOutcome, r.Outcome().String())
-	return writeProto(c, r.Status(), r.Reply(id))
-}
-
-func writeProto(c echo.Context, status int, m proto.Message) error {
-	data, err := protojson.MarshalOptions{EmitUnpopulated: true}.Marshal(m)
-	if err != nil {
-		return errors.Newf("encode answer: %w", err)
-	}
-	// protojson varies its spacing on purpose; an interface should not.
-	var compact json.RawMessage = data
-	return c.JSON(status, compact)
+	return operator.WriteProto(c, r.Status(), r.Reply(id))
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,7 +71,8 @@
 	keeper *claim.Keeper
 	heard  *backend.Heard
 	// inquest finds out which servers have ended under requests, book is what is known of
-	// such requests, completed which have run to their end here, and suspects holds a token while there is more to record.
+	// such requests, completed which have run to their end here, and suspects holds a token
+	// while there is more to record.
 	inquest   *quarantine.Inquest
 	book      *quarantine.Book
 	completed *quarantine.Completed
--- a/internal/entry/harmful.go
+++ b/internal/entry/harmful.go
@@ -4,15 +4,13 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/proto"
-
 	"fennelyard/internal/incarnation"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/refusal"
 	"fennelyard/internal/routing"
 	"fennelyard/internal/schema"
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -149,12 +147,6 @@
 // takeSuspects takes in what the group has recorded.
 func (e *Entry) takeSuspects() {
 	var list []*schema.Suspect
-	e.cfg.Replica.View(func(r *ledger.Records) {
-		for _, k := range r.KnownSuspects() {
-			s := proto.CloneOf(k.GetSuspect())
-			s.AgeMs += max(time.Now().UnixMilli()-k.GetAtMs(), 0)
-			list = append(list, s)
-		}
-	})
+	e.cfg.Replica.View(func(r *ledger.Records) { list = r.Suspects(time.Now()) })
 	e.book.Take(list, true)
 }
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return writeRefusal(c, "", controlRefusal(err))
 	}
-	return writeProto(c, statusOf(result.GetCode()), &schema.OperatorReply{
+	return operator.WriteProto(c, statusOf(result.GetCode()), &schema.OperatorReply{
 		Result: resultWord(result.GetCode()), Reason: result.GetReason(),
 		Revision: result.GetRevision(), Plan: planView(result.GetPlan()),
 	})
@@ -174,7 +174,7 @@
 	for _, rec := range reply.GetRecords() {
 		list.Plans = append(list.Plans, planView(rec.GetPlan()))
 	}
-	return writeProto(c, http.StatusOK, list)
+	return operator.WriteProto(c, http.StatusOK, list)
 }
 
 func (e *Entry) showPlan(c echo.Context) error {
@@ -185,7 +185,7 @@
 	}
 	for _, rec := range reply.GetRecords() {
 		if rec.GetKey() == key {
-			return writeProto(c, http.StatusOK, planView(rec.GetPlan()))
+			return operator.WriteProto(c, http.StatusOK, planView(rec.GetPlan()))
 		}
 	}
 	return writeRefusal(c, "", refusal.New(refusal.UnknownTarget, "plan %q is not known", c.Param("number")))
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -8,6 +8,7 @@
 	"github.com/labstack/echo/v4"
 
 	"fennelyard/internal/ledger"
+	"fennelyard/internal/operator"
 	"fennelyard/internal/schema"
 )
 
@@ -39,7 +40,7 @@
 			Target: q.Target, Waiting: uint32(q.Waiting), Running: uint32(q.Running),
 		})
 	}
-	return writeProto(c, http.StatusOK, v)
+	return operator.WriteProto(c, http.StatusOK, v)
 }
 
 func (e *Entry) hostViews(members []*schema.MemberView) []*schema.HostView {
--- a/internal/ledger/suspects.go
+++ b/internal/ledger/suspects.go
@@ -6,6 +6,9 @@
 	"encoding/hex"
 	"maps"
 	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/schema"
 )
@@ -21,6 +24,20 @@
 	return valuesOf(r, (*schema.Record).GetKnownSuspect)
 }
 
+// Suspects returns the recorded suspects with their ages as of now, for whoever has just
+// come to know the records.
+func (r *Records) Suspects(now time.Time) []*schema.Suspect {
+	known := r.KnownSuspects()
+	out := make([]*schema.Suspect, 0, len(known))
+	for _, k := range known {
+		s := proto.CloneOf(k.GetSuspect())
+		// The clock of the host that recorded it may have been ahead.
+		s.AgeMs += max(now.UnixMilli()-k.GetAtMs(), 0)
+		out = append(out, s)
+	}
+	return out
+}
+
 // rememberSuspects records requests that end their servers. After all hosts lost power
 // nobody else would know them, and each would end as many servers again.
 func (l *Ledger) rememberSuspects(q *schema.RememberSuspects) *schema.Result {
--- a/internal/operator/suspects.go
+++ b/internal/operator/suspects.go
@@ -34,7 +34,7 @@
 // AddSuspects answers operators about requests that end their servers.
 func AddSuspects(r *echo.Echo, cfg SuspectsConfig) {
 	r.GET(SuspectsPath, func(c echo.Context) error {
-		return writeProto(c, http.StatusOK, &schema.SuspectList{Suspects: cfg.List()})
+		return WriteProto(c, http.StatusOK, &schema.SuspectList{Suspects: cfg.List()})
 	})
 	r.POST(SuspectsPath+"/:key/release", cfg.release)
 }
@@ -60,17 +60,19 @@
 	if !released {
 		return refuse(c, refusal.New(refusal.UnknownTarget, "no request under suspicion has the key %s", key))
 	}
-	return writeProto(c, http.StatusOK, &schema.OperatorReply{Result: "ok"})
+	return WriteProto(c, http.StatusOK, &schema.OperatorReply{Result: "ok"})
 }
 
 func refuse(c echo.Context, r *refusal.Refusal) error {
-	return writeProto(c, r.Status(), r.Reply(""))
+	return WriteProto(c, r.Status(), r.Reply(""))
 }
 
-func writeProto(c echo.Context, status int, m proto.Message) error {
+// WriteProto answers with a message as JSON.
+func WriteProto(c echo.Context, status int, m proto.Message) error {
 	data, err := protojson.MarshalOptions{EmitUnpopulated: true}.Marshal(m)
 	if err != nil {
 		return errors.Newf("encode answer: %w", err)
 	}
+	// protojson varies its spacing on purpose; an interface should not.
 	return c.JSON(status, json.RawMessage(data))
 }
--- a/internal/role/suspects.go
+++ b/internal/role/suspects.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -43,17 +44,11 @@
 	if c.recalled.Swap(term) == term {
 		return
 	}
-	known := c.knownSuspects()
-	if len(known) == 0 {
+	var list []*schema.Suspect
+	c.group.Ledger().View(func(_ ledger.Heads, r *ledger.Records) { list = r.Suspects(time.Now()) })
+	if len(list) == 0 {
 		return
 	}
-	list := make([]*schema.Suspect, 0, len(known))
-	for _, k := range known {
-		s := proto.CloneOf(k.GetSuspect())
-		// The clock of the leader before may have been ahead.
-		s.AgeMs += max(time.Now().UnixMilli()-k.GetAtMs(), 0)
-		list = append(list, s)
-	}
 	c.book.Take(list, false)
 	c.cfg.Log.Info("suspects recalled", "count", len(list), "term", term)
 }
@@ -105,13 +100,5 @@
 
 // sameServers reports whether the same servers ended under two suspects.
 func sameServers(one, other *schema.Suspect) bool {
-	if len(one.GetEnded()) != len(other.GetEnded()) {
-		return false
-	}
-	for i, e := range one.GetEnded() {
-		if !proto.Equal(e, other.GetEnded()[i]) {
-			return false
-		}
-	}
-	return true
+	return slices.EqualFunc(one.GetEnded(), other.GetEnded(), func(a, b *schema.EndedServer) bool { return proto.Equal(a, b) })
 }
