Decide in one place what is held back from servers, for both kinds of entries

The entry of listed hosts and the one of hosts that join by seeds each had the same five decisions over a book, an inquest and what ran to its end: a request is held back, broke off, ran whole, is cleared, is accused. quarantine.Guard has them once; what differs (how others are told, which break-offs count) is a function field and the callers' own condition. A subject keeps the digest of a body that both needed again and again.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -17,6 +17,7 @@
 	"fennelyard/internal/claim"
 	"fennelyard/internal/directory"
 	"fennelyard/internal/operator"
+	"fennelyard/internal/quarantine"
 	"fennelyard/internal/refusal"
 	"fennelyard/internal/routing"
 	"fennelyard/internal/schema"
@@ -111,6 +112,8 @@
 	// caller says that the key arrives for the first time.
 	key   string
 	first bool
+	// guarded is the request as the guard knows it; nil: it was not needed yet.
+	guarded *quarantine.Subject
 }
 
 // check refuses before anything is spent on a request.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,13 +70,10 @@
 	sender *routing.Sender
 	keeper *claim.Keeper
 	heard  *backend.Heard
-	// inquest finds out which servers have ended under requests, book is what is known of
-	// such requests, completed which have run to their end here, and suspects holds a token
-	// while there is more to record.
-	inquest   *quarantine.Inquest
-	book      *quarantine.Book
-	completed *quarantine.Completed
-	suspects  chan struct{}
+	// guard holds requests back that end the servers that run them, and suspects holds a
+	// token while it knows what is to be recorded.
+	guard    *quarantine.Guard
+	suspects chan struct{}
 	// forecasts holds the leader's word by target.
 	forecasts *forecasts
 	servers   []*http.Server
@@ -118,10 +115,8 @@
 		Entry: cfg.Self.GetName(), Incarnation: cfg.Incarnation, Propose: cfg.Control.Propose,
 		Attempt: cfg.RandomID, Log: cfg.Log,
 	})
-	e.book = quarantine.New(quarantine.Config{Now: time.Now, Log: cfg.Log.WithName("quarantine")})
-	e.completed = quarantine.NewCompleted(time.Now)
-	e.inquest = quarantine.NewInquest(quarantine.InquestConfig{
-		Presence: relay.NewSender(relay.Config{}).Presence, Ended: e.accuse, Log: cfg.Log.WithName("inquest"),
+	e.guard = quarantine.NewGuard(quarantine.GuardConfig{
+		Presence: relay.NewSender(relay.Config{}).Presence, Changed: e.recordSoon, Log: cfg.Log,
 	})
 	e.gauges()
 	e.serve(cfg.CallerListener, e.callerRoutes())
@@ -159,7 +154,7 @@
 	e.cfg.Metrics.Gauge("ejected_servers", "Backend servers that are left out for failures.",
 		func() float64 { return float64(e.table.Ejected(time.Now())) })
 	e.cfg.Metrics.Gauge("requests_held_back", "Requests that this entry holds back, as they end their servers.",
-		func() float64 { return float64(e.book.HeldCount()) })
+		func() float64 { return float64(e.guard.Book().HeldCount()) })
 	e.cfg.Metrics.Gauge("heard_servers", "Backend servers that announce themselves to this entry.",
 		func() float64 { return float64(e.heard.Len()) })
 }
@@ -266,7 +261,7 @@
 			}
 		}
 		close(e.stop)
-		e.inquest.Close()
+		e.guard.Close()
 		e.sender.Close()
 	})
 	<-e.done
--- a/internal/entry/harmful.go
+++ b/internal/entry/harmful.go
@@ -20,76 +20,40 @@
 	suspectRetry = time.Second
 )
 
-// asRepeated is what stays the same when the caller repeats a request.
-func (in *incoming) asRepeated() quarantine.Request {
-	return quarantine.Request{
-		Method: in.method, Host: in.target.name, Target: in.path, Caller: in.customer, Body: in.body,
+// subject is a request as the guard knows it.
+func (in *incoming) subject() *quarantine.Subject {
+	if in.guarded == nil {
+		in.guarded = quarantine.NewSubject(quarantine.Request{
+			Method: in.method, Host: in.target.name, Target: in.path, Caller: in.customer, Body: in.body,
+		})
 	}
+	return in.guarded
 }
 
 // heldBack refuses a request that is known to end the servers that run it; nil: it is not.
-// It is looked at before each attempt: the word may come while it waits, or from its own
-// last attempt.
 func (e *Entry) heldBack(in *incoming) *refusal.Refusal {
-	if e.book.Empty() || !e.book.Suspects(in.asRepeated().Hint()) {
-		return nil
-	}
-	key := in.asRepeated().Key()
-	left, held := e.book.Held(key)
+	left, held := e.guard.HeldBack(in.subject())
 	if !held {
 		return nil
 	}
-	if e.completed.Lately(in.asRepeated()) {
-		// Others have met servers that ended; here it has run to its end.
-		e.clear(key)
-		return nil
-	}
-	return refusal.New(refusal.HeldBack, "servers ended that ran this request before (%s)", key).After(left)
+	return refusal.New(refusal.HeldBack, "servers ended that ran this request before (%s)", in.subject().Known()).After(left)
 }
 
-// brokeOff has the end of a server looked into at which an attempt broke off. A server
-// that leaves ends anyhow, whatever it runs.
+// brokeOff tells the guard where an attempt broke off. A server that leaves ends anyhow,
+// whatever it runs.
 func (e *Entry) brokeOff(ctx context.Context, in *incoming, at routing.Candidate, err error) {
 	if ctx.Err() != nil || errors.Is(err, routing.ErrNotRun) || errors.Is(err, routing.ErrSilent) {
 		return
 	}
-	if e.completed.Lately(in.asRepeated()) {
-		return
-	}
 	works := false
 	e.cfg.Replica.View(func(r *ledger.Records) { works = e.takesWork(r.Server(at.Server), at.Incarnation) })
 	if works {
 		server := incarnation.Name{Server: at.Server, Born: int64(at.Incarnation)}
-		e.inquest.BrokeOff(server.String(), at.Address, in.asRepeated().Key())
-	}
-}
-
-// ranWhole notes that a server lived through a request.
-func (e *Entry) ranWhole(in *incoming) {
-	e.completed.Note(in.asRepeated())
-	if !e.book.Empty() && e.book.Suspects(in.asRepeated().Hint()) {
-		e.clear(in.asRepeated().Key())
-	}
-}
-
-// clear notes, and has recorded, that a request does not end servers. It reports whether
-// that is news.
-func (e *Entry) clear(key quarantine.Key) bool {
-	news := e.book.Clear(key)
-	if news {
-		e.recordSoon()
-	}
-	return news
-}
-
-// accuse notes that a server ended under requests.
-func (e *Entry) accuse(server string, keys []quarantine.Key) {
-	for _, key := range keys {
-		e.book.Accuse(key, server)
+		e.guard.BrokeOff(in.subject(), server.String(), at.Address)
 	}
-	e.recordSoon()
 }
 
+// recordSoon has recorded, by the group, what the guard has found.
 func (e *Entry) recordSoon() {
 	select {
 	case e.suspects <- struct{}{}:
@@ -114,7 +78,7 @@
 // to which change that is; less than all only where the entry stops.
 func (e *Entry) recordSince(change uint64) uint64 {
 	for {
-		list, to := e.book.Since(change, quarantine.PartNoted)
+		list, to := e.guard.Book().Since(change, quarantine.PartNoted)
 		if len(list) == 0 {
 			return to
 		}
@@ -148,5 +112,5 @@
 func (e *Entry) takeSuspects() {
 	var list []*schema.Suspect
 	e.cfg.Replica.View(func(r *ledger.Records) { list = r.Suspects(time.Now()) })
-	e.book.Take(list, true)
+	e.guard.Book().Take(list, true)
 }
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -222,7 +222,7 @@
 		a.e.brokeOff(ctx, a.in, chosen, err)
 		return a.failed(ctx, chosen, err)
 	}
-	a.e.ranWhole(a.in)
+	a.e.guard.RanWhole(a.in.subject())
 	a.e.cfg.Metrics.FirstByte(a.in.kind, time.Since(a.in.began), a.cold)
 	copyHeader(c.Response().Header(), reply.Header())
 	c.Response().Header().Set(routing.HeaderRequestID, a.in.id)
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -35,7 +35,7 @@
 	r.POST("/v1/servers/:name/forget", e.forget)
 	r.GET("/v1/status", e.status)
 	operator.AddSuspects(r, operator.SuspectsConfig{
-		List: e.book.List, Release: e.clear, Log: e.cfg.Log.WithName("quarantine"),
+		List: e.guard.Book().List, Release: e.guard.Clear, Log: e.cfg.Log.WithName("quarantine"),
 	})
 	return r
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -241,7 +241,7 @@
 		// The server answered, so it ran; the answer is not whole.
 		return refusal.Ran, nil, err
 	}
-	e.ranWhole(r.in)
+	e.guard.RanWhole(r.in.subject())
 	return refusal.Ran, &schema.Answer{
 		Status: uint32(reply.Status()), ContentType: reply.Header().Get("Content-Type"), Body: body,
 	}, nil
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -88,7 +88,7 @@
 		OK: err == nil || ctx.Err() != nil, FirstByte: reply.FirstByte(), Reported: reply.Outstanding(),
 	})
 	if err == nil {
-		a.e.ranWhole(a.in)
+		a.e.guard.RanWhole(a.in.subject())
 		return true, true, nil
 	}
 	if !s.began {
--- a/internal/gateway/attend.go
+++ b/internal/gateway/attend.go
@@ -287,7 +287,7 @@
 func (a *attendant) speak(ctx context.Context, stream grpc.BidiStreamingClient[schema.EntryNews, schema.LeaderNews], news *schema.EntryNews) {
 	ticker := time.NewTicker(speakEvery)
 	defer ticker.Stop()
-	suspects := a.g.book.Reader(quarantine.PartNoted)
+	suspects := a.g.guard.Book().Reader(quarantine.PartNoted)
 	for due := true; ; {
 		news.Suspects = suspects.Next()
 		news.Stopping = a.g.stopping.Load()
@@ -363,7 +363,7 @@
 		a.hosts.named = l.GetHosts()
 	}
 	// Before the configuration, with which an entry that has just started begins to serve.
-	a.g.book.Take(news.GetSuspects(), true)
+	a.g.guard.Book().Take(news.GetSuspects(), true)
 	c, err := changesOf(news)
 	if err != nil {
 		// The host takes them for told; only a new stream brings them again.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -97,8 +97,8 @@
 	// chosen: requests, and prompt tokens not read.
 	atOnce int
 	unread int
-	// key names the request as its caller repeats it; the zero value: it was not needed yet.
-	key quarantine.Key
+	// guarded is the request as the guard knows it; nil: it was not needed yet.
+	guarded *quarantine.Subject
 	// started is set once a byte of the answer has left.
 	started bool
 	status  int
@@ -428,7 +428,7 @@
 		return x.failedIn(s, errors.Newf("status %d without a signature", answer.Status))
 	}
 	x.g.fleet.good(s)
-	x.ranWhole()
+	x.g.guard.RanWhole(x.subject())
 	if answer.Status >= http.StatusInternalServerError && x.mayRepeatNow() {
 		x.cause = errors.Newf("server %s: status %d", s.id, answer.Status)
 		x.tried = append(x.tried, s.id)
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -232,7 +232,7 @@
 // request under which most have.
 func (g *Gateway) Suspected() int {
 	most := 0
-	list, _ := g.book.Since(0, quarantine.PartAll)
+	list, _ := g.guard.Book().Since(0, quarantine.PartAll)
 	for _, s := range list {
 		most = max(most, len(s.GetEnded()))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,12 +54,9 @@
 	fleet  *fleet
 	asked  *asked
 	attend *attendant
-	// inquest finds out which servers have ended under requests, book is what is known of
-	// such requests, and completed which have run to their end here.
-	inquest   *quarantine.Inquest
-	book      *quarantine.Book
-	completed *quarantine.Completed
-	table     atomic.Pointer[table]
+	// guard holds requests back that end the servers that run them.
+	guard *quarantine.Guard
+	table atomic.Pointer[table]
 	// began is when the gateway started, and configured is closed at its first
 	// configuration.
 	began      time.Time
@@ -91,9 +88,7 @@
 		budgets: map[string]*budget{}, paces: map[string]*pace{},
 	}
 	g.attend = newAttendant(g)
-	g.book = quarantine.New(quarantine.Config{Now: time.Now, Log: cfg.Log.WithName("quarantine")})
-	g.completed = quarantine.NewCompleted(time.Now)
-	g.inquest = quarantine.NewInquest(quarantine.InquestConfig{Presence: cfg.Sender.Presence, Ended: g.accuse, Log: cfg.Log.WithName("inquest")})
+	g.guard = quarantine.NewGuard(quarantine.GuardConfig{Presence: cfg.Sender.Presence, Changed: g.speakSoon, Log: cfg.Log})
 	g.ended, g.end = context.WithCancel(context.Background())
 	go func() {
 		defer close(g.done)
@@ -134,7 +129,7 @@
 func (g *Gateway) Close() {
 	g.end()
 	g.once.Do(func() { close(g.stop) })
-	g.inquest.Close()
+	g.guard.Close()
 	<-g.done
 }
 
@@ -162,7 +157,7 @@
 // State returns what the gateway believes.
 func (g *Gateway) State() State {
 	s := State{
-		Servers: g.fleet.count(), Ready: g.fleet.readyCount(), Entries: g.entryCount(), Waiting: g.asked.waitingCount(), HeldBack: g.book.HeldCount(), LeaderAge: g.attend.age(),
+		Servers: g.fleet.count(), Ready: g.fleet.readyCount(), Entries: g.entryCount(), Waiting: g.asked.waitingCount(), HeldBack: g.guard.Book().HeldCount(), LeaderAge: g.attend.age(),
 		Host: g.attend.attended(), Streams: g.attend.streams.Load(),
 	}
 	if t := g.table.Load(); t != nil {
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"fennelyard/internal/logbook"
-	"fennelyard/internal/quarantine"
 	"fennelyard/internal/schema"
 )
 
@@ -26,11 +25,7 @@
 	if x.server != nil {
 		server = x.server.id
 	}
-	key := ""
-	if x.key != (quarantine.Key{}) {
-		key = x.key.String()
-	}
-	g.cfg.Requests.Info("request", "id", x.call.ID, "key", key, "outcome", x.outcome.String(), "status", x.status, "route", route,
+	g.cfg.Requests.Info("request", "id", x.call.ID, "key", x.guarded.Known(), "outcome", x.outcome.String(), "status", x.status, "route", route,
 		"version", version, "pool", x.pool, "model", x.call.Model, "adapter", x.call.Adapter, "server", server,
 		"attempts", x.attempts, "runs", x.runs, "tried", x.tried, "waited-ms", x.waited.Milliseconds(),
 		"first-ms", x.first.Milliseconds(), "pause-ms", x.pause.Milliseconds(), "took-ms", took.Milliseconds(), "wait-ms", x.call.Wait.Milliseconds(), "prompt", x.call.PromptTokens,
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,7 +28,7 @@
 		switch {
 		case err == nil:
 			x.g.fleet.good(s)
-			x.ranWhole()
+			x.g.guard.RanWhole(x.subject())
 			x.status, x.outcome = http.StatusOK, OutcomeServed
 			return false
 		case errors.Is(err, errCallerGone):
@@ -112,7 +112,7 @@
 		if x.route.GetRepeat() != schema.Repeat_REPEAT_RESUME || x.runs >= int(x.route.GetMaxAttempts()) {
 			return nil, nil
 		}
-		if _, held := x.quarantined(); held {
+		if _, held := x.g.guard.HeldBack(x.subject()); held {
 			return nil, nil
 		}
 		left := time.Until(x.deadline)
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -64,7 +64,7 @@
 // hopeless tells whether a request for a model that no server holds cannot be
 // served in time, as what it ends then, and when to come back.
 func (x *exchange) hopeless(t target, now time.Time) (o Outcome, after time.Duration, yes bool) {
-	if left, held := x.quarantined(); held {
+	if left, held := x.g.guard.HeldBack(x.subject()); held {
 		return OutcomeHeldBack, left, true
 	}
 	e, known := x.g.asked.expect(t, x.began)
--- /dev/null
+++ b/internal/quarantine/guard.go
@@ -0,0 +1,101 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"fennelyard/internal/relay"
+)
+
+// GuardConfig configures a Guard. All fields are required.
+type GuardConfig struct {
+	// Presence tells what becomes of a new connection to a server's address.
+	Presence func(ctx context.Context, address string) relay.Presence
+	// Changed is called when this entry has found what others do not know: the next repeat
+	// comes to any of them.
+	Changed func()
+	Log     logr.Logger
+}
+
+// Guard decides for one entry which requests are held back from its servers, and which are
+// accused when a server ends. All methods are safe from any goroutine.
+type Guard struct {
+	changed   func()
+	book      *Book
+	inquest   *Inquest
+	completed *Completed
+}
+
+// NewGuard starts a guard that suspects no request.
+func NewGuard(cfg GuardConfig) *Guard {
+	g := &Guard{
+		changed:   cfg.Changed,
+		book:      New(Config{Now: time.Now, Log: cfg.Log.WithName("quarantine")}),
+		completed: NewCompleted(time.Now),
+	}
+	g.inquest = NewInquest(InquestConfig{Presence: cfg.Presence, Ended: g.accuse, Log: cfg.Log.WithName("inquest")})
+	return g
+}
+
+// Close ends the guard's inquest.
+func (g *Guard) Close() { g.inquest.Close() }
+
+// Book is what the entry knows.
+func (g *Guard) Book() *Book { return g.book }
+
+// HeldBack returns for how long a request is held back, and whether it is: servers ended
+// that ran it. It is looked at before each attempt: the word may come while the request
+// waits, or from its own last attempt.
+func (g *Guard) HeldBack(s *Subject) (time.Duration, bool) {
+	if !g.suspects(s) {
+		return 0, false
+	}
+	left, held := g.book.Held(s.Key())
+	if held && g.completed.Lately(s.Request) {
+		// Others have met servers that ended; here it has run to its end.
+		g.Clear(s.Key())
+		return 0, false
+	}
+	return left, held
+}
+
+// suspects reports whether a request may be under suspicion. For most it costs no digest of
+// the body.
+func (g *Guard) suspects(s *Subject) bool {
+	return !g.book.Empty() && g.book.Suspects(s.Hint())
+}
+
+// BrokeOff has the end of a server looked into at which an attempt broke off. A request that
+// has just run to its end elsewhere has not ended this server.
+func (g *Guard) BrokeOff(s *Subject, server, address string) {
+	if !g.completed.Lately(s.Request) {
+		g.inquest.BrokeOff(server, address, s.Key())
+	}
+}
+
+// RanWhole notes that a server lived through a request.
+func (g *Guard) RanWhole(s *Subject) {
+	g.completed.Note(s.Request)
+	if g.suspects(s) {
+		g.Clear(s.Key())
+	}
+}
+
+// Clear notes that a request does not end servers. It reports whether that is news.
+func (g *Guard) Clear(key Key) bool {
+	news := g.book.Clear(key)
+	if news {
+		g.changed()
+	}
+	return news
+}
+
+// accuse notes that a server ended under requests.
+func (g *Guard) accuse(server string, keys []Key) {
+	for _, key := range keys {
+		g.book.Accuse(key, server)
+	}
+	g.changed()
+}
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -60,6 +60,33 @@
 	Body   []byte
 }
 
+// Subject is a request at one entry. It belongs to one goroutine.
+type Subject struct {
+	Request
+	// key is the request's, the zero value before it was needed: the digest of a long body
+	// takes as long as sending it on.
+	key Key
+}
+
+// NewSubject returns a request as a subject.
+func NewSubject(r Request) *Subject { return &Subject{Request: r} }
+
+// Key returns the request's key.
+func (s *Subject) Key() Key {
+	if s.key == (Key{}) {
+		s.key = s.Request.Key()
+	}
+	return s.key
+}
+
+// Known returns the request's key as text, or "" where nobody has needed it yet.
+func (s *Subject) Known() string {
+	if s == nil || s.key == (Key{}) {
+		return ""
+	}
+	return s.key.String()
+}
+
 // Hint returns the hint of the request's key.
 func (r Request) Hint() Hint {
 	return Hint(xxhash.Sum64String(r.Target) + uint64(len(r.Body)))
