Keep the script of the tests free of this project's packages; test its new part

The pattern of the longest test now goes to all packages on simulated time, in a process beside the others.

Tests: packages on simulated time that fail, are listed, or hold the longest test; and that they run under the detector on one processor and without it on all.

--- a/cmd/fennelyard/known_red_test.go
+++ b/cmd/fennelyard/known_red_test.go
@@ -18,8 +18,8 @@
 	return path
 }
 
-// module writes a module with a package of two tests and one of one, and lists some of
-// them as known to fail.
+// module writes a module with a package of two tests, one of one, and one with simulated
+// time, and lists some of them as known to fail.
 func module(t *testing.T, list string, failing ...string) string {
 	t.Helper()
 	folder := t.TempDir()
@@ -41,6 +41,8 @@
 	write("go.mod", "module scratch\n\ngo 1.26\n")
 	write("one/one_test.go", "package one"+head+body("TestFirst")+body("TestSecond"))
 	write("two/two_test.go", "package two"+head+body("TestThird"))
+	write("simulated/simulated_test.go", "package simulated\n\nimport (\n\"testing\"\n\"testing/synctest\"\n)\n\n"+
+		"var _ = synctest.Test\n\n"+body("TestFourth")+body("TestConfigurationsInForceUnderFaults"))
 	if list != "" {
 		write("KNOWN-RED.txt", list)
 	}
@@ -62,9 +64,21 @@
 			list: "./one TestSecond: seen, cause, issue\n", failing: []string{"TestSecond"}, passes: true,
 			says: "./one TestSecond: seen, cause, issue",
 		},
-		"the listed one passes":             {list: "./one TestSecond: seen\n", passes: true, says: "./one TestSecond: seen"},
-		"another of the package fails":      {list: "./one TestSecond: seen\n", failing: []string{"TestFirst"}},
-		"one of another package fails":      {list: "./one TestSecond: seen\n", failing: []string{"TestThird"}},
+		"the listed one passes":        {list: "./one TestSecond: seen\n", passes: true, says: "./one TestSecond: seen"},
+		"another of the package fails": {list: "./one TestSecond: seen\n", failing: []string{"TestFirst"}},
+		"one of another package fails": {list: "./one TestSecond: seen\n", failing: []string{"TestThird"}},
+		"one on simulated time fails":  {failing: []string{"TestFourth"}},
+		"the longest one fails":        {failing: []string{"TestConfigurationsInForceUnderFaults"}},
+		"another beside a listed one of simulated time fails": {
+			list: "./simulated TestFourth: seen\n", failing: []string{"TestConfigurationsInForceUnderFaults"},
+		},
+		"the listed one of simulated time fails": {
+			list: "./simulated TestFourth: seen\n", failing: []string{"TestFourth"}, passes: true, says: "./simulated TestFourth: seen",
+		},
+		"the longest one is listed and fails": {
+			list: "./simulated TestConfigurationsInForceUnderFaults: seen\n", passes: true, says: "UnderFaults: seen",
+			failing: []string{"TestConfigurationsInForceUnderFaults"},
+		},
 		"listed under another package":      {list: "./two TestSecond: seen\n", failing: []string{"TestSecond"}},
 		"a listed one does not exist":       {list: "./one TestGone: seen\n"},
 		"more are listed than may be there": {list: strings.Repeat("./one TestFirst: seen\n", 4)},
@@ -79,3 +93,29 @@
 		})
 	}
 }
+
+// The race detector's own code ends the process now and then where threads run timers of
+// one bubble of simulated time at once. So packages with it run under the detector on one
+// processor, and without it on all, so that no order of events is tried less.
+func TestSimulatedTimeRunsOnOneProcessorUnderTheDetector(t *testing.T) {
+	folder := module(t, "")
+	runs := filepath.Join(folder, "runs")
+	write := func(file, tag, name string) {
+		text := "//go:build " + tag + "\n\npackage simulated\n\nimport (\n\"fmt\"\n\"os\"\n\"runtime\"\n\"testing\"\n)\n\n" +
+			"func TestProcessors(t *testing.T) {\n" +
+			"f, err := os.OpenFile(\"" + runs + "\", os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)\n" +
+			"if err != nil { t.Fatal(err) }\n" +
+			"fmt.Fprintln(f, \"" + name + "\", runtime.GOMAXPROCS(0) == 1)\n" +
+			"if err := f.Close(); err != nil { t.Fatal(err) }\n}\n"
+		require.NoError(t, os.WriteFile(filepath.Join(folder, "simulated", file), []byte(text), 0o600))
+	}
+	write("race_test.go", "race", "detector")
+	write("plain_test.go", "!race", "plain")
+	c := exec.Command(script(t))
+	c.Dir, c.Env = folder, append(os.Environ(), "GOMAXPROCS=2")
+	out, err := c.CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	got, err := os.ReadFile(runs)
+	require.NoError(t, err)
+	require.ElementsMatch(t, []string{"detector true", "plain false"}, strings.Split(strings.TrimSpace(string(got)), "\n"))
+}
