Put proxies before the soak's control hosts: cuts in a direction, delays, resets, silence

The soak harmed connections to backend servers only; hosts among themselves met no network fault but a process that stands still. Each control host of a fresh seed now listens behind a proxy that delays, resets, silences and swallows its connections, and that the series of faults cuts off in one direction or both, for up to 1.6 s; what was sent meanwhile comes late. The kept seeds run as they were.

For it a setting of the product: peer-listen-ip, where something that passes connections on stands before a host and has its address.

--- a/cmd/fennelyard/soak_test.go
+++ b/cmd/fennelyard/soak_test.go
@@ -25,6 +25,7 @@
 	soakSeeds = flag.Int("soak-seeds", 1, "fault soaks to run")
 	soakFirst = flag.Uint64("soak-first-seed", 1, "seed of the first soak")
 	soakFor   = flag.Duration("soak-for", 8*time.Second, "time of faults in each soak")
+	soakHosts = flag.Int("soak-entries", 3, "entries of each soak")
 )
 
 // failedSeeds are seeds that failed once, each with its cause; they are run again
@@ -38,9 +39,10 @@
 
 const (
 	soakControls = 3
-	soakEntries  = 3
-	soakServers  = 3
-	soakEvents   = 8
+	// seedEntries is the number of entries with which failedSeeds failed.
+	seedEntries = 3
+	soakServers = 3
+	soakEvents  = 8
 	// harmfulBody is the body of a request under which a backend server ends.
 	harmfulBody = "harmful"
 	// harmfulWaves is how often each entry is asked once more in the end.
@@ -50,8 +52,9 @@
 // soakConfig is what a soak is made of.
 type soakConfig struct {
 	entries, servers int
-	// proxied puts a proxy that does what networks do before each backend server.
-	proxied bool
+	// proxied puts a proxy that does what networks do before each backend server, and
+	// severed one before each control host.
+	proxied, severed bool
 	// life returns how long a backend server lives unless a request ends it, and down for
 	// how long it is down then.
 	life, down func(*rand.Rand) time.Duration
@@ -67,6 +70,8 @@
 	soakConfig
 	// ctx ends the callers and the faults, and alive the backend servers.
 	ctx, alive context.Context
+	// proxies stand before the control hosts, by name.
+	proxies map[string]*proxy
 
 	mu sync.Mutex
 	// runs counts how often a backend server ran a request, by id; refused holds
@@ -87,7 +92,10 @@
 }
 
 func (s *soak) control(i int) string { return fmt.Sprintf("127.0.3.%d", 1+i) }
-func (s *soak) entry(i int) string   { return fmt.Sprintf("127.0.3.%d", 11+i) }
+
+// behind is where a control host listens that has a proxy before it.
+func (s *soak) behind(i int) string { return fmt.Sprintf("127.0.4.%d", 1+i) }
+func (s *soak) entry(i int) string  { return fmt.Sprintf("127.0.3.%d", 11+i) }
 func (s *soak) operators(i int) string {
 	return fmt.Sprintf("http://%s:%d", s.control(i), s.port+1)
 }
@@ -99,6 +107,9 @@
 	if _, err := fmt.Sscanf(name, "core-%d", &i); err == nil {
 		ip = s.control(i)
 		rest = fmt.Sprintf("data-folder: %s\noperator-address: %s:%d\n", filepath.Join(s.folder, name), ip, s.port+1)
+		if s.severed {
+			rest += "peer-listen-ip: " + s.behind(i) + "\n"
+		}
 	} else {
 		_, err = fmt.Sscanf(name, "entry-%d", &i)
 		require.NoError(s.t, err)
@@ -162,7 +173,7 @@
 		go func() { _ = h.Serve(server) }()
 		address, closed := server.Addr().String(), func() {}
 		if s.proxied {
-			p := newProxy(life, s.ctx, s.listen(i), address, r)
+			p := newProxy(life, s.ctx, s.listen(i), address, answerBytes, r)
 			address, closed = p.l.Addr().String(), p.close
 		}
 		s.announce(life, i, address)
@@ -365,7 +376,11 @@
 		}
 		done := make(chan struct{})
 		busy[name] = done
-		fault, pause := r.IntN(4), time.Duration(100+r.IntN(1500))*time.Millisecond
+		kinds := hostFaults
+		if s.proxies[name] != nil {
+			kinds = allFaults
+		}
+		fault, pause := r.IntN(kinds), time.Duration(100+r.IntN(1500))*time.Millisecond
 		wg.Go(func() {
 			defer close(done)
 			s.strike(name, fault, pause)
@@ -375,6 +390,10 @@
 	wg.Wait()
 }
 
+// hostFaults is how many kinds of fault strike has for a host, and allFaults for one with a
+// proxy.
+const hostFaults, allFaults = 4, 7
+
 func (s *soak) strike(name string, fault int, pause time.Duration) {
 	p := s.fleet.process(name)
 	switch fault {
@@ -387,6 +406,13 @@
 		_ = p.cmd.Process.Signal(syscall.SIGSTOP)
 		time.Sleep(pause)
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	case 4, 5:
+		s.proxies[name].sever(direction(fault-hostFaults), pause)
+		time.Sleep(pause)
+	case 6:
+		s.proxies[name].sever(directionTo, pause)
+		s.proxies[name].sever(directionBack, pause)
+		time.Sleep(pause)
 	default:
 		_ = p.cmd.Process.Signal(syscall.SIGHUP)
 		// A process that ends by itself is started again, as the platform does:
@@ -399,27 +425,27 @@
 	}
 }
 
-// Hosts are killed, stopped, paused and restarted in overlapping series while
-// callers ask, an operator changes the configuration, and servers announce
+// Hosts are killed, stopped, paused, restarted and cut off from each other, in one direction
+// or both, in overlapping series while callers ask, an operator changes the configuration, and servers announce
 // themselves, crash and start again under their ids, and one caller repeats a request under
 // which servers end. That one is held back in the end, and no other. No request that must not run twice does, none that was said not to
 // have run did, every success is the whole answer to its own request, and no
 // acknowledged configuration is ever taken back.
 func TestSoak(t *testing.T) {
-	seeds := failedSeeds
-	for i := range *soakSeeds {
-		seeds = append(seeds, *soakFirst+uint64(i))
+	for _, seed := range failedSeeds {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSoak(t, seed, seedEntries, false) })
 	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSoak(t, seed) })
+	for i := range *soakSeeds {
+		seed := *soakFirst + uint64(i)
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSoak(t, seed, *soakHosts, true) })
 	}
 }
 
-func runSoak(t *testing.T, seed uint64) {
+func runSoak(t *testing.T, seed uint64, entries int, severed bool) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s, end := newSoak(ctx, t, seed, soakConfig{
-		entries: soakEntries, servers: soakServers, proxied: true,
+		entries: entries, servers: soakServers, proxied: true, severed: severed,
 		life: func(r *rand.Rand) time.Duration { return time.Duration(1500+r.IntN(4000)) * time.Millisecond },
 		down: func(r *rand.Rand) time.Duration { return time.Duration(r.IntN(300)) * time.Millisecond },
 	})
@@ -447,10 +473,11 @@
 	alive, cancel := context.WithCancel(context.Background())
 	s = &soak{
 		t: t, seed: seed, fleet: &fleet{t: t, processes: map[string]*process{}}, port: l.Addr().(*net.TCPAddr).Port, folder: t.TempDir(),
-		soakConfig: cfg, ctx: ctx, alive: alive, runs: map[string]int{}, refused: map[string]bool{},
+		soakConfig: cfg, ctx: ctx, alive: alive, proxies: map[string]*proxy{}, runs: map[string]int{}, refused: map[string]bool{},
 	}
 	require.NoError(t, l.Close())
 	t.Cleanup(s.fleet.close)
+	closeProxies := s.proxyControls()
 	for i := range soakControls {
 		s.start(fmt.Sprint("core-", i), true)
 	}
@@ -468,6 +495,25 @@
 	return s, func() {
 		cancel()
 		wg.Wait()
+		closeProxies()
+	}
+}
+
+// proxyControls starts a proxy before each control host.
+func (s *soak) proxyControls() (closed func()) {
+	if !s.severed {
+		return func() {}
+	}
+	for i := range soakControls {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", s.control(i), s.port))
+		require.NoError(s.t, err)
+		target := fmt.Sprintf("%s:%d", s.behind(i), s.port)
+		s.proxies[fmt.Sprint("core-", i)] = newProxy(s.alive, s.ctx, l, target, streamBytes, rand.New(rand.NewPCG(s.seed, uint64(500+i))))
+	}
+	return func() {
+		for _, p := range s.proxies {
+			p.close()
+		}
 	}
 }
 
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -131,7 +131,7 @@
 }
 
 func (c *Control) start(s *schema.JoinSettings) error {
-	peers, err := c.cfg.Network.Listen("tcp", c.self.GetPeerAddress())
+	peers, err := c.cfg.Network.Listen("tcp", settings.PeerAddress(s.GetPeerListenIp(), s))
 	if err != nil {
 		return errors.Newf("listen for hosts: %w", err)
 	}
--- a/internal/settings/join.go
+++ b/internal/settings/join.go
@@ -57,6 +57,11 @@
 	if _, err := netip.ParseAddr(s.GetIp()); err != nil {
 		d.fault("ip", "not an IP number", "write this host's own, for example 10.0.0.1")
 	}
+	if listen := s.GetPeerListenIp(); listen != "" {
+		if _, err := netip.ParseAddr(listen); err != nil {
+			d.fault("peer-listen-ip", "not an IP number", "leave it out, or write one of this host's own")
+		}
+	}
 	if p := s.GetPeerPort(); p == 0 || p > maxPort {
 		d.fault("peer-port", "not a port", "write the port that hosts use among themselves")
 	}
@@ -95,6 +100,9 @@
 }
 
 func fillJoin(s *schema.JoinSettings) {
+	if s.GetPeerListenIp() == "" {
+		s.PeerListenIp = s.GetIp()
+	}
 	for _, x := range []struct {
 		into **durationpb.Duration
 		d    time.Duration
