Tell callers of an adapter of the load that goes before it

Change: the forecast of an adapter that is not there counts what remains of the engine's load. Others with the model are still preferred, as the soonest counts.

Test: TestForecastOfAnAdapterBehindALoad, 15 ms told where five seconds were left before; within half a second of it now.

--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -217,7 +217,10 @@
 	if e.pool != x.GetPool() {
 		return 0, false
 	}
-	if e.held[x.GetModel()] != nil && e.unloading() != x.GetModel() {
+	if h := e.held[x.GetModel()]; h != nil && e.unloading() != x.GetModel() {
+		if _, held := h.Adapters[x.GetAdapter()]; x.GetAdapter() != "" && !held {
+			idle = max(idle, d.busyFor(e, now))
+		}
 		return idle + adapterLoad, true
 	}
 	if e.phase <= phaseKnown || e.order.Adapter != "" {
@@ -234,6 +237,16 @@
 	return 0, false
 }
 
+// busyFor tells for how long the order under way should keep an engine from taking one for
+// an adapter. Without it callers of an adapter were told of milliseconds while the engine
+// loaded another model for seconds, and waited in vain.
+func (d *Driver) busyFor(e *engine, now time.Time) time.Duration {
+	if e.phase <= phaseKnown || e.order.Adapter != "" || !e.order.Load {
+		return 0
+	}
+	return remaining(now.Sub(e.given), d.loadTime(e))
+}
+
 // remaining tells how much longer a load should take. One that is overdue is
 // expected to take as long again: the weight store is slow by an unknown factor,
 // and callers who are told that it is nearly done wait until their time is over.
--- a/internal/loading/driver_test.go
+++ b/internal/loading/driver_test.go
@@ -355,6 +355,13 @@
 	return len(s.engines[engine].held[model])
 }
 
+// busy reports whether an engine carries an order out.
+func (s *site) busy(engine string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engines[engine].busy
+}
+
 // ask has callers wait for a model that lies on the disk of e2.
 func (h *hosts) ask(sequence uint64) {
 	h.announce(h.s, sequence)
@@ -495,6 +502,32 @@
 	})
 }
 
+// Callers of an adapter are told that it comes within milliseconds, as an engine holds its
+// model, and wait until their time is over: the engine is loading another model for six
+// seconds and takes no other order before. They must be told of that time, to go elsewhere
+// or to come back.
+func TestForecastOfAnAdapterBehindALoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1)
+		maps.DeleteFunc(s.engines, func(id string, _ *standin) bool { return id != "e1" })
+		s.engines["e1"].held["m0"] = map[string]bool{}
+		h := newHosts(s)
+		adapter := func() time.Duration {
+			list := h.drivers[0].Forecasts([]*schema.ModelDemand{{Pool: "llm", Model: "m0", Adapter: "a1", Waiting: 1}})
+			return time.Duration(list[0].GetReadyInMs()) * time.Millisecond
+		}
+		h.announce(s, 1)
+		await(t, func() bool { return h.of("e1").Host != "" })
+		time.Sleep(3 * time.Second)
+		require.Less(t, adapter(), 100*time.Millisecond)
+		h.drivers[0].Demand("entry", []*schema.ModelDemand{{Pool: "llm", Model: "m2", Waiting: 1, Arrived: 1}})
+		await(t, func() bool { return s.busy("e1") })
+		time.Sleep(time.Second)
+		require.InDelta(t, s.storeTime-time.Second, adapter(), float64(500*time.Millisecond))
+		h.stop()
+	})
+}
+
 // The weight store is slower than the configuration says. A caller that comes
 // after the time at which the load should have ended must not be told that it is
 // nearly there: it would wait until its time is over.
