Stop loading a model under whose loads engines end one after the other

A model under whose load an engine ends was loaded at the next engine, and so on for as long as one caller waited; each engine lost what it held and all that it ran.

Cause: the leader decides anew from what is there, and remembered of an engine that is gone only what late orders may bring.

Change: engines that end in a row under loads of one model are counted, each load begun after the end of the engine before (a rack that loses its power counts once); a load that comes to its end clears the model. After the third it is not loaded for a minute, doubled with each one more, its callers are told that time, and other models are loaded meanwhile.

Not done: adapters (they take milliseconds, and what ended the engine then is not told apart); the next leader finds out anew.

--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -208,9 +208,22 @@
 			ready = in.Milliseconds()
 		}
 	}
+	if barred := d.barredFor(x.GetPool(), x.GetModel(), now); barred > 0 && !d.holdsModel(x.GetPool(), x.GetModel()) {
+		return barred.Milliseconds()
+	}
 	return ready
 }
 
+// holdsModel reports whether any engine of a pool holds a model.
+func (d *Driver) holdsModel(pool, model string) bool {
+	for _, e := range d.engines {
+		if e.pool == pool && e.held[model] != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // readyIn tells when an engine should hold a model that its order under way
 // loads or makes room for.
 func (d *Driver) readyIn(e *engine, x *schema.ModelDemand, idle time.Duration, now time.Time) (time.Duration, bool) {
--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -129,6 +129,8 @@
 	// leader has replaced the one before; engines come and go with their starts.
 	leases  map[string]time.Time
 	demands map[target]*demand
+	// endings are by model, of models under whose loads engines ended.
+	endings map[target]*endings
 	// begun holds when each load from the store may have begun, by pool.
 	begun map[string][]time.Time
 	// stores is what was learned of each pool's weight store.
@@ -149,7 +151,8 @@
 func NewDriver(cfg Config) *Driver {
 	d := &Driver{
 		cfg: cfg, kick: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
-		engines: map[string]*engine{}, late: map[string][]sentLoad{}, leases: map[string]time.Time{}, demands: map[target]*demand{}, begun: map[string][]time.Time{}, stores: map[string]*store{},
+		engines: map[string]*engine{}, late: map[string][]sentLoad{}, leases: map[string]time.Time{}, demands: map[target]*demand{},
+		endings: map[target]*endings{}, begun: map[string][]time.Time{}, stores: map[string]*store{},
 		told: map[string]time.Time{}, forecasts: map[target]forecast{}, asking: make(chan struct{}, asksAtOnce),
 	}
 	go func() {
@@ -259,6 +262,9 @@
 		st.ended(e.atOnce, now.Sub(e.given), d.fromStore(e))
 		d.cfg.Log.Info("store learned", "pool", e.pool, "at-once", e.atOnce, "took-ms", now.Sub(e.given).Milliseconds(), "loads", st.atOnce())
 	}
+	if e.order.Load && e.order.Adapter == "" {
+		delete(d.endings, target{e.pool, e.order.Model, ""})
+	}
 	e.done(now)
 }
 
@@ -276,6 +282,7 @@
 	for id, e := range d.engines {
 		if !d.cfg.Roster.Ready(id) {
 			if e.phase != phaseGiving {
+				d.ended(e, now)
 				d.keepLate(e, now)
 				delete(d.engines, id)
 			}
@@ -335,6 +342,7 @@
 		d.engines = map[string]*engine{}
 		d.leases = map[string]time.Time{}
 		d.demands = map[target]*demand{}
+		d.endings = map[target]*endings{}
 		d.begun = map[string][]time.Time{}
 		d.cfg.Log.Info("leading", "term", l.Term)
 		d.recallServers(now)
@@ -377,6 +385,7 @@
 	}
 	for name, known := range p.models {
 		m := *known
+		m.Barred = d.barredFor(p.name, name, now) > 0
 		if x := d.demands[target{p.name, name, ""}]; x != nil {
 			m.Rate, m.Asked, m.Waiting = x.rateAt(now), x.asked, x.sum()
 			m.Read, m.Run = x.times()
--- /dev/null
+++ b/internal/loading/ending_test.go
@@ -0,0 +1,103 @@
+package loading_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelyard/internal/schema"
+)
+
+// A caller waits for a model under whose load each engine ends that begins it. It is loaded
+// at one engine after the other, each of which loses what it held and all that it ran, for
+// as long as anybody asks. After three engines in a row it must not be loaded for a while;
+// its callers are told how long, and other models are loaded meanwhile.
+func TestModelThatEndsItsEnginesIsNotLoaded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const wait = time.Minute
+		s := newSite(t, 1)
+		for id := range s.engines {
+			s.restart(id)
+		}
+		s.fatal = "m3"
+		s.engines["e2"].disk["m3"] = true
+		h := newHosts(s)
+		beat := uint64(0)
+		ask := func() {
+			beat++
+			h.announce(s, beat)
+			h.drivers[0].Demand("entry", []*schema.ModelDemand{
+				{Pool: "llm", Model: "m3", Waiting: 1, Arrived: 1}, {Pool: "llm", Model: "m4", Waiting: 1, Arrived: 1},
+			})
+			time.Sleep(time.Second)
+		}
+		for range int(wait / time.Second) {
+			ask()
+		}
+		require.LessOrEqual(t, s.endedEngines(), 3)
+		require.Greater(t, forecast(h.drivers[0], "m3"), 5*time.Second)
+		held := 0
+		for id := range s.engines {
+			if s.holds(id, "m4") {
+				held++
+			}
+		}
+		require.Positive(t, held)
+		// It may try again in the end: the weights may have been mended.
+		s.mend()
+		await(t, func() bool {
+			ask()
+			for id := range s.engines {
+				if s.holds(id, "m3") {
+					return true
+				}
+			}
+			return false
+		})
+		h.stop()
+	})
+}
+
+// Engines that end at one moment, as a rack does, while they load a model that is asked for
+// much, say nothing about the model: it is loaded elsewhere at once.
+func TestModelOfARackThatEndsIsLoaded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1)
+		h := newHosts(s)
+		beat := uint64(0)
+		ask := func() {
+			beat++
+			h.announce(s, beat)
+			h.drivers[0].Demand("entry", []*schema.ModelDemand{{Pool: "llm", Model: "m3", Waiting: 30, Arrived: 30}})
+			time.Sleep(time.Second)
+		}
+		for range 9 {
+			ask()
+		}
+		for _, id := range []string{"e0", "e1", "e2", "e3"} {
+			s.restart(id)
+		}
+		await(t, func() bool {
+			ask()
+			return s.holds("e0", "m3") || s.holds("e1", "m3") || s.holds("e2", "m3") || s.holds("e3", "m3")
+		})
+		require.Less(t, beat, uint64(30))
+		h.stop()
+	})
+}
+
+// endedEngines returns how many engines have ended under the fatal load.
+func (s *site) endedEngines() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended
+}
+
+// mend lets engines live through every load.
+func (s *site) mend() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fatal = ""
+}
--- a/internal/loading/input.go
+++ b/internal/loading/input.go
@@ -22,6 +22,8 @@
 	Asked time.Time
 	// Waiting is the number of requests that wait for a replica.
 	Waiting int
+	// Barred is set while the model is not to be loaded, as engines ended under its loads.
+	Barred bool
 	// Adapters are the names of its adapters, and AdapterRate the requests a second of
 	// those that are asked for.
 	Adapters    []string
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -72,7 +72,7 @@
 
 // lacks reports whether a model is to be given one more replica.
 func (p *plan) lacks(m *Model) bool {
-	return m.Waiting > 0 && p.replicas[m.Name] == 0 || p.replicas[m.Name] < p.needed(m)
+	return !m.Barred && (m.Waiting > 0 && p.replicas[m.Name] == 0 || p.replicas[m.Name] < p.needed(m))
 }
 
 // reason is why a model is given a replica.
--- a/internal/loading/site_test.go
+++ b/internal/loading/site_test.go
@@ -28,6 +28,10 @@
 
 	// restarts has engines start again under their ids while the schedule runs.
 	restarts bool
+	// fatal is a model under whose load an engine ends, to start again after a second; ended
+	// counts them. Both are guarded by mu.
+	fatal string
+	ended int
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -176,6 +180,11 @@
 	}
 	s.weigh(e, loading.Order{Load: true, Model: model})
 	born := e.born
+	if model == s.fatal {
+		s.ended++
+		time.AfterFunc(time.Second, func() { s.restart(e.id) })
+		return
+	}
 	time.AfterFunc(took, func() {
 		s.end(e, born, func() { e.held[model], e.disk[model] = map[string]bool{}, true })
 	})
--- a/internal/loading/stock.go
+++ b/internal/loading/stock.go
@@ -33,7 +33,7 @@
 func (p *plan) stock() {
 	var missing []*Model
 	for _, m := range p.in.Models {
-		if p.copies[m.Name] < copiesOf(m) {
+		if p.copies[m.Name] < copiesOf(m) && !m.Barred {
 			missing = append(missing, m)
 		}
 	}
