--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -108,3 +108,25 @@
 		_, _ = settings.ParseIntent("fuzz.yaml", data)
 	})
 }
+
+const goodJoin = `host: core-1
+data-centre: a
+ip: 10.0.0.1
+peer-port: 7000
+seeds: ["10.0.0.1:7001"]
+data-folder: /var/lib/fennelyard
+operator-address: 10.0.0.1:7001
+`
+
+// A host that listens elsewhere than at the address that others know listens there; without
+// a word about it, at its own. What is no IP number is a fault that names the key.
+func TestPeerListenIP(t *testing.T) {
+	for more, want := range map[string]string{"": "10.0.0.1", "peer-listen-ip: 10.9.0.1\n": "10.9.0.1"} {
+		s, err := settings.ParseJoin("core-1.yaml", []byte(goodJoin+more))
+		require.NoError(t, err)
+		require.Equal(t, want, s.GetPeerListenIp())
+	}
+	_, err := settings.ParseJoin("core-1.yaml", []byte(goodJoin+"peer-listen-ip: core-1\n"))
+	require.ErrorContains(t, err, "core-1.yaml:8")
+	require.ErrorContains(t, err, "peer-listen-ip")
+}
