Tell how far the replay of policies is, and replay one seed by default

Seen: fennelyard measure policy said nothing for more than 25 s. It now says on standard error which replay of how many has ended, and takes one seed unless more are asked for; three gave spreads that nobody needed at first sight.

Test: the lines of progress, and the same output twice.

--- a/cmd/fennelyard/policy.go
+++ b/cmd/fennelyard/policy.go
@@ -32,13 +32,15 @@
 		Long: `policy replays arrivals through the decision code alone, on simulated time: no
 network, no processes. It prints the cold-start time of visits (the first request
 of a target after a minute without one; 0 when a replica was kept) and the idle
-accelerator hours, for the policy at several idle prices and for the baselines.`,
+accelerator hours, for the policy at several idle prices and for the baselines, and
+on standard error how far it is. One seed tells policies apart; take three or more for
+spreads.`,
 		Example: "  fennelyard measure policy --deployment kapiti --seeds 101,102,103 --plot kapiti.svg",
 		Args:    cobra.NoArgs,
 		RunE:    func(c *cobra.Command, _ []string) error { return measurePolicy(c, f) },
 	}
 	c.Flags().StringVar(&f.deployment, "deployment", "quillen-ridge", "quillen-ridge or kapiti")
-	c.Flags().Int64SliceVar(&f.seeds, "seeds", []int64{101, 102, 103}, "seeds of the generated days")
+	c.Flags().Int64SliceVar(&f.seeds, "seeds", []int64{101}, "seeds of the generated days; each takes some seconds")
 	c.Flags().IntVar(&f.days, "days", 7, "days to measure")
 	c.Flags().IntVar(&f.warmUp, "warm-up", 7, "days before these that are replayed and not measured")
 	c.Flags().StringVar(&f.arrivals, "arrivals", "", "CSV file of recorded arrivals: seconds,target")
@@ -56,7 +58,9 @@
 	if err != nil {
 		return err
 	}
-	summaries := replay.Summarize(runAll(scenarios, f.seeds, replay.All()))
+	summaries := replay.Summarize(runAll(scenarios, f.seeds, replay.All(), func(done, all int) {
+		_, _ = fmt.Fprintf(c.ErrOrStderr(), "replayed %d of %d\n", done, all)
+	}))
 	if f.plot != "" {
 		if err := replay.Plot(f.plot, f.deployment, summaries); err != nil {
 			return err
@@ -104,11 +108,14 @@
 	return out, nil
 }
 
-// runAll replays on all cores; the order of the results does not depend on it.
-func runAll(scenarios []replay.Scenario, seeds []int64, policies []replay.Policy) []replay.Result {
+// runAll replays on all cores and tells how far it is; the order of the results does not
+// depend on it.
+func runAll(scenarios []replay.Scenario, seeds []int64, policies []replay.Policy, progress func(done, all int)) []replay.Result {
 	out := make([]replay.Result, len(scenarios)*len(policies))
 	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
 	var wg sync.WaitGroup
+	var mu sync.Mutex
+	done := 0
 	for i, s := range scenarios {
 		for j, p := range policies {
 			wg.Add(1)
@@ -117,6 +124,10 @@
 				defer wg.Done()
 				out[i*len(policies)+j] = replay.Run(s, seeds[i], p)
 				<-slots
+				mu.Lock()
+				defer mu.Unlock()
+				done++
+				progress(done, len(out))
 			}()
 		}
 	}
--- /dev/null
+++ b/cmd/fennelyard/policy_test.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Whoever measures a policy waits for it: each replay that ends is told of. The result of
+// the same days is the same twice, whichever replay ends first.
+func TestMeasurePolicyTellsHowFarItIs(t *testing.T) {
+	arrivals := filepath.Join(t.TempDir(), "arrivals.csv")
+	require.NoError(t, os.WriteFile(arrivals, []byte("10,0\n70,1\n400,0\n"), 0o600))
+	measure := func() (string, string) {
+		code, out, errOut := command("measure", "policy", "--days", "1", "--warm-up", "0", "--arrivals", arrivals)
+		require.Equal(t, exitOK, code, errOut)
+		return out, errOut
+	}
+	first, progress := measure()
+	again, _ := measure()
+	require.Equal(t, first, again)
+	lines := strings.Split(strings.TrimSpace(progress), "\n")
+	for i, line := range lines {
+		require.Equal(t, fmt.Sprintf("replayed %d of %d", i+1, len(lines)), line)
+	}
+	require.NotEmpty(t, lines)
+}
