Wait for no time where there is nothing to wait for

Three pauses of a millisecond stood in the leader's rounds, its reports and an entry's move between hosts for one reason: the race detector ended whole-site tests where a select met a timer of no time. That is the fault of the Go runtime's context for the timers of a bubble, traced since, and the tests run where it can't strike; the product need not wait.

Also: what is held back is not counted where nothing is.

--- a/internal/gateway/attend.go
+++ b/internal/gateway/attend.go
@@ -47,10 +47,6 @@
 	// refusedPause is the time until another host is asked after one has refused: it has
 	// kept this entry waiting already.
 	refusedPause = 10 * time.Millisecond
-	// movePause is the time until a host that is preferred is asked. It is not 0: the race
-	// detector's own code ends the process, now and then, where a select meets a timer of no
-	// time in simulated time.
-	movePause = time.Millisecond
 	// moveSpread is the time over which entries move to a host that they prefer, each at a
 	// moment of its own: a host that comes back is not met by a ninth of them at once.
 	moveSpread = 2 * time.Second
@@ -132,7 +128,7 @@
 // ended notes why a stream ended, and returns how long to wait before the next one.
 func (a *attendant) ended(address string, err error) time.Duration {
 	if errors.Is(err, errMove) {
-		return movePause
+		return 0
 	}
 	lost := a.found
 	a.found = false
--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -189,9 +189,7 @@
 		case <-ticker.C:
 		case <-d.kick:
 		}
-		// Never without a pause: the race detector's own code ends the process, now and
-		// then, where a select meets a timer of no time in simulated time.
-		pause := time.Duration(max(d.round(), 1)) * roundGap
+		pause := time.Duration(d.round()) * roundGap
 		select {
 		case <-d.stop:
 			return
--- a/internal/loading/giving.go
+++ b/internal/loading/giving.go
@@ -169,7 +169,7 @@
 	go func() {
 		defer d.wg.Done()
 		select {
-		case <-time.After(max(askPace-time.Since(since), time.Millisecond)):
+		case <-time.After(askPace - time.Since(since)):
 		case <-d.stop:
 		}
 		<-d.asking
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -125,6 +125,9 @@
 
 // HeldCount returns how many requests are held back.
 func (b *Book) HeldCount() int {
+	if b.Empty() {
+		return 0
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n, now := 0, b.cfg.Now()
