--- a/cmd/fennelyard/serve.go
+++ b/cmd/fennelyard/serve.go
@@ -83,20 +83,21 @@
 }
 
 func newDemo() *cobra.Command {
-	var verbose bool
+	var verbose, harmful bool
 	c := &cobra.Command{
 		Use:     "demo",
 		Short:   "Run a whole deployment in this process and show what it does",
-		Example: "  fennelyard demo",
+		Example: "  fennelyard demo\n  fennelyard demo --harmful",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			cfg := demo.Config{Out: c.OutOrStdout()}
+			cfg := demo.Config{Out: c.OutOrStdout(), Harmful: harmful}
 			if verbose {
 				cfg.Log = newLogger(c.ErrOrStderr(), 1)
 			}
 			return demo.Run(c.Context(), cfg)
 		},
 	}
+	c.Flags().BoolVar(&harmful, "harmful", false, "show a request that ends the servers that run it")
 	c.Flags().BoolVarP(&verbose, "verbose", "v", false, "log what the hosts do")
 	return c
 }
--- a/cmd/fennelyard/serve_test.go
+++ b/cmd/fennelyard/serve_test.go
@@ -68,6 +68,13 @@
 	}
 }
 
+// The demo ends with an error when a step does not hold.
+func TestDemoOfAHarmfulRequest(t *testing.T) {
+	code, out, errOut := command("demo", "--harmful")
+	require.Equal(t, exitOK, code, out+errOut)
+	require.Contains(t, out, "and releases it: no host holds it back any more")
+}
+
 func TestExitCodes(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "bad.yaml")
 	require.NoError(t, os.WriteFile(bad, []byte("hots: []\n"), 0o600))
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,6 +44,14 @@
 	// Out receives one line per step.
 	Out io.Writer
 	Log logr.Logger
+	// Harmful shows, in place of the rest, a request that ends the servers that run it.
+	Harmful bool
+}
+
+// step is one thing that the demo shows. It returns what came of it.
+type step struct {
+	name string
+	do   func(context.Context) (string, error)
 }
 
 type deployment struct {
@@ -55,6 +64,8 @@
 	client  *fennelyard.Client
 	oper    *operator.Client
 	plan    uint64
+	// ended counts the application servers that ended under the harmful booking.
+	ended atomic.Int64
 }
 
 // Run starts a deployment in this process, goes through its steps and returns
@@ -71,21 +82,27 @@
 	}
 	d := &deployment{cfg: cfg, layout: layout}
 	defer d.close()
-	for _, s := range []struct {
-		name string
-		do   func(context.Context) (string, error)
-	}{
+	steps := []step{
 		{"three hosts form a control group", d.startHosts},
 		{"four engines and an application server announce themselves", d.startBackends},
 		{"an intent that cannot hold is refused", d.refusedIntent},
 		{"an intent is answered by a plan", d.applyIntent},
 		{"the plan is confirmed", d.confirm},
-		{"a cold model answers its first caller", d.answer},
-		{"a warm model answers", d.answer},
-		{"a booking that is sent twice runs once", d.booking},
-		{"a planned stop of a host cuts nothing off", d.plannedStop},
-		{"the remaining hosts answer", d.answer},
-	} {
+	}
+	if cfg.Harmful {
+		h := &harmful{deployment: d}
+		defer h.close()
+		steps = append(steps, h.steps()...)
+	} else {
+		steps = append(steps, []step{
+			{"a cold model answers its first caller", d.answer},
+			{"a warm model answers", d.answer},
+			{"a booking that is sent twice runs once", d.booking},
+			{"a planned stop of a host cuts nothing off", d.plannedStop},
+			{"the remaining hosts answer", d.answer},
+		}...)
+	}
+	for _, s := range steps {
 		began := time.Now()
 		what, err := s.do(ctx)
 		took := time.Since(began).Round(time.Millisecond)
@@ -152,7 +169,7 @@
 	}
 	d.app = standin.NewApplication(standin.ApplicationConfig{
 		Listener: l, Name: "booking-1", DataCentre: "hall-a", Service: service, Entries: d.layout.Backends(),
-		Work: 20 * time.Millisecond,
+		Work: 20 * time.Millisecond, HarmfulBody: harmfulBody, Ended: func() { d.ended.Add(1) },
 	})
 	err = poll(ctx, func() bool {
 		s, err := d.oper.Status(ctx)
