--- a/internal/gateway/attend.go
+++ b/internal/gateway/attend.go
@@ -22,9 +22,9 @@
 	// a quarter of the silence after which the host leaves the entry out.
 	speakEvery = 300 * time.Millisecond
 	// speakPause is the least time between two words, for each entry that the host
-	// hears and 5 ms at least: demand that comes meanwhile goes in one word.
-	// A word and its answer cost the host 60 µs of a core (BenchmarkLeader), and it
-	// spends 4% on all of them at most. A word after a longer silence leaves at once.
+	// hears and speakPauseLeast at least: demand that comes meanwhile goes in one word, and
+	// what a host spends on words does not grow with its entries. A word after a longer
+	// silence leaves at once.
 	speakPause      = 1500 * time.Microsecond
 	speakPauseLeast = 5 * time.Millisecond
 	// soonPauses is how many such pauses after a word another one leaves that says only
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -61,11 +61,7 @@
 
 const (
 	// otherPartCost is what an engine costs that the other sort of prompt has for
-	// itself. Mean worth over the standard days of a deployment with 18 engines,
-	// two plays each: 0.635 with no parts, 0.654 with halves at 150 ms, 0.666 with
-	// a third for short prompts at 500 ms; of one heavy day with 60 engines, one
-	// play each: 0.727, 0.739 for the last two, 0.714 with halves at 500 ms and
-	// 0.724 with a third at 150 ms.
+	// itself: as long as a prompt that reads beside them may hold up a stream's events.
 	otherPartCost = 500.0 // ms
 	// shortPart is the part of a model's engines, one in so many, that short
 	// prompts have: they bring few of the tokens to be read.
--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -17,8 +17,7 @@
 	// tick is how often the driver looks at its engines when nothing wakes it.
 	tick = 100 * time.Millisecond
 	// roundGap is the time between two rounds for each engine, and so bounds what
-	// rounds cost however many words come in: a decision for 60 engines takes 0.45 ms
-	// of a core (BenchmarkDecide), four times as long on a host of a quarter of one.
+	// rounds cost however many words come in.
 	roundGap = 500 * time.Microsecond
 	// confirmFor is how long a holder relies on the leader's word who leads and who
 	// holds an engine's orders. A host that was frozen in between gives its order
--- a/internal/loading/need.go
+++ b/internal/loading/need.go
@@ -14,9 +14,7 @@
 	// engine reads each. Where that is 200 ms a busy model is given a replica for each
 	// two requests a second by it, and one with less than 2.8 a second keeps its only
 	// one; where it is 10 ms one engine is enough for 12 a second: there, room for
-	// another model serves more callers. Mean worth over the standard days with trouble
-	// of three deployments, 10, 5 and 5 plays: 0.480, 0.730 and 0.676; 0.471, 0.689 and
-	// 0.644 at 200 ms a second.
+	// another model serves more callers.
 	crowding = 800 * time.Millisecond
 	// readAtFirst is how long an engine is taken to read a prompt before any was
 	// timed: a long one, so that too many replicas come rather than too few.
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -56,7 +56,7 @@
 // useCleared loads what room was made for. Were it left to the round that follows,
 // the model that had to go, which somebody asks for by then, would often be loaded
 // back in its place: both wait for two orders, and the one that room was made for
-// waits on. On heavy days every third model that was dropped came back at once.
+// waits on.
 func (p *plan) useCleared() {
 	for _, e := range slices.Clone(p.free) {
 		m := p.in.Models[e.Cleared]
--- a/internal/loading/room.go
+++ b/internal/loading/room.go
@@ -111,7 +111,7 @@
 	}
 	if p.in.Now.Sub(h.Since) < minHold || old.Waiting > 0 || h.Runs {
 		// An unload waits for the model's runs to end, and the engine takes no other
-		// order meanwhile: for up to three seconds, by the logs of heavy days.
+		// order meanwhile.
 		return false
 	}
 	if p.replicas[h.Model] > max(p.needed(old), 1) {
--- a/internal/loading/stock.go
+++ b/internal/loading/stock.go
@@ -22,9 +22,8 @@
 	return 1
 }
 
-// sharedCopies is for models with adapters. Mean worth over the standard days of
-// two deployments, two plays each: 0.639 and 0.660 with 2, 0.632 and 0.642 with
-// 1, 0.626 and 0.663 with 3, whose loads push out what is asked for.
+// sharedCopies is for models with adapters: the loads for a third copy push out what is
+// asked for.
 const sharedCopies = 2
 
 // stock loads models of which the engines have too few copies while the store is
--- a/internal/role/attend.go
+++ b/internal/role/attend.go
@@ -23,10 +23,8 @@
 	// order's end and what follows from it come within a few milliseconds.
 	gatherLeast = 4 * time.Millisecond
 	// gatherPerEntry is how much longer they are gathered for each entry that attends this
-	// host. A word costs 40 µs of a core (BenchmarkLeader), so that words to all of them
-	// take 1.6% of one at most, and 36 entries are told within 0.09 s of what none of their
-	// callers waits for. Without it entries were told of each change at once, 200 times a
-	// second.
+	// host: what the host spends on words does not grow with them. Without it entries were
+	// told of each change at once, 200 times a second.
 	gatherPerEntry = 2500 * time.Microsecond
 	// parkFor is how long an entry waits at a host that has not heard a leader since it
 	// started: all hosts start at once, and asked in turn by 300 entries, each many times a
