Believe a report of an engine, not an older announcement

The next leader asks for a report and is told eight adapters and ten orders taken. Within the next 0.7 s a word of the engine from before is believed over it: seven adapters. The order that follows carries the report's count, so that the engine does not refuse it. An announcement does not say after how many orders it was said, and one that a cut held up may be of any age; only those within 1.5 s after an own order were left aside, and the next leader has given none.

Change: an announcement that differs from what is believed is no longer taken over, it has the engine report again. What orders rest on comes from reports, which tell models, adapters and the count as of one moment, and from the orders' own outcomes.

Test: TestLateAnnouncementDoesNotUndoAReport, four adapters at an engine with three places before.

--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -66,7 +66,8 @@
 	// 0.05 of a core, and a fleet of 24 engines is asked at once.
 	asksAtOnce = 24
 	askPace    = 300 * time.Millisecond
-	// beatLag is how old an announcement may be when it comes.
+	// beatLag is for how long after an order announcements are not compared with what is
+	// believed: most are less old than that when they come.
 	beatLag = 1500 * time.Millisecond
 	// firstTerm is the term of a group's first leader: nobody can have given orders
 	// before it.
@@ -215,8 +216,12 @@
 	case phaseUnknown:
 		e.learn(a.Held, now)
 	case phaseKnown:
-		if said.Sub(e.touched) > beatLag {
-			e.learn(a.Held, now)
+		// Nobody knows how old an announcement is that a cut held up, nor after how many
+		// orders it was said. An order by the count that a report told and by models and
+		// adapters that an older word told is not refused, and ends an engine that has no
+		// room for what it brings. A report tells both as of one moment.
+		if said.Sub(e.touched) > beatLag && !e.holdsJust(a.Held) {
+			e.phase = phaseUnknown
 		}
 	case phaseWorking:
 		// A word that a control host heard before the order shows what was before it.
--- a/internal/loading/driver_test.go
+++ b/internal/loading/driver_test.go
@@ -407,6 +407,33 @@
 	})
 }
 
+// An engine ends with all that it runs: it is ordered to load a ninth adapter where eight
+// have room. A new leader has its report, with eight; then an announcement comes from before
+// it had them all, which a cut had held up, and is believed over the report. The count of
+// orders taken is the report's, so that the engine does not refuse the order.
+func TestLateAnnouncementDoesNotUndoAReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1)
+		maps.DeleteFunc(s.engines, func(id string, _ *standin) bool { return id != "e1" })
+		s.engines["e1"].held["m0"] = map[string]bool{"a1": true, "a2": true, "a3": true}
+		s.engines["e1"].taken = 3
+		h := newHosts(s)
+		h.announce(s, 1)
+		await(t, func() bool { return h.of("e1").Host != "" })
+		time.Sleep(time.Second)
+		late := roster.Announcement{
+			ID: s.engines["e1"].key(), Pool: "llm", Address: "e1", Sequence: 2,
+			Held: []*schema.HeldModel{{Name: "m0", Adapters: []string{"a1"}}},
+		}
+		require.True(t, h.rosters[0].Announce(late))
+		h.drivers[0].Announced(late)
+		h.drivers[0].Demand("entry", []*schema.ModelDemand{{Pool: "llm", Model: "m0", Adapter: "a4", Waiting: 1, Arrived: 1}})
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, places, s.holdsAdapters("e1", "m0"))
+		h.stop()
+	})
+}
+
 // The leader is lost while callers wait for a rare model. The next leader goes on
 // through the same order holder, and the model is there after a report and a
 // load; with orders from the leaders themselves it took the lease and a second.
--- a/internal/loading/engine.go
+++ b/internal/loading/engine.go
@@ -105,6 +105,25 @@
 	e.held = next
 }
 
+// holdsJust reports whether the engine is believed to hold what its word says and no more.
+func (e *engine) holdsJust(said []*schema.HeldModel) bool {
+	if len(said) != len(e.held) {
+		return false
+	}
+	for _, m := range said {
+		h := e.held[m.GetName()]
+		if h == nil || len(m.GetAdapters()) != len(h.Adapters) {
+			return false
+		}
+		for _, a := range m.GetAdapters() {
+			if _, there := h.Adapters[a]; !there {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // views returns what entries are told: models that may be sent to. A model that
 // is about to be unloaded is left out before the order leaves.
 func (e *engine) views() []*schema.HeldModel {
