--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -221,6 +221,7 @@
 		// adapters that an older word told is not refused, and ends an engine that has no
 		// room for what it brings. A report tells both as of one moment.
 		if said.Sub(e.touched) > beatLag && !e.holdsJust(a.Held) {
+			d.cfg.Log.Info("engine announces other models", "server", e.id, "sequence", a.Sequence, "announced", heldNames(a.Held), "believed", heldNames(e.views()))
 			e.phase = phaseUnknown
 		}
 	case phaseWorking:
--- a/internal/loading/giving.go
+++ b/internal/loading/giving.go
@@ -8,6 +8,7 @@
 
 	"fennelyard/internal/incarnation"
 	"fennelyard/internal/logbook"
+	"fennelyard/internal/schema"
 )
 
 // begin gives the order of an action.
@@ -192,6 +193,18 @@
 	return r, nil
 }
 
+// heldNames returns models and adapters as a log line has them.
+func heldNames(held []*schema.HeldModel) []string {
+	var out []string
+	for _, h := range held {
+		out = append(out, h.GetName())
+		for _, a := range h.GetAdapters() {
+			out = append(out, h.GetName()+"/"+a)
+		}
+	}
+	return out
+}
+
 // reported takes a report in, if nothing has changed since it was asked for.
 func (d *Driver) reported(e *engine, asked phase, taken uint64, at time.Time, r Report, err error) {
 	d.mu.Lock()
@@ -204,7 +217,7 @@
 		return
 	}
 	now := d.cfg.Now()
-	d.cfg.Log.V(1).Info("report", "server", e.id, "taken", r.Taken, "busy", r.Busy, "held", len(r.Held))
+	d.cfg.Log.Info("report", "server", e.id, "taken", r.Taken, "busy", r.Busy, "held", heldNames(r.Held))
 	if r.Busy {
 		return
 	}
