Ask each host in the demo what it holds back

A client goes to any entry that the directory names, so that its answers did not show that every host holds the request back; the operators' addresses do.

--- a/internal/demo/harmful.go
+++ b/internal/demo/harmful.go
@@ -18,10 +18,8 @@
 
 const (
 	harmfulBody = `{"rider":"harmful"}`
-	// harmfulServers are booking servers beside the first, harmfulEnough of which must have
-	// ended before it is held back.
+	// harmfulServers are the booking servers beside the first.
 	harmfulServers = 8
-	harmfulEnough  = 3
 	// harmfulTries is how often its caller repeats it at the most.
 	harmfulTries = 20
 )
@@ -63,7 +61,7 @@
 	})
 }
 
-// book sends a booking to one host.
+// book sends a booking, by the directory of one host.
 func (h *harmful) book(ctx context.Context, host int, body string) error {
 	c := fennelyard.NewClient(fennelyard.ClientOptions{Addresses: []string{h.layout.Hosts()[host].Caller}, Customer: customer})
 	_, err := c.Do(ctx, fennelyard.Request{
@@ -72,7 +70,7 @@
 	return err
 }
 
-// heldBack returns when the caller may come back, if a host holds the harmful booking back.
+// heldBack returns when the caller may come back, if the harmful booking is held back.
 func (h *harmful) heldBack(ctx context.Context, host int) (time.Duration, bool) {
 	var refused *fennelyard.Error
 	if err := h.book(ctx, host, harmfulBody); !errors.As(err, &refused) {
@@ -93,15 +91,16 @@
 }
 
 func (h *harmful) everywhere(ctx context.Context) (string, error) {
-	for host := range hostCount {
+	for _, host := range h.layout.Hosts() {
+		at := operator.NewClient(host.Operator)
 		if err := poll(ctx, func() bool {
-			_, held := h.heldBack(ctx, host)
-			return held
+			list, err := at.Suspects(ctx)
+			return err == nil && heldBackOf(list) != ""
 		}); err != nil {
-			return "", err
+			return "", errors.Newf("%s: %w", host.Name, err)
 		}
 	}
-	return fmt.Sprintf("%d hosts refuse it as not run, %d servers have ended", hostCount, h.ended.Load()), nil
+	return fmt.Sprintf("%d hosts, %d servers have ended", hostCount, h.ended.Load()), nil
 }
 
 func (h *harmful) other(ctx context.Context) (string, error) {
@@ -118,34 +117,36 @@
 	if err != nil {
 		return "", err
 	}
+	if h.key = heldBackOf(list); h.key == "" {
+		return "", errors.New("nothing is held back")
+	}
+	return fmt.Sprintf("request %s...", h.key[:8]), nil
+}
+
+// heldBackOf returns the key of the first request of a list that is held back, or "".
+func heldBackOf(list *schema.SuspectList) string {
 	for _, s := range list.GetSuspects() {
-		if s.GetHeldBackForMs() > 0 && len(s.GetEndedServers()) >= harmfulEnough {
-			h.key = s.GetKey()
-			return fmt.Sprintf("request %s..., %d servers ended", h.key[:8], len(s.GetEndedServers())), nil
+		if s.GetHeldBackForMs() > 0 {
+			return s.GetKey()
 		}
 	}
-	return "", errors.New("nothing is held back")
+	return ""
 }
 
 func (h *harmful) release(ctx context.Context) (string, error) {
 	if _, err := h.oper.Release(ctx, h.key, &schema.ReleaseRequest{Operator: "demo"}); err != nil {
 		return "", err
 	}
-	other := operator.NewClient(h.layout.Hosts()[2].Operator)
-	err := poll(ctx, func() bool {
-		list, err := other.Suspects(ctx)
-		return err == nil && !holdsBack(list, h.key)
-	})
-	return "no host holds it back any more", err
-}
-
-func holdsBack(list *schema.SuspectList, key string) bool {
-	for _, s := range list.GetSuspects() {
-		if s.GetKey() == key && s.GetHeldBackForMs() > 0 {
-			return true
+	for _, host := range h.layout.Hosts() {
+		at := operator.NewClient(host.Operator)
+		if err := poll(ctx, func() bool {
+			list, err := at.Suspects(ctx)
+			return err == nil && heldBackOf(list) == ""
+		}); err != nil {
+			return "", errors.Newf("%s: %w", host.Name, err)
 		}
 	}
-	return false
+	return "no host holds it back any more", nil
 }
 
 func (h *harmful) close() {
--- a/internal/loading/adapters.go
+++ b/internal/loading/adapters.go
@@ -38,9 +38,9 @@
 }
 
 // makePlace drops an idle adapter for one that callers wait for: the one that was not
-// asked for the longest, where the fewest places are overcommitted. One with requests is
-// never dropped: the engine takes no other order until they have ended, and those that
-// wait for other adapters there wait with it.
+// asked for the longest, at the engine with the fewest adapters beside those that late
+// orders may bring. One with requests is never dropped: the engine takes no other order
+// until they have ended, and those that wait for other adapters there wait with it.
 func (p *plan) makePlace(d AdapterDemand) {
 	var best *Engine
 	var victim heldAdapter
