Say rightly at which engine a place is made for an adapter

The comment had the engine with the fewest adapters beside what late orders may bring; the code takes the one where both together take the fewest places. A comment only.

--- a/internal/loading/adapters.go
+++ b/internal/loading/adapters.go
@@ -38,8 +38,8 @@
 }
 
 // makePlace drops an idle adapter for one that callers wait for: the one that was not
-// asked for the longest, at the engine with the fewest adapters beside those that late
-// orders may bring. One with requests is never dropped: the engine takes no other order
+// asked for the longest, at the engine where adapters and what late orders may bring take
+// the fewest places. One with requests is never dropped: the engine takes no other order
 // until they have ended, and those that wait for other adapters there wait with it.
 func (p *plan) makePlace(d AdapterDemand) {
 	var best *Engine
