Have the series of crashes come out the same each time

Cause: the test kept what runs at a server in a map, and drew a server for each repeat in the map's order, so that the seeds did not decide.

--- a/internal/quarantine/series_test.go
+++ b/internal/quarantine/series_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"math/rand"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -24,8 +25,9 @@
 	random *rand.Rand
 	clock  *clock
 	book   *quarantine.Book
-	// servers holds what runs at each, and starts counts its incarnations.
-	servers []map[*ordinary]bool
+	// servers holds what runs at each in the order of its arrival, and starts counts its
+	// incarnations.
+	servers [][]*ordinary
 	starts  []int
 	// harmfulEnded is how many servers the harmful request has ended.
 	harmfulEnded int
@@ -54,7 +56,8 @@
 	}
 	q.runs++
 	q.left = time.Duration(50+c.random.Intn(1500)) * time.Millisecond
-	c.servers[c.random.Intn(len(c.servers))][q] = true
+	server := c.random.Intn(len(c.servers))
+	c.servers[server] = append(c.servers[server], q)
 }
 
 // end ends a server under what it runs; the callers of these repeat them.
@@ -66,11 +69,11 @@
 		c.harmfulEnded++
 	}
 	broken := c.servers[server]
-	c.servers[server] = map[*ordinary]bool{}
-	for q := range broken {
+	c.servers[server] = nil
+	for _, q := range broken {
 		c.book.Accuse(q.key, id)
 	}
-	for q := range broken {
+	for _, q := range broken {
 		if q.runs <= repeatsMost {
 			c.arrive(q)
 		}
@@ -83,13 +86,13 @@
 		c.requests++
 		c.arrive(&ordinary{key: keyOf(strconv.Itoa(c.requests))})
 	}
-	for _, running := range c.servers {
-		for q := range running {
+	for i, running := range c.servers {
+		c.servers[i] = slices.DeleteFunc(running, func(q *ordinary) bool {
 			if q.left -= seriesStep; q.left <= 0 {
-				delete(running, q)
 				c.book.Clear(q.key)
 			}
-		}
+			return q.left <= 0
+		})
 	}
 }
 
@@ -105,7 +108,7 @@
 		clock := &clock{time.Unix(1e9, 0)}
 		c := &crashes{random: random, clock: clock, book: newBook(clock)}
 		for range 2 + random.Intn(12) {
-			c.servers = append(c.servers, map[*ordinary]bool{})
+			c.servers = append(c.servers, nil)
 			c.starts = append(c.starts, 0)
 		}
 		for range 600 {
