Let one try at a time once a harmful request's time is over, each entry after its own

Callers saw: when the five minutes are over for which a request is held back, they were over at every entry in the same moment, and at each every repeat went on until the first server's end was known.

Cause: the design said that the request may try once, and nothing saw to it: the record only says until when it is held back, for all entries alike.

Change: an entry adds up to half of the time, by a digest of the request and its own name, which its callers are told with Retry-After; and of the repeats there one tries, the others are refused with the rest of 30 s until that one ends its server, runs to its end or is left.

Before: TestOneTryAfterTheHold 52 servers, TestTryThatEndsNoServer failed. After: three. Why it holds: no word is needed; with 640 entries the times of two neighbours are a quarter of a second apart on average, in which the word of the first is there.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -116,7 +116,7 @@
 		Attempt: cfg.RandomID, Log: cfg.Log,
 	})
 	e.guard = quarantine.NewGuard(quarantine.GuardConfig{
-		Presence: relay.NewSender(relay.Config{}).Presence, Changed: e.recordSoon, Log: cfg.Log,
+		Entry: cfg.Self.GetName(), Presence: relay.NewSender(relay.Config{}).Presence, Changed: e.recordSoon, Log: cfg.Log,
 	})
 	e.gauges()
 	e.serve(cfg.CallerListener, e.callerRoutes())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,7 +88,9 @@
 		budgets: map[string]*budget{}, paces: map[string]*pace{},
 	}
 	g.attend = newAttendant(g)
-	g.guard = quarantine.NewGuard(quarantine.GuardConfig{Presence: cfg.Sender.Presence, Changed: g.speakSoon, Log: cfg.Log})
+	g.guard = quarantine.NewGuard(quarantine.GuardConfig{
+		Entry: cfg.Self.GetCallerAddress(), Presence: cfg.Sender.Presence, Changed: g.speakSoon, Log: cfg.Log,
+	})
 	g.ended, g.end = context.WithCancel(context.Background())
 	go func() {
 		defer close(g.done)
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -14,8 +16,14 @@
 // host that is lost with all that it ran, which says nothing about a request.
 const awaitMost = 250 * time.Millisecond
 
+// tryMost is how long others wait for what becomes of one that tries: it ends its server, runs
+// to its end, or its caller leaves it.
+const tryMost = 30 * time.Second
+
 // GuardConfig configures a Guard. All fields are required.
 type GuardConfig struct {
+	// Entry tells this entry from all others.
+	Entry string
 	// Presence tells what becomes of a new connection to a server's address.
 	Presence func(ctx context.Context, address string) relay.Presence
 	// Changed is called when this entry has found what others do not know: the next repeat
@@ -31,14 +39,28 @@
 	book      *Book
 	inquest   *Inquest
 	completed *Completed
+	log       logr.Logger
+
+	mu sync.Mutex
+	// tries are of requests whose time is over for which they were held back; guarded by mu.
+	tries map[Key]try
+}
+
+// try is the only one of a request's repeats that may reach a server.
+type try struct {
+	by *Subject
+	// until is when the next may try, where nothing has become of this one.
+	until time.Time
 }
 
 // NewGuard starts a guard that suspects no request.
 func NewGuard(cfg GuardConfig) *Guard {
 	g := &Guard{
 		changed:   cfg.Changed,
-		book:      New(Config{Now: time.Now, Log: cfg.Log.WithName("quarantine")}),
+		book:      New(Config{Entry: cfg.Entry, Now: time.Now, Log: cfg.Log.WithName("quarantine")}),
 		completed: NewCompleted(time.Now),
+		log:       cfg.Log.WithName("quarantine"),
+		tries:     map[Key]try{},
 	}
 	g.inquest = NewInquest(InquestConfig{Presence: cfg.Presence, Ended: g.accuse, Log: cfg.Log.WithName("inquest")})
 	return g
@@ -52,18 +74,41 @@
 
 // HeldBack returns for how long a request is held back, and whether it is: servers ended
 // that ran it. It is looked at before each attempt: the word may come while the request
-// waits, or from its own last attempt.
+// waits, or from its own last attempt. Once the time is over, one subject may try.
 func (g *Guard) HeldBack(s *Subject) (time.Duration, bool) {
 	if !g.suspects(s) {
 		return 0, false
 	}
 	left, held := g.book.Held(s.Key())
-	if held && g.completed.Lately(s.Request) {
+	switch {
+	case !held:
+		return 0, false
+	case g.completed.Lately(s.Request):
 		// Others have met servers that ended; here it has run to its end.
 		g.Clear(s.Key())
 		return 0, false
+	case left > 0:
+		return left, true
+	}
+	return g.wait(s)
+}
+
+// wait returns how long a subject has to wait for another that tries; where none does, it
+// tries itself.
+func (g *Guard) wait(s *Subject) (time.Duration, bool) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	maps.DeleteFunc(g.tries, func(_ Key, t try) bool { return !now.Before(t.until) })
+	t, trying := g.tries[s.Key()]
+	if trying && t.by != s {
+		return t.until.Sub(now), true
+	}
+	if !trying {
+		g.tries[s.Key()] = try{s, now.Add(tryMost)}
+		g.log.Info("request tries again", "key", s.Key().String())
 	}
-	return left, held
+	return 0, false
 }
 
 // Await waits, before an attempt, until it is known whether the servers have ended at which
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -35,6 +35,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := quarantine.NewGuard(quarantine.GuardConfig{
+					Entry: "entry",
 					Presence: func(context.Context, string) relay.Presence {
 						if x.answer == relay.PresenceSilent {
 							time.Sleep(500 * time.Millisecond)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"fennelyard/internal/schema"
@@ -23,6 +24,10 @@
 	// doubles the time.
 	holdFirst     = 5 * time.Minute
 	holdDoublings = 6
+	// holdOwnPart is what part of that time, one in so many, the entries' own times differ by,
+	// in so many steps: with 640 entries the first has had a quarter of a second for its word.
+	holdOwnPart = 2
+	holdSteps   = 1024
 	// forgetAfter is how long a suspicion is remembered beyond the time of holding back: a
 	// caller that repeats a request does so sooner.
 	forgetAfter = time.Hour
@@ -39,6 +44,8 @@
 
 // Config configures a Book. All fields are required.
 type Config struct {
+	// Entry tells the entry whose book it is from all others; "" at control hosts.
+	Entry string
 	Now func() time.Time
 	Log logr.Logger
 }
@@ -111,16 +118,21 @@
 	return b.hints[h] > 0
 }
 
-// Held returns for how long a request is held back, and whether it is.
+// Held reports whether enough servers ended under a request, and for how long it is held
+// back then; once that is over, it may try again. Each entry has a time of its own: where it
+// is over at all of them at once, a caller that repeats at each of them ends a server with
+// each, before any of them has heard of the first.
 func (b *Book) Held(key Key) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.records[key]
-	if r == nil {
+	if r == nil || r.blamed() < enough {
 		return 0, false
 	}
-	left := r.until().Sub(b.cfg.Now())
-	return left, left > 0
+	until := r.until()
+	own := xxhash.Sum64String(key.String()+b.cfg.Entry) % holdSteps
+	own *= uint64(until.Sub(r.last)) / holdOwnPart / holdSteps
+	return max(until.Add(time.Duration(own)).Sub(b.cfg.Now()), 0), true
 }
 
 // Blamed returns how many servers count against a request.
