--- a/internal/quarantine/inquest.go
+++ b/internal/quarantine/inquest.go
@@ -79,8 +79,10 @@
 
 // NewInquest starts an inquest.
 func NewInquest(cfg InquestConfig) *Inquest {
-	q := &Inquest{cfg: cfg, queue: make(chan *inquiry, inquestQueue), done: make(chan struct{}),
-		inquiries: map[string]*inquiry{}, concluded: make(chan struct{})}
+	q := &Inquest{
+		cfg: cfg, queue: make(chan *inquiry, inquestQueue), done: make(chan struct{}),
+		inquiries: map[string]*inquiry{}, concluded: make(chan struct{}),
+	}
 	q.ctx, q.stop = context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for range inquestAskers {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -46,8 +46,8 @@
 type Config struct {
 	// Entry tells the entry whose book it is from all others; "" at control hosts.
 	Entry string
-	Now func() time.Time
-	Log logr.Logger
+	Now   func() time.Time
+	Log   logr.Logger
 }
 
 // Book is what a host knows of requests under which servers ended. Books are brought
