--- a/cmd/fennelyard/soak_faults_test.go
+++ b/cmd/fennelyard/soak_faults_test.go
@@ -56,8 +56,10 @@
 		time.Sleep(pause)
 		s.start(name, false)
 	case 2:
+		s.frozen(name, pause)
 		_ = p.cmd.Process.Signal(syscall.SIGSTOP)
 		time.Sleep(pause)
+		s.frozen(name, 0)
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 	case 4, 5:
 		s.proxies[name].sever(direction(fault-hostFaults), pause)
--- a/cmd/fennelyard/soak_test.go
+++ b/cmd/fennelyard/soak_test.go
@@ -41,6 +41,7 @@
 	// seedEntries is the number of entries with which failedSeeds failed.
 	seedEntries = 3
 	soakServers = 3
+	soakEngines = 3
 	soakEvents  = 8
 	// harmfulBody is the body of a request under which a backend server ends.
 	harmfulBody = "harmful"
@@ -50,7 +51,7 @@
 
 // soakConfig is what a soak is made of.
 type soakConfig struct {
-	entries, servers int
+	entries, servers, engines int
 	// proxied puts a proxy that does what networks do before each backend server, and
 	// severed one before each control host.
 	proxied, severed bool
@@ -73,11 +74,16 @@
 	proxies map[string]*proxy
 
 	mu sync.Mutex
+	// thawed is when a host was last thawed, by name, a time to come while it is frozen; ordered is the last order of each engine; guarded by mu, as all below.
+	thawed  map[string]time.Time
+	ordered map[string]givenOrder
 	// runs counts how often a backend server ran a request, by id; refused holds
-	// the ids that were said not to have run; guarded by mu, as all below.
+	// the ids that were said not to have run.
 	runs    map[string]int
 	refused map[string]bool
 	served  int
+	// answers counts those of models.
+	answers int
 	// ended counts the servers that ended under the harmful request.
 	ended  int
 	acked  uint64
@@ -170,12 +176,11 @@
 		}
 		h.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { s.serve(w, q, crash) })
 		go func() { _ = h.Serve(server) }()
-		address, closed := server.Addr().String(), func() {}
-		if s.proxied {
-			p := newProxy(life, s.ctx, s.listen(i), address, answerBytes, r)
-			address, closed = p.l.Addr().String(), p.close
-		}
-		s.announce(life, i, address)
+		address, closed := s.before(life, i, server.Addr().String(), r)
+		born := time.Now().UnixMilli()
+		s.announce(life, i, func(sequence int) (path, body string) {
+			return standin.Announcement(fmt.Sprint("i-", i), address, born, sequence)
+		})
 		crash()
 		closed()
 		time.Sleep(s.down(r))
@@ -191,11 +196,19 @@
 	return l
 }
 
+// before puts a proxy before a backend server, where the soak has them, until its life ends.
+func (s *soak) before(life context.Context, i int, server string, r *rand.Rand) (address string, closed func()) {
+	if !s.proxied {
+		return server, func() {}
+	}
+	p := newProxy(life, s.ctx, s.listen(i), server, answerBytes, r)
+	return p.l.Addr().String(), p.close
+}
+
 // announce tells the control hosts of one start of a server until it ends.
-func (s *soak) announce(life context.Context, i int, address string) {
-	born := time.Now().UnixMilli()
+func (s *soak) announce(life context.Context, i int, word func(sequence int) (path, body string)) {
 	for sequence := 1; life.Err() == nil; sequence++ {
-		path, body := standin.Announcement(fmt.Sprint("i-", i), address, born, sequence)
+		path, body := word(sequence)
 		for c := range soakControls {
 			status, _ := s.call(http.MethodPut, s.operators((i+c)%soakControls)+path, body, nil, 500*time.Millisecond)
 			if status == http.StatusOK {
@@ -332,7 +345,7 @@
 // older than what was acknowledged before.
 func (s *soak) operate(r *rand.Rand) {
 	for version := uint64(2); s.ctx.Err() == nil; version++ {
-		if status, _ := s.call(http.MethodPut, s.operators(r.IntN(soakControls))+standin.ConfigPath, standin.Config(version), nil, time.Second); status == http.StatusOK {
+		if status, _ := s.call(http.MethodPut, s.operators(r.IntN(soakControls))+standin.ConfigPath, standin.Config(version, s.engines > 0), nil, time.Second); status == http.StatusOK {
 			s.mu.Lock()
 			s.acked = max(s.acked, version)
 			s.mu.Unlock()
@@ -365,19 +378,19 @@
 // acknowledged configuration is ever taken back.
 func TestSoak(t *testing.T) {
 	for _, seed := range failedSeeds {
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSoak(t, seed, seedEntries, false) })
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSoak(t, seed, seedEntries, false, 0) })
 	}
 	for i := range *soakSeeds {
 		seed := *soakFirst + uint64(i)
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSoak(t, seed, *soakHosts, true) })
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSoak(t, seed, *soakHosts, true, soakEngines) })
 	}
 }
 
-func runSoak(t *testing.T, seed uint64, entries int, severed bool) {
+func runSoak(t *testing.T, seed uint64, entries int, severed bool, engines int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s, end := newSoak(ctx, t, seed, soakConfig{
-		entries: entries, servers: soakServers, proxied: true, severed: severed,
+		entries: entries, servers: soakServers, engines: engines, proxied: true, severed: severed,
 		life: func(r *rand.Rand) time.Duration { return time.Duration(1500+r.IntN(4000)) * time.Millisecond },
 		down: func(r *rand.Rand) time.Duration { return time.Duration(r.IntN(300)) * time.Millisecond },
 	})
@@ -386,6 +399,9 @@
 	for i := range 6 {
 		wg.Go(func() { s.ask(i, rand.New(rand.NewPCG(seed, uint64(i)))) })
 	}
+	for i := range engines {
+		wg.Go(func() { s.askModels(i, rand.New(rand.NewPCG(seed, uint64(700+i)))) })
+	}
 	wg.Go(func() { s.operate(rand.New(rand.NewPCG(seed, 100))) })
 	wg.Go(func() { s.repeat(rand.New(rand.NewPCG(seed, 400))) })
 	harmed := make(chan struct{})
@@ -407,6 +423,7 @@
 		t: t, seed: seed, fleet: &fleet{t: t, processes: map[string]*process{}}, port: l.Addr().(*net.TCPAddr).Port, folder: t.TempDir(),
 		soakConfig: cfg, ctx: ctx, alive: alive, proxies: map[string]*proxy{}, runs: map[string]int{}, refused: map[string]bool{},
 	}
+	s.thawed, s.ordered = map[string]time.Time{}, map[string]givenOrder{}
 	require.NoError(t, l.Close())
 	t.Cleanup(s.fleet.close)
 	closeProxies := s.proxyControls()
@@ -417,13 +434,16 @@
 		s.start(fmt.Sprint("entry-", i), true)
 	}
 	require.Eventually(t, func() bool {
-		status, _ := s.call(http.MethodPut, s.operators(0)+standin.ConfigPath, standin.Config(1), nil, time.Second)
+		status, _ := s.call(http.MethodPut, s.operators(0)+standin.ConfigPath, standin.Config(1, s.engines > 0), nil, time.Second)
 		return status == http.StatusOK
 	}, patience, 50*time.Millisecond)
 	var wg sync.WaitGroup
 	for i := range s.servers {
 		wg.Go(func() { s.live(i, rand.New(rand.NewPCG(seed, uint64(300+i)))) })
 	}
+	for i := range s.engines {
+		wg.Go(func() { s.liveEngine(i, rand.New(rand.NewPCG(seed, uint64(600+i)))) })
+	}
 	return s, func() {
 		cancel()
 		wg.Wait()
@@ -438,6 +458,7 @@
 		return ok && version >= s.acked
 	}, patience, 50*time.Millisecond, "seed %d: the configuration does not come back", s.seed)
 	s.judgeHarmful()
+	s.judgeModels()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, n := range s.runs {
@@ -449,6 +470,6 @@
 		require.NotContains(s.t, p.log.String(), "DATA RACE", "seed %d: %s", s.seed, name)
 	}
 	require.Positive(s.t, s.served, "seed %d", s.seed)
-	s.t.Logf("seed %d: %d requests served, %d refused as not run, version %d acknowledged, %d servers ended under the harmful request",
-		s.seed, s.served, len(s.refused), s.acked, s.ended)
+	s.t.Logf("seed %d: %d requests served, %d of them by models, %d refused as not run, version %d acknowledged, %d servers ended under the harmful request",
+		s.seed, s.served, s.answers, len(s.refused), s.acked, s.ended)
 }
--- a/internal/loading/ending_test.go
+++ b/internal/loading/ending_test.go
@@ -1,6 +1,8 @@
 package loading_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -101,3 +103,80 @@
 	defer s.mu.Unlock()
 	s.fatal = ""
 }
+
+// Two models end each engine that loads them. Neither speaks for the other: both are left
+// after a few engines.
+func TestTwoModelsThatEndTheirEnginesAreNotLoaded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1)
+		for id := range s.engines {
+			s.restart(id)
+		}
+		s.fatal, s.fatalToo = "m3", "m5"
+		h := newHosts(s)
+		for beat := range uint64(60) {
+			h.announce(s, beat+1)
+			h.drivers[0].Demand("entry", []*schema.ModelDemand{
+				{Pool: "llm", Model: "m3", Waiting: 1, Arrived: 1}, {Pool: "llm", Model: "m5", Waiting: 1, Arrived: 1},
+			})
+			time.Sleep(time.Second)
+		}
+		require.LessOrEqual(t, s.endedEngines(), 2*3+1)
+		h.stop()
+	})
+}
+
+// Engines end of themselves every second or two, whatever they do, and three in a row do so
+// under loads of one model. It was not loaded for a minute then, at engines that ran well
+// again, and every caller of it was refused. As many end under nothing and under other loads:
+// the model is loaded as soon as an engine is there.
+func TestModelWhoseEnginesEndOfThemselvesIsLoaded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1)
+		for id := range s.engines {
+			s.restart(id)
+		}
+		h := newHosts(s)
+		beat := uint64(0)
+		ask := func() {
+			beat++
+			h.announce(s, beat)
+			h.drivers[0].Demand("entry", []*schema.ModelDemand{{Pool: "llm", Model: "m3", Waiting: 1, Arrived: 1}})
+			time.Sleep(time.Second)
+		}
+		for range 3 {
+			await(t, func() bool {
+				ask()
+				return len(s.atLoad("m3", true)) > 0
+			})
+			for _, id := range s.atLoad("m3", true) {
+				s.restart(id)
+			}
+			ask()
+			ask()
+			s.restart(s.atLoad("m3", false)[0])
+			ask()
+		}
+		calm := beat
+		await(t, func() bool {
+			ask()
+			return s.holds("e0", "m3") || s.holds("e1", "m3") || s.holds("e2", "m3") || s.holds("e3", "m3")
+		})
+		require.Less(t, beat-calm, uint64(12))
+		h.stop()
+	})
+}
+
+// atLoad returns the engines that are at work on a load of a model, or all others.
+func (s *site) atLoad(model string, at bool) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, id := range slices.Sorted(maps.Keys(s.engines)) {
+		e := s.engines[id]
+		if at == (e.busy && e.last.Load && e.last.Model == model) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- a/internal/loading/site_test.go
+++ b/internal/loading/site_test.go
@@ -28,10 +28,10 @@
 
 	// restarts has engines start again under their ids while the schedule runs.
 	restarts bool
-	// fatal is a model under whose load an engine ends, to start again after a second; ended
-	// counts them. Both are guarded by mu.
-	fatal string
-	ended int
+	// fatal and fatalToo are models under whose load an engine ends, to start again after a
+	// second; ended counts them. All are guarded by mu.
+	fatal, fatalToo string
+	ended           int
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -180,7 +180,7 @@
 	}
 	s.weigh(e, loading.Order{Load: true, Model: model})
 	born := e.born
-	if model == s.fatal {
+	if model == s.fatal || model == s.fatalToo {
 		s.ended++
 		time.AfterFunc(time.Second, func() { s.restart(e.id) })
 		return
