--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -21,6 +21,11 @@
 	// kept is the part of the ring that only lines about beliefs may use, so that
 	// requests do not push out why they failed.
 	kept = ringLines / 4
+	// gather is for how long lines are gathered that go out at once, and gatherBytes how many
+	// bytes of them: where hundreds come in a second, a call of the system for each costs a
+	// small host more than all that it says. A process that is killed loses as much.
+	gather      = 10 * time.Millisecond
+	gatherBytes = 64 << 10
 	// flushWait bounds how long Close waits for the output.
 	flushWait = 200 * time.Millisecond
 )
@@ -49,7 +54,7 @@
 	for {
 		select {
 		case line := <-b.ring:
-			b.write(line)
+			b.write(b.gathered(line))
 		case <-b.stop:
 			b.flush()
 			return
@@ -62,6 +67,25 @@
 	}
 }
 
+// gathered returns a line and those that come within a moment.
+func (b *Book) gathered(lines []byte) []byte {
+	over := time.NewTimer(gather)
+	defer over.Stop()
+	select {
+	case <-over.C:
+	case <-b.stop:
+	}
+	for len(lines) < gatherBytes {
+		select {
+		case line := <-b.ring:
+			lines = append(lines, line...)
+		default:
+			return lines
+		}
+	}
+	return lines
+}
+
 // write passes over an error: there is no other place to report it to.
 func (b *Book) write(line []byte) { _, _ = b.out.Write(line) }
 
--- a/internal/logbook/logbook_test.go
+++ b/internal/logbook/logbook_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -47,6 +49,35 @@
 	require.Equal(t, 500, strings.Count(out.buf.String(), `"msg":"belief"`))
 }
 
+// counted counts the calls and the lines that it gets.
+type counted struct{ calls, lines int }
+
+func (c *counted) Write(p []byte) (int, error) {
+	c.calls++
+	c.lines += bytes.Count(p, []byte("\n"))
+	return len(p), nil
+}
+
+// Lines that come within a moment of each other go out in one call, all of them and in
+// their order: a leader that wrote six hundred lines a second, each by itself, had no time
+// left to say that it leads.
+func TestLinesGoOutTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out counted
+		b := logbook.New(&out)
+		log := b.Beliefs(0)
+		for range 3 {
+			for range 200 {
+				log.Info("server heard", "server", "i-1")
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		b.Close()
+		require.Equal(t, 600, out.lines)
+		require.LessOrEqual(t, out.calls, 3)
+	})
+}
+
 // BenchmarkRequestLine: what one line adds to a request, output not counted.
 func BenchmarkRequestLine(b *testing.B) {
 	book := logbook.New(io.Discard)
--- a/internal/roster/hosts.go
+++ b/internal/roster/hosts.go
@@ -31,6 +31,9 @@
 	// loadsKeep is for how long the sum of the entries' loads is told before it is worked
 	// out anew: it is told to each control host ten times a second.
 	loadsKeep = 50 * time.Millisecond
+	// entriesLogged is how often the number of a host's entries is logged at most: while
+	// hundreds of them move it changes with each word.
+	entriesLogged = time.Second
 )
 
 // following is one control host's stream to the leader.
@@ -51,6 +54,9 @@
 	told Told
 	// behind names entries that are told no further than told.
 	behind []string
+	// count is how many entries were logged last, and counted when.
+	count   int
+	counted time.Time
 }
 
 // Follow notes that a control host speaks on a stream; stream numbers grow.
@@ -105,7 +111,10 @@
 	}
 	if news.GetEntriesTold() {
 		f.entries = news.GetEntries()
-		r.cfg.Log.Info("entries of host", "host", host, "count", len(f.entries))
+	}
+	if len(f.entries) != f.count && f.heard.Sub(f.counted) >= entriesLogged {
+		f.count, f.counted = len(f.entries), f.heard
+		r.cfg.Log.Info("entries of host", "host", host, "count", f.count)
 	}
 }
 
