Have a burst of orders ask once who leads, and wait for a leader that is at work

Each order asked by itself who leads, where none had been learned within 250 ms, and waited 250 ms for it; a leader that has just begun and has hundreds of engines to hear takes longer, each order that did not leave was decided and given again, and that work kept it from answering.

Change: orders at a holder share one question; it is waited for up to 400 ms, and the pause between two holders grows by as much as that adds (0.15 s); a model that lacks a replica is logged every 3 s instead of every second.

Before: TestBurstOfOrdersAsksOnceWhoLeads failed in all its cases (30 questions for one; none left before a busy leader). Why it holds: a question that began within confirmFor counts as what was learned then, as before; the pause between holders covers the longer wait.

--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -24,17 +24,19 @@
 	// within a moment of its thaw, and engines are promised no order of an old holder
 	// after that. One word serves the orders of a burst.
 	confirmFor = 250 * time.Millisecond
-	// confirmWait is how long the leader's word is waited for.
-	confirmWait = 250 * time.Millisecond
+	// confirmWait is how long the leader's word is waited for. A leader with a fleet's
+	// burst before it takes some hundred milliseconds for it; orders that do not wait for it
+	// are given again, and are more work for it than those that leave.
+	confirmWait = 400 * time.Millisecond
 	// LeadFor is how old a quorum's word may be with which a leader answers a
 	// holder: a round of the group for each order would cost a leader of a large
 	// fleet more than all else that it does.
 	LeadFor = 150 * time.Millisecond
-	// leaseMargin is added to the pause between two holders' orders. An order of
-	// the old holder arrives within LeadFor and confirmFor, for which what it knew
-	// was true, and orderWait, after which its connection is reset; the rest is for
-	// the way in between.
-	leaseMargin = LeadFor + confirmFor + orderWait + 50*time.Millisecond
+	// leaseMargin is added to the pause between two holders' orders. An order of the old
+	// holder arrives within LeadFor and the longer of confirmWait and confirmFor, for which
+	// what it knew was true, and orderWait, after which its connection is reset; the rest is
+	// for the way in between.
+	leaseMargin = LeadFor + max(confirmWait, confirmFor) + orderWait + 50*time.Millisecond
 	// holderPatience and holderTries are for how long, and how often, an engine's
 	// order holder may fail to send its orders before another host takes them over:
 	// a host restarts within a second. enginePatience and engineTries are the same
@@ -307,10 +309,14 @@
 	return len(d.engines)
 }
 
-// logBlocked logs models that lack a replica, each at most once a second.
+// blockedEvery is how often a model is logged that lacks a replica: in a burst of rare
+// models a hundred do, for as long as the store is paced.
+const blockedEvery = 3 * time.Second
+
+// logBlocked logs models that lack a replica.
 func (d *Driver) logBlocked(blocked []Blocked, now time.Time) {
 	for _, b := range blocked {
-		if now.Sub(d.told[b.Model]) < time.Second {
+		if now.Sub(d.told[b.Model]) < blockedEvery {
 			continue
 		}
 		d.told[b.Model] = now
--- a/internal/loading/hand.go
+++ b/internal/loading/hand.go
@@ -47,11 +47,21 @@
 	// returned; guarded by mu, as all below.
 	caught time.Time
 	term   uint64
+	// question is the newest call of Catch that is under way, nil: there is none.
+	question *question
 	// tokens holds the highest token that was given to each engine, by the server's id:
 	// an order to an earlier start that was held up must not follow one to the next.
 	tokens map[string]uint64
 }
 
+// question is one call of Catch. Its answer is there once done is closed.
+type question struct {
+	began time.Time
+	done  chan struct{}
+	term  uint64
+	err   error
+}
+
 // NewHand returns a Hand.
 func NewHand(cfg HandConfig) *Hand { return &Hand{cfg: cfg, tokens: map[string]uint64{}} }
 
@@ -99,25 +109,44 @@
 	return nil
 }
 
-// catch relies on what was learned within confirmFor. A host that was cut off or
-// frozen meanwhile learns before it sends that another holds the engine's orders.
+// catch relies on what was learned within confirmFor, or is just being learned. A host that
+// was cut off or frozen meanwhile learns before it sends that another holds the engine's
+// orders.
 func (h *Hand) catch(ctx context.Context) (uint64, error) {
 	h.mu.Lock()
-	began, caught, term := h.cfg.Now(), h.caught, h.term
+	now := h.cfg.Now()
+	if now.Sub(h.caught) < confirmFor {
+		defer h.mu.Unlock()
+		return h.term, nil
+	}
+	q := h.question
+	if q == nil || now.Sub(q.began) >= confirmFor {
+		q = &question{began: now, done: make(chan struct{})}
+		h.question = q
+		go h.ask(q)
+	}
 	h.mu.Unlock()
-	if began.Sub(caught) < confirmFor {
-		return term, nil
+	select {
+	case <-q.done:
+		return q.term, q.err
+	case <-ctx.Done():
+		return 0, errors.Newf("wait for the answer: %w", ctx.Err())
 	}
-	ctx, cancel := context.WithTimeout(ctx, confirmWait)
+}
+
+// ask has one question answered for all orders that wait for it: a burst of orders asks the
+// leader once, as it has the most to do just then.
+func (h *Hand) ask(q *question) {
+	defer close(q.done)
+	ctx, cancel := context.WithTimeout(context.Background(), confirmWait)
 	defer cancel()
-	term, err := h.cfg.Catch(ctx)
-	if err != nil {
-		return 0, err
-	}
+	q.term, q.err = h.cfg.Catch(ctx)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if began.After(h.caught) {
-		h.caught, h.term = began, term
+	if q.err == nil && q.began.After(h.caught) {
+		h.caught, h.term = q.began, q.term
+	}
+	if h.question == q {
+		h.question = nil
 	}
-	return term, nil
 }
--- /dev/null
+++ b/internal/loading/hand_test.go
@@ -0,0 +1,75 @@
+package loading_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"fennelyard/internal/loading"
+)
+
+// A new leader of a large fleet has dozens of orders to give, and each holder asked it for
+// each of them who leads; it had no time for the answers, the orders did not leave, and were
+// given again: for fifteen seconds hardly one did. A burst of orders asks once, and waits for
+// the answer of a leader that is at work.
+func TestBurstOfOrdersAsksOnceWhoLeads(t *testing.T) {
+	for name, x := range map[string]struct {
+		takes time.Duration
+		fails bool
+		gone  int
+	}{
+		"an idle leader":         {time.Millisecond, false, 30},
+		"a busy leader":          {350 * time.Millisecond, false, 30},
+		"a leader that is gone":  {time.Minute, false, 0},
+		"a host that leads none": {time.Millisecond, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var mu sync.Mutex
+				asked, gone := 0, 0
+				h := loading.NewHand(loading.HandConfig{
+					Catch: func(ctx context.Context) (uint64, error) {
+						mu.Lock()
+						asked++
+						mu.Unlock()
+						select {
+						case <-ctx.Done():
+							return 0, ctx.Err()
+						case <-time.After(x.takes):
+						}
+						if x.fails {
+							return 0, errors.New("not the leader")
+						}
+						return 7, nil
+					},
+					Holds: func(string) bool { return true },
+					Give: func(context.Context, string, loading.Order) (loading.Outcome, error) {
+						mu.Lock()
+						defer mu.Unlock()
+						gone++
+						return loading.OutcomeTaken, nil
+					},
+					Now: time.Now, Log: logr.Discard(),
+				})
+				var wg sync.WaitGroup
+				for i := range 30 {
+					wg.Go(func() {
+						time.Sleep(time.Duration(i%3) * time.Microsecond)
+						server := string(rune('a' + i))
+						_, err := h.Give(t.Context(), 7, "a:1", loading.Order{Server: server, Token: uint64(i + 1)})
+						require.Equal(t, x.gone == 0, errors.Is(err, loading.ErrNotSent))
+					})
+				}
+				wg.Wait()
+				require.Equal(t, x.gone, gone)
+				require.Equal(t, 1, asked)
+			})
+		})
+	}
+}
