Give the second leader within ten seconds twice the time

Cause, from the control hosts' lines: a new leader hears 300 servers, 9 hosts and 347 entries anew and asks 240 engines in its first three seconds, with a tenth of a core; it is silent for some 0.6 to 1 s in a burst of that, is deposed (elections begin after 0.5 to 1 s), and the next has the same before it. The deposed ones noted it 0.3 s after the vote: they lived.

Change: where the leader before it was first known less than 20 election timeouts earlier, a leader may be silent twice as long, and so may its quorum, for that time. Who has no leader waits for nothing more than before.

Test: TestLeadersThatComeAndGoAreGivenTime (10 ticks where 20 are given now). Safety does not rest on timeouts; a leader that is lost soon after it came is replaced half a second later.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -130,6 +130,12 @@
 	// elapsed counts ticks since word of a leader, or on a leader since the
 	// last quorum check.
 	elapsed int
+	// ledTerm is the newest term whose leader was known here, and ledTicks counts the ticks
+	// since it was first known; restless is set where the leader before it was first known
+	// shortly before.
+	ledTerm  uint64
+	ledTicks int
+	restless bool
 	// met is set once a leader was heard, or elected here, since the start.
 	met              bool
 	heartbeatElapsed int
@@ -230,11 +236,12 @@
 // Tick advances the member's clock by one tick.
 func (c *Core) Tick() {
 	c.elapsed++
+	c.ledTicks++
 	if c.role == RoleLeader {
 		c.tickLeader()
 		return
 	}
-	if c.elapsed >= c.timeout && c.isVoter(c.cfg.ID) {
+	if c.elapsed >= c.timeout*c.patience() && c.isVoter(c.cfg.ID) {
 		c.campaign(true, false)
 	}
 }
@@ -252,7 +259,7 @@
 	for _, p := range c.progress {
 		p.heard++
 	}
-	if c.elapsed >= c.cfg.ElectionTicks {
+	if c.elapsed >= c.cfg.ElectionTicks*c.patience() {
 		c.elapsed = 0
 		if !c.quorumActive() {
 			// A leader cut off from its quorum would go on answering callers
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -65,6 +65,58 @@
 	assert.Equal(t, 10, quiet(c))
 }
 
+// Leaders came and went: each had a fleet's burst of work before it in its first second, was
+// silent for it, and was deposed by the next, which had the same. The second leader within ten
+// seconds is waited for twice as long; one that has led for a while, or none, is not.
+func TestLeadersThatComeAndGoAreGivenTime(t *testing.T) {
+	hear := func(c *consensus.Core, from, term uint64) {
+		c.Step(&schema.ConsensusMessage{
+			Kind: schema.MessageKind_MESSAGE_KIND_APPEND, From: from, To: 2, Term: term, Index: consensus.FirstIndex, LogTerm: 1,
+		})
+		work(c)
+	}
+	quiet := func(c *consensus.Core) (ticks int) {
+		for c.Role() == consensus.RoleFollower {
+			c.Tick()
+			ticks++
+		}
+		return ticks
+	}
+	for name, x := range map[string]struct {
+		// led is how many ticks the first leader led, and lives the second.
+		led, lives int
+		ticks      int
+	}{
+		"after a while":          {200, 0, 10},
+		"soon after another":     {199, 0, 20},
+		"and has led for long":   {50, 200, 10},
+		"and has led for little": {50, 150, 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := memberOf(2)
+			hear(c, 1, 2)
+			for range x.led {
+				c.Tick()
+				hear(c, 1, 2)
+			}
+			hear(c, 3, 3)
+			for range x.lives {
+				c.Tick()
+				hear(c, 3, 3)
+			}
+			assert.Equal(t, x.ticks, quiet(c))
+			// Once it is lost nothing more is waited for than before.
+			work(c)
+			again := 0
+			for len(work(c)) == 0 {
+				c.Tick()
+				again++
+			}
+			assert.Equal(t, 10, again)
+		})
+	}
+}
+
 // elect makes a core the leader of the second term with the vote of member 2.
 func elect(t *testing.T, c *consensus.Core) {
 	t.Helper()
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -47,7 +47,7 @@
 	if kind != schema.MessageKind_MESSAGE_KIND_VOTE && kind != schema.MessageKind_MESSAGE_KIND_PRE_VOTE {
 		return false
 	}
-	return c.role == RoleLeader || c.leader != 0 && c.elapsed < c.cfg.ElectionTicks
+	return c.role == RoleLeader || c.leader != 0 && c.elapsed < c.cfg.ElectionTicks*c.patience()
 }
 
 func (c *Core) followTerm(m *schema.ConsensusMessage) {
@@ -91,7 +91,7 @@
 		c.vote = 0
 	}
 	c.leader = leader
-	c.met = c.met || leader != 0
+	c.noteLeader()
 	c.progress = nil
 	c.reads = nil
 	c.votes = nil
@@ -114,6 +114,36 @@
 	}
 }
 
+const (
+	// restlessFor is for how many election timeouts after a change of leader the next one
+	// shows that leaders come and go.
+	restlessFor = 20
+	// restlessTimes is how many times as long the leader may be silent then, and its quorum:
+	// a new leader of a large group has the most to do in its first seconds. Deposed over
+	// it, it leaves the same to the next, and nobody is served by any of them: seven leaders
+	// in eleven seconds.
+	restlessTimes = 2
+)
+
+// noteLeader notes that the leader of the present term is known, if it is.
+func (c *Core) noteLeader() {
+	c.met = c.met || c.leader != 0
+	if c.leader == 0 || c.term <= c.ledTerm {
+		return
+	}
+	c.restless = c.ledTerm != 0 && c.ledTicks < restlessFor*c.cfg.ElectionTicks
+	c.ledTerm, c.ledTicks = c.term, 0
+}
+
+// patience is how many times as long as otherwise the present leader may be silent. While
+// none is known nothing is waited for.
+func (c *Core) patience() int {
+	if c.leader != 0 && c.restless && c.ledTicks < restlessFor*c.cfg.ElectionTicks {
+		return restlessTimes
+	}
+	return 1
+}
+
 func (c *Core) campaign(pre, transfer bool) {
 	c.resetTimeout()
 	c.leader = 0
@@ -208,7 +238,8 @@
 
 func (c *Core) becomeLeader() {
 	c.role = RoleLeader
-	c.leader, c.met = c.cfg.ID, true
+	c.leader = c.cfg.ID
+	c.noteLeader()
 	c.votes = nil
 	c.elapsed, c.heartbeatElapsed = 0, 0
 	c.progress = map[uint64]*progress{}
