--- a/cmd/fennelyard/soak_faults_test.go
+++ b/cmd/fennelyard/soak_faults_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -21,21 +23,16 @@
 		names = append(names, fmt.Sprint("entry-", i))
 	}
 	var wg sync.WaitGroup
-	busy := map[string]chan struct{}{}
 	for s.ctx.Err() == nil {
 		name := names[r.IntN(len(names))]
-		if done := busy[name]; done != nil {
-			<-done
-		}
-		done := make(chan struct{})
-		busy[name] = done
-		kinds := hostFaults
+		free := s.seize(name)
+		kinds := unproxiedFaults
 		if s.proxies[name] != nil {
-			kinds = allFaults
+			kinds = hostFaults
 		}
-		fault, pause := r.IntN(kinds), time.Duration(100+r.IntN(1500))*time.Millisecond
+		fault, pause := hostFault(r.IntN(int(kinds))), time.Duration(100+r.IntN(1500))*time.Millisecond
 		wg.Go(func() {
-			defer close(done)
+			defer free()
 			s.strike(name, fault, pause)
 		})
 		time.Sleep(time.Duration(100+r.IntN(600)) * time.Millisecond)
@@ -43,28 +40,48 @@
 	wg.Wait()
 }
 
-// hostFaults is how many kinds of fault strike has for a host, and allFaults for one with a
-// proxy.
-const hostFaults, allFaults = 4, 7
+// hostFault is what is done to a host.
+type hostFault int
+
+// The faults.
+const (
+	faultKill hostFault = iota
+	faultStop
+	faultFreeze
+	faultReload
+	// faultCutTo, faultCutBack and faultCut need a proxy before the host: it is cut off in one
+	// direction, the other, or both.
+	faultCutTo
+	faultCutBack
+	faultCut
+	hostFaults
+	unproxiedFaults = faultCutTo
+)
 
-func (s *soak) strike(name string, fault int, pause time.Duration) {
+func (s *soak) strike(name string, fault hostFault, pause time.Duration) {
 	p := s.fleet.process(name)
 	switch fault {
-	case 0, 1:
-		_ = p.cmd.Process.Signal([]syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[fault])
-		<-p.done
+	case faultKill:
+		s.end(p, syscall.SIGKILL)
+		time.Sleep(pause)
+		s.start(name, false)
+	case faultStop:
+		s.end(p, syscall.SIGTERM)
 		time.Sleep(pause)
 		s.start(name, false)
-	case 2:
+	case faultFreeze:
 		s.frozen(name, pause)
 		_ = p.cmd.Process.Signal(syscall.SIGSTOP)
 		time.Sleep(pause)
 		s.frozen(name, 0)
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
-	case 4, 5:
-		s.proxies[name].sever(direction(fault-hostFaults), pause)
+	case faultCutTo:
+		s.proxies[name].sever(directionTo, pause)
+		time.Sleep(pause)
+	case faultCutBack:
+		s.proxies[name].sever(directionBack, pause)
 		time.Sleep(pause)
-	case 6:
+	case faultCut:
 		s.proxies[name].sever(directionTo, pause)
 		s.proxies[name].sever(directionBack, pause)
 		time.Sleep(pause)
@@ -80,6 +97,41 @@
 	}
 }
 
+// end ends a host and waits until its process is gone.
+func (s *soak) end(p *process, signal syscall.Signal) {
+	_ = p.cmd.Process.Signal(signal)
+	<-p.done
+}
+
+// loseDisk has one control host lose its disk with its process, once in a soak: the others
+// have all that was acknowledged, and take the empty one in again.
+func (s *soak) loseDisk(r *rand.Rand) {
+	name, after := fmt.Sprint("core-", r.IntN(soakControls)), time.Duration(1+r.IntN(4))*time.Second
+	select {
+	case <-s.ctx.Done():
+		return
+	case <-time.After(after):
+	}
+	defer s.seize(name)()
+	s.end(s.fleet.process(name), syscall.SIGKILL)
+	require.NoError(s.t, os.RemoveAll(filepath.Join(s.folder, name)))
+	s.start(name, false)
+}
+
+// seize waits until nothing else is done to a host, and keeps others from it until the
+// function that it returns is called.
+func (s *soak) seize(name string) (free func()) {
+	s.mu.Lock()
+	busy := s.busy[name]
+	if busy == nil {
+		busy = &sync.Mutex{}
+		s.busy[name] = busy
+	}
+	s.mu.Unlock()
+	busy.Lock()
+	return busy.Unlock
+}
+
 // proxyControls starts a proxy before each control host.
 func (s *soak) proxyControls() (closed func()) {
 	if !s.severed {
--- a/cmd/fennelyard/soak_test.go
+++ b/cmd/fennelyard/soak_test.go
@@ -75,7 +75,9 @@
 
 	mu sync.Mutex
 	// thawed is when a host was last thawed, by name, a time to come while it is frozen; ordered is the last order of each engine; guarded by mu, as all below.
-	thawed  map[string]time.Time
+	thawed map[string]time.Time
+	// busy are the hosts to which something is done, by name.
+	busy    map[string]*sync.Mutex
 	ordered map[string]givenOrder
 	// runs counts how often a backend server ran a request, by id; refused holds
 	// the ids that were said not to have run.
@@ -406,6 +408,9 @@
 	wg.Go(func() { s.repeat(rand.New(rand.NewPCG(seed, 400))) })
 	harmed := make(chan struct{})
 	time.AfterFunc(*soakFor, func() { close(harmed) })
+	if s.severed {
+		wg.Go(func() { s.loseDisk(rand.New(rand.NewPCG(seed, 800))) })
+	}
 	wg.Go(func() { s.harm(rand.New(rand.NewPCG(seed, 200))) })
 	<-harmed
 	cancel()
@@ -423,6 +428,7 @@
 		t: t, seed: seed, fleet: &fleet{t: t, processes: map[string]*process{}}, port: l.Addr().(*net.TCPAddr).Port, folder: t.TempDir(),
 		soakConfig: cfg, ctx: ctx, alive: alive, proxies: map[string]*proxy{}, runs: map[string]int{}, refused: map[string]bool{},
 	}
+	s.busy = map[string]*sync.Mutex{}
 	s.thawed, s.ordered = map[string]time.Time{}, map[string]givenOrder{}
 	require.NoError(t, l.Close())
 	t.Cleanup(s.fleet.close)
