--- a/cmd/fennelyard/soak_engines_test.go
+++ b/cmd/fennelyard/soak_engines_test.go
@@ -41,13 +41,13 @@
 
 // taken judges an order that an engine carries out: tokens grow, and two holders do not
 // take turns within their lease.
-func (s *soak) taken(id string, o standin.Order) {
+func (s *soak) taken(id, holder string, token uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if time.Since(s.thawed[o.Holder]) < thawAllowed {
+	if time.Since(s.thawed[holder]) < thawAllowed {
 		return
 	}
-	last, now := s.ordered[id], givenOrder{o.Holder, o.FencingToken, time.Now()}
+	last, now := s.ordered[id], givenOrder{holder, token, time.Now()}
 	if now.token <= last.token {
 		s.broken = append(s.broken, fmt.Sprintf("%s: token %d of %s after %d of %s", id, now.token, now.holder, last.token, last.holder))
 	}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -120,8 +120,7 @@
 	restlessFor = 20
 	// restlessTimes is how many times as long the leader may be silent then, and its quorum:
 	// a new leader of a large group has the most to do in its first seconds. Deposed over
-	// it, it leaves the same to the next, and nobody is served by any of them: seven leaders
-	// in eleven seconds.
+	// it, it leaves the same to the next, and none of them serves anybody.
 	restlessTimes = 2
 )
 
