--- a/cmd/fennelyard/soak_test.go
+++ b/cmd/fennelyard/soak_test.go
@@ -373,11 +373,14 @@
 }
 
 // Hosts are killed, stopped, paused, restarted and cut off from each other, in one direction
-// or both, in overlapping series while callers ask, an operator changes the configuration, and servers announce
-// themselves, crash and start again under their ids, and one caller repeats a request under
-// which servers end. That one is held back in the end, and no other. No request that must not run twice does, none that was said not to
-// have run did, every success is the whole answer to its own request, and no
-// acknowledged configuration is ever taken back.
+// or both, in overlapping series, and one loses its disk, while callers ask, an operator changes
+// the configuration, servers and model engines announce themselves, crash and start again under
+// their ids, engines leave orders unanswered and carry some out late, and one caller repeats a
+// request under which servers end. That one is held back in the end, and no other. No request
+// that must not run twice does, none that was said not to have run did, every success is the
+// whole answer to its own request, no acknowledged configuration is ever taken back, no engine
+// is ordered to hold more than it can or by two holders in turns, and in the end each model is
+// served.
 func TestSoak(t *testing.T) {
 	for _, seed := range failedSeeds {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSoak(t, seed, seedEntries, false, 0) })
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -90,12 +90,12 @@
 	case left > 0:
 		return left, true
 	}
-	return g.wait(s)
+	return g.tryOrWait(s)
 }
 
-// wait returns how long a subject has to wait for another that tries; where none does, it
+// tryOrWait returns how long a subject has to wait for another that tries; where none does, it
 // tries itself.
-func (g *Guard) wait(s *Subject) (time.Duration, bool) {
+func (g *Guard) tryOrWait(s *Subject) (time.Duration, bool) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
