Take the window for orders back: it left callers unserved and leaders as they were

Tried: orders under way bounded by a window that closes by half where some come back unsent.

So what comes back unsent is a sign of the overload and not what feeds it, and a window that few orders leave through cannot open again. That loads which never left count for the store's pace is a fault by itself; its mend goes with this one and is open.

--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -147,8 +147,6 @@
 	asking chan struct{}
 	// assigning is set while holders are being recorded.
 	assigning bool
-	// window bounds the orders under way.
-	window window
 }
 
 // NewDriver starts a driver. It gives no order until this host leads.
@@ -345,7 +343,7 @@
 	led, term := d.leads, d.term
 	d.leads, d.term = l.Leads, l.Term
 	if l.Leads {
-		d.since, d.token, d.window.size = now, 0, windowFirst
+		d.since, d.token = now, 0
 		if l.Term == firstTerm {
 			d.since = now.Add(-d.cfg.LoadWindow)
 		}
@@ -381,7 +379,7 @@
 		}
 		d.ask(e, now)
 	case phaseUncertain:
-		if now.Before(e.ordersFrom) || !d.window.open() {
+		if now.Before(e.ordersFrom) {
 			return
 		}
 		e.notBefore = now.Add(againAfter(e.tries))
--- a/internal/loading/giving.go
+++ b/internal/loading/giving.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,7 +13,7 @@
 
 // begin gives the order of an action.
 func (d *Driver) begin(e *engine, a Action, now time.Time) {
-	if e == nil || e.phase != phaseKnown || !d.window.open() {
+	if e == nil || e.phase != phaseKnown {
 		return
 	}
 	e.order, e.given, e.tries = a, now, 0
@@ -29,7 +28,6 @@
 // give sends the order under way, for the first time or again.
 func (d *Driver) give(e *engine, now time.Time) {
 	e.phase = phaseGiving
-	d.window.under++
 	e.tries++
 	d.token++
 	o := Order{
@@ -47,7 +45,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), confirmWait+orderWait)
 		defer cancel()
 		outcome, err := d.cfg.Holders.Give(ctx, holder, term, address, o)
-		d.answered(e, o, now, outcome, err)
+		d.answered(e, o, outcome, err)
 		d.wake()
 	}()
 }
@@ -63,23 +61,17 @@
 // above it, so that tokens grow over all leaders.
 const tokenBits = 24
 
-// answered takes an engine's answer in to an order that was given at a moment.
-func (d *Driver) answered(e *engine, o Order, given time.Time, outcome Outcome, err error) {
+// answered takes an engine's answer to an order in.
+func (d *Driver) answered(e *engine, o Order, outcome Outcome, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.cfg.Now()
-	d.window.ended(err, now)
 	d.cfg.Log.Info("order given", "server", o.Server, "load", o.Load, "model", o.Model, "adapter", o.Adapter,
 		"taken", o.Taken, "token", o.Token, "holder", e.holder.Host, "from-store", e.order.FromStore,
-		"reason", e.order.Reason.String(), "outcome", outcome.String(), "window", int(d.window.size), "under-way", d.window.under, "error", logbook.Text(err))
+		"reason", e.order.Reason.String(), "outcome", outcome.String(), "error", logbook.Text(err))
 	if d.cfg.Ordered != nil {
 		d.cfg.Ordered(outcome, o.Load, o.Adapter != "")
 	}
-	if i := slices.Index(d.begun[e.pool], given); errors.Is(err, ErrNotSent) && e.order.FromStore && i >= 0 {
-		// Counted for what never left, the store's pace would be used up by the time that
-		// one can.
-		d.begun[e.pool] = slices.Delete(d.begun[e.pool], i, i+1)
-	}
 	if d.engines[e.id] != e {
 		return
 	}
