Write once what the demo waits for at all hosts, and what the roster says of a server's state

No change of behaviour. The demo had the loop over all hosts twice, for a request that is held back and for one that is not any more; Gone stood beside Ready with the same look-up; a guard made its logger twice; an import stood in the wrong group.

--- a/internal/demo/harmful.go
+++ b/internal/demo/harmful.go
@@ -90,16 +90,24 @@
 	return "", errors.Newf("it is not held back, %d servers have ended", h.ended.Load())
 }
 
-func (h *harmful) everywhere(ctx context.Context) (string, error) {
+// await waits until every host holds a request back, or none does.
+func (h *harmful) await(ctx context.Context, held bool) error {
 	for _, host := range h.layout.Hosts() {
 		at := operator.NewClient(host.Operator)
 		if err := poll(ctx, func() bool {
 			list, err := at.Suspects(ctx)
-			return err == nil && heldBackOf(list) != ""
+			return err == nil && (heldBackOf(list) != "") == held
 		}); err != nil {
-			return "", errors.Newf("%s: %w", host.Name, err)
+			return errors.Newf("%s: %w", host.Name, err)
 		}
 	}
+	return nil
+}
+
+func (h *harmful) everywhere(ctx context.Context) (string, error) {
+	if err := h.await(ctx, true); err != nil {
+		return "", err
+	}
 	return fmt.Sprintf("%d hosts, %d servers have ended", hostCount, h.ended.Load()), nil
 }
 
@@ -137,14 +145,8 @@
 	if _, err := h.oper.Release(ctx, h.key, &schema.ReleaseRequest{Operator: "demo"}); err != nil {
 		return "", err
 	}
-	for _, host := range h.layout.Hosts() {
-		at := operator.NewClient(host.Operator)
-		if err := poll(ctx, func() bool {
-			list, err := at.Suspects(ctx)
-			return err == nil && heldBackOf(list) == ""
-		}); err != nil {
-			return "", errors.Newf("%s: %w", host.Name, err)
-		}
+	if err := h.await(ctx, false); err != nil {
+		return "", err
 	}
 	return "no host holds it back any more", nil
 }
--- a/internal/entry/harmful.go
+++ b/internal/entry/harmful.go
@@ -4,13 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"fennelyard/internal/incarnation"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/refusal"
 	"fennelyard/internal/routing"
 	"fennelyard/internal/schema"
-	"github.com/cockroachdb/errors"
 )
 
 const (
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -55,11 +55,12 @@
 
 // NewGuard starts a guard that suspects no request.
 func NewGuard(cfg GuardConfig) *Guard {
+	log := cfg.Log.WithName("quarantine")
 	g := &Guard{
 		changed:   cfg.Changed,
-		book:      New(Config{Entry: cfg.Entry, Now: time.Now, Log: cfg.Log.WithName("quarantine")}),
+		book:      New(Config{Entry: cfg.Entry, Now: time.Now, Log: log}),
 		completed: NewCompleted(time.Now),
-		log:       cfg.Log.WithName("quarantine"),
+		log:       log,
 		tries:     map[Key]try{},
 	}
 	g.inquest = NewInquest(InquestConfig{Presence: cfg.Presence, Ended: g.accuse, Log: cfg.Log.WithName("inquest")})
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -431,16 +431,17 @@
 // Gone reports whether a server that was known has ended, or is silent for so long that it
 // counts as such.
 func (r *Roster) Gone(id string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := r.servers[id]
-	return s != nil && s.view.GetState() == schema.RosterState_ROSTER_STATE_GONE
+	return r.is(id, schema.RosterState_ROSTER_STATE_GONE)
 }
 
 // Ready reports whether a server takes new work, as far as is known.
 func (r *Roster) Ready(id string) bool {
+	return r.is(id, schema.RosterState_ROSTER_STATE_READY)
+}
+
+func (r *Roster) is(id string, state schema.RosterState) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.servers[id]
-	return s != nil && s.view.GetState() == schema.RosterState_ROSTER_STATE_READY
+	return s != nil && s.view.GetState() == state
 }
