Merge the soak's cuts, and its two ways to end a host

Three cuts and two ends were copies that differed in a direction and a signal. The draws of each seed and what is done for them stay the same.

--- a/cmd/fennelyard/soak_faults_test.go
+++ b/cmd/fennelyard/soak_faults_test.go
@@ -61,12 +61,12 @@
 func (s *soak) strike(name string, fault hostFault, pause time.Duration) {
 	p := s.fleet.process(name)
 	switch fault {
-	case faultKill:
-		s.end(p, syscall.SIGKILL)
-		time.Sleep(pause)
-		s.start(name, false)
-	case faultStop:
-		s.end(p, syscall.SIGTERM)
+	case faultKill, faultStop:
+		signal := syscall.SIGKILL
+		if fault == faultStop {
+			signal = syscall.SIGTERM
+		}
+		s.end(p, signal)
 		time.Sleep(pause)
 		s.start(name, false)
 	case faultFreeze:
@@ -75,15 +75,13 @@
 		time.Sleep(pause)
 		s.frozen(name, 0)
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
-	case faultCutTo:
-		s.proxies[name].sever(directionTo, pause)
-		time.Sleep(pause)
-	case faultCutBack:
-		s.proxies[name].sever(directionBack, pause)
-		time.Sleep(pause)
-	case faultCut:
-		s.proxies[name].sever(directionTo, pause)
-		s.proxies[name].sever(directionBack, pause)
+	case faultCutTo, faultCutBack, faultCut:
+		if fault != faultCutBack {
+			s.proxies[name].sever(directionTo, pause)
+		}
+		if fault != faultCutTo {
+			s.proxies[name].sever(directionBack, pause)
+		}
 		time.Sleep(pause)
 	default:
 		_ = p.cmd.Process.Signal(syscall.SIGHUP)
