Authenticate callers by API key and keep teams' quotas over all entries together

What callers and servers saw on the shifted work: keys were handed to servers, no unknown key was refused, no team was named, no quota was counted, and a revoked key worked on.

An unknown key gets 401 before its body is read. A key may have been revoked elsewhere, so an entry takes keys only while its configuration was confirmed within the revocation bound: each message to its control host carries its monotonic clock, the host echoes it with the age of the leader's quorum, and the confirmation counts from the message, not from the answer. An answer that lay in the socket of a frozen entry proves nothing. The key is looked up again before each dispatch.

Each entry counts what it admits and is asked for, reports it with each beat, and gets the sums back; beyond the quota all entries reject the same random part (global random drop). Entries that are cut off from the sums keep to an equal part.

--- a/internal/attendance/attendance.go
+++ b/internal/attendance/attendance.go
@@ -8,11 +8,13 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"fennelyard/internal/quota"
 	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
 )
@@ -27,13 +29,17 @@
 // Config configures Entries. All fields are required.
 type Config struct {
 	Now func() time.Time
-	Log logr.Logger
+	// QuotaWindow is the window over which teams' quotas are counted.
+	QuotaWindow time.Duration
+	Log         logr.Logger
 }
 
 // Entries are the entries that attend a control host. All methods are safe from any
 // goroutine.
 type Entries struct {
 	cfg Config
+	// uses are what the entries admitted of the teams' quotas.
+	uses *quota.Totals
 	// urgent holds a token while the leader should be told soon.
 	urgent chan struct{}
 
@@ -57,6 +63,8 @@
 // attendee is one entry's stream.
 type attendee struct {
 	entry *schema.RosterEntry
+	// start names the start of the entry: what it admitted before it restarted still counts.
+	start string
 	// stream tells its newer stream to this host from an older one that ends late, and
 	// number is the entry's own count, over all hosts.
 	stream, number uint64
@@ -92,7 +100,7 @@
 // New returns an attendance of nobody.
 func New(cfg Config) *Entries {
 	return &Entries{
-		cfg: cfg, urgent: make(chan struct{}, 1), entries: map[string]*attendee{}, waiting: map[target]uint32{},
+		cfg: cfg, uses: quota.NewTotals(cfg.QuotaWindow), urgent: make(chan struct{}, 1), entries: map[string]*attendee{}, waiting: map[target]uint32{},
 		since: map[target]*schema.ModelDemand{}, said: map[target]bool{}, loads: map[string]*engineLoad{},
 	}
 }
@@ -139,6 +147,9 @@
 		return
 	}
 	a.heard = e.cfg.Now()
+	if started := news.GetStartedMs(); started != 0 {
+		a.start = host + "/" + strconv.FormatUint(started, 10)
+	}
 	if a.stopping != news.GetStopping() || a.silent {
 		a.stopping, a.silent, e.listed = news.GetStopping(), false, false
 		e.cfg.Log.Info("entry state", "entry", host, "stopping", a.stopping, "silent", false)
@@ -147,6 +158,9 @@
 	if news.GetLoadsTold() {
 		e.load(a, news.GetLoads())
 	}
+	if u := news.GetTeamUses(); u != nil {
+		e.uses.Report(a.start, u, a.heard)
+	}
 	for _, d := range news.GetDemands() {
 		e.demand(a, d)
 	}
@@ -318,6 +332,7 @@
 	}
 	if loads {
 		news.Loads, news.LoadsTold = e.engines(), true
+		news.TeamUses = e.uses.Sum(e.cfg.Now(), nil)
 	}
 	if !e.listed {
 		news.Entries, news.EntriesTold, e.listed = e.list(), true, true
--- a/internal/gateway/attend.go
+++ b/internal/gateway/attend.go
@@ -96,6 +96,9 @@
 	host string
 	// heard is when the leader was last known to lead; guarded by mu.
 	heard time.Time
+	// confirmed is a moment as of which this entry's configuration was the newest that was
+	// acknowledged; guarded by mu.
+	confirmed time.Time
 }
 
 func newAttendant(g *Gateway) *attendant {
@@ -211,6 +214,7 @@
 	a.moveAt = time.Time{}
 	first := &schema.EntryNews{
 		Entry: a.g.cfg.Self, After: a.g.cfg.Replica.Revision(), Known: a.known.Message(), Stream: a.started + a.streams.Add(1),
+		StartedMs: a.started,
 	}
 	var wg sync.WaitGroup
 	wg.Add(1)
@@ -291,7 +295,9 @@
 		news.Taken = a.taken.Load()
 		if due {
 			news.Loads, news.LoadsTold = a.g.fleet.loads(), true
+			news.TeamUses = a.g.quotas.Report(time.Now())
 		}
+		news.SentUs = uint64(time.Since(a.g.began).Microseconds())
 		if err := stream.Send(news); err != nil {
 			return
 		}
@@ -368,11 +374,15 @@
 	if c != nil {
 		a.g.configure(c)
 	}
+	a.confirm(news)
 	a.takeServers(news)
 	a.known = known
 	if l := news.GetLoads(); l != nil {
 		a.g.fleet.hear(l.GetLoads())
 	}
+	if u := news.GetTeamUses(); u != nil {
+		a.g.quotas.Learn(u)
+	}
 	if l := news.GetEntries(); l != nil {
 		a.g.setEntries(l.GetEntries())
 	}
@@ -384,6 +394,30 @@
 	return nil
 }
 
+// confirm notes as of when this entry's configuration is confirmed. The time runs from the
+// message that the host answers, on this entry's clock: an answer that was long under way,
+// or that a frozen entry reads late, proves as little as it should.
+func (a *attendant) confirm(news *schema.LeaderNews) {
+	echo := news.GetEchoUs()
+	if echo == 0 {
+		return
+	}
+	at := a.g.began.Add(time.Duration(echo)*time.Microsecond - time.Duration(news.GetConfirmedAgeMs())*time.Millisecond)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if at.After(a.confirmed) {
+		a.confirmed = at
+	}
+}
+
+// confirmedAt is the moment as of which this entry's configuration is known to be the newest
+// that was acknowledged; the zero time: never.
+func (a *attendant) confirmedAt() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.confirmed
+}
+
 // takeServers takes the servers in that a word names.
 func (a *attendant) takeServers(news *schema.LeaderNews) {
 	if news.GetWhole() {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -16,7 +16,7 @@
 type Call struct {
 	// ID names this attempt of the caller.
 	ID string
-	// Caller is the secret by which the caller is known, empty for one without a name.
+	// Caller is the API key of the caller's team, empty for none.
 	Caller string
 	// Wait is how long the caller will wait; 0: not told.
 	Wait time.Duration
@@ -27,6 +27,8 @@
 	// PromptTokens and OutputTokens are 0 where they are not told.
 	PromptTokens int
 	OutputTokens int
+	// TokensTold is set where the request declares its tokens.
+	TokensTold bool
 	// After is the last event that the caller has of an earlier answer; 0: none.
 	After int64
 }
@@ -40,6 +42,8 @@
 	After int64
 	// Urgency is 0 for the most urgent requests, at most 9.
 	Urgency int
+	// Team is the name of the caller's team, empty for none.
+	Team string
 }
 
 // Verdict is what the header of a backend server's answer proves.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -37,6 +37,9 @@
 	OutcomeCallerGone                  // caller-gone
 	OutcomeStopping                    // entry-stopping
 	OutcomeHeldBack                    // held-back
+	OutcomeUnauthorized                // unauthorized
+	OutcomeUnconfirmed                 // keys-unconfirmed
+	OutcomeOverQuota                   // over-quota
 )
 
 const (
@@ -75,6 +78,7 @@
 
 	table    *table
 	route    *schema.Route
+	access   access
 	pool     string
 	body     []byte
 	ctx      context.Context
@@ -124,7 +128,7 @@
 		x.refuse(http.StatusNotFound, OutcomeNoRoute, 0)
 		return false
 	}
-	return x.read()
+	return x.authorize() && x.read()
 }
 
 // read reads the body, once, and answers by itself where it is broken or too long
@@ -211,6 +215,9 @@
 		return false
 	}
 	x.paid = false
+	if !x.authenticate() {
+		return false
+	}
 	left := time.Until(x.deadline)
 	if left < minLeft {
 		x.giveUp(OutcomeTimeout, 0)
@@ -301,7 +308,7 @@
 func (x *exchange) request(left time.Duration, after int64) *relay.Request {
 	h := relay.PassedOn(x.r.Header)
 	x.g.cfg.Codec.Mark(h, Mark{
-		Server: x.server.server, Left: left, After: after, Urgency: int(min(x.route.GetPriority(), 9)),
+		Server: x.server.server, Left: left, After: after, Urgency: x.urgency(), Team: x.teamName(),
 	})
 	id := x.call.ID
 	return &relay.Request{
@@ -393,6 +400,8 @@
 	case x.started || o == OutcomeCallerGone:
 		x.abort(o)
 		return
+	case x.runs == 0 && o == OutcomeUnauthorized:
+		status = http.StatusUnauthorized
 	case x.runs > 0 && o == OutcomeTimeout:
 		status = http.StatusGatewayTimeout
 	case x.runs > 0:
@@ -405,7 +414,7 @@
 func (x *exchange) refuse(status int, o Outcome, after time.Duration) {
 	x.status, x.outcome = status, o
 	h := x.w.Header()
-	if after > 0 && status == http.StatusServiceUnavailable {
+	if after > 0 && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
 	h.Set("Content-Length", "0")
@@ -484,6 +493,7 @@
 
 // finish logs the request, and ends a broken answer.
 func (x *exchange) finish() {
+	x.release()
 	x.g.report(x)
 	if x.status == 0 {
 		panic(http.ErrAbortHandler)
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -26,6 +26,20 @@
 	g.fleet.update(views, settled, named)
 }
 
+// Confirm notes that the configuration was confirmed so long ago.
+func (g *Gateway) Confirm(ago time.Duration) {
+	g.attend.mu.Lock()
+	defer g.attend.mu.Unlock()
+	g.attend.confirmed = time.Now().Add(-ago)
+}
+
+// Answer takes in a host's answer to the message that left so long after the gateway's start,
+// and returns the age of the confirmation.
+func (g *Gateway) Answer(sentAfter, confirmedAge time.Duration) time.Duration {
+	g.attend.confirm(&schema.LeaderNews{EchoUs: uint64(sentAfter.Microseconds()), ConfirmedAgeMs: confirmedAge.Milliseconds()})
+	return time.Since(g.attend.confirmedAt())
+}
+
 // Servers returns the number of servers known.
 func (g *Gateway) Servers() int { return g.fleet.count() }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/peer"
 	"fennelyard/internal/quarantine"
+	"fennelyard/internal/quota"
 	"fennelyard/internal/relay"
 	"fennelyard/internal/schema"
 )
@@ -30,6 +31,11 @@
 	Sender  *relay.Sender
 	Codec   Codec
 	Budget  BudgetConfig
+	// KeyRevocation is how long after its removal an API key may still be accepted; 0: not
+	// bounded.
+	KeyRevocation time.Duration
+	// QuotaWindow is the window over which teams' quotas are counted.
+	QuotaWindow time.Duration
 	// Log takes changes of what is believed, Requests one line for each request.
 	Log      logr.Logger
 	Requests logr.Logger
@@ -56,7 +62,9 @@
 	attend *attendant
 	// guard holds requests back that end the servers that run them.
 	guard *quarantine.Guard
-	table atomic.Pointer[table]
+	// quotas are the teams' quotas, as far as this entry uses them.
+	quotas *quota.Meter
+	table  atomic.Pointer[table]
 	// began is when the gateway started, and configured is closed at its first
 	// configuration.
 	began      time.Time
@@ -88,6 +96,7 @@
 		budgets: map[string]*budget{}, paces: map[string]*pace{},
 	}
 	g.attend = newAttendant(g)
+	g.quotas = quota.NewMeter(quota.MeterConfig{Window: cfg.QuotaWindow, Random: rand.Float64}, g.began)
 	g.guard = quarantine.NewGuard(quarantine.GuardConfig{
 		Entry: cfg.Self.GetCallerAddress(), Presence: cfg.Sender.Presence, Changed: g.speakSoon, Log: cfg.Log,
 	})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -31,11 +31,12 @@
 		Read: func(r *http.Request) gateway.Call {
 			ms, _ := strconv.Atoi(r.Header.Get("X-Wait"))
 			return gateway.Call{
-				ID: r.Header.Get("X-Id"), Model: r.Header.Get("X-Model"), Wait: time.Duration(ms) * time.Millisecond,
+				ID: r.Header.Get("X-Id"), Caller: r.Header.Get("X-Key"), Model: r.Header.Get("X-Model"), Wait: time.Duration(ms) * time.Millisecond,
 			}
 		},
 		Mark: func(h http.Header, m gateway.Mark) {
 			h.Set("X-For", m.Server)
+			h.Set("X-Team", m.Team)
 			h.Set("X-Left", strconv.FormatInt(m.Left.Milliseconds(), 10))
 			if m.After > 0 {
 				h.Set("X-After", strconv.FormatInt(m.After, 10))
@@ -158,7 +159,7 @@
 	g := gateway.New(gateway.Config{
 		Self: &schema.RosterEntry{Host: "e", CallerAddress: "127.0.0.1:1"}, Seeds: func() []string { return nil }, Dialer: dialer,
 		Replica: ledger.NewReplica(), Sender: relay.NewSender(relay.Config{}), Codec: codec(),
-		Budget: budget, Log: log, Requests: logr.Discard(),
+		Budget: budget, Log: log, Requests: logr.Discard(), KeyRevocation: revocation,
 	})
 	t.Cleanup(func() {
 		g.Close()
--- a/internal/gateway/outcome_string.go
+++ b/internal/gateway/outcome_string.go
@@ -23,11 +23,14 @@
 	_ = x[OutcomeCallerGone-12]
 	_ = x[OutcomeStopping-13]
 	_ = x[OutcomeHeldBack-14]
+	_ = x[OutcomeUnauthorized-15]
+	_ = x[OutcomeUnconfirmed-16]
+	_ = x[OutcomeOverQuota-17]
 }
 
-const _Outcome_name = "servedserver-failedno-routeno-configurationbad-bodyno-serverno-modelbusyrepeat-budgetoutcome-unknowncuttimeoutcaller-goneentry-stoppingheld-back"
+const _Outcome_name = "servedserver-failedno-routeno-configurationbad-bodyno-serverno-modelbusyrepeat-budgetoutcome-unknowncuttimeoutcaller-goneentry-stoppingheld-backunauthorizedkeys-unconfirmedover-quota"
 
-var _Outcome_index = [...]uint8{0, 6, 19, 27, 43, 51, 60, 68, 72, 85, 100, 103, 110, 121, 135, 144}
+var _Outcome_index = [...]uint8{0, 6, 19, 27, 43, 51, 60, 68, 72, 85, 100, 103, 110, 121, 135, 144, 156, 172, 182}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -25,7 +25,7 @@
 	if x.server != nil {
 		server = x.server.id
 	}
-	g.cfg.Requests.Info("request", "id", x.call.ID, "key", x.guarded.Known(), "outcome", x.outcome.String(), "status", x.status, "route", route,
+	g.cfg.Requests.Info("request", "id", x.call.ID, "key", x.guarded.Known(), "outcome", x.outcome.String(), "team", x.teamName(), "quota-cost", x.access.cost, "confirmed-age-ms", time.Since(g.attend.confirmedAt()).Milliseconds(), "status", x.status, "route", route,
 		"version", version, "pool", x.pool, "model", x.call.Model, "adapter", x.call.Adapter, "server", server,
 		"attempts", x.attempts, "runs", x.runs, "tried", x.tried, "waited-ms", x.waited.Milliseconds(),
 		"first-ms", x.first.Milliseconds(), "pause-ms", x.pause.Milliseconds(), "took-ms", took.Milliseconds(), "wait-ms", x.call.Wait.Milliseconds(), "prompt", x.call.PromptTokens,
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -116,6 +116,9 @@
 		if _, held := x.g.guard.HeldBack(x.subject()); held {
 			return nil, nil
 		}
+		if !x.mayResume() {
+			return nil, nil
+		}
 		left := time.Until(x.deadline)
 		s := x.g.fleet.choose(x.pool, &x.call, x.tried, time.Now(), x.random)
 		if s == nil || left < minLeft || !x.g.budget(x.pool).spend(time.Now(), x.g.entryCount()) {
--- a/internal/gateway/table.go
+++ b/internal/gateway/table.go
@@ -11,6 +11,7 @@
 
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/schema"
+	"fennelyard/internal/team"
 )
 
 // table is a configuration as requests are matched against it; it is never
@@ -21,6 +22,7 @@
 	// byHost holds the routes of a host, the longest prefix first.
 	byHost map[string][]*schema.Route
 	pools  map[string]*schema.Pool
+	teams  *team.Directory
 	// gaps is the shortest pause that a stream to each pool is allowed; 0: none is told.
 	gaps map[string]time.Duration
 }
@@ -44,6 +46,7 @@
 	for _, p := range r.Pools() {
 		t.pools[p.GetName()] = p
 	}
+	t.teams = team.NewDirectory(head.GetKeySalt(), r.Teams())
 	return t
 }
 
--- a/internal/ledger/configuration.go
+++ b/internal/ledger/configuration.go
@@ -20,6 +20,7 @@
 const (
 	routePrefix     = "route/"
 	poolPrefix      = "pool/"
+	teamPrefix      = "team/"
 	departurePrefix = "departure/"
 	holderPrefix    = "order-holder/"
 )
@@ -30,6 +31,9 @@
 // PoolKey returns the key of a pool's record.
 func PoolKey(name string) string { return poolPrefix + name }
 
+// TeamKey returns the key of a team's record.
+func TeamKey(name string) string { return teamPrefix + name }
+
 // DepartureKey returns the key of a backend server's departure.
 func DepartureKey(server string) string { return departurePrefix + server }
 
@@ -79,6 +83,12 @@
 	return out
 }
 
+// Teams returns all teams, in no order.
+func (r *Records) Teams() []*schema.Team { return slices.Collect(maps.Values(r.teams)) }
+
+// Team returns a team, or nil.
+func (r *Records) Team(name string) *schema.Team { return r.teams[name] }
+
 // putConfiguration puts a complete configuration in force. The highest version
 // wins whatever the order of arrival: operators race and resend, and an answer
 // to a resend must not take back what came after it. Records that did not
@@ -96,6 +106,10 @@
 		wanted[PoolKey(p.GetName())] = true
 		l.putChanged(&schema.Record{Key: PoolKey(p.GetName()), Value: &schema.Record_Pool{Pool: p}})
 	}
+	for _, t := range q.GetTeams() {
+		wanted[TeamKey(t.GetName())] = true
+		l.putChanged(&schema.Record{Key: TeamKey(t.GetName()), Value: &schema.Record_Team{Team: t}})
+	}
 	for _, rec := range l.records.All() {
 		key := rec.GetKey()
 		if IsRouting(key) && !wanted[key] {
@@ -142,7 +156,7 @@
 	return accepted()
 }
 
-// IsRouting reports whether a key is a route's or a pool's.
+// IsRouting reports whether a key is a route's, a pool's or a team's.
 func IsRouting(key string) bool {
-	return strings.HasPrefix(key, routePrefix) || strings.HasPrefix(key, poolPrefix)
+	return strings.HasPrefix(key, routePrefix) || strings.HasPrefix(key, poolPrefix) || strings.HasPrefix(key, teamPrefix)
 }
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -29,6 +29,7 @@
 	byService map[string]map[string]*schema.Server
 	routes    map[string]*schema.Route
 	pools     map[string]*schema.Pool
+	teams     map[string]*schema.Team
 }
 
 // NewRecords returns an empty set.
@@ -47,6 +48,7 @@
 		byService:    map[string]map[string]*schema.Server{},
 		routes:       map[string]*schema.Route{},
 		pools:        map[string]*schema.Pool{},
+		teams:        map[string]*schema.Team{},
 	}
 }
 
@@ -106,6 +108,8 @@
 		r.routes[v.Route.GetName()] = v.Route
 	case *schema.Record_Pool:
 		r.pools[v.Pool.GetName()] = v.Pool
+	case *schema.Record_Team:
+		r.teams[v.Team.GetName()] = v.Team
 	case *schema.Record_Plan:
 		r.plans[v.Plan.GetNumber()] = v.Plan
 	case *schema.Record_Reservation:
@@ -131,6 +135,8 @@
 		delete(r.routes, v.Route.GetName())
 	case *schema.Record_Pool:
 		delete(r.pools, v.Pool.GetName())
+	case *schema.Record_Team:
+		delete(r.teams, v.Team.GetName())
 	case *schema.Record_Plan:
 		delete(r.plans, v.Plan.GetNumber())
 	case *schema.Record_Reservation:
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,226 @@
+package quota_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelyard/internal/quota"
+	"fennelyard/internal/schema"
+)
+
+const (
+	window = 8 * time.Second
+	step   = 10 * time.Millisecond
+	// beat is the time between two reports, and between two sums.
+	beat = 300 * time.Millisecond
+	// overage is the part of a budget that may be run beyond it.
+	overage = 0.1
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// fleet is a number of entries whose sums pass through one control host.
+type fleet struct {
+	team    *schema.Team
+	random  *rand.Rand
+	entries []*quota.Meter
+	totals  *quota.Totals
+	now     time.Time
+	// alone are entries that get no sums.
+	alone map[int]bool
+	// sums are under way to the entries, each for a beat.
+	sums *schema.TeamUses
+	// admitted are the costs that were admitted, by the step in which they were.
+	admitted []float64
+	refused  int
+	requests int
+	// tokens are left in a token bucket with the team's rate and burst that all entries
+	// share, and over counts the requests that find it empty.
+	tokens float64
+	over   int
+}
+
+func newFleet(seed uint64, entries int, q *schema.Quota) *fleet {
+	f := &fleet{
+		team: &schema.Team{Name: "t", Quota: q}, random: rand.New(rand.NewPCG(seed, 1)),
+		totals: quota.NewTotals(window), now: start, alone: map[int]bool{},
+	}
+	for range entries {
+		f.entries = append(f.entries, quota.NewMeter(quota.MeterConfig{Window: window, Random: f.random.Float64}, start))
+	}
+	return f
+}
+
+// run has callers ask for so many tokens a second, of entries that pick chooses.
+func (f *fleet) run(d time.Duration, perSecond float64, pick func() int) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
+		f.admitted = append(f.admitted, 0)
+		f.tokens = min(f.tokens+f.team.GetQuota().GetRatePerSecond()*step.Seconds(), f.team.GetQuota().GetBurst())
+		due := perSecond * step.Seconds()
+		for due > 0 {
+			cost := 2000 + 14000*f.random.Float64()
+			if f.random.Float64() > due/cost {
+				break
+			}
+			due -= cost
+			f.ask(pick(), cost)
+		}
+		if len(f.admitted)%int(beat/step) == 0 {
+			f.exchange()
+		}
+	}
+}
+
+func (f *fleet) ask(entry int, cost float64) {
+	f.requests++
+	if f.tokens >= cost {
+		f.tokens -= cost
+	} else {
+		f.over++
+	}
+	_, ok := f.entries[entry].Admit(f.team, cost, !f.alone[entry], len(f.entries), f.now)
+	if !ok {
+		f.refused++
+		return
+	}
+	f.admitted[len(f.admitted)-1] += cost
+}
+
+func (f *fleet) exchange() {
+	for i, e := range f.entries {
+		if f.alone[i] {
+			continue
+		}
+		f.totals.Report(fmt.Sprint(i), e.Report(f.now), f.now)
+		e.Learn(f.sums)
+	}
+	f.sums = f.totals.Sum(f.now, nil)
+}
+
+// most is the most that was admitted in a window.
+func (f *fleet) most() float64 {
+	n, sum, most := int(window/step), 0.0, 0.0
+	for i, a := range f.admitted {
+		sum += a
+		if i >= n {
+			sum -= f.admitted[i-n]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// Entries together run more than a team's quota: a team that jumps to several times its
+// rate, spread evenly, at one entry or moving from entry to entry, is bounded, and served
+// nearly all of its quota.
+func TestTeamOverItsQuotaIsBounded(t *testing.T) {
+	q := &schema.Quota{Tokens: true, RatePerSecond: 600_000, Burst: 600_000}
+	budget := quota.Budget(q, window)
+	for _, entries := range []int{1, 8, 76, 300} {
+		for name, pick := range map[string]func(f *fleet) int{
+			"even":   func(f *fleet) int { return f.random.IntN(entries) },
+			"one":    func(*fleet) int { return 0 },
+			"moving": func(f *fleet) int { return int(f.now.Sub(start)/time.Second) % entries },
+		} {
+			for _, times := range []float64{1.3, 3, 6} {
+				t.Run(fmt.Sprint(entries, " ", name, " ", times), func(t *testing.T) {
+					f := newFleet(1, entries, q)
+					at := func() int { return pick(f) }
+					f.run(10*time.Second, 0.4*q.GetRatePerSecond(), at)
+					f.run(20*time.Second, times*q.GetRatePerSecond(), at)
+					require.LessOrEqual(t, f.most(), budget*(1+overage))
+					require.GreaterOrEqual(t, f.most(), 0.85*budget)
+					t.Logf("most in a window %.3f of the budget, refused %d of %d", f.most()/budget, f.refused, f.requests)
+				})
+			}
+		}
+	}
+}
+
+// Requests are refused while their team stays within its quota: no entry may lack what
+// another has to spare, so that no more are refused than by one token bucket for all.
+func TestNothingIsRefusedBelowTheQuota(t *testing.T) {
+	for _, rate := range []float64{20_000, 600_000} {
+		q := &schema.Quota{Tokens: true, RatePerSecond: rate, Burst: rate}
+		for _, entries := range []int{1, 8, 76, 300} {
+			f := newFleet(2, entries, q)
+			f.run(40*time.Second, 0.6*rate, func() int { return f.random.IntN(entries) })
+			require.LessOrEqual(t, f.refused, f.over, "%d entries, rate %g: of %d", entries, rate, f.requests)
+		}
+	}
+}
+
+// Entries that are cut off from the sums admit a team's whole quota each: they may run no
+// more than their part of it, and one request.
+func TestEntriesWithoutSumsKeepToTheirPart(t *testing.T) {
+	q := &schema.Quota{Tokens: true, RatePerSecond: 600_000, Burst: 600_000}
+	f := newFleet(3, 76, q)
+	pick := func() int { return f.random.IntN(76) }
+	f.run(10*time.Second, 0.4*q.GetRatePerSecond(), pick)
+	for i := range f.entries {
+		f.alone[i] = true
+	}
+	f.run(20*time.Second, 6*q.GetRatePerSecond(), pick)
+	require.LessOrEqual(t, f.most(), quota.Budget(q, window)*(1+overage))
+}
+
+// Half of the entries end and lose what they counted, while the team asks for three times
+// its rate: the rest must not admit it once more.
+func TestUseOfEntriesThatEndStillCounts(t *testing.T) {
+	q := &schema.Quota{Tokens: true, RatePerSecond: 600_000, Burst: 600_000}
+	f := newFleet(4, 76, q)
+	f.run(10*time.Second, 3*q.GetRatePerSecond(), func() int { return f.random.IntN(76) })
+	f.entries = f.entries[:38]
+	f.run(10*time.Second, 3*q.GetRatePerSecond(), func() int { return f.random.IntN(38) })
+	require.LessOrEqual(t, f.most(), quota.Budget(q, window)*(1+overage))
+}
+
+// A request that did not run is counted, and others are refused for it.
+func TestReturnedRequestsDoNotCount(t *testing.T) {
+	team := &schema.Team{Name: "t", Quota: &schema.Quota{RatePerSecond: 1}}
+	m := quota.NewMeter(quota.MeterConfig{Window: window, Random: func() float64 { return 0 }}, start)
+	for range 100 {
+		_, ok := m.Admit(team, 1, false, 1, start)
+		require.True(t, ok)
+		m.Return("t", 1, start)
+	}
+	for range 8 {
+		_, ok := m.Admit(team, 1, false, 1, start)
+		require.True(t, ok)
+	}
+	after, ok := m.Admit(team, 1, false, 1, start)
+	require.False(t, ok)
+	require.Positive(t, after)
+}
+
+func TestCost(t *testing.T) {
+	tokens, requests := &schema.Quota{Tokens: true, PlainTokens: 200}, &schema.Quota{PlainTokens: 200}
+	for name, x := range map[string]struct {
+		q        *schema.Quota
+		tokens   float64
+		declared bool
+		want     float64
+	}{
+		"declared":              {tokens, 1540, true, 1540},
+		"not declared":          {tokens, 0, false, 200},
+		"requests":              {requests, 1540, true, 1},
+		"requests, undeclared":  {requests, 0, false, 1},
+		"as large as it can be": {tokens, 2 * float64(1<<63-1), true, 2 * float64(1<<63-1)},
+	} {
+		t.Run(name, func(t *testing.T) { require.Equal(t, x.want, quota.Cost(x.q, x.tokens, x.declared)) })
+	}
+}
+
+func BenchmarkQuota(b *testing.B) {
+	team := &schema.Team{Name: "t", Quota: &schema.Quota{Tokens: true, RatePerSecond: 1e15, Burst: 1e15}}
+	m := quota.NewMeter(quota.MeterConfig{Window: window, Random: rand.Float64}, start)
+	m.Learn(&schema.TeamUses{Uses: []*schema.TeamUse{{Team: "t", Admitted: 1, Requested: 1}}})
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Admit(team, 1000, true, 76, start)
+	}
+}
--- a/internal/role/api.go
+++ b/internal/role/api.go
@@ -15,6 +15,7 @@
 	"fennelyard/internal/logbook"
 	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
+	"fennelyard/internal/team"
 )
 
 const (
@@ -92,6 +93,17 @@
 	return err
 }
 
+// KeySalt returns the secret under which digests of API keys are made: the one in use, so
+// that teams whose keys stay keep their records.
+func (c *Control) KeySalt() []byte {
+	var salt []byte
+	c.group.Ledger().View(func(_ ledger.Heads, r *ledger.Records) { salt = r.Configuration().GetKeySalt() })
+	if len(salt) == 0 {
+		return team.NewSalt()
+	}
+	return salt
+}
+
 // tellConfiguration waits until the entries have the newest configuration. A leader
 // that acknowledged first and then lost power left all of them with the configuration
 // before: until they noticed and another host led, 1.2 s at the best, callers were served
--- a/internal/role/attend.go
+++ b/internal/role/attend.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -119,6 +120,8 @@
 	number uint64
 	entry  *schema.RosterEntry
 	pace   pace
+	// echo is the entry's clock as its latest message left.
+	echo atomic.Uint64
 	// mu guards sent: what each word tells that the entry has not said to have taken,
 	// the oldest first.
 	mu   sync.Mutex
@@ -192,6 +195,7 @@
 }
 
 func (a *attending) hear(news *schema.EntryNews) {
+	a.echo.Store(news.GetSentUs())
 	a.confirm(news.GetTaken())
 	if a.c.book.Take(news.GetSuspects(), false) {
 		a.c.entries.Hurry()
@@ -225,12 +229,17 @@
 
 func (a *attending) news() *schema.LeaderNews {
 	a.sequence++
+	echo := a.echo.Load()
+	confirmed, revision := a.c.mirror.Confirmed()
 	news := a.c.mirror.Since(a.far.Known)
 	news.Sequence, news.LeaderAgeMs, news.Attending = a.sequence, a.c.leaderAge(), uint32(a.c.entries.Count())
 	a.far.Known = roster.PositionOf(news.GetKnown())
 	// What entries are not told counts as told: the orders' holders would be looked
 	// through for every word.
 	news.Changes, a.far.Revision = a.c.changes.since(a.c.group.Ledger(), a.far.Revision)
+	if !confirmed.IsZero() && a.far.Revision >= revision {
+		news.EchoUs, news.ConfirmedAgeMs = echo, ageMs(confirmed)
+	}
 	if addresses := a.c.addresses(); strings.Join(addresses, " ") != a.members {
 		a.members = strings.Join(addresses, " ")
 		news.ControlAddresses = addresses
@@ -241,13 +250,16 @@
 	}
 	news.Suspects = a.suspects.Next()
 	if a.pace.due {
-		news.Loads, a.pace.due = a.c.mirror.Loads(), false
+		news.Loads, news.TeamUses, a.pace.due = a.c.mirror.Loads(), a.c.mirror.TeamUses(), false
 	}
 	// A word that nobody waits for is confirmed with the entry's next one.
 	news.Confirm = news.GetConfirm() || len(news.GetChanges()) > 0 || departs(news.GetServers())
 	return news
 }
 
+// ageMs is how long ago a moment was, in ms, rounded up.
+func ageMs(at time.Time) int64 { return time.Since(at).Milliseconds() + 1 }
+
 // forecastFresh is how old the leader's word on a load may be with which a question is
 // answered: it says all of them anew with each of this host's words, ten times a second.
 const forecastFresh = 150 * time.Millisecond
@@ -275,7 +287,7 @@
 	return out
 }
 
-// forEntries keeps what entries need of the records: the routes, the pools and
+// forEntries keeps what entries need of the records: the routes, the pools, the teams and
 // the configuration's head without the operator's text.
 func forEntries(c *schema.Changes) *schema.Changes {
 	out := &schema.Changes{Revision: c.GetRevision(), Whole: c.GetWhole()}
@@ -296,6 +308,6 @@
 		return rec
 	}
 	return &schema.Record{Key: rec.GetKey(), Revision: rec.GetRevision(), Value: &schema.Record_Configuration{
-		Configuration: &schema.Configuration{Version: head.GetVersion(), Limits: head.GetLimits()},
+		Configuration: &schema.Configuration{Version: head.GetVersion(), Limits: head.GetLimits(), KeySalt: head.GetKeySalt()},
 	}}
 }
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -21,6 +21,7 @@
 	"fennelyard/internal/metrics"
 	"fennelyard/internal/peer"
 	"fennelyard/internal/quarantine"
+	"fennelyard/internal/quota"
 	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
 	"fennelyard/internal/settings"
@@ -85,13 +86,18 @@
 	book *quarantine.Book
 	// recalled is the last term in which the recorded ones were taken in.
 	recalled atomic.Uint64
-	lag      lag
-	driver   *loading.Driver
-	hand     *loading.Hand
-	server   *peer.Server
-	http     *http.Server
-	streams  atomic.Uint64
-	changes  encodedChanges
+	// quotas are what the entries of all control hosts admitted of the teams' quotas, while
+	// this host leads.
+	quotas *quota.Totals
+	// began is the origin of the clock that is sent to the leader.
+	began   time.Time
+	lag     lag
+	driver  *loading.Driver
+	hand    *loading.Hand
+	server  *peer.Server
+	http    *http.Server
+	streams atomic.Uint64
+	changes encodedChanges
 	// refusals bound the log.
 	refusals refusals
 	// withheld are acknowledgements of configurations that entries lack.
@@ -114,7 +120,8 @@
 		cfg: cfg, dialer: peer.NewDialer(peer.DialerConfig{Dial: cfg.Network.Dial}),
 		news:   peer.NewDialer(peer.DialerConfig{Dial: cfg.Network.Dial}),
 		orders: peer.NewDialer(peer.DialerConfig{Dial: cfg.Network.Dial}), stop: make(chan struct{}), done: make(chan struct{}),
-		self: &schema.HostSettings{Name: address, PeerAddress: address, DataCentre: s.GetDataCentre(), Control: true},
+		began: time.Now(),
+		self:  &schema.HostSettings{Name: address, PeerAddress: address, DataCentre: s.GetDataCentre(), Control: true},
 	}
 	c.roster = roster.New(roster.Config{
 		Self: address, AnnounceEvery: s.GetAnnounceEvery().AsDuration(), Departed: c.departed, Now: time.Now, Log: cfg.Log.WithName("roster"),
@@ -122,7 +129,9 @@
 	c.mirror = roster.NewMirror(roster.MirrorConfig{Now: time.Now})
 	c.heard = roster.NewHeard(time.Now)
 	c.book = quarantine.New(quarantine.Config{Now: time.Now, Log: cfg.Log.WithName("quarantine")})
-	c.entries = attendance.New(attendance.Config{Now: time.Now, Log: cfg.Log.WithName("attendance")})
+	quotaWindow := s.GetQuotaWindow().AsDuration()
+	c.quotas = quota.NewTotals(quotaWindow)
+	c.entries = attendance.New(attendance.Config{Now: time.Now, QuotaWindow: quotaWindow, Log: cfg.Log.WithName("attendance")})
 	if err := c.start(s); err != nil {
 		c.Close()
 		return nil, err
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -83,6 +83,7 @@
 		Budget: gateway.BudgetConfig{
 			Ratio: s.GetRepeatRatio(), Window: s.GetRepeatWindow().AsDuration(), Slack: int(s.GetRepeatSlack()),
 		},
+		KeyRevocation: s.GetKeyRevocation().AsDuration(), QuotaWindow: s.GetQuotaWindow().AsDuration(),
 		Served: func(x gateway.Served) {
 			cfg.Metrics.Served(x.Kind, x.Outcome.String(), x.Status, x.Took, x.First, x.Attempts)
 		},
--- a/internal/role/export_test.go
+++ b/internal/role/export_test.go
@@ -92,6 +92,9 @@
 // Version returns the version of the configuration in force at this entry.
 func (e *Entry) Version() uint64 { return uint64(e.gateway.State().Version) }
 
+// KeyHolds reports whether this entry takes requests with an API key.
+func (e *Entry) KeyHolds(key string) bool { return e.gateway.KeyHolds(key) }
+
 // Callers serves callers' requests at this entry.
 func (e *Entry) Callers() http.Handler { return e.gateway }
 
--- a/internal/role/follow.go
+++ b/internal/role/follow.go
@@ -111,9 +111,20 @@
 		if !c.mirror.Take(news) {
 			return errors.Newf("term %d: %w", news.GetKnown().GetTerm(), errOtherLeader)
 		}
+		c.mirror.Confirm(c.confirmedBy(news), news.GetRevision())
 	}
 }
 
+// confirmedBy is a moment at which the leader was one, by its answer to a message of this
+// host; the zero time: none is proved. It runs from that message, on this host's clock.
+func (c *Control) confirmedBy(news *schema.LeaderNews) time.Time {
+	echo := news.GetEchoUs()
+	if echo == 0 {
+		return time.Time{}
+	}
+	return c.began.Add(time.Duration(echo)*time.Microsecond - time.Duration(news.GetConfirmedAgeMs())*time.Millisecond)
+}
+
 // watchLeader ends a stream when another host leads or this one stops.
 func (c *Control) watchLeader(ctx context.Context, leader string, cancel context.CancelCauseFunc) {
 	ticker := time.NewTicker(leaderCheck)
@@ -143,7 +154,7 @@
 	for due := true; ; {
 		news := c.entries.News(attendance.Told{Known: c.mirror.At(), Revision: c.applied()}, due)
 		news.Host, news.Lagging, news.Servers = host, c.lags(), c.heard.News()
-		news.Suspects = suspects.Next()
+		news.Suspects, news.SentUs = suspects.Next(), uint64(time.Since(c.began).Microseconds())
 		if err := stream.Send(news); err != nil {
 			return
 		}
--- a/internal/role/lead.go
+++ b/internal/role/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -9,6 +10,7 @@
 
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/quarantine"
+	"fennelyard/internal/quota"
 	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
 )
@@ -65,6 +67,8 @@
 	host   *schema.ControlHost
 	term   uint64
 	pace   pace
+	// echo is the host's clock as its latest message left.
+	echo atomic.Uint64
 	// heard belongs to whoever hears.
 	heard roster.HeardReader
 
@@ -112,6 +116,10 @@
 }
 
 func (l *leading) hear(news *schema.HostNews) {
+	l.echo.Store(news.GetSentUs())
+	if u := news.GetTeamUses(); u != nil {
+		l.c.quotas.Report(l.address(), u, time.Now())
+	}
 	l.c.roster.Hear(l.number, l.address(), l.term, news)
 	l.c.driver.Demand(l.address(), news.GetDemands())
 	l.pace.hear(news.GetDemands())
@@ -145,23 +153,43 @@
 
 func (l *leading) news() *schema.LeaderNews {
 	l.sequence++
+	echo, status := l.echo.Load(), l.c.group.Status()
 	news := l.c.roster.News(l.change)
 	l.change = news.GetKnown().GetChange()
 	news.Sequence, news.Known.Term = l.sequence, l.term
 	// Not when this host speaks: one that is cut off takes itself for the leader for a
 	// second, in which another is elected.
-	news.LeaderAgeMs = time.Since(l.c.group.Status().Confirmed).Milliseconds()
-	news.Revision, news.Lagging = l.c.applied(), l.c.roster.Lagging(l.number, l.address())
+	news.LeaderAgeMs = time.Since(status.Confirmed).Milliseconds()
+	if status.Current && !status.Confirmed.IsZero() {
+		news.EchoUs, news.ConfirmedAgeMs = echo, ageMs(status.Confirmed)
+	}
+	// What is committed may have been acknowledged by an earlier leader.
+	news.Revision, news.Lagging = max(l.c.applied(), status.Commit), l.c.roster.Lagging(l.number, l.address())
 	if l.pace.asked {
 		news.Forecasts, l.pace.asked = l.c.driver.Forecasts(l.pace.question.wants), false
 	}
 	news.Suspects = l.suspects.Next()
 	if l.pace.due {
-		news.Loads, l.pace.due = l.c.roster.Loads(), false
+		news.Loads, news.TeamUses, l.pace.due = l.c.roster.Loads(), l.c.quotas.Sum(time.Now(), l.c.usesMuch), false
 	}
 	return news
 }
 
+// reportedUse is the part of a team's quota from which on its use is sent to all entries:
+// below it they admit all that is asked for.
+const reportedUse = 0.25
+
+// usesMuch reports whether entries need to know a team's use.
+func (c *Control) usesMuch(u *schema.TeamUse) (much bool) {
+	window := c.cfg.Settings.Get().GetQuotaWindow().AsDuration()
+	c.group.Ledger().View(func(_ ledger.Heads, r *ledger.Records) {
+		q := r.Team(u.GetTeam()).GetQuota()
+		part := quota.Budget(q, window) * reportedUse
+		much = quota.Limits(q) && (u.GetAdmitted() > part || u.GetRequested() > part/quota.DemandPart)
+	})
+	return much
+}
+
 // applied is the index up to which this host has applied the log.
 func (c *Control) applied() (index uint64) {
 	c.group.Ledger().View(func(h ledger.Heads, _ *ledger.Records) { index = h.Index })
--- a/internal/role/schedule_test.go
+++ b/internal/role/schedule_test.go
@@ -170,6 +170,7 @@
 			s.fail("entry %s went from version %d to %d", ip, s.seen[ip], version)
 		}
 		s.seen[ip] = version
+		s.checkKey(ip, version)
 		if s.stable.IsZero() || time.Now().Before(s.outOfTouch[ip]) {
 			continue
 		}
@@ -181,6 +182,17 @@
 	}
 }
 
+// checkKey: no entry, in touch or not, takes an API key whose revocation was acknowledged
+// longer ago than the bound.
+func (s *schedule) checkKey(ip string, version uint64) {
+	holds := s.entries[ip].KeyHolds(siteKey(version))
+	for acked, at := range s.acked {
+		if holds && acked > version && time.Since(at) > siteRevocation {
+			s.fail("entry %s takes the key of version %d, version %d was acknowledged %s ago", ip, version, acked, time.Since(at))
+		}
+	}
+}
+
 // checkReads: whoever answers what the configuration is knows the newest that was
 // acknowledged before it was asked.
 func (s *schedule) checkReads() {
@@ -372,5 +384,8 @@
 	s.await(scheduleEnd, fmt.Sprintf("seed %d: all votes; %v", s.seed, s.trace), func() bool {
 		return s.voters() == scheduleControl && !slices.ContainsFunc(slices.Collect(maps.Values(s.control)), func(c *role.Control) bool { return !c.Votes() })
 	})
+	s.await(scheduleEnd, fmt.Sprintf("seed %d: keys that hold at all entries; %v", s.seed, s.trace), func() bool {
+		return !slices.ContainsFunc(slices.Collect(maps.Values(s.entries)), func(e *role.Entry) bool { return !e.KeyHolds(siteKey(e.Version())) })
+	})
 	s.checkReads()
 }
--- a/internal/role/site_test.go
+++ b/internal/role/site_test.go
@@ -24,12 +24,15 @@
 	"fennelyard/internal/role"
 	"fennelyard/internal/schema"
 	"fennelyard/internal/standin"
+	"fennelyard/internal/team"
 )
 
 const (
 	sitePeerPort     = 7000
 	siteOperatorPort = 8000
 	siteSeeds        = 3
+	// siteRevocation is how long after its revocation an entry may still take an API key.
+	siteRevocation = 2 * time.Second
 )
 
 // site is a whole deployment on simulated time: control hosts and entries over a network
@@ -132,7 +135,7 @@
 	s.t.Helper()
 	none := func(*role.Entry) http.Handler { return http.NotFoundHandler() }
 	e, err := role.NewEntry(role.EntryConfig{
-		Settings: s.settings(ip, fmt.Sprintf("caller-address: %s:9000\nready-address: %s:9001\n", ip, ip)),
+		Settings: s.settings(ip, fmt.Sprintf("caller-address: %s:9000\nready-address: %s:9001\nkey-revocation: %s\n", ip, ip, siteRevocation)),
 		Codec:    backendCodec(), Ready: none, Directory: none, Metrics: metrics.New(), Log: siteLog(ip), Requests: logr.Discard(), Network: s.at(ip),
 	})
 	require.NoError(s.t, err)
@@ -224,7 +227,11 @@
 func (s *site) put(version uint64) string {
 	for range siteSeeds {
 		for ip, c := range s.control {
-			q := &schema.PutConfiguration{Configuration: &schema.Configuration{Version: version, Document: strconv.AppendUint(nil, version, 10)}}
+			salt := c.KeySalt()
+			q := &schema.PutConfiguration{
+				Configuration: &schema.Configuration{Version: version, Document: strconv.AppendUint(nil, version, 10), KeySalt: salt},
+				Teams:         []*schema.Team{{Name: "t", KeyDigests: [][]byte{team.Digest(salt, siteKey(version))}}},
+			}
 			if c.PutConfiguration(context.Background(), q) == nil {
 				return ip
 			}
@@ -234,6 +241,9 @@
 	return ""
 }
 
+// siteKey is the only API key of a version: each one revokes the key before.
+func siteKey(version uint64) string { return fmt.Sprint("key-", version) }
+
 // oldest returns the lowest version in force at an entry.
 func (s *site) oldest() uint64 {
 	var out []uint64
--- a/internal/roster/mirror.go
+++ b/internal/roster/mirror.go
@@ -45,6 +45,12 @@
 	// what its log had applied as it spoke.
 	heard    time.Time
 	revision uint64
+	// confirmed is a moment at which the leader was one, proved by its answer to this host,
+	// and required what its log had then committed.
+	confirmed time.Time
+	required  uint64
+	// uses are the teams' uses of their quotas.
+	uses *schema.TeamUses
 	// awaited is set while somebody waits until all entries are told, and unawaited while
 	// the leader does not wait for this host.
 	awaited, unawaited bool
@@ -99,6 +105,9 @@
 	}
 	m.heard = m.cfg.Now().Add(-time.Duration(news.GetLeaderAgeMs()) * time.Millisecond)
 	m.revision = news.GetRevision()
+	if news.GetTeamUses() != nil {
+		m.uses = news.GetTeamUses()
+	}
 	m.awaited, m.unawaited = news.GetConfirm(), news.GetLagging()
 	changed := m.takeServers(news)
 	changed = m.takeLists(news) || changed || advanced && m.awaited
@@ -318,6 +327,31 @@
 	return m.unawaited
 }
 
+// Confirm notes a moment at which the leader is proved to have led, and the log's index up to
+// which a host knows all that was acknowledged by then.
+func (m *Mirror) Confirm(at time.Time, revision uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if at.After(m.confirmed) {
+		m.confirmed, m.required = at, revision
+	}
+}
+
+// Confirmed returns the last moment at which the leader is proved to have led, the zero time
+// for never, and the log's index up to which a host knows all that was acknowledged by then.
+func (m *Mirror) Confirmed() (at time.Time, revision uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.confirmed, m.required
+}
+
+// TeamUses returns the teams' uses of their quotas, as the leader last sent them.
+func (m *Mirror) TeamUses() *schema.TeamUses {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.uses
+}
+
 // Heard returns when the leader was last known to lead, the zero time for never, and what its log had
 // applied by then.
 func (m *Mirror) Heard() (at time.Time, revision uint64) {
--- a/internal/settings/join.go
+++ b/internal/settings/join.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"fennelyard/internal/quota"
 	"fennelyard/internal/schema"
 )
 
@@ -94,6 +95,8 @@
 	checkDuration(d, "order-lease", s.GetOrderLease(), 0, time.Minute)
 	checkDuration(d, "repeat-window", s.GetRepeatWindow(), time.Second, time.Hour)
 	checkDuration(d, "load-window", s.GetLoadWindow(), 100*time.Millisecond, time.Hour)
+	checkDuration(d, "key-revocation", s.GetKeyRevocation(), 0, time.Hour)
+	checkDuration(d, "quota-window", s.GetQuotaWindow(), time.Second, time.Hour)
 	if s.GetRepeatRatio() < 0 {
 		d.fault("repeat-ratio", "below 0", "write for example 0.2")
 	}
@@ -113,6 +116,7 @@
 		{&s.OrderLease, DefaultOrderLease},
 		{&s.RepeatWindow, DefaultRepeatWindow},
 		{&s.LoadWindow, DefaultLoadWindow},
+		{&s.QuotaWindow, quota.DefaultWindow},
 	} {
 		*x.into = durationpb.New(durationOr(*x.into, x.d))
 	}
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -212,6 +212,12 @@
 		return "the caller left first"
 	case "held-back":
 		return "the same request had ended three servers that ran it, see key " + q.text("key") + "; it is held back"
+	case "unauthorized":
+		return "the request's API key is no team's in version " + q.text("version") + ", confirmed " + q.text("confirmed-age-ms") + " ms before"
+	case "keys-unconfirmed":
+		return "the entry could not confirm its configuration for " + q.text("confirmed-age-ms") + " ms, so that the API key may have been added or revoked since"
+	case "over-quota":
+		return "team " + q.text("team") + " had used up its quota over all entries"
 	case "entry-stopping":
 		return fmt.Sprintf("the entry was stopped and had no time left to serve it, after %v of waiting for a model: %s", waited, q.text("cause"))
 	case "server-failed":
