--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,7 +46,9 @@
 // Served is how a request ended, for metrics.
 type Served struct {
 	// Kind is the sort of route: stream or whole, with what may be repeated.
-	Kind     string
+	Kind string
+	// Team is the caller's team, empty for none.
+	Team     string
 	Outcome  Outcome
 	Status   int
 	Took     time.Duration
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -33,7 +33,7 @@
 		"leader-age-ms", g.attend.age().Milliseconds(), "cause", logbook.Text(x.cause))
 	if g.cfg.Served != nil {
 		g.cfg.Served(Served{
-			Kind: kind, Outcome: x.outcome, Status: x.status, Took: took, First: x.first, Attempts: x.attempts,
+			Kind: kind, Team: x.teamName(), Outcome: x.outcome, Status: x.status, Took: took, First: x.first, Attempts: x.attempts,
 		})
 	}
 }
--- a/internal/metrics/joined.go
+++ b/internal/metrics/joined.go
@@ -9,6 +9,7 @@
 
 // joined makes the metrics of hosts that find each other through seeds.
 func (s *Set) joined() {
+	s.teams = map[string]bool{}
 	times := prometheus.ExponentialBuckets(0.005, 2, 13)
 	s.served = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "route_requests_total", Help: "Requests on routes by kind, outcome and HTTP status; 0: broken off.",
@@ -32,7 +33,10 @@
 	s.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "refused_words_total", Help: "What servers and operators sent and could not be taken, by what it was and why.",
 	}, []string{"what", "reason"})
-	s.registry.MustRegister(s.served, s.servedTime, s.servedFirst, s.dispatches, s.orders, s.connections, s.refused)
+	s.teamRequests = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "team_requests_total", Help: "Requests of teams by outcome; the first 64 teams by themselves, others together.",
+	}, []string{"team", "outcome"})
+	s.registry.MustRegister(s.teamRequests, s.served, s.servedTime, s.servedFirst, s.dispatches, s.orders, s.connections, s.refused)
 }
 
 // Refused counts a word that could not be taken.
@@ -51,6 +55,30 @@
 	}
 }
 
+const (
+	// teamLabels bounds the teams that are counted by themselves.
+	teamLabels = 64
+	otherTeams = "other"
+)
+
+// TeamRequest counts the end of a team's request; one of no team is not counted.
+func (s *Set) TeamRequest(team, outcome string) {
+	if team == "" {
+		return
+	}
+	s.teamRequests.WithLabelValues(s.teamLabel(team), outcome).Inc()
+}
+
+func (s *Set) teamLabel(team string) string {
+	s.teamsMu.Lock()
+	defer s.teamsMu.Unlock()
+	if s.teams[team] || len(s.teams) < teamLabels {
+		s.teams[team] = true
+		return team
+	}
+	return otherTeams
+}
+
 // Order records an engine's answer to an order.
 func (s *Set) Order(outcome string, load, adapter bool) {
 	what := "unload"
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -34,6 +35,11 @@
 	orders        *prometheus.CounterVec
 	connections   *prometheus.CounterVec
 	refused       *prometheus.CounterVec
+	teamRequests  *prometheus.CounterVec
+
+	teamsMu sync.Mutex
+	// teams are the teams that are counted by themselves; guarded by teamsMu.
+	teams map[string]bool
 }
 
 // New returns a set with a registry of its own.
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -160,7 +160,11 @@
 	handlers.Attend, handlers.Follow, handlers.GiveOrder = c.attend, c.lead, c.giveOrder
 	c.server = peer.NewServer(peer.ServerConfig{Listener: peers, Handlers: handlers})
 	c.http = newServer(c.operatorHandler())
-	c.wg.Add(6)
+	c.wg.Add(7)
+	go func() {
+		defer c.wg.Done()
+		c.whileLeading(quotasLogged, c.logQuotas)
+	}()
 	go func() {
 		defer c.wg.Done()
 		c.whileLeading(rememberEvery, c.remember)
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -86,6 +86,7 @@
 		KeyRevocation: s.GetKeyRevocation().AsDuration(), QuotaWindow: s.GetQuotaWindow().AsDuration(),
 		Served: func(x gateway.Served) {
 			cfg.Metrics.Served(x.Kind, x.Outcome.String(), x.Status, x.Took, x.First, x.Attempts)
+			cfg.Metrics.TeamRequest(x.Team, x.Outcome.String())
 		},
 	})
 	e.gauges()
--- a/internal/role/lead.go
+++ b/internal/role/lead.go
@@ -10,7 +10,6 @@
 
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/quarantine"
-	"fennelyard/internal/quota"
 	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
 )
@@ -175,21 +174,6 @@
 	return news
 }
 
-// reportedUse is the part of a team's quota from which on its use is sent to all entries:
-// below it they admit all that is asked for.
-const reportedUse = 0.25
-
-// usesMuch reports whether entries need to know a team's use.
-func (c *Control) usesMuch(u *schema.TeamUse) (much bool) {
-	window := c.cfg.Settings.Get().GetQuotaWindow().AsDuration()
-	c.group.Ledger().View(func(_ ledger.Heads, r *ledger.Records) {
-		q := r.Team(u.GetTeam()).GetQuota()
-		part := quota.Budget(q, window) * reportedUse
-		much = quota.Limits(q) && (u.GetAdmitted() > part || u.GetRequested() > part/quota.DemandPart)
-	})
-	return much
-}
-
 // applied is the index up to which this host has applied the log.
 func (c *Control) applied() (index uint64) {
 	c.group.Ledger().View(func(h ledger.Heads, _ *ledger.Records) { index = h.Index })
