Keep servers' announcements off a leader that its hosts have yet to follow

Cause, traced on a scratch site of that size with all control hosts killed at second 1: a host without messages of the leader redirected each announcement to it. While a new leader reaches its hosts that is all of them, 2,500 calls a second, each on a connection of its own, at a host that takes 280; its messages came late, its hosts lost touch, and so on. It lost its lead after 0.9 s, the next one was followed by nobody for ten seconds.

Change: such a host takes announcements for the leader for 3 s while it knows from the group who leads, and passes them on once it follows; later, or without a leader, it answers that it is unsure and the server tries another host. What leaves is still told to the leader itself.

Why it holds: the leader gets the announcements that servers bring to it by chance, one in nine, whatever its hosts do.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -15,6 +15,8 @@
 type fleet struct {
 	mu      sync.Mutex
 	servers map[string]*server
+	// starts counts the incarnations among them by the server's id.
+	starts  map[string]int
 	changed chan struct{}
 	// entries is how many entries there are, and sent how often this one sends requests
 	// for each model.
@@ -25,7 +27,7 @@
 }
 
 func newFleet() *fleet {
-	return &fleet{servers: map[string]*server{}, changed: make(chan struct{}), pools: map[string]*observed{}, sent: map[string]*arrivals{}}
+	return &fleet{servers: map[string]*server{}, starts: map[string]int{}, changed: make(chan struct{}), pools: map[string]*observed{}, sent: map[string]*arrivals{}}
 }
 
 // seen returns what was observed of a pool; mu is held.
@@ -92,7 +94,7 @@
 	if settled {
 		for id := range f.servers {
 			if !named[id] {
-				delete(f.servers, id)
+				f.remove(id)
 			}
 		}
 	}
@@ -102,26 +104,41 @@
 // add takes a server in, in place of its earlier starts: what they held is gone, and a
 // leader that never knew them does not say so. mu is held.
 func (f *fleet) add(s *server) {
-	born := incarnation.Parse(s.id).Born
-	for id, old := range f.servers {
-		if old.server == s.server && incarnation.Parse(id).Born < born {
-			delete(f.servers, id)
+	if f.starts[s.server] > 0 {
+		born := incarnation.Parse(s.id).Born
+		for id, old := range f.servers {
+			if old.server == s.server && incarnation.Parse(id).Born < born {
+				f.remove(id)
+			}
 		}
 	}
 	f.servers[s.id] = s
+	f.starts[s.server]++
+}
+
+// remove leaves out an incarnation; mu is held.
+func (f *fleet) remove(id string) {
+	s := f.servers[id]
+	if s == nil {
+		return
+	}
+	delete(f.servers, id)
+	if f.starts[s.server]--; f.starts[s.server] == 0 {
+		delete(f.starts, s.server)
+	}
 }
 
 // drop leaves out an incarnation, or all of a server where its id stands alone: a leader
 // that knows none of its starts passes on that it has ended. mu is held.
 func (f *fleet) drop(key string) {
-	delete(f.servers, key)
+	f.remove(key)
 	name := incarnation.Parse(key)
-	if name.Born != 0 {
+	if name.Born != 0 || f.starts[name.Server] == 0 {
 		return
 	}
 	for id, s := range f.servers {
 		if s.server == name.Server {
-			delete(f.servers, id)
+			f.remove(id)
 		}
 	}
 }
--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -124,6 +124,8 @@
 	leads   bool
 	token   uint64
 	engines map[string]*engine
+	// starts counts them by the server's id.
+	starts map[string]int
 	// late are the loads that may be carried out by the next start of a server that is
 	// gone.
 	late map[string][]sentLoad
@@ -153,7 +155,7 @@
 func NewDriver(cfg Config) *Driver {
 	d := &Driver{
 		cfg: cfg, kick: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
-		engines: map[string]*engine{}, late: map[string][]sentLoad{}, leases: map[string]time.Time{}, demands: map[target]*demand{},
+		engines: map[string]*engine{}, starts: map[string]int{}, late: map[string][]sentLoad{}, leases: map[string]time.Time{}, demands: map[target]*demand{},
 		endings: map[target]*endings{}, begun: map[string][]time.Time{}, stores: map[string]*store{},
 		told: map[string]time.Time{}, forecasts: map[target]forecast{}, asking: make(chan struct{}, asksAtOnce),
 	}
@@ -209,8 +211,7 @@
 	e := d.engines[a.ID]
 	if e == nil {
 		e = newEngine(a.ID, a.Pool)
-		d.succeed(e, now)
-		d.engines[a.ID] = e
+		d.add(e, now)
 	}
 	e.address, e.slots = a.Address, a.Slots
 	e.inMemory, e.onDisk = setOf(a.InMemory), setOf(a.OnDisk)
@@ -289,7 +290,7 @@
 			if e.phase != phaseGiving {
 				d.ended(e, now)
 				d.keepLate(e, now)
-				delete(d.engines, id)
+				d.remove(e)
 			}
 			continue
 		}
@@ -348,7 +349,7 @@
 			d.since = now.Add(-d.cfg.LoadWindow)
 		}
 		d.cfg.Roster.Begin()
-		d.engines = map[string]*engine{}
+		d.engines, d.starts = map[string]*engine{}, map[string]int{}
 		d.leases = map[string]time.Time{}
 		d.demands = map[target]*demand{}
 		d.endings = map[target]*endings{}
--- a/internal/loading/giving.go
+++ b/internal/loading/giving.go
@@ -90,7 +90,7 @@
 		e.phase, e.notBefore = phaseUnknown, now.Add(reportLag)
 	case OutcomeOther:
 		d.keepLate(e, now)
-		delete(d.engines, e.id)
+		d.remove(e)
 	case OutcomeUnknown:
 		e.notBefore = now.Add(againAfter(e.tries))
 		e.phase = phaseUncertain
--- a/internal/loading/late.go
+++ b/internal/loading/late.go
@@ -54,13 +54,30 @@
 	}
 }
 
+// add takes an engine in that is new.
+func (d *Driver) add(e *engine, now time.Time) {
+	d.succeed(e, now)
+	d.engines[e.id] = e
+	d.starts[e.server]++
+}
+
+// remove leaves an engine out.
+func (d *Driver) remove(e *engine) {
+	delete(d.engines, e.id)
+	if d.starts[e.server]--; d.starts[e.server] <= 0 {
+		delete(d.starts, e.server)
+	}
+}
+
 // succeed takes over what may be carried out late at an engine that is new.
 func (d *Driver) succeed(e *engine, now time.Time) {
 	e.late = recent(d.late[e.server], now)
 	delete(d.late, e.server)
-	for _, old := range d.engines {
-		if old.server == e.server {
-			e.late = append(e.late, old.leave(now)...)
+	if d.starts[e.server] > 0 {
+		for _, old := range d.engines {
+			if old.server == e.server {
+				e.late = append(e.late, old.leave(now)...)
+			}
 		}
 	}
 	if d.mayFollowStart(e, now) {
--- a/internal/role/api.go
+++ b/internal/role/api.go
@@ -150,13 +150,18 @@
 
 // Announce takes a backend server's announcement. Without an error the server is known to
 // the leader or about to be, and a leaving one to every later leader as well. A host that
-// follows takes the word of a server that takes new work for the leader; of one that
-// leaves the leader itself must know.
+// follows takes the announcement of a server that takes new work for the leader; of one that
+// leaves the leader itself must know. A host that can't pass announcements on does not send
+// servers to the leader: where a new leader has yet to reach its hosts, the announcements
+// of the whole fleet would keep it from that.
 func (c *Control) Announce(ctx context.Context, a roster.Announcement) error {
 	leads := c.group.Status().Current
-	if !leads && (a.Leaving || !c.inTouch()) {
+	if !leads && a.Leaving {
 		return c.elsewhere()
 	}
+	if !leads && !c.takesAnnouncements() {
+		return ErrUnsure
+	}
 	if leads {
 		c.driver.Follow()
 	}
--- a/internal/role/touch.go
+++ b/internal/role/touch.go
@@ -46,6 +46,24 @@
 	return c.lag.holds(c.applied(), revision, time.Now())
 }
 
+// announceGrace is for how much longer a host without messages of the leader takes servers'
+// announcements for it, while it knows from the group which host leads. It is less than the
+// silence after which a server counts as gone.
+const announceGrace = 1200 * time.Millisecond
+
+// takesAnnouncements reports whether announcements that this host takes reach the leader, or
+// will once this host follows it.
+func (c *Control) takesAnnouncements() bool {
+	if c.inTouch() {
+		return true
+	}
+	heard, _ := c.mirror.Heard()
+	if heard.Before(c.began) {
+		heard = c.began
+	}
+	return c.group.Status().LeaderHost != "" && time.Since(heard) < leaderlessFor+announceGrace
+}
+
 // inTouch reports whether entries may rely on what this host tells them. After its log
 // has lagged the leader must have said that it waits for this host again: a change that
 // is acknowledged without it would be unknown to entries that come here.
--- a/internal/roster/mirror.go
+++ b/internal/roster/mirror.go
@@ -1,6 +1,8 @@
 package roster
 
 import (
+	"container/list"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +31,10 @@
 	at, began           Position
 	before, beforeBegan Position
 	servers             map[string]*mirrored
+	// recent holds the same servers, the last changed one at the back.
+	recent *list.List
+	// started counts the servers that live and tell their starts, by the server's id.
+	started map[string]int
 	// named are the servers that the present leader has named, and settled is set once all
 	// others are gone.
 	named   map[string]bool
@@ -64,6 +70,8 @@
 	view *schema.RosterServer
 	at   Position
 	gone time.Time
+	// place is where it stands among the recent ones.
+	place *list.Element
 }
 
 // forecastOf names what a forecast is of.
@@ -82,7 +90,7 @@
 // NewMirror returns the mirror of nothing.
 func NewMirror(cfg MirrorConfig) *Mirror {
 	return &Mirror{
-		cfg: cfg, servers: map[string]*mirrored{}, named: map[string]bool{}, forecasts: map[forecastOf]forecast{},
+		cfg: cfg, servers: map[string]*mirrored{}, recent: list.New(), started: map[string]int{}, named: map[string]bool{}, forecasts: map[forecastOf]forecast{},
 		changed: make(chan struct{}), answered: make(chan struct{}),
 	}
 }
@@ -146,14 +154,51 @@
 	if old != nil && same(old.view, v) {
 		return false
 	}
+	if old != nil {
+		m.remove(old)
+	}
 	s := &mirrored{view: v, at: m.at}
 	if v.GetState() == schema.RosterState_ROSTER_STATE_GONE {
 		s.gone = m.cfg.Now()
 	}
-	m.servers[v.GetId()] = s
+	m.add(s)
 	return true
 }
 
+// add takes a server in that is not there; mu is held.
+func (m *Mirror) add(s *mirrored) {
+	m.servers[s.view.GetId()] = s
+	s.place = m.recent.PushBack(s)
+	if name := incarnation.Parse(s.view.GetId()); name.Born != 0 && s.gone.IsZero() {
+		m.started[name.Server]++
+	}
+}
+
+// remove leaves a server out; mu is held.
+func (m *Mirror) remove(s *mirrored) {
+	delete(m.servers, s.view.GetId())
+	m.recent.Remove(s.place)
+	if name := incarnation.Parse(s.view.GetId()); name.Born != 0 && s.gone.IsZero() {
+		if m.started[name.Server]--; m.started[name.Server] == 0 {
+			delete(m.started, name.Server)
+		}
+	}
+}
+
+// changedAfter returns the servers that somebody lacks who knows the roster so far; mu is
+// held.
+func (m *Mirror) changedAfter(p Position) []*schema.RosterServer {
+	var out []*schema.RosterServer
+	for place := m.recent.Back(); place != nil; place = place.Prev() {
+		s := place.Value.(*mirrored)
+		if !p.Before(s.at) {
+			break
+		}
+		out = append(out, s.view)
+	}
+	return out
+}
+
 // takeLists reports whether anything changed; mu is held.
 func (m *Mirror) takeLists(news *schema.LeaderNews) bool {
 	changed := false
@@ -188,9 +233,9 @@
 func (m *Mirror) Sweep() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for id, s := range m.servers {
+	for _, s := range m.servers {
 		if !s.gone.IsZero() && m.cfg.Now().Sub(s.gone) > forgetAfter {
-			delete(m.servers, id)
+			m.remove(s)
 			if m.forgotten.Before(s.at) {
 				m.forgotten = s.at
 			}
@@ -222,11 +267,7 @@
 	if news.GetWhole() {
 		p = Position{}
 	}
-	for _, s := range m.servers {
-		if p.Before(s.at) {
-			news.Servers = append(news.Servers, s.view)
-		}
-	}
+	news.Servers = m.changedAfter(p)
 	if p.Before(m.entriesAt) {
 		news.Entries = m.entries
 	}
@@ -245,12 +286,7 @@
 func (m *Mirror) Brings(p Position, wants []*schema.ModelDemand) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, s := range m.servers {
-		if p.Before(s.at) && holdsAny(s.view, wants) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(m.changedAfter(p), func(v *schema.RosterServer) bool { return holdsAny(v, wants) })
 }
 
 // Forecasts returns the leader's words on some targets that came after a moment, as
@@ -283,12 +319,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for other, s := range m.servers {
-		if start := incarnation.Parse(other); start.Born != 0 && start.Server == name.Server && s.gone.IsZero() {
-			return true
-		}
-	}
-	return false
+	return m.started[name.Server] > 0
 }
 
 // Loads returns what all entries have at the engines, as the leader last said.
