Send short prompts to engines that read little on average

The choice weighed what is to be read at an engine now, by sums 0.3 s old, which says little of the seconds that a stream lasts. Now a short prompt also pays for what the engine has had to read on average over some two seconds.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -98,7 +98,7 @@
 // word: with 68 entries before engines of 12 slots the busiest had six times the mean.
 func (f *fleet) cheapest(able []*server, c *Call, o *observed, now time.Time, random func(int) int) *server {
 	key := affinity(c)
-	other := otherPart(able, c, o)
+	other, long := otherPart(able, c, o), o.isLong(c)
 	rate, rankCost := o.readRate(), o.shared(c)/spreadAfter
 	unheard := f.unheard(c.Model, len(able), now)
 	slices.SortFunc(able, func(a, b *server) int {
@@ -111,6 +111,9 @@
 		unknown := unheard * float64(random(randomSteps)) / randomSteps
 		cost := float64(s.unread+s.others.unread+s.uncached(c))/rate + rankCost*float64(rank) +
 			runCost*(float64(running)+unknown) + o.slotCost(running+int(math.Round(unknown)), slots)
+		if o.gap > 0 && !long {
+			cost += readingCost * s.reading / rate
+		}
 		if other[s] {
 			cost += otherPartCost
 		}
@@ -121,6 +124,14 @@
 	return best
 }
 
+const (
+	// readingOver is over how many messages the reading at an engine is averaged.
+	readingOver = 6.0
+	// readingCost is what a short prompt, whose stream goes on for long, costs for each ms that
+	// its engine has to read on average: prompts read between its events make these late.
+	readingCost = 3.0
+)
+
 // randomSteps is how finely chance is drawn.
 const randomSteps = 1024
 
--- a/internal/gateway/choose_test.go
+++ b/internal/gateway/choose_test.go
@@ -93,6 +93,24 @@
 	require.Equal(t, first, e.Peek(long("p")))
 }
 
+// Streams of short prompts run beside prompts that are read between their events, and pause
+// for too long: they go to engines that read little, also where nothing is to be read there
+// at the moment.
+func TestShortPromptsAvoidEnginesThatReadMuch(t *testing.T) {
+	e := gateway.NewEngines(9)
+	e.Allow(500 * time.Millisecond)
+	first := e.Peek(short("p"))
+	for range 4 {
+		e.Hear(&schema.EngineLoad{Server: first, Unread: 12000})
+		e.Hear()
+	}
+	require.NotEqual(t, first, e.Peek(short("p")))
+	for range 40 {
+		e.Hear()
+	}
+	require.Equal(t, first, e.Peek(short("p")))
+}
+
 // What the leader says includes what this entry told it; that must not count
 // twice.
 func TestOwnLoadCountsOnce(t *testing.T) {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -207,6 +207,9 @@
 			}
 		}
 	}
+	for _, s := range f.servers {
+		s.reading += (float64(max(s.unread, 0)+s.others.unread) - s.reading) / readingOver
+	}
 }
 
 // begin notes that a request is about to be sent. It returns how many of its
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -39,6 +39,8 @@
 	// told is what this entry last told the leader of the two above, and others
 	// what the other entries have there by the leader's last word.
 	told, others load
+	// reading is an average of the prompt tokens that are there and not read.
+	reading float64
 	// parts holds the prompt parts that this entry sent there, by model and id,
 	// with the number of the request that last did.
 	parts    map[string]uint64
