Incident: log the cooldowns that servers' responses state, and that servers leave

The request lines could not tell whether entries ignore a stated wait, keep it for first attempts only or keep a shorter one: nothing showed which response stated one, when. The codec reads Retry-After of rejections and the leaving header into typed statements, request lines have server-cooldown-ms, and a line is written for each statement. No decision uses them yet.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"fennelyard/internal/cooldown"
 )
 
 // PromptPart is a part of a prompt that requests share; an engine with the part in its prefix
@@ -60,6 +62,10 @@
 	Signed bool
 	// Limit is the request limit that the response states.
 	Limit LimitStatement
+	// Cooldown is the time for which the server asks this entry to send it nothing.
+	Cooldown cooldown.Statement
+	// Leaving is set if the server states that it takes no new work.
+	Leaving bool
 }
 
 // LimitStatement is what a response states about the number of requests that its server takes
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -104,6 +104,8 @@
 	pendingPrefillBefore int
 	// statedLimit is the limit that the last response stated.
 	statedLimit LimitStatement
+	// statedCooldown is the cooldown that the last response stated; 0: none.
+	statedCooldown time.Duration
 	// keyed is the request with its key, for the guard; nil until first needed.
 	keyed *quarantine.KeyedRequest
 	// started is set once a byte of the response was sent to the caller.
@@ -282,7 +284,7 @@
 	}
 	defer response.Close()
 	responseInfo := x.g.cfg.Codec.ParseResponse(response.Status, response.Header)
-	x.limitStated(s, responseInfo, stamp)
+	x.statementsReceived(s, responseInfo, stamp)
 	if responseInfo.NotRun {
 		x.retryReserved = !timer.stop()
 		return x.attemptNotRun(s, response, responseInfo)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -150,7 +150,7 @@
 			continue
 		}
 		responseInfo := x.g.cfg.Codec.ParseResponse(response.Status, response.Header)
-		x.limitStated(s, responseInfo, stamp)
+		x.statementsReceived(s, responseInfo, stamp)
 		if responseInfo.NotRun {
 			response.Close()
 			continue
