Incident: a failing test of servers that ask for a cooldown

Six entries before three servers on simulated time, one of which rejects every request with 503 and asks the entry to send nothing for 0.7 or 3 s. All entries log the stated time and send on: 70 different requests in ten seconds, 36 ms apart at one entry.

--- a/internal/role/backends_test.go
+++ b/internal/role/backends_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"fennelyard/internal/cooldown"
 	"fennelyard/internal/gateway"
 	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
@@ -57,6 +58,11 @@
 	// openConns is the number of open connections by address, and mostConns the largest so far.
 	openConns, mostConns map[string]int
 	requestTimes         map[string][]time.Time
+	// rejections are the responses of the servers that reject requests, by address, and statements
+	// and requests what these stated and all servers got.
+	rejections map[string]rejection
+	statements []serverStatement
+	requests   []serverRequest
 }
 
 // backendCodec is the codec of the simulated servers.
@@ -66,7 +72,10 @@
 		SetForwardHeader: func(h http.Header, m gateway.ForwardInfo) { h.Set("X-For", m.Server) },
 		MatchesRequest:   func(a http.Header, id string) bool { return a.Get("X-Id") == id },
 		ParseResponse: func(status int, h http.Header) gateway.ResponseInfo {
-			info := gateway.ResponseInfo{NotRun: status == http.StatusServiceUnavailable, Signed: true}
+			info := gateway.ResponseInfo{
+				NotRun: status == http.StatusServiceUnavailable, Signed: status == http.StatusOK,
+				Cooldown: cooldown.ParseResponse(status, h, time.Now()), Leaving: h.Get("X-Leaving") != "",
+			}
 			if rate, err := strconv.ParseFloat(h.Get("X-Limit"), 64); err == nil {
 				info.Limit = gateway.LimitStatement{Limited: true, PerSecond: rate}
 			}
@@ -78,7 +87,7 @@
 // startBackends starts servers, and puts a configuration in force with a route for requests
 // that may be repeated and one for those that may not.
 func startBackends(d *deployment, n int) *backends {
-	b := &backends{deployment: d, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}}
+	b := &backends{deployment: d, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]rejection{}}
 	route := func(name string, repeat schema.Repeat) *schema.Route {
 		return &schema.Route{
 			Name: name, Host: "h.example", Prefix: "/" + name + "/", Repeat: repeat, TimeoutMs: 3000, AimMs: 300, MaxAttempts: 2,
@@ -265,6 +274,7 @@
 		return
 	}
 	limit := p.backends.recordRequest(p.address)
+	rejects := p.recordArrival(conn)
 	p.backends.recordHarmful(string(body), &p.backends.arrivals)
 	select {
 	case <-p.stopped:
@@ -276,6 +286,10 @@
 		p.stop()
 		return
 	}
+	if rejects.status != 0 {
+		p.reject(conn, request.Header.Get("X-Id"), rejects)
+		return
+	}
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%sContent-Length: 2\r\n\r\nok", request.Header.Get("X-Id"), limit)
 }
 
