gateway: send a server nothing during the cooldown that it has asked for

A server that rejects a request with 503 may state in Retry-After that it wants nothing from that entry for some time. Entries sent on: 3 to 5 requests in 3 s at one server and entry, 78 requests in nine seconds at a server that rejected them all; callers were refused after 3.7 s for models whose only servers had rejected them.

Cause: nobody read the time, and a rejection was known to its request alone, in the list of servers that it is not sent to again. Ruled out by the failing test and its logs: that only repeats were sent (70 different requests, once each), that a shorter time was kept, that the requests had left before.

cooldown.Table holds the cooldowns of this host, apart from the fleet, since a server may vanish from a leader's updates and return. Only time ends one: a shorter statement, a late response or a success of an earlier request does not. A statement of a start that the entry does not know yet binds that start. All sends ask it three times: when a server is chosen, when the request is admitted (a permit, or its place after a cooldown), and when the connection stands, just before the first byte. Requests wait for the end where it comes before their callers leave, and are refused at once with that time otherwise. Entries return at random moments after the end, one request first.

TestServersGetNoRequestsDuringTheirCooldowns failed before (up to 2.9 s into a cooldown of 3 s); TestCooldownsAreKeptUnderFaults has 19 cases, and fails where the third check of start times is taken out, TestRequestsWaitForTheEndOfACooldown where requests return all at once.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -22,26 +22,52 @@
 // choose returns the best server for a request, or nil if none can serve it now. Servers in
 // excluded are skipped; ejected servers are used only if no other is left.
 func (f *fleet) choose(pool string, info *RequestInfo, excluded []string, now time.Time, random func(int) int) *server {
-	s, _ := f.chooseWithin(pool, info, excluded, now, random)
-	return s
+	return f.chooseWithin(pool, info, excluded, now, random).server
 }
 
-// chooseWithin returns the best server to which a request may be sent now, nil if there is none.
-// limited is a better one, or the only one, for which this entry has no permit; nil for none.
-func (f *fleet) chooseWithin(pool string, info *RequestInfo, excluded []string, now time.Time, random func(int) int) (best, limited *server) {
+// choice is the result of choosing a server for a request.
+type choice struct {
+	// server is the best server to which the request may be sent now, nil if there is none.
+	server *server
+	// limited is a better one, or the only one, for which this entry has no permit; nil for none.
+	limited *server
+	// cooldown is the time until the first of the servers that have asked for a cooldown takes a
+	// request; 0 if none of those that could serve the request has.
+	cooldown time.Duration
+}
+
+// awaitable reports whether a server will take the request without any other change.
+func (c choice) awaitable() bool { return c.limited != nil || c.cooldown > 0 }
+
+// chooseWithin chooses a server within what servers have asked of the entries.
+func (f *fleet) chooseWithin(pool string, info *RequestInfo, excluded []string, now time.Time, random func(int) int) choice {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	candidates := slices.DeleteFunc(f.candidates(pool, info, excluded, now), f.connectionsFull)
+	candidates, cooldown := f.withoutCooldown(candidates, now)
 	source := f.permitSource()
 	permitted := slices.DeleteFunc(slices.Clone(candidates), func(s *server) bool { return !s.permits.Available(source, now) })
-	best = f.bestOf(permitted, pool, info, now, random)
+	c := choice{server: f.bestOf(permitted, pool, info, now, random), cooldown: cooldown}
 	if len(permitted) == len(candidates) {
-		return best, nil
+		return c
 	}
-	if preferred := f.bestOf(candidates, pool, info, now, random); best == nil || !slices.Contains(permitted, preferred) {
-		limited = preferred
+	if preferred := f.bestOf(candidates, pool, info, now, random); c.server == nil || !slices.Contains(permitted, preferred) {
+		c.limited = preferred
 	}
-	return best, limited
+	return c
+}
+
+// withoutCooldown removes the servers that take no request now for their cooldown, and returns the
+// time until the first of them does; the caller holds mu.
+func (f *fleet) withoutCooldown(candidates []*server, now time.Time) (available []*server, first time.Duration) {
+	available = slices.DeleteFunc(candidates, func(s *server) bool {
+		wait := f.cooldowns.AvailableIn(s.id, now)
+		if wait > 0 && (first == 0 || wait < first) {
+			first = wait
+		}
+		return wait > 0
+	})
+	return available, first
 }
 
 // candidates returns the servers that have what a request needs; the caller holds mu.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"fennelyard/internal/quarantine"
+	"fennelyard/internal/ratelimit"
 	"fennelyard/internal/relay"
 	"fennelyard/internal/schema"
 )
@@ -22,25 +23,26 @@
 
 // The outcomes.
 const (
-	OutcomeServed       Outcome = iota // served
-	OutcomeServerFailed                // server-failed
-	OutcomeNoRoute                     // no-route
-	OutcomeNoConfig                    // no-configuration
-	OutcomeBadBody                     // bad-body
-	OutcomeNoServer                    // no-server
-	OutcomeNoModel                     // no-model
-	OutcomeBusy                        // busy
-	OutcomeBudget                      // repeat-budget
-	OutcomeUnknown                     // outcome-unknown
-	OutcomeCut                         // cut
-	OutcomeTimeout                     // timeout
-	OutcomeCallerGone                  // caller-gone
-	OutcomeStopping                    // entry-stopping
-	OutcomeHeldBack                    // held-back
-	OutcomeUnauthorized                // unauthorized
-	OutcomeUnconfirmed                 // keys-unconfirmed
-	OutcomeOverQuota                   // over-quota
-	OutcomeServerLimit                 // server-limit
+	OutcomeServed         Outcome = iota // served
+	OutcomeServerFailed                  // server-failed
+	OutcomeNoRoute                       // no-route
+	OutcomeNoConfig                      // no-configuration
+	OutcomeBadBody                       // bad-body
+	OutcomeNoServer                      // no-server
+	OutcomeNoModel                       // no-model
+	OutcomeBusy                          // busy
+	OutcomeBudget                        // repeat-budget
+	OutcomeUnknown                       // outcome-unknown
+	OutcomeCut                           // cut
+	OutcomeTimeout                       // timeout
+	OutcomeCallerGone                    // caller-gone
+	OutcomeStopping                      // entry-stopping
+	OutcomeHeldBack                      // held-back
+	OutcomeUnauthorized                  // unauthorized
+	OutcomeUnconfirmed                   // keys-unconfirmed
+	OutcomeOverQuota                     // over-quota
+	OutcomeServerLimit                   // server-limit
+	OutcomeServerCooldown                // server-cooldown
 )
 
 const (
@@ -237,9 +239,10 @@
 // another attempt should follow.
 func (x *exchange) attempt(remaining time.Duration) bool {
 	s := x.server
-	stamp, permitted := x.g.fleet.takePermit(s)
-	if !permitted {
-		// Another request took the permit. A retry has already been taken from the budget.
+	stamp, admitted := x.g.fleet.admit(s)
+	if !admitted {
+		// Another request took the permit, or the server has asked for a cooldown since it was chosen.
+		// A retry has already been taken from the budget.
 		x.retryReserved = x.attempts > 0
 		return x.hasTimeLeft()
 	}
@@ -277,14 +280,17 @@
 		}
 		markPrefilled()
 	}
-	response, err := x.g.cfg.Sender.Send(ctx, s.address, x.request(remaining, 0))
+	response, responseInfo, err := x.send(ctx, s, remaining, 0, stamp)
+	if errors.Is(err, relay.ErrWithheld) {
+		x.attempts--
+		x.retryReserved = !timer.stop() || x.attempts > 0
+		return x.hasTimeLeft()
+	}
 	if err != nil {
 		x.retryReserved = !timer.stop()
 		return x.attemptFailed(s, err)
 	}
 	defer response.Close()
-	responseInfo := x.g.cfg.Codec.ParseResponse(response.Status, response.Header)
-	x.statementsReceived(s, responseInfo, stamp)
 	if responseInfo.NotRun {
 		x.retryReserved = !timer.stop()
 		return x.attemptNotRun(s, response, responseInfo)
@@ -300,6 +306,21 @@
 	return x.relayResponse(s, response, responseInfo)
 }
 
+// send sends the request to a server, and applies what the response states about the server.
+// stamp is what is known of the server's limit.
+func (x *exchange) send(ctx context.Context, s *server, remaining time.Duration, lastEventID int64, stamp ratelimit.Stamp) (*relay.Response, ResponseInfo, error) {
+	request := x.request(remaining, lastEventID)
+	request.MaySend = func() bool { return x.g.fleet.maySend(s) }
+	sentAt := time.Now()
+	response, err := x.g.cfg.Sender.Send(ctx, s.address, request)
+	if err != nil {
+		return nil, ResponseInfo{}, errors.Newf("send to server %s: %w", s.id, err)
+	}
+	responseInfo := x.g.cfg.Codec.ParseResponse(response.Status, response.Header)
+	x.statementsReceived(s, responseInfo, stamp, sentAt)
+	return response, responseInfo, nil
+}
+
 func (x *exchange) request(remaining time.Duration, lastEventID int64) *relay.Request {
 	h := relay.EndToEndHeader(x.r.Header)
 	x.g.cfg.Codec.SetForwardHeader(h, ForwardInfo{
@@ -365,6 +386,10 @@
 // another attempt should follow.
 func (x *exchange) attemptNotRun(s *server, response *relay.Response, responseInfo ResponseInfo) bool {
 	x.cause = errors.Newf("server %s: status %d, not run", s.id, response.Status)
+	if responseInfo.Cooldown.Wait > 0 {
+		// After the cooldown the server may serve the request.
+		return x.mayTryAfterRejection()
+	}
 	if responseInfo.Misdirected && x.info.Model != "" {
 		x.g.fleet.markAbsent(s, x.info.Model, x.info.Adapter, time.Now())
 		return x.hasTimeLeft()
@@ -375,11 +400,21 @@
 		return x.hasTimeLeft()
 	}
 	x.excluded = append(x.excluded, s.id)
-	if x.attempts >= maxBusyAttempts {
-		x.fail(OutcomeBusy, x.g.latency(x.pool).retryAfter())
-		return false
+	return x.mayTryAfterRejection()
+}
+
+// mayTryAfterRejection reports whether a request that servers have rejected may be sent to another
+// one, and otherwise sends the final response.
+func (x *exchange) mayTryAfterRejection() bool {
+	if x.attempts < maxBusyAttempts {
+		return x.hasTimeLeft()
 	}
-	return x.hasTimeLeft()
+	retryAfter := x.g.latency(x.pool).retryAfter()
+	if c := x.g.fleet.chooseWithin(x.pool, &x.info, nil, time.Now(), x.random); c.server == nil {
+		retryAfter = max(retryAfter, c.cooldown)
+	}
+	x.fail(OutcomeBusy, retryAfter)
+	return false
 }
 
 const (
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -2,10 +2,12 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"fennelyard/internal/cooldown"
 	"fennelyard/internal/incarnation"
 	"fennelyard/internal/schema"
 )
@@ -31,12 +33,20 @@
 	self           string
 	maxConnections map[string]float64
 	sharingEntries func() int
+	// cooldowns are the times for which servers have asked this entry to send them nothing.
+	cooldowns *cooldown.Table
 	// stats holds the observed statistics of the engines and prompts of each pool.
 	stats map[string]*poolStats
 }
 
 func newFleet() *fleet {
-	return &fleet{servers: map[string]*server{}, incarnations: map[string]int{}, changed: make(chan struct{}), stats: map[string]*poolStats{}, sendRates: map[string]*arrivalRate{}, connected: func() bool { return true }, sharingEntries: func() int { return 1 }, maxConnections: map[string]float64{}, limited: map[string]*server{}}
+	f := &fleet{
+		servers: map[string]*server{}, incarnations: map[string]int{}, changed: make(chan struct{}), stats: map[string]*poolStats{},
+		sendRates: map[string]*arrivalRate{}, connected: func() bool { return true }, sharingEntries: func() int { return 1 },
+		maxConnections: map[string]float64{}, limited: map[string]*server{},
+	}
+	f.cooldowns = cooldown.NewTable(cooldown.Config{Hosts: func() int { return f.sharingEntries() }, Random: rand.Float64})
+	return f
 }
 
 // poolStats returns the statistics of a pool; the caller holds mu.
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -52,12 +52,14 @@
 	}
 }
 
-// takePermit uses a permit for a request that is about to be sent to a server, and returns what is
-// known of the server's limit. It returns false if a permit is needed and there is none.
-func (f *fleet) takePermit(s *server) (ratelimit.Stamp, bool) {
+// admit takes what a request that is about to be sent to a server needs: a permit, and its place
+// after a cooldown. It returns what is known of the server's limit, and false if the request may not
+// be sent there now.
+func (f *fleet) admit(s *server) (ratelimit.Stamp, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	ok := s.permits.Take(f.permitSource(), time.Now())
+	now := time.Now()
+	ok := f.cooldowns.AvailableIn(s.id, now) == 0 && s.permits.Take(f.permitSource(), now) && f.cooldowns.Admit(s.id, now)
 	return s.permits.Stamp(), ok
 }
 
@@ -145,39 +147,37 @@
 	}
 }
 
-// awaitPermit waits until a request may be sent to a server with a limit, or to another one. It
-// refuses the request as soon as a permit is expected only after latest.
-func (x *exchange) awaitPermit(s *server, latest time.Time) bool {
+// awaitRelease waits until a request may be sent to one of the servers that take it after a permit
+// or a cooldown, or to another one. It refuses the request as soon as that is expected only after
+// latest.
+func (x *exchange) awaitRelease(first choice, latest time.Time) bool {
 	start := time.Now()
-	// As for models, only the first waiting request is reported without delay.
-	if x.g.fleet.addPermitWaiting(s, 1) == 1 {
-		x.g.reportNow()
-	} else {
-		x.g.demand.reportSoon()
+	if first.limited != nil {
+		x.requestPermit(first.limited)
+		defer x.g.fleet.addPermitWaiting(first.limited, -1)
 	}
 	if x.info.Model != "" {
 		// The leader loads the model at another server.
 		x.g.demand.addWaiting(x.target(), 1)
 		defer x.g.demand.addWaiting(x.target(), -1)
 	}
-	defer func() {
-		x.g.fleet.addPermitWaiting(s, -1)
-		x.waited += time.Since(start)
-	}()
-	timer := time.NewTimer(forecastRecheckInterval)
-	defer timer.Stop()
+	defer func() { x.waited += time.Since(start) }()
 	for {
 		changed, now := x.g.fleet.changes(), time.Now()
-		if best, limited := x.g.fleet.chooseWithin(x.pool, &x.info, x.excluded, now, x.random); best != nil || limited == nil {
+		c := x.g.fleet.chooseWithin(x.pool, &x.info, x.excluded, now, x.random)
+		if c.server != nil || !c.awaitable() || (c.limited == nil) != (first.limited == nil) {
 			return true
 		}
-		if x.refusedByLimit(x.g.fleet.permitWaitTime(s, now), latest, now) {
+		if x.refusedByWait(c, first.limited, latest, now) {
 			return false
 		}
+		recheck := forecastRecheckInterval
+		if c.cooldown > 0 {
+			recheck = min(recheck, c.cooldown)
+		}
 		select {
 		case <-changed:
-		case <-timer.C:
-			timer.Reset(forecastRecheckInterval)
+		case <-time.After(recheck):
 		case <-x.ctx.Done():
 			x.waitEnded()
 			return false
@@ -185,16 +185,34 @@
 	}
 }
 
-// firstPermitDeadline returns until when a permit is of use to a request without a response.
-func (x *exchange) firstPermitDeadline() time.Time {
+// requestPermit adds a request that waits for a permit. As for models, only the first one is
+// reported without delay.
+func (x *exchange) requestPermit(s *server) {
+	if x.g.fleet.addPermitWaiting(s, 1) == 1 {
+		x.g.reportNow()
+	} else {
+		x.g.demand.reportSoon()
+	}
+}
+
+// lastSendTime returns until when a server can respond to a request in time that has had no
+// response.
+func (x *exchange) lastSendTime() time.Time {
 	if x.info.Model != "" {
 		return x.firstByteDeadline().Add(-firstEventLatency)
 	}
-	return x.firstByteDeadline()
+	return x.firstByteDeadline().Add(-x.g.latency(x.pool).queueTime(1))
 }
 
-// refusedByLimit refuses a request for which a permit is expected too late.
-func (x *exchange) refusedByLimit(wait time.Duration, latest, now time.Time) bool {
+// refusedByWait refuses a request for which a permit, or the end of a cooldown, is expected too
+// late. limited is the server with a limit for which it waits, nil for none.
+func (x *exchange) refusedByWait(c choice, limited *server, latest, now time.Time) bool {
+	wait, outcome := c.cooldown, OutcomeServerCooldown
+	if limited != nil {
+		if permitWait := x.g.fleet.permitWaitTime(limited, now); c.cooldown == 0 || permitWait < wait {
+			wait, outcome = permitWait, OutcomeServerLimit
+		}
+	}
 	if stop := x.g.sendDeadline.Load(); stop != nil && now.Add(wait).After(*stop) {
 		x.fail(OutcomeStopping, stoppingRetryAfter)
 		return true
@@ -202,6 +220,6 @@
 	if now.Add(wait).Before(latest) {
 		return false
 	}
-	x.fail(OutcomeServerLimit, max(wait, defaultRetryAfter))
+	x.fail(outcome, max(wait, defaultRetryAfter))
 	return true
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -122,9 +122,10 @@
 			return nil, nil
 		}
 		remaining := time.Until(x.deadline)
-		s, limited := x.g.fleet.chooseWithin(x.pool, &x.info, x.excluded, time.Now(), x.random)
-		if s == nil && limited != nil {
-			if !x.awaitPermit(limited, x.beforeDeadline(time.Now().Add(x.callerTimeout()))) {
+		c := x.g.fleet.chooseWithin(x.pool, &x.info, x.excluded, time.Now(), x.random)
+		s := c.server
+		if s == nil && c.awaitable() {
+			if !x.awaitRelease(c, x.beforeDeadline(time.Now().Add(x.callerTimeout()))) {
 				return nil, nil
 			}
 			continue
@@ -132,14 +133,20 @@
 		if s == nil || remaining < minTimeLeft || !x.g.retryBudget(x.pool).withdraw(time.Now(), x.g.sharingEntries()) {
 			return nil, nil
 		}
-		stamp, permitted := x.g.fleet.takePermit(s)
-		if !permitted {
+		stamp, admitted := x.g.fleet.admit(s)
+		if !admitted {
 			continue
 		}
 		x.server = s
 		x.attempts++
+		response, responseInfo, err := x.send(x.ctx, s, remaining, lastID, stamp)
+		if errors.Is(err, relay.ErrWithheld) || responseInfo.Cooldown.Wait > 0 && responseInfo.NotRun {
+			if response != nil {
+				response.Close()
+			}
+			continue
+		}
 		x.excluded = append(x.excluded, s.id)
-		response, err := x.g.cfg.Sender.Send(x.ctx, s.address, x.request(remaining, lastID))
 		if err != nil {
 			x.cause = err
 			x.g.fleet.recordFailure(s, time.Now())
@@ -149,8 +156,6 @@
 			}
 			continue
 		}
-		responseInfo := x.g.cfg.Codec.ParseResponse(response.Status, response.Header)
-		x.statementsReceived(s, responseInfo, stamp)
 		if responseInfo.NotRun {
 			response.Close()
 			continue
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -22,20 +22,19 @@
 	for missed := false; ; {
 		changed := x.g.fleet.changes()
 		now := time.Now()
-		var limited *server
-		x.server, limited = x.g.fleet.chooseWithin(x.pool, &x.info, x.excluded, now, x.random)
-		if limited != nil && !missed {
+		c := x.g.fleet.chooseWithin(x.pool, &x.info, x.excluded, now, x.random)
+		if c.limited != nil && !missed {
 			missed = true
-			x.g.fleet.permitMissed(limited)
+			x.g.fleet.permitMissed(c.limited)
 		}
-		if x.server != nil {
+		if x.server = c.server; x.server != nil {
 			if x.info.Model == "" && !x.fitsDeadline() {
 				return false
 			}
 			return !x.refusedByBacklog()
 		}
-		if limited != nil {
-			if !x.awaitPermit(limited, x.firstPermitDeadline()) {
+		if c.awaitable() {
+			if !x.awaitRelease(c, x.lastSendTime()) {
 				return false
 			}
 			continue
@@ -200,12 +199,14 @@
 	return false
 }
 
-// poolUsage returns this entry's requests at a pool and the pool's slots.
+// poolUsage returns this entry's requests at a pool and the pool's slots, without the servers that
+// have asked for a cooldown.
 func (f *fleet) poolUsage(pool string) (running, slots int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := time.Now()
 	for _, s := range f.servers {
-		if s.view.GetPool() == pool && s.ready() {
+		if s.view.GetPool() == pool && s.ready() && f.cooldowns.Remaining(s.id, now) == 0 {
 			running += s.running
 			slots += int(s.view.GetSlots())
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,8 @@
 	// ErrInterrupted reports that the exchange failed after a byte may have been
 	// sent: the request may have been executed.
 	ErrInterrupted = errors.New("the exchange was interrupted")
+	// ErrWithheld reports that MaySend returned false. It wraps ErrNotSent.
+	ErrWithheld = errors.Newf("the request was withheld: %w", ErrNotSent)
 	// ErrMismatchedResponse reports that the responses received are not for this
 	// request.
 	ErrMismatchedResponse = errors.New("the response belongs to another request")
@@ -65,6 +67,9 @@
 	// MatchesResponse reports whether the header of a response belongs to this
 	// request.
 	MatchesResponse func(http.Header) bool
+	// MaySend, if set, is called once the connection is established, and the request is not sent if
+	// it returns false: it may take until connectTimeout to connect.
+	MaySend func() bool
 }
 
 // Config configures a Sender. The zero value is ready for use.
@@ -172,6 +177,9 @@
 }
 
 func roundTrip(conn net.Conn, req *Request) (*Response, *bodyReader, error) {
+	if req.MaySend != nil && !req.MaySend() {
+		return nil, nil, ErrWithheld
+	}
 	if n, err := conn.Write(req.encode()); err != nil {
 		if n == 0 {
 			return nil, nil, errors.Newf("write request: %v: %w", err, ErrNotSent)
--- a/internal/role/backends_test.go
+++ b/internal/role/backends_test.go
@@ -18,6 +18,7 @@
 
 	"fennelyard/internal/cooldown"
 	"fennelyard/internal/gateway"
+	"fennelyard/internal/incarnation"
 	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
 )
@@ -60,9 +61,11 @@
 	requestTimes         map[string][]time.Time
 	// rejections are the responses of the servers that reject requests, by address, and statements
 	// and requests what these stated and all servers got.
-	rejections map[string]rejection
+	rejections map[string]func() *rejection
 	statements []serverStatement
 	requests   []serverRequest
+	// sameIDs is set if servers start again under their ids.
+	sameIDs bool
 }
 
 // backendCodec is the codec of the simulated servers.
@@ -86,8 +89,11 @@
 
 // startBackends starts servers, and puts a configuration in force with a route for requests
 // that may be repeated and one for those that may not.
-func startBackends(d *deployment, n int) *backends {
-	b := &backends{deployment: d, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]rejection{}}
+func startBackends(d *deployment, n int) *backends { return startBackendsWith(d, n, false) }
+
+// startBackendsWith is like startBackends. With sameIDs the servers start again under their ids.
+func startBackendsWith(d *deployment, n int, sameIDs bool) *backends {
+	b := &backends{sameIDs: sameIDs, deployment: d, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]func() *rejection{}}
 	route := func(name string, repeat schema.Repeat) *schema.Route {
 		return &schema.Route{
 			Name: name, Host: "h.example", Prefix: "/" + name + "/", Repeat: repeat, TimeoutMs: 3000, AimMs: 300, MaxAttempts: 2,
@@ -131,6 +137,9 @@
 		b.mu.Lock()
 		b.startCount++
 		id := fmt.Sprint("i-", b.startCount)
+		if b.sameIDs {
+			id = incarnation.Name{Server: "i-" + address, StartMs: time.Now().UnixMilli()}.String()
+		}
 		b.mu.Unlock()
 		b.run(id, address)
 		select {
@@ -286,7 +295,7 @@
 		p.stop()
 		return
 	}
-	if rejects.status != 0 {
+	if rejects != nil {
 		p.reject(conn, request.Header.Get("X-Id"), rejects)
 		return
 	}
