gateway: a request is sent to the process that accepts its connection

An entry had begun to connect before the server started, and the start's cooldown was attributed to the start before it by that time. The time of a request is now when its connection stands.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -310,8 +310,13 @@
 // stamp is what is known of the server's limit.
 func (x *exchange) send(ctx context.Context, s *server, remaining time.Duration, lastEventID int64, stamp ratelimit.Stamp) (*relay.Response, ResponseInfo, error) {
 	request := x.request(remaining, lastEventID)
-	request.MaySend = func() bool { return x.g.fleet.maySend(s) }
-	sentAt := time.Now()
+	// A connection may wait for a server that starts: only once it is established the request is sent
+	// to a process that runs.
+	var sentAt time.Time
+	request.MaySend = func() bool {
+		sentAt = time.Now()
+		return x.g.fleet.maySend(s)
+	}
 	response, err := x.g.cfg.Sender.Send(ctx, s.address, request)
 	if err != nil {
 		return nil, ResponseInfo{}, errors.Newf("send to server %s: %w", s.id, err)
