--- a/internal/role/backends_test.go
+++ b/internal/role/backends_test.go
@@ -64,6 +64,10 @@
 	rejections map[string]func() *rejection
 	statements []serverStatement
 	requests   []serverRequest
+	// leaving are the addresses of the servers that state in all responses that they leave, and
+	// departures these statements.
+	leaving    map[string]bool
+	departures []serverStatement
 	// sameIDs is set if servers start again under their ids.
 	sameIDs bool
 }
@@ -93,7 +97,7 @@
 
 // startBackendsWith is like startBackends. With sameIDs the servers start again under their ids.
 func startBackendsWith(d *deployment, n int, sameIDs bool) *backends {
-	b := &backends{sameIDs: sameIDs, deployment: d, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]func() *rejection{}}
+	b := &backends{sameIDs: sameIDs, deployment: d, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]func() *rejection{}, leaving: map[string]bool{}}
 	route := func(name string, repeat schema.Repeat) *schema.Route {
 		return &schema.Route{
 			Name: name, Host: "h.example", Prefix: "/" + name + "/", Repeat: repeat, TimeoutMs: 3000, AimMs: 300, MaxAttempts: 2,
@@ -299,7 +303,7 @@
 		p.reject(conn, request.Header.Get("X-Id"), rejects)
 		return
 	}
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%sContent-Length: 2\r\n\r\nok", request.Header.Get("X-Id"), limit)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%s%sContent-Length: 2\r\n\r\nok", request.Header.Get("X-Id"), limit, p.recordDeparture(conn))
 }
 
 // countConn adds n to the number of open connections of a server.
--- a/internal/role/cooldown_test.go
+++ b/internal/role/cooldown_test.go
@@ -108,7 +108,7 @@
 	b.mu.Lock()
 	b.statements = append(b.statements, serverStatement{ipOf(conn), p.id, time.Now(), wait})
 	b.mu.Unlock()
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 rejected\r\nX-Id: %s\r\n%sContent-Length: 0\r\n\r\n", id, header)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 rejected\r\nX-Id: %s\r\n%s%sContent-Length: 0\r\n\r\n", id, header, p.recordDeparture(conn))
 }
 
 // ipOf returns the address of the host at the other end of a connection.
