gateway: send nothing to servers whose responses state that they leave

A server that leaves may say so in its responses before, or without ever, announcing it. Entries read the announcements of the leader's updates only, and sent such a server requests for as long as it lived.

An entry that receives such a response sends the server nothing more at once, also while it is cut off, and keeps that for as long as the server or the next updates know the incarnation: a new leader, or one that took the server for gone, may send it as ready. The next start of the server takes requests. The departure, unlike a cooldown, holds for all: the entry reports it until the leader's updates show it, and the leader marks the server as leaving.

A request that was admitted is checked again when its connection stands, now also for servers that leave or are gone.

--- a/internal/cooldown/table.go
+++ b/internal/cooldown/table.go
@@ -98,16 +98,8 @@
 	return min(spread, wait, maxSpread)
 }
 
-// binds reports whether a cooldown binds requests to an incarnation: it was stated by a response to
-// a request sent there, or by one to a request that was sent to an earlier incarnation when this one
-// had started.
-func (c *cooldown) binds(key string) bool {
-	if c.key == key {
-		return true
-	}
-	start, sentTo := incarnation.Parse(key).StartMs, incarnation.Parse(c.key).StartMs
-	return sentTo < start && c.sentAt.UnixMilli() >= start
-}
+// binds reports whether a cooldown binds requests to an incarnation, which may have stated it.
+func (c *cooldown) binds(key string) bool { return incarnation.MayHaveReceived(key, c.key, c.sentAt) }
 
 // until returns when the last cooldown of an incarnation ends; the zero time if it has none.
 func (s *server) until(key string) time.Time {
--- a/internal/gateway/cooldown.go
+++ b/internal/gateway/cooldown.go
@@ -12,7 +12,7 @@
 	x.limitStated(s, responseInfo, stamp)
 	x.cooldownStated(s, responseInfo, sentAt)
 	if responseInfo.Leaving {
-		x.g.cfg.Log.Info("server states that it leaves", "server", s.id, "request", x.info.ID)
+		x.serverLeaves(s, sentAt)
 	}
 }
 
@@ -52,7 +52,12 @@
 }
 
 // maySend reports whether a request that was admitted may still be sent: a response of the server
-// may have arrived since.
+// may have arrived since, or an update of the leader.
 func (f *fleet) maySend(s *server) bool {
-	return f.cooldowns.Remaining(s.id, time.Now()) == 0
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.takesRequests(s) && f.cooldowns.Remaining(s.id, time.Now()) == 0
 }
+
+// takesRequests reports whether a server is still known, and takes new work; the caller holds mu.
+func (f *fleet) takesRequests(s *server) bool { return f.servers[s.id] == s && s.ready() }
--- /dev/null
+++ b/internal/gateway/cooldown_test.go
@@ -0,0 +1,150 @@
+package gateway_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"fennelyard/internal/gateway"
+	"fennelyard/internal/incarnation"
+	"fennelyard/internal/relay"
+	"fennelyard/internal/schema"
+)
+
+// A request connects to a server while another one gets the response that asks for a cooldown or
+// states that the server leaves, or the leader removes the server. It must not be sent all the same.
+func TestRequestsAreWithheldWhileTheyConnect(t *testing.T) {
+	for name, change := range map[string]func(tg *testGateway, b *backend){
+		"cooldown": func(*testGateway, *backend) {},
+		"leaving":  func(*testGateway, *backend) {},
+		"gone": func(tg *testGateway, b *backend) {
+			tg.g.ApplyServers(false, &schema.RosterServer{Id: "s0", Pool: "p", Address: b.l.Addr().String(), State: schema.RosterState_ROSTER_STATE_GONE})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, func(conn net.Conn, request *http.Request) {
+				switch name {
+				case "cooldown":
+					respond(http.StatusServiceUnavailable, "X-Not-Run: 1\r\nRetry-After: 20\r\n", "")(conn, request)
+				case "leaving":
+					respond(http.StatusOK, signed+"X-Leaving: 1\r\n", "done")(conn, request)
+				default:
+					respondOK(conn, request)
+				}
+			})
+			var dials atomic.Int64
+			dialing, proceed := make(chan struct{}), make(chan struct{})
+			sender := relay.NewSender(relay.Config{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+				if dials.Add(1) == 1 {
+					close(dialing)
+					<-proceed
+				}
+				return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			}})
+			tg := startTestGatewayWithSender(t, gateway.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Millisecond, Burst: 100}, logr.Discard(), sender, b)
+			statuses := make(chan int, 1)
+			go func() { statuses <- tg.call(t, "/once/x", "slow", "").status }()
+			<-dialing
+			tg.call(t, "/once/x", "fast", "")
+			change(tg, b)
+			close(proceed)
+			require.Equal(t, http.StatusServiceUnavailable, <-statuses)
+			require.Equal(t, int64(1), b.requests.Load())
+		})
+	}
+}
+
+// A server rejects a request for an adapter and asks for a cooldown. The request must not be sent
+// there again, as it is while an adapter is being loaded.
+func TestRejectedRequestForAnAdapterIsNotSentAgain(t *testing.T) {
+	rejecting := newBackend(t, respond(http.StatusServiceUnavailable, "X-Not-Run: 1\r\nRetry-After: 20\r\n", ""))
+	got := newTestGateway(t, rejecting).call(t, "/once/x", "body", "m/a")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, int64(1), rejecting.requests.Load())
+	require.Contains(t, got.retryAfter, "20.", "a little later than the server takes requests")
+}
+
+// A request gets no response from its server, and the only other server has asked for a cooldown.
+// It must not be sent there as a hedge.
+func TestNoHedgeAtAServerWithACooldown(t *testing.T) {
+	slow := newBackend(t, func(conn net.Conn, request *http.Request) {
+		time.Sleep(800 * time.Millisecond)
+		respondOK(conn, request)
+	})
+	rejecting := newBackend(t, respond(http.StatusServiceUnavailable, "X-Not-Run: 1\r\nRetry-After: 20\r\n", ""))
+	tg := newTestGateway(t, slow, rejecting)
+	for rejecting.requests.Load() == 0 {
+		tg.call(t, "/again/x", "body", "")
+	}
+	require.Equal(t, http.StatusOK, tg.call(t, "/again/x", "body", "").status)
+	require.Equal(t, int64(1), rejecting.requests.Load())
+}
+
+// A stream breaks off, and the only other server rejects its continuation and asks for a short
+// cooldown. The stream must continue there after that; its caller would otherwise lose what it has.
+func TestStreamResumesAfterACooldown(t *testing.T) {
+	var rejectedAt, resumedAt atomic.Pointer[time.Time]
+	handle := func(conn net.Conn, request *http.Request) {
+		now := time.Now()
+		switch {
+		case request.Header.Get("X-After") != "2":
+			streamEvents(1, 2, false)(conn, request)
+		case rejectedAt.CompareAndSwap(nil, &now):
+			respond(http.StatusServiceUnavailable, "X-Not-Run: 1\r\nRetry-After: 0.3\r\n", "")(conn, request)
+		default:
+			resumedAt.Store(&now)
+			streamEvents(3, 4, true)(conn, request)
+		}
+	}
+	got := newTestGateway(t, newBackend(t, handle), newBackend(t, handle)).call(t, "/resume/x", "body", "m")
+	require.False(t, got.interrupted)
+	require.Equal(t, "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\nid: 4\ndata: e4\n\n", got.body)
+	require.GreaterOrEqual(t, resumedAt.Load().Sub(*rejectedAt.Load()), 300*time.Millisecond)
+}
+
+// A server that has stated that it leaves vanishes from the leader's updates, and a new leader sends
+// it as ready. Only its next start takes requests.
+func TestStatedDepartureOutlivesTheServerInUpdates(t *testing.T) {
+	e := gateway.NewEngines(0)
+	view := func(id string, state schema.RosterState) *schema.RosterServer {
+		return &schema.RosterServer{Id: id, Pool: "p", State: state, Models: []*schema.HeldModel{{Name: "m"}}}
+	}
+	info := &gateway.RequestInfo{Model: "m"}
+	started := time.Now().UnixMilli()
+	old, next := incarnationKey("e", started-5000), incarnationKey("e", started+60_000)
+	e.ApplyServers(view(old, schema.RosterState_ROSTER_STATE_READY))
+	require.True(t, e.HasEngine(info))
+	e.RecordDeparture(old)
+	require.False(t, e.HasEngine(info))
+	for _, state := range []schema.RosterState{schema.RosterState_ROSTER_STATE_READY, schema.RosterState_ROSTER_STATE_GONE, schema.RosterState_ROSTER_STATE_READY} {
+		e.ApplyServers(view(old, state))
+		require.False(t, e.HasEngine(info))
+	}
+	e.ApplyServers(view(next, schema.RosterState_ROSTER_STATE_READY))
+	require.True(t, e.HasEngine(info))
+}
+
+// A server starts again under its id while an entry has no updates, and its responses state that it
+// leaves. The entry must not take it for a server that does not leave once it knows of the start.
+func TestDepartureOfAStartThatIsNotKnownYet(t *testing.T) {
+	e := gateway.NewEngines(0)
+	view := func(id string) *schema.RosterServer {
+		return &schema.RosterServer{Id: id, Pool: "p", Models: []*schema.HeldModel{{Name: "m"}}}
+	}
+	started := time.Now().UnixMilli()
+	old, next := incarnationKey("e", started-5000), incarnationKey("e", started-1000)
+	e.ApplyServers(view(old))
+	e.RecordDeparture(old)
+	e.ApplyServers(view(next))
+	require.False(t, e.HasEngine(&gateway.RequestInfo{Model: "m"}))
+}
+
+func incarnationKey(server string, startMs int64) string {
+	return incarnation.Name{Server: server, StartMs: startMs}.String()
+}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -76,6 +76,9 @@
 	return s.view.GetId()
 }
 
+// RecordDeparture records that a response of an engine states that it leaves.
+func (e *Engines) RecordDeparture(id string) { e.f.recordDeparture(e.f.servers[id], time.Now()) }
+
 // AddPermits adds permits for an engine that the leader has just granted.
 func (e *Engines) AddPermits(id string, n uint32) { e.AddOldPermits(id, n, 0) }
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -35,6 +35,9 @@
 	sharingEntries func() int
 	// cooldowns are the times for which servers have asked this entry to send them nothing.
 	cooldowns *cooldown.Table
+	// departures are the statements of servers that they leave, by server id. They outlive the
+	// servers in the fleet, as a new leader may send one again.
+	departures map[string][]departure
 	// stats holds the observed statistics of the engines and prompts of each pool.
 	stats map[string]*poolStats
 }
@@ -43,7 +46,7 @@
 	f := &fleet{
 		servers: map[string]*server{}, incarnations: map[string]int{}, changed: make(chan struct{}), stats: map[string]*poolStats{},
 		sendRates: map[string]*arrivalRate{}, connected: func() bool { return true }, sharingEntries: func() int { return 1 },
-		maxConnections: map[string]float64{}, limited: map[string]*server{},
+		maxConnections: map[string]float64{}, limited: map[string]*server{}, departures: map[string][]departure{},
 	}
 	f.cooldowns = cooldown.NewTable(cooldown.Config{Hosts: func() int { return f.sharingEntries() }, Random: rand.Float64})
 	return f
@@ -119,6 +122,7 @@
 			}
 		}
 	}
+	f.expireDepartures(time.Now())
 	f.notifyChanged()
 }
 
@@ -134,6 +138,7 @@
 		}
 	}
 	f.servers[s.id] = s
+	s.leaving = f.hasStatedDeparture(s.id)
 	f.trackLimit(s)
 	f.incarnations[s.server]++
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
+	"fennelyard/internal/cooldown"
 	"fennelyard/internal/gateway"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/peer"
@@ -30,8 +31,9 @@
 	return gateway.Codec{
 		ParseRequest: func(r *http.Request) gateway.RequestInfo {
 			ms, _ := strconv.Atoi(r.Header.Get("X-Wait"))
+			model, adapter, _ := strings.Cut(r.Header.Get("X-Model"), "/")
 			return gateway.RequestInfo{
-				ID: r.Header.Get("X-Id"), APIKey: r.Header.Get("X-Key"), Model: r.Header.Get("X-Model"), Timeout: time.Duration(ms) * time.Millisecond,
+				ID: r.Header.Get("X-Id"), APIKey: r.Header.Get("X-Key"), Model: model, Adapter: adapter, Timeout: time.Duration(ms) * time.Millisecond,
 			}
 		},
 		SetForwardHeader: func(h http.Header, m gateway.ForwardInfo) {
@@ -46,6 +48,7 @@
 		ParseResponse: func(status int, header http.Header) gateway.ResponseInfo {
 			return gateway.ResponseInfo{
 				NotRun: header.Get("X-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Signed: header.Get("X-Signed") != "",
+				Cooldown: cooldown.ParseResponse(status, header, time.Now()), Leaving: header.Get("X-Leaving") != "",
 			}
 		},
 	}
@@ -155,11 +158,16 @@
 }
 
 func startTestGateway(t *testing.T, budget gateway.RetryBudgetConfig, log logr.Logger, backends ...*backend) *testGateway {
+	t.Helper()
+	return startTestGatewayWithSender(t, budget, log, relay.NewSender(relay.Config{}), backends...)
+}
+
+func startTestGatewayWithSender(t *testing.T, budget gateway.RetryBudgetConfig, log logr.Logger, sender *relay.Sender, backends ...*backend) *testGateway {
 	t.Helper()
 	dialer := peer.NewDialer(peer.DialerConfig{})
 	g := gateway.New(gateway.Config{
 		Self: &schema.RosterEntry{Host: "e", CallerAddress: "127.0.0.1:1"}, Seeds: func() []string { return nil }, Dialer: dialer,
-		Replica: ledger.NewReplica(), Sender: relay.NewSender(relay.Config{}), Codec: codec(),
+		Replica: ledger.NewReplica(), Sender: sender, Codec: codec(),
 		RetryBudget: budget, Log: log, RequestLog: logr.Discard(), KeyRevocation: keyRevocation,
 	})
 	t.Cleanup(func() {
@@ -171,7 +179,7 @@
 	for i, b := range backends {
 		views = append(views, &schema.RosterServer{
 			Id: fmt.Sprint("s", i), Pool: "p", Address: b.l.Addr().String(), Slots: 6,
-			Models: []*schema.HeldModel{{Name: "m"}},
+			Models: []*schema.HeldModel{{Name: "m", Adapters: []string{"a"}}},
 		})
 	}
 	g.ApplyServers(false, views...)
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -59,7 +59,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	ok := f.cooldowns.AvailableIn(s.id, now) == 0 && s.permits.Take(f.permitSource(), now) && f.cooldowns.Admit(s.id, now)
+	ok := f.takesRequests(s) && f.cooldowns.AvailableIn(s.id, now) == 0 && s.permits.Take(f.permitSource(), now) && f.cooldowns.Admit(s.id, now)
 	return s.permits.Stamp(), ok
 }
 
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -48,6 +48,8 @@
 	requests            uint64
 	consecutiveFailures int
 	ejectedUntil        time.Time
+	// leaving is set once a response has stated that the server leaves.
+	leaving bool
 	// permits is what this entry knows of the server's request limit, and its permits.
 	permits ratelimit.Permits
 	// absentUntil holds until when a model or adapter counts as missing.
@@ -103,7 +105,13 @@
 	return !now.Before(s.absentUntil[model+"/"+adapter])
 }
 
-func (s *server) ready() bool { return s.view.GetState() == schema.RosterState_ROSTER_STATE_READY }
+// ready reports whether the server takes new work.
+func (s *server) ready() bool { return s.viewedReady() && !s.leaving }
+
+// viewedReady reports whether the server takes new work by the leader's last update.
+func (s *server) viewedReady() bool {
+	return s.view.GetState() == schema.RosterState_ROSTER_STATE_READY
+}
 
 // uncached returns the number of tokens of a request's prompt that the server has to prefill.
 func (s *server) uncached(info *RequestInfo) int {
--- a/internal/gateway/subscriber.go
+++ b/internal/gateway/subscriber.go
@@ -301,6 +301,7 @@
 			report.TeamUses = s.g.quotas.Report(time.Now())
 		}
 		report.Limits, report.PermitDemands = s.g.fleet.reportLimits(time.Now())
+		report.LeavingServers = s.g.fleet.reportDepartures()
 		report.SentUs = uint64(time.Since(s.g.startTime).Microseconds())
 		if err := stream.Send(report); err != nil {
 			return
--- a/internal/incarnation/incarnation.go
+++ b/internal/incarnation/incarnation.go
@@ -6,6 +6,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 )
 
 // separator separates a server's id from its start time.
@@ -43,5 +44,16 @@
 	return Name{Server: key[:at], StartMs: startMs}
 }
 
+// MayHaveReceived reports whether the incarnation with a key may have received a request that was
+// sent to the incarnation sentTo over a connection established at a time: it is that incarnation, or
+// one of the same server that had started by then and was not known yet.
+func MayHaveReceived(key, sentTo string, at time.Time) bool {
+	if key == sentTo {
+		return true
+	}
+	receiver, addressee := Parse(key), Parse(sentTo)
+	return receiver.Server == addressee.Server && addressee.StartMs < receiver.StartMs && at.UnixMilli() >= receiver.StartMs
+}
+
 // ServerOf returns the server id in a key.
 func ServerOf(key string) string { return Parse(key).Server }
--- a/internal/role/backends_test.go
+++ b/internal/role/backends_test.go
@@ -68,6 +68,8 @@
 	// departures these statements.
 	leaving    map[string]bool
 	departures []serverStatement
+	// silent are the addresses of servers that send no announcements.
+	silent map[string]bool
 	// sameIDs is set if servers start again under their ids.
 	sameIDs bool
 }
@@ -97,7 +99,7 @@
 
 // startBackendsWith is like startBackends. With sameIDs the servers start again under their ids.
 func startBackendsWith(d *deployment, n int, sameIDs bool) *backends {
-	b := &backends{sameIDs: sameIDs, deployment: d, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]func() *rejection{}, leaving: map[string]bool{}}
+	b := &backends{sameIDs: sameIDs, deployment: d, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]func() *rejection{}, leaving: map[string]bool{}, silent: map[string]bool{}}
 	route := func(name string, repeat schema.Repeat) *schema.Route {
 		return &schema.Route{
 			Name: name, Host: "h.example", Prefix: "/" + name + "/", Repeat: repeat, TimeoutMs: 3000, AimMs: 300, MaxAttempts: 2,
@@ -170,7 +172,9 @@
 		p.accept()
 	}()
 	for sequence, tick := uint64(1), time.NewTicker(announceInterval); ; sequence++ {
-		b.announce(roster.Announcement{ID: id, Pool: "app", Address: address, Slots: 64, Sequence: sequence})
+		if !b.isSilent(address) {
+			b.announce(roster.Announcement{ID: id, Pool: "app", Address: address, Slots: 64, Sequence: sequence})
+		}
 		select {
 		case <-tick.C:
 			continue
@@ -184,6 +188,12 @@
 	}
 }
 
+func (b *backends) isSilent(address string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.silent[address]
+}
+
 func (b *backends) track(p *backendProcess, running bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/role/cooldown_test.go
+++ b/internal/role/cooldown_test.go
@@ -166,6 +166,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.statements = slices.DeleteFunc(b.statements, func(s serverStatement) bool { return s.entry == entry })
+	b.departures = slices.DeleteFunc(b.departures, func(s serverStatement) bool { return s.entry == entry })
 }
 
 // Servers state cooldowns in all forms, and entries and servers fail meanwhile. Each case is a way
--- a/internal/role/host_session.go
+++ b/internal/role/host_session.go
@@ -135,6 +135,7 @@
 	h.pacer.setQuery(report.GetDemands())
 	h.c.suspects.Merge(report.GetSuspects(), false)
 	h.c.roster.ApplyLimits(report.GetLimits())
+	h.c.roster.ApplyDepartures(report.GetLeavingServers())
 	if demands := report.GetPermitDemands(); len(demands) > 0 {
 		h.c.allocator.SetDemands(h.term, h.streamName(), demands)
 		h.c.issuePermits()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -350,6 +350,22 @@
 	return s.change
 }
 
+// ApplyDepartures marks servers as leaving whose responses to entries state that they take no new
+// work. Others than those that depart by a call of their own are not recorded in the log: entries
+// report them to each leader that lacks them.
+func (r *Roster) ApplyDepartures(keys []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, key := range keys {
+		s := r.servers[key]
+		if s == nil || s.view.GetState() != schema.RosterState_ROSTER_STATE_READY {
+			continue
+		}
+		r.cfg.Log.Info("server leaves by its responses", "server", key)
+		r.setView(s, withState(s.view, schema.RosterState_ROSTER_STATE_LEAVING))
+	}
+}
+
 // SetModels records the models that an engine has loaded.
 func (r *Roster) SetModels(id string, models []*schema.HeldModel) {
 	r.mu.Lock()
--- a/internal/subscription/subscription.go
+++ b/internal/subscription/subscription.go
@@ -65,6 +65,8 @@
 	// once.
 	changedPermitDemands map[string]bool
 	limits               map[limitKey]*schema.ServerLimit
+	// leavingServers are the servers that entries have reported as leaving since then.
+	leavingServers map[string]bool
 	// expectedAck is the progress of the furthest update whose acknowledgement a pending
 	// change may wait for.
 	expectedAck Progress
@@ -117,7 +119,7 @@
 		cfg: cfg, uses: quota.NewTotals(cfg.QuotaWindow), reportRequested: make(chan struct{}, 1), subscriptions: map[string]*subscription{},
 		waiting:    map[target]uint32{},
 		demandSums: map[target]*schema.ModelDemand{}, reportedWaiting: map[target]bool{}, loads: map[string]*loadSum{},
-		changedPermitDemands: map[string]bool{}, limits: map[limitKey]*schema.ServerLimit{},
+		changedPermitDemands: map[string]bool{}, limits: map[limitKey]*schema.ServerLimit{}, leavingServers: map[string]bool{},
 	}
 }
 
@@ -184,6 +186,7 @@
 	}
 	r.addLimits(report.GetLimits())
 	r.setPermitDemands(s, report.GetPermitDemands())
+	r.addLeavingServers(report.GetLeavingServers())
 }
 
 // addDemand adds an entry's demand; mu is held.
@@ -357,6 +360,7 @@
 	report := &schema.HostNews{
 		Known: acked.Known.Message(), Revision: acked.Revision, Behind: r.entriesBehind(acked, own), Demands: r.takeDemands(),
 		Limits: r.takeLimits(), PermitDemands: r.takePermitDemands(),
+		LeavingServers: r.takeLeavingServers(),
 	}
 	if loads {
 		report.Loads, report.LoadsTold = r.engineLoads(), true
