quarantine: connect to no server that has asked for a cooldown

An attempt that breaks off makes the entry connect to its server up to three times, also while the server had asked it for a cooldown. The end of such a server is no evidence against its requests then, as it is not known.

TestServersWithACooldownAreNotProbed: three connections before, one (the one before the cooldown) now.

--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -27,6 +27,9 @@
 	Entry string
 	// Probe connects to a server's address and returns the result.
 	Probe func(ctx context.Context, address string) relay.Presence
+	// MayProbe reports whether this entry may connect to a server now: one that has asked for a
+	// cooldown is not probed, and its end is no evidence then.
+	MayProbe func(server string) bool
 	// OnChange is called when this entry has records that other hosts lack. The next repeat
 	// of the request may arrive at any entry.
 	OnChange func()
@@ -65,7 +68,7 @@
 		log:       log,
 		trials:    map[Key]trial{},
 	}
-	g.prober = NewServerProber(ServerProberConfig{Probe: cfg.Probe, OnEnded: g.recordEnded, Log: cfg.Log.WithName("inquest")})
+	g.prober = NewServerProber(ServerProberConfig{Probe: cfg.Probe, MayProbe: cfg.MayProbe, OnEnded: g.recordEnded, Log: cfg.Log.WithName("inquest")})
 	return g
 }
 
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -36,7 +36,8 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := quarantine.NewGuard(quarantine.GuardConfig{
-					Entry: "entry",
+					Entry:    "entry",
+					MayProbe: always,
 					Probe: func(context.Context, string) relay.Presence {
 						if tt.result == relay.PresenceSilent {
 							time.Sleep(500 * time.Millisecond)
@@ -72,7 +73,7 @@
 		one, two := keyOf("/1"), keyOf("/2")
 		var reported []quarantine.Key
 		prober = quarantine.NewServerProber(quarantine.ServerProberConfig{
-			Probe: func(context.Context, string) relay.Presence { return relay.PresenceRefused },
+			MayProbe: always, Probe: func(context.Context, string) relay.Presence { return relay.PresenceRefused },
 			OnEnded: func(_ string, keys []quarantine.Key) {
 				if reported = append(reported, keys...); len(reported) == 1 {
 					prober.AttemptFailed("s", "a:1", two)
--- a/internal/quarantine/prober.go
+++ b/internal/quarantine/prober.go
@@ -36,6 +36,8 @@
 // ServerProberConfig configures a ServerProber. All fields are required.
 type ServerProberConfig struct {
 	Probe func(ctx context.Context, address string) relay.Presence
+	// MayProbe reports whether this host may connect to a server now.
+	MayProbe func(server string) bool
 	// OnEnded receives the requests whose attempts broke off when their server ended.
 	OnEnded func(server string, keys []Key)
 	Log     logr.Logger
@@ -175,6 +177,10 @@
 		if try > 0 && !p.wait() {
 			return
 		}
+		if !p.cfg.MayProbe(probe.server) {
+			presence = relay.PresenceNotProbed
+			break
+		}
 		if presence = p.cfg.Probe(p.ctx, probe.address); presence == relay.PresenceRefused {
 			break
 		}
--- a/internal/quarantine/prober_test.go
+++ b/internal/quarantine/prober_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +37,7 @@
 				var reported []quarantine.Key
 				probes := 0
 				prober := quarantine.NewServerProber(quarantine.ServerProberConfig{
+					MayProbe: always,
 					Probe: func(context.Context, string) relay.Presence {
 						mu.Lock()
 						defer mu.Unlock()
@@ -65,3 +67,32 @@
 		})
 	}
 }
+
+// always lets a prober connect to all servers.
+func always(string) bool { return true }
+
+// A server has asked for a cooldown when attempts break off there. It must not be connected to, and
+// its requests are not suspected.
+func TestServersWithACooldownAreNotProbed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var probes, reported atomic.Int64
+		prober := quarantine.NewServerProber(quarantine.ServerProberConfig{
+			Probe: func(context.Context, string) relay.Presence {
+				probes.Add(1)
+				return relay.PresenceListening
+			},
+			MayProbe: func(string) bool { return probes.Load() == 0 },
+			OnEnded:  func(string, []quarantine.Key) { reported.Add(1) },
+			Log:      logr.Discard(),
+		})
+		defer prober.Close()
+		prober.AttemptFailed("s", "a:1", keyOf("/1"))
+		time.Sleep(time.Second)
+		require.Equal(t, int64(1), probes.Load(), "none after the server has asked for a cooldown")
+		prober.AttemptFailed("s", "a:1", keyOf("/2"))
+		time.Sleep(time.Second)
+		require.Equal(t, int64(1), probes.Load())
+		require.Zero(t, reported.Load())
+		require.True(t, prober.Idle())
+	})
+}
--- a/internal/quarantine/trial_test.go
+++ b/internal/quarantine/trial_test.go
@@ -43,6 +43,7 @@
 			var g *quarantine.Guard
 			g = quarantine.NewGuard(quarantine.GuardConfig{
 				Entry:    fmt.Sprint("entry-", i),
+				MayProbe: always,
 				Probe:    func(context.Context, string) relay.Presence { return relay.PresenceRefused },
 				OnChange: func() { sendRecords(g) }, Log: logr.Discard(),
 			})
@@ -88,7 +89,7 @@
 func TestTrialThatEndsNoServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := quarantine.NewGuard(quarantine.GuardConfig{
-			Entry: "entry", Probe: func(context.Context, string) relay.Presence { return relay.PresenceRefused },
+			Entry: "entry", MayProbe: always, Probe: func(context.Context, string) relay.Presence { return relay.PresenceRefused },
 			OnChange: func() {}, Log: logr.Discard(),
 		})
 		defer g.Close()
--- a/internal/relay/presence.go
+++ b/internal/relay/presence.go
@@ -22,6 +22,8 @@
 	PresenceRefused // refused
 	// PresenceListening means that a process accepts connections at the address.
 	PresenceListening // listening
+	// PresenceNotProbed means that no connection was attempted.
+	PresenceNotProbed // not-probed
 )
 
 // Probe connects to an address, sends nothing and closes the connection.
--- a/internal/relay/presence_string.go
+++ b/internal/relay/presence_string.go
@@ -11,11 +11,12 @@
 	_ = x[PresenceSilent-0]
 	_ = x[PresenceRefused-1]
 	_ = x[PresenceListening-2]
+	_ = x[PresenceNotProbed-3]
 }
 
-const _Presence_name = "silentrefusedlistening"
+const _Presence_name = "silentrefusedlisteningnot-probed"
 
-var _Presence_index = [...]uint8{0, 6, 13, 22}
+var _Presence_index = [...]uint8{0, 6, 13, 22, 32}
 
 func (i Presence) String() string {
 	idx := int(i) - 0
