Listed hosts: send a server nothing during the cooldown that it has asked for

All sends (attempts, claimed requests, resumed streams) go through Entry.send, which asks routing.Table before and once the connection stands. Servers with a cooldown have no capacity before its end, so that admission refuses at once what they cannot serve in time, with that time, and queues the rest.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -204,7 +204,7 @@
 // enqueue queues a request. If the target has no replica, a report to the leader
 // is sent immediately.
 func (e *Entry) enqueue(in *incomingRequest) (*admission.Ticket, *refusal.Refusal) {
-	capacity := e.capacity(in.target.name, len(in.target.candidates), in.target.service != nil)
+	capacity := e.capacity(in.target.name, in.target.candidates, in.target.service != nil)
 	ticket, refused := e.admission.Admit(in.admissionRequest(), capacity)
 	if capacity.Slots == 0 && in.target.service == nil {
 		e.requestReport()
--- a/internal/entry/capacity.go
+++ b/internal/entry/capacity.go
@@ -117,11 +117,16 @@
 	}
 }
 
-// capacity returns the capacity of a target with a number of candidates.
-func (e *Entry) capacity(name string, candidates int, isService bool) admission.Capacity {
+// capacity returns the capacity of a target with its candidates. Those that have asked for a
+// cooldown have none before its end.
+func (e *Entry) capacity(name string, candidates []routing.Candidate, isService bool) admission.Capacity {
 	limit := int(e.cfg.Settings.GetEntry().GetReplicaLimit())
-	if candidates > 0 {
-		return admission.Capacity{Slots: candidates * limit, Known: true}
+	first, available := e.table.AvailableIn(time.Now(), candidates)
+	switch {
+	case available > 0:
+		return admission.Capacity{Slots: available * limit, Known: true}
+	case len(candidates) > 0:
+		return admission.Capacity{Known: true, ReadyIn: first, ExpectedSlots: limit}
 	}
 	if isService {
 		return admission.Capacity{Known: true, ReadyIn: -1, Reason: "no application server of " + name + " is there"}
@@ -143,7 +148,7 @@
 	capacities := map[string]admission.Capacity{}
 	e.cfg.Replica.View(func(r *ledger.Records) {
 		for _, q := range queues {
-			capacities[q.Target] = e.capacity(q.Target, len(e.candidates(r, q.Target)), r.Service(q.Target) != nil)
+			capacities[q.Target] = e.capacity(q.Target, e.candidates(r, q.Target), r.Service(q.Target) != nil)
 		}
 	})
 	for target, capacity := range capacities {
@@ -164,6 +169,7 @@
 		case <-e.stop:
 			return
 		case <-changed:
+		case <-e.capacityDue:
 		case <-sweep.C:
 			e.table.Sweep(time.Now(), sweepInterval)
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,6 +77,8 @@
 	suspectsDue chan struct{}
 	forecasts   *forecasts
 	httpServers []*http.Server
+	// capacityDue has a token while the capacity of queues has changed with the cooldown of a server.
+	capacityDue chan struct{}
 	// reportDue has a token while a report to the leader is due immediately.
 	reportDue chan struct{}
 	stop      chan struct{}
@@ -106,9 +108,9 @@
 // was reachable for quorumWait.
 func New(cfg Config) *Entry {
 	e := &Entry{
-		cfg: cfg, table: routing.NewTable(routing.PolicyWeighted, cfg.Random),
+		cfg: cfg, table: routing.NewTable(routing.PolicyWeighted, cfg.Random, func() int { return len(cfg.Settings.GetHosts()) }),
 		budget: routing.NewRetryBudget(), sender: routing.NewSender(), backends: backend.NewRegistry(),
-		forecasts: newForecasts(), reportDue: make(chan struct{}, 1), suspectsDue: make(chan struct{}, 1),
+		forecasts: newForecasts(), reportDue: make(chan struct{}, 1), suspectsDue: make(chan struct{}, 1), capacityDue: make(chan struct{}, 1),
 		stop: make(chan struct{}), done: make(chan struct{}),
 	}
 	e.admission = admission.NewController(admission.Config{
@@ -120,6 +122,7 @@
 	})
 	e.guard = quarantine.NewGuard(quarantine.GuardConfig{
 		Entry: cfg.Self.GetName(), Probe: relay.NewSender(relay.Config{}).Probe, OnChange: e.requestRecording, Log: cfg.Log,
+		MayProbe: func(server string) bool { return e.table.Cooldown(time.Now(), server) == 0 },
 	})
 	e.registerGauges()
 	e.serve(cfg.CallerListener, e.callerRoutes())
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -141,7 +141,11 @@
 	call := e.call(ctx, c.Request(), in, chosen)
 	call.NewConnection = a.newConnection
 	call.SilenceTimeout = max(minSilenceTimeout, silenceTimeoutServiceTimes*e.admission.MeanServiceTime(in.target.name))
-	response, err := e.sender.Send(ctx, call)
+	response, err := e.send(ctx, chosen, call)
+	if withheld(err) {
+		a.recordResult(chosen, routing.Result{NotSent: true})
+		return a.requeue(ctx)
+	}
 	if err != nil {
 		a.recordResult(chosen, routing.Result{OK: ctx.Err() != nil, Reported: -1})
 		e.reportFailedAttempt(ctx, in, chosen, err)
@@ -150,8 +154,10 @@
 	defer response.Close()
 	if response.NotRun() {
 		a.recordResult(chosen, routing.Result{OK: true, Reported: response.Outstanding()})
-		a.exclude[chosen.Server] = true
-		return ctx.Err() != nil, false, refusal.New(refusal.DeadlinePassed, "the deadline passed between two attempts")
+		if e.cooldown(chosen) == 0 {
+			a.exclude[chosen.Server] = true
+		}
+		return a.requeue(ctx)
 	}
 	if response.Status() >= http.StatusInternalServerError {
 		a.recordResult(chosen, routing.Result{Reported: response.Outstanding()})
@@ -163,6 +169,12 @@
 	return a.forwardResponse(ctx, c, chosen, response)
 }
 
+// requeue returns the request to the queue after an attempt that did not run, unless its deadline
+// has passed.
+func (a *attempts) requeue(ctx context.Context) (finished, served bool, r *refusal.Refusal) {
+	return ctx.Err() != nil, false, refusal.New(refusal.DeadlinePassed, "the deadline passed between two attempts")
+}
+
 func (a *attempts) pickReplica() (routing.Candidate, bool) {
 	var candidates []routing.Candidate
 	a.e.cfg.Replica.View(func(r *ledger.Records) { candidates = a.e.candidates(r, a.in.target.name) })
--- /dev/null
+++ b/internal/entry/send.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fennelyard/internal/cooldown"
+	"fennelyard/internal/routing"
+)
+
+// send sends a call to a server unless it has asked for a cooldown, and applies the cooldown that
+// the response states. The error wraps routing.ErrCooldown if the call was not sent.
+func (e *Entry) send(ctx context.Context, to routing.Candidate, call routing.Call) (*routing.Response, error) {
+	if !e.table.Admit(time.Now(), to) {
+		return nil, errors.Newf("server %q: %w", to.Server, routing.ErrCooldown)
+	}
+	call.MaySend = func() bool { return e.cooldown(to) == 0 }
+	sentAt := time.Now()
+	response, err := e.sender.Send(ctx, call)
+	if err != nil {
+		return nil, errors.Newf("server %q: %w", to.Server, err)
+	}
+	e.statementReceived(to, cooldown.ParseResponse(response.Status(), response.Header(), time.Now()), sentAt, call.RequestID)
+	return response, nil
+}
+
+// cooldown returns how long a server must get no request.
+func (e *Entry) cooldown(of routing.Candidate) time.Duration {
+	return e.table.Cooldown(time.Now(), of.Key())
+}
+
+// statementReceived applies the cooldown that the response to a request states.
+func (e *Entry) statementReceived(from routing.Candidate, s cooldown.Statement, sentAt time.Time, request string) {
+	if s.Unreadable {
+		e.cfg.Log.Info("server cooldown not read", "server", from.Key(), "request", request)
+	}
+	wait, changed := e.table.ObserveStatement(time.Now(), from, s, sentAt)
+	if !changed {
+		return
+	}
+	e.requestCapacityRefresh()
+	if wait == 0 {
+		e.cfg.Log.Info("server takes requests again", "server", from.Key(), "request", request)
+		return
+	}
+	e.cfg.Log.Info("server states a cooldown", "server", from.Key(), "for-ms", s.Wait.Milliseconds(),
+		"no-request-for-ms", wait.Milliseconds(), "request", request)
+	time.AfterFunc(wait, e.requestCapacityRefresh)
+}
+
+// requestCapacityRefresh makes the capacity of all queues be computed again.
+func (e *Entry) requestCapacityRefresh() {
+	select {
+	case e.capacityDue <- struct{}{}:
+	default:
+	}
+}
+
+// withheld reports whether a call failed because its server has asked for a cooldown.
+func withheld(err error) bool { return errors.Is(err, routing.ErrCooldown) }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -182,7 +182,9 @@
 			// The server is proved not to have run the request: another one may be
 			// tried under the same claim.
 			e.cfg.Metrics.Retry()
-			exclude[chosen.Server] = true
+			if e.cooldown(chosen) == 0 {
+				exclude[chosen.Server] = true
+			}
 			ticket.Requeue()
 			continue
 		}
@@ -223,7 +225,11 @@
 	defer span.End()
 	call := e.call(ctx, r.request, r.in, to)
 	call.NewConnection = true
-	response, err := e.sender.Send(ctx, call)
+	response, err := e.send(ctx, to, call)
+	if withheld(err) {
+		e.table.RecordResult(time.Now(), to, r.in.target.name, r.in.body, routing.Result{NotSent: true})
+		return refusal.NotRun, nil, err
+	}
 	if err != nil {
 		e.table.RecordResult(time.Now(), to, r.in.target.name, r.in.body, routing.Result{Reported: -1})
 		e.reportFailedAttempt(ctx, r.in, to, err)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -82,7 +82,7 @@
 		a.e.reportFailedAttempt(ctx, a.in, chosen, err)
 	}
 	for resumes := 0; err != nil && s.lastID > 0 && resumes < maxResumes && ctx.Err() == nil; resumes++ {
-		err = s.resume(ctx, call)
+		err = s.resume(ctx, chosen, call)
 	}
 	a.recordResult(chosen, routing.Result{
 		OK: err == nil || ctx.Err() != nil, FirstByte: response.FirstByte(), Reported: response.Outstanding(),
@@ -153,11 +153,14 @@
 }
 
 // resume requests the events after the last one forwarded from the same server.
-func (s *streamForwarder) resume(ctx context.Context, call routing.Call) error {
+func (s *streamForwarder) resume(ctx context.Context, at routing.Candidate, call routing.Call) error {
+	if err := s.awaitCooldown(ctx, at); err != nil {
+		return err
+	}
 	call.Header = call.Header.Clone()
 	call.Header.Set("Last-Event-ID", strconv.FormatUint(s.lastID, 10))
 	call.NewConnection = true
-	response, err := s.a.e.sender.Send(ctx, call)
+	response, err := s.a.e.send(ctx, at, call)
 	if err != nil {
 		return errors.Newf("resume: %w", err)
 	}
@@ -168,6 +171,21 @@
 	return s.forward(ctx, response)
 }
 
+// awaitCooldown waits until the server takes requests again. It returns an error if that is after the
+// request's deadline, or later than the caller waits for an event.
+func (s *streamForwarder) awaitCooldown(ctx context.Context, at routing.Candidate) error {
+	wait, _ := s.a.e.table.AvailableIn(time.Now(), []routing.Candidate{at})
+	if wait > streamSilenceTimeout || time.Now().Add(wait).After(s.a.in.deadline) {
+		return errors.Newf("server %q takes no request for %v: %w", at.Server, wait, routing.ErrCooldown)
+	}
+	select {
+	case <-ctx.Done():
+		return errors.Newf("await cooldown of server %q: %w", at.Server, ctx.Err())
+	case <-time.After(wait):
+		return nil
+	}
+}
+
 // writeError ends a stream that cannot be completed with an error event: without it
 // the caller would take the response for complete.
 func (s *streamForwarder) writeError(err error) {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -47,7 +47,7 @@
 // A server that fails three times in a row is ejected: it receives no request until
 // the ejection ends. Then one request probes it, and its success ends the ejection.
 func TestFailingServerIsEjectedAndReadmitted(t *testing.T) {
-	table := routing.NewTable(routing.PolicyWeighted, rand.New(rand.NewSource(1)).Intn)
+	table := routing.NewTable(routing.PolicyWeighted, rand.New(rand.NewSource(1)).Intn, func() int { return 1 })
 	candidates := candidatesNamed("a", "b", "c")
 	now := start
 	record := func(name string, ok bool) {
@@ -81,7 +81,7 @@
 // When every server fails, not all may be ejected: that would refuse requests that
 // some of them could still serve.
 func TestNotAllAreEjected(t *testing.T) {
-	table := routing.NewTable(routing.PolicyWeighted, rand.New(rand.NewSource(1)).Intn)
+	table := routing.NewTable(routing.PolicyWeighted, rand.New(rand.NewSource(1)).Intn, func() int { return 1 })
 	candidates := candidatesNamed("a", "b", "c")
 	for range 60 {
 		c, picked := table.Pick(start, "m", nil, candidates, 100, nil)
@@ -110,7 +110,7 @@
 func BenchmarkPick(b *testing.B) {
 	for _, p := range []routing.Policy{routing.PolicyWeighted, routing.PolicyRandom, routing.PolicyRoundRobin, routing.PolicyLeastOutstanding} {
 		b.Run(p.String(), func(b *testing.B) {
-			table := routing.NewTable(p, rand.New(rand.NewSource(1)).Intn)
+			table := routing.NewTable(p, rand.New(rand.NewSource(1)).Intn, func() int { return 1 })
 			names := make([]string, 50)
 			for i := range names {
 				names[i] = string(rune('a' + i))
--- a/internal/routing/sender.go
+++ b/internal/routing/sender.go
@@ -71,6 +71,9 @@
 	// SilenceTimeout is the time without a response on a reused connection after
 	// which the call fails with ErrSilent; 0 means no timeout.
 	SilenceTimeout time.Duration
+	// MaySend, if set, is called once a new connection is established, and the request is not sent
+	// if it returns false: it may take until connectTimeout to connect.
+	MaySend func() bool
 }
 
 // Sender sends calls over pooled connections. It is safe for concurrent use.
@@ -104,6 +107,10 @@
 			if err != nil {
 				return nil, errors.Newf("connect: %v: %w", err, ErrNotRun)
 			}
+			if maySend, ok := ctx.Value(maySendKey{}).(func() bool); ok && maySend != nil && !maySend() {
+				_ = conn.Close()
+				return nil, ErrCooldown
+			}
 			if counter, ok := ctx.Value(writtenBytesKey{}).(*atomic.Int64); ok && unpooled {
 				return &countingConn{Conn: conn, written: counter}, nil
 			}
@@ -116,7 +123,10 @@
 	}
 }
 
-type writtenBytesKey struct{}
+type (
+	writtenBytesKey struct{}
+	maySendKey      struct{}
+)
 
 // countingConn counts the bytes passed to the kernel. Before the first byte the
 // server cannot have run the request.
@@ -194,6 +204,7 @@
 	stop := func() { cancel(context.Canceled) }
 	var written atomic.Int64
 	ctx = context.WithValue(ctx, writtenBytesKey{}, &written)
+	ctx = context.WithValue(ctx, maySendKey{}, c.MaySend)
 	client := s.pooled
 	if c.NewConnection {
 		client = s.unpooled
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -4,6 +4,8 @@
 	"hash/maphash"
 	"sync"
 	"time"
+
+	"fennelyard/internal/cooldown"
 )
 
 const (
@@ -59,16 +61,24 @@
 	turn     uint64
 	random   func(n int) int
 	policy   Policy
+	// cooldowns are the times for which servers have asked this entry to send them nothing.
+	cooldowns *cooldown.Table
 }
 
-// NewTable returns an empty table.
-func NewTable(policy Policy, random func(n int) int) *Table {
+// NewTable returns an empty table of one of the entries that hosts counts.
+func NewTable(policy Policy, random func(n int) int, hosts func() int) *Table {
 	return &Table{
 		servers: map[serverKey]*serverState{}, prefixes: map[uint64]serverKey{},
 		seed: maphash.MakeSeed(), random: random, policy: policy,
+		cooldowns: cooldown.NewTable(cooldown.Config{
+			Hosts: hosts, Random: func() float64 { return float64(random(randomSteps)) / randomSteps },
+		}),
 	}
 }
 
+// randomSteps is the resolution of random extensions of cooldowns.
+const randomSteps = 1024
+
 // Pick selects a server, counts a request as outstanding there, and returns the
 // selected candidate, or false if every candidate is full or excluded.
 func (t *Table) Pick(now time.Time, target string, prompt []byte, candidates []Candidate, limit int,
@@ -95,12 +105,12 @@
 	return eligible[i], true
 }
 
-// eligible returns the candidates that are neither excluded nor ejected. Ejected
-// candidates beyond the bound of maxEjectedDivisor are included.
+// eligible returns the candidates that are neither excluded nor ejected, and take requests
+// after their cooldowns. Ejected candidates beyond the bound of maxEjectedDivisor are included.
 func (t *Table) eligible(now time.Time, candidates []Candidate, exclude map[string]bool) []Candidate {
 	var eligible, ejected []Candidate
 	for _, c := range candidates {
-		if exclude[c.Server] {
+		if exclude[c.Server] || t.cooldowns.AvailableIn(c.Key(), now) > 0 {
 			continue
 		}
 		if t.isEjected(now, c) {
@@ -151,6 +161,8 @@
 	FirstByte time.Duration
 	// Reported is the number of requests that the server reports, or -1.
 	Reported int
+	// NotSent is set if the request was not sent, which proves nothing of the server.
+	NotSent bool
 }
 
 // RecordResult records that a request ended at a candidate that Pick returned for
@@ -161,6 +173,9 @@
 	s := t.state(c)
 	s.outstanding--
 	s.probing = false
+	if r.NotSent {
+		return
+	}
 	if r.Reported >= 0 {
 		s.reported = max(r.Reported-s.outstanding-1, 0)
 		s.reportedAt = now
