loading: send an engine no order and no query during its cooldown

Each control host keeps the cooldowns that engines ask it for, for orders and queries together. The holder's refusal to send and the engine's own rejection carry the time to the leader, which leaves the engine alone until then and does not take its holder for failed.

TestEnginesGetNoOrdersDuringTheirCooldowns: a call each 0.3 s before, each 3 s now, and the same holder; TestRejectedCallsToEnginesStateTheirCooldown.

--- a/internal/loading/cluster_test.go
+++ b/internal/loading/cluster_test.go
@@ -39,6 +39,11 @@
 	// noReplyShare is the share of orders without a reply; half of these are executed late.
 	noReplyShare    float64
 	storeLoadStarts []time.Time
+	// rejecting is the engine that rejects all calls and asks for rejectWait, empty for none, and
+	// rejected are the calls that it rejected.
+	rejecting  string
+	rejectWait time.Duration
+	rejected   []rejectedCall
 	// storeLoadTime is how long a load from the weight store takes.
 	storeLoadTime time.Duration
 }
@@ -83,6 +88,9 @@
 func (s *cluster) client() loading.Engines {
 	return loading.Engines{
 		SendOrder: func(ctx context.Context, _, holder string, o loading.Order) (loading.Outcome, error) {
+			if err := s.reject(o.Server, holder); err != nil {
+				return loading.OutcomeUnknown, err
+			}
 			s.mu.Lock()
 			draw := s.random.Float64()
 			delay := time.Duration(2000+s.random.IntN(10000)) * time.Millisecond
@@ -100,6 +108,9 @@
 			return s.execute(holder, o, false), nil
 		},
 		FetchReport: func(_ context.Context, _ string, server string) (loading.Report, error) {
+			if err := s.reject(server, ""); err != nil {
+				return loading.Report{}, err
+			}
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			e := s.engines[incarnation.ServerOf(server)]
--- a/internal/loading/driver_test.go
+++ b/internal/loading/driver_test.go
@@ -149,7 +149,7 @@
 			AnnounceEvery: 1200 * time.Millisecond, Departed: func(string) bool { return false }, Now: time.Now, Log: logr.Discard(),
 		})
 		h.rosters = append(h.rosters, r)
-		engines := s.client()
+		engines := loading.WithCooldowns(s.client(), logr.Discard())
 		h.senders = append(h.senders, loading.NewSender(loading.SenderConfig{
 			CatchUp:  func(context.Context) (uint64, error) { return h.catchUp(i) },
 			IsHolder: func(key string) bool { return h.holder(incarnation.ServerOf(key)).Host == hostName(i) },
--- a/internal/loading/engine.go
+++ b/internal/loading/engine.go
@@ -58,7 +58,7 @@
 	// roomMadeFor is the model that the last order made room for, valid until roomTimeout after
 	// changedAt; "": none.
 	roomMadeFor string
-	// notBefore delays the next order or report after a failure.
+	// notBefore delays the next order or report after a failure, or for a cooldown of the engine.
 	notBefore time.Time
 	// holder is the order holder of this engine, the zero value until one is recorded.
 	// ordersAllowedFrom is when it may send its first order, after the lease of the previous
--- a/internal/loading/sending.go
+++ b/internal/loading/sending.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"fennelyard/internal/asynclog"
+	"fennelyard/internal/cooldown"
 	"fennelyard/internal/incarnation"
 	"fennelyard/internal/schema"
 )
@@ -75,6 +76,10 @@
 	if d.engines[e.id] != e {
 		return
 	}
+	if wait := cooldown.WaitOf(err); wait > 0 {
+		d.handleCooldown(e, wait, now, err)
+		return
+	}
 	e.recordReply(outcome, err, now)
 	switch outcome {
 	case OutcomeTaken:
@@ -103,6 +108,19 @@
 	d.publish(e)
 }
 
+// handleCooldown applies an engine's statement that it takes no orders for some time. It is no sign
+// of a failure of the order holder: another one would send the engine what it does not want.
+func (d *Driver) handleCooldown(e *engine, wait time.Duration, now time.Time, err error) {
+	e.notBefore = now.Add(wait)
+	e.phase = phaseUnconfirmed
+	if !errors.Is(err, ErrNotSent) {
+		e.recordUnconfirmed(now)
+	} else if e.attempts == 1 {
+		e.phase = phaseKnown
+	}
+	d.publish(e)
+}
+
 func (d *Driver) handleOrderTaken(e *engine, now time.Time) {
 	e.ordersTaken++
 	e.changedAt = now
@@ -212,6 +230,9 @@
 	defer d.mu.Unlock()
 	if err != nil {
 		d.cfg.Log.Info("no report", "server", e.id, "error", err.Error())
+		if wait := cooldown.WaitOf(err); wait > 0 && d.engines[e.id] == e {
+			e.notBefore = d.cfg.Now().Add(wait)
+		}
 		return
 	}
 	if d.engines[e.id] != e || e.phase != queried || e.ordersTaken != taken || queriedAt.Sub(e.changedAt) < maxReportLag {
--- a/internal/role/export_test.go
+++ b/internal/role/export_test.go
@@ -133,3 +133,6 @@
 
 // LimitedServers returns the number of backend servers with a request limit, as this entry knows.
 func (e *Entry) LimitedServers() int { return e.gateway.State().LimitedServers }
+
+// OrderError returns the error of an order that its holder did not send or that has no outcome.
+func OrderError(reply *schema.GiveOrderReply) error { return orderError(reply) }
--- a/internal/role/orders.go
+++ b/internal/role/orders.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/cooldown"
 	"fennelyard/internal/incarnation"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/loading"
@@ -16,13 +17,14 @@
 // sender, which sends orders to the engines whose order holder is this host.
 func (c *Control) startOrders(s *schema.JoinSettings) {
 	log, host := c.cfg.Log.WithName("loading"), s.GetHost()
+	engines := loading.WithCooldowns(c.cfg.Engines, log)
 	c.orderSender = loading.NewSender(loading.SenderConfig{
 		CatchUp: func(ctx context.Context) (uint64, error) { return c.group.CatchUp(ctx, loading.MaxLeadershipProofAge) },
 		IsHolder: func(key string) bool {
 			return c.orderHolder(incarnation.ServerOf(key)).Host == c.self.GetPeerAddress()
 		},
 		SendOrder: func(ctx context.Context, address string, o loading.Order) (loading.Outcome, error) {
-			return c.cfg.Engines.SendOrder(ctx, address, host, o)
+			return engines.SendOrder(ctx, address, host, o)
 		},
 		Now: time.Now, Log: log,
 	})
@@ -32,7 +34,7 @@
 			return loading.Leadership{IsLeader: status.CommittedInTerm, Term: status.Term}
 		},
 		Holders:     loading.Holders{Get: c.orderHolder, Servers: c.serversWithHolder, Hosts: c.voterAddresses, Record: c.recordHolders, SendOrder: c.sendThroughHolder},
-		FetchReport: c.cfg.Engines.FetchReport, Roster: c.roster, Pools: c.pools, KnownServers: c.recordedServers,
+		FetchReport: engines.FetchReport, Roster: c.roster, Pools: c.pools, KnownServers: c.recordedServers,
 		OrderLease: s.GetOrderLease().AsDuration(), LoadWindow: s.GetLoadWindow().AsDuration(),
 		Now: time.Now, Log: log,
 		ObserveOrder: func(o loading.Outcome, load, adapter bool) { c.cfg.Metrics.Order(o.String(), load, adapter) },
@@ -89,17 +91,31 @@
 	reply, err := client.GiveOrder(ctx, &schema.GiveOrderRequest{
 		Term: term, Address: address, Server: o.Server, Load: o.Load, Model: o.Model, Adapter: o.Adapter, Taken: o.OrdersTaken, Token: o.Token,
 	})
-	switch {
-	case err != nil:
+	if err != nil {
 		return loading.OutcomeUnknown, errors.Newf("call order holder: %v: %w", err, loading.ErrNoHolderReply)
-	case !reply.GetSent():
-		return loading.OutcomeUnknown, errors.Newf("order holder: %s: %w", reply.GetError(), loading.ErrNotSent)
-	case reply.GetError() != "":
-		return loading.OutcomeUnknown, errors.Newf("order holder: %s", reply.GetError())
+	}
+	if err := orderError(reply); err != nil {
+		return loading.OutcomeUnknown, err
 	}
 	return loading.Outcome(reply.GetOutcome()), nil
 }
 
+// orderError returns the error of an order that its holder did not send or that has no outcome, nil
+// for none.
+func orderError(reply *schema.GiveOrderReply) error {
+	if reply.GetSent() && reply.GetError() == "" {
+		return nil
+	}
+	err := errors.Newf("order holder: %s", reply.GetError())
+	if ms := reply.GetCooldownMs(); ms > 0 {
+		err = errors.Newf("order holder: %s: %w", reply.GetError(), &cooldown.Error{Wait: time.Duration(ms) * time.Millisecond})
+	}
+	if !reply.GetSent() {
+		err = errors.Join(err, loading.ErrNotSent)
+	}
+	return err
+}
+
 // handleOrder sends an order on behalf of the leader.
 func (c *Control) handleOrder(ctx context.Context, q *schema.GiveOrderRequest) (*schema.GiveOrderReply, error) {
 	outcome, err := c.orderSender.Send(ctx, q.GetTerm(), q.GetAddress(), loading.Order{
@@ -107,7 +123,7 @@
 	})
 	reply := &schema.GiveOrderReply{Sent: !errors.Is(err, loading.ErrNotSent), Outcome: uint32(outcome)}
 	if err != nil {
-		reply.Error = err.Error()
+		reply.Error, reply.CooldownMs = err.Error(), uint64(cooldown.WaitOf(err).Milliseconds())
 	}
 	return reply, nil
 }
