client: keep the waits that entries state, whole and for all requests

Entries that are stopping or not ready ask for a cooldown of their address, which all requests of the client keep; they go to other entries at once. Where all ask for longer than the deadline, the request fails at once as not run. Other waits are kept whole and extended at random.

--- a/client.go
+++ b/client.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"crypto/rand"
+	cryptorand "crypto/rand"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -12,6 +13,8 @@
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
+
+	"fennelyard/internal/cooldown"
 )
 
 const (
@@ -19,10 +22,10 @@
 	connectTimeout   = 2 * time.Second
 	maxResponseBytes = 16 << 20
 	// maxAttempts limits the attempts of one request. It does not apply while the
-	// deployment reports that the request is still running.
+	// deployment reports that the request is still running, nor to attempts that an entry
+	// refuses with the time for which it wants no requests.
 	maxAttempts   = 4
 	minRetryDelay = 50 * time.Millisecond
-	maxRetryDelay = 5 * time.Second
 )
 
 // ClientOptions configures a Client. Addresses and Customer are required.
@@ -51,6 +54,9 @@
 // multiple goroutines.
 type Client struct {
 	opts ClientOptions
+	// cooldowns are the times for which entries have asked this client to send them nothing, by
+	// address.
+	cooldowns *cooldown.Table
 
 	mu sync.Mutex
 	// addresses is the cached directory, valid until expiry; both are guarded by mu.
@@ -72,7 +78,10 @@
 	if opts.Tracer == nil {
 		opts.Tracer = noop.NewTracerProvider().Tracer("")
 	}
-	return &Client{opts: opts}
+	return &Client{opts: opts, cooldowns: cooldown.NewTable(cooldown.Config{
+		// The number of other clients is not known.
+		Hosts: func() int { return 1 }, Random: rand.Float64,
+	})}
 }
 
 // Answer is a complete HTTP response of a model or service.
@@ -97,7 +106,7 @@
 func (a *Answer) Header() http.Header { return a.header }
 
 // NewKey returns a random idempotency key.
-func NewKey() string { return rand.Text() }
+func NewKey() string { return cryptorand.Text() }
 
 // Complete sends an OpenAI-style chat completion and returns the whole response.
 // The body is a JSON object with a "model" field. The error is a *Error when the
@@ -143,10 +152,13 @@
 		if err != nil {
 			return nil, preferLast(err, lastErr)
 		}
+		sentAt := c.opts.Now()
 		response, err := c.send(ctx, address, r, attempt)
 		if err == nil {
+			c.cooldowns.Responded(address, sentAt)
 			return response, nil
 		}
+		c.observeRefusal(address, err, sentAt)
 		lastErr = err
 		delay, retry := c.retryDelay(ctx, r, err, attempt)
 		if !retry {
@@ -179,22 +191,39 @@
 		return minRetryDelay, attempt < maxAttempts
 	}
 	deadline, _ := ctx.Deadline()
-	delay := max(refusal.retryAfter, minRetryDelay)
+	delay := max(cooldown.Extend(refusal.retryAfter, 1, rand.Float64()), minRetryDelay)
+	if refusal.concernsEntry() {
+		// The cooldown keeps this client from the entry; another one may serve the request now.
+		c.invalidateDirectory()
+		return minRetryDelay, refusal.retryAfter > 0 || attempt < maxAttempts
+	}
 	if delay > time.Until(deadline) {
 		return 0, false
 	}
 	switch refusal.code {
 	case "still-running":
-		return min(delay, maxRetryDelay), true
-	case "stopping", "not-ready", "no-leader":
+		return delay, true
+	case "no-leader":
 		c.invalidateDirectory()
-		return min(delay, maxRetryDelay), attempt < maxAttempts
+		return delay, attempt < maxAttempts
 	case "backend-failed", "stream-cut":
 		return delay, r.Repeatable && attempt < maxAttempts
 	}
 	return 0, false
 }
 
+// observeRefusal applies the time for which an entry asks this client to send it nothing.
+func (c *Client) observeRefusal(address string, err error, sentAt time.Time) {
+	var refusal *Error
+	switch {
+	case !errors.As(err, &refusal):
+	case refusal.concernsEntry():
+		c.cooldowns.Observe(address, refusal.retryAfter, sentAt, c.opts.Now())
+	default:
+		c.cooldowns.Responded(address, sentAt)
+	}
+}
+
 // send makes one attempt of a request at an address.
 func (c *Client) send(ctx context.Context, address string, r Request, attempt int) (*Answer, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/directory.go
+++ b/directory.go
@@ -73,13 +73,36 @@
 }
 
 // selectAddress returns the address for an attempt. Successive attempts use
-// successive addresses of the directory.
+// successive addresses of the directory, without those of entries that have asked this
+// client to wait. If all have, selectAddress waits for the first, or fails with an Error
+// if that is after the deadline of ctx.
 func (c *Client) selectAddress(ctx context.Context, attempt int) (string, error) {
-	addresses, err := c.Entries(ctx)
-	if err != nil {
-		return "", err
+	for {
+		addresses, err := c.Entries(ctx)
+		if err != nil {
+			return "", err
+		}
+		now := c.opts.Now()
+		wait := time.Duration(0)
+		for i := range addresses {
+			address := addresses[(attempt+i)%len(addresses)]
+			if c.cooldowns.Admit(address, now) {
+				return address, nil
+			}
+			if left := c.cooldowns.AvailableIn(address, now); wait == 0 || left < wait {
+				wait = left
+			}
+		}
+		if deadline, ok := ctx.Deadline(); ok && wait > time.Until(deadline) {
+			return "", &Error{
+				code: codeNoEntry, outcome: outcomeNotRun, message: "every entry has asked this client to wait",
+				status: http.StatusServiceUnavailable, retryAfter: wait,
+			}
+		}
+		if !sleep(ctx, wait) {
+			return "", errors.Newf("wait for an entry: %w", ctx.Err())
+		}
 	}
-	return addresses[attempt%len(addresses)], nil
 }
 
 // invalidateDirectory makes the next request fetch the directory again.
--- a/error.go
+++ b/error.go
@@ -7,6 +7,13 @@
 	"time"
 )
 
+const (
+	// codeNoEntry is the code of an Error of the client itself: it sends nothing to any entry, as all
+	// have asked it to wait.
+	codeNoEntry   = "no-entry"
+	outcomeNotRun = "not-run"
+)
+
 // Error is a refusal or failure that the deployment itself returns, rather than
 // the response of a model or service.
 type Error struct {
@@ -35,6 +42,10 @@
 // succeed.
 func (e *Error) RetryAfter() time.Duration { return e.retryAfter }
 
+// concernsEntry reports whether the refusal is for the state of the entry that made it, so that other
+// entries may serve the request.
+func (e *Error) concernsEntry() bool { return e.code == "stopping" || e.code == "not-ready" }
+
 // Error returns the code, the outcome and the message.
 func (e *Error) Error() string {
 	return fmt.Sprintf("%s (%s): %s", e.code, e.outcome, e.message)
--- a/internal/cooldown/table.go
+++ b/internal/cooldown/table.go
@@ -84,7 +84,7 @@
 		t.servers[id] = s
 		t.size.Store(int64(len(t.servers)))
 	}
-	until := now.Add(wait + time.Duration(t.cfg.Random()*float64(t.spread(wait))))
+	until := now.Add(Extend(wait, t.cfg.Hosts(), t.cfg.Random()))
 	s.cooldowns = slices.DeleteFunc(s.cooldowns, func(c cooldown) bool {
 		return c.key == key && !c.sentAt.After(sentAt) && !c.until.After(until)
 	})
@@ -92,10 +92,11 @@
 	return until
 }
 
-// spread returns the longest extension of a wait.
-func (t *Table) spread(wait time.Duration) time.Duration {
-	spread := max(time.Duration(spreadShare*float64(wait)), time.Duration(t.cfg.Hosts())*returnInterval)
-	return min(spread, wait, maxSpread)
+// Extend returns a wait extended by a random number in [0, 1), so that hosts which are asked for the
+// same one do not return at the same time.
+func Extend(wait time.Duration, hosts int, random float64) time.Duration {
+	spread := max(time.Duration(spreadShare*float64(wait)), time.Duration(hosts)*returnInterval)
+	return wait + time.Duration(random*float64(min(spread, wait, maxSpread)))
 }
 
 // binds reports whether a cooldown binds requests to an incarnation, which may have stated it.
