soak: a server that asks for cooldowns and states that it leaves

One backend server, without a proxy, rejects requests with waits of up to 3 s in several forms, and leaves, between short times of service. A request breaks the check only if its client sent it after it had the response of the same start of that entry to a request with the statement: the verdict does not depend on how fast the processes run.

--- a/cmd/fennelyard/soak_test.go
+++ b/cmd/fennelyard/soak_test.go
@@ -56,6 +56,8 @@
 	proxiedServers, proxiedControls bool
 	// limited makes the last backend server state request limits. It crashes only under requests.
 	limited bool
+	// stating makes the first backend server ask for cooldowns and state that it leaves.
+	stating bool
 	// uptime returns the time after which a backend server crashes unless a request crashes it
 	// earlier, and downtime the time until it restarts.
 	uptime, downtime func(*rand.Rand) time.Duration
@@ -94,6 +96,12 @@
 	crashed int
 	// acknowledgedVersion is the newest version of the configuration that was acknowledged.
 	acknowledgedVersion uint64
+	// requests are the clients' requests in progress, by id, and starts counts the starts of each
+	// entry.
+	requests map[string]clientRequest
+	starts   map[int]int
+	// known are the statements of servers that entries have received.
+	known []knownStatement
 	// violations describe the guarantees that the system broke.
 	violations []string
 }
@@ -126,6 +134,7 @@
 	} else {
 		_, err = fmt.Sscanf(name, "entry-%d", &i)
 		require.NoError(s.t, err)
+		s.entryStarts(i)
 		ip = s.entryIP(i)
 		rest = fmt.Sprintf("caller-address: %s:%d\nready-address: %s:%d\n", ip, s.port+2, ip, s.port+3)
 	}
@@ -175,9 +184,10 @@
 func (s *soak) runServer(i int, r *rand.Rand) {
 	for s.serversCtx.Err() == nil {
 		server := s.listenServer(i)
-		limits := s.newLimitedServer(i, r)
+		limits, statements := s.newLimitedServer(i, r), s.newStatingServer(i, r)
 		lifetime, end := context.WithTimeout(s.serversCtx, limits.uptime(s.uptime(r)))
 		go limits.runLimits(lifetime)
+		go statements.run(lifetime)
 		h := &http.Server{ReadHeaderTimeout: time.Second}
 		crash := func() {
 			end()
@@ -186,7 +196,9 @@
 		}
 		h.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 			limits.handle(w)
-			s.serveRequest(w, q, crash)
+			if !statements.handle(w, q) {
+				s.serveRequest(w, q, crash)
+			}
 		})
 		go func() { _ = h.Serve(server) }()
 		address, closeProxy := s.startServerProxy(lifetime, i, server.Addr().String(), r)
@@ -212,7 +224,7 @@
 // startServerProxy starts a proxy in front of a backend server, if the soak has them, and
 // returns the address to announce. The proxy ends with the server's lifetime.
 func (s *soak) startServerProxy(lifetime context.Context, i int, server string, r *rand.Rand) (address string, closeProxy func()) {
-	if !s.proxiedServers {
+	if !s.proxiedServers || s.isStating(i) {
 		return server, func() {}
 	}
 	p := newProxy(lifetime, s.ctx, s.listenServer(i), server, maxResponseFaultBytes, r)
@@ -271,8 +283,11 @@
 	for n := 0; s.ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%d-%d-%d", s.seed, client, n)
 		kind := standin.RouteNames[r.IntN(len(standin.RouteNames))]
-		url := fmt.Sprintf("http://%s:%d/%s/x", s.entryIP(r.IntN(s.entries)), s.port+2, kind)
+		entry := r.IntN(s.entries)
+		url := fmt.Sprintf("http://%s:%d/%s/x", s.entryIP(entry), s.port+2, kind)
+		s.requestStarts(id, entry)
 		status, body := s.call(http.MethodPost, url, "body", standin.RequestHeader(id, 2000), 3*time.Second)
+		s.requestEnds(id, status)
 		s.checkResponse(id, kind, status, body)
 		time.Sleep(time.Duration(r.IntN(20)) * time.Millisecond)
 	}
@@ -401,7 +416,7 @@
 // Every successful response is complete and belongs to its request. No acknowledged
 // configuration is lost. No engine is ordered to load more than its memory and adapter slots
 // allow, or by two alternating order holders. No server gets more requests than the limits that it
-// states. In the end the harmful request and no other is
+// states, or any from an entry that it has asked for a cooldown, or stated to that it leaves. In the end the harmful request and no other is
 // held back, and each model is served.
 func TestSoak(t *testing.T) {
 	for _, seed := range regressionSeeds {
@@ -418,10 +433,10 @@
 	defer cancel()
 	servers := soakServers
 	if limited {
-		servers++
+		servers += 2
 	}
 	s, end := newSoak(ctx, t, seed, soakConfig{
-		entries: entries, servers: servers, engines: engines, proxiedServers: true, proxiedControls: proxiedControls, limited: limited,
+		entries: entries, servers: servers, engines: engines, proxiedServers: true, proxiedControls: proxiedControls, limited: limited, stating: limited,
 		uptime:   func(r *rand.Rand) time.Duration { return time.Duration(1500+r.IntN(4000)) * time.Millisecond },
 		downtime: func(r *rand.Rand) time.Duration { return time.Duration(r.IntN(300)) * time.Millisecond },
 	})
@@ -458,6 +473,7 @@
 		soakConfig: cfg, ctx: ctx, serversCtx: serversCtx, proxies: map[string]*proxy{}, runs: map[string]int{}, notRun: map[string]bool{},
 	}
 	s.hostLocks = map[string]*sync.Mutex{}
+	s.requests, s.starts = map[string]clientRequest{}, map[int]int{}
 	s.resumedAt, s.lastOrders = map[string]time.Time{}, map[string]executedOrder{}
 	require.NoError(t, l.Close())
 	t.Cleanup(s.cluster.close)
