loading: load the models of engines that reject requests elsewhere

Entries report with their loads which engines have asked them for a cooldown. An engine that has asked three entries, or half of fewer than six, counts as no replica, is the last one that a model is loaded at, gets no adapters for waiting requests, and has no part in forecasts.

What the entry knows of its own cooldowns decides alone where it sends; others are not kept from an engine that has asked them nothing.

TestModelsOfRejectingEnginesAreLoadedElsewhere fails without the count (forecast of 15 ms), TestRequestsForModelsOfCoolingEngines without the forecast.

--- a/internal/gateway/cooldown_test.go
+++ b/internal/gateway/cooldown_test.go
@@ -73,6 +73,53 @@
 	require.InDelta(t, 21.25, retryAfter, 1.25, "when the entry returns to the server")
 }
 
+// The only engine with a model has asked for a cooldown that outlasts the caller's patience. The
+// request must wait only if the leader loads the model elsewhere in time, and be refused at once
+// otherwise, with the time at which it can be served.
+func TestRequestsForModelsOfCoolingEngines(t *testing.T) {
+	for name, test := range map[string]struct {
+		forecast time.Duration
+		// known is unset if no forecast arrives.
+		known  bool
+		status int
+		// retryAfter is what a refusal states, in seconds.
+		retryAfter float64
+	}{
+		"loaded elsewhere in time":       {300 * time.Millisecond, true, http.StatusOK, 0},
+		"loaded elsewhere too late":      {5 * time.Second, true, http.StatusServiceUnavailable, 5},
+		"not loaded elsewhere":           {-time.Second, true, http.StatusServiceUnavailable, 21.25},
+		"the leader does not know of it": {15 * time.Millisecond, true, http.StatusServiceUnavailable, 21.25},
+		"no forecast":                    {0, false, http.StatusServiceUnavailable, 21.25},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rejecting := newBackend(t, respond(http.StatusServiceUnavailable, "X-Not-Run: 1\r\nRetry-After: 20\r\n", ""))
+			tg := newTestGateway(t, rejecting)
+			tg.call(t, "/once/x", "first", "m")
+			tg.g.SetConfirmationAge(0)
+			if test.known {
+				tg.g.SetForecast("m", test.forecast)
+			}
+			if test.status == http.StatusOK {
+				other := newBackend(t, respondOK)
+				time.AfterFunc(test.forecast, func() {
+					tg.g.ApplyServers(false, &schema.RosterServer{
+						Id: "s1", Pool: "p", Address: other.l.Addr().String(), Slots: 6, Models: []*schema.HeldModel{{Name: "m"}},
+					})
+				})
+			}
+			start := time.Now()
+			got := tg.call(t, "/once/x", "second", "m")
+			require.Equal(t, test.status, got.status)
+			require.Less(t, time.Since(start), 1200*time.Millisecond, "the caller's patience ends after 2 s")
+			if test.retryAfter > 0 {
+				seconds, err := strconv.ParseFloat(got.retryAfter, 64)
+				require.NoError(t, err)
+				require.InDelta(t, test.retryAfter, seconds, 1.3)
+			}
+		})
+	}
+}
+
 // A request gets no response from its server, and the only other server has asked for a cooldown.
 // It must not be sent there as a hedge.
 func TestNoHedgeAtAServerWithACooldown(t *testing.T) {
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -279,6 +279,11 @@
 	return g.retryBudget(pool).withdraw(now, g.sharingEntries())
 }
 
+// SetForecast sets the leader's forecast of when a model of the pool p is ready; negative: none.
+func (g *Gateway) SetForecast(model string, ready time.Duration) {
+	g.demand.setForecasts([]*schema.LoadForecast{{Pool: "p", Model: model, ReadyInMs: ready.Milliseconds()}}, time.Now())
+}
+
 // AddPermits adds permits for a server that the leader has just granted.
 func (g *Gateway) AddPermits(id string, n uint32) {
 	g.fleet.addPermits([]*schema.PermitGrant{{Server: id, Count: n}}, time.Now())
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -209,12 +209,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []*schema.EngineLoad
+	now := time.Now()
 	for id, s := range f.servers {
 		s.reported = load{s.running, s.pendingPrefill}
-		if len(s.models) > 0 && s.running > 0 {
+		cooling := uint32(0)
+		if f.cooldowns.Remaining(id, now) > 0 {
+			cooling = 1
+		}
+		if len(s.models) > 0 && (s.running > 0 || cooling > 0) {
 			out = append(out, &schema.EngineLoad{
 				Server: id, Running: uint32(s.running), Unread: uint32(max(s.pendingPrefill, 0)),
-				Models: slices.Sorted(maps.Keys(s.runs)),
+				Models: slices.Sorted(maps.Keys(s.runs)), Cooling: cooling,
 			})
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,7 +99,7 @@
 	}
 	g.subscriber = newSubscriber(g)
 	g.fleet.self, g.fleet.sharingEntries = cfg.Self.GetHost(), g.sharingEntries
-	g.fleet.connected = func() bool { return time.Since(g.subscriber.confirmedAt()) < maxConfirmationAge }
+	g.fleet.connected = g.connected
 	g.quotas = quota.NewMeter(quota.MeterConfig{Window: cfg.QuotaWindow, Random: rand.Float64}, g.startTime)
 	g.guard = quarantine.NewGuard(quarantine.GuardConfig{
 		Entry: cfg.Self.GetCallerAddress(), Probe: cfg.Sender.Probe, OnChange: g.reportNow, Log: cfg.Log,
@@ -246,6 +246,11 @@
 	return 0
 }
 
+// connected reports whether this entry receives the leader's updates.
+func (g *Gateway) connected() bool {
+	return time.Since(g.subscriber.confirmedAt()) < maxConfirmationAge
+}
+
 // sharingEntries returns the number of entries that divide the limits for all of them together.
 func (g *Gateway) sharingEntries() int { return g.shares.count(time.Now()) }
 
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -168,7 +168,7 @@
 		if c.server != nil || !c.awaitable() || (c.limited == nil) != (first.limited == nil) {
 			return true
 		}
-		if x.refusedByWait(c, first.limited, latest, now) {
+		if x.refusedByWait(c, first.limited, latest, start, now) {
 			return false
 		}
 		recheck := forecastRecheckInterval
@@ -206,12 +206,18 @@
 
 // refusedByWait refuses a request for which a permit, or the end of a cooldown, is expected too
 // late. limited is the server with a limit for which it waits, nil for none.
-func (x *exchange) refusedByWait(c choice, limited *server, latest, now time.Time) bool {
+func (x *exchange) refusedByWait(c choice, limited *server, latest, start, now time.Time) bool {
 	wait, outcome := c.cooldown, OutcomeServerCooldown
 	if limited != nil {
 		if permitWait := x.g.fleet.permitWaitTime(limited, now); c.cooldown == 0 || permitWait < wait {
 			wait, outcome = permitWait, OutcomeServerLimit
 		}
+	} else if x.info.Model != "" && !now.Add(wait).Before(latest) {
+		loadWait, known := x.loadElsewhere(start, now)
+		if !known {
+			return false
+		}
+		wait = min(wait, loadWait)
 	}
 	if stop := x.g.sendDeadline.Load(); stop != nil && now.Add(wait).After(*stop) {
 		x.fail(OutcomeStopping, stoppingRetryAfter)
--- a/internal/loading/adapters.go
+++ b/internal/loading/adapters.go
@@ -26,7 +26,7 @@
 	var best *Engine
 	mostFree := 0
 	for _, e := range p.available {
-		if n := p.freeAdapterSlots(e); n > mostFree && hasModel(e, ref.Model) {
+		if n := p.freeAdapterSlots(e); n > mostFree && hasModel(e, ref.Model) && !e.Rejecting {
 			best, mostFree = e, n
 		}
 	}
@@ -47,7 +47,7 @@
 	var victim adapterRef
 	mostFree := math.MinInt
 	for _, e := range p.available {
-		if !hasModel(e, ref.Model) {
+		if !hasModel(e, ref.Model) || e.Rejecting {
 			continue
 		}
 		if idle := leastRecentlyUsed(e); idle.adapter != "" && p.freeAdapterSlots(e) > mostFree {
--- a/internal/loading/cooldown.go
+++ b/internal/loading/cooldown.go
@@ -11,6 +11,25 @@
 	"fennelyard/internal/cooldown"
 )
 
+// maxCoolingEntries is the number of entries that an engine has asked for a cooldown from which it
+// counts as rejecting requests as such. In a deployment of fewer than twice as many, half of the
+// entries are enough.
+const maxCoolingEntries = 3
+
+// minCoolingEntries returns the number of entries, of this many, that an engine which rejects requests
+// has asked for a cooldown.
+func minCoolingEntries(entries int) int { return max(min((entries+1)/2, maxCoolingEntries), 1) }
+
+// setRejecting records how many entries an engine has asked for a cooldown.
+func (d *Driver) setRejecting(e *engine, cooling, minCooling int) {
+	rejecting := cooling >= minCooling
+	if e.rejecting == rejecting {
+		return
+	}
+	e.rejecting = rejecting
+	d.cfg.Log.Info("engine rejects requests", "server", e.id, "rejects", rejecting, "entries", cooling)
+}
+
 // WithCooldowns returns a client that sends an engine no order and no query during a cooldown that
 // the engine has asked this host for. Such calls fail with a cooldown.Error, orders also with
 // ErrNotSent.
--- a/internal/loading/cooldown_test.go
+++ b/internal/loading/cooldown_test.go
@@ -1,6 +1,7 @@
 package loading_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	"fennelyard/internal/cooldown"
 	"fennelyard/internal/incarnation"
 	"fennelyard/internal/loading"
+	"fennelyard/internal/schema"
 )
 
 // rejectedCall is a call that an engine rejected. The holder is empty for a query.
@@ -89,3 +91,47 @@
 		require.NoError(t, err)
 	})
 }
+
+// The only engine with a model rejects requests. The leader must load the model elsewhere, and not
+// forecast to the requests that wait for it that they can be served where they were rejected.
+func TestModelsOfRejectingEnginesAreLoadedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCluster(t, 1)
+		s.engines["e1"].onDisk["m3"], s.engines["e2"].onDisk["m3"] = true, true
+		h := newControlHosts(s)
+		h.reportDemand(1)
+		await(t, func() bool { return s.isLoaded("e1", "m3") || s.isLoaded("e2", "m3") })
+		rejecting, other := "e1", "e2"
+		if s.isLoaded("e2", "m3") {
+			rejecting, other = other, rejecting
+		}
+		h.reportCooling(rejecting, 1)
+		time.Sleep(time.Second)
+		h.reportDemand(2)
+		require.Less(t, forecast(h.drivers[0], "m3"), 100*time.Millisecond, "one entry of six")
+		h.reportCooling(rejecting, 3)
+		time.Sleep(150 * time.Millisecond)
+		h.reportDemand(3)
+		require.Greater(t, forecast(h.drivers[0], "m3"), 300*time.Millisecond)
+		took := await(t, func() bool { return s.isLoaded(other, "m3") })
+		require.Less(t, took, 2*time.Second)
+		h.reportCooling(rejecting, 0)
+		h.stop()
+	})
+}
+
+// reportCooling reports from a control host with six entries how many of them an engine has asked
+// for a cooldown.
+func (h *controlHosts) reportCooling(engine string, entries uint32) {
+	const stream = 1
+	host := &schema.ControlHost{Address: hostName(1)}
+	h.rosters[0].HostConnected(stream, host)
+	report := &schema.HostNews{EntriesTold: true, LoadsTold: true}
+	for i := range 6 {
+		report.Entries = append(report.Entries, &schema.AttendingEntry{Entry: &schema.RosterEntry{Host: fmt.Sprint("entry-", i)}})
+	}
+	if entries > 0 {
+		report.Loads = []*schema.EngineLoad{{Server: h.cluster.engines[engine].key(), Cooling: entries}}
+	}
+	h.rosters[0].ApplyHostReport(stream, hostName(1), h.term, report)
+}
--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -228,7 +228,7 @@
 // in progress loads or makes room for it, or it has a copy to load from. delay is the time
 // until the engine can get its next order.
 func (d *Driver) readyIn(e *engine, wanted *schema.ModelDemand, delay time.Duration, now time.Time) (time.Duration, bool) {
-	if e.pool != wanted.GetPool() {
+	if e.pool != wanted.GetPool() || e.rejecting {
 		return 0, false
 	}
 	if l := e.loaded[wanted.GetModel()]; l != nil && e.unloading() != wanted.GetModel() {
--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -429,12 +429,14 @@
 	slices.SortFunc(in.WaitingAdapters, func(a, b ModelRef) int {
 		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
 	})
-	limits := d.cfg.Roster.Limits()
+	limits, cooling, rejectingFrom := d.cfg.Roster.Limits(), d.cfg.Roster.CoolingEntries(), minCoolingEntries(d.cfg.Roster.EntryCount())
 	for _, e := range d.engines {
 		if e.pool != p.name {
 			continue
 		}
+		d.setRejecting(e, cooling[e.id], rejectingFrom)
 		v := e.view(d.cfg.Roster.HasRequests)
+		v.Rejecting = e.rejecting
 		v.RoomMadeFor, v.LateLoads = e.recentRoomFor(now), e.lateModels(now)
 		if l := limits[e.id]; l != nil {
 			v.Limited, v.Limit = true, l.GetPerSecond()
@@ -460,6 +462,9 @@
 		if e.pool != t.pool {
 			continue
 		}
+		if e.rejecting {
+			continue
+		}
 		if e.phase > phaseKnown && e.order.Load && e.order.Model == t.model && e.order.Adapter == t.adapter {
 			return true
 		}
--- a/internal/loading/engine.go
+++ b/internal/loading/engine.go
@@ -60,6 +60,8 @@
 	roomMadeFor string
 	// notBefore delays the next order or report after a failure, or for a cooldown of the engine.
 	notBefore time.Time
+	// rejecting is set while the engine rejects the requests of several entries, as of the last round.
+	rejecting bool
 	// holder is the order holder of this engine, the zero value until one is recorded.
 	// ordersAllowedFrom is when it may send its first order, after the lease of the previous
 	// holder.
--- a/internal/loading/input.go
+++ b/internal/loading/input.go
@@ -52,6 +52,9 @@
 	OnDisk   map[string]bool
 	// Busy is set while an order for a model is in progress or its outcome is unknown.
 	Busy bool
+	// Rejecting is set while the engine rejects the requests of several entries and asks them for a
+	// cooldown.
+	Rejecting bool
 	// Incoming is the model that the order in progress loads or makes room for.
 	Incoming string
 	// Unloading is the model that the order in progress unloads.
--- a/internal/loading/limits.go
+++ b/internal/loading/limits.go
@@ -1,16 +1,16 @@
 package loading
 
-// discountLimitedEngines does not count the replicas at engines that get more requests than the
-// limits that they state: the requests beyond a limit need a replica elsewhere. Without it a model
-// whose only engine states a limit keeps this engine, and most of its requests are refused.
-func (p *plan) discountLimitedEngines() {
-	var overLimit []*Engine
+// discountUnusableEngines does not count the replicas at engines that reject requests, or get more
+// than the limits that they state: these requests need a replica elsewhere. Without it a model whose
+// only engine states a limit keeps this engine, and most of its requests are refused.
+func (p *plan) discountUnusableEngines() {
+	var unusable []*Engine
 	for _, e := range p.in.Engines {
-		if e.Limited && p.requestRate(e) > e.Limit {
-			overLimit = append(overLimit, e)
+		if e.Rejecting || e.Limited && p.requestRate(e) > e.Limit {
+			unusable = append(unusable, e)
 		}
 	}
-	for _, e := range overLimit {
+	for _, e := range unusable {
 		for _, l := range e.Loaded {
 			if l.Model != e.Unloading {
 				p.replicas[l.Model]--
--- a/internal/loading/limits_test.go
+++ b/internal/loading/limits_test.go
@@ -14,8 +14,14 @@
 	return e
 }
 
-// A model whose only engine takes fewer requests than callers send is loaded at another one, and
-// not at one that states a limit too.
+// rejecting returns an engine that rejects requests.
+func rejecting(e *loading.Engine) *loading.Engine {
+	e.Rejecting = true
+	return e
+}
+
+// A model whose only engine takes fewer requests than callers send, or rejects them, is loaded at
+// another one, and not at one that does so too.
 func TestLimitedEnginesAreRelieved(t *testing.T) {
 	for name, test := range map[string]struct {
 		in   loading.Input
@@ -36,6 +42,17 @@
 			input([]*loading.Model{model("m", busy(1.5))}, limited(1, engine("e1", "m")), limited(1, engine("e2")), engine("e3")),
 			[]loading.Action{{Engine: "e3", Load: true, Model: "m", FromStore: true, Reason: loading.ReasonWaiting}},
 		},
+		"rejecting": {
+			input([]*loading.Model{model("m", busy(0.8))}, rejecting(engine("e1", "m")), engine("e2")),
+			[]loading.Action{{Engine: "e2", Load: true, Model: "m", FromStore: true, Reason: loading.ReasonWaiting}},
+		},
+		"rejecting, another engine serves": {
+			input([]*loading.Model{model("m", busy(0.8))}, rejecting(engine("e1", "m")), engine("e2", "m")), nil,
+		},
+		"another engine has room and rejects as well": {
+			input([]*loading.Model{model("m", busy(0.8))}, rejecting(engine("e1", "m")), rejecting(engine("e2")), engine("e3")),
+			[]loading.Action{{Engine: "e3", Load: true, Model: "m", FromStore: true, Reason: loading.ReasonWaiting}},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			actions, _ := loading.Decide(test.in)
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -43,7 +43,7 @@
 		utilization: make(map[*Engine]float64, engines), slotShares: make(map[string]float64, models),
 	}
 	p.countReplicas()
-	p.discountLimitedEngines()
+	p.discountUnusableEngines()
 	p.computeUtilization()
 	p.adapterReserve = p.adapterMemory()
 	p.loadIntoMadeRoom()
@@ -157,7 +157,7 @@
 			continue
 		}
 		cost := p.loadTime(e, m).Seconds() + loss + blockedRequestCost*p.blockedRequests(e, m, victims) + fullEngineCost*p.utilization[e]
-		if e.Limited {
+		if e.Limited || e.Rejecting {
 			cost += limitedEngineCost
 		}
 		if cost < bestCost {
@@ -179,8 +179,8 @@
 // each of the few seconds until the next replica is ready.
 const fullEngineCost = 4.0
 
-// limitedEngineCost is the cost of an engine that states a request limit, in seconds of load time:
-// longer than any load, as its requests wait for as long as the limit lasts.
+// limitedEngineCost is the cost of an engine that states a request limit or rejects requests, in
+// seconds of load time: longer than any load, as its requests wait for as long as that lasts.
 const limitedEngineCost = 100.0
 
 // canLoad reports whether an engine can load a model now, or begin to make room for it, and
--- a/internal/roster/hosts.go
+++ b/internal/roster/hosts.go
@@ -253,6 +253,9 @@
 	sums := map[string]*schema.EngineLoad{}
 	for _, h := range r.hosts {
 		for _, l := range h.loads {
+			if l.GetRunning() == 0 && l.GetUnread() == 0 {
+				continue
+			}
 			s := sums[l.GetServer()]
 			if s == nil {
 				s = &schema.EngineLoad{Server: l.GetServer()}
@@ -271,6 +274,21 @@
 	return out
 }
 
+// CoolingEntries returns, by engine, the number of entries that the engine has asked for a cooldown.
+func (r *Roster) CoolingEntries() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[string]int{}
+	for _, h := range r.hosts {
+		for _, l := range h.loads {
+			if n := l.GetCooling(); n > 0 {
+				out[l.GetServer()] += int(n)
+			}
+		}
+	}
+	return out
+}
+
 // EntryCount returns the number of entries subscribed to the control hosts.
 func (r *Roster) EntryCount() int {
 	r.mu.Lock()
--- a/internal/subscription/subscription.go
+++ b/internal/subscription/subscription.go
@@ -94,6 +94,8 @@
 // loadSum is the sum of the entries' loads at an engine.
 type loadSum struct {
 	running, unread uint32
+	// cooling counts the entries that the engine has asked for a cooldown.
+	cooling uint32
 	// models counts the entries that have requests for a model or one of its adapters.
 	models map[string]int
 }
@@ -224,6 +226,7 @@
 		sum := r.loads[l.GetServer()]
 		sum.running -= l.GetRunning()
 		sum.unread -= l.GetUnread()
+		sum.cooling -= l.GetCooling()
 		for _, m := range l.GetModels() {
 			if sum.models[m]--; sum.models[m] == 0 {
 				delete(sum.models, m)
@@ -238,6 +241,7 @@
 		}
 		sum.running += l.GetRunning()
 		sum.unread += l.GetUnread()
+		sum.cooling += l.GetCooling()
 		for _, m := range l.GetModels() {
 			sum.models[m]++
 		}
@@ -425,12 +429,12 @@
 func (r *Registry) engineLoads() []*schema.EngineLoad {
 	out := make([]*schema.EngineLoad, 0, len(r.loads))
 	for id, sum := range r.loads {
-		if sum.running == 0 && sum.unread == 0 && len(sum.models) == 0 {
+		if sum.running == 0 && sum.unread == 0 && sum.cooling == 0 && len(sum.models) == 0 {
 			delete(r.loads, id)
 			continue
 		}
 		out = append(out, &schema.EngineLoad{
-			Server: id, Running: sum.running, Unread: sum.unread, Models: slices.Sorted(maps.Keys(sum.models)),
+			Server: id, Running: sum.running, Unread: sum.unread, Models: slices.Sorted(maps.Keys(sum.models)), Cooling: sum.cooling,
 		})
 	}
 	return out
