--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -166,6 +166,9 @@
 	// LimitedServers is the number of servers with a request limit, and AwaitingPermit the number
 	// of requests that wait for a permit to be sent to one.
 	LimitedServers, AwaitingPermit int
+	// CoolingServers is the number of servers that have asked this entry for a cooldown, and
+	// DepartedServers of those that have stated that they leave.
+	CoolingServers, DepartedServers int
 	// LeaderAge is the time since the leader was last known to lead; negative: never.
 	LeaderAge time.Duration
 	// ControlHost is the control host that this entry subscribes to, empty for none. Subscriptions
@@ -181,6 +184,7 @@
 		ControlHost: g.subscriber.currentHost(), Subscriptions: g.subscriber.subscriptions.Load(),
 	}
 	s.LimitedServers, s.AwaitingPermit = g.fleet.limitCounts()
+	s.CoolingServers, s.DepartedServers = g.fleet.cooldowns.Count(time.Now()), g.fleet.departedCount()
 	if t := g.table.Load(); t != nil {
 		s.Version = int64(t.version)
 	}
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -90,6 +90,19 @@
 	return false
 }
 
+// departedCount returns the number of known servers that have stated that they leave.
+func (f *fleet) departedCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, s := range f.servers {
+		if s.leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // reportDepartures returns the servers that have stated that they leave and that the leader's
 // updates show as ready.
 func (f *fleet) reportDepartures() []string {
--- a/internal/role/backends_test.go
+++ b/internal/role/backends_test.go
@@ -65,9 +65,10 @@
 	statements []serverStatement
 	requests   []serverRequest
 	// leaving are the addresses of the servers that state in all responses that they leave, and
-	// departures these statements.
-	leaving    map[string]bool
-	departures []serverStatement
+	// departures these statements; departureCount counts those that are forgotten as well.
+	leaving        map[string]bool
+	departures     []serverStatement
+	departureCount int
 	// silent are the addresses of servers that send no announcements.
 	silent map[string]bool
 	// sameIDs is set if servers start again under their ids.
--- a/internal/role/cooldown_test.go
+++ b/internal/role/cooldown_test.go
@@ -317,3 +317,49 @@
 		require.Less(t, len(b.requestsBetween(backendAddress(0), first, first.Add(10*time.Millisecond))), 6)
 	})
 }
+
+// returnsAfter returns the times of the entries' first requests after a time.
+func (b *backends) returnsAfter(from time.Time) []time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	first := map[string]time.Time{}
+	for _, r := range b.requests {
+		if _, returned := first[r.entry]; !returned && r.at.After(from) {
+			first[r.entry] = r.at
+		}
+	}
+	return slices.Collect(maps.Values(first))
+}
+
+// The only server asks many entries for the same cooldown. No entry may send anything
+// before its end, and they must not all return at the same time.
+func TestManyEntriesReturnAfterACooldown(t *testing.T) {
+	const wait, entries = 2 * time.Second, 60
+	synctest.Test(t, func(t *testing.T) {
+		d := newSettledDeploymentOf(t, 65, 3, entries)
+		defer d.close()
+		b := startBackends(d, 1)
+		defer b.close()
+		b.setRejection(backendAddress(0), always(rejectFor(wait)))
+		var wg sync.WaitGroup
+		for _, ip := range d.entryIPs() {
+			wg.Go(func() { d.call(ip, "/again/x", "first") })
+		}
+		time.Sleep(500 * time.Millisecond)
+		b.setRejection(backendAddress(0), nil)
+		from := time.Now()
+		for _, ip := range d.entryIPs() {
+			for range 3 {
+				wg.Go(func() { d.call(ip, "/again/x", "ordinary") })
+			}
+		}
+		wg.Wait()
+		b.requireCooldownsKept()
+		returns := b.returnsAfter(from)
+		require.Len(t, returns, entries)
+		for _, first := range returns {
+			near := slices.DeleteFunc(slices.Clone(returns), func(at time.Time) bool { return at.Sub(first).Abs() > 50*time.Millisecond })
+			require.Less(t, len(near), entries/2, "a tenth of a second of a cooldown of 2 s")
+		}
+	})
+}
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -104,6 +104,8 @@
 		{"ready_servers", "Backend servers that take new work, as this entry knows.", func(s gateway.State) float64 { return float64(s.Ready) }},
 		{"known_entries", "Entries that callers are told of.", func(s gateway.State) float64 { return float64(s.Entries) }},
 		{"waiting_requests", "Requests that wait for a model.", func(s gateway.State) float64 { return float64(s.Waiting) }},
+		{"cooling_servers", "Backend servers that have asked this entry for a cooldown.", func(s gateway.State) float64 { return float64(s.CoolingServers) }},
+		{"departed_servers", "Backend servers whose responses to this entry stated that they leave.", func(s gateway.State) float64 { return float64(s.DepartedServers) }},
 		{"limited_servers", "Backend servers that state a request limit, as this entry knows.", func(s gateway.State) float64 { return float64(s.LimitedServers) }},
 		{"requests_awaiting_permit", "Requests that wait for a permit to be sent to a server with a request limit.", func(s gateway.State) float64 { return float64(s.AwaitingPermit) }},
 		{"requests_held_back", "Requests that this entry holds back, as they end their servers.", func(s gateway.State) float64 { return float64(s.HeldBack) }},
