gateway: callers get their own Retry-After, and no wait without a retry

A server's rejection that does not say it has not run was forwarded with the server's Retry-After, which concerns the entry alone: callers stayed away from other servers for it. It is replaced by the time at which any server takes the request. A request that had been rejected waited for a permit or a cooldown and was then refused for want of a retry: the retry is taken before the wait.

TestForwardedRejectionStatesTheCallersTime and TestRequestWithoutARetryDoesNotWaitForACooldown failed before.

--- a/internal/cooldown/header.go
+++ b/internal/cooldown/header.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // maxWait is the longest wait that a statement is taken for. Longer ones would overflow.
@@ -46,7 +48,7 @@
 		return min(max(at.Sub(now), 0), maxWait), true
 	}
 	seconds, err := strconv.ParseFloat(value, 64)
-	if outOfRange := math.IsInf(seconds, 1) && err != nil; outOfRange {
+	if errors.Is(err, strconv.ErrRange) && seconds > 0 {
 		return maxWait, true
 	}
 	if err != nil || !(seconds >= 0) || math.IsInf(seconds, 0) {
--- a/internal/cooldown/table.go
+++ b/internal/cooldown/table.go
@@ -115,6 +115,9 @@
 
 // Remaining returns the rest of an incarnation's cooldown; 0: it has none.
 func (t *Table) Remaining(key string, now time.Time) time.Duration {
+	if t.size.Load() == 0 {
+		return 0
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.servers[incarnation.ServerOf(key)]; s != nil {
--- a/internal/gateway/cooldown.go
+++ b/internal/gateway/cooldown.go
@@ -61,6 +61,17 @@
 	return math.MaxInt64, true
 }
 
+// replaceRetryAfter replaces the time that a server has asked this entry to wait, in the response that
+// is forwarded to the caller: for the caller, other servers count as well.
+func (x *exchange) replaceRetryAfter() {
+	c := x.g.fleet.chooseWithin(x.pool, &x.info, nil, time.Now(), x.random)
+	wait := max(x.g.latency(x.pool).retryAfter(), c.cooldown)
+	if c.server != nil {
+		wait = x.g.latency(x.pool).retryAfter()
+	}
+	x.w.Header().Set(headerRetryAfter, formatSeconds(wait))
+}
+
 // observeCooldown records a cooldown that the response to a request stated, and returns its end.
 func (f *fleet) observeCooldown(s *server, wait time.Duration, sentAt time.Time) time.Time {
 	return f.cooldowns.Observe(s.id, wait, sentAt, time.Now())
--- a/internal/gateway/cooldown_test.go
+++ b/internal/gateway/cooldown_test.go
@@ -136,6 +136,37 @@
 	require.Equal(t, int64(1), rejecting.requests.Load())
 }
 
+// A server fails a request with a status that states a cooldown, and does not say that it has not run
+// it. The caller gets its response, and not the time that concerns the entry alone.
+func TestForwardedRejectionStatesTheCallersTime(t *testing.T) {
+	failing := newBackend(t, respond(http.StatusServiceUnavailable, signed+"Retry-After: 20\r\n", "oops"))
+	tg := newTestGateway(t, failing, newBackend(t, respondOK))
+	for failing.requests.Load() == 0 {
+		got := tg.call(t, "/once/x", "body", "")
+		if got.status == http.StatusOK {
+			continue
+		}
+		require.Equal(t, "oops", got.body)
+		seconds, err := strconv.ParseFloat(got.retryAfter, 64)
+		require.NoError(t, err)
+		require.Less(t, seconds, 5.0, "the other server takes requests")
+	}
+	for range 5 {
+		require.Equal(t, http.StatusOK, tg.call(t, "/once/x", "body", "").status)
+	}
+}
+
+// A request was rejected and waits for the end of a cooldown, and no retry is left of the budget. It
+// must be refused at once: it would be refused after the wait.
+func TestRequestWithoutARetryDoesNotWaitForACooldown(t *testing.T) {
+	rejecting := newBackend(t, respond(http.StatusServiceUnavailable, "X-Not-Run: 1\r\nRetry-After: 1\r\n", ""))
+	tg := newTestGatewayWithBudget(t, gateway.RetryBudgetConfig{Window: time.Hour}, rejecting)
+	start := time.Now()
+	require.Equal(t, http.StatusServiceUnavailable, tg.call(t, "/once/x", "body", "").status)
+	require.Less(t, time.Since(start), time.Second, "the cooldown")
+	require.Equal(t, int64(1), rejecting.requests.Load())
+}
+
 // A stream breaks off, and the only other server rejects its continuation and asks for a short
 // cooldown. The stream must continue there after that; its caller would otherwise lose what it has.
 func TestStreamResumesAfterACooldown(t *testing.T) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -453,12 +453,16 @@
 	x.status, x.outcome = status, outcome
 	h := x.w.Header()
 	if retryAfter > 0 && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
-		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+		h.Set(headerRetryAfter, formatSeconds(retryAfter))
 	}
 	h.Set("Content-Length", "0")
 	x.w.WriteHeader(status)
 }
 
+const headerRetryAfter = "Retry-After"
+
+func formatSeconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 2, 64) }
+
 // abort interrupts a response in progress, so that it does not look complete.
 func (x *exchange) abort(outcome Outcome) {
 	x.status, x.outcome = 0, outcome
@@ -483,6 +487,9 @@
 		return true
 	}
 	x.copyHeader(response)
+	if responseInfo.Cooldown.Wait > 0 {
+		x.replaceRetryAfter()
+	}
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(response.Status)
 	x.timeToFirstByte = time.Since(x.startTime)
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -151,6 +151,9 @@
 // or a cooldown, or to another one. It refuses the request as soon as that is expected only after
 // latest.
 func (x *exchange) awaitRelease(first choice, latest time.Time) bool {
+	if !x.reserveRetry() {
+		return false
+	}
 	start := time.Now()
 	if first.limited != nil {
 		x.requestPermit(first.limited)
@@ -185,6 +188,20 @@
 	}
 }
 
+// reserveRetry takes a retry from the budget before the request waits for a server, and refuses it if
+// none is left: it would be refused after its wait otherwise. A resumed stream takes its retry once it
+// has a server.
+func (x *exchange) reserveRetry() bool {
+	if x.attempts == 0 || x.retryReserved || x.started {
+		return true
+	}
+	x.retryReserved = x.g.retryBudget(x.pool).withdraw(time.Now(), x.g.sharingEntries())
+	if !x.retryReserved {
+		x.fail(OutcomeBudget, defaultRetryAfter)
+	}
+	return x.retryReserved
+}
+
 // requestPermit adds a request that waits for a permit. As for models, only the first one is
 // reported without delay.
 func (x *exchange) requestPermit(s *server) {
