--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -28,13 +28,13 @@
 
 // cooldown returns how long a server must get no request.
 func (e *Entry) cooldown(of routing.Candidate) time.Duration {
-	return e.table.Cooldown(time.Now(), of.Key())
+	return e.table.Cooldown(time.Now(), of.ServerKey())
 }
 
 // statementReceived applies the cooldown that the response to a request states.
 func (e *Entry) statementReceived(from routing.Candidate, s cooldown.Statement, sentAt time.Time, request string) {
 	if s.Unreadable {
-		e.cfg.Log.Info("server cooldown not read", "server", from.Key(), "request", request)
+		e.cfg.Log.Info("server cooldown not read", "server", from.ServerKey(), "request", request)
 	}
 	wait, changed := e.table.ObserveStatement(time.Now(), from, s, sentAt)
 	if !changed {
@@ -42,10 +42,10 @@
 	}
 	e.requestCapacityRefresh()
 	if wait == 0 {
-		e.cfg.Log.Info("server takes requests again", "server", from.Key(), "request", request)
+		e.cfg.Log.Info("server takes requests again", "server", from.ServerKey(), "request", request)
 		return
 	}
-	e.cfg.Log.Info("server states a cooldown", "server", from.Key(), "for-ms", s.Wait.Milliseconds(),
+	e.cfg.Log.Info("server states a cooldown", "server", from.ServerKey(), "for-ms", s.Wait.Milliseconds(),
 		"no-request-for-ms", wait.Milliseconds(), "request", request)
 	time.AfterFunc(wait, e.requestCapacityRefresh)
 }
--- a/internal/role/order_error_test.go
+++ b/internal/role/order_error_test.go
@@ -12,8 +12,8 @@
 	"fennelyard/internal/schema"
 )
 
-// The leader must tell an engine that wants no orders from an order holder that has failed: it would
-// choose another holder.
+// The leader must not take an engine that wants no orders for an order holder that has failed: it
+// would choose another holder.
 func TestErrorsOfOrdersThroughTheirHolder(t *testing.T) {
 	for name, test := range map[string]struct {
 		reply   *schema.GiveOrderReply
--- a/internal/routing/cooldown.go
+++ b/internal/routing/cooldown.go
@@ -13,14 +13,14 @@
 // was selected. It wraps ErrNotRun.
 var ErrCooldown = errors.Newf("the server has asked for a cooldown: %w", ErrNotRun)
 
-// Key returns the key of the candidate's incarnation.
-func (c Candidate) Key() string {
+// ServerKey returns the key of the candidate's incarnation.
+func (c Candidate) ServerKey() string {
 	return incarnation.Name{Server: c.Server, StartMs: int64(c.Incarnation)}.String()
 }
 
 // Admit reports whether a request may be sent to a candidate that Pick returned, and takes its place
 // after a cooldown.
-func (t *Table) Admit(now time.Time, c Candidate) bool { return t.cooldowns.Admit(c.Key(), now) }
+func (t *Table) Admit(now time.Time, c Candidate) bool { return t.cooldowns.Admit(c.ServerKey(), now) }
 
 // Cooldown returns how long no request may be sent to an incarnation for its cooldown.
 func (t *Table) Cooldown(now time.Time, server string) time.Duration {
@@ -31,7 +31,7 @@
 // cooldowns are concerned, and how many take one now.
 func (t *Table) AvailableIn(now time.Time, candidates []Candidate) (first time.Duration, available int) {
 	for i, c := range candidates {
-		wait := t.cooldowns.AvailableIn(c.Key(), now)
+		wait := t.cooldowns.AvailableIn(c.ServerKey(), now)
 		if wait == 0 {
 			available++
 		}
@@ -47,7 +47,7 @@
 // has changed.
 func (t *Table) ObserveStatement(now time.Time, c Candidate, s cooldown.Statement, sentAt time.Time) (wait time.Duration, changed bool) {
 	if s.Wait == 0 {
-		return 0, t.cooldowns.Responded(c.Key(), sentAt)
+		return 0, t.cooldowns.Responded(c.ServerKey(), sentAt)
 	}
-	return t.cooldowns.Observe(c.Key(), s.Wait, sentAt, now).Sub(now), true
+	return t.cooldowns.Observe(c.ServerKey(), s.Wait, sentAt, now).Sub(now), true
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -110,7 +110,7 @@
 func (t *Table) eligible(now time.Time, candidates []Candidate, exclude map[string]bool) []Candidate {
 	var eligible, ejected []Candidate
 	for _, c := range candidates {
-		if exclude[c.Server] || t.cooldowns.AvailableIn(c.Key(), now) > 0 {
+		if exclude[c.Server] || t.cooldowns.AvailableIn(c.ServerKey(), now) > 0 {
 			continue
 		}
 		if t.isEjected(now, c) {
