client: no directory queries and probes to entries that have asked to wait

They are requests as well: a client that an entry had refused went on asking it for the directory whenever its copy had expired, and probed it every two seconds while another request ran there.

TestClientSendsAnEntryNothingWhileItWaits: three queries in 8 s before, the one before the refusal now; TestClientFailsAtOnceWhenAllEntriesAskToWait likewise. Probes have no test of their own.

--- a/client_test.go
+++ b/client_test.go
@@ -27,6 +27,8 @@
 	// are the arrivals of requests.
 	refusals map[string]refusal
 	arrivals map[string][]time.Time
+	// queries counts the queries of the directory; guarded by mu.
+	queries map[string]int
 }
 
 type refusal struct {
@@ -35,7 +37,7 @@
 }
 
 func newEntries(names ...string) *entries {
-	return &entries{names: names, refusals: map[string]refusal{}, arrivals: map[string][]time.Time{}}
+	return &entries{names: names, refusals: map[string]refusal{}, arrivals: map[string][]time.Time{}, queries: map[string]int{}}
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -44,6 +46,9 @@
 		return &http.Response{StatusCode: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), Request: q}, nil
 	}
 	if q.URL.Path == "/v1/directory" {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.queries[q.URL.Host]++
 		return respond(http.StatusOK, fmt.Sprintf(`{"addresses":["%s"],"keep-ms":5000}`, strings.Join(e.names, `","`)))
 	}
 	e.mu.Lock()
@@ -109,6 +114,7 @@
 			time.Sleep(400 * time.Millisecond)
 		}
 		require.Len(t, e.arrivalsAt("e1", start), 1)
+		require.Equal(t, 1, e.queries["e1"], "the directory, before")
 	})
 }
 
@@ -133,6 +139,7 @@
 		require.Less(t, time.Since(start), time.Second)
 		for _, name := range e.names {
 			require.Len(t, e.arrivalsAt(name, start), 1)
+			require.LessOrEqual(t, e.queries[name], 2, "none once it has asked to wait")
 		}
 	})
 }
--- a/directory.go
+++ b/directory.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"fennelyard/internal/cooldown"
 )
 
 const (
@@ -20,7 +22,8 @@
 
 // Entries returns the addresses of the entries that the deployment assigns to
 // this caller, in order of preference. It queries the directory only when the
-// cached one has expired, and fails when all known addresses fail.
+// cached one has expired, at entries that have not asked this client to wait. It fails
+// when all known addresses fail.
 func (c *Client) Entries(ctx context.Context) ([]string, error) {
 	c.mu.Lock()
 	cached, expiry := c.addresses, c.expiry
@@ -30,6 +33,10 @@
 	}
 	var lastErr error
 	for _, address := range append(append([]string(nil), cached...), c.opts.Addresses...) {
+		if wait := c.cooldowns.Remaining(address, c.opts.Now()); wait > 0 {
+			lastErr = errors.Newf("query directory of %s: %w", address, &cooldown.Error{Wait: wait})
+			continue
+		}
 		addresses, ttl, err := c.fetchDirectory(ctx, address)
 		if err != nil {
 			lastErr = err
@@ -40,6 +47,9 @@
 		c.mu.Unlock()
 		return addresses, nil
 	}
+	if cooldown.WaitOf(lastErr) > 0 && len(cached) > 0 {
+		return cached, nil
+	}
 	return nil, errors.Newf("fetch directory: all known addresses failed: %w", lastErr)
 }
 
--- a/probe.go
+++ b/probe.go
@@ -39,6 +39,10 @@
 				return
 			case <-ticker.C:
 			}
+			if c.cooldowns.Remaining(address, c.opts.Now()) > 0 {
+				// The entry wants no requests for now, and has responded to say so.
+				continue
+			}
 			if c.probe(ctx, address) {
 				failed = 0
 				continue
