--- a/internal/gateway/cooldown.go
+++ b/internal/gateway/cooldown.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"time"
 
 	"fennelyard/internal/ratelimit"
@@ -35,32 +34,6 @@
 		"no-request-for-ms", time.Until(until).Milliseconds(), "request", x.info.ID)
 }
 
-const (
-	// maxLoadForecastWait is how long a request whose engines all have asked for a cooldown waits for
-	// the leader to know of it and to forecast a load elsewhere: a report takes up to 300 ms, and the
-	// next forecast 100 ms.
-	maxLoadForecastWait = 400 * time.Millisecond
-	// loadedForecast is the forecast from which a model counts as loaded, at an engine that takes no
-	// requests of this entry.
-	loadedForecast = 100 * time.Millisecond
-)
-
-// loadElsewhere returns the time until the leader expects the request's model to be loaded at an
-// engine that takes requests, or the longest time if it expects none. known is false as long as a
-// forecast that includes the cooldowns may still arrive.
-func (x *exchange) loadElsewhere(start, now time.Time) (wait time.Duration, known bool) {
-	forecast, received := x.g.demand.forecast(x.target(), x.startTime)
-	switch {
-	case received && forecast.ready.IsZero():
-		return math.MaxInt64, true
-	case received && forecast.ready.Sub(now) > loadedForecast:
-		return forecast.ready.Sub(now), true
-	case now.Sub(start) < maxLoadForecastWait && x.g.connected():
-		return 0, false
-	}
-	return math.MaxInt64, true
-}
-
 // replaceRetryAfter replaces the time that a server has asked this entry to wait, in the response that
 // is forwarded to the caller: for the caller, other servers count as well.
 func (x *exchange) replaceRetryAfter() {
