Tests of cooldowns on listed hosts and in the gateway depend less on time and luck

Bodies differ now, and the test sends until the server is chosen. Its waiting request is rejected once instead of for 0.2 s; bounds in the gateway's tests of refusals leave more room below the wait that they exclude.

--- a/internal/gateway/cooldown_test.go
+++ b/internal/gateway/cooldown_test.go
@@ -94,6 +94,7 @@
 		t.Run(name, func(t *testing.T) {
 			rejecting := newBackend(t, respond(http.StatusServiceUnavailable, "X-Not-Run: 1\r\nRetry-After: 20\r\n", ""))
 			tg := newTestGateway(t, rejecting)
+			tg.timeoutMs = "3000"
 			tg.call(t, "/once/x", "first", "m")
 			tg.g.SetConfirmationAge(0)
 			if test.known {
@@ -110,7 +111,7 @@
 			start := time.Now()
 			got := tg.call(t, "/once/x", "second", "m")
 			require.Equal(t, test.status, got.status)
-			require.Less(t, time.Since(start), 1200*time.Millisecond, "the caller's patience ends after 2 s")
+			require.Less(t, time.Since(start), 2200*time.Millisecond, "the caller's patience ends after 3 s")
 			if test.retryAfter > 0 {
 				seconds, err := strconv.ParseFloat(got.retryAfter, 64)
 				require.NoError(t, err)
@@ -159,11 +160,12 @@
 // A request was rejected and waits for the end of a cooldown, and no retry is left of the budget. It
 // must be refused at once: it would be refused after the wait.
 func TestRequestWithoutARetryDoesNotWaitForACooldown(t *testing.T) {
-	rejecting := newBackend(t, respond(http.StatusServiceUnavailable, "X-Not-Run: 1\r\nRetry-After: 1\r\n", ""))
+	rejecting := newBackend(t, respond(http.StatusServiceUnavailable, "X-Not-Run: 1\r\nRetry-After: 2\r\n", ""))
 	tg := newTestGatewayWithBudget(t, gateway.RetryBudgetConfig{Window: time.Hour}, rejecting)
+	tg.timeoutMs = "3000"
 	start := time.Now()
 	require.Equal(t, http.StatusServiceUnavailable, tg.call(t, "/once/x", "body", "").status)
-	require.Less(t, time.Since(start), time.Second, "the cooldown")
+	require.Less(t, time.Since(start), 1800*time.Millisecond, "the cooldown lasts 2 s")
 	require.Equal(t, int64(1), rejecting.requests.Load())
 }
 
--- a/internal/host/cooldown_test.go
+++ b/internal/host/cooldown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -14,17 +15,18 @@
 	"fennelyard/internal/standin"
 )
 
-// rejectingHandler rejects requests as not run and asks for a cooldown, as long as rejecting is set.
+// rejectingHandler rejects its first requests as not run and asks for a cooldown.
 type rejectingHandler struct {
-	rejecting  atomic.Bool
+	// rejections is the number of requests that it rejects.
+	rejections int64
 	retryAfter string
 	requests   atomic.Int64
 }
 
 func (r *rejectingHandler) handle(w http.ResponseWriter, q *http.Request) {
-	r.requests.Add(1)
+	n := r.requests.Add(1)
 	w.Header().Set(routing.HeaderRequestID, q.Header.Get(routing.HeaderRequestID))
-	if r.rejecting.Load() {
+	if n <= r.rejections {
 		w.Header().Set(routing.HeaderOutcome, "not-run")
 		w.Header().Set("Retry-After", r.retryAfter)
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -33,9 +35,8 @@
 	_, _ = w.Write([]byte(`{}`))
 }
 
-func newRejectingServer(h *harness, name, retryAfter string) *rejectingHandler {
-	r := &rejectingHandler{retryAfter: retryAfter}
-	r.rejecting.Store(true)
+func newRejectingServer(h *harness, name, retryAfter string, rejections int64) *rejectingHandler {
+	r := &rejectingHandler{retryAfter: retryAfter, rejections: rejections}
 	h.application(name, func(c *standin.ApplicationConfig) { c.Handle = r.handle })
 	return r
 }
@@ -45,13 +46,21 @@
 func TestServersGetNoRequestsDuringTheirCooldowns(t *testing.T) {
 	t.Parallel()
 	h := newHarness(t, "")
-	rejecting := newRejectingServer(h, "app-1", "30")
+	rejecting := newRejectingServer(h, "app-1", "30", math.MaxInt64)
 	h.application("app-2", nil)
 	h.awaitServers(2)
 	h.configure(1)
-	for i := range 20 {
-		r := h.post("/services/regdesk/enter", "{}", "Idempotency-Key", fmt.Sprint("k", i))
+	// Requests with the same body go to the server that served the last one.
+	enter := func(i int) {
+		r := h.post("/services/regdesk/enter", fmt.Sprintf(`{"n":%d}`, i), "Idempotency-Key", fmt.Sprint("k", i))
 		require.Equal(t, http.StatusOK, r.status, "%s", r.body)
+	}
+	for i := 1000; rejecting.requests.Load() == 0; i++ {
+		require.Less(t, i, 1200, "the server is not chosen")
+		enter(i)
+	}
+	for i := range 20 {
+		enter(i)
 		q, err := http.NewRequestWithContext(t.Context(), http.MethodGet, h.callerURL("/services/regdesk/list"), nil)
 		require.NoError(t, err)
 		q.Header.Set(routing.HeaderCustomer, testCustomer)
@@ -65,7 +74,7 @@
 func TestCallersAreRefusedAtOnceDuringACooldown(t *testing.T) {
 	t.Parallel()
 	h := newHarness(t, "")
-	rejecting := newRejectingServer(h, "app-1", "30")
+	rejecting := newRejectingServer(h, "app-1", "30", math.MaxInt64)
 	h.awaitServers(1)
 	h.configure(1)
 	for i := range 3 {
@@ -86,10 +95,9 @@
 func TestRequestsWaitForTheEndOfACooldown(t *testing.T) {
 	t.Parallel()
 	h := newHarness(t, "")
-	server := newRejectingServer(h, "app-1", "0.4")
+	server := newRejectingServer(h, "app-1", "0.4", 1)
 	h.awaitServers(1)
 	h.configure(1)
-	time.AfterFunc(200*time.Millisecond, func() { server.rejecting.Store(false) })
 	start := time.Now()
 	r := h.post("/services/regdesk/enter", "{}", "Idempotency-Key", "k")
 	require.Equal(t, http.StatusOK, r.status, "%s", r.body)
