gateway: a request without a retry is refused with the time of the cooldown

It was refused with 0.5 s although its servers take no requests of this entry before their cooldown ends: callers came back to be refused again. TestRequestWithoutARetryDoesNotWaitForACooldown checks the time now.

--- a/internal/gateway/cooldown_test.go
+++ b/internal/gateway/cooldown_test.go
@@ -164,8 +164,12 @@
 	tg := newTestGatewayWithBudget(t, gateway.RetryBudgetConfig{Window: time.Hour}, rejecting)
 	tg.timeoutMs = "3000"
 	start := time.Now()
-	require.Equal(t, http.StatusServiceUnavailable, tg.call(t, "/once/x", "body", "").status)
+	got := tg.call(t, "/once/x", "body", "")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
 	require.Less(t, time.Since(start), 1800*time.Millisecond, "the cooldown lasts 2 s")
+	seconds, err := strconv.ParseFloat(got.retryAfter, 64)
+	require.NoError(t, err)
+	require.Greater(t, seconds, 1.0, "the server takes no request before")
 	require.Equal(t, int64(1), rejecting.requests.Load())
 }
 
--- a/internal/gateway/release.go
+++ b/internal/gateway/release.go
@@ -9,7 +9,7 @@
 // or a cooldown, or to another one. It refuses the request as soon as that is expected only after
 // latest.
 func (x *exchange) awaitRelease(first choice, latest time.Time) bool {
-	if !x.reserveRetry() {
+	if !x.reserveRetry(first) {
 		return false
 	}
 	start := time.Now()
@@ -49,13 +49,17 @@
 // reserveRetry takes a retry from the budget before the request waits for a server, and refuses it if
 // none is left: it would be refused after its wait otherwise. A resumed stream takes its retry once it
 // has a server.
-func (x *exchange) reserveRetry() bool {
+func (x *exchange) reserveRetry(c choice) bool {
 	if x.attempts == 0 || x.retryReserved || x.started {
 		return true
 	}
 	x.retryReserved = x.g.retryBudget(x.pool).withdraw(time.Now(), x.g.sharingEntries())
 	if !x.retryReserved {
-		x.fail(OutcomeBudget, defaultRetryAfter)
+		retryAfter := defaultRetryAfter
+		if c.limited == nil {
+			retryAfter = max(retryAfter, c.cooldown)
+		}
+		x.fail(OutcomeBudget, retryAfter)
 	}
 	return x.retryReserved
 }
