path, tcp: log which servers an entry does not reach, and since when

What callers saw: entries that are partitioned from all servers refused nearly every request. The logs named the servers that a request tried and the last error; whether a server had crashed or this entry's path was lost, and since when, could not be told from them.

Connections to backend servers go through path.Dialer, which logs each server once when it is not reached and once when it is reached again. No decision changes.

--- a/internal/relay/presence.go
+++ b/internal/relay/presence.go
@@ -5,6 +5,8 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+
+	"fennelyard/internal/tcp"
 )
 
 //go:generate go tool stringer -type=Presence -linecomment
@@ -31,7 +33,7 @@
 	conn, err := s.dial(ctx, address)
 	switch {
 	case err == nil:
-		Reset(conn)
+		tcp.Reset(conn)
 		return PresenceListening
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return PresenceRefused
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,10 +12,11 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"fennelyard/internal/tcp"
 )
 
 var (
@@ -36,25 +37,12 @@
 	// within milliseconds; a lost SYN is retransmitted after a second, and by then
 	// another server could have been tried.
 	connectTimeout = 500 * time.Millisecond
-	// tcpUserTimeout closes a connection whose bytes are not acknowledged: a network
-	// partition drops them silently.
-	tcpUserTimeout = 3 * time.Second
-	// A server that loses its power sends nothing while a request waits for the next
-	// event. Keep-alive probes detect this within keepAliveIdle + keepAliveCount *
-	// keepAliveInterval, so that a resumable stream continues at another server long
-	// before its caller gives up.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 3
 	// maxMismatchedResponses is the number of responses to other requests after which
 	// the connection is closed: a server may send a response twice.
 	maxMismatchedResponses = 2
 	readBufferBytes        = 8 << 10
 )
 
-// tcpUserTimeoutOption is TCP_USER_TIMEOUT in linux/tcp.h.
-const tcpUserTimeoutOption = 0x12
-
 // Request is a request to a backend server.
 type Request struct {
 	Method string
@@ -84,22 +72,15 @@
 // connection just as a request is sent, and the outcome of a request that must
 // not run twice would then be unknown.
 type Sender struct {
-	cfg    Config
-	dialer net.Dialer
+	cfg Config
 }
 
 // NewSender returns a Sender.
 func NewSender(cfg Config) *Sender {
-	s := &Sender{cfg: cfg, dialer: net.Dialer{
-		Timeout: connectTimeout, Control: setUserTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-	}}
-	if s.cfg.Dial == nil {
-		s.cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-			return s.dialer.DialContext(ctx, "tcp", address)
-		}
+	if cfg.Dial == nil {
+		cfg.Dial = tcp.Dial
 	}
-	return s
+	return &Sender{cfg: cfg}
 }
 
 // dial connects to an address within connectTimeout.
@@ -114,17 +95,6 @@
 	return conn, err
 }
 
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var optionErr error
-	err := c.Control(func(fd uintptr) {
-		optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption, int(tcpUserTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return errors.Newf("access socket: %w", err)
-	}
-	return optionErr
-}
-
 // Response is a server's response whose header was received. Close must be
 // called.
 type Response struct {
@@ -139,17 +109,6 @@
 // connection is reset, and the server can abandon the request.
 func (r *Response) Close() { r.close() }
 
-// Reset closes a connection and discards unsent data. After a plain close the
-// kernel would keep retransmitting data during a network partition: an abandoned
-// request would reach its server once the partition heals, and be executed.
-func Reset(conn net.Conn) {
-	if c, ok := conn.(*net.TCPConn); ok {
-		// This fails only if the connection is already closed.
-		_ = c.SetLinger(0)
-	}
-	_ = conn.Close()
-}
-
 // Send sends a request and waits for the header of the response. The connection
 // is reset when the context ends, also while the body is read. The error wraps
 // ErrNotSent, ErrInterrupted or ErrMismatchedResponse.
@@ -158,11 +117,11 @@
 	if err != nil {
 		return nil, errors.Newf("connect to %s: %v: %w", address, err, ErrNotSent)
 	}
-	stop := context.AfterFunc(ctx, func() { Reset(conn) })
+	stop := context.AfterFunc(ctx, func() { tcp.Reset(conn) })
 	response, body, err := roundTrip(conn, req)
 	if err != nil {
 		stop()
-		Reset(conn)
+		tcp.Reset(conn)
 		return nil, err
 	}
 	response.close = func() {
@@ -171,7 +130,7 @@
 			_ = conn.Close()
 			return
 		}
-		Reset(conn)
+		tcp.Reset(conn)
 	}
 	return response, nil
 }
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -13,6 +13,7 @@
 	"fennelyard/internal/gateway"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/metrics"
+	"fennelyard/internal/path"
 	"fennelyard/internal/peer"
 	"fennelyard/internal/relay"
 	"fennelyard/internal/schema"
@@ -68,13 +69,14 @@
 	cfg.Network.setDefaults()
 	e := &Entry{cfg: cfg, dialer: peer.NewDialer(peer.DialerConfig{Dial: cfg.Network.Dial}), done: make(chan struct{})}
 	s := cfg.Settings.Get()
+	paths := path.New(path.Config{Direct: cfg.Network.dial(), Log: cfg.Log.WithName("path")})
 	e.gateway = gateway.New(gateway.Config{
 		Self: &schema.RosterEntry{
 			Host: s.GetHost(), DataCentre: s.GetDataCentre(), CallerAddress: s.GetCallerAddress(),
 		},
 		Seeds: cfg.Settings.Seeds, Dialer: e.dialer, Replica: ledger.NewReplica(),
 		Sender: relay.NewSender(relay.Config{
-			OnDial: func(_ time.Duration, err error) { cfg.Metrics.BackendConnection(err) }, Dial: cfg.Network.Dial,
+			OnDial: func(_ time.Duration, err error) { cfg.Metrics.BackendConnection(err) }, Dial: paths.Dial,
 		}),
 		Codec: cfg.Codec, Log: cfg.Log.WithName("entry"), RequestLog: cfg.RequestLog,
 		RetryBudget: gateway.RetryBudgetConfig{
--- a/internal/role/network.go
+++ b/internal/role/network.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"net"
+
+	"fennelyard/internal/tcp"
 )
 
 // Network is how a host listens and connects to other hosts of the deployment. The zero
 // value uses TCP.
 type Network struct {
 	Listen func(network, address string) (net.Listener, error)
-	// Dial is nil for TCP with the transport's defaults.
+	// Dial is nil for TCP: with gRPC's defaults to control hosts, and with those of package tcp to
+	// other hosts.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
@@ -18,3 +21,11 @@
 		n.Listen = net.Listen
 	}
 }
+
+// dial returns how this host connects to others except over gRPC.
+func (n *Network) dial() func(ctx context.Context, address string) (net.Conn, error) {
+	if n.Dial == nil {
+		return tcp.Dial
+	}
+	return n.Dial
+}
