--- a/internal/role/backends_test.go
+++ b/internal/role/backends_test.go
@@ -42,6 +42,7 @@
 // another ID.
 type backends struct {
 	deployment *deployment
+	count      int
 	stop       chan struct{}
 	wg         sync.WaitGroup
 
@@ -100,7 +101,7 @@
 
 // startBackendsWith is like startBackends. With sameIDs the servers start again under their ids.
 func startBackendsWith(d *deployment, n int, sameIDs bool) *backends {
-	b := &backends{sameIDs: sameIDs, deployment: d, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]func() *rejection{}, leaving: map[string]bool{}, silent: map[string]bool{}}
+	b := &backends{sameIDs: sameIDs, deployment: d, count: n, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]func() *rejection{}, leaving: map[string]bool{}, silent: map[string]bool{}}
 	route := func(name string, repeat schema.Repeat) *schema.Route {
 		return &schema.Route{
 			Name: name, Host: "h.example", Prefix: "/" + name + "/", Repeat: repeat, TimeoutMs: 3000, AimMs: 300, MaxAttempts: 2,
@@ -129,8 +130,11 @@
 	return b
 }
 
+// backendIP returns the IP address of a server.
+func backendIP(i int) string { return fmt.Sprintf("10.0.2.%d", i+1) }
+
 // backendAddress returns the address of a server.
-func backendAddress(i int) string { return fmt.Sprintf("10.0.2.%d:%d", i+1, backendPort) }
+func backendAddress(i int) string { return fmt.Sprintf("%s:%d", backendIP(i), backendPort) }
 
 // close stops all servers.
 func (b *backends) close() {
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,8 +33,11 @@
 type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*networkListener
-	// blocked contains the directions in which nothing is delivered.
-	blocked map[direction]bool
+	// blocked contains the directions in which nothing is delivered, and refused those in which no
+	// connection can be opened.
+	blocked, refused map[direction]bool
+	// resets counts how often the connections opened in a direction were reset.
+	resets map[direction]int
 	// powerLosses counts the power losses of each host, so that connections opened before the
 	// last one stay silent.
 	powerLosses map[string]int
@@ -50,7 +54,8 @@
 // dial.
 func NewNetwork() *Network {
 	return &Network{
-		listeners: map[string]*networkListener{}, blocked: map[direction]bool{}, powerLosses: map[string]int{},
+		listeners: map[string]*networkListener{}, blocked: map[direction]bool{}, refused: map[direction]bool{},
+		resets: map[direction]int{}, powerLosses: map[string]int{},
 		poweredOff: map[string]bool{}, lastPort: firstOutgoingPort, changed: make(chan struct{}),
 	}
 }
@@ -89,6 +94,27 @@
 	n.notify()
 }
 
+// Refuse makes a host's connections to another one be refused, or be accepted again. Open
+// connections stay.
+func (n *Network) Refuse(from, to string, refuse bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if refuse {
+		n.refused[direction{from, to}] = true
+	} else {
+		delete(n.refused, direction{from, to})
+	}
+	n.notify()
+}
+
+// ResetConnections resets the connections that a host has opened to another one.
+func (n *Network) ResetConnections(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.resets[direction{from, to}]++
+	n.notify()
+}
+
 // PowerOff simulates a power loss of a host: its connections become silent and its listening ports
 // become free. The caller must stop what runs on the host.
 func (n *Network) PowerOff(ip string) {
@@ -118,13 +144,13 @@
 	n.changed = make(chan struct{})
 }
 
-// deliverable reports whether data of a pipe is delivered now. The channel is closed at the next
-// change of the network's state.
-func (n *Network) deliverable(p *pipe) (bool, <-chan struct{}) {
+// deliverable reports whether data of a pipe is delivered now, and whether its connection was reset.
+// The channel is closed at the next change of the network's state.
+func (n *Network) deliverable(p *pipe) (delivers, reset bool, changed <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	lost := n.powerLosses[p.direction.from] != p.fromPowerLosses || n.powerLosses[p.direction.to] != p.toPowerLosses
-	return !lost && !n.blocked[p.direction], n.changed
+	return !lost && !n.blocked[p.direction], n.resets[p.opened] != p.resets, n.changed
 }
 
 func (n *Network) dial(ctx context.Context, from, address string) (net.Conn, error) {
@@ -140,7 +166,7 @@
 	}
 	for {
 		l, reachable, changed := n.lookup(from, to, address)
-		if reachable && l == nil {
+		if reachable && (l == nil || n.refuses(from, to)) {
 			return nil, errors.Newf("dial %s: %w", address, syscall.ECONNREFUSED)
 		}
 		if reachable {
@@ -171,14 +197,21 @@
 	return n.listeners[address], reachable, n.changed
 }
 
+func (n *Network) refuses(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.refused[direction{from, to}]
+}
+
 func (n *Network) connect(from string, addrPort netip.AddrPort) (client, server *networkConn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.lastPort++
 	local := netip.AddrPortFrom(netip.MustParseAddr(from), uint16(n.lastPort))
 	to := addrPort.Addr().String()
-	outbound := &pipe{network: n, direction: direction{from, to}, fromPowerLosses: n.powerLosses[from], toPowerLosses: n.powerLosses[to], changed: make(chan struct{})}
-	inbound := &pipe{network: n, direction: direction{to, from}, fromPowerLosses: n.powerLosses[to], toPowerLosses: n.powerLosses[from], changed: make(chan struct{})}
+	opened := direction{from, to}
+	outbound := &pipe{network: n, direction: opened, opened: opened, resets: n.resets[opened], fromPowerLosses: n.powerLosses[from], toPowerLosses: n.powerLosses[to], changed: make(chan struct{})}
+	inbound := &pipe{network: n, direction: direction{to, from}, opened: opened, resets: n.resets[opened], fromPowerLosses: n.powerLosses[to], toPowerLosses: n.powerLosses[from], changed: make(chan struct{})}
 	client = &networkConn{in: inbound, out: outbound, local: net.TCPAddrFromAddrPort(local), remote: net.TCPAddrFromAddrPort(addrPort)}
 	server = &networkConn{in: outbound, out: inbound, local: net.TCPAddrFromAddrPort(addrPort), remote: net.TCPAddrFromAddrPort(local)}
 	return client, server
@@ -225,13 +258,19 @@
 	// fromPowerLosses and toPowerLosses are the numbers of power losses of the two hosts at the
 	// time the connection was opened.
 	fromPowerLosses, toPowerLosses int
+	// opened is the direction in which the connection was opened, and resets how often such
+	// connections were reset before.
+	opened direction
+	resets int
 
 	mu sync.Mutex
 	// The fields below are guarded by mu. segments are in flight or wait to be read.
 	segments []segment
 	size     int
 	// writerClosed and readerClosed are set once that end has closed the connection.
-	writerClosed, readerClosed  bool
+	writerClosed, readerClosed bool
+	// writerReset is set once the writer has reset the connection, which discards what was not read.
+	writerReset                 bool
 	readDeadline, writeDeadline time.Time
 	changed                     chan struct{}
 }
@@ -249,13 +288,16 @@
 
 func (p *pipe) read(b []byte) (int, error) {
 	for {
-		delivers, networkChanged := p.network.deliverable(p)
+		delivers, reset, networkChanged := p.network.deliverable(p)
 		p.mu.Lock()
 		wait, changed := time.Duration(-1), p.changed
 		switch {
 		case p.readerClosed:
 			p.mu.Unlock()
 			return 0, net.ErrClosed
+		case reset || p.writerReset && delivers:
+			p.mu.Unlock()
+			return 0, syscall.ECONNRESET
 		case expired(p.readDeadline):
 			p.mu.Unlock()
 			return 0, os.ErrDeadlineExceeded
@@ -283,13 +325,16 @@
 
 func (p *pipe) write(b []byte) (int, error) {
 	for {
-		delivers, networkChanged := p.network.deliverable(p)
+		delivers, reset, networkChanged := p.network.deliverable(p)
 		p.mu.Lock()
 		changed := p.changed
 		switch {
 		case p.writerClosed:
 			p.mu.Unlock()
 			return 0, net.ErrClosed
+		case reset:
+			p.mu.Unlock()
+			return 0, syscall.ECONNRESET
 		case p.readerClosed && delivers:
 			p.mu.Unlock()
 			return 0, syscall.EPIPE
@@ -353,6 +398,14 @@
 type networkConn struct {
 	in, out       *pipe
 	local, remote net.Addr
+	// resets is set if Close resets the connection.
+	resets atomic.Bool
+}
+
+// SetLinger is like that of net.TCPConn; with 0 seconds, Close resets the connection.
+func (c *networkConn) SetLinger(sec int) error {
+	c.resets.Store(sec == 0)
+	return nil
 }
 
 // Read implements net.Conn.
@@ -364,7 +417,11 @@
 // Close implements net.Conn.
 func (c *networkConn) Close() error {
 	c.in.update(func() { c.in.readerClosed = true })
-	c.out.update(func() { c.out.writerClosed = true })
+	c.out.update(func() {
+		// Only the first Close has an effect.
+		c.out.writerReset = c.out.writerReset || c.resets.Load() && !c.out.writerClosed
+		c.out.writerClosed = true
+	})
 	return nil
 }
 
