--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/path"
 	"fennelyard/internal/ratelimit"
 	"fennelyard/internal/relay"
 	"fennelyard/internal/schema"
@@ -90,8 +91,8 @@
 	// A connection may wait for a server that starts: only once it is established the request is sent
 	// to a process that runs.
 	var sentAt time.Time
-	request.MaySend = func() bool {
-		sentAt = time.Now()
+	request.MaySend = func(via string) bool {
+		sentAt, x.via = time.Now(), via
 		return x.g.fleet.maySend(s)
 	}
 	response, err := x.g.cfg.Sender.Send(ctx, s.address, request)
@@ -127,6 +128,11 @@
 		x.attemptAborted(err)
 		return false
 	}
+	if errors.Is(err, path.ErrNoPath) {
+		x.attempts--
+		x.fail(OutcomeNoPath, path.RetryInterval)
+		return false
+	}
 	x.g.fleet.recordFailure(s, time.Now())
 	x.reportInterruption(s, err)
 	x.excluded = append(x.excluded, s.id)
--- a/internal/gateway/cooldown.go
+++ b/internal/gateway/cooldown.go
@@ -32,6 +32,9 @@
 	until := x.g.fleet.observeCooldown(s, stated.Wait, sentAt)
 	x.g.cfg.Log.Info("server states a cooldown", "server", s.id, "for-ms", stated.Wait.Milliseconds(),
 		"no-request-for-ms", time.Until(until).Milliseconds(), "request", x.info.ID)
+	if x.via != "" {
+		x.g.cfg.StateCooldown(x.via, s.id, stated.Wait)
+	}
 }
 
 // replaceRetryAfter replaces the time that a server has asked this entry to wait, in the response that
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -42,6 +42,7 @@
 	OutcomeOverQuota                     // over-quota
 	OutcomeServerLimit                   // server-limit
 	OutcomeServerCooldown                // server-cooldown
+	OutcomeNoPath                        // no-path
 )
 
 const (
@@ -94,6 +95,8 @@
 	// excluded lists the servers that are not tried again.
 	excluded []string
 	server   *server
+	// via is the address of the host through which the last connection was made, empty for none.
+	via string
 	// waited is how long the request waited for a model.
 	waited          time.Duration
 	timeToFirstByte time.Duration
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -16,8 +16,10 @@
 type fleet struct {
 	mu      sync.Mutex
 	servers map[string]*server
-	// incarnations counts the incarnations in servers by server id.
+	// incarnations counts the incarnations in servers by server id, and addresses holds their keys by
+	// address.
 	incarnations map[string]int
+	addresses    map[string]map[string]bool
 	changed      chan struct{}
 	// entries is the number of entries, and sendRates the rate of this entry's requests by model.
 	entries   int
@@ -44,7 +46,7 @@
 
 func newFleet() *fleet {
 	f := &fleet{
-		servers: map[string]*server{}, incarnations: map[string]int{}, changed: make(chan struct{}), stats: map[string]*poolStats{},
+		servers: map[string]*server{}, incarnations: map[string]int{}, addresses: map[string]map[string]bool{}, changed: make(chan struct{}), stats: map[string]*poolStats{},
 		sendRates: map[string]*arrivalRate{}, connected: func() bool { return true }, sharingEntries: func() int { return 1 },
 		maxConnections: map[string]float64{}, limited: map[string]*server{}, departures: map[string][]departure{},
 	}
@@ -141,6 +143,10 @@
 	s.leaving = f.hasStatedDeparture(s.id)
 	f.trackLimit(s)
 	f.incarnations[s.server]++
+	if f.addresses[s.address] == nil {
+		f.addresses[s.address] = map[string]bool{}
+	}
+	f.addresses[s.address][s.id] = true
 }
 
 // remove removes an incarnation; the caller holds mu.
@@ -154,6 +160,9 @@
 	if f.incarnations[s.server]--; f.incarnations[s.server] == 0 {
 		delete(f.incarnations, s.server)
 	}
+	if delete(f.addresses[s.address], id); len(f.addresses[s.address]) == 0 {
+		delete(f.addresses, s.address)
+	}
 }
 
 // removeEnded removes an incarnation, or all incarnations of a server if the key is a server id
@@ -172,6 +181,13 @@
 	}
 }
 
+// hasAddress reports whether a known server has an address.
+func (f *fleet) hasAddress(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.addresses[address]) > 0
+}
+
 func (f *fleet) notifyChanged() {
 	close(f.changed)
 	f.changed = make(chan struct{})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,12 @@
 	Sender      *relay.Sender
 	Codec       Codec
 	RetryBudget RetryBudgetConfig
+	// PathLost reports whether this entry has lost its own network path to the backend servers; nil:
+	// never.
+	PathLost func() bool
+	// StateCooldown reports to another entry that a server has stated a cooldown in a response that
+	// passed through it. It may be nil if requests never pass through other entries.
+	StateCooldown func(host, server string, wait time.Duration)
 	// KeyRevocation bounds how long a removed API key may still be accepted; 0 is unbounded.
 	KeyRevocation time.Duration
 	// QuotaWindow is the window over which the quotas of teams are counted.
@@ -92,6 +98,9 @@
 
 // New starts a gateway. It refuses requests until it has a configuration.
 func New(cfg Config) *Gateway {
+	if cfg.PathLost == nil {
+		cfg.PathLost = func() bool { return false }
+	}
 	g := &Gateway{
 		cfg: cfg, fleet: newFleet(), demand: newDemandTracker(), startTime: time.Now(), configured: make(chan struct{}),
 		stop: make(chan struct{}), done: make(chan struct{}),
@@ -135,6 +144,10 @@
 	}
 }
 
+// ReportPath reports to the leader, and through it to all entries, whether this entry has lost its path
+// to the backend servers.
+func (g *Gateway) ReportPath() { g.reportNow() }
+
 // InFlight returns the number of requests in flight.
 func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
 
@@ -240,7 +253,13 @@
 	g.entries.Store(&list)
 	g.shares.set(len(list), time.Now())
 	g.fleet.setEntries(len(list))
-	g.cfg.Log.Info("entries believed", "count", len(list))
+	lost := 0
+	for _, e := range list {
+		if e.GetPathLost() {
+			lost++
+		}
+	}
+	g.cfg.Log.Info("entries believed", "count", len(list), "path-lost", lost)
 }
 
 func (g *Gateway) entryCount() int {
--- a/internal/gateway/outcome_string.go
+++ b/internal/gateway/outcome_string.go
@@ -28,11 +28,12 @@
 	_ = x[OutcomeOverQuota-17]
 	_ = x[OutcomeServerLimit-18]
 	_ = x[OutcomeServerCooldown-19]
+	_ = x[OutcomeNoPath-20]
 }
 
-const _Outcome_name = "servedserver-failedno-routeno-configurationbad-bodyno-serverno-modelbusyrepeat-budgetoutcome-unknowncuttimeoutcaller-goneentry-stoppingheld-backunauthorizedkeys-unconfirmedover-quotaserver-limitserver-cooldown"
+const _Outcome_name = "servedserver-failedno-routeno-configurationbad-bodyno-serverno-modelbusyrepeat-budgetoutcome-unknowncuttimeoutcaller-goneentry-stoppingheld-backunauthorizedkeys-unconfirmedover-quotaserver-limitserver-cooldownno-path"
 
-var _Outcome_index = [...]uint8{0, 6, 19, 27, 43, 51, 60, 68, 72, 85, 100, 103, 110, 121, 135, 144, 156, 172, 182, 194, 209}
+var _Outcome_index = [...]uint8{0, 6, 19, 27, 43, 51, 60, 68, 72, 85, 100, 103, 110, 121, 135, 144, 156, 172, 182, 194, 209, 216}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -1,4 +1,10 @@
-// Package path connects this host to backend servers.
+// Package path connects an entry to backend servers, over its own network path or through other
+// entries.
+//
+// A connection that cannot be opened says nothing about whose fault it is: the server may have
+// crashed, or this host may have lost its path while everybody else reaches the server. The package
+// therefore asks another host to connect before it gives a server up, and prefers other hosts while
+// its own path is lost.
 package path
 
 import (
@@ -7,65 +13,148 @@
 	"sync"
 	"time"
 
-	"fennelyard/internal/asynclog"
+	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 )
 
-// maxUnreached bounds the servers that are remembered as not reached.
-const maxUnreached = 1024
+const (
+	// tunnelDelay is the time after which another host is asked beside an attempt that neither
+	// connects nor fails: many round trips, as connecting waits for nothing but the network.
+	tunnelDelay = 150 * time.Millisecond
+	// connectTimeout bounds an attempt. It is shorter than tcp.ConnectTimeout, with which callers give
+	// an attempt up, so that it fails with what the other hosts have said.
+	connectTimeout = 400 * time.Millisecond
+	// maxHostsAsked is the number of hosts that an attempt asks at most, and minOpinions the number
+	// of them that must agree that a server has ended: one alone may have just lost its path as well.
+	maxHostsAsked = 3
+	minOpinions   = 2
+	// maxUnconfirmed bounds the hosts asked at the same time while this host's own path is not known
+	// to be lost: servers that crash must not cost other hosts more than this.
+	maxUnconfirmed = 32
+	// minLostServers is the number of servers to which the path is lost, with none reached since, from
+	// which on the path to all others counts as lost too.
+	minLostServers = 2
+	// RetryInterval is the time after which a host that carries no tunnel is asked again.
+	RetryInterval = time.Second
+	// maxServers bounds the servers that are remembered, and serverRetention is how long one is
+	// remembered after its last use.
+	maxServers      = 4096
+	serverRetention = time.Minute
+)
+
+// ErrNoPath reports that this host has lost its path to the servers and that no other host carries
+// connections for it: the failure says nothing about the server.
+var ErrNoPath = errors.New("no path to the backend servers")
 
 // Config configures a Dialer. All fields are required.
 type Config struct {
 	// Direct connects to an address over this host's own network path.
 	Direct func(ctx context.Context, address string) (net.Conn, error)
-	Log    logr.Logger
+	// Through connects to a server through another host.
+	Through func(ctx context.Context, host, server string) (net.Conn, error)
+	// Hosts returns the hosts that reach the servers: those to ask first, and all others.
+	Hosts func() (preferred, others []string)
+	// OnChange is called when Lost changes.
+	OnChange func()
+	Random   func(n int) int
+	Log      logr.Logger
 }
 
 // Dialer connects to backend servers. It is safe for concurrent use.
 type Dialer struct {
 	cfg Config
+	// wake has a token when paths to check have come.
+	wake chan struct{}
+	stop chan struct{}
+	done chan struct{}
+	once sync.Once
+	// settling counts the attempts with outstanding paths.
+	settling sync.WaitGroup
 
 	mu sync.Mutex
-	// unreached holds the servers to which the last connection failed, with the time of the first
-	// failure in a row. reachedAt is when a server was last reached. Guarded by mu.
-	unreached map[string]time.Time
+	// servers holds the servers that were not reached over this host's own path, and while lost is set
+	// those that were used. All fields are guarded by mu.
+	servers map[string]*server
+	// lost is set while the path to all servers counts as lost, since lostSince.
+	lost      bool
+	lostSince time.Time
+	// reachedAt is when a server was last reached over this host's own path, and reached its address.
 	reachedAt time.Time
+	reached   string
+	// asideUntil holds the hosts that carried no tunnel when they were last asked.
+	asideUntil map[string]time.Time
+	// unconfirmed counts the hosts that are being asked while the path is not known to be lost.
+	unconfirmed int
 }
 
-// New returns a Dialer.
-func New(cfg Config) *Dialer { return &Dialer{cfg: cfg, unreached: map[string]time.Time{}} }
+// server is what is known of the path to a server.
+type server struct {
+	// lostAt is when another host reached the server and this one did not, the zero time if this host
+	// reaches it or nobody is known to.
+	lostAt time.Time
+	// failedAt is when connections began to fail, over any path; the zero time if the last one did not.
+	failedAt  time.Time
+	checkedAt time.Time
+	usedAt    time.Time
+}
 
-// Dial connects to a server.
-func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
-	conn, err := d.cfg.Direct(ctx, address)
-	switch {
-	case err == nil:
-		d.recordReached(address)
-	case ctx.Err() == nil || context.Cause(ctx) == context.DeadlineExceeded:
-		d.recordUnreached(address, err)
+// New returns a Dialer. Close must be called.
+func New(cfg Config) *Dialer {
+	d := &Dialer{
+		cfg: cfg, wake: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
+		servers: map[string]*server{}, asideUntil: map[string]time.Time{},
 	}
-	return conn, err
+	go func() {
+		defer close(d.done)
+		d.check()
+		d.settling.Wait()
+	}()
+	return d
 }
 
-func (d *Dialer) recordReached(address string) {
+// Close ends the checks of lost paths, and waits for attempts that are not used. Connections stay open,
+// and Dial must not be called any more.
+func (d *Dialer) Close() {
+	d.once.Do(func() { close(d.stop) })
+	<-d.done
+}
+
+// Done returns a channel that is closed when the Dialer is closed.
+func (d *Dialer) Done() <-chan struct{} { return d.done }
+
+// Lost reports whether this host has lost its path to the servers.
+func (d *Dialer) Lost() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.reachedAt = time.Now()
-	if since, ok := d.unreached[address]; ok {
-		delete(d.unreached, address)
-		d.cfg.Log.Info("server reached again", "address", address, "after-ms", time.Since(since).Milliseconds(), "not-reached", len(d.unreached))
-	}
+	return d.lost
+}
+
+// State describes the known paths, for metrics.
+type State struct {
+	// Lost is set while the path to all servers counts as lost. LostServers is the number of servers
+	// that only other hosts reach, FailedServers of those that nobody reaches.
+	Lost                       bool
+	LostServers, FailedServers int
 }
 
-// recordUnreached records that a connection failed. The number of servers that are not reached, and
-// the time since any was reached, distinguish a lost path from a server that has ended.
-func (d *Dialer) recordUnreached(address string, err error) {
+// State returns a snapshot of the known paths.
+func (d *Dialer) State() State {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if _, known := d.unreached[address]; known || len(d.unreached) >= maxUnreached {
-		return
+	s := State{Lost: d.lost}
+	for _, server := range d.servers {
+		switch {
+		case !server.lostAt.IsZero():
+			s.LostServers++
+		case !server.failedAt.IsZero():
+			s.FailedServers++
+		}
 	}
-	d.unreached[address] = time.Now()
-	d.cfg.Log.Info("server not reached", "address", address, "error", asynclog.ErrorText(err), "not-reached", len(d.unreached),
-		"last-reached-ms", time.Since(d.reachedAt).Milliseconds())
+	return s
+}
+
+// Dial connects to a server within connectTimeout. The error wraps ECONNREFUSED if the server's
+// process is known to have ended, and ErrNoPath if nothing is known about the server.
+func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	return newAttempt(d, address).run(ctx)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,16 +33,22 @@
 )
 
 const (
-	// connectTimeout bounds the time to connect. A server in the same region accepts
-	// within milliseconds; a lost SYN is retransmitted after a second, and by then
-	// another server could have been tried.
-	connectTimeout = 500 * time.Millisecond
 	// maxMismatchedResponses is the number of responses to other requests after which
 	// the connection is closed: a server may send a response twice.
 	maxMismatchedResponses = 2
 	readBufferBytes        = 8 << 10
 )
 
+// notSentError is the error of a connection that was not established.
+type notSentError struct{ cause error }
+
+func (e notSentError) Error() string {
+	return "connect: " + e.cause.Error() + ": " + ErrNotSent.Error()
+}
+
+// Unwrap returns the errors that the error wraps.
+func (e notSentError) Unwrap() []error { return []error{e.cause, ErrNotSent} }
+
 // Request is a request to a backend server.
 type Request struct {
 	Method string
@@ -56,15 +62,17 @@
 	// request.
 	MatchesResponse func(http.Header) bool
 	// MaySend, if set, is called once the connection is established, and the request is not sent if
-	// it returns false: it may take until connectTimeout to connect.
-	MaySend func() bool
+	// it returns false: it may take until tcp.ConnectTimeout to connect. via is the host through which
+	// the connection is made, empty for a direct one.
+	MaySend func(via string) bool
 }
 
 // Config configures a Sender. The zero value is ready for use.
 type Config struct {
 	// OnDial, if set, is called after each connection attempt.
 	OnDial func(elapsed time.Duration, err error)
-	// Dial connects to an address; nil means over TCP.
+	// Dial connects to an address; nil means over TCP. A connection with a method Via() string is made
+	// through the host that it returns.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
@@ -83,9 +91,9 @@
 	return &Sender{cfg: cfg}
 }
 
-// dial connects to an address within connectTimeout.
+// dial connects to an address within tcp.ConnectTimeout.
 func (s *Sender) dial(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	ctx, cancel := context.WithTimeout(ctx, tcp.ConnectTimeout)
 	defer cancel()
 	start := time.Now()
 	conn, err := s.cfg.Dial(ctx, address)
@@ -115,7 +123,7 @@
 func (s *Sender) Send(ctx context.Context, address string, req *Request) (*Response, error) {
 	conn, err := s.dial(ctx, address)
 	if err != nil {
-		return nil, errors.Newf("connect to %s: %v: %w", address, err, ErrNotSent)
+		return nil, notSentError{err}
 	}
 	stop := context.AfterFunc(ctx, func() { tcp.Reset(conn) })
 	response, body, err := roundTrip(conn, req)
@@ -135,8 +143,16 @@
 	return response, nil
 }
 
+// viaOf returns the host through which a connection is made, empty for a direct one.
+func viaOf(conn net.Conn) string {
+	if c, ok := conn.(interface{ Via() string }); ok {
+		return c.Via()
+	}
+	return ""
+}
+
 func roundTrip(conn net.Conn, req *Request) (*Response, *bodyReader, error) {
-	if req.MaySend != nil && !req.MaySend() {
+	if req.MaySend != nil && !req.MaySend(viaOf(conn)) {
 		return nil, nil, ErrWithheld
 	}
 	if n, err := conn.Write(req.encode()); err != nil {
--- a/internal/role/backends_test.go
+++ b/internal/role/backends_test.go
@@ -65,6 +65,8 @@
 	rejections map[string]func() *rejection
 	statements []serverStatement
 	requests   []serverRequest
+	// runs counts how often each request ran of the route whose requests must not be repeated.
+	runs map[string]int
 	// leaving are the addresses of the servers that state in all responses that they leave, and
 	// departures these statements; departureCount counts those that are forgotten as well.
 	leaving        map[string]bool
@@ -101,7 +103,7 @@
 
 // startBackendsWith is like startBackends. With sameIDs the servers start again under their ids.
 func startBackendsWith(d *deployment, n int, sameIDs bool) *backends {
-	b := &backends{sameIDs: sameIDs, deployment: d, count: n, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]func() *rejection{}, leaving: map[string]bool{}, silent: map[string]bool{}}
+	b := &backends{sameIDs: sameIDs, deployment: d, count: n, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]func() *rejection{}, leaving: map[string]bool{}, runs: map[string]int{}, silent: map[string]bool{}}
 	route := func(name string, repeat schema.Repeat) *schema.Route {
 		return &schema.Route{
 			Name: name, Host: "h.example", Prefix: "/" + name + "/", Repeat: repeat, TimeoutMs: 3000, AimMs: 300, MaxAttempts: 2,
@@ -318,9 +320,20 @@
 		p.reject(conn, request.Header.Get("X-Id"), rejects)
 		return
 	}
+	p.backends.recordRun(request)
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%s%sContent-Length: 2\r\n\r\nok", request.Header.Get("X-Id"), limit, p.recordDeparture(conn))
 }
 
+// recordRun records that a request ran.
+func (b *backends) recordRun(request *http.Request) {
+	if !strings.HasPrefix(request.URL.Path, "/once/") {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs[request.Header.Get("X-Id")]++
+}
+
 // countConn adds n to the number of open connections of a server.
 func (b *backends) countConn(address string, n int) {
 	b.mu.Lock()
@@ -366,6 +379,8 @@
 
 // callResult is the response that a caller receives.
 type callResult struct {
+	// id is the id that the request had.
+	id string
 	// status is 0 for a response that was cut off.
 	status int
 	// retryAfterSeconds is the value of Retry-After, 0 if there is none.
@@ -379,14 +394,15 @@
 	entry := d.entries[ip]
 	d.entriesMu.RUnlock()
 	request := httptest.NewRequest(http.MethodPost, "http://h.example"+path, strings.NewReader(body))
-	request.Header.Set("X-Id", strconv.FormatInt(d.lastCallID.Add(1), 10))
+	id := strconv.FormatInt(d.lastCallID.Add(1), 10)
+	request.Header.Set("X-Id", id)
 	defer func() {
 		if recover() != nil {
-			result = callResult{}
+			result = callResult{id: id}
 		}
 	}()
 	recorder := httptest.NewRecorder()
 	entry.CallerHandler().ServeHTTP(recorder, request)
 	retryAfter, _ := strconv.ParseFloat(recorder.Header().Get("Retry-After"), 64)
-	return callResult{recorder.Code, retryAfter}
+	return callResult{id, recorder.Code, retryAfter}
 }
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -17,6 +18,8 @@
 	"fennelyard/internal/peer"
 	"fennelyard/internal/relay"
 	"fennelyard/internal/schema"
+	"fennelyard/internal/settings"
+	"fennelyard/internal/tunnel"
 )
 
 const (
@@ -34,6 +37,9 @@
 	abortFraction     = 0.94
 	closeFraction     = 0.97
 	drainPollInterval = 50 * time.Millisecond
+	// stateCooldownTimeout bounds how long a rejected request is delayed to report the cooldown of its
+	// server to the entry that carried it.
+	stateCooldownTimeout = 150 * time.Millisecond
 )
 
 // EntryConfig configures an Entry. All fields are required unless noted otherwise.
@@ -53,9 +59,13 @@
 
 // Entry serves callers' requests. All methods are safe for concurrent use.
 type Entry struct {
-	cfg            EntryConfig
-	dialer         *peer.Dialer
-	gateway        *gateway.Gateway
+	cfg     EntryConfig
+	dialer  *peer.Dialer
+	gateway *gateway.Gateway
+	// paths connects to the backend servers, and tunnels carries connections to them for other
+	// entries.
+	paths          *path.Dialer
+	tunnels        *tunnel.Server
 	callerServer   *http.Server
 	callerListener net.Listener
 	servers        []*http.Server
@@ -69,14 +79,28 @@
 	cfg.Network.setDefaults()
 	e := &Entry{cfg: cfg, dialer: peer.NewDialer(peer.DialerConfig{Dial: cfg.Network.Dial}), done: make(chan struct{})}
 	s := cfg.Settings.Get()
-	paths := path.New(path.Config{Direct: cfg.Network.dial(), Log: cfg.Log.WithName("path")})
+	direct := cfg.Network.dial()
+	e.paths = path.New(path.Config{
+		Direct: direct, Through: openTunnel(direct), Random: rand.IntN, Log: cfg.Log.WithName("path"),
+		Hosts:    func() (preferred, others []string) { return e.gateway.TunnelHosts() },
+		OnChange: func() { e.gateway.ReportPath() },
+	})
+	e.tunnels = tunnel.NewServer(tunnel.ServerConfig{
+		Connect: direct, Log: cfg.Log.WithName("tunnel"),
+		IsServer:   func(address string) bool { return e.gateway.IsServer(address) },
+		Available:  func() bool { return e.gateway.CarriesTunnels() },
+		Cooldown:   func(address string) time.Duration { return e.gateway.ServerCooldown(address) },
+		OnCooldown: func(server string, wait time.Duration) { e.gateway.CarriedCooldown(server, wait) },
+	})
 	e.gateway = gateway.New(gateway.Config{
 		Self: &schema.RosterEntry{
 			Host: s.GetHost(), DataCentre: s.GetDataCentre(), CallerAddress: s.GetCallerAddress(),
+			TunnelAddress: settings.PeerAddress(s.GetIp(), s),
 		},
+		PathLost: e.paths.Lost, StateCooldown: e.stateCooldown(direct),
 		Seeds: cfg.Settings.Seeds, Dialer: e.dialer, Replica: ledger.NewReplica(),
 		Sender: relay.NewSender(relay.Config{
-			OnDial: func(_ time.Duration, err error) { cfg.Metrics.BackendConnection(err) }, Dial: paths.Dial,
+			OnDial: func(_ time.Duration, err error) { cfg.Metrics.BackendConnection(err) }, Dial: e.paths.Dial,
 		}),
 		Codec: cfg.Codec, Log: cfg.Log.WithName("entry"), RequestLog: cfg.RequestLog,
 		RetryBudget: gateway.RetryBudgetConfig{
@@ -96,6 +120,28 @@
 	return e, nil
 }
 
+// openTunnel returns how to connect to a backend server through another entry.
+func openTunnel(dial func(ctx context.Context, address string) (net.Conn, error)) func(ctx context.Context, host, server string) (net.Conn, error) {
+	return func(ctx context.Context, host, server string) (net.Conn, error) {
+		conn, err := tunnel.Open(ctx, tunnel.Options{Dial: dial, Host: host, Server: server})
+		if err != nil {
+			return nil, errors.Newf("open tunnel: %w", err)
+		}
+		return conn, nil
+	}
+}
+
+// stateCooldown returns how to report a cooldown to the entry through which the response passed.
+func (e *Entry) stateCooldown(dial func(ctx context.Context, address string) (net.Conn, error)) func(host, server string, wait time.Duration) {
+	return func(host, server string, wait time.Duration) {
+		ctx, cancel := context.WithTimeout(context.Background(), stateCooldownTimeout)
+		defer cancel()
+		if err := tunnel.StateCooldown(ctx, dial, host, server, wait); err != nil {
+			e.cfg.Log.Error(err, "cooldown not stated", "entry", host, "server", server)
+		}
+	}
+}
+
 func (e *Entry) registerGauges() {
 	for _, gauge := range []struct {
 		name, help string
@@ -116,23 +162,41 @@
 	} {
 		e.cfg.Metrics.Gauge(gauge.name, gauge.help, func() float64 { return gauge.read(e.gateway.State()) })
 	}
+	for _, gauge := range []struct {
+		name, help string
+		read       func(path.State) float64
+	}{
+		{"path_to_servers_lost", "1 while this entry has lost its own network path to the backend servers.", func(s path.State) float64 {
+			if s.Lost {
+				return 1
+			}
+			return 0
+		}},
+		{"servers_reached_by_other_entries", "Backend servers that this entry reaches only through other entries.", func(s path.State) float64 { return float64(s.LostServers) }},
+		{"servers_not_reached", "Backend servers that this entry reaches over no path.", func(s path.State) float64 { return float64(s.FailedServers) }},
+	} {
+		e.cfg.Metrics.Gauge(gauge.name, gauge.help, func() float64 { return gauge.read(e.paths.State()) })
+	}
+	e.cfg.Metrics.Gauge("tunnels_open", "Connections to backend servers that this entry carries for other entries.", func() float64 { return float64(e.tunnels.Active()) })
 	e.cfg.Metrics.Gauge("requests_at_hand", "Requests of callers at hand.", func() float64 { return float64(e.gateway.InFlight()) })
 }
 
 func (e *Entry) listen(s *schema.JoinSettings) error {
 	for _, endpoint := range []struct {
 		address string
+		listen  func(network, address string) (net.Listener, error)
 		handler http.Handler
 		callers bool
 	}{
-		{s.GetCallerAddress(), e.gateway, true},
-		{s.GetReadyAddress(), e.cfg.Ready(e), false},
-		{s.GetDirectoryAddress(), e.cfg.Directory(e), false},
+		{s.GetCallerAddress(), e.cfg.Network.Listen, e.gateway, true},
+		{s.GetReadyAddress(), e.cfg.Network.Listen, e.cfg.Ready(e), false},
+		{s.GetDirectoryAddress(), e.cfg.Network.Listen, e.cfg.Directory(e), false},
+		{settings.PeerAddress(s.GetPeerListenIp(), s), e.cfg.Network.listenHosts, e.tunnels, false},
 	} {
 		if endpoint.address == "" {
 			continue
 		}
-		l, err := e.cfg.Network.Listen("tcp", endpoint.address)
+		l, err := endpoint.listen("tcp", endpoint.address)
 		if err != nil {
 			return errors.Newf("listen: %w", err)
 		}
@@ -172,7 +236,7 @@
 	limit := e.cfg.Settings.Get().GetStopLimit().AsDuration()
 	start := time.Now()
 	e.gateway.StartDraining(start.Add(fractionOf(limit, sendFraction)))
-	e.cfg.Log.Info("draining", "in-flight", e.gateway.InFlight(), "limit-ms", limit.Milliseconds())
+	e.cfg.Log.Info("draining", "in-flight", e.gateway.InFlight(), "tunnels", e.tunnels.Active(), "limit-ms", limit.Milliseconds())
 	// From now on each response closes its connection, so that its caller connects to another
 	// entry, and idle connections are closed.
 	e.callerServer.SetKeepAlivesEnabled(false)
@@ -186,13 +250,14 @@
 		}
 		if elapsed > fractionOf(limit, abortFraction) {
 			e.gateway.AbortRequests()
+			e.tunnels.Reset()
 		}
-		if elapsed > fractionOf(limit, closeFraction) || !accepting && e.gateway.InFlight() == 0 {
+		if elapsed > fractionOf(limit, closeFraction) || !accepting && e.gateway.InFlight()+e.tunnels.Active() == 0 {
 			break
 		}
 		<-ticker.C
 	}
-	e.cfg.Log.Info("drained", "in-flight", e.gateway.InFlight(), "took-ms", time.Since(start).Milliseconds())
+	e.cfg.Log.Info("drained", "in-flight", e.gateway.InFlight(), "tunnels", e.tunnels.Active(), "took-ms", time.Since(start).Milliseconds())
 	e.Close()
 }
 
@@ -215,8 +280,10 @@
 		for _, s := range e.servers {
 			_ = s.Close()
 		}
+		e.tunnels.Reset()
 		e.wg.Wait()
 		e.gateway.Close()
+		e.paths.Close()
 		e.dialer.Close()
 	})
 	<-e.done
--- a/internal/role/export_test.go
+++ b/internal/role/export_test.go
@@ -114,6 +114,9 @@
 // Servers returns the number of backend servers this entry knows.
 func (e *Entry) Servers() int { return e.gateway.State().Servers }
 
+// HeldBack returns the number of requests that the entry holds back.
+func (e *Entry) HeldBack() int { return e.gateway.State().HeldBack }
+
 // ReadyServers returns the number of backend servers that accept new work.
 func (e *Entry) ReadyServers() int { return e.gateway.State().Ready }
 
--- a/internal/role/network.go
+++ b/internal/role/network.go
@@ -14,11 +14,14 @@
 	// Dial is nil for TCP: with gRPC's defaults to control hosts, and with those of package tcp to
 	// other hosts.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// listenHosts is how a host listens for tunnels of other hosts.
+	listenHosts func(network, address string) (net.Listener, error)
 }
 
 func (n *Network) setDefaults() {
+	n.listenHosts = n.Listen
 	if n.Listen == nil {
-		n.Listen = net.Listen
+		n.Listen, n.listenHosts = net.Listen, tcp.Listen
 	}
 }
 
--- a/internal/role/partition_test.go
+++ b/internal/role/partition_test.go
@@ -72,10 +72,10 @@
 
 // attempt is a request of a caller, and the status of its response.
 type attempt struct {
-	entry, path string
-	at          time.Time
-	took        time.Duration
-	status      int
+	id, entry, path string
+	at              time.Time
+	took            time.Duration
+	status          int
 }
 
 // attempts is a load of callers on all entries, on all routes, that records each response.
@@ -102,10 +102,10 @@
 				path, body := []string{"/once/x", "/again/x"}[random.Intn(2)], fmt.Sprint("ordinary ", random.Int63())
 				a.wg.Go(func() {
 					at := time.Now()
-					status := d.call(ip, path, body).status
+					result := d.call(ip, path, body)
 					a.mu.Lock()
 					defer a.mu.Unlock()
-					a.list = append(a.list, attempt{ip, path, at, time.Since(at), status})
+					a.list = append(a.list, attempt{result.id, ip, path, at, time.Since(at), result.status})
 				})
 			}
 		})
@@ -164,3 +164,178 @@
 		})
 	}
 }
+
+// requireServedAsOthers requires that entries without a path to the servers serve the requests that they
+// got from a time until another nearly as often as the others.
+func (a *attempts) requireServedAsOthers(t *testing.T, cut, others []string, from, to time.Time) {
+	t.Helper()
+	served, all := a.served(cut, from, to)
+	servedByOthers, allOfOthers := a.served(others, from, to)
+	t.Logf("partitioned entries served %d of %d, the others %d of %d", served, all, servedByOthers, allOfOthers)
+	require.Positive(t, all)
+	require.GreaterOrEqual(t, float64(served)/float64(all), minPartitionedShare*float64(servedByOthers)/float64(max(allOfOthers, 1)))
+}
+
+// requireRunOnce requires that no request of a route that must not be repeated ran twice.
+func (b *backends) requireRunOnce() {
+	b.deployment.t.Helper()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	require.NotEmpty(b.deployment.t, b.runs)
+	for id, n := range b.runs {
+		require.LessOrEqual(b.deployment.t, n, 1, "request %s on /once/", id)
+	}
+}
+
+// requireRefusalsTrue requires that no request that was answered as not run has run, or ran later.
+func (b *backends) requireRefusalsTrue(a *attempts) {
+	b.deployment.t.Helper()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, x := range a.list {
+		if x.status == 503 && x.path == "/once/x" {
+			require.Zero(b.deployment.t, b.runs[x.id], "request %s was refused as not run", x.id)
+		}
+	}
+}
+
+// Partitions come in series and overlap, and hosts and servers fail meanwhile. Each case is a way in
+// which a partitioned entry could fail to find another one that reaches the servers.
+func TestPartitionsUnderFaults(t *testing.T) {
+	all := []string{"hanging", "responses lost", "reset", "new connections refused"}
+	for name, test := range map[string]struct {
+		// cut is the number of entries, of six, that are partitioned for 12 s.
+		cut int
+		run func(d *deployment, b *backends, p partition)
+		// grace is how long after the begin of the partition requests may fail, if longer than usual.
+		grace time.Duration
+	}{
+		"one entry":        {cut: 1},
+		"all but one":      {cut: 5},
+		"the leader fails": {cut: 3, run: func(d *deployment, _ *backends, _ partition) { d.powerOff(d.leader()) }},
+		"the leader fails just after the begin": {cut: 3, run: func(d *deployment, _ *backends, _ partition) {
+			time.Sleep(100 * time.Millisecond)
+			d.powerOff(d.leader())
+		}},
+		"cut off from the control hosts as well": {cut: 2, run: func(d *deployment, _ *backends, _ partition) {
+			time.Sleep(2 * time.Second)
+			d.setEntryPartition(d.entryIPs()[0], true)
+			d.setEntryPartition(d.entryIPs()[1], true)
+		}},
+		"another entry restarts": {cut: 3, run: func(d *deployment, _ *backends, _ partition) { time.Sleep(4 * time.Second); d.restartEntry("10.0.1.6") }},
+		"a server starts again":  {cut: 3, run: func(_ *deployment, b *backends, _ partition) { time.Sleep(time.Second); b.stopSome(1) }},
+		"in series": {cut: 3, run: func(d *deployment, b *backends, p partition) {
+			for range 3 {
+				time.Sleep(1500 * time.Millisecond)
+				b.partitionEntries(p, d.entryIPs()[:3], false)
+				time.Sleep(700 * time.Millisecond)
+				b.partitionEntries(p, d.entryIPs()[:3], true)
+			}
+		}},
+		"overlapping": {cut: 2, run: func(d *deployment, b *backends, p partition) {
+			time.Sleep(4 * time.Second)
+			b.partitionEntries(p, d.entryIPs()[2:4], true)
+			time.Sleep(time.Second)
+			b.partitionEntries(p, d.entryIPs()[:1], false)
+		}},
+	} {
+		for _, kind := range all {
+			t.Run(name+"/"+kind, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					d := newSettledDeploymentOf(t, 72, 3, 6)
+					defer d.close()
+					b := startBackends(d, 3)
+					defer b.close()
+					a := d.startAttempts(6)
+					time.Sleep(2 * time.Second)
+					p, cut, others := partitions[kind], d.entryIPs()[:test.cut], d.entryIPs()[test.cut:5]
+					b.partitionEntries(p, cut, true)
+					begin := time.Now()
+					if test.run != nil {
+						test.run(d, b, p)
+					}
+					time.Sleep(time.Until(begin.Add(12 * time.Second)))
+					end := time.Now()
+					b.partitionEntries(p, d.entryIPs()[:4], false)
+					time.Sleep(2 * time.Second)
+					a.end()
+					if test.cut == 5 {
+						others = d.entryIPs()[5:]
+					}
+					a.requireServedAsOthers(t, cut, others, begin.Add(max(partitionGrace, test.grace)), end)
+					b.requireRunOnce()
+					b.requireRefusalsTrue(a)
+					for address, n := range b.mostConns {
+						require.LessOrEqual(t, n, backendMaxConnections, address)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Servers that partitioned entries reach through others state limits and cooldowns: both must be kept,
+// also by the entries that carry the requests.
+func TestStatementsReachPartitionedEntries(t *testing.T) {
+	for _, kind := range []string{"hanging", "new connections refused"} {
+		t.Run(kind, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const perSecond = 3
+				d := newSettledDeploymentOf(t, 73, 3, 6)
+				defer d.close()
+				b := startBackends(d, 4)
+				defer b.close()
+				a := d.startAttempts(6)
+				time.Sleep(time.Second)
+				b.partitionEntries(partitions[kind], d.entryIPs()[:3], true)
+				time.Sleep(2 * time.Second)
+				b.setLimit(backendAddress(0), perSecond)
+				b.setRejection(backendAddress(1), always(rejectFor(1500*time.Millisecond)))
+				time.Sleep(limitGrace)
+				from := time.Now()
+				time.Sleep(10 * time.Second)
+				to := time.Now()
+				a.end()
+				b.requireLimitKept(backendAddress(0), perSecond, from, to)
+				b.requireCooldownsKept()
+				a.requireServedAsOthers(t, d.entryIPs()[:3], d.entryIPs()[3:], from, to)
+			})
+		})
+	}
+}
+
+// A partition must not make ordinary requests look as if they ended their servers, and a request that
+// does must be found at partitioned entries as well.
+func TestHarmfulRequestsAreFoundDuringPartitions(t *testing.T) {
+	for kind, p := range partitions {
+		t.Run(kind, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newSettledDeploymentOf(t, 74, 3, 6)
+				defer d.close()
+				b := startBackends(d, 6)
+				defer b.close()
+				a := d.startAttempts(10)
+				time.Sleep(time.Second)
+				for range 3 {
+					b.partitionEntries(p, d.entryIPs()[:3], true)
+					time.Sleep(2 * time.Second)
+					b.partitionEntries(p, d.entryIPs()[:3], false)
+					time.Sleep(2 * time.Second)
+				}
+				for _, e := range d.entries {
+					require.Zero(t, e.HeldBack(), "no server has ended")
+				}
+				b.partitionEntries(p, d.entryIPs()[:3], true)
+				time.Sleep(2 * time.Second)
+				for i := range 20 {
+					d.call(d.entryIPs()[i%6], "/once/x", harmfulBody)
+					time.Sleep(200 * time.Millisecond)
+				}
+				a.end()
+				require.LessOrEqual(t, b.crashCount(), 3)
+			})
+		})
+	}
+}
--- a/internal/subscription/subscription.go
+++ b/internal/subscription/subscription.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/quota"
 	"fennelyard/internal/roster"
@@ -177,6 +178,9 @@
 		r.cfg.Log.Info("entry state", "entry", host, "stopping", s.stopping, "silent", false)
 		r.RequestReport()
 	}
+	if s.entry.GetPathLost() != report.GetPathLost() {
+		r.setPathLost(s, report.GetPathLost())
+	}
 	if report.GetLoadsTold() {
 		r.setLoads(s, report.GetLoads())
 	}
@@ -191,6 +195,16 @@
 	r.addLeavingServers(report.GetLeavingServers())
 }
 
+// setPathLost records whether an entry has lost its path to the backend servers; mu is held. Earlier
+// lists may still be encoded, so that they keep the entry as it was.
+func (r *Registry) setPathLost(s *subscription, lost bool) {
+	entry := proto.Clone(s.entry).(*schema.RosterEntry)
+	entry.PathLost = lost
+	s.entry, r.listReported = entry, false
+	r.cfg.Log.Info("entry path to servers", "entry", entry.GetHost(), "lost", lost)
+	r.RequestReport()
+}
+
 // addDemand adds an entry's demand; mu is held.
 func (r *Registry) addDemand(s *subscription, d *schema.ModelDemand) {
 	t := target{d.GetPool(), d.GetModel(), d.GetAdapter()}
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -24,14 +24,18 @@
 	keepAliveCount    = int((userTimeout - keepAliveIdle) / keepAliveInterval)
 )
 
+// ConnectTimeout bounds the time to connect. A server in the same region accepts within milliseconds; a
+// lost SYN is retransmitted after a second, and by then another server could have been tried.
+const ConnectTimeout = 500 * time.Millisecond
+
 // userTimeoutOption is TCP_USER_TIMEOUT in linux/tcp.h.
 const userTimeoutOption = 0x12
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 
-// Dial connects to an address; the context bounds the time.
+// Dial connects to an address within ConnectTimeout.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Control: setUserTimeout, KeepAliveConfig: keepAlive}
+	dialer := net.Dialer{Timeout: ConnectTimeout, Control: setUserTimeout, KeepAliveConfig: keepAlive}
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -230,6 +230,8 @@
 		return "team " + request.text("team") + " had exhausted its quota over all entries"
 	case "server-limit":
 		return "every server that could serve the request states a limit on its requests, which was used up for longer than the caller would wait; it waited " + fmt.Sprint(waited)
+	case "no-path":
+		return "the entry had lost its path to the backend servers, and no other entry carried its connections (see its lines `path to servers lost` and `host carries no tunnel`)"
 	case "server-cooldown":
 		return "every server that could serve the request had asked the entry to send it nothing for longer than the caller would wait; it waited " + fmt.Sprint(waited)
 	case "entry-stopping":
--- /dev/null
+++ b/internal/tunnel/client.go
@@ -0,0 +1,144 @@
+package tunnel
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fennelyard/internal/tcp"
+)
+
+var (
+	// ErrUnavailable reports that the other host does not carry the tunnel, or cannot be reached.
+	ErrUnavailable = errors.New("the host carries no tunnel")
+	// ErrUnknownServer reports that the other host knows no server at the address.
+	ErrUnknownServer = errors.New("the other host does not know the server")
+	// ErrServerCooling reports that the server wants nothing from the other host for some time.
+	ErrServerCooling = errors.New("the server has asked the other host for a cooldown")
+	// ErrServerSilent reports that the other host got no response from the server.
+	ErrServerSilent = errors.New("the server does not respond to the other host")
+	// ErrServerRefused reports that the server refused the other host's connection. It wraps
+	// ECONNREFUSED.
+	ErrServerRefused = errors.Newf("the server refuses the other host: %w", syscall.ECONNREFUSED)
+)
+
+// readBufferBytes holds the response to CONNECT.
+const readBufferBytes = 1 << 10
+
+// Options describe a tunnel. All fields are required.
+type Options struct {
+	// Dial connects to the host.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Host is the address of the host that carries the tunnel, Server that of the backend server.
+	Host, Server string
+}
+
+// Conn is a connection to a backend server through another host.
+type Conn struct {
+	net.Conn
+	via string
+	in  *bufio.Reader
+}
+
+// Via returns the address of the host that carries the tunnel.
+func (c *Conn) Via() string { return c.via }
+
+// Read implements net.Conn. The server's first bytes may have arrived with the response to CONNECT.
+func (c *Conn) Read(p []byte) (int, error) {
+	if c.in.Buffered() > 0 {
+		return c.in.Read(p)
+	}
+	return c.Conn.Read(p)
+}
+
+// SetLinger is like that of net.TCPConn.
+func (c *Conn) SetLinger(sec int) error {
+	if conn, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return conn.SetLinger(sec)
+	}
+	return nil
+}
+
+// Open opens a tunnel. The error wraps one of the errors above.
+func Open(ctx context.Context, o Options) (*Conn, error) {
+	conn, err := o.Dial(ctx, o.Host)
+	if err != nil {
+		return nil, errors.Newf("connect to %s: %v: %w", o.Host, err, ErrUnavailable)
+	}
+	stop := context.AfterFunc(ctx, func() { tcp.Reset(conn) })
+	in := bufio.NewReaderSize(conn, readBufferBytes)
+	status, err := connect(conn, in, o)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		tcp.Reset(conn)
+		return nil, errors.Newf("tunnel through %s: %v: %w", o.Host, err, ErrUnavailable)
+	}
+	if err = statusError(status); err != nil {
+		_ = conn.Close()
+		return nil, errors.Newf("tunnel through %s: %w", o.Host, err)
+	}
+	return &Conn{Conn: conn, via: o.Host, in: in}, nil
+}
+
+// connect sends CONNECT and returns the status of the response.
+func connect(conn net.Conn, in *bufio.Reader, o Options) (int, error) {
+	request := &http.Request{Method: http.MethodConnect, URL: &url.URL{Opaque: o.Server}, Host: o.Server, Header: http.Header{}}
+	if err := request.Write(conn); err != nil {
+		return 0, errors.Newf("send CONNECT: %w", err)
+	}
+	response, err := http.ReadResponse(in, request)
+	if err != nil {
+		return 0, errors.Newf("read response to CONNECT: %w", err)
+	}
+	return response.StatusCode, nil
+}
+
+func statusError(status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusBadGateway:
+		return ErrServerRefused
+	case http.StatusGatewayTimeout:
+		return ErrServerSilent
+	case http.StatusTooManyRequests:
+		return ErrServerCooling
+	case http.StatusForbidden:
+		return ErrUnknownServer
+	}
+	return errors.Newf("status %d: %w", status, ErrUnavailable)
+}
+
+// StateCooldown reports a cooldown to the host that carried the request whose response stated it: the
+// server has asked for it at the host from which the request arrived.
+func StateCooldown(ctx context.Context, dial func(ctx context.Context, address string) (net.Conn, error), host, server string, wait time.Duration) error {
+	conn, err := dial(ctx, host)
+	if err != nil {
+		return errors.Newf("connect to %s: %w", host, err)
+	}
+	defer func() { _ = conn.Close() }()
+	defer context.AfterFunc(ctx, func() { tcp.Reset(conn) })()
+	query := url.Values{serverKey: {server}, waitKey: {strconv.FormatInt(max(wait.Milliseconds(), 1), 10)}}
+	request := &http.Request{Method: http.MethodPut, URL: &url.URL{Path: cooldownPath, RawQuery: query.Encode()}, Host: host, Header: http.Header{}, Close: true}
+	if err = request.Write(conn); err != nil {
+		return errors.Newf("send cooldown: %w", err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	if err != nil {
+		return errors.Newf("read response to cooldown: %w", err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		return errors.Newf("cooldown not taken: status %d", response.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/tunnel/server.go
@@ -0,0 +1,277 @@
+// Package tunnel carries connections to backend servers through another host of the deployment, for
+// hosts that have lost their own network path to the servers.
+//
+// A host opens a tunnel with the CONNECT method of HTTP (RFC 9110, section 9.3.6), one for each
+// connection to a server. The other host connects to the server over its own path, never through a
+// third host, and copies bytes. It decides nothing about the requests: a connection that either end
+// closes or resets is closed or reset at the other end, so that errors and cancellations mean the
+// same as on a direct connection.
+package tunnel
+
+import (
+	"context"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"fennelyard/internal/tcp"
+)
+
+const (
+	// cooldownPath, with the two keys of its query, is where hosts state cooldowns.
+	cooldownPath = "/cooldown"
+	serverKey    = "server"
+	waitKey      = "wait-ms"
+	// maxTunnels bounds the tunnels through a host. Each takes two descriptors and twice bufferBytes:
+	// a twelfth of the descriptors and a thirtieth of the memory of the smallest hosts.
+	maxTunnels  = 256
+	bufferBytes = 16 << 10
+	// rejectionLogInterval is the least time between two log lines on rejected tunnels.
+	rejectionLogInterval = time.Second
+)
+
+// ServerConfig configures a Server. All fields are required.
+type ServerConfig struct {
+	// Connect connects to a backend server over this host's own network path.
+	Connect func(ctx context.Context, address string) (net.Conn, error)
+	// IsServer reports whether an address is the one of a known backend server: the host is no proxy
+	// for anything else.
+	IsServer func(address string) bool
+	// Cooldown returns for how long the server at an address wants nothing from this host.
+	Cooldown func(address string) time.Duration
+	// OnCooldown receives what a server has asked this host for in a response that passed through one
+	// of its tunnels: to send an incarnation nothing for some time.
+	OnCooldown func(server string, wait time.Duration)
+	// Available reports whether this host takes new tunnels.
+	Available func() bool
+	Log       logr.Logger
+}
+
+// Server carries tunnels for other hosts. It implements http.Handler and is safe for concurrent use.
+type Server struct {
+	cfg ServerConfig
+
+	mu sync.Mutex
+	// tunnels are the open ones, and reserved the number of those that are open or being opened.
+	tunnels  map[*tunnel]bool
+	reserved int
+	closed   bool
+	// rejected counts the tunnels rejected since the last log line on them, at rejectedLogged. All
+	// guarded by mu.
+	rejected       int
+	rejectedLogged time.Time
+}
+
+// NewServer returns a Server without tunnels.
+func NewServer(cfg ServerConfig) *Server { return &Server{cfg: cfg, tunnels: map[*tunnel]bool{}} }
+
+// Active returns the number of tunnels that are open or being opened.
+func (s *Server) Active() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reserved
+}
+
+// Reset resets all tunnels, and rejects new ones from now on.
+func (s *Server) Reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for t := range s.tunnels {
+		t.reset()
+	}
+}
+
+// ServeHTTP opens a tunnel. It responds with 200 once the connection to the server stands, 502 if the
+// server refuses it, 504 if the server does not respond, 429 if it wants nothing from this host, and 503
+// or 403 if this host does not carry the tunnel. With PUT it takes note of a cooldown.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPut && r.URL.Path == cooldownPath {
+		s.recordCooldown(w, r)
+		return
+	}
+	address := r.Host
+	if r.Method != http.MethodConnect || !s.cfg.IsServer(address) {
+		s.reject(w, http.StatusForbidden, address)
+		return
+	}
+	if s.cfg.Cooldown(address) > 0 {
+		s.reject(w, http.StatusTooManyRequests, address)
+		return
+	}
+	if !s.reserve() {
+		s.reject(w, http.StatusServiceUnavailable, address)
+		return
+	}
+	defer s.release()
+	server, err := s.cfg.Connect(r.Context(), address)
+	if err != nil {
+		w.WriteHeader(connectStatus(err))
+		return
+	}
+	client, in, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		tcp.Reset(server)
+		s.cfg.Log.Error(err, "tunnel not opened", "server", address)
+		return
+	}
+	t := &tunnel{client: client, server: server, in: in.Reader}
+	if !s.track(t) {
+		t.reset()
+		return
+	}
+	defer s.untrack(t)
+	// net/http may have set deadlines.
+	_ = client.SetDeadline(time.Time{})
+	if _, err = io.WriteString(client, "HTTP/1.1 200 OK\r\n\r\n"); err != nil {
+		t.reset()
+		return
+	}
+	t.run()
+}
+
+// recordCooldown applies a cooldown that the server at the end of a tunnel has stated.
+func (s *Server) recordCooldown(w http.ResponseWriter, r *http.Request) {
+	ms, err := strconv.ParseInt(r.URL.Query().Get(waitKey), 10, 64)
+	if err != nil || ms <= 0 || ms > math.MaxInt64/int64(time.Millisecond) {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.cfg.OnCooldown(r.URL.Query().Get(serverKey), time.Duration(ms)*time.Millisecond)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// connectStatus returns the status for a connection to a server that failed.
+func connectStatus(err error) int {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return http.StatusBadGateway
+	}
+	return http.StatusGatewayTimeout
+}
+
+func (s *Server) reject(w http.ResponseWriter, status int, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejected++
+	if now := time.Now(); now.Sub(s.rejectedLogged) > rejectionLogInterval {
+		s.cfg.Log.Info("tunnels rejected", "count", s.rejected, "last-status", status, "last-server", address, "open", s.reserved)
+		s.rejected, s.rejectedLogged = 0, now
+	}
+	w.WriteHeader(status)
+}
+
+// reserve takes the place of a tunnel.
+func (s *Server) reserve() bool {
+	available := s.cfg.Available()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !available || s.closed || s.reserved >= maxTunnels {
+		return false
+	}
+	s.reserved++
+	return true
+}
+
+func (s *Server) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reserved--
+}
+
+// track registers an open tunnel; it returns false if the server was reset before.
+func (s *Server) track(t *tunnel) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.tunnels[t] = true
+	return true
+}
+
+func (s *Server) untrack(t *tunnel) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.tunnels, t)
+}
+
+// tunnel copies bytes between two connections.
+type tunnel struct {
+	client, server net.Conn
+	// in reads from client.
+	in   io.Reader
+	once sync.Once
+}
+
+// end closes both connections, or resets them. Only the first call has an effect: closing one
+// connection also ends the copying in the other direction.
+func (t *tunnel) end(resetClient, resetServer bool) {
+	t.once.Do(func() {
+		closeConn(t.client, resetClient)
+		closeConn(t.server, resetServer)
+	})
+}
+
+func (t *tunnel) reset() { t.end(true, true) }
+
+func closeConn(conn net.Conn, reset bool) {
+	if reset {
+		tcp.Reset(conn)
+		return
+	}
+	_ = conn.Close()
+}
+
+// run copies in both directions until one end has closed or reset its connection.
+func (t *tunnel) run() {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		t.copyRequest()
+	}()
+	t.copyResponse()
+	<-done
+}
+
+// copyResponse copies from the server until either end is gone. A response without a length ends with
+// its connection: a reset must not look like its regular end.
+func (t *tunnel) copyResponse() {
+	readErr, writeErr := copyBytes(t.client, t.server)
+	t.end(readErr != nil, writeErr != nil)
+}
+
+// copyRequest copies to the server until the client is gone. A server that has stopped reading may
+// still respond, so that a failure to write ends nothing.
+func (t *tunnel) copyRequest() {
+	readErr, writeErr := copyBytes(t.server, t.in)
+	if writeErr == nil {
+		t.end(readErr != nil, readErr != nil)
+	}
+}
+
+// copyBytes copies until either side fails; both errors are nil at the regular end of src.
+func copyBytes(dst io.Writer, src io.Reader) (readErr, writeErr error) {
+	buffer := make([]byte, bufferBytes)
+	for {
+		n, err := src.Read(buffer)
+		if n > 0 {
+			if _, writeErr = dst.Write(buffer[:n]); writeErr != nil {
+				return nil, errors.Newf("write to tunnel: %w", writeErr)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil, nil
+		}
+		if err != nil {
+			return errors.Newf("read from tunnel: %w", err), nil
+		}
+	}
+}
