tcp: streams whose server is lost end after 3 s, whatever TCP_USER_TIMEOUT says

Cause: TCP_USER_TIMEOUT (3 s) replaces the number of keep-alive probes that ends an idle connection, and the kernel counts probes in whole seconds, so that the silence was noticed between 3 and 5 s after the last event. The user timeout now holds until the response has begun (2 s, for a request whose bytes are not acknowledged); afterwards probes are counted: 1 s, and two probes 1 s apart. A server that pauses for a second or so keeps its connections.

gRPC sets TCP_USER_TIMEOUT to its keep-alive timeout (2 s) by itself; its sockets have no probes within two hours, so that it bounds unacknowledged bytes alone there, and silence is noticed by the streams' own timeouts. The other dialers set none.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -168,6 +168,7 @@
 			return nil, nil, err
 		}
 		if req.MatchesResponse(r.Header) {
+			tcp.AwaitPeer(conn)
 			body := &bodyReader{r: r.Body}
 			return &Response{Status: r.StatusCode, Header: r.Header, Body: body}, body, nil
 		}
