path: ask hosts of other data centres, and only hosts that reach the server

Cause: an entry asked the entries of its own data centre first, all of them hung, and 400 ms were over before it asked anybody else; as no host ever connected, nobody found the path lost.

The path to all servers counts as lost only after a second without any server reached, and the server that was reached last is checked as long as any path is lost. A host declines tunnels to servers that it does not reach itself, at once; the host that carried the last connection to a server is asked next. A host reports a refusal only if it reaches another server at that moment, as a refusal may be the first sign of its own lost path: ordinary requests on reset connections could otherwise count as having ended servers while five of six entries are partitioned.

--- a/internal/path/attempt.go
+++ b/internal/path/attempt.go
@@ -43,7 +43,7 @@
 }
 
 func newAttempt(d *Dialer, address string) *attempt {
-	return &attempt{d: d, address: address, lost: d.use(address), results: make(chan result, maxHostsAsked+1), askedAt: map[string]time.Time{}}
+	return &attempt{d: d, address: address, lost: d.use(address), results: make(chan result, maxAsked+1), askedAt: map[string]time.Time{}}
 }
 
 func (a *attempt) run(ctx context.Context) (net.Conn, error) {
@@ -86,10 +86,16 @@
 
 // ask asks another host. It returns false if there is none to ask.
 func (a *attempt) ask(ctx context.Context) bool {
-	if ctx.Err() != nil || len(a.asked) >= maxHostsAsked || a.refused+a.silent >= minOpinions {
+	if ctx.Err() != nil || len(a.asked)-a.declined >= maxHostsAsked || len(a.asked) >= maxAsked || a.refused+a.silent >= minOpinions {
 		return false
 	}
-	host, _ := a.d.nextHost(a.asked)
+	host := ""
+	if a.declined > 0 {
+		host = a.d.lastCarrier(a.address, a.asked)
+	}
+	if host == "" {
+		host, _ = a.d.nextHost(a.asked)
+	}
 	if host == "" || !a.lost && !a.d.reserveUnconfirmed() {
 		return false
 	}
@@ -143,7 +149,7 @@
 		a.refused++
 	case errors.Is(r.err, tunnel.ErrServerSilent):
 		a.silent++
-	case errors.Is(r.err, tunnel.ErrServerCooling), errors.Is(r.err, tunnel.ErrUnknownServer):
+	case errors.Is(r.err, tunnel.ErrServerCooling), errors.Is(r.err, tunnel.ErrNotToServer):
 		a.declined++
 	default:
 		a.d.setAside(r.via, r.err)
@@ -179,7 +185,7 @@
 	switch {
 	case !tunneled:
 	case a.lost:
-		a.d.recordCarried(a.address)
+		a.d.recordCarried(a.address, via.Via())
 	case a.directErr != nil:
 		a.d.recordLost(a.address, via.Via(), a.directErr)
 	}
--- a/internal/path/check.go
+++ b/internal/path/check.go
@@ -31,6 +31,7 @@
 		case <-d.wake:
 		}
 		for {
+			d.recheckLost()
 			addresses, pause := d.nextChecks(time.Now())
 			if pause < 0 {
 				break
@@ -48,6 +49,16 @@
 	}
 }
 
+// recheckLost sets lost once no server was reached for long enough.
+func (d *Dialer) recheckLost() {
+	d.mu.Lock()
+	lost := d.updateLost(time.Now())
+	d.mu.Unlock()
+	if lost {
+		d.cfg.OnChange()
+	}
+}
+
 // nextChecks returns the servers to check now, those first that were checked the longest ago, and the
 // pause after them; it is negative if nothing is lost.
 func (d *Dialer) nextChecks(now time.Time) (addresses []string, pause time.Duration) {
@@ -55,11 +66,17 @@
 	defer d.mu.Unlock()
 	d.expire(now)
 	anyLost, due := d.lost, 0
+	for _, s := range d.servers {
+		anyLost = anyLost || !s.lostAt.IsZero()
+	}
+	if anyLost && d.reached != "" {
+		// While only some servers are out of reach, it shows that others are not.
+		d.add(d.reached, now)
+	}
 	for address, s := range d.servers {
-		if s.lostAt.IsZero() && !d.lost {
+		if s.lostAt.IsZero() && !d.lost && address != d.reached {
 			continue
 		}
-		anyLost = true
 		if now.Sub(s.checkedAt) < checkInterval {
 			continue
 		}
@@ -72,7 +89,7 @@
 	switch {
 	case !anyLost:
 		return nil, -1
-	case !d.lost && due > len(addresses):
+	case !d.lost && due > checkBatch:
 		// The path may be back to all of them.
 		return addresses, 0
 	}
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -15,6 +15,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
+
+	"fennelyard/internal/tcp"
 )
 
 const (
@@ -24,9 +26,11 @@
 	// connectTimeout bounds an attempt. It is shorter than tcp.ConnectTimeout, with which callers give
 	// an attempt up, so that it fails with what the other hosts have said.
 	connectTimeout = 400 * time.Millisecond
-	// maxHostsAsked is the number of hosts that an attempt asks at most, and minOpinions the number
-	// of them that must agree that a server has ended: one alone may have just lost its path as well.
+	// maxHostsAsked is the number of hosts that an attempt asks at most, without those that decline at
+	// once, and maxAsked with them. minOpinions is the number of them that must agree that a server has
+	// ended: one alone may have just lost its path as well.
 	maxHostsAsked = 3
+	maxAsked      = 8
 	minOpinions   = 2
 	// maxUnconfirmed bounds the hosts asked at the same time while this host's own path is not known
 	// to be lost: servers that crash must not cost other hosts more than this.
@@ -34,6 +38,9 @@
 	// minLostServers is the number of servers to which the path is lost, with none reached since, from
 	// which on the path to all others counts as lost too.
 	minLostServers = 2
+	// minUnreachedTime is the time without any server reached from which on it may: if only some
+	// servers are out of reach, the others are reached many times a second.
+	minUnreachedTime = time.Second
 	// RetryInterval is the time after which a host that carries no tunnel is asked again.
 	RetryInterval = time.Second
 	// maxServers bounds the servers that are remembered, and serverRetention is how long one is
@@ -93,7 +100,9 @@
 	// reaches it or nobody is known to.
 	lostAt time.Time
 	// failedAt is when connections began to fail, over any path; the zero time if the last one did not.
-	failedAt  time.Time
+	failedAt time.Time
+	// carrier is the host that reached the server last.
+	carrier   string
 	checkedAt time.Time
 	usedAt    time.Time
 }
@@ -158,3 +167,21 @@
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
 	return newAttempt(d, address).run(ctx)
 }
+
+// Vouch reports whether this host reaches another server than the one at an address over its own path
+// right now: a refused connection may otherwise be the first sign that the path is lost.
+func (d *Dialer) Vouch(ctx context.Context, address string) bool {
+	d.mu.Lock()
+	other := d.reached
+	d.mu.Unlock()
+	if other == "" || other == address {
+		return true
+	}
+	conn, err := d.cfg.Direct(ctx, other)
+	if err != nil {
+		return false
+	}
+	tcp.Reset(conn)
+	d.recordReached(other)
+	return true
+}
--- a/internal/path/verdict.go
+++ b/internal/path/verdict.go
@@ -79,21 +79,13 @@
 		d.mu.Unlock()
 		return
 	}
-	s.failedAt = time.Time{}
+	s.failedAt, s.carrier = time.Time{}, via
 	if s.lostAt.IsZero() {
 		s.lostAt, s.checkedAt = now, now
 		d.cfg.Log.Info("path to server lost", "address", address, "via", via, "error", asynclog.ErrorText(err),
 			"last-reached-ms", d.lastReachedMs(now))
 	}
-	lost := !d.lost && d.lostSinceReached() >= minLostServers
-	if lost {
-		d.lost, d.lostSince = true, now
-		// The server that was reached last is the likeliest to be reached again.
-		if d.reached != "" {
-			d.add(d.reached, now)
-		}
-		d.cfg.Log.Info("path to servers lost", "servers", len(d.servers), "last-reached-ms", d.lastReachedMs(now))
-	}
+	lost := d.updateLost(now)
 	d.mu.Unlock()
 	d.requestCheck()
 	if lost {
@@ -101,6 +93,21 @@
 	}
 }
 
+// updateLost sets lost if the path to enough servers is lost and none was reached for long enough. It
+// reports whether this is new; the caller holds mu.
+func (d *Dialer) updateLost(now time.Time) bool {
+	if d.lost || now.Sub(d.reachedAt) < minUnreachedTime || d.lostSinceReached() < minLostServers {
+		return false
+	}
+	d.lost, d.lostSince = true, now
+	// The server that was reached last is the likeliest to be reached again.
+	if d.reached != "" {
+		d.add(d.reached, now)
+	}
+	d.cfg.Log.Info("path to servers lost", "servers", len(d.servers), "last-reached-ms", d.lastReachedMs(now))
+	return true
+}
+
 // lastReachedMs returns the time since a server was last reached over this host's own path, in
 // milliseconds, or -1 if none ever was; the caller holds mu.
 func (d *Dialer) lastReachedMs(now time.Time) int64 {
@@ -123,15 +130,38 @@
 }
 
 // recordCarried records that another host has reached a server to which the path counts as lost.
-func (d *Dialer) recordCarried(address string) {
+func (d *Dialer) recordCarried(address, via string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if s := d.servers[address]; s != nil && !s.failedAt.IsZero() {
+	s := d.servers[address]
+	if s == nil {
+		return
+	}
+	if s.carrier = via; !s.failedAt.IsZero() {
 		d.logReached(address, s)
 		s.failedAt = time.Time{}
 	}
 }
 
+// lastCarrier returns the host that reached a server last, empty if there is none or it is in asked.
+func (d *Dialer) lastCarrier(address string, asked []string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.servers[address]
+	if s == nil || slices.Contains(asked, s.carrier) || time.Now().Before(d.asideUntil[s.carrier]) {
+		return ""
+	}
+	return s.carrier
+}
+
+// LostTo reports whether the path to a server counts as lost.
+func (d *Dialer) LostTo(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.servers[address]
+	return d.lost || s != nil && !s.lostAt.IsZero()
+}
+
 // recordFailed records that no path led to a server.
 func (d *Dialer) recordFailed(address string, asked []string, err error) {
 	d.mu.Lock()
@@ -173,13 +203,18 @@
 }
 
 // nextHost returns a host to ask that is not in asked, empty if there is none. known is set if there
-// are hosts at all.
+// are hosts at all. Once a preferred host was asked in vain, the others come first: what has cut this
+// host off may have cut off all hosts near it.
 func (d *Dialer) nextHost(asked []string) (host string, known bool) {
 	preferred, others := d.cfg.Hosts()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	for _, group := range [][]string{preferred, others} {
+	groups := [][]string{preferred, others}
+	if slices.ContainsFunc(asked, func(h string) bool { return slices.Contains(preferred, h) }) {
+		groups = [][]string{others, preferred}
+	}
+	for _, group := range groups {
 		usable := slices.DeleteFunc(slices.Clone(group), func(h string) bool {
 			return slices.Contains(asked, h) || now.Before(d.asideUntil[h])
 		})
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -18,8 +18,9 @@
 var (
 	// ErrUnavailable reports that the other host does not carry the tunnel, or cannot be reached.
 	ErrUnavailable = errors.New("the host carries no tunnel")
-	// ErrUnknownServer reports that the other host knows no server at the address.
-	ErrUnknownServer = errors.New("the other host does not know the server")
+	// ErrNotToServer reports that the other host carries connections, but none to this server: it knows
+	// no server at the address, or has lost its own path to it.
+	ErrNotToServer = errors.New("the other host carries no connections to the server")
 	// ErrServerCooling reports that the server wants nothing from the other host for some time.
 	ErrServerCooling = errors.New("the server has asked the other host for a cooldown")
 	// ErrServerSilent reports that the other host got no response from the server.
@@ -58,6 +59,15 @@
 	return c.Conn.Read(p)
 }
 
+// SyscallConn implements syscall.Conn, for options of the connection to the other host.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("no socket")
+	}
+	return conn.SyscallConn()
+}
+
 // SetLinger is like that of net.TCPConn.
 func (c *Conn) SetLinger(sec int) error {
 	if conn, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
@@ -113,7 +123,7 @@
 	case http.StatusTooManyRequests:
 		return ErrServerCooling
 	case http.StatusForbidden:
-		return ErrUnknownServer
+		return ErrNotToServer
 	}
 	return errors.Newf("status %d: %w", status, ErrUnavailable)
 }
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -50,9 +50,14 @@
 	// OnCooldown receives what a server has asked this host for in a response that passed through one
 	// of its tunnels: to send an incarnation nothing for some time.
 	OnCooldown func(server string, wait time.Duration)
-	// Available reports whether this host takes new tunnels.
+	// Available reports whether this host takes new tunnels, and Reaches whether it is not known to
+	// have lost its path to the server at an address.
 	Available func() bool
-	Log       logr.Logger
+	Reaches   func(address string) bool
+	// Vouch reports whether this host reaches other servers than the one at an address right now, so
+	// that a refused connection is not its own fault.
+	Vouch func(ctx context.Context, address string) bool
+	Log   logr.Logger
 }
 
 // Server carries tunnels for other hosts. It implements http.Handler and is safe for concurrent use.
@@ -99,7 +104,7 @@
 		return
 	}
 	address := r.Host
-	if r.Method != http.MethodConnect || !s.cfg.IsServer(address) {
+	if r.Method != http.MethodConnect || !s.cfg.IsServer(address) || !s.cfg.Reaches(address) {
 		s.reject(w, http.StatusForbidden, address)
 		return
 	}
@@ -114,7 +119,7 @@
 	defer s.release()
 	server, err := s.cfg.Connect(r.Context(), address)
 	if err != nil {
-		w.WriteHeader(connectStatus(err))
+		s.reject(w, s.connectStatus(r.Context(), address, err), address)
 		return
 	}
 	client, in, err := http.NewResponseController(w).Hijack()
@@ -150,11 +155,14 @@
 }
 
 // connectStatus returns the status for a connection to a server that failed.
-func connectStatus(err error) int {
-	if errors.Is(err, syscall.ECONNREFUSED) {
+func (s *Server) connectStatus(ctx context.Context, address string, err error) int {
+	switch {
+	case !errors.Is(err, syscall.ECONNREFUSED):
+		return http.StatusGatewayTimeout
+	case s.cfg.Vouch(ctx, address):
 		return http.StatusBadGateway
 	}
-	return http.StatusGatewayTimeout
+	return http.StatusServiceUnavailable
 }
 
 func (s *Server) reject(w http.ResponseWriter, status int, address string) {
@@ -244,24 +252,29 @@
 // copyResponse copies from the server until either end is gone. A response without a length ends with
 // its connection: a reset must not look like its regular end.
 func (t *tunnel) copyResponse() {
-	readErr, writeErr := copyBytes(t.client, t.server)
+	readErr, writeErr := copyBytes(t.client, t.server, func() { tcp.AwaitPeer(t.server) })
 	t.end(readErr != nil, writeErr != nil)
 }
 
 // copyRequest copies to the server until the client is gone. A server that has stopped reading may
 // still respond, so that a failure to write ends nothing.
 func (t *tunnel) copyRequest() {
-	readErr, writeErr := copyBytes(t.server, t.in)
+	readErr, writeErr := copyBytes(t.server, t.in, nil)
 	if writeErr == nil {
 		t.end(readErr != nil, readErr != nil)
 	}
 }
 
-// copyBytes copies until either side fails; both errors are nil at the regular end of src.
-func copyBytes(dst io.Writer, src io.Reader) (readErr, writeErr error) {
+// copyBytes copies until either side fails; both errors are nil at the regular end of src. onFirst, if
+// set, is called once before the first bytes are written.
+func copyBytes(dst io.Writer, src io.Reader, onFirst func()) (readErr, writeErr error) {
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := src.Read(buffer)
+		if n > 0 && onFirst != nil {
+			onFirst()
+			onFirst = nil
+		}
 		if n > 0 {
 			if _, writeErr = dst.Write(buffer[:n]); writeErr != nil {
 				return nil, errors.Newf("write to tunnel: %w", writeErr)
