gateway: servers that crash if they reject too many requests are not filled up

What callers saw: servers in need state in all responses how many requests a second they can reject for lack of room, and crash beyond that.

Cause: nothing read the statement. The bound holds for all entries together and is as low as one in a second, so that counting rejections is too late: entries that each get one within a round trip are over it.

Change: while such a limit holds, all entries together send a server no more requests at a time than it runs, each its equal share; shares below one are sent at random intervals that keep chance collisions below a tenth of the limit. What waits, waits at the entry, or is refused at once with the expected time. The limit holds for the whole pool, is the lowest stated within 5 s, and reaches all entries through control hosts with its age.

Other changes to the tests: stand-in servers respond 421 to requests for another server, as real ones do.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -17,7 +17,7 @@
 // another attempt should follow.
 func (x *exchange) attempt(remaining time.Duration) bool {
 	s := x.server
-	stamp, admitted := x.g.fleet.admit(s)
+	stamp, admitted := x.g.fleet.admit(s, &x.info)
 	if !admitted {
 		// Another request took the permit, or the server has asked for a cooldown since it was chosen.
 		// A retry has already been taken from the budget.
@@ -25,6 +25,7 @@
 		return x.hasTimeLeft()
 	}
 	x.attempts++
+	x.abandoned = false
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	uncachedTokens, inFlight, pendingBefore := x.g.fleet.requestSent(s, &x.info)
@@ -45,6 +46,9 @@
 	sentAt := time.Now()
 	defer func() {
 		took := time.Since(sentAt)
+		if x.abandoned {
+			x.g.fleet.requestAbandoned(s, time.Now())
+		}
 		x.g.fleet.requestEnded(s, &x.info, took)
 		if x.info.Model != "" {
 			x.g.demand.addRunTime(x.target(), took)
@@ -74,6 +78,7 @@
 		return x.attemptNotRun(s, response, responseInfo)
 	}
 	x.runs++
+	defer func() { x.g.fleet.requestServed(x.pool, time.Since(sentAt)) }()
 	if x.route.GetStream() && response.Status == http.StatusOK && responseInfo.Signed {
 		return x.relayStream(s, response, timer, onFirstEvent)
 	}
@@ -119,7 +124,7 @@
 // attemptFailed handles an attempt without a response. It reports whether another attempt should
 // follow.
 func (x *exchange) attemptFailed(s *server, err error) bool {
-	x.cause = err
+	x.cause, x.abandoned = err, !errors.Is(err, relay.ErrNotSent)
 	if x.r.Context().Err() != nil {
 		x.fail(OutcomeCallerGone, 0)
 		return false
@@ -166,6 +171,9 @@
 // another attempt should follow.
 func (x *exchange) attemptNotRun(s *server, response *relay.Response, responseInfo ResponseInfo) bool {
 	x.cause = errors.Newf("server %s: status %d, not run", s.id, response.Status)
+	if !responseInfo.Misdirected {
+		x.g.fleet.rejectedForRoom(s, time.Now())
+	}
 	if responseInfo.Cooldown.Wait > 0 {
 		// After the cooldown the server may serve the request.
 		return x.mayTryAfterRejection()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -62,6 +62,9 @@
 	Signed bool
 	// Limit is the request limit that the response states.
 	Limit LimitStatement
+	// RejectionLimit is the number of requests a second that the server can reject for lack of room,
+	// those of all entries together, without crashing.
+	RejectionLimit LimitStatement
 	// Cooldown is the time for which the server asks this entry to send it nothing.
 	Cooldown cooldown.Statement
 	// Leaving is set if the server states that it takes no new work.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -34,10 +34,13 @@
 	// cooldown is the time until the first of the servers that have asked for a cooldown takes a
 	// request; 0 if none of those that could serve the request has.
 	cooldown time.Duration
+	// room is the time until this entry may send another request to one of the servers with a
+	// rejection limit; 0 if it may now, or if there is none.
+	room time.Duration
 }
 
 // awaitable reports whether a server will take the request without any other change.
-func (c choice) awaitable() bool { return c.limited != nil || c.cooldown > 0 }
+func (c choice) awaitable() bool { return c.limited != nil || c.cooldown > 0 || c.room > 0 }
 
 // chooseWithin chooses a server within what servers have asked of the entries.
 func (f *fleet) chooseWithin(pool string, info *RequestInfo, excluded []string, now time.Time, random func(int) int) choice {
@@ -45,9 +48,10 @@
 	defer f.mu.Unlock()
 	candidates := slices.DeleteFunc(f.candidates(pool, info, excluded, now), f.connectionsFull)
 	candidates, cooldown := f.withoutCooldown(candidates, now)
+	candidates, room := f.withRoom(candidates, info, now)
 	source := f.permitSource()
 	permitted := slices.DeleteFunc(slices.Clone(candidates), func(s *server) bool { return !s.permits.Available(source, now) })
-	c := choice{server: f.bestOf(permitted, pool, info, now, random), cooldown: cooldown}
+	c := choice{server: f.bestOf(permitted, pool, info, now, random), cooldown: cooldown, room: room}
 	if len(permitted) == len(candidates) {
 		return c
 	}
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -14,13 +14,15 @@
 // of entries is known with a delay when entries come.
 const usableConnectionShare = 0.8
 
-// setMaxConnections sets the number of connections that each server of a pool takes from all
-// entries together; pools without a limit are missing.
-func (f *fleet) setMaxConnections(pools map[string]*schema.Pool) {
+// setPools sets the number of connections that each server of a pool takes from all entries together,
+// and the tokens that it holds; pools without a limit are missing.
+func (f *fleet) setPools(pools map[string]*schema.Pool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	clear(f.maxConnections)
+	clear(f.cacheTokens)
 	for name, p := range pools {
+		f.cacheTokens[name] = float64(p.GetEngine().GetCacheTokens())
 		if n := p.GetMaxConnections(); n > 0 {
 			f.maxConnections[name] = float64(n)
 		}
--- a/internal/gateway/cooldown.go
+++ b/internal/gateway/cooldown.go
@@ -10,6 +10,7 @@
 // its server, where stamp is what was known of the server's limit then.
 func (x *exchange) statementsReceived(s *server, responseInfo ResponseInfo, stamp ratelimit.Stamp, sentAt time.Time) {
 	x.limitStated(s, responseInfo, stamp)
+	x.rejectionLimitStated(s, responseInfo)
 	x.cooldownStated(s, responseInfo, sentAt)
 	if responseInfo.Leaving {
 		x.serverLeaves(s, sentAt)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -92,6 +92,8 @@
 	// retryReserved is set if the last attempt was canceled after a retry was taken from the
 	// budget.
 	retryReserved bool
+	// abandoned is set if the last attempt ended before its response did.
+	abandoned bool
 	// excluded lists the servers that are not tried again.
 	excluded []string
 	server   *server
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -71,7 +71,7 @@
 // Send chooses an engine for a request and records that it was sent there.
 func (e *Engines) Send(info *RequestInfo) string {
 	s := e.f.choose("p", info, nil, time.Now(), e.random)
-	e.f.admit(s)
+	e.f.admit(s, info)
 	e.f.requestSent(s, info)
 	return s.view.GetId()
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -9,6 +9,7 @@
 
 	"fennelyard/internal/cooldown"
 	"fennelyard/internal/incarnation"
+	"fennelyard/internal/ratelimit"
 	"fennelyard/internal/schema"
 )
 
@@ -35,6 +36,11 @@
 	self           string
 	maxConnections map[string]float64
 	sharingEntries func() int
+	// rejectionLimits are those that the servers of pools state, cacheTokens the tokens that each engine
+	// of a pool holds, and roomWaiting the number of this entry's requests that wait for room at a pool.
+	rejectionLimits *ratelimit.RejectionLimits
+	cacheTokens     map[string]float64
+	roomWaiting     map[string]int
 	// cooldowns are the times for which servers have asked this entry to send them nothing.
 	cooldowns *cooldown.Table
 	// departures are the statements of servers that they leave, by server id. They outlive the
@@ -49,6 +55,7 @@
 		servers: map[string]*server{}, incarnations: map[string]int{}, addresses: map[string]map[string]bool{}, changed: make(chan struct{}), stats: map[string]*poolStats{},
 		sendRates: map[string]*arrivalRate{}, connected: func() bool { return true }, sharingEntries: func() int { return 1 },
 		maxConnections: map[string]float64{}, limited: map[string]*server{}, departures: map[string][]departure{},
+		rejectionLimits: ratelimit.NewRejectionLimits(), cacheTokens: map[string]float64{}, roomWaiting: map[string]int{},
 	}
 	f.cooldowns = cooldown.NewTable(cooldown.Config{Hosts: func() int { return f.sharingEntries() }, Random: rand.Float64})
 	return f
@@ -135,6 +142,7 @@
 		startMs := incarnation.Parse(s.id).StartMs
 		for id, old := range f.servers {
 			if old.server == s.server && incarnation.Parse(id).StartMs < startMs {
+				f.inheritPresent(s, old, time.Now())
 				f.remove(id)
 			}
 		}
@@ -270,6 +278,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	tokens, running, pendingPrefill = s.uncached(info), s.running, s.pendingPrefill+s.others.pendingPrefill
+	s.reserved--
 	s.running++
 	if info.Model != "" {
 		s.addRuns(info, 1)
@@ -327,6 +336,26 @@
 	s.addRuns(info, -1)
 }
 
+// requestResumed records that a stream continues at a server, until the returned function is called.
+func (f *fleet) requestResumed(s *server) (ended func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.reserved--
+	s.running++
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		s.running--
+	}
+}
+
+// requestServed records how long a server took for a request that it ran.
+func (f *fleet) requestServed(pool string, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.poolStats(pool).observeServed(took)
+}
+
 // isReady reports whether a server is known to accept new work.
 func (f *fleet) isReady(s *server) bool {
 	f.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -182,6 +182,8 @@
 	// CoolingServers is the number of servers that have asked this entry for a cooldown, and
 	// DepartedServers of those that have stated that they leave.
 	CoolingServers, DepartedServers int
+	// RejectionLimits is the number of pools whose servers state a rejection limit.
+	RejectionLimits int
 	// LeaderAge is the time since the leader was last known to lead; negative: never.
 	LeaderAge time.Duration
 	// ControlHost is the control host that this entry subscribes to, empty for none. Subscriptions
@@ -198,6 +200,7 @@
 	}
 	s.LimitedServers, s.AwaitingPermit = g.fleet.limitCounts()
 	s.CoolingServers, s.DepartedServers = g.fleet.cooldowns.Count(time.Now()), g.fleet.departedCount()
+	s.RejectionLimits = len(g.fleet.rejectionLimits.Messages(time.Now()))
 	if t := g.table.Load(); t != nil {
 		s.Version = int64(t.version)
 	}
@@ -219,7 +222,7 @@
 		return
 	}
 	g.fleet.setGaps(t)
-	g.fleet.setMaxConnections(t.pools)
+	g.fleet.setPools(t.pools)
 	g.table.Store(t)
 	if previous == nil {
 		close(g.configured)
--- a/internal/gateway/pool_stats.go
+++ b/internal/gateway/pool_stats.go
@@ -42,6 +42,9 @@
 	// meanRunMs is a moving average of the time that engines spend on a request, in ms; 0 if none
 	// has ended.
 	meanRunMs float64
+	// servedMs is a moving average of the time that servers take for a request that they run, in ms; 0
+	// if none has ended.
+	servedMs float64
 	// minGap is the least of the longest pauses between events that the routes allow the pool's
 	// streams; 0 if no route limits them.
 	minGap time.Duration
@@ -114,6 +117,15 @@
 	s.meanRunMs += (ms - s.meanRunMs) / averagedRequests
 }
 
+// observeServed records how long a server took for a request that it ran.
+func (s *poolStats) observeServed(took time.Duration) {
+	ms := float64(took.Microseconds()) / 1000
+	if s.servedMs == 0 {
+		s.servedMs = ms
+	}
+	s.servedMs += (ms - s.servedMs) / averagedRequests
+}
+
 // slotCost returns the cost in ms of one more request at an engine with this many requests:
 // once all slots are in use the request waits until one is free. The requests of other entries
 // are known with a delay, so the slots beyond noWaitSlotShare already count as in use.
--- a/internal/gateway/release.go
+++ b/internal/gateway/release.go
@@ -22,6 +22,10 @@
 		x.g.demand.addWaiting(x.target(), 1)
 		defer x.g.demand.addWaiting(x.target(), -1)
 	}
+	if first.room > 0 {
+		x.g.fleet.addRoomWaiting(x.pool, 1)
+		defer x.g.fleet.addRoomWaiting(x.pool, -1)
+	}
 	defer func() { x.waited += time.Since(start) }()
 	for {
 		changed, now := x.g.fleet.changes(), time.Now()
@@ -33,8 +37,10 @@
 			return false
 		}
 		recheck := forecastRecheckInterval
-		if c.cooldown > 0 {
-			recheck = min(recheck, c.cooldown)
+		for _, wait := range []time.Duration{c.cooldown, c.room} {
+			if wait > 0 {
+				recheck = min(recheck, wait)
+			}
 		}
 		select {
 		case <-changed:
@@ -77,8 +83,13 @@
 // late. limited is the server with a limit for which it waits, nil for none.
 func (x *exchange) refusedByWait(c choice, limited *server, latest, start, now time.Time) bool {
 	wait, outcome := c.cooldown, OutcomeServerCooldown
+	if c.room > 0 {
+		if roomWait := x.g.fleet.roomWaitTime(x.pool, &x.info, c.room); c.cooldown == 0 || roomWait < wait {
+			wait, outcome = roomWait, OutcomeBusy
+		}
+	}
 	if limited != nil {
-		if permitWait := x.g.fleet.permitWaitTime(limited, now); c.cooldown == 0 || permitWait < wait {
+		if permitWait := x.g.fleet.permitWaitTime(limited, now); wait == 0 || permitWait < wait {
 			wait, outcome = permitWait, OutcomeServerLimit
 		}
 	} else if x.info.Model != "" && !now.Add(wait).Before(latest) {
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -34,6 +34,11 @@
 	// and by model/adapter, without zero entries.
 	running int
 	runs    map[string]int
+	// reserved is the number of requests that are admitted and about to be sent.
+	reserved int
+	// abandoned holds until when requests count that this entry has abandoned and the server may still
+	// run; only while the server's pool has a rejection limit.
+	abandoned []time.Time
 	// pendingPrefill is the number of prompt tokens that this entry sent and whose prefill is not
 	// known to be done.
 	pendingPrefill int
@@ -48,6 +53,10 @@
 	requests            uint64
 	consecutiveFailures int
 	ejectedUntil        time.Time
+	// rejectedUntil is until when this entry sends nothing as the server has rejected a request, and
+	// nextTurn when it may send the next one of less than one at a time. Both hold only while the
+	// server's pool has a rejection limit.
+	rejectedUntil, nextTurn time.Time
 	// leaving is set once a response has stated that the server leaves.
 	leaving bool
 	// permits is what this entry knows of the server's request limit, and its permits.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -25,6 +25,7 @@
 			return timer.stop()
 		})
 		response.Close()
+		x.abandoned = err != nil
 		switch {
 		case err == nil:
 			x.g.fleet.recordSuccess(s)
@@ -51,10 +52,12 @@
 		x.g.fleet.recordFailure(s, time.Now())
 		x.reportInterruption(s, err)
 		x.excluded = append(x.excluded, s.id)
-		if s, response = x.resume(lastID); response == nil {
+		var ended func()
+		if s, response, ended = x.resume(lastID); response == nil {
 			x.fail(OutcomeCut, 0)
 			return false
 		}
+		defer ended()
 	}
 }
 
@@ -108,38 +111,42 @@
 }
 
 // resume continues the stream at another server after the event lastID. It returns nil if no
-// server can.
-func (x *exchange) resume(lastID int64) (*server, *relay.Response) {
+// server can. ended must be called at the end of the stream.
+func (x *exchange) resume(lastID int64) (s *server, response *relay.Response, ended func()) {
 	for {
 		if x.route.GetRepeat() != schema.Repeat_REPEAT_RESUME || x.runs >= int(x.route.GetMaxAttempts()) {
-			return nil, nil
+			return nil, nil, nil
 		}
 		x.g.guard.AwaitProbes(x.ctx, x.keyedRequest())
 		if _, quarantined := x.g.guard.HeldBack(x.keyedRequest()); quarantined {
-			return nil, nil
+			return nil, nil, nil
 		}
 		if !x.keyAllowsResume() {
-			return nil, nil
+			return nil, nil, nil
 		}
 		remaining := time.Until(x.deadline)
 		c := x.g.fleet.chooseWithin(x.pool, &x.info, x.excluded, time.Now(), x.random)
-		s := c.server
+		s = c.server
 		if s == nil && c.awaitable() {
 			if !x.awaitRelease(c, x.beforeDeadline(time.Now().Add(x.callerTimeout()))) {
-				return nil, nil
+				return nil, nil, nil
 			}
 			continue
 		}
 		if s == nil || remaining < minTimeLeft || !x.g.retryBudget(x.pool).withdraw(time.Now(), x.g.sharingEntries()) {
-			return nil, nil
+			return nil, nil, nil
 		}
-		stamp, admitted := x.g.fleet.admit(s)
+		stamp, admitted := x.g.fleet.admit(s, &x.info)
 		if !admitted {
 			continue
 		}
 		x.server = s
 		x.attempts++
+		ended = x.g.fleet.requestResumed(s)
 		response, responseInfo, err := x.send(x.ctx, s, remaining, lastID, stamp)
+		if err != nil || responseInfo.NotRun {
+			ended()
+		}
 		if errors.Is(err, relay.ErrWithheld) || responseInfo.Cooldown.Wait > 0 && responseInfo.NotRun {
 			if response != nil {
 				response.Close()
@@ -158,12 +165,16 @@
 		}
 		if responseInfo.NotRun {
 			response.Close()
+			if !responseInfo.Misdirected {
+				x.g.fleet.rejectedForRoom(s, time.Now())
+			}
 			continue
 		}
 		x.runs++
 		if response.Status == http.StatusOK && responseInfo.Signed {
-			return s, response
+			return s, response, ended
 		}
 		response.Close()
+		ended()
 	}
 }
--- a/internal/gateway/subscriber.go
+++ b/internal/gateway/subscriber.go
@@ -302,6 +302,7 @@
 		}
 		report.Limits, report.PermitDemands = s.g.fleet.reportLimits(time.Now())
 		report.LeavingServers = s.g.fleet.reportDepartures()
+		report.RejectionLimits = s.g.fleet.rejectionLimits.Messages(time.Now())
 		report.SentUs = uint64(time.Since(s.g.startTime).Microseconds())
 		if err := stream.Send(report); err != nil {
 			return
@@ -392,6 +393,9 @@
 	if echo := update.GetEchoUs(); echo != 0 {
 		s.g.fleet.addPermits(update.GetPermits(), s.g.startTime.Add(time.Duration(echo)*time.Microsecond))
 	}
+	if s.g.fleet.rejectionLimits.Merge(update.GetRejectionLimits(), time.Now()) {
+		s.g.cfg.Log.Info("rejection limits believed", "pools", len(update.GetRejectionLimits()), "sequence", update.GetSequence())
+	}
 	if u := update.GetTeamUses(); u != nil {
 		s.g.quotas.SetTotals(u)
 	}
--- a/internal/role/backends_test.go
+++ b/internal/role/backends_test.go
@@ -65,6 +65,17 @@
 	rejections map[string]func() *rejection
 	statements []serverStatement
 	requests   []serverRequest
+	// room bounds the requests at each server, and runTime is how long it runs one; the zero values
+	// mean no bound, and backendRequestTime. rejectionLimits are the header values with which servers
+	// state how many requests a second they can reject, by address: one that rejects more crashes.
+	// present counts the requests at each server, rejectedAt holds when it rejected requests, and
+	// overloadCrashes when such servers crashed.
+	room, slots     int
+	runTime         time.Duration
+	rejectionLimits map[string]string
+	present         map[string]int
+	rejectedAt      map[string][]time.Time
+	overloadCrashes []time.Time
 	// runs counts how often each request ran of the route whose requests must not be repeated.
 	runs map[string]int
 	// leaving are the addresses of the servers that state in all responses that they leave, and
@@ -86,9 +97,13 @@
 		MatchesRequest:   func(a http.Header, id string) bool { return a.Get("X-Id") == id },
 		ParseResponse: func(status int, h http.Header) gateway.ResponseInfo {
 			info := gateway.ResponseInfo{
-				NotRun: status == http.StatusServiceUnavailable, Signed: status == http.StatusOK,
+				NotRun: status == http.StatusServiceUnavailable || status == http.StatusMisdirectedRequest, Misdirected: status == http.StatusMisdirectedRequest, Signed: status == http.StatusOK,
 				Cooldown: cooldown.ParseResponse(status, h, time.Now()), Leaving: h.Get("X-Leaving") != "",
 			}
+			if value := h.Get("X-Rejection-Limit"); value != "" {
+				rate, err := strconv.ParseFloat(value, 64)
+				info.RejectionLimit = gateway.LimitStatement{Limited: err == nil, PerSecond: rate, Unreadable: err != nil}
+			}
 			if rate, err := strconv.ParseFloat(h.Get("X-Limit"), 64); err == nil {
 				info.Limit = gateway.LimitStatement{Limited: true, PerSecond: rate}
 			}
@@ -103,7 +118,7 @@
 
 // startBackendsWith is like startBackends. With sameIDs the servers start again under their ids.
 func startBackendsWith(d *deployment, n int, sameIDs bool) *backends {
-	b := &backends{sameIDs: sameIDs, deployment: d, count: n, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]func() *rejection{}, leaving: map[string]bool{}, runs: map[string]int{}, silent: map[string]bool{}}
+	b := &backends{sameIDs: sameIDs, deployment: d, count: n, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]func() *rejection{}, leaving: map[string]bool{}, runs: map[string]int{}, rejectionLimits: map[string]string{}, present: map[string]int{}, rejectedAt: map[string][]time.Time{}, silent: map[string]bool{}}
 	route := func(name string, repeat schema.Repeat) *schema.Route {
 		return &schema.Route{
 			Name: name, Host: "h.example", Prefix: "/" + name + "/", Repeat: repeat, TimeoutMs: 3000, AimMs: 300, MaxAttempts: 2,
@@ -180,7 +195,7 @@
 	}()
 	for sequence, tick := uint64(1), time.NewTicker(announceInterval); ; sequence++ {
 		if !b.isSilent(address) {
-			b.announce(roster.Announcement{ID: id, Pool: "app", Address: address, Slots: 64, Sequence: sequence})
+			b.announce(roster.Announcement{ID: id, Pool: "app", Address: address, Slots: b.slotCount(), Sequence: sequence})
 		}
 		select {
 		case <-tick.C:
@@ -195,6 +210,16 @@
 	}
 }
 
+// slotCount returns the number of slots that servers announce.
+func (b *backends) slotCount() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.slots > 0 {
+		return b.slots
+	}
+	return 64
+}
+
 func (b *backends) isSilent(address string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -303,13 +328,22 @@
 	if err != nil {
 		return
 	}
-	limit := p.backends.recordRequest(p.address)
+	if id := request.Header.Get("X-For"); id != incarnation.ServerOf(p.id) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 other server\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", request.Header.Get("X-Id"))
+		return
+	}
+	limit := p.backends.recordRequest(p.address) + p.backends.rejectionLimitHeader(p.address)
 	rejects := p.recordArrival(conn)
+	if !p.enter() {
+		p.rejectForRoom(conn, request.Header.Get("X-Id"), limit)
+		return
+	}
+	defer p.leave()
 	p.backends.recordHarmful(string(body), &p.backends.arrivals)
 	select {
 	case <-p.stopped:
 		return
-	case <-time.After(backendRequestTime):
+	case <-time.After(p.backends.runTimeOrDefault()):
 	}
 	if string(body) == harmfulBody {
 		p.backends.recordHarmful(harmfulBody, &p.backends.crashes)
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -81,6 +81,8 @@
 	mirror        *roster.Mirror
 	announcements *roster.AnnouncementForwarder
 	subscribers   *subscription.Registry
+	// rejectionLimits are those that entries and other control hosts have reported.
+	rejectionLimits *ratelimit.RejectionLimits
 	// suspects are the requests suspected of crashing their servers.
 	suspects *quarantine.SuspectSet
 	// restoredTerm is the last term in which the recorded suspects were restored.
@@ -137,6 +139,7 @@
 	c.quotas = quota.NewTotals(quotaWindow)
 	c.hostPermits, c.entryPermits = ratelimit.NewGrantBuffer(), ratelimit.NewGrantBuffer()
 	c.allocator = ratelimit.NewAllocator(ratelimit.AllocatorConfig{Limits: c.roster.Limits, Grants: c.hostPermits, Now: time.Now})
+	c.rejectionLimits = ratelimit.NewRejectionLimits()
 	c.subscribers = subscription.New(subscription.Config{Now: time.Now, QuotaWindow: quotaWindow, Log: cfg.Log.WithName("attendance")})
 	if err := c.start(s); err != nil {
 		c.Close()
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -157,6 +157,7 @@
 		{"cooling_servers", "Backend servers that have asked this entry for a cooldown.", func(s gateway.State) float64 { return float64(s.CoolingServers) }},
 		{"departed_servers", "Backend servers whose responses to this entry stated that they leave.", func(s gateway.State) float64 { return float64(s.DepartedServers) }},
 		{"limited_servers", "Backend servers that state a request limit, as this entry knows.", func(s gateway.State) float64 { return float64(s.LimitedServers) }},
+		{"pools_with_rejection_limit", "Pools whose servers state how many requests they can reject without crashing.", func(s gateway.State) float64 { return float64(s.RejectionLimits) }},
 		{"requests_awaiting_permit", "Requests that wait for a permit to be sent to a server with a request limit.", func(s gateway.State) float64 { return float64(s.AwaitingPermit) }},
 		{"requests_held_back", "Requests that this entry holds back, as they end their servers.", func(s gateway.State) float64 { return float64(s.HeldBack) }},
 		{"control_host_streams", "Streams to control hosts since the start.", func(s gateway.State) float64 { return float64(s.Subscriptions) }},
--- a/internal/role/entry_session.go
+++ b/internal/role/entry_session.go
@@ -205,6 +205,9 @@
 	if s.c.suspects.Merge(report.GetSuspects(), false) {
 		s.c.subscribers.RequestReport()
 	}
+	if s.c.rejectionLimits.Merge(report.GetRejectionLimits(), time.Now()) {
+		s.c.subscribers.RequestReport()
+	}
 	s.c.subscribers.HandleReport(s.number, s.entry.GetHost(), report)
 	s.pacer.setQuery(report.GetDemands())
 }
@@ -256,7 +259,7 @@
 	}
 	update.Suspects, update.Permits = s.suspects.Next(), s.c.entryPermits.Take(s.entry.GetHost(), time.Now())
 	if s.pacer.intervalElapsed {
-		update.PermitQueues = s.c.mirror.PermitQueues()
+		update.PermitQueues, update.RejectionLimits = s.c.mirror.PermitQueues(), s.c.rejectionLimits.Messages(time.Now())
 		update.Loads, update.TeamUses, s.pacer.intervalElapsed = s.c.mirror.Loads(), s.c.mirror.TeamUses(), false
 	}
 	// Updates that no pending change waits for are acknowledged with the entry's next
--- a/internal/role/follow.go
+++ b/internal/role/follow.go
@@ -110,6 +110,7 @@
 		// entries: an entry that has just started must not serve before it knows the
 		// held-back requests.
 		c.suspects.Merge(update.GetSuspects(), true)
+		c.rejectionLimits.Merge(update.GetRejectionLimits(), time.Now())
 		if !c.mirror.Apply(update) {
 			return errors.Newf("term %d: %w", update.GetKnown().GetTerm(), errOtherLeader)
 		}
@@ -158,6 +159,7 @@
 	suspects := c.suspects.Reader(quarantine.PartOwn)
 	for intervalElapsed := true; ; {
 		report := c.subscribers.NextReport(subscription.Progress{Known: c.mirror.Position(), Revision: c.appliedIndex()}, intervalElapsed)
+		report.RejectionLimits = c.rejectionLimits.Messages(time.Now())
 		report.Host, report.Lagging, report.Servers = host, c.logLags(), c.announcements.TakePending()
 		report.Limits = append(report.Limits, c.mirror.TakeNewerLimits()...)
 		report.Suspects, report.SentUs = suspects.Next(), uint64(time.Since(c.startedAt).Microseconds())
--- a/internal/role/host_session.go
+++ b/internal/role/host_session.go
@@ -136,6 +136,7 @@
 	h.c.suspects.Merge(report.GetSuspects(), false)
 	h.c.roster.ApplyLimits(report.GetLimits())
 	h.c.roster.ApplyDepartures(report.GetLeavingServers())
+	h.c.rejectionLimits.Merge(report.GetRejectionLimits(), time.Now())
 	if demands := report.GetPermitDemands(); len(demands) > 0 {
 		h.c.allocator.SetDemands(h.term, h.streamName(), demands)
 		h.c.issuePermits()
@@ -187,7 +188,7 @@
 	}
 	update.Suspects, update.Permits = h.suspects.Next(), h.c.hostPermits.Take(h.streamName(), time.Now())
 	if h.pacer.intervalElapsed {
-		update.PermitQueues = h.c.allocator.Queues()
+		update.PermitQueues, update.RejectionLimits = h.c.allocator.Queues(), h.c.rejectionLimits.Messages(time.Now())
 		update.Loads, update.TeamUses, h.pacer.intervalElapsed = h.c.roster.Loads(), h.c.quotas.Sum(time.Now(), h.c.reportsUse), false
 	}
 	return update
--- a/internal/role/partition_test.go
+++ b/internal/role/partition_test.go
@@ -379,3 +379,41 @@
 		})
 	}
 }
+
+// A sound server is silent for a second and goes on: its requests must not be interrupted, no path may
+// count as lost, and it must be used again.
+func TestServersThatPauseAreNotLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newSettledDeploymentOf(t, 76, 3, 6)
+		defer d.close()
+		b := startBackends(d, 3)
+		defer b.close()
+		a := d.startAttempts(6)
+		for i := range 4 {
+			time.Sleep(3 * time.Second)
+			pause := partitions["hanging"]
+			for _, ip := range d.entryIPs() {
+				pause.begin(d, ip, backendIP(i%3))
+			}
+			time.Sleep(1200 * time.Millisecond)
+			for _, e := range d.entries {
+				require.False(t, e.PathLost())
+			}
+			for _, ip := range d.entryIPs() {
+				pause.end(d, ip, backendIP(i%3))
+			}
+			from := time.Now()
+			time.Sleep(6 * time.Second)
+			require.NotEmpty(t, b.requestsBetween(backendAddress(i%3), from, time.Now()))
+		}
+		a.end()
+		b.requireRunOnce()
+		b.requireRefusalsTrue(a)
+		for _, e := range d.entries {
+			require.Zero(t, e.HeldBack())
+		}
+		for _, x := range a.list {
+			require.Equal(t, 200, x.status, "%+v", x)
+		}
+	})
+}
