gateway: room at servers with a rejection limit is computed once a choice

Without a limit a choice among hundreds of servers asked for the pool's limit at each of them; with one, and fewer slots than entries, the usable load was computed for each, and each waiting request went over all servers of the fleet every 50 ms.

The comment on gRPC's keep-alive says what grpc-go makes of the settings.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -35,8 +35,10 @@
 	// request; 0 if none of those that could serve the request has.
 	cooldown time.Duration
 	// room is the time until this entry may send another request to one of the servers with a
-	// rejection limit; 0 if it may now, or if there is none.
-	room time.Duration
+	// rejection limit; 0 if it may now, or if there is none. roomPerSecond is the number of requests a
+	// second that have room at these.
+	room          time.Duration
+	roomPerSecond float64
 }
 
 // awaitable reports whether a server will take the request without any other change.
@@ -48,10 +50,10 @@
 	defer f.mu.Unlock()
 	candidates := slices.DeleteFunc(f.candidates(pool, info, excluded, now), f.connectionsFull)
 	candidates, cooldown := f.withoutCooldown(candidates, now)
-	candidates, room := f.withRoom(candidates, info, now)
+	candidates, room, perSecond := f.withRoom(candidates, pool, info, now)
 	source := f.permitSource()
 	permitted := slices.DeleteFunc(slices.Clone(candidates), func(s *server) bool { return !s.permits.Available(source, now) })
-	c := choice{server: f.bestOf(permitted, pool, info, now, random), cooldown: cooldown, room: room}
+	c := choice{server: f.bestOf(permitted, pool, info, now, random), cooldown: cooldown, room: room, roomPerSecond: perSecond}
 	if len(permitted) == len(candidates) {
 		return c
 	}
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -53,17 +53,18 @@
 }
 
 // admit takes what a request that is about to be sent to a server needs: room, a permit, and its place
-// after a cooldown. requestSent or requestResumed must follow. It returns what is known of the server's limit, and false if the request may not
-// be sent there now.
+// after a cooldown. It returns what is known of the server's limit, and false if the request may not be
+// sent there now. After true, requestSent or requestResumed must follow.
 func (f *fleet) admit(s *server, info *RequestInfo) (ratelimit.Stamp, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	ok := f.takesRequests(s) && f.roomIn(s, info, now) == 0 && f.cooldowns.AvailableIn(s.id, now) == 0 &&
+	r := f.roomAt(s.view.GetPool(), int(s.view.GetSlots()), info, now)
+	ok := f.takesRequests(s) && s.roomIn(r, now) == 0 && f.cooldowns.AvailableIn(s.id, now) == 0 &&
 		s.permits.Take(f.permitSource(), now) && f.cooldowns.Admit(s.id, now)
 	if ok {
 		s.reserved++
-		f.takeTurn(s, info, now)
+		s.takeTurn(r, now)
 	}
 	return s.permits.Stamp(), ok
 }
--- a/internal/gateway/rejection_limit.go
+++ b/internal/gateway/rejection_limit.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -50,43 +49,74 @@
 	s.rejectedUntil = now.Add(pause + time.Duration(rand.Float64()*float64(minRejectionPause)))
 }
 
-// roomIn returns how long this entry has to wait until it may send another request to a server; 0: it
-// may send one now. It waits only at servers with a rejection limit: all entries together send them no
-// more requests at a time than they run, so that none is rejected. The caller holds mu.
-func (f *fleet) roomIn(s *server, info *RequestInfo, now time.Time) time.Duration {
-	pool := s.view.GetPool()
-	if _, limited := f.rejectionLimits.Limit(pool, now); !limited {
+// room is the part of a server's capacity that an entry has.
+type room struct {
+	// limited is set if the server has a rejection limit; all else holds only then. runTime is the time
+	// of a request.
+	limited bool
+	runTime time.Duration
+	// whole is the number of requests that the entry may have there at a time. If it is 0, it may have
+	// one, and interval is the mean time between two of them.
+	whole    int
+	interval time.Duration
+}
+
+// perSecond returns the number of requests a second that have room.
+func (r room) perSecond() float64 {
+	if r.whole > 0 {
+		return float64(r.whole) / r.runTime.Seconds()
+	}
+	return 1 / r.interval.Seconds()
+}
+
+// roomAt returns this entry's room at the servers of a pool with a number of slots, for requests like
+// one. All entries together send a server with a rejection limit no more requests at a time than it
+// runs, so that none is rejected. The caller holds mu.
+func (f *fleet) roomAt(pool string, slots int, info *RequestInfo, now time.Time) room {
+	limit, limited := f.rejectionLimits.Limit(pool, now)
+	if !limited {
+		return room{}
+	}
+	capacity, entries := f.capacity(pool, slots, info), float64(max(f.sharingEntries(), 1))
+	r := room{limited: true, runTime: f.meanRunTime(pool), whole: int(capacity / entries)}
+	if r.whole == 0 {
+		running := usableLoad(capacity, chanceRejections*max(limit, 1)*r.runTime.Seconds())
+		r.interval = time.Duration(float64(r.runTime) * entries / running)
+	}
+	return r
+}
+
+// roomIn returns how long this entry has to wait until it may send another request to a server where it
+// has some room; 0: it may send one now. The caller holds mu.
+func (s *server) roomIn(r room, now time.Time) time.Duration {
+	if !r.limited {
 		return 0
 	}
 	if wait := s.rejectedUntil.Sub(now); wait > 0 {
 		return wait
 	}
-	share, runTime := f.capacityShare(s, info), f.meanRunTime(pool)
 	present := s.present(now)
-	if whole := math.Floor(share); whole >= 1 {
-		if float64(present) < whole {
+	if r.whole > 0 {
+		if present < r.whole {
 			return 0
 		}
-		return time.Duration(float64(runTime) / whole)
+		return r.runTime / time.Duration(r.whole)
 	}
 	if s.nextTurn.IsZero() {
 		// All entries would send their first request to a server at the same time.
-		s.nextTurn = now.Add(time.Duration(float64(f.turnInterval(s, info, now)) * rand.Float64()))
+		s.nextTurn = now.Add(time.Duration(float64(r.interval) * rand.Float64()))
 	}
 	if present > 0 {
-		return runTime
+		return r.runTime
 	}
 	return max(s.nextTurn.Sub(now), 0)
 }
 
-// turnInterval returns the mean time between the requests of an entry whose share of a server's capacity
-// is less than one request; the caller holds mu.
-func (f *fleet) turnInterval(s *server, info *RequestInfo, now time.Time) time.Duration {
-	pool := s.view.GetPool()
-	limit, _ := f.rejectionLimits.Limit(pool, now)
-	runTime, entries := f.meanRunTime(pool), float64(max(f.sharingEntries(), 1))
-	running := usableLoad(f.capacityShare(s, info)*entries, chanceRejections*max(limit, 1)*runTime.Seconds())
-	return time.Duration(float64(runTime) * entries / running)
+// takeTurn records that a request is about to be sent to a server; the caller holds mu.
+func (s *server) takeTurn(r room, now time.Time) {
+	if r.limited && r.whole == 0 {
+		s.nextTurn = now.Add(time.Duration(float64(r.interval) * (0.5 + rand.Float64())))
+	}
 }
 
 // usableLoad returns the mean number of requests at a server with some capacity at which requests that
@@ -143,27 +173,15 @@
 	}
 }
 
-// takeTurn records that a request is about to be sent to a server of whose capacity this entry's share
-// may be less than one request; the caller holds mu.
-func (f *fleet) takeTurn(s *server, info *RequestInfo, now time.Time) {
-	pool := s.view.GetPool()
-	if _, limited := f.rejectionLimits.Limit(pool, now); !limited {
-		return
-	}
-	if share := f.capacityShare(s, info); share < 1 {
-		s.nextTurn = now.Add(time.Duration(float64(f.turnInterval(s, info, now)) * (0.5 + rand.Float64())))
-	}
-}
-
-// capacityShare returns this entry's equal share of the requests like one that a server runs at a time;
+// capacity returns the number of requests like one that a pool's server with some slots runs at a time;
 // the caller holds mu.
-func (f *fleet) capacityShare(s *server, info *RequestInfo) float64 {
-	capacity := float64(max(s.view.GetSlots(), 1))
-	if cache := f.cacheTokens[s.view.GetPool()]; cache > 0 && info.Model != "" {
-		tokens := max(f.poolStats(s.view.GetPool()).meanTokens, float64(info.PromptTokens)) + float64(info.OutputTokens)
+func (f *fleet) capacity(pool string, slots int, info *RequestInfo) float64 {
+	capacity := float64(max(slots, 1))
+	if cache := f.cacheTokens[pool]; cache > 0 && info.Model != "" {
+		tokens := max(f.poolStats(pool).meanTokens, float64(info.PromptTokens)) + float64(info.OutputTokens)
 		capacity = min(capacity, cache/max(tokens, 1))
 	}
-	return capacity / float64(max(f.sharingEntries(), 1))
+	return capacity
 }
 
 // meanRunTime returns how long a pool's servers have a request; the caller holds mu.
@@ -174,18 +192,28 @@
 	return defaultRunTime
 }
 
-// withRoom removes the servers to which this entry may send no request now, and returns the time until
-// it may send one to any of them; 0: none was removed. The caller holds mu.
-func (f *fleet) withRoom(candidates []*server, info *RequestInfo, now time.Time) (available []*server, first time.Duration) {
+// withRoom removes the servers of a pool to which this entry may send no request now, and returns the
+// time until it may send one to any of them; 0: none was removed. perSecond is the number of requests
+// that have room at all of them. The caller holds mu.
+func (f *fleet) withRoom(candidates []*server, pool string, info *RequestInfo, now time.Time) (available []*server, first time.Duration, perSecond float64) {
+	if _, limited := f.rejectionLimits.Limit(pool, now); !limited {
+		return candidates, 0, 0
+	}
+	rooms := map[int]room{}
 	for _, s := range candidates {
-		wait := f.roomIn(s, info, now)
+		slots := int(s.view.GetSlots())
+		if !rooms[slots].limited {
+			rooms[slots] = f.roomAt(pool, slots, info, now)
+		}
+		perSecond += rooms[slots].perSecond()
+		wait := s.roomIn(rooms[slots], now)
 		if wait == 0 {
 			available = append(available, s)
 		} else if first == 0 || wait < first {
 			first = wait
 		}
 	}
-	return available, first
+	return available, first, perSecond
 }
 
 // addRoomWaiting adds n requests that wait for room at a pool's servers; n is negative when they stop
@@ -199,23 +227,12 @@
 }
 
 // roomWaitTime estimates how long a waiting request still waits for room, with all that wait at this
-// entry, where first is the time until any server has room.
-func (f *fleet) roomWaitTime(pool string, info *RequestInfo, first time.Duration) time.Duration {
+// entry.
+func (f *fleet) roomWaitTime(pool string, c choice) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	perSecond, now := 0.0, time.Now()
-	for _, s := range f.servers {
-		if s.view.GetPool() != pool || !s.ready() || info.Model != "" && !s.hasModel(info.Model, info.Adapter, now) {
-			continue
-		}
-		if share := f.capacityShare(s, info); share < 1 {
-			perSecond += 1 / f.turnInterval(s, info, now).Seconds()
-		} else {
-			perSecond += math.Floor(share) / f.meanRunTime(pool).Seconds()
-		}
-	}
-	if perSecond == 0 {
-		return first
+	if c.roomPerSecond == 0 {
+		return c.room
 	}
-	return first + time.Duration(float64(f.roomWaiting[pool])/perSecond*float64(time.Second))
+	return c.room + time.Duration(float64(f.roomWaiting[pool])/c.roomPerSecond*float64(time.Second))
 }
--- a/internal/gateway/release.go
+++ b/internal/gateway/release.go
@@ -84,7 +84,7 @@
 func (x *exchange) refusedByWait(c choice, limited *server, latest, start, now time.Time) bool {
 	wait, outcome := c.cooldown, OutcomeServerCooldown
 	if c.room > 0 {
-		if roomWait := x.g.fleet.roomWaitTime(x.pool, &x.info, c.room); c.cooldown == 0 || roomWait < wait {
+		if roomWait := x.g.fleet.roomWaitTime(x.pool, c); c.cooldown == 0 || roomWait < wait {
 			wait, outcome = roomWait, OutcomeBusy
 		}
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -24,7 +24,8 @@
 	maxMessageBytes = 64 << 20
 	// A connection on which nothing is received for keepaliveTime+keepaliveTimeout is
 	// closed: a device between the hosts may have lost its state while new
-	// connections work.
+	// connections work. grpc-go raises keepaliveTime to 10 s at clients, so that the
+	// servers notice first; it also sets TCP_USER_TIMEOUT to keepaliveTimeout.
 	keepaliveTime    = 2 * time.Second
 	keepaliveTimeout = 2 * time.Second
 	// minKeepaliveTime is the shortest ping interval that a server accepts from clients.
