--- a/internal/path/attempt.go
+++ b/internal/path/attempt.go
@@ -23,8 +23,8 @@
 	// results receives the result of each path; pending counts those that are outstanding.
 	results chan result
 	pending int
-	// asked are the hosts asked so far, askedAt when, and refused and silent the number of them for which the
-	// server refused the connection or did not respond.
+	// asked are the hosts asked so far, askedAt when, and refused and silent the number of them for
+	// which the server refused the connection or did not respond.
 	asked           []string
 	askedAt         map[string]time.Time
 	refused, silent int
@@ -89,7 +89,8 @@
 
 // ask asks another host. It returns false if there is none to ask.
 func (a *attempt) ask(ctx context.Context) bool {
-	if ctx.Err() != nil || len(a.asked)-a.declined-a.unsure >= maxHostsAsked || len(a.asked) >= maxAsked || a.refused+a.silent >= minOpinions {
+	slow := len(a.asked) - a.declined - a.unsure
+	if ctx.Err() != nil || slow >= maxHostsAsked || len(a.asked) >= maxAsked || a.refused+a.silent >= minOpinions {
 		return false
 	}
 	host := ""
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -26,8 +26,8 @@
 	// connectTimeout bounds an attempt. It is shorter than tcp.ConnectTimeout, with which callers give
 	// an attempt up, so that it fails with what the other hosts have said.
 	connectTimeout = 400 * time.Millisecond
-	// maxHostsAsked is the number of hosts that an attempt asks at most, without those that decline at
-	// once, and maxAsked with them. minOpinions is the number of them that must agree that a server has
+	// maxHostsAsked is the number of hosts that an attempt asks at most, without those that decline or
+	// are unsure, which respond at once, and maxAsked with them. minOpinions is the number of them that must agree that a server has
 	// ended: one alone may have just lost its path as well.
 	maxHostsAsked = 3
 	maxAsked      = 8
@@ -168,9 +168,9 @@
 	return newAttempt(d, address).run(ctx)
 }
 
-// Vouch reports whether this host reaches another server than the one at an address over its own path
+// ReachesOther reports whether this host reaches another server than the one at an address over its own path
 // right now: a refused connection may otherwise be the first sign that the path is lost.
-func (d *Dialer) Vouch(ctx context.Context, address string) bool {
+func (d *Dialer) ReachesOther(ctx context.Context, address string) bool {
 	d.mu.Lock()
 	other := d.reached
 	d.mu.Unlock()
--- a/internal/path/path_test.go
+++ b/internal/path/path_test.go
@@ -34,9 +34,9 @@
 	// directs and throughs count the connections tried.
 	directs  int
 	throughs []string
-	preferred,
-	others []string
-	changes int
+	// preferred and others are the hosts to ask, and changes counts the changes of Lost.
+	preferred, others []string
+	changes           int
 }
 
 type fakeConn struct {
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -87,12 +87,12 @@
 	})
 	e.tunnels = tunnel.NewServer(tunnel.ServerConfig{
 		Connect: direct, Log: cfg.Log.WithName("tunnel"),
-		IsServer:   func(address string) bool { return e.gateway.IsServer(address) },
-		Available:  func() bool { return e.gateway.CarriesTunnels() },
-		Reaches:    func(address string) bool { return !e.paths.LostTo(address) },
-		Vouch:      e.paths.Vouch,
-		Cooldown:   func(address string) time.Duration { return e.gateway.ServerCooldown(address) },
-		OnCooldown: func(server string, wait time.Duration) { e.gateway.CarriedCooldown(server, wait) },
+		IsServer:     func(address string) bool { return e.gateway.IsServer(address) },
+		Available:    func() bool { return e.gateway.CarriesTunnels() },
+		Reaches:      func(address string) bool { return !e.paths.LostTo(address) },
+		ReachesOther: e.paths.ReachesOther,
+		Cooldown:     func(address string) time.Duration { return e.gateway.ServerCooldown(address) },
+		OnCooldown:   func(server string, wait time.Duration) { e.gateway.CarriedCooldown(server, wait) },
 	})
 	e.gateway = gateway.New(gateway.Config{
 		Self: &schema.RosterEntry{
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -120,7 +120,7 @@
 	case http.StatusOK:
 		return nil
 	case http.StatusBadGateway:
-		if response.Header.Get(headerVouched) == "" {
+		if response.Header.Get(headerReachesOthers) == "" {
 			return ErrRefusedUnsure
 		}
 		return ErrServerRefused
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -30,8 +30,8 @@
 	cooldownPath = "/cooldown"
 	serverKey    = "server"
 	waitKey      = "wait-ms"
-	// headerVouched is set if a refused connection is not the host's own fault.
-	headerVouched = "Fennelyard-Vouched"
+	// headerReachesOthers is set if a refused connection is not the host's own fault.
+	headerReachesOthers = "Fennelyard-Reaches-Others"
 	// maxTunnels bounds the tunnels through a host. Each takes two descriptors and twice bufferBytes:
 	// a twelfth of the descriptors and a thirtieth of the memory of the smallest hosts.
 	maxTunnels  = 256
@@ -56,10 +56,10 @@
 	// have lost its path to the server at an address.
 	Available func() bool
 	Reaches   func(address string) bool
-	// Vouch reports whether this host reaches other servers than the one at an address right now, so
+	// ReachesOther reports whether this host reaches other servers than the one at an address right now, so
 	// that a refused connection is not its own fault.
-	Vouch func(ctx context.Context, address string) bool
-	Log   logr.Logger
+	ReachesOther func(ctx context.Context, address string) bool
+	Log          logr.Logger
 }
 
 // Server carries tunnels for other hosts. It implements http.Handler and is safe for concurrent use.
@@ -121,8 +121,8 @@
 	defer s.release()
 	server, err := s.cfg.Connect(r.Context(), address)
 	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) && s.cfg.Vouch(r.Context(), address) {
-			w.Header().Set(headerVouched, "true")
+		if errors.Is(err, syscall.ECONNREFUSED) && s.cfg.ReachesOther(r.Context(), address) {
+			w.Header().Set(headerReachesOthers, "true")
 		}
 		s.reject(w, connectStatus(err), address)
 		return
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -34,7 +34,7 @@
 	cfg := tunnel.ServerConfig{
 		Connect: tcp.Dial, Log: logr.Discard(),
 		IsServer: func(string) bool { return true }, Available: func() bool { return true },
-		Reaches: func(string) bool { return true }, Vouch: func(context.Context, string) bool { return true }, Cooldown: func(string) time.Duration { return 0 }, OnCooldown: func(string, time.Duration) {},
+		Reaches: func(string) bool { return true }, ReachesOther: func(context.Context, string) bool { return true }, Cooldown: func(string) time.Duration { return 0 }, OnCooldown: func(string, time.Duration) {},
 	}
 	if configure != nil {
 		configure(&cfg)
@@ -178,7 +178,7 @@
 		want      error
 	}{
 		"server refuses":                 {nil, tunnel.ErrServerRefused},
-		"server refuses, and so may all": {func(c *tunnel.ServerConfig) { c.Vouch = func(context.Context, string) bool { return false } }, tunnel.ErrRefusedUnsure},
+		"server refuses, and so may all": {func(c *tunnel.ServerConfig) { c.ReachesOther = func(context.Context, string) bool { return false } }, tunnel.ErrRefusedUnsure},
 		"server silent": {func(c *tunnel.ServerConfig) {
 			c.Connect = func(context.Context, string) (net.Conn, error) { return nil, context.DeadlineExceeded }
 		}, tunnel.ErrServerSilent},
