ratelimit: a rejection limit outlasts the servers that stated it

A pool whose servers had all crashed for over 5 s was filled up again when they returned, as no response had stated the limit meanwhile. Found by reading. It now holds until a response states none, 5 s at least and a minute at most; its end is logged.

--- a/internal/gateway/rejection_limit.go
+++ b/internal/gateway/rejection_limit.go
@@ -32,6 +32,8 @@
 	case stated.Limited && x.g.fleet.rejectionLimits.Observe(x.pool, stated.PerSecond, time.Now()):
 		x.g.reportNow()
 		x.g.cfg.Log.Info("servers state a rejection limit", "pool", x.pool, "server", s.id, "per-second", stated.PerSecond, "request", x.info.ID)
+	case !stated.Limited && responseInfo.Signed && x.g.fleet.rejectionLimits.ObserveNone(x.pool, time.Now()):
+		x.g.cfg.Log.Info("servers state no rejection limit", "pool", x.pool, "server", s.id, "request", x.info.ID)
 	}
 }
 
--- a/internal/ratelimit/rejections.go
+++ b/internal/ratelimit/rejections.go
@@ -7,9 +7,14 @@
 	"fennelyard/internal/schema"
 )
 
-// rejectionLimitRetention is how long a rejection limit is kept after a response last stated it: a
-// pool's servers state it in all responses, also those that have started since.
-const rejectionLimitRetention = 5 * time.Second
+const (
+	// rejectionLimitRetention is how long a rejection limit is kept at least after a response last stated
+	// it: a pool's servers state it in all responses, also those that have started since.
+	rejectionLimitRetention = 5 * time.Second
+	// silentRetention is how long it is kept if no response has arrived since that states none: a pool
+	// whose servers have all crashed still has it when they return.
+	silentRetention = time.Minute
+)
 
 // RejectionLimits holds, by pool, how many requests a second each of its servers can reject for lack of
 // room, those of all entries together, without crashing. It is safe for concurrent use.
@@ -24,6 +29,14 @@
 	// is when any was last stated.
 	perSecond          float64
 	lowestAt, statedAt time.Time
+	// unstatedAt is when a response to this host last stated no limit.
+	unstatedAt time.Time
+}
+
+// kept reports whether the limit still holds.
+func (l *rejectionLimit) kept(now time.Time) bool {
+	age := now.Sub(l.statedAt)
+	return age <= rejectionLimitRetention || age <= silentRetention && !l.unstatedAt.After(l.statedAt)
 }
 
 // NewRejectionLimits returns limits of no pool.
@@ -35,16 +48,32 @@
 func (r *RejectionLimits) Observe(pool string, perSecond float64, now time.Time) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.apply(pool, rejectionLimit{perSecond, now, now}, now)
+	return r.apply(pool, rejectionLimit{perSecond: perSecond, lowestAt: now, statedAt: now}, now)
+}
+
+// ObserveNone applies a response that states no limit, and reports whether a limit has ended.
+func (r *RejectionLimits) ObserveNone(pool string, now time.Time) (ended bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.pools[pool]
+	if l == nil {
+		return false
+	}
+	before := l.kept(now)
+	l.unstatedAt = now
+	return before && !l.kept(now)
 }
 
 // apply applies what is newer or lower; the caller holds mu.
 func (r *RejectionLimits) apply(pool string, stated rejectionLimit, now time.Time) (changed bool) {
-	if now.Sub(stated.statedAt) > rejectionLimitRetention {
+	l := r.pools[pool]
+	if l != nil {
+		stated.unstatedAt = l.unstatedAt
+	}
+	if !stated.kept(now) {
 		return false
 	}
-	l := r.pools[pool]
-	if l == nil || now.Sub(l.statedAt) > rejectionLimitRetention {
+	if l == nil || !l.kept(now) {
 		r.pools[pool] = &stated
 		return true
 	}
@@ -68,11 +97,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.pools[pool]
-	if l == nil {
-		return 0, false
-	}
-	if now.Sub(l.statedAt) > rejectionLimitRetention {
-		delete(r.pools, pool)
+	if l == nil || !l.kept(now) {
 		return 0, false
 	}
 	return l.perSecond, true
@@ -84,10 +109,13 @@
 	defer r.mu.Unlock()
 	var out []*schema.PoolRejectionLimit
 	for pool, l := range r.pools {
-		if now.Sub(l.statedAt) > rejectionLimitRetention {
+		if now.Sub(l.statedAt) > silentRetention {
 			delete(r.pools, pool)
 			continue
 		}
+		if !l.kept(now) {
+			continue
+		}
 		out = append(out, &schema.PoolRejectionLimit{
 			Pool: pool, PerSecond: l.perSecond, AgeMs: now.Sub(l.statedAt).Milliseconds(), LowestAgeMs: now.Sub(l.lowestAt).Milliseconds(),
 		})
@@ -101,7 +129,7 @@
 	defer r.mu.Unlock()
 	for _, m := range list {
 		ago := func(ms int64) time.Time { return now.Add(-time.Duration(max(ms, 0)) * time.Millisecond) }
-		changed = r.apply(m.GetPool(), rejectionLimit{m.GetPerSecond(), ago(m.GetLowestAgeMs()), ago(m.GetAgeMs())}, now) || changed
+		changed = r.apply(m.GetPool(), rejectionLimit{perSecond: m.GetPerSecond(), lowestAt: ago(m.GetLowestAgeMs()), statedAt: ago(m.GetAgeMs())}, now) || changed
 	}
 	return changed
 }
