gateway: a new entry knows rejection limits and the entries that share them before it serves

Both were applied after the configuration, with which an entry begins to serve: for a moment it took the whole capacity of a server for its share. Found by reading.

--- a/internal/gateway/subscriber.go
+++ b/internal/gateway/subscriber.go
@@ -370,9 +370,15 @@
 	if l := update.GetHosts(); l != nil {
 		s.hosts.followers = l.GetHosts()
 	}
-	// Suspects are applied before the configuration, as a newly started entry begins to serve once
-	// it has a configuration.
+	// Suspects, rejection limits and the entries that share them are applied before the configuration,
+	// as a newly started entry begins to serve once it has a configuration.
 	s.g.guard.Suspects().Merge(update.GetSuspects(), true)
+	if s.g.fleet.rejectionLimits.Merge(update.GetRejectionLimits(), time.Now()) {
+		s.g.cfg.Log.Info("rejection limits believed", "pools", len(update.GetRejectionLimits()), "sequence", update.GetSequence())
+	}
+	if l := update.GetEntries(); l != nil {
+		s.g.setEntries(l.GetEntries())
+	}
 	c, err := decodeChanges(update)
 	if err != nil {
 		// The host considers these changes sent; only a new stream sends them again.
@@ -393,15 +399,9 @@
 	if echo := update.GetEchoUs(); echo != 0 {
 		s.g.fleet.addPermits(update.GetPermits(), s.g.startTime.Add(time.Duration(echo)*time.Microsecond))
 	}
-	if s.g.fleet.rejectionLimits.Merge(update.GetRejectionLimits(), time.Now()) {
-		s.g.cfg.Log.Info("rejection limits believed", "pools", len(update.GetRejectionLimits()), "sequence", update.GetSequence())
-	}
 	if u := update.GetTeamUses(); u != nil {
 		s.g.quotas.SetTotals(u)
 	}
-	if l := update.GetEntries(); l != nil {
-		s.g.setEntries(l.GetEntries())
-	}
 	s.g.demand.setForecasts(update.GetForecasts(), time.Now())
 	s.appliedSequence.Store(update.GetSequence())
 	if update.GetConfirm() {
