gateway: resumed streams without a path, and waits for room, like all others

Found by reading. A resumed stream at an entry without any path ejected one sound server after the other; it ends at once now. A stream abandoned at its second server gave its place there up at once. Retry-After of a rejected request left out the time until the servers have room. Comments are plainer.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -199,7 +199,7 @@
 	}
 	retryAfter := x.g.latency(x.pool).retryAfter()
 	if c := x.g.fleet.chooseWithin(x.pool, &x.info, nil, time.Now(), x.random); c.server == nil {
-		retryAfter = max(retryAfter, c.cooldown)
+		retryAfter = max(retryAfter, c.availableIn())
 	}
 	x.fail(OutcomeBusy, retryAfter)
 	return false
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -44,6 +44,15 @@
 // awaitable reports whether a server will take the request without any other change.
 func (c choice) awaitable() bool { return c.limited != nil || c.cooldown > 0 || c.room > 0 }
 
+// availableIn returns the time until the first server takes a request after its cooldown, or for the room
+// at it; 0 if none is waited for.
+func (c choice) availableIn() time.Duration {
+	if c.cooldown > 0 && c.room > 0 {
+		return min(c.cooldown, c.room)
+	}
+	return max(c.cooldown, c.room)
+}
+
 // chooseWithin chooses a server within what servers have asked of the entries.
 func (f *fleet) chooseWithin(pool string, info *RequestInfo, excluded []string, now time.Time, random func(int) int) choice {
 	f.mu.Lock()
--- a/internal/gateway/cooldown.go
+++ b/internal/gateway/cooldown.go
@@ -42,7 +42,7 @@
 // is forwarded to the caller: for the caller, other servers count as well.
 func (x *exchange) replaceRetryAfter() {
 	c := x.g.fleet.chooseWithin(x.pool, &x.info, nil, time.Now(), x.random)
-	wait := max(x.g.latency(x.pool).retryAfter(), c.cooldown)
+	wait := max(x.g.latency(x.pool).retryAfter(), c.availableIn())
 	if c.server != nil {
 		wait = x.g.latency(x.pool).retryAfter()
 	}
--- a/internal/gateway/release.go
+++ b/internal/gateway/release.go
@@ -63,7 +63,7 @@
 	if !x.retryReserved {
 		retryAfter := defaultRetryAfter
 		if c.limited == nil {
-			retryAfter = max(retryAfter, c.cooldown)
+			retryAfter = max(retryAfter, c.availableIn())
 		}
 		x.fail(OutcomeBudget, retryAfter)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/path"
 	"fennelyard/internal/relay"
 	"fennelyard/internal/schema"
 )
@@ -57,7 +58,13 @@
 			x.fail(OutcomeCut, 0)
 			return false
 		}
-		defer ended()
+		resumedAt := s
+		defer func() {
+			if x.abandoned {
+				x.g.fleet.requestAbandoned(resumedAt, time.Now())
+			}
+			ended()
+		}()
 	}
 }
 
@@ -145,6 +152,9 @@
 		ended = x.g.fleet.requestResumed(s)
 		response, responseInfo, err := x.send(x.ctx, s, remaining, lastID, stamp)
 		if err != nil || responseInfo.NotRun {
+			if err != nil && !errors.Is(err, relay.ErrNotSent) {
+				x.g.fleet.requestAbandoned(s, time.Now())
+			}
 			ended()
 		}
 		if errors.Is(err, relay.ErrWithheld) || responseInfo.Cooldown.Wait > 0 && responseInfo.NotRun {
@@ -153,6 +163,11 @@
 			}
 			continue
 		}
+		if errors.Is(err, path.ErrNoPath) {
+			x.cause = err
+			x.attempts--
+			return nil, nil, nil
+		}
 		x.excluded = append(x.excluded, s.id)
 		if err != nil {
 			x.cause = err
--- a/internal/path/attempt.go
+++ b/internal/path/attempt.go
@@ -52,7 +52,7 @@
 func (a *attempt) run(ctx context.Context) (net.Conn, error) {
 	tunnelCtx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	// The direct path is tried to its end even if another one is used: only its result tells whether it
+	// The direct path is tried to its end even if another one is used: only its result shows whether it
 	// is lost or slow.
 	directCtx, cancelDirect := context.WithTimeout(context.WithoutCancel(ctx), tcp.ConnectTimeout)
 	if !a.lost || !a.ask(tunnelCtx) {
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -56,8 +56,8 @@
 	// have lost its path to the server at an address.
 	Available func() bool
 	Reaches   func(address string) bool
-	// ReachesOther reports whether this host reaches other servers than the one at an address right now, so
-	// that a refused connection is not its own fault.
+	// ReachesOther reports whether this host reaches another server than the one at an address right
+	// now, so that a refused connection is not its own fault.
 	ReachesOther func(ctx context.Context, address string) bool
 	Log          logr.Logger
 }
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -165,7 +165,7 @@
 	require.Equal(t, "rejected", string(got))
 }
 
-// Each way in which no tunnel is opened must be told apart: only some of them concern the server.
+// The reasons why no tunnel is opened must be distinguishable: only some of them concern the server.
 func TestOpenReportsWhyThereIsNoTunnel(t *testing.T) {
 	closed := func(t *testing.T) string {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
