gateway: servers that other entries have found to have ended are tried last

Trace (request log of a failing run): 25 ms after its start the entry sends the request to i-4, a server that has ended under a harmful request 5 s before and that a new leader recalls from its log.

Cause: the record of the harmful request, which the entry receives before the servers, names i-4 as ended; only the quarantine read it. Now such servers are ejected for 4 s, longer than the leader needs to remove them; as with any ejection they are still used if no other is left, so that a wrong record costs no service.

TestServersThatEndedElsewhereAreTriedLast.

--- a/internal/gateway/choose_test.go
+++ b/internal/gateway/choose_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -199,3 +200,27 @@
 		require.NotEmpty(t, e.Choose(info))
 	}
 }
+
+// Another entry has found that a server has ended, before the leader removes it: each request sent there
+// costs a retry, and an entry that has just started has none.
+func TestServersThatEndedElsewhereAreTriedLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := gateway.NewEngines(2)
+		view := &schema.RosterServer{Id: "ended", Pool: "p", Models: []*schema.HeldModel{{Name: "m"}}}
+		e.RecordEnded("ended")
+		e.RecordEnded("e0")
+		e.ApplyServers(view)
+		for i := range 20 {
+			require.Equal(t, "e1", e.Send(shortRequest(fmt.Sprint(i))))
+		}
+		e.ApplyServers(&schema.RosterServer{Id: "e1", State: schema.RosterState_ROSTER_STATE_GONE})
+		require.Contains(t, []string{"ended", "e0"}, e.Choose(shortRequest("p")))
+		e.ApplyServers(&schema.RosterServer{Id: "e1", Pool: "p", Models: view.GetModels()})
+		time.Sleep(5 * time.Second)
+		seen := map[string]bool{}
+		for i := range 20 {
+			seen[e.Send(shortRequest(fmt.Sprint(i)))] = true
+		}
+		require.Len(t, seen, 3, "the record was wrong")
+	})
+}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -79,6 +79,11 @@
 // RecordDeparture records that a response of an engine states that it leaves.
 func (e *Engines) RecordDeparture(id string) { e.f.recordDeparture(e.f.servers[id], time.Now()) }
 
+// RecordEnded records that other entries have found an engine to have ended.
+func (e *Engines) RecordEnded(id string) {
+	e.f.recordEnded([]*schema.Suspect{{Ended: []*schema.EndedServer{{Server: id}}}}, time.Now())
+}
+
 // AddPermits adds permits for an engine that the leader has just granted.
 func (e *Engines) AddPermits(id string, n uint32) { e.AddOldPermits(id, n, 0) }
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -46,6 +46,9 @@
 	// departures are the statements of servers that they leave, by server id. They outlive the
 	// servers in the fleet, as a new leader may send one again.
 	departures map[string][]departure
+	// endedUntil holds until when servers stay ejected that other entries have found to have ended, by
+	// incarnation; also those that are not in servers yet.
+	endedUntil map[string]time.Time
 	// stats holds the observed statistics of the engines and prompts of each pool.
 	stats map[string]*poolStats
 }
@@ -54,7 +57,7 @@
 	f := &fleet{
 		servers: map[string]*server{}, incarnations: map[string]int{}, addresses: map[string]map[string]bool{}, changed: make(chan struct{}), stats: map[string]*poolStats{},
 		sendRates: map[string]*arrivalRate{}, connected: func() bool { return true }, sharingEntries: func() int { return 1 },
-		maxConnections: map[string]float64{}, limited: map[string]*server{}, departures: map[string][]departure{},
+		maxConnections: map[string]float64{}, limited: map[string]*server{}, departures: map[string][]departure{}, endedUntil: map[string]time.Time{},
 		rejectionLimits: ratelimit.NewRejectionLimits(), cacheTokens: map[string]float64{}, roomWaiting: map[string]int{},
 	}
 	f.cooldowns = cooldown.NewTable(cooldown.Config{Hosts: func() int { return f.sharingEntries() }, Random: rand.Float64})
@@ -131,7 +134,9 @@
 			}
 		}
 	}
-	f.expireDepartures(time.Now())
+	now := time.Now()
+	f.expireDepartures(now)
+	maps.DeleteFunc(f.endedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
 	f.notifyChanged()
 }
 
@@ -149,6 +154,7 @@
 	}
 	f.servers[s.id] = s
 	s.leaving = f.hasStatedDeparture(s.id)
+	s.ejectedUntil = f.endedUntil[s.id]
 	f.trackLimit(s)
 	f.incarnations[s.server]++
 	if f.addresses[s.address] == nil {
@@ -380,6 +386,28 @@
 	s.consecutiveFailures++
 }
 
+// recordEnded ejects servers that other entries have found to have ended, for longer than the leader needs
+// to remove them: another process may listen at their addresses, and each attempt there costs a retry. It
+// returns those that were not recorded yet.
+func (f *fleet) recordEnded(suspects []*schema.Suspect, now time.Time) (ejected []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	until := now.Add(maxEjection)
+	for _, suspect := range suspects {
+		for _, e := range suspect.GetEnded() {
+			id := e.GetServer()
+			if _, known := f.endedUntil[id]; !known {
+				ejected = append(ejected, id)
+			}
+			f.endedUntil[id] = until
+			if s := f.servers[id]; s != nil {
+				s.ejectedUntil = until
+			}
+		}
+	}
+	return ejected
+}
+
 // markAbsent records that a server refused a request because it does not have the model or
 // adapter.
 func (f *fleet) markAbsent(s *server, model, adapter string, now time.Time) {
--- a/internal/gateway/subscriber.go
+++ b/internal/gateway/subscriber.go
@@ -28,6 +28,8 @@
 	// silence leaves at once.
 	reportIntervalPerSubscriber = 1500 * time.Microsecond
 	minReportInterval           = 5 * time.Millisecond
+	// maxServersLogged is the maximum number of servers in a log line.
+	maxServersLogged = 16
 	// deferredReportIntervals is the number of such intervals after which a report leaves that
 	// adds only waiting requests for targets that already have reported ones.
 	deferredReportIntervals = 4
@@ -373,6 +375,9 @@
 	// Suspects, rejection limits and the entries that share them are applied before the configuration,
 	// as a newly started entry begins to serve once it has a configuration.
 	s.g.guard.Suspects().Merge(update.GetSuspects(), true)
+	if ejected := s.g.fleet.recordEnded(update.GetSuspects(), time.Now()); len(ejected) > 0 {
+		s.g.cfg.Log.Info("servers ejected that have ended", "count", len(ejected), "servers", ejected[:min(len(ejected), maxServersLogged)])
+	}
 	if s.g.fleet.rejectionLimits.Merge(update.GetRejectionLimits(), time.Now()) {
 		s.g.cfg.Log.Info("rejection limits believed", "pools", len(update.GetRejectionLimits()), "sequence", update.GetSequence())
 	}
