--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -43,6 +43,25 @@
 // ServerCount returns the number of known servers.
 func (g *Gateway) ServerCount() int { return g.fleet.count() }
 
+// SetEntries applies the list of entries as received from the leader.
+func (g *Gateway) SetEntries(list []*schema.RosterEntry) { g.setEntries(list) }
+
+// SetRejectionLimit records that a response has stated a rejection limit.
+func (g *Gateway) SetRejectionLimit(pool string, perSecond float64) {
+	g.fleet.rejectionLimits.Observe(pool, perSecond, time.Now())
+}
+
+// AbandonedRequests returns the number of abandoned requests that have kept their places at servers.
+func (g *Gateway) AbandonedRequests() int {
+	g.fleet.mu.Lock()
+	defer g.fleet.mu.Unlock()
+	n := 0
+	for _, s := range g.fleet.servers {
+		n += len(s.abandoned)
+	}
+	return n
+}
+
 // Engines is a set of engines with the model m loaded, for tests of the choice.
 type Engines struct {
 	f      *fleet
--- a/internal/gateway/subscriber_test.go
+++ b/internal/gateway/subscriber_test.go
@@ -30,12 +30,17 @@
 }
 
 func newSubscribingGateway(t *testing.T, seeds ...string) *gateway.Gateway {
+	t.Helper()
+	return newSubscribingGatewayWithLog(t, logr.Discard(), seeds...)
+}
+
+func newSubscribingGatewayWithLog(t *testing.T, log logr.Logger, seeds ...string) *gateway.Gateway {
 	t.Helper()
 	dialer := peer.NewDialer(peer.DialerConfig{})
 	t.Cleanup(dialer.Close)
 	return gateway.New(gateway.Config{
 		Self: &schema.RosterEntry{Host: "e", CallerAddress: "127.0.0.1:1"}, Seeds: func() []string { return seeds }, Dialer: dialer,
-		Replica: ledger.NewReplica(), Sender: relay.NewSender(relay.Config{}), Codec: codec(), Log: logr.Discard(), RequestLog: logr.Discard(),
+		Replica: ledger.NewReplica(), Sender: relay.NewSender(relay.Config{}), Codec: codec(), Log: log, RequestLog: logr.Discard(),
 	})
 }
 
