path: a host is unsure of a refusal by the server that it reached last

One cause: a host that is asked by another one, and has lost its path as well, said that it reached others, as the server that it had reached last was the very one.

It now tries another server that it reached before. TestHostIsUnsureOfTheServerThatItReachedLast fails before.

--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -85,9 +85,10 @@
 	// lost is set while the path to all servers counts as lost, since lostSince.
 	lost      bool
 	lostSince time.Time
-	// reachedAt is when a server was last reached over this host's own path, and reached its address.
-	reachedAt time.Time
-	reached   string
+	// reachedAt is when a server was last reached over this host's own path, reached its address, and
+	// reachedBefore that of the last other one.
+	reachedAt              time.Time
+	reached, reachedBefore string
 	// asideUntil holds the hosts that carried no tunnel when they were last asked.
 	asideUntil map[string]time.Time
 	// unconfirmed counts the hosts that are being asked while the path is not known to be lost.
@@ -173,8 +174,11 @@
 func (d *Dialer) ReachesOther(ctx context.Context, address string) bool {
 	d.mu.Lock()
 	other := d.reached
+	if other == address {
+		other = d.reachedBefore
+	}
 	d.mu.Unlock()
-	if other == "" || other == address {
+	if other == "" {
 		return true
 	}
 	conn, err := d.cfg.Direct(ctx, other)
--- a/internal/path/path_test.go
+++ b/internal/path/path_test.go
@@ -289,6 +289,26 @@
 	}
 }
 
+// A host that has just lost its path, and reached the server last about which it is asked, must not say that
+// it reaches others.
+func TestHostIsUnsureOfTheServerThatItReachedLast(t *testing.T) {
+	n := &network{}
+	simulate(t, n, func(t *testing.T, d *path.Dialer) {
+		ctx := context.Background()
+		require.True(t, d.ReachesOther(ctx, "s0"), "it has never reached any")
+		for _, server := range []string{"s0", "s1", "s0", "s0"} {
+			_, _, err := dial(d, server)
+			require.NoError(t, err)
+		}
+		require.True(t, d.ReachesOther(ctx, "s0"))
+		n.set(func(n *network) { n.direct = syscall.ECONNREFUSED })
+		for range 3 {
+			require.False(t, d.ReachesOther(ctx, "s0"))
+			require.False(t, d.ReachesOther(ctx, "s1"))
+		}
+	})
+}
+
 // A host without any path must say so at once, as its callers are served by others.
 func TestNoPathIsReportedAtOnce(t *testing.T) {
 	n := &network{direct: errSilent}
--- a/internal/path/verdict.go
+++ b/internal/path/verdict.go
@@ -38,7 +38,10 @@
 // recordReached records that this host has reached a server over its own path.
 func (d *Dialer) recordReached(address string) {
 	d.mu.Lock()
-	d.reachedAt, d.reached = time.Now(), address
+	d.reachedAt = time.Now()
+	if d.reached != address {
+		d.reached, d.reachedBefore = address, d.reached
+	}
 	s := d.servers[address]
 	if s != nil {
 		delete(d.servers, address)
