path: hosts that are unsure of a refusal count only if nobody else is left to ask

Evidence now needs a host that reaches another server right now, or that all hosts that can be asked agree: in a deployment whose few servers have all ended that is still so. A host that has reached no other server is unsure.

--- a/internal/path/attempt.go
+++ b/internal/path/attempt.go
@@ -213,10 +213,12 @@
 // failure returns the error of a server that no path leads to. It wraps ECONNREFUSED only if that is
 // no fault of this host's path, or if there is no other host to ask.
 func (a *attempt) failure() error {
-	_, hostsKnown := a.d.nextHost(a.asked)
+	left, hostsKnown := a.d.nextHost(a.asked)
 	directRefused := errors.Is(a.directErr, syscall.ECONNREFUSED)
-	// Hosts that are unsure count once no other one is left to ask, or many have said the same.
-	ended := directRefused && (!hostsKnown || a.refused+a.unsure > 0 && a.silent == 0) || a.refused >= minOpinions
+	// Hosts that are unsure have perhaps lost their paths as well: they count only if nobody else is left to
+	// ask.
+	confirmed := a.silent == 0 && (a.refused > 0 || a.unsure > 0 && left == "")
+	ended := directRefused && (!hostsKnown || confirmed) || a.refused >= minOpinions
 	switch {
 	case ended:
 		return errors.Newf("connect to %s: refused also to %d other hosts: %w", a.address, a.refused+a.unsure, syscall.ECONNREFUSED)
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -170,7 +170,8 @@
 }
 
 // ReachesOther reports whether this host reaches another server than the one at an address over its own path
-// right now: a refused connection may otherwise be the first sign that the path is lost.
+// right now: a refused connection may otherwise be the first sign that the path is lost. It tries one that it
+// has reached before.
 func (d *Dialer) ReachesOther(ctx context.Context, address string) bool {
 	d.mu.Lock()
 	other := d.reached
@@ -179,7 +180,7 @@
 	}
 	d.mu.Unlock()
 	if other == "" {
-		return true
+		return false
 	}
 	conn, err := d.cfg.Direct(ctx, other)
 	if err != nil {
--- a/internal/path/path_test.go
+++ b/internal/path/path_test.go
@@ -295,12 +295,12 @@
 	n := &network{}
 	simulate(t, n, func(t *testing.T, d *path.Dialer) {
 		ctx := context.Background()
-		require.True(t, d.ReachesOther(ctx, "s0"), "it has never reached any")
-		for _, server := range []string{"s0", "s1", "s0", "s0"} {
+		require.False(t, d.ReachesOther(ctx, "s0"), "it has reached none")
+		for i, server := range []string{"s0", "s1", "s0", "s0"} {
 			_, _, err := dial(d, server)
 			require.NoError(t, err)
+			require.Equal(t, i > 0, d.ReachesOther(ctx, "s0"))
 		}
-		require.True(t, d.ReachesOther(ctx, "s0"))
 		n.set(func(n *network) { n.direct = syscall.ECONNREFUSED })
 		for range 3 {
 			require.False(t, d.ReachesOther(ctx, "s0"))
