path: hosts report that they reach no server, whoever's fault it is

Known as open since the postmortem, by calculation only: if all but a few of hundreds of entries lose their paths at the same moment, it takes tens of seconds until they find one another.

Cause: a host counted as unable to carry connections only after two verdicts that its path is lost, each of which needs somebody who connects. Where hardly anybody does there are no verdicts, nobody leaves the list of those to ask, and each attempt finds one of the few by chance.

Now a host also counts the servers that it tries in vain, for itself and for others, and reports after two of them and a second without any reached that it reaches none; it is asked no more, until it reaches one. If all hosts report this, all are asked as before. One that is asked without requests of its own tries the two servers that it reached last, so that servers that crash are not taken for a lost path.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,8 +30,8 @@
 	Sender      *relay.Sender
 	Codec       Codec
 	RetryBudget RetryBudgetConfig
-	// PathLost reports whether this entry has lost its own network path to the backend servers; nil:
-	// never.
+	// PathLost reports whether this entry reaches no backend server over its own network path; nil: it
+	// always does.
 	PathLost func() bool
 	// StateCooldown reports to another entry that a server has stated a cooldown in a response that
 	// passed through it. It may be nil if requests never pass through other entries.
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -8,33 +8,39 @@
 // IsServer reports whether an address is the one of a known backend server.
 func (g *Gateway) IsServer(address string) bool { return g.fleet.hasAddress(address) }
 
-// CarriesTunnels reports whether this entry takes new tunnels of other entries.
-func (g *Gateway) CarriesTunnels() bool { return !g.draining.Load() && !g.cfg.PathLost() }
+// CarriesTunnels reports whether this entry takes new tunnels of other entries, as far as its own state goes.
+func (g *Gateway) CarriesTunnels() bool { return !g.draining.Load() }
 
 // TunnelHosts returns the addresses of the other entries that reach the backend servers and carry
 // tunnels to them: those to prefer, and all others. Entries of the own data centre are preferred as long
 // as at least half of its entries reach the servers; fewer would have to carry all requests of the data
-// centre.
+// centre. If no entry reaches any server, their reports say nothing about paths, and all are returned.
 func (g *Gateway) TunnelHosts() (preferred, others []string) {
 	list := g.entries.Load()
 	if list == nil {
 		return nil, nil
 	}
 	inDataCentre := 0
+	var unreached []string
 	for _, e := range *list {
 		local := e.GetDataCentre() == g.cfg.Self.GetDataCentre()
 		if local {
 			inDataCentre++
 		}
 		switch {
-		case e.GetHost() == g.cfg.Self.GetHost() || e.GetPathLost() || e.GetTunnelAddress() == "":
+		case e.GetHost() == g.cfg.Self.GetHost() || e.GetTunnelAddress() == "":
+		case e.GetPathLost():
+			unreached = append(unreached, e.GetTunnelAddress())
 		case local:
 			preferred = append(preferred, e.GetTunnelAddress())
 		default:
 			others = append(others, e.GetTunnelAddress())
 		}
 	}
-	if 2*len(preferred) < inDataCentre {
+	switch {
+	case len(preferred)+len(others) == 0:
+		return nil, unreached
+	case 2*len(preferred) < inDataCentre:
 		return nil, slices.Concat(preferred, others)
 	}
 	return preferred, others
--- a/internal/path/attempt.go
+++ b/internal/path/attempt.go
@@ -62,6 +62,9 @@
 		}
 		a.connect(directCtx)
 	}
+	if !a.lost && a.d.Unreached() {
+		a.ask(tunnelCtx)
+	}
 	conn, err := a.await(ctx, tunnelCtx)
 	if err != nil {
 		cancelDirect()
@@ -82,7 +85,7 @@
 func (a *attempt) connect(ctx context.Context) {
 	a.pending++
 	go func() {
-		conn, err := a.d.cfg.Direct(ctx, a.address)
+		conn, err := a.d.Connect(ctx, a.address)
 		a.results <- result{conn: conn, err: err}
 	}()
 }
@@ -164,11 +167,9 @@
 }
 
 func (a *attempt) applyDirect(r result) {
-	if r.err == nil {
-		a.d.recordReached(a.address)
-		return
+	if r.err != nil {
+		a.directErr, a.lastErr = r.err, r.err
 	}
-	a.directErr, a.lastErr = r.err, r.err
 }
 
 // settle waits for the paths that were not used, and records whether the direct one is lost.
@@ -207,6 +208,10 @@
 	}
 	err := a.failure()
 	a.d.recordFailed(a.address, slices.Clone(a.asked), err)
+	if !a.lost {
+		// The direct path may still be hanging.
+		a.d.recordDirectFailure(a.address)
+	}
 	return err
 }
 
--- a/internal/path/check.go
+++ b/internal/path/check.go
@@ -22,7 +22,8 @@
 	}
 }
 
-// check tries lost paths until each leads to its server again.
+// check tries lost paths until each leads to its server again. While only some servers are out of reach, those
+// that were reached last show that others are not.
 func (d *Dialer) check() {
 	for {
 		select {
@@ -49,12 +50,12 @@
 	}
 }
 
-// recheckLost sets lost once no server was reached for long enough.
+// recheckLost sets lost and unreached once no server was reached for long enough.
 func (d *Dialer) recheckLost() {
 	d.mu.Lock()
-	lost := d.updateLost(time.Now())
+	changed := d.updateLost(time.Now())
 	d.mu.Unlock()
-	if lost {
+	if changed {
 		d.cfg.OnChange()
 	}
 }
@@ -65,16 +66,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire(now)
-	anyLost, due := d.lost, 0
+	unreached := d.lost || d.unreached
+	anyLost, due := unreached, 0
 	for _, s := range d.servers {
-		anyLost = anyLost || !s.lostAt.IsZero()
+		anyLost = anyLost || !s.lostAt.IsZero() || s.directFailedAt.After(d.reachedAt)
 	}
-	if anyLost && d.reached != "" {
-		// While only some servers are out of reach, it shows that others are not.
-		d.add(d.reached, now)
+	if anyLost {
+		d.addReached(now)
 	}
 	for address, s := range d.servers {
-		if s.lostAt.IsZero() && !d.lost && address != d.reached {
+		if s.lostAt.IsZero() && !unreached && address != d.reached && address != d.reachedBefore {
 			continue
 		}
 		if now.Sub(s.checkedAt) < checkInterval {
@@ -89,7 +90,7 @@
 	switch {
 	case !anyLost:
 		return nil, -1
-	case !d.lost && due > checkBatch:
+	case !unreached && due > checkBatch:
 		// The path may be back to all of them.
 		return addresses, 0
 	}
@@ -117,12 +118,9 @@
 	var wg sync.WaitGroup
 	for _, address := range addresses {
 		wg.Go(func() {
-			conn, err := d.cfg.Direct(ctx, address)
-			if err != nil {
-				return
+			if conn, err := d.Connect(ctx, address); err == nil {
+				tcp.Reset(conn)
 			}
-			tcp.Reset(conn)
-			d.recordReached(address)
 		})
 	}
 	wg.Wait()
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -61,7 +61,7 @@
 	Through func(ctx context.Context, host, server string) (net.Conn, error)
 	// Hosts returns the hosts that reach the servers: those to ask first, and all others.
 	Hosts func() (preferred, others []string)
-	// OnChange is called when Lost changes.
+	// OnChange is called when Lost or Unreached changes.
 	OnChange func()
 	Random   func(n int) int
 	Log      logr.Logger
@@ -85,6 +85,9 @@
 	// lost is set while the path to all servers counts as lost, since lostSince.
 	lost      bool
 	lostSince time.Time
+	// unreached is set while no server was reached for minUnreachedTime and minLostServers or more were
+	// tried in vain meanwhile, whoever's fault that is.
+	unreached bool
 	// reachedAt is when a server was last reached over this host's own path, reached its address, and
 	// reachedBefore that of the last other one.
 	reachedAt              time.Time
@@ -102,6 +105,8 @@
 	lostAt time.Time
 	// failedAt is when connections began to fail, over any path; the zero time if the last one did not.
 	failedAt time.Time
+	// directFailedAt is when this host last failed to reach the server over its own path.
+	directFailedAt time.Time
 	// carrier is the host that reached the server last.
 	carrier   string
 	checkedAt time.Time
@@ -139,6 +144,14 @@
 	return d.lost
 }
 
+// Unreached reports whether this host currently reaches no server over its own path, be it lost or not: other
+// hosts had better not ask it.
+func (d *Dialer) Unreached() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lost || d.unreached
+}
+
 // State describes the known paths, for metrics.
 type State struct {
 	// Lost is set while the path to all servers counts as lost. LostServers is the number of servers
@@ -182,11 +195,22 @@
 	if other == "" {
 		return false
 	}
-	conn, err := d.cfg.Direct(ctx, other)
+	conn, err := d.Connect(ctx, other)
 	if err != nil {
 		return false
 	}
 	tcp.Reset(conn)
-	d.recordReached(other)
 	return true
 }
+
+// Connect connects to a server over this host's own path only.
+func (d *Dialer) Connect(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := d.cfg.Direct(ctx, address)
+	switch {
+	case err == nil:
+		d.recordReached(address)
+	case !errors.Is(ctx.Err(), context.Canceled):
+		d.recordDirectFailure(address)
+	}
+	return conn, err
+}
--- a/internal/path/path_test.go
+++ b/internal/path/path_test.go
@@ -309,6 +309,49 @@
 	})
 }
 
+// A host without requests of its own is asked by others: it must find out with the first one that it reaches
+// no server either, and not take servers that have crashed for that.
+func TestIdleHostFindsOutThatItReachesNoServer(t *testing.T) {
+	for name, test := range map[string]struct {
+		direct    error
+		crashed   []string
+		unreached bool
+	}{
+		"path lost":       {direct: errSilent, unreached: true},
+		"path refused":    {direct: syscall.ECONNREFUSED, unreached: true},
+		"servers crashed": {crashed: []string{"s1", "s2", "s3"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := &network{}
+			simulate(t, n, func(t *testing.T, d *path.Dialer) {
+				for _, server := range []string{"s0", "s1"} {
+					_, _, err := dial(d, server)
+					require.NoError(t, err)
+				}
+				time.Sleep(10 * time.Second)
+				n.set(func(n *network) {
+					n.direct = test.direct
+					for _, server := range test.crashed {
+						n.server[server] = syscall.ECONNREFUSED
+					}
+				})
+				for _, server := range []string{"s2", "s3"} {
+					ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+					_, err := d.Connect(ctx, server)
+					cancel()
+					require.Error(t, err)
+				}
+				time.Sleep(700 * time.Millisecond)
+				require.Equal(t, test.unreached, d.Unreached())
+				n.set(func(n *network) { n.direct = nil })
+				time.Sleep(time.Second)
+				require.False(t, d.Unreached())
+				require.False(t, d.Lost())
+			})
+		})
+	}
+}
+
 // A host without any path must say so at once, as its callers are served by others.
 func TestNoPathIsReportedAtOnce(t *testing.T) {
 	n := &network{direct: errSilent}
--- a/internal/path/verdict.go
+++ b/internal/path/verdict.go
@@ -47,8 +47,12 @@
 		delete(d.servers, address)
 		d.logReached(address, s)
 	}
-	regained := d.lost
-	if regained {
+	changed := d.lost || d.unreached
+	if d.unreached {
+		d.unreached = false
+		d.cfg.Log.Info("servers are reached", "server", address)
+	}
+	if d.lost {
 		d.lost = false
 		d.cfg.Log.Info("path to servers regained", "server", address, "after-ms", time.Since(d.lostSince).Milliseconds())
 		for _, other := range d.servers {
@@ -56,7 +60,7 @@
 		}
 	}
 	d.mu.Unlock()
-	if regained {
+	if changed {
 		d.requestCheck()
 		d.cfg.OnChange()
 	}
@@ -88,27 +92,44 @@
 		d.cfg.Log.Info("path to server lost", "address", address, "via", via, "error", asynclog.ErrorText(err),
 			"last-reached-ms", d.lastReachedMs(now))
 	}
-	lost := d.updateLost(now)
+	changed := d.updateLost(now)
 	d.mu.Unlock()
 	d.requestCheck()
-	if lost {
+	if changed {
 		d.cfg.OnChange()
 	}
 }
 
-// updateLost sets lost if the path to enough servers is lost and none was reached for long enough. It
-// reports whether this is new; the caller holds mu.
-func (d *Dialer) updateLost(now time.Time) bool {
-	if d.lost || now.Sub(d.reachedAt) < minUnreachedTime || d.lostSinceReached() < minLostServers {
+// updateLost sets lost if the path to enough servers is lost and none was reached for long enough, and
+// unreached if that many were tried in vain, whoever's fault it is. It reports whether either is new; the
+// caller holds mu.
+func (d *Dialer) updateLost(now time.Time) (changed bool) {
+	if d.lost || now.Sub(d.reachedAt) < minUnreachedTime {
 		return false
 	}
-	d.lost, d.lostSince = true, now
-	// The server that was reached last is the likeliest to be reached again.
-	if d.reached != "" {
-		d.add(d.reached, now)
+	lost, failed := d.failedSinceReached()
+	if lost >= minLostServers {
+		d.lost, d.lostSince, changed = true, now, true
+		d.cfg.Log.Info("path to servers lost", "servers", len(d.servers), "last-reached-ms", d.lastReachedMs(now))
+	}
+	if !d.unreached && failed >= minLostServers {
+		d.unreached, changed = true, true
+		d.cfg.Log.Info("no server reached", "servers", failed, "path-lost", d.lost, "last-reached-ms", d.lastReachedMs(now))
+	}
+	if changed {
+		d.addReached(now)
+	}
+	return changed
+}
+
+// addReached adds the servers that were reached last: these are the likeliest to be reached again. The caller
+// holds mu.
+func (d *Dialer) addReached(now time.Time) {
+	for _, address := range []string{d.reached, d.reachedBefore} {
+		if address != "" {
+			d.add(address, now)
+		}
 	}
-	d.cfg.Log.Info("path to servers lost", "servers", len(d.servers), "last-reached-ms", d.lastReachedMs(now))
-	return true
 }
 
 // lastReachedMs returns the time since a server was last reached over this host's own path, in
@@ -120,16 +141,18 @@
 	return now.Sub(d.reachedAt).Milliseconds()
 }
 
-// lostSinceReached returns the number of servers to which the path was lost after a server was last
-// reached; the caller holds mu.
-func (d *Dialer) lostSinceReached() int {
-	n := 0
+// failedSinceReached returns the numbers of servers to which the path was lost, and that were tried in vain,
+// after a server was last reached; the caller holds mu.
+func (d *Dialer) failedSinceReached() (lost, failed int) {
 	for _, s := range d.servers {
 		if s.lostAt.After(d.reachedAt) {
-			n++
+			lost++
+		}
+		if s.directFailedAt.After(d.reachedAt) {
+			failed++
 		}
 	}
-	return n
+	return lost, failed
 }
 
 // recordCarried records that another host has reached a server to which the path counts as lost.
@@ -180,6 +203,25 @@
 		"path-lost", d.lost || !s.lostAt.IsZero(), "last-reached-ms", d.lastReachedMs(now))
 }
 
+// recordDirectFailure records that this host has tried a server in vain over its own path. If it has reached
+// none for a while, those that were reached last are checked: hosts that ask this one must know soon.
+func (d *Dialer) recordDirectFailure(address string) {
+	d.mu.Lock()
+	now := time.Now()
+	if s := d.add(address, now); s != nil {
+		s.directFailedAt = now
+	}
+	changed := d.updateLost(now)
+	check := now.Sub(d.reachedAt) >= checkInterval
+	d.mu.Unlock()
+	if check {
+		d.requestCheck()
+	}
+	if changed {
+		d.cfg.OnChange()
+	}
+}
+
 // expire removes servers that were not used for long; the caller holds mu.
 func (d *Dialer) expire(now time.Time) {
 	for address, s := range d.servers {
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -86,9 +86,9 @@
 		OnChange: func() { e.gateway.ReportPath() },
 	})
 	e.tunnels = tunnel.NewServer(tunnel.ServerConfig{
-		Connect: direct, Log: cfg.Log.WithName("tunnel"),
+		Connect: e.paths.Connect, Log: cfg.Log.WithName("tunnel"),
 		IsServer:     func(address string) bool { return e.gateway.IsServer(address) },
-		Available:    func() bool { return e.gateway.CarriesTunnels() },
+		Available:    func() bool { return e.gateway.CarriesTunnels() && !e.paths.Lost() },
 		Reaches:      func(address string) bool { return !e.paths.LostTo(address) },
 		ReachesOther: e.paths.ReachesOther,
 		Cooldown:     func(address string) time.Duration { return e.gateway.ServerCooldown(address) },
@@ -99,7 +99,7 @@
 			Host: s.GetHost(), DataCentre: s.GetDataCentre(), CallerAddress: s.GetCallerAddress(),
 			TunnelAddress: settings.PeerAddress(s.GetIp(), s),
 		},
-		PathLost: e.paths.Lost, StateCooldown: e.stateCooldown(direct),
+		PathLost: e.paths.Unreached, StateCooldown: e.stateCooldown(direct),
 		Seeds: cfg.Settings.Seeds, Dialer: e.dialer, Replica: ledger.NewReplica(),
 		Sender: relay.NewSender(relay.Config{
 			OnDial: func(_ time.Duration, err error) { cfg.Metrics.BackendConnection(err) }, Dial: e.paths.Dial,
