Listed hosts reach backend servers through each other while their own path is lost

What callers of a host saw that had lost its links to all servers: with refused connections bookings ended as backend-failed ("every server refused"), with hanging ones as outcome-unknown at their deadline.

Cause: one path to a server, judged by itself alone. Change: package path chooses the path, package tunnel carries connections, both as for hosts that join through seeds; the tunnels share the address where backend servers announce themselves. All decisions stay with the host that took the request: claims, "not run", deadlines, cooldowns, requests that end servers. A cooldown binds the host that carried the response as well. A host without any path refuses at once (no-path, 503, not run). Dial of a closed path.Dialer fails, as net/http connects in the background.

--- a/internal/entry/backends.go
+++ b/internal/entry/backends.go
@@ -45,10 +45,7 @@
 // backendAddresses returns the addresses that servers announce themselves to:
 // this entry first unless it is stopping, then the other available entries.
 func (e *Entry) backendAddresses() []string {
-	available := map[string]bool{}
-	for _, f := range e.cfg.Membership.Facts() {
-		available[f.GetHost()] = f.GetState() == schema.HostState_HOST_STATE_ALIVE && !f.GetStopping()
-	}
+	available := e.availableEntries()
 	var out []string
 	if available[e.cfg.Self.GetName()] {
 		out = append(out, e.cfg.Self.GetBackendAddress())
@@ -60,3 +57,12 @@
 	}
 	return out
 }
+
+// availableEntries returns the names of the entries that are alive and not stopping.
+func (e *Entry) availableEntries() map[string]bool {
+	available := map[string]bool{}
+	for _, f := range e.cfg.Membership.Facts() {
+		available[f.GetHost()] = f.GetState() == schema.HostState_HOST_STATE_ALIVE && !f.GetStopping()
+	}
+	return available
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,10 +21,12 @@
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/membership"
 	"fennelyard/internal/metrics"
+	"fennelyard/internal/path"
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/relay"
 	"fennelyard/internal/routing"
 	"fennelyard/internal/schema"
+	"fennelyard/internal/tunnel"
 )
 
 const (
@@ -43,7 +45,7 @@
 	sweepInterval         = time.Minute
 )
 
-// Config configures an Entry. All fields are required.
+// Config configures an Entry. All fields are required unless noted otherwise.
 type Config struct {
 	Settings    *schema.Settings
 	Self        *schema.HostSettings
@@ -60,6 +62,8 @@
 	CallerListener   net.Listener
 	OperatorListener net.Listener
 	BackendListener  net.Listener
+	// Dial connects to backend servers and to other entries that carry connections to them; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Entry serves callers, operators and backend servers of one host.
@@ -69,8 +73,13 @@
 	table     *routing.Table
 	budget    *routing.RetryBudget
 	sender    *routing.Sender
-	claims    *claim.Client
-	backends  *backend.Registry
+	// paths connects to the backend servers, and tunnels carries connections to them for other entries.
+	// stateCooldown reports a cooldown to the entry that carried the response.
+	paths         *path.Dialer
+	tunnels       *tunnel.Server
+	stateCooldown func(host, server string, wait time.Duration)
+	claims        *claim.Client
+	backends      *backend.Registry
 	// guard holds back requests that end the servers that run them. suspectsDue
 	// has a token while the guard has suspects that are not recorded yet.
 	guard       *quarantine.Guard
@@ -109,10 +118,12 @@
 func New(cfg Config) *Entry {
 	e := &Entry{
 		cfg: cfg, table: routing.NewTable(routing.PolicyWeighted, cfg.Random, func() int { return len(cfg.Settings.GetHosts()) }),
-		budget: routing.NewRetryBudget(), sender: routing.NewSender(), backends: backend.NewRegistry(),
+		budget: routing.NewRetryBudget(), backends: backend.NewRegistry(),
 		forecasts: newForecasts(), reportDue: make(chan struct{}, 1), suspectsDue: make(chan struct{}, 1), capacityDue: make(chan struct{}, 1),
 		stop: make(chan struct{}), done: make(chan struct{}),
 	}
+	e.startPaths()
+	e.sender = routing.NewSender(routing.SenderConfig{Dial: e.paths.Dial})
 	e.admission = admission.NewController(admission.Config{
 		QueueLimit: int(cfg.Settings.GetEntry().GetQueueLimit()), OnGrant: cfg.Metrics.QueueWait,
 	})
@@ -121,13 +132,13 @@
 		NewAttemptID: cfg.RandomID, Log: cfg.Log,
 	})
 	e.guard = quarantine.NewGuard(quarantine.GuardConfig{
-		Entry: cfg.Self.GetName(), Probe: relay.NewSender(relay.Config{}).Probe, OnChange: e.requestRecording, Log: cfg.Log,
+		Entry: cfg.Self.GetName(), Probe: relay.NewSender(relay.Config{Dial: e.paths.Dial}).Probe, OnChange: e.requestRecording, Log: cfg.Log,
 		MayProbe: func(server string) bool { return e.table.Cooldown(time.Now(), server) == 0 },
 	})
 	e.registerGauges()
 	e.serve(cfg.CallerListener, e.callerRoutes())
 	e.serve(cfg.OperatorListener, e.operatorRoutes())
-	e.serve(cfg.BackendListener, e.backendRoutes())
+	e.serve(cfg.BackendListener, e.backendHandler())
 	e.wg.Add(4)
 	go func() {
 		defer e.wg.Done()
@@ -161,13 +172,23 @@
 		func() float64 { return float64(e.table.Ejected(time.Now())) })
 	e.cfg.Metrics.Gauge("requests_held_back", "Requests that this entry holds back, as they end their servers.",
 		func() float64 { return float64(e.guard.Suspects().HeldBackCount()) })
+	e.cfg.Metrics.Gauge("path_to_servers_lost", "1 while this entry has lost its own network path to the backend servers.", func() float64 {
+		if e.PathLost() {
+			return 1
+		}
+		return 0
+	})
+	e.cfg.Metrics.Gauge("servers_reached_by_other_entries", "Backend servers that this entry reaches only through other entries.",
+		func() float64 { return float64(e.paths.State().LostServers) })
+	e.cfg.Metrics.Gauge("tunnels_open", "Connections to backend servers that this entry carries for other entries.",
+		func() float64 { return float64(e.tunnels.Active()) })
 	e.cfg.Metrics.Gauge("heard_servers", "Backend servers that announce themselves to this entry.",
 		func() float64 { return float64(e.backends.Len()) })
 }
 
-func (e *Entry) serve(l net.Listener, routes *echo.Echo) {
+func (e *Entry) serve(l net.Listener, handler http.Handler) {
 	s := &http.Server{
-		Handler: routes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 	}
 	e.httpServers = append(e.httpServers, s)
@@ -270,6 +291,7 @@
 		close(e.stop)
 		e.guard.Close()
 		e.sender.Close()
+		e.closePaths(ctx)
 	})
 	<-e.done
 }
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -146,6 +146,10 @@
 		a.recordResult(chosen, routing.Result{NotSent: true})
 		return a.requeue(ctx)
 	}
+	if withoutPath(err) {
+		a.recordResult(chosen, routing.Result{NotSent: true})
+		return true, false, noPathRefusal(err)
+	}
 	if err != nil {
 		a.recordResult(chosen, routing.Result{OK: ctx.Err() != nil, Reported: -1})
 		e.reportFailedAttempt(ctx, in, chosen, err)
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -7,6 +7,8 @@
 	"github.com/cockroachdb/errors"
 
 	"fennelyard/internal/cooldown"
+	"fennelyard/internal/path"
+	"fennelyard/internal/refusal"
 	"fennelyard/internal/routing"
 )
 
@@ -22,7 +24,12 @@
 	if err != nil {
 		return nil, errors.Newf("server %q: %w", to.Server, err)
 	}
-	e.statementReceived(to, cooldown.ParseResponse(response.Status(), response.Header(), time.Now()), sentAt, call.RequestID)
+	statement := cooldown.ParseResponse(response.Status(), response.Header(), time.Now())
+	if statement.Wait > 0 && response.Via() != "" {
+		// For the server the request came from the entry that carried it.
+		e.stateCooldown(response.Via(), to.ServerKey(), statement.Wait)
+	}
+	e.statementReceived(to, statement, sentAt, call.RequestID)
 	return response, nil
 }
 
@@ -60,3 +67,8 @@
 
 // withheld reports whether a call failed because its server has asked for a cooldown.
 func withheld(err error) bool { return errors.Is(err, routing.ErrCooldown) }
+
+// noPathRefusal returns the refusal of a request at an entry that reaches no server.
+func noPathRefusal(err error) *refusal.Refusal {
+	return refusal.New(refusal.NoPath, "this entry reaches no server: %v", err).WithRetryAfter(path.RetryInterval)
+}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -178,6 +178,10 @@
 			continue
 		}
 		outcome, response, err := r.send(ctx, chosen)
+		if outcome == refusal.NotRun && withoutPath(err) {
+			r.settleNotRun(noPathRefusal(err))
+			return
+		}
 		if outcome == refusal.NotRun {
 			// The server is proved not to have run the request: another one may be
 			// tried under the same claim.
@@ -226,7 +230,7 @@
 	call := e.call(ctx, r.request, r.in, to)
 	call.NewConnection = true
 	response, err := e.send(ctx, to, call)
-	if withheld(err) {
+	if withheld(err) || withoutPath(err) {
 		e.table.RecordResult(time.Now(), to, r.in.target.name, r.in.body, routing.Result{NotSent: true})
 		return refusal.NotRun, nil, err
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -38,6 +38,8 @@
 	Log      logr.Logger
 	// Tracer creates the spans; nil disables tracing.
 	Tracer trace.Tracer
+	// Dial connects to backend servers, and to hosts that carry connections to them; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Host runs the roles of one host. All methods are safe for concurrent use.
@@ -100,6 +102,7 @@
 		Control: h.client, Membership: h.membership, Random: rand.IntN, RandomID: consensus.RandomID,
 		Log: h.cfg.Log.WithName("entry"), Tracer: h.cfg.Tracer, Metrics: h.metrics,
 		CallerListener: listeners.caller, OperatorListener: listeners.operator, BackendListener: listeners.backend,
+		Dial: h.cfg.Dial,
 	})
 	h.loadSource.Store(h.entry)
 	return h.startMetricsServer()
--- a/internal/path/attempt.go
+++ b/internal/path/attempt.go
@@ -74,7 +74,7 @@
 		a.settle(conn)
 	}
 	if a.pending > 0 {
-		a.d.settling.Go(finish)
+		a.d.attempts.Go(finish)
 	} else {
 		finish()
 	}
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -75,10 +75,12 @@
 	stop chan struct{}
 	done chan struct{}
 	once sync.Once
-	// settling counts the attempts with outstanding paths.
-	settling sync.WaitGroup
+	// attempts counts those that run or have outstanding paths.
+	attempts sync.WaitGroup
 
 	mu sync.Mutex
+	// closed is set by Close.
+	closed bool
 	// servers holds the servers that were not reached over this host's own path, and while lost is set
 	// those that were used. All fields are guarded by mu.
 	servers map[string]*server
@@ -122,15 +124,20 @@
 	go func() {
 		defer close(d.done)
 		d.check()
-		d.settling.Wait()
+		d.attempts.Wait()
 	}()
 	return d
 }
 
-// Close ends the checks of lost paths, and waits for attempts that are not used. Connections stay open,
-// and Dial must not be called any more.
+// Close ends the checks of lost paths, and waits for the attempts that run. Connections stay open; later
+// calls of Dial fail.
 func (d *Dialer) Close() {
-	d.once.Do(func() { close(d.stop) })
+	d.once.Do(func() {
+		d.mu.Lock()
+		d.closed = true
+		d.mu.Unlock()
+		close(d.stop)
+	})
 	<-d.done
 }
 
@@ -179,6 +186,14 @@
 // Dial connects to a server within connectTimeout. The error wraps ECONNREFUSED if the server's
 // process is known to have ended, and ErrNoPath if nothing is known about the server.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	d.mu.Lock()
+	if d.closed {
+		d.mu.Unlock()
+		return nil, errors.Newf("connect to %s: %w", address, net.ErrClosed)
+	}
+	d.attempts.Add(1)
+	d.mu.Unlock()
+	defer d.attempts.Done()
 	return newAttempt(d, address).run(ctx)
 }
 
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -39,6 +39,7 @@
 	NotReady                    // not-ready
 	Internal                    // internal
 	HeldBack                    // held-back
+	NoPath                      // no-path
 )
 
 // Outcome is whether a request ran at a backend server.
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -37,9 +37,6 @@
 	abortFraction     = 0.94
 	closeFraction     = 0.97
 	drainPollInterval = 50 * time.Millisecond
-	// stateCooldownTimeout bounds how long a rejected request is delayed to report the cooldown of its
-	// server to the entry that carried it.
-	stateCooldownTimeout = 150 * time.Millisecond
 )
 
 // EntryConfig configures an Entry. All fields are required unless noted otherwise.
@@ -81,7 +78,7 @@
 	s := cfg.Settings.Get()
 	direct := cfg.Network.dial()
 	e.paths = path.New(path.Config{
-		Direct: direct, Through: openTunnel(direct), Random: rand.IntN, Log: cfg.Log.WithName("path"),
+		Direct: direct, Through: tunnel.NewOpener(direct), Random: rand.IntN, Log: cfg.Log.WithName("path"),
 		Hosts:    func() (preferred, others []string) { return e.gateway.TunnelHosts() },
 		OnChange: func() { e.gateway.ReportPath() },
 	})
@@ -99,7 +96,7 @@
 			Host: s.GetHost(), DataCentre: s.GetDataCentre(), CallerAddress: s.GetCallerAddress(),
 			TunnelAddress: settings.PeerAddress(s.GetIp(), s),
 		},
-		PathLost: e.paths.Unreached, StateCooldown: e.stateCooldown(direct),
+		PathLost: e.paths.Unreached, StateCooldown: tunnel.NewCooldownReporter(direct, cfg.Log),
 		Seeds: cfg.Settings.Seeds, Dialer: e.dialer, Replica: ledger.NewReplica(),
 		Sender: relay.NewSender(relay.Config{
 			OnDial: func(_ time.Duration, err error) { cfg.Metrics.BackendConnection(err) }, Dial: e.paths.Dial,
@@ -122,28 +119,6 @@
 	return e, nil
 }
 
-// openTunnel returns how to connect to a backend server through another entry.
-func openTunnel(dial func(ctx context.Context, address string) (net.Conn, error)) func(ctx context.Context, host, server string) (net.Conn, error) {
-	return func(ctx context.Context, host, server string) (net.Conn, error) {
-		conn, err := tunnel.Open(ctx, tunnel.Options{Dial: dial, Host: host, Server: server})
-		if err != nil {
-			return nil, errors.Newf("open tunnel: %w", err)
-		}
-		return conn, nil
-	}
-}
-
-// stateCooldown returns how to report a cooldown to the entry through which the response passed.
-func (e *Entry) stateCooldown(dial func(ctx context.Context, address string) (net.Conn, error)) func(host, server string, wait time.Duration) {
-	return func(host, server string, wait time.Duration) {
-		ctx, cancel := context.WithTimeout(context.Background(), stateCooldownTimeout)
-		defer cancel()
-		if err := tunnel.StateCooldown(ctx, dial, host, server, wait); err != nil {
-			e.cfg.Log.Error(err, "cooldown not stated", "entry", host, "server", server)
-		}
-	}
-}
-
 func (e *Entry) registerGauges() {
 	for _, gauge := range []struct {
 		name, help string
--- a/internal/routing/cooldown.go
+++ b/internal/routing/cooldown.go
@@ -49,5 +49,11 @@
 	if s.Wait == 0 {
 		return 0, t.cooldowns.Responded(c.ServerKey(), sentAt)
 	}
-	return t.cooldowns.Observe(c.ServerKey(), s.Wait, sentAt, now).Sub(now), true
+	return t.ObserveCooldown(now, c, s.Wait, sentAt), true
+}
+
+// ObserveCooldown applies a wait that the response to a request which was sent to a candidate at sentAt
+// states, and returns how long no request is sent there.
+func (t *Table) ObserveCooldown(now time.Time, c Candidate, wait time.Duration, sentAt time.Time) time.Duration {
+	return t.cooldowns.Observe(c.ServerKey(), wait, sentAt, now).Sub(now)
 }
--- a/internal/routing/sender.go
+++ b/internal/routing/sender.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"fennelyard/internal/path"
 )
 
 // The headers between an entry and a backend server.
@@ -50,7 +52,9 @@
 // Errors of a call. An error wraps ErrNotRun if the server is proved not to have run
 // the request.
 var (
-	ErrNotRun             = errors.New("the request did not reach the server")
+	ErrNotRun = errors.New("the request did not reach the server")
+	// ErrNoPath means that this host reaches no server, over its own path or others. It wraps ErrNotRun.
+	ErrNoPath             = errors.Newf("no path to the servers: %w", ErrNotRun)
 	ErrMismatchedResponse = errors.New("the answer belongs to another request")
 	ErrSilent             = errors.New("the connection went silent")
 	ErrTooLarge           = errors.New("the answer is too large")
@@ -82,28 +86,45 @@
 	unpooled *http.Client
 }
 
+// SenderConfig configures a Sender.
+type SenderConfig struct {
+	// Dial connects to a server; nil means Dial over TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
 // NewSender returns a Sender with empty connection pools.
-func NewSender() *Sender {
+func NewSender(cfg SenderConfig) *Sender {
+	if cfg.Dial == nil {
+		cfg.Dial = Dial
+	}
 	return &Sender{
-		pooled:   &http.Client{Transport: newTransport(false), CheckRedirect: noRedirects},
-		unpooled: &http.Client{Transport: newTransport(true), CheckRedirect: noRedirects},
+		pooled:   &http.Client{Transport: newTransport(cfg, false), CheckRedirect: noRedirects},
+		unpooled: &http.Client{Transport: newTransport(cfg, true), CheckRedirect: noRedirects},
 	}
 }
 
-func noRedirects(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
-// newTransport returns a transport that reuses connections or, if unpooled is true,
-// opens one for each request and counts the bytes written to it.
-func newTransport(unpooled bool) *http.Transport {
+// Dial connects to an address over TCP.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
 	d := &net.Dialer{
 		Timeout: connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
 	}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+func noRedirects(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// newTransport returns a transport that reuses connections or, if unpooled is true,
+// opens one for each request and counts the bytes written to it.
+func newTransport(cfg SenderConfig, unpooled bool) *http.Transport {
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := d.DialContext(ctx, network, address)
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			conn, err := cfg.Dial(ctx, address)
+			if errors.Is(err, path.ErrNoPath) {
+				return nil, errors.Newf("connect: %v: %w", err, ErrNoPath)
+			}
 			if err != nil {
 				return nil, errors.Newf("connect: %v: %w", err, ErrNotRun)
 			}
@@ -150,8 +171,13 @@
 	cancel context.CancelFunc
 	// firstByte is the time from the call to the response header.
 	firstByte time.Duration
+	// via is the host that carried the connection, empty for none.
+	via string
 }
 
+// Via returns the address of the host through which the response arrived, empty for a direct connection.
+func (r *Response) Via() string { return r.via }
+
 // Status returns the HTTP status.
 func (r *Response) Status() int { return r.status }
 
@@ -211,7 +237,9 @@
 	}
 	silence := newSilenceTimer(c.SilenceTimeout, func() { cancel(ErrSilent) })
 	defer silence.stop()
-	q, err := newRequest(httptrace.WithClientTrace(ctx, silence.trace()), c)
+	var via string
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { via = viaOf(info.Conn) }}
+	q, err := newRequest(httptrace.WithClientTrace(httptrace.WithClientTrace(ctx, silence.trace()), trace), c)
 	if err != nil {
 		stop()
 		return nil, errors.Newf("%v: %w", err, ErrNotRun)
@@ -234,10 +262,21 @@
 	}
 	return &Response{
 		status: resp.StatusCode, header: resp.Header, body: resp.Body,
-		cancel: stop, firstByte: time.Since(start),
+		cancel: stop, firstByte: time.Since(start), via: via,
 	}, nil
 }
 
+// viaOf returns the address of the host that carries a connection, empty for none.
+func viaOf(conn net.Conn) string {
+	if c, ok := conn.(*countingConn); ok {
+		conn = c.Conn
+	}
+	if c, ok := conn.(interface{ Via() string }); ok {
+		return c.Via()
+	}
+	return ""
+}
+
 // callError wraps the error of a call with its address, and with ErrNotRun or
 // ErrSilent where that applies. written is the number of bytes written.
 func callError(err, cause error, c Call, written int64) error {
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
 
 	"fennelyard/internal/tcp"
 )
@@ -33,8 +34,13 @@
 	ErrRefusedUnsure = errors.New("the server refuses the other host, and so do others")
 )
 
-// readBufferBytes holds the response to CONNECT.
-const readBufferBytes = 1 << 10
+const (
+	// readBufferBytes holds the response to CONNECT.
+	readBufferBytes = 1 << 10
+	// cooldownTimeout bounds how long a rejected request is delayed to report the cooldown of its server to
+	// the host that carried it.
+	cooldownTimeout = 150 * time.Millisecond
+)
 
 // Options describe a tunnel. All fields are required.
 type Options struct {
@@ -102,6 +108,17 @@
 	return &Conn{Conn: conn, via: o.Host, in: in}, nil
 }
 
+// NewOpener returns a function that opens tunnels over connections of dial.
+func NewOpener(dial func(ctx context.Context, address string) (net.Conn, error)) func(ctx context.Context, host, server string) (net.Conn, error) {
+	return func(ctx context.Context, host, server string) (net.Conn, error) {
+		conn, err := Open(ctx, Options{Dial: dial, Host: host, Server: server})
+		if err != nil {
+			return nil, errors.Newf("open tunnel: %w", err)
+		}
+		return conn, nil
+	}
+}
+
 // connect sends CONNECT and returns the response, whose body is not read.
 func connect(conn net.Conn, in *bufio.Reader, o Options) (*http.Response, error) {
 	request := &http.Request{Method: http.MethodConnect, URL: &url.URL{Opaque: o.Server}, Host: o.Server, Header: http.Header{}}
@@ -134,6 +151,18 @@
 	return errors.Newf("status %d: %w", response.StatusCode, ErrUnavailable)
 }
 
+// NewCooldownReporter returns a function that reports a cooldown to the host that carried the request whose
+// response stated it, within cooldownTimeout.
+func NewCooldownReporter(dial func(ctx context.Context, address string) (net.Conn, error), log logr.Logger) func(host, server string, wait time.Duration) {
+	return func(host, server string, wait time.Duration) {
+		ctx, cancel := context.WithTimeout(context.Background(), cooldownTimeout)
+		defer cancel()
+		if err := StateCooldown(ctx, dial, host, server, wait); err != nil {
+			log.Error(err, "cooldown not stated", "entry", host, "server", server)
+		}
+	}
+}
+
 // StateCooldown reports a cooldown to the host that carried the request whose response stated it: the
 // server has asked for it at the host from which the request arrived.
 func StateCooldown(ctx context.Context, dial func(ctx context.Context, address string) (net.Conn, error), host, server string, wait time.Duration) error {
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -97,6 +97,11 @@
 	}
 }
 
+// IsRequest reports whether a request is one for a Server.
+func IsRequest(r *http.Request) bool {
+	return r.Method == http.MethodConnect || r.Method == http.MethodPut && r.URL.Path == cooldownPath
+}
+
 // ServeHTTP opens a tunnel. It responds with 200 once the connection to the server stands, 502 if the
 // server refuses it, 504 if the server does not respond, 429 if it wants nothing from this host, and 503
 // or 403 if this host does not carry the tunnel. With PUT it takes note of a cooldown.
