path: checks connect to no server that has asked for a cooldown

Found by reading: the checks of lost paths, and what a host does to find out whether it reaches another server, connect to the servers that were reached last, also while these want nothing from the host. With checks of idle hosts that is no longer rare. TestCoolingServersAreNotChecked fails before. The fleet test counts hosts by data centre once.

--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -23,7 +23,8 @@
 	}
 	e.paths = path.New(path.Config{
 		Direct: dial, Through: tunnel.NewOpener(dial), Hosts: e.tunnelHosts, OnChange: func() {},
-		Random: e.cfg.Random, Log: e.cfg.Log.WithName("path"),
+		Cooling: func(address string) bool { return e.cooldownAt(address) > 0 },
+		Random:  e.cfg.Random, Log: e.cfg.Log.WithName("path"),
 	})
 	e.tunnels = tunnel.NewServer(tunnel.ServerConfig{
 		Connect: e.paths.Connect, Log: e.cfg.Log.WithName("tunnel"), IsServer: e.isServer,
--- a/internal/path/bench_test.go
+++ b/internal/path/bench_test.go
@@ -15,7 +15,7 @@
 	conn, _ := net.Pipe()
 	d := path.New(path.Config{
 		Direct: func(context.Context, string) (net.Conn, error) { return conn, nil },
-		Hosts:  func() (preferred, others []string) { return nil, nil }, OnChange: func() {},
+		Hosts:  func() (preferred, others []string) { return nil, nil }, Cooling: func(string) bool { return false }, OnChange: func() {},
 		Random: func(int) int { return 0 }, Log: logr.Discard(),
 	})
 	defer d.Close()
--- a/internal/path/check.go
+++ b/internal/path/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,7 +38,7 @@
 			if pause < 0 {
 				break
 			}
-			if len(addresses) > 0 {
+			if addresses = slices.DeleteFunc(addresses, d.cfg.Cooling); len(addresses) > 0 {
 				d.checkAll(addresses)
 			}
 			select {
--- a/internal/path/fleet_test.go
+++ b/internal/path/fleet_test.go
@@ -36,6 +36,8 @@
 type fleet struct {
 	hosts map[string]*fleetHost
 	names []string
+	// inDataCentre is the number of hosts by data centre.
+	inDataCentre map[string]int
 
 	mu sync.Mutex
 	// cut is how direct connections of hosts fail; those without an entry connect. crashed are the
@@ -55,14 +57,16 @@
 }
 
 func newFleet(hosts, dataCentres int) *fleet {
-	f := &fleet{hosts: map[string]*fleetHost{}, cut: map[string]error{}, crashed: map[string]bool{}, attempts: map[bool]int{}, failed: map[bool]int{}}
+	f := &fleet{
+		hosts: map[string]*fleetHost{}, inDataCentre: map[string]int{}, cut: map[string]error{}, crashed: map[string]bool{}, attempts: map[bool]int{}, failed: map[bool]int{},
+	}
 	for i := range hosts {
 		h := &fleetHost{name: fmt.Sprint("h", i), dataCentre: fmt.Sprint("dc", i%dataCentres)}
 		random := rand.New(rand.NewSource(int64(i)))
 		var mu sync.Mutex
 		h.dialer = path.New(path.Config{
 			Direct:  func(ctx context.Context, address string) (net.Conn, error) { return f.connect(ctx, h, address) },
-			Through: f.through, Hosts: func() (preferred, others []string) { return f.list(h) }, OnChange: func() {},
+			Through: f.through, Hosts: func() (preferred, others []string) { return f.list(h) }, Cooling: func(string) bool { return false }, OnChange: func() {},
 			Random: func(n int) int {
 				mu.Lock()
 				defer mu.Unlock()
@@ -71,6 +75,7 @@
 			Log: logr.Discard(),
 		})
 		f.hosts[h.name], f.names = h, append(f.names, h.name)
+		f.inDataCentre[h.dataCentre]++
 	}
 	f.usable = f.names
 	return f
@@ -122,12 +127,6 @@
 	f.mu.Lock()
 	usable := f.usable
 	f.mu.Unlock()
-	inDataCentre := 0
-	for _, h := range f.hosts {
-		if h.dataCentre == self.dataCentre {
-			inDataCentre++
-		}
-	}
 	if len(usable) == 0 {
 		usable = f.names
 	}
@@ -140,7 +139,7 @@
 			others = append(others, name)
 		}
 	}
-	if 2*len(preferred) < inDataCentre {
+	if 2*len(preferred) < f.inDataCentre[self.dataCentre] {
 		return nil, slices.Concat(preferred, others)
 	}
 	return preferred, others
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -61,6 +61,9 @@
 	Through func(ctx context.Context, host, server string) (net.Conn, error)
 	// Hosts returns the hosts that reach the servers: those to ask first, and all others.
 	Hosts func() (preferred, others []string)
+	// Cooling reports whether the server at an address wants nothing from this host for some time: it is not
+	// connected to for a check.
+	Cooling func(address string) bool
 	// OnChange is called when Lost or Unreached changes.
 	OnChange func()
 	Random   func(n int) int
@@ -207,7 +210,7 @@
 		other = d.reachedBefore
 	}
 	d.mu.Unlock()
-	if other == "" {
+	if other == "" || d.cfg.Cooling(other) {
 		return false
 	}
 	conn, err := d.Connect(ctx, other)
--- a/internal/path/path_test.go
+++ b/internal/path/path_test.go
@@ -34,6 +34,10 @@
 	// directs and throughs count the connections tried.
 	directs  int
 	throughs []string
+	// cooling are the servers that want nothing from the host, and connected the addresses of all direct
+	// connections tried.
+	cooling   map[string]bool
+	connected []string
 	// preferred and others are the hosts to ask, and changes counts the changes of Lost.
 	preferred, others []string
 	changes           int
@@ -79,6 +83,7 @@
 		Direct: func(ctx context.Context, address string) (net.Conn, error) {
 			n.mu.Lock()
 			n.directs++
+			n.connected = append(n.connected, address)
 			err, delay := n.direct, n.delay
 			if err == nil {
 				err = n.server[address]
@@ -114,6 +119,11 @@
 			defer n.mu.Unlock()
 			return n.preferred, n.others
 		},
+		Cooling: func(address string) bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.cooling[address]
+		},
 		OnChange: func() { n.set(func(n *network) { n.changes++ }) },
 		Random:   func(int) int { return 0 }, Log: logr.Discard(),
 	})
@@ -245,6 +255,7 @@
 		},
 		Through:  func(_ context.Context, host, _ string) (net.Conn, error) { return fakeConn{via: host}, nil },
 		Hosts:    func() (preferred, others []string) { return []string{"near"}, nil },
+		Cooling:  func(string) bool { return false },
 		OnChange: func() {}, Random: func(int) int { return 0 }, Log: logr.Discard(),
 	})
 }
@@ -352,6 +363,32 @@
 	}
 }
 
+// A server that wants nothing from a host for some time must not be connected to for a check either.
+func TestCoolingServersAreNotChecked(t *testing.T) {
+	n := &network{}
+	simulate(t, n, func(t *testing.T, d *path.Dialer) {
+		for _, server := range []string{"s0", "s1"} {
+			_, _, err := dial(d, server)
+			require.NoError(t, err)
+		}
+		time.Sleep(time.Second)
+		n.set(func(n *network) {
+			n.direct, n.cooling, n.connected = syscall.ECONNREFUSED, map[string]bool{"s0": true, "s1": true}, nil
+		})
+		for range 3 {
+			_, _, err := dial(d, "s2")
+			require.NoError(t, err)
+			require.False(t, d.ReachesOther(context.Background(), "s2"))
+			time.Sleep(time.Second)
+		}
+		n.set(func(n *network) {
+			require.Contains(t, n.connected, "s2")
+			require.NotContains(t, n.connected, "s0")
+			require.NotContains(t, n.connected, "s1")
+		})
+	})
+}
+
 // A host without any path must say so at once, as its callers are served by others.
 func TestNoPathIsReportedAtOnce(t *testing.T) {
 	n := &network{direct: errSilent}
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -80,6 +80,7 @@
 	e.paths = path.New(path.Config{
 		Direct: direct, Through: tunnel.NewOpener(direct), Random: rand.IntN, Log: cfg.Log.WithName("path"),
 		Hosts:    func() (preferred, others []string) { return e.gateway.TunnelHosts() },
+		Cooling:  func(address string) bool { return e.gateway.ServerCooldown(address) > 0 },
 		OnChange: func() { e.gateway.ReportPath() },
 	})
 	e.tunnels = tunnel.NewServer(tunnel.ServerConfig{
