--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -8,7 +8,7 @@
 // IsServer reports whether an address is the one of a known backend server.
 func (g *Gateway) IsServer(address string) bool { return g.fleet.hasAddress(address) }
 
-// CarriesTunnels reports whether this entry takes new tunnels of other entries, as far as its own state goes.
+// CarriesTunnels reports whether this entry takes new tunnels of other entries: a stopping one does not.
 func (g *Gateway) CarriesTunnels() bool { return !g.draining.Load() }
 
 // TunnelHosts returns the addresses of the other entries that reach the backend servers and carry
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -154,8 +154,8 @@
 	return d.lost
 }
 
-// Unreached reports whether this host currently reaches no server over its own path, be it lost or not: other
-// hosts had better not ask it.
+// Unreached reports whether this host reaches no server over its own path, be the path lost or not: other hosts
+// need not ask it.
 func (d *Dialer) Unreached() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -224,11 +224,12 @@
 // Connect connects to a server over this host's own path only.
 func (d *Dialer) Connect(ctx context.Context, address string) (net.Conn, error) {
 	conn, err := d.cfg.Direct(ctx, address)
-	switch {
-	case err == nil:
+	if err == nil {
 		d.recordReached(address)
-	case !errors.Is(ctx.Err(), context.Canceled):
+		return conn, nil
+	}
+	if !errors.Is(ctx.Err(), context.Canceled) {
 		d.recordDirectFailure(address)
 	}
-	return conn, err
+	return nil, errors.Newf("connect directly: %w", err)
 }
