gateway: old records of ended servers eject nobody

Found by reading: a record of a request that ended its servers is kept for an hour and more, and sent whole with each new subscription. Where servers have no start time their keys stay the same, so that sound ones would be tried last for 4 s each time. Only records of the last minute eject now. TestServersThatEndedElsewhereAreTriedLast has an old one.

--- a/internal/gateway/choose_test.go
+++ b/internal/gateway/choose_test.go
@@ -207,8 +207,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		e := gateway.NewEngines(2)
 		view := &schema.RosterServer{Id: "ended", Pool: "p", Models: []*schema.HeldModel{{Name: "m"}}}
-		e.RecordEnded("ended")
-		e.RecordEnded("e0")
+		e.RecordEnded("ended", 5*time.Second)
+		e.RecordEnded("e0", 0)
+		e.RecordEnded("e1", 5*time.Minute)
 		e.ApplyServers(view)
 		for i := range 20 {
 			require.Equal(t, "e1", e.Send(shortRequest(fmt.Sprint(i))))
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -98,9 +98,9 @@
 // RecordDeparture records that a response of an engine states that it leaves.
 func (e *Engines) RecordDeparture(id string) { e.f.recordDeparture(e.f.servers[id], time.Now()) }
 
-// RecordEnded records that other entries have found an engine to have ended.
-func (e *Engines) RecordEnded(id string) {
-	e.f.recordEnded([]*schema.Suspect{{Ended: []*schema.EndedServer{{Server: id}}}}, time.Now())
+// RecordEnded records that other entries found some time ago that an engine had ended.
+func (e *Engines) RecordEnded(id string, age time.Duration) {
+	e.f.recordEnded([]*schema.Suspect{{Ended: []*schema.EndedServer{{Server: id}}, AgeMs: age.Milliseconds()}}, time.Now())
 }
 
 // AddPermits adds permits for an engine that the leader has just granted.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -394,6 +394,9 @@
 	defer f.mu.Unlock()
 	until := now.Add(maxEjection)
 	for _, suspect := range suspects {
+		if time.Duration(suspect.GetAgeMs())*time.Millisecond > maxEndedAge {
+			continue
+		}
 		for _, e := range suspect.GetEnded() {
 			id := e.GetServer()
 			if _, known := f.endedUntil[id]; !known {
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -14,6 +14,9 @@
 	// return.
 	minEjection = 500 * time.Millisecond
 	maxEjection = 4 * time.Second
+	// maxEndedAge is the age up to which a record that servers have ended ejects them. The leader removes
+	// them within seconds; one that starts again may have the same key.
+	maxEndedAge = time.Minute
 	// absentDuration is how long a server that refused a request for lack of a model or adapter
 	// is not chosen for it; the leader's update arrives within milliseconds.
 	absentDuration = 60 * time.Millisecond
