Log how responses are framed and which prompt parts requests have

Callers saw servers end one after the other. The request lines of attempts that broke off named a key, all different, but not what the requests share; and a response that was taken for complete left no trace of how its end is marked.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -104,6 +104,7 @@
 	if err != nil {
 		return nil, ResponseInfo{}, errors.Newf("send to server %s: %w", s.id, err)
 	}
+	x.framing = response.Framing
 	responseInfo := x.g.cfg.Codec.ParseResponse(response.Status, response.Header)
 	x.statementsReceived(s, responseInfo, stamp, sentAt)
 	return response, responseInfo, nil
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -108,6 +108,9 @@
 	// this entry's requests, and the prompt tokens whose prefill was pending.
 	inFlightBefore       int
 	pendingPrefillBefore int
+	// framing is that of the last response, and lastEventID the last event that was forwarded.
+	framing     relay.Framing
+	lastEventID int64
 	// statedLimit is the limit that the last response stated.
 	statedLimit LimitStatement
 	// statedCooldown is the cooldown that the last response stated; 0: none.
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strings"
 	"time"
 
 	"fennelyard/internal/asynclog"
@@ -27,7 +28,7 @@
 	}
 	g.cfg.RequestLog.Info("request", "id", x.info.ID, "key", x.keyed.ComputedKey(), "outcome", x.outcome.String(), "team", x.teamName(), "quota-cost", x.access.cost, "confirmed-age-ms", time.Since(g.subscriber.confirmedAt()).Milliseconds(), "status", x.status, "route", route,
 		"version", version, "pool", x.pool, "model", x.info.Model, "adapter", x.info.Adapter, "server", server, "via", x.via,
-		"server-limit", x.statedLimit.String(), "server-cooldown-ms", x.statedCooldown.Milliseconds(), "attempts", x.attempts, "runs", x.runs, "tried", x.excluded, "waited-ms", x.waited.Milliseconds(),
+		"server-limit", x.statedLimit.String(), "server-cooldown-ms", x.statedCooldown.Milliseconds(), "attempts", x.attempts, "runs", x.runs, "tried", x.excluded, "framing", x.framing.String(), "last-event", x.lastEventID, "parts", x.info.partIDs(), "waited-ms", x.waited.Milliseconds(),
 		"first-ms", x.timeToFirstByte.Milliseconds(), "pause-ms", x.maxPause.Milliseconds(), "took-ms", duration.Milliseconds(), "wait-ms", x.info.Timeout.Milliseconds(), "prompt", x.info.PromptTokens,
 		"at-once", x.inFlightBefore, "unread", x.pendingPrefillBefore, "read-rate", rate, "apart", separated,
 		"leader-age-ms", g.subscriber.leaderAge().Milliseconds(), "cause", asynclog.ErrorText(x.cause))
@@ -38,6 +39,22 @@
 	}
 }
 
+// maxPartsLogged is the maximum number of prompt parts in a log line, and maxPartIDLogged the length to
+// which their IDs are cut, in bytes.
+const (
+	maxPartsLogged  = 8
+	maxPartIDLogged = 32
+)
+
+// partIDs returns the IDs of the first parts of the prompt, for a log line.
+func (info *RequestInfo) partIDs() string {
+	var ids []string
+	for _, p := range info.PromptParts[:min(len(info.PromptParts), maxPartsLogged)] {
+		ids = append(ids, p.ID[:min(len(p.ID), maxPartIDLogged)])
+	}
+	return strings.Join(ids, ",")
+}
+
 func routeKind(r *schema.Route) string {
 	switch {
 	case r.GetStream() && r.GetRepeat() == schema.Repeat_REPEAT_RESUME:
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -97,7 +97,7 @@
 			if x.started && first != *lastID+1 {
 				return errGap
 			}
-			*lastID = last
+			*lastID, x.lastEventID = last, last
 		}
 		if !x.started {
 			x.startStream(response)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -108,6 +108,8 @@
 type Response struct {
 	Status int
 	Header http.Header
+	// Framing is how the end of the body is marked.
+	Framing Framing
 	// Body fails with ErrInterrupted if the response ends early.
 	Body  io.Reader
 	close func()
@@ -170,7 +172,7 @@
 		if req.MatchesResponse(r.Header) {
 			tcp.AwaitPeer(conn)
 			body := &bodyReader{r: r.Body}
-			return &Response{Status: r.StatusCode, Header: r.Header, Body: body}, body, nil
+			return &Response{Status: r.StatusCode, Header: r.Header, Framing: framingOf(r), Body: body}, body, nil
 		}
 		if _, err = io.Copy(io.Discard, r.Body); err != nil {
 			return nil, nil, errors.Newf("discard mismatched response: %v: %w", err, ErrInterrupted)
