--- a/internal/role/backends_test.go
+++ b/internal/role/backends_test.go
@@ -83,6 +83,10 @@
 	leaving        map[string]bool
 	departures     []serverStatement
 	departureCount int
+	// crashes of prompt parts: partCrash is how a server crashes that runs a request with a part,
+	// partArrivals are the times at which such requests reached servers, partCrashes those of crashes.
+	partCrash                 map[string]partCrash
+	partArrivals, partCrashes map[string][]time.Time
 	// silent are the addresses of servers that send no announcements.
 	silent map[string]bool
 	// sameIDs is set if servers start again under their ids.
@@ -92,9 +96,20 @@
 // backendCodec is the codec of the simulated servers.
 func backendCodec() gateway.Codec {
 	return gateway.Codec{
-		ParseRequest:     func(r *http.Request) gateway.RequestInfo { return gateway.RequestInfo{ID: r.Header.Get("X-Id")} },
-		SetForwardHeader: func(h http.Header, m gateway.ForwardInfo) { h.Set("X-For", m.Server) },
-		MatchesRequest:   func(a http.Header, id string) bool { return a.Get("X-Id") == id },
+		ParseRequest: func(r *http.Request) gateway.RequestInfo {
+			info := gateway.RequestInfo{ID: r.Header.Get("X-Id")}
+			for _, id := range splitParts(r) {
+				info.PromptParts = append(info.PromptParts, gateway.PromptPart{ID: id, Tokens: 100})
+			}
+			return info
+		},
+		SetForwardHeader: func(h http.Header, m gateway.ForwardInfo) {
+			h.Set("X-For", m.Server)
+			if m.LastEventID > 0 {
+				h.Set("X-Last-Event", strconv.FormatInt(m.LastEventID, 10))
+			}
+		},
+		MatchesRequest: func(a http.Header, id string) bool { return a.Get("X-Id") == id },
 		ParseResponse: func(status int, h http.Header) gateway.ResponseInfo {
 			info := gateway.ResponseInfo{
 				NotRun: status == http.StatusServiceUnavailable || status == http.StatusMisdirectedRequest, Misdirected: status == http.StatusMisdirectedRequest, Signed: status == http.StatusOK,
@@ -118,16 +133,23 @@
 
 // startBackendsWith is like startBackends. With sameIDs the servers start again under their ids.
 func startBackendsWith(d *deployment, n int, sameIDs bool) *backends {
-	b := &backends{sameIDs: sameIDs, deployment: d, count: n, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]func() *rejection{}, leaving: map[string]bool{}, runs: map[string]int{}, rejectionLimits: map[string]string{}, present: map[string]int{}, rejectedAt: map[string][]time.Time{}, silent: map[string]bool{}}
+	b := &backends{sameIDs: sameIDs, deployment: d, count: n, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]func() *rejection{}, leaving: map[string]bool{}, runs: map[string]int{}, rejectionLimits: map[string]string{}, present: map[string]int{}, rejectedAt: map[string][]time.Time{}, silent: map[string]bool{}, partCrash: map[string]partCrash{}, partArrivals: map[string][]time.Time{}, partCrashes: map[string][]time.Time{}}
 	route := func(name string, repeat schema.Repeat) *schema.Route {
 		return &schema.Route{
 			Name: name, Host: "h.example", Prefix: "/" + name + "/", Repeat: repeat, TimeoutMs: 3000, AimMs: 300, MaxAttempts: 2,
 			Shares: []*schema.Share{{Pool: "app", Weight: 1}},
 		}
 	}
+	stream := func(r *schema.Route) *schema.Route {
+		r.Stream, r.GapMs = true, 500
+		return r
+	}
 	require.NoError(d.t, d.control[d.leader()].PutConfiguration(context.Background(), &schema.PutConfiguration{
 		Configuration: &schema.Configuration{Version: 2}, Pools: []*schema.Pool{{Name: "app", MaxConnections: backendMaxConnections}},
-		Routes: []*schema.Route{route("once", schema.Repeat_REPEAT_NEVER), route("again", schema.Repeat_REPEAT_WHOLE)},
+		Routes: []*schema.Route{
+			route("once", schema.Repeat_REPEAT_NEVER), route("again", schema.Repeat_REPEAT_WHOLE),
+			stream(route("stream", schema.Repeat_REPEAT_NEVER)), stream(route("resume", schema.Repeat_REPEAT_RESUME)),
+		},
 	}))
 	for i := range n {
 		b.wg.Add(1)
@@ -340,6 +362,7 @@
 	}
 	defer p.leave()
 	p.backends.recordHarmful(string(body), &p.backends.arrivals)
+	p.backends.recordPartArrival(request)
 	select {
 	case <-p.stopped:
 		return
@@ -350,11 +373,21 @@
 		p.stop()
 		return
 	}
+	if part, crash := p.backends.harmfulPart(request); crash != nil {
+		crash(p, conn, request.Header.Get("X-Id"))
+		p.backends.recordPartCrash(part)
+		p.stop()
+		return
+	}
 	if rejects != nil {
 		p.reject(conn, request.Header.Get("X-Id"), rejects)
 		return
 	}
 	p.backends.recordRun(request)
+	if strings.HasPrefix(request.URL.Path, "/stream/") || strings.HasPrefix(request.URL.Path, "/resume/") {
+		p.respondEvents(conn, request)
+		return
+	}
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%s%sContent-Length: 2\r\n\r\nok", request.Header.Get("X-Id"), limit, p.recordDeparture(conn))
 }
 
@@ -423,13 +456,19 @@
 
 // call sends a request to an entry. It may be called from other goroutines than the
 // deployment's.
-func (d *deployment) call(ip, path, body string) (result callResult) {
+func (d *deployment) call(ip, path, body string) callResult { return d.callWithParts(ip, path, body) }
+
+// callWithParts is call with the IDs of the parts of the request's prompt.
+func (d *deployment) callWithParts(ip, path, body string, parts ...string) (result callResult) {
 	d.entriesMu.RLock()
 	entry := d.entries[ip]
 	d.entriesMu.RUnlock()
 	request := httptest.NewRequest(http.MethodPost, "http://h.example"+path, strings.NewReader(body))
 	id := strconv.FormatInt(d.lastCallID.Add(1), 10)
 	request.Header.Set("X-Id", id)
+	if len(parts) > 0 {
+		request.Header.Set("X-Parts", strings.Join(parts, ","))
+	}
 	defer func() {
 		if recover() != nil {
 			result = callResult{id: id}
