--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -114,6 +115,8 @@
 	// first time.
 	key          string
 	firstAttempt bool
+	// messages are those of a conversation with a model, as JSON.
+	messages []json.RawMessage
 	// keyed is created by keyedRequest when first needed.
 	keyed *quarantine.KeyedRequest
 }
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -35,6 +35,8 @@
 type completionRequest struct {
 	Model  string `json:"model"`
 	Stream bool   `json:"stream"`
+	// Messages is empty for requests without a conversation.
+	Messages []json.RawMessage `json:"messages"`
 }
 
 func (e *Entry) serveCompletion(c echo.Context) error {
@@ -48,6 +50,7 @@
 	if err := json.Unmarshal(in.body, &q); err != nil || q.Model == "" {
 		return e.refuse(c, in, refusal.New(refusal.BadRequest, `the body is not a JSON object with a "model"`))
 	}
+	in.messages = q.Messages
 	if refused := e.resolveTarget(c, in, q.Model); refused != nil {
 		return e.refuse(c, in, refused)
 	}
@@ -141,7 +144,7 @@
 	call := e.call(ctx, c.Request(), in, chosen)
 	call.NewConnection = a.newConnection
 	call.SilenceTimeout = max(minSilenceTimeout, silenceTimeoutServiceTimes*e.admission.MeanServiceTime(in.target.name))
-	response, err := e.send(ctx, chosen, call)
+	response, err := e.send(ctx, in, chosen, call)
 	if withheld(err) {
 		a.recordResult(chosen, routing.Result{NotSent: true})
 		return a.requeue(ctx)
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -13,12 +13,16 @@
 )
 
 // send sends a call to a server unless it has asked for a cooldown, and applies the cooldown that
-// the response states. The error wraps routing.ErrCooldown if the call was not sent.
-func (e *Entry) send(ctx context.Context, to routing.Candidate, call routing.Call) (*routing.Response, error) {
+// the response states. The error wraps routing.ErrCooldown if the call was not sent, also if the
+// request is held back meanwhile.
+func (e *Entry) send(ctx context.Context, in *incomingRequest, to routing.Candidate, call routing.Call) (*routing.Response, error) {
 	if !e.table.Admit(time.Now(), to) {
 		return nil, errors.Newf("server %q: %w", to.Server, routing.ErrCooldown)
 	}
-	call.MaySend = func() bool { return e.cooldown(to) == 0 }
+	call.MaySend = func() bool {
+		_, held := e.guard.HeldBack(in.keyedRequest())
+		return !held && e.cooldown(to) == 0
+	}
 	sentAt := time.Now()
 	response, err := e.sender.Send(ctx, call)
 	if err != nil {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -229,7 +229,7 @@
 	defer span.End()
 	call := e.call(ctx, r.request, r.in, to)
 	call.NewConnection = true
-	response, err := e.send(ctx, to, call)
+	response, err := e.send(ctx, r.in, to, call)
 	if withheld(err) || withoutPath(err) {
 		e.table.RecordResult(time.Now(), to, r.in.target.name, r.in.body, routing.Result{NotSent: true})
 		return refusal.NotRun, nil, err
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -157,10 +157,13 @@
 	if err := s.awaitCooldown(ctx, at); err != nil {
 		return err
 	}
+	if refused := s.a.e.checkHeldBack(ctx, s.a.in); refused != nil {
+		return errors.Newf("resume: %w", refused)
+	}
 	call.Header = call.Header.Clone()
 	call.Header.Set("Last-Event-ID", strconv.FormatUint(s.lastID, 10))
 	call.NewConnection = true
-	response, err := s.a.e.send(ctx, at, call)
+	response, err := s.a.e.send(ctx, s.a.in, at, call)
 	if err != nil {
 		return errors.Newf("resume: %w", err)
 	}
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"fennelyard/internal/incarnation"
@@ -26,11 +29,50 @@
 	if in.keyed == nil {
 		in.keyed = quarantine.NewKeyedRequest(quarantine.Request{
 			Method: in.method, Host: in.target.name, Target: in.path, Caller: in.customer, Body: in.body,
-		})
+		}, in.carriers()...)
 	}
 	return in.keyed
 }
 
+// maxCarrierMessages is the maximum number of messages of a conversation that are looked at
+// for what crashes servers.
+const maxCarrierMessages = 16
+
+// carriers returns what the request shares with others, the narrowest first: messages of its
+// conversation, its model and its customer.
+func (in *incomingRequest) carriers() []quarantine.Carrier {
+	var out []quarantine.Carrier
+	messages := in.messages[:min(len(in.messages), maxCarrierMessages)]
+	for depth, message := range slices.Backward(messages) {
+		id := messageID(message)
+		if depth < len(in.messages)-1 {
+			out = append(out, quarantine.Carrier{Scope: quarantine.ScopePartAtModel, Name: id, Within: in.target.name, Depth: depth})
+		}
+		out = append(out, quarantine.Carrier{Scope: quarantine.ScopePart, Name: id, Depth: depth})
+	}
+	if in.kind == kindModel {
+		out = append(out, quarantine.Carrier{Scope: quarantine.ScopeModel, Name: in.target.name})
+	}
+	return append(out, quarantine.Carrier{Scope: quarantine.ScopeTeam, Name: in.customer})
+}
+
+// messageID returns an ID that is the same for equal messages at every entry.
+func messageID(message []byte) string {
+	return strconv.FormatUint(xxhash.Sum64(message), 16) + "-" + strconv.Itoa(len(message))
+}
+
+// accepts reports whether a server takes new work.
+func (e *Entry) accepts(at routing.Candidate) bool {
+	accepts := false
+	e.cfg.Replica.View(func(r *ledger.Records) { accepts = e.acceptsRequests(r.Server(at.Server), at.Incarnation) })
+	return accepts
+}
+
+// incarnationOf returns the name of a server's incarnation.
+func incarnationOf(at routing.Candidate) string {
+	return incarnation.Name{Server: at.Server, StartMs: int64(at.Incarnation)}.String()
+}
+
 // checkHeldBack refuses a request that is known to end the servers that run it, and
 // returns nil for any other. It waits for the probes of servers at which an attempt
 // of the request has just failed.
@@ -40,7 +82,11 @@
 	if !held {
 		return nil
 	}
-	return refusal.New(refusal.HeldBack, "servers ended that ran this request before (%s)", in.keyedRequest().ComputedKey()).WithRetryAfter(left)
+	key, scope, _ := in.keyedRequest().HeldBy()
+	if scope == quarantine.ScopeRequest.String() {
+		return refusal.New(refusal.HeldBack, "servers ended that ran this request before (%s)", key).WithRetryAfter(left)
+	}
+	return refusal.New(refusal.HeldBack, "servers ended that ran requests with the same %s (%s)", scope, key).WithRetryAfter(left)
 }
 
 // reportFailedAttempt reports a server at which an attempt failed to the guard. A
@@ -49,11 +95,8 @@
 	if ctx.Err() != nil || errors.Is(err, routing.ErrNotRun) || errors.Is(err, routing.ErrSilent) {
 		return
 	}
-	accepts := false
-	e.cfg.Replica.View(func(r *ledger.Records) { accepts = e.acceptsRequests(r.Server(at.Server), at.Incarnation) })
-	if accepts {
-		server := incarnation.Name{Server: at.Server, StartMs: int64(at.Incarnation)}
-		e.guard.AttemptFailed(in.keyedRequest(), server.String(), at.Address)
+	if e.accepts(at) {
+		e.guard.AttemptFailed(in.keyedRequest(), incarnationOf(at), at.Address)
 	}
 }
 
@@ -118,5 +161,5 @@
 func (e *Entry) mergeRecordedSuspects() {
 	var list []*schema.Suspect
 	e.cfg.Replica.View(func(r *ledger.Records) { list = r.Suspects(time.Now()) })
-	e.guard.Suspects().Merge(list, true)
+	e.guard.Merge(list)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -98,6 +98,9 @@
 	var sentAt time.Time
 	request.MaySend = func(via string) bool {
 		sentAt, x.via = time.Now(), via
+		if _, held := x.g.guard.HeldBack(x.keyedRequest()); held {
+			return false
+		}
 		return x.g.fleet.maySend(s)
 	}
 	response, err := x.g.cfg.Sender.Send(ctx, s.address, request)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -300,7 +300,9 @@
 		return x.responseFailed(s, errors.Newf("status %d without a signature", response.Status))
 	}
 	x.g.fleet.recordSuccess(s)
-	x.g.guard.AttemptCompleted(x.keyedRequest())
+	if response.Status < http.StatusInternalServerError {
+		x.g.guard.AttemptCompleted(x.keyedRequest())
+	}
 	if response.Status >= http.StatusInternalServerError && x.canRetryNow() {
 		x.cause = errors.Newf("server %s: status %d", s.id, response.Status)
 		x.excluded = append(x.excluded, s.id)
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -394,10 +395,10 @@
 	defer f.mu.Unlock()
 	until := now.Add(maxEjection)
 	for _, suspect := range suspects {
-		if time.Duration(suspect.GetAgeMs())*time.Millisecond > maxEndedAge {
-			continue
-		}
 		for _, e := range suspect.GetEnded() {
+			if time.Duration(cmp.Or(e.GetAgeMs(), suspect.GetAgeMs()))*time.Millisecond > maxEndedAge {
+				continue
+			}
 			id := e.GetServer()
 			if _, known := f.endedUntil[id]; !known {
 				ejected = append(ejected, id)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"slices"
+
 	"github.com/cockroachdb/errors"
 
 	"fennelyard/internal/quarantine"
@@ -12,11 +14,39 @@
 	if x.keyed == nil {
 		x.keyed = quarantine.NewKeyedRequest(quarantine.Request{
 			Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI, Caller: x.info.APIKey, Body: x.body,
-		})
+		}, x.carriers()...)
 	}
 	return x.keyed
 }
 
+// maxCarrierParts is the maximum number of parts of a prompt that are looked at for what
+// crashes servers.
+const maxCarrierParts = 16
+
+// carriers returns what the request shares with others, the narrowest first. The last part
+// of a prompt is that of the request or of its session, which stays at one model.
+func (x *exchange) carriers() []quarantine.Carrier {
+	info := &x.info
+	parts := info.PromptParts[:min(len(info.PromptParts), maxCarrierParts)]
+	out := make([]quarantine.Carrier, 0, 2*len(parts)+3)
+	for depth, part := range slices.Backward(parts) {
+		if depth < len(info.PromptParts)-1 {
+			out = append(out, quarantine.Carrier{Scope: quarantine.ScopePartAtModel, Name: part.ID, Within: info.Model, Depth: depth})
+		}
+		out = append(out, quarantine.Carrier{Scope: quarantine.ScopePart, Name: part.ID, Depth: depth})
+	}
+	if info.Adapter != "" {
+		out = append(out, quarantine.Carrier{Scope: quarantine.ScopeAdapter, Name: info.Adapter, Within: info.Model})
+	}
+	if info.Model != "" {
+		out = append(out, quarantine.Carrier{Scope: quarantine.ScopeModel, Name: info.Model})
+	}
+	if team := x.teamName(); team != "" {
+		out = append(out, quarantine.Carrier{Scope: quarantine.ScopeTeam, Name: team})
+	}
+	return out
+}
+
 // reportInterruption reports an interrupted attempt to the guard. An interruption by the
 // caller, by the deadline or by this entry proves nothing about the server, and neither does
 // one of a server that is leaving, which ends whatever it runs.
--- a/internal/gateway/subscriber.go
+++ b/internal/gateway/subscriber.go
@@ -374,7 +374,7 @@
 	}
 	// Suspects, rejection limits and the entries that share them are applied before the configuration,
 	// as a newly started entry begins to serve once it has a configuration.
-	s.g.guard.Suspects().Merge(update.GetSuspects(), true)
+	s.g.guard.Merge(update.GetSuspects())
 	if ejected := s.g.fleet.recordEnded(update.GetSuspects(), time.Now()); len(ejected) > 0 {
 		s.g.cfg.Log.Info("servers ejected that have ended", "count", len(ejected), "servers", ejected[:min(len(ejected), maxServersLogged)])
 	}
--- a/internal/ledger/suspects.go
+++ b/internal/ledger/suspects.go
@@ -31,7 +31,7 @@
 	for _, k := range known {
 		s := proto.CloneOf(k.GetSuspect())
 		// The clock of the host that recorded it may have been ahead.
-		s.AgeMs += max(now.UnixMilli()-k.GetAtMs(), 0)
+		addAge(s, max(now.UnixMilli()-k.GetAtMs(), 0))
 		out = append(out, s)
 	}
 	return out
@@ -59,28 +59,46 @@
 	if old == nil {
 		return k
 	}
-	ended := map[string]bool{}
-	for _, e := range old.GetSuspect().GetEnded() {
-		ended[e.GetServer()] = e.GetCleared()
+	ended := map[string]*schema.EndedServer{}
+	aged := proto.CloneOf(old.GetSuspect())
+	addAge(aged, max(k.GetAtMs()-old.GetAtMs(), 0))
+	for _, e := range aged.GetEnded() {
+		ended[e.GetServer()] = e
 	}
 	changed := false
 	for _, e := range k.GetSuspect().GetEnded() {
-		cleared, known := ended[e.GetServer()]
-		changed = changed || !known || e.GetCleared() && !cleared
-		ended[e.GetServer()] = cleared || e.GetCleared()
+		known := ended[e.GetServer()]
+		if known == nil {
+			ended[e.GetServer()], changed = e, true
+			continue
+		}
+		cleared, weak := known.GetCleared() || e.GetCleared(), known.GetWeak() && e.GetWeak()
+		changed = changed || cleared != known.GetCleared() || weak != known.GetWeak()
+		known.Cleared, known.Weak = cleared, weak
 	}
 	if !changed {
 		return old
 	}
+	s := k.GetSuspect()
 	out := &schema.KnownSuspect{
-		Suspect: &schema.Suspect{Key: k.GetSuspect().GetKey(), AgeMs: k.GetSuspect().GetAgeMs()}, AtMs: k.GetAtMs(),
+		Suspect: &schema.Suspect{Key: s.GetKey(), AgeMs: s.GetAgeMs(), Scope: s.GetScope(), Depth: max(s.GetDepth(), aged.GetDepth())}, AtMs: k.GetAtMs(),
 	}
 	for _, server := range slices.Sorted(maps.Keys(ended)) {
-		out.Suspect.Ended = append(out.Suspect.Ended, &schema.EndedServer{Server: server, Cleared: ended[server]})
+		out.Suspect.Ended = append(out.Suspect.Ended, ended[server])
 	}
 	return out
 }
 
+// addAge adds a time in milliseconds to the ages of a suspect and its servers.
+func addAge(s *schema.Suspect, ms int64) {
+	s.AgeMs += ms
+	for _, e := range s.GetEnded() {
+		if e.GetAgeMs() > 0 {
+			e.AgeMs += ms
+		}
+	}
+}
+
 // maxSuspects is the maximum number of records, about a MB.
 const maxSuspects = 4096
 
--- a/internal/quarantine/completed.go
+++ b/internal/quarantine/completed.go
@@ -17,7 +17,8 @@
 	completedSlots = 8192
 )
 
-// Completed records which requests completed recently at this entry. When a rack loses
+// Completed records which requests completed recently at this entry, or what these share with
+// others. When a rack loses
 // power, several servers end while they run the most frequent requests; once these are held
 // back, they could no longer prove themselves harmless. A harmful request never completes.
 // All methods are safe for concurrent use.
@@ -42,20 +43,41 @@
 }
 
 // Record records that a request has completed.
-func (c *Completed) Record(r Request) {
-	hash := r.hash(c.seed)
+func (c *Completed) Record(r Request) { c.record(r.hash(c.seed)) }
+
+// RecordShared records that a request with a carrier has completed.
+func (c *Completed) RecordShared(carrier Carrier) { c.record(uint64(carrier.Hint())) }
+
+func (c *Completed) record(hash uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.slots[hash%completedSlots] = completion{hash, c.now()}
 }
 
 // Recently reports whether a request has completed within completionRetention.
-func (c *Completed) Recently(r Request) bool {
-	hash := r.hash(c.seed)
+func (c *Completed) Recently(r Request) bool { return c.isRecent(c.last(r.hash(c.seed))) }
+
+// RecentlyShared reports whether a request with a carrier has completed within
+// completionRetention.
+func (c *Completed) RecentlyShared(carrier Carrier) bool {
+	return c.isRecent(c.LastShared(carrier.Hint()))
+}
+
+// LastShared returns when a request last completed that has a carrier with a hint, the zero
+// time if that is not known.
+func (c *Completed) LastShared(hint Hint) time.Time { return c.last(uint64(hint)) }
+
+func (c *Completed) isRecent(at time.Time) bool {
+	return !at.IsZero() && c.now().Sub(at) < completionRetention
+}
+
+func (c *Completed) last(hash uint64) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	slot := &c.slots[hash%completedSlots]
-	return slot.hash == hash && !slot.at.IsZero() && c.now().Sub(slot.at) < completionRetention
+	if slot := &c.slots[hash%completedSlots]; slot.hash == hash {
+		return slot.at
+	}
+	return time.Time{}
 }
 
 // hash returns a hash that identifies a request within this process. Its seed is secret, so
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"fennelyard/internal/relay"
+	"fennelyard/internal/schema"
 )
 
 // maxProbeWait bounds how long a retry waits for the probes of the servers on which the
@@ -39,10 +40,12 @@
 // Guard decides for one entry which requests are held back from its servers, and which
 // requests are suspected when a server ends. All methods are safe for concurrent use.
 type Guard struct {
-	onChange  func()
-	suspects  *SuspectSet
-	prober    *ServerProber
+	onChange func()
+	suspects *SuspectSet
+	prober   *ServerProber
+	// completed are requests, and shared what they have in common with others.
 	completed *Completed
+	shared    *Completed
 	log       logr.Logger
 
 	mu sync.Mutex
@@ -65,6 +68,7 @@
 		onChange:  cfg.OnChange,
 		suspects:  NewSuspectSet(SuspectSetConfig{Entry: cfg.Entry, Now: time.Now, Log: log}),
 		completed: NewCompleted(time.Now),
+		shared:    NewCompleted(time.Now),
 		log:       log,
 		trials:    map[Key]trial{},
 	}
@@ -79,49 +83,109 @@
 func (g *Guard) Suspects() *SuspectSet { return g.suspects }
 
 // HeldBack returns how long a request is held back, and whether it is, because servers
-// ended that ran it. It is called before each attempt: a record may arrive while the
-// request waits, or result from its own last attempt. Once the hold has expired, one
-// instance may try.
+// ended that ran it or others with which it shares something. It is called before each
+// attempt: a record may arrive while the request waits, or result from its own last
+// attempt. Once the hold has expired, one instance may try.
 func (g *Guard) HeldBack(r *KeyedRequest) (time.Duration, bool) {
-	if !g.maybeSuspect(r) {
+	if g.suspects.Empty() {
 		return 0, false
 	}
-	left, held := g.suspects.HeldBack(r.Key())
+	var longest time.Duration
+	var expired []Key
+	check := func(a Accusation, carrier Carrier) {
+		left, held := g.suspects.HeldBack(a.Key)
+		switch {
+		case !held || g.hasCompleted(r, a, carrier):
+		case left == 0:
+			expired = append(expired, a.Key)
+			r.heldBy, r.held = a, carrier
+		case left > longest:
+			longest, r.heldBy, r.held = left, a, carrier
+		}
+	}
+	if g.suspects.MayContain(r.Hint()) {
+		check(Accusation{Key: r.Key()}, Carrier{})
+	}
+	for i, c := range r.shared {
+		if g.suspects.MayContain(c.Hint()) {
+			check(Accusation{Key: r.sharedKey(i), Scope: c.Scope, Depth: c.Depth}, c)
+		}
+	}
 	switch {
-	case !held:
-		return 0, false
-	case g.completed.Recently(r.Request):
-		// Servers ended under it elsewhere, but it has completed here.
-		g.Clear(r.Key())
-		return 0, false
-	case left > 0:
-		return left, true
+	case longest > 0:
+		return longest, true
+	case len(expired) > 0:
+		return g.startTrialOrWait(r, expired)
+	}
+	return 0, false
+}
+
+// hasCompleted clears a suspect that is held back if such a request has completed here, and
+// reports whether it is no longer held back.
+func (g *Guard) hasCompleted(r *KeyedRequest, a Accusation, carrier Carrier) bool {
+	if !a.Scope.shared() {
+		if g.completed.Recently(r.Request) {
+			g.Clear(a.Key)
+			return true
+		}
+		return false
+	}
+	if !g.clearCompleted(a.Key, carrier.Scope) {
+		return false
+	}
+	_, held := g.suspects.HeldBack(a.Key)
+	return !held
+}
+
+// clearCompleted clears a shared suspect of the servers that ended before such a request
+// completed here. It reports whether this is new.
+func (g *Guard) clearCompleted(key Key, scope Scope) bool {
+	at := g.shared.LastShared(key.Hint())
+	if at.IsZero() || !g.suspects.ClearUntil(key, at) {
+		return false
+	}
+	g.log.Info("suspect cleared", "key", key.String(), "scope", scope.String(), "completed-ago-ms", time.Since(at).Milliseconds())
+	g.onChange()
+	return true
+}
+
+// Merge merges the records of other hosts, and clears at once what has completed here: the
+// next request with it may arrive at any entry.
+func (g *Guard) Merge(list []*schema.Suspect) {
+	g.suspects.Merge(list, true)
+	for _, s := range list {
+		var key Key
+		if scope := Scope(s.GetScope()); scope.shared() && copy(key[:], s.GetKey()) == len(key) {
+			g.clearCompleted(key, scope)
+		}
 	}
-	return g.startTrialOrWait(r)
 }
 
-// startTrialOrWait starts a trial with a request, or returns how long it has to wait for
-// another instance's trial.
-func (g *Guard) startTrialOrWait(r *KeyedRequest) (time.Duration, bool) {
+// startTrialOrWait starts a trial of suspects with a request, or returns how long it has to
+// wait for another instance's trial.
+func (g *Guard) startTrialOrWait(r *KeyedRequest, keys []Key) (time.Duration, bool) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	maps.DeleteFunc(g.trials, func(_ Key, t trial) bool { return !now.Before(t.until) })
-	t, running := g.trials[r.Key()]
-	if running && t.request != r {
-		return t.until.Sub(now), true
+	for _, key := range keys {
+		if t, running := g.trials[key]; running && t.request != r {
+			return t.until.Sub(now), true
+		}
 	}
-	if !running {
-		g.trials[r.Key()] = trial{r, now.Add(maxTrialDuration)}
-		g.log.Info("request tries again", "key", r.Key().String())
+	for _, key := range keys {
+		if _, running := g.trials[key]; !running {
+			g.trials[key] = trial{r, now.Add(maxTrialDuration)}
+			g.log.Info("request tries again", "key", key.String())
+		}
 	}
 	return 0, false
 }
 
 // AwaitProbes waits, before an attempt, for the probes of the servers on which the request
-// failed, if these are enough to hold it back. Otherwise attempts follow each other faster
-// than the end of the first server is detected, and one request ends a server with each of
-// its remaining attempts.
+// failed, if these are enough to hold back the request or what it shares with others.
+// Otherwise attempts follow each other faster than the end of the first server is detected,
+// and one request ends a server with each of its remaining attempts.
 func (g *Guard) AwaitProbes(ctx context.Context, r *KeyedRequest) {
 	if g.prober.Idle() {
 		return
@@ -130,7 +194,7 @@
 	defer timer.Stop()
 	for {
 		pending, finished := g.prober.Pending(r.Key())
-		if pending == 0 || pending+g.suspects.UnclearedCount(r.Key()) < holdThreshold {
+		if pending == 0 || !g.mayHoldBack(r, pending) {
 			return
 		}
 		select {
@@ -143,29 +207,54 @@
 	}
 }
 
-// maybeSuspect reports whether a request may be suspected. For most requests it needs no
-// digest of the body.
-func (g *Guard) maybeSuspect(r *KeyedRequest) bool {
-	return !g.suspects.Empty() && g.suspects.MayContain(r.Hint())
+// mayHoldBack reports whether the ends of some more servers would hold a request back.
+func (g *Guard) mayHoldBack(r *KeyedRequest, servers int) bool {
+	if servers+g.suspects.UnclearedCount(r.Key()) >= holdThreshold {
+		return true
+	}
+	for i, c := range r.shared {
+		if g.suspects.MayContain(c.Hint()) && servers+g.suspects.UnclearedCount(r.sharedKey(i)) >= c.Scope.threshold() {
+			return true
+		}
+	}
+	return false
 }
 
 // AttemptFailed starts a probe of the server on which an attempt broke off. A request that
 // has just completed on another server did not end this one.
 func (g *Guard) AttemptFailed(r *KeyedRequest, server, address string) {
+	var accused []Accusation
 	if !g.completed.Recently(r.Request) {
-		g.prober.AttemptFailed(server, address, r.Key())
+		accused = append(accused, Accusation{Key: r.Key()})
+	}
+	for i, c := range r.shared {
+		accused = append(accused, Accusation{Key: r.sharedKey(i), Scope: c.Scope, Depth: c.Depth, Weak: g.shared.RecentlyShared(c)})
+	}
+	if len(accused) > 0 {
+		g.prober.AttemptFailed(server, address, accused...)
 	}
 }
 
 // AttemptCompleted records that a server completed a request.
 func (g *Guard) AttemptCompleted(r *KeyedRequest) {
 	g.completed.Record(r.Request)
-	if g.maybeSuspect(r) {
+	for _, c := range r.shared {
+		g.shared.RecordShared(c)
+	}
+	if g.suspects.Empty() {
+		return
+	}
+	if g.suspects.MayContain(r.Hint()) {
 		g.Clear(r.Key())
 	}
+	for i, c := range r.shared {
+		if g.suspects.MayContain(c.Hint()) {
+			g.Clear(r.sharedKey(i))
+		}
+	}
 }
 
-// Clear records that a request does not end servers. It reports whether this is new.
+// Clear records that a suspect does not end servers. It reports whether this is new.
 func (g *Guard) Clear(key Key) bool {
 	changed := g.suspects.Clear(key)
 	if changed {
@@ -175,9 +264,7 @@
 }
 
 // recordEnded records that a server ended while it ran some requests.
-func (g *Guard) recordEnded(server string, keys []Key) {
-	for _, key := range keys {
-		g.suspects.RecordEnded(key, server)
-	}
+func (g *Guard) recordEnded(server string, at time.Time, accused []Accusation) {
+	g.suspects.Accuse(server, at, accused)
 	g.onChange()
 }
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -74,15 +74,15 @@
 		var reported []quarantine.Key
 		prober = quarantine.NewServerProber(quarantine.ServerProberConfig{
 			MayProbe: always, Probe: func(context.Context, string) relay.Presence { return relay.PresenceRefused },
-			OnEnded: func(_ string, keys []quarantine.Key) {
-				if reported = append(reported, keys...); len(reported) == 1 {
-					prober.AttemptFailed("s", "a:1", two)
+			OnEnded: func(_ string, _ time.Time, accused []quarantine.Accusation) {
+				if reported = append(reported, keysOf(accused)...); len(reported) == 1 {
+					prober.AttemptFailed("s", "a:1", quarantine.Accusation{Key: two})
 				}
 			},
 			Log: logr.Discard(),
 		})
 		defer prober.Close()
-		prober.AttemptFailed("s", "a:1", one)
+		prober.AttemptFailed("s", "a:1", quarantine.Accusation{Key: one})
 		synctest.Wait()
 		require.Equal(t, []quarantine.Key{one, two}, reported)
 		require.True(t, prober.Idle())
--- /dev/null
+++ b/internal/quarantine/holds.go
@@ -0,0 +1,216 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// maxPromptEvaluations is the number of shared suspects up to which holds are evaluated
+	// with each change; with more, at most once every evaluationInterval.
+	maxPromptEvaluations = 256
+	evaluationInterval   = 250 * time.Millisecond
+	// maxDoubtfulServers is how many servers more than the threshold may end under a suspect
+	// as long as others explain them, if they do not explain all of them: the wrong one of
+	// two that ran side by side may have been chosen. From then on it is held back for
+	// doubtfulHold until it may try again.
+	maxDoubtfulServers = 2
+	doubtfulHold       = 15 * time.Second
+	// maxExplanations bounds the suspects that are looked at for each server.
+	maxExplanations = 8
+)
+
+// holds decides which of the suspects whose blame reaches their thresholds are held back.
+// The requests of a harmful suspect share other things as well, and others run beside them,
+// so that each end of a server accuses many. The fewest requests are refused if of these
+// only the narrowest are held back that explain what has happened.
+type holds struct {
+	// candidates are the shared suspects whose blame reaches their thresholds.
+	candidates map[Key]*record
+	// until are the shared suspects that are held back, with the ends of their holds.
+	until map[Key]time.Time
+	// servers are those under which shared suspects are held back.
+	servers map[string]bool
+	// dirty is set if candidates have changed since they were evaluated.
+	dirty     bool
+	evaluated time.Time
+}
+
+func newHolds() holds {
+	return holds{candidates: map[Key]*record{}, until: map[Key]time.Time{}, servers: map[string]bool{}}
+}
+
+// recordChanged takes note of a change of a record.
+func (h *holds) recordChanged(key Key, r *record) {
+	if !r.scope.shared() {
+		return
+	}
+	_, was := h.candidates[key]
+	is := r.blame() >= r.scope.threshold()
+	switch {
+	case is:
+		h.candidates[key] = r
+	case was:
+		delete(h.candidates, key)
+	}
+	h.dirty = h.dirty || is || was
+}
+
+func (h *holds) recordRemoved(key Key) {
+	if _, was := h.candidates[key]; was {
+		delete(h.candidates, key)
+		h.dirty = true
+	}
+}
+
+// evaluate decides anew if candidates have changed. It returns the suspects that are held
+// back for another time than before; nil if there are none.
+func (h *holds) evaluate(now time.Time) map[Key]time.Time {
+	if !h.dirty || len(h.candidates) > maxPromptEvaluations && now.Sub(h.evaluated) < evaluationInterval {
+		return nil
+	}
+	h.dirty, h.evaluated = false, now
+	before := h.until
+	chosen := withoutExplained(h.choose())
+	h.until, h.servers = map[Key]time.Time{}, map[string]bool{}
+	for _, key := range chosen.keys {
+		r := h.candidates[key]
+		h.until[key] = r.heldUntil()
+		if chosen.doubtful[key] {
+			h.until[key] = r.lastEnded.Add(doubtfulHold)
+		}
+		for server, e := range r.ended {
+			if !e.cleared {
+				h.servers[server] = true
+			}
+		}
+	}
+	changed := map[Key]time.Time{}
+	for key, until := range h.until {
+		if !until.Equal(before[key]) {
+			changed[key] = until
+		}
+	}
+	for key := range before {
+		if _, held := h.until[key]; !held {
+			changed[key] = time.Time{}
+		}
+	}
+	return changed
+}
+
+// choice is the suspects chosen to explain the ends of servers.
+type choice struct {
+	candidates map[Key]*record
+	keys       []Key
+	// doubtful are those of keys for which the others explain too much.
+	doubtful map[Key]bool
+	// explanations are the chosen suspects by the servers that count against them.
+	explanations map[string][]Key
+}
+
+// choose goes through the candidates from the narrowest to the widest. What a narrower one
+// explains is no evidence against a wider one, unless all of the narrower one's servers
+// count against the wider one as well: then the narrower one may be one of several that
+// have only the wider one in common, and together they are one piece of evidence.
+func (h *holds) choose() *choice {
+	c := &choice{candidates: h.candidates, doubtful: map[Key]bool{}, explanations: map[string][]Key{}}
+	for _, key := range slices.SortedFunc(maps.Keys(h.candidates), h.compare) {
+		r := h.candidates[key]
+		within := map[Key]bool{}
+		unexplained := r.blameWithout(func(server string) bool {
+			for _, by := range c.explanations[server] {
+				if _, seen := within[by]; !seen {
+					within[by] = h.candidates[by].isWithin(r)
+				}
+			}
+			return len(c.explanations[server]) > 0
+		})
+		nested := 0
+		for _, is := range within {
+			if is {
+				nested++
+			}
+		}
+		switch {
+		case unexplained+nested >= r.scope.threshold():
+			c.add(key, r)
+		case unexplained > 0 && r.blame() >= r.scope.threshold()+maxDoubtfulServers:
+			c.add(key, r)
+			c.doubtful[key] = true
+		}
+	}
+	return c
+}
+
+func (c *choice) add(key Key, r *record) {
+	c.keys = append(c.keys, key)
+	for server, e := range r.ended {
+		if !e.cleared && len(c.explanations[server]) < maxExplanations {
+			c.explanations[server] = append(c.explanations[server], key)
+		}
+	}
+}
+
+// compare orders two candidates: the narrower one first, then the one with more evidence.
+func (h *holds) compare(a, b Key) int {
+	r, other := h.candidates[a], h.candidates[b]
+	return cmp.Or(-cmp.Compare(r.scope.narrowness(), other.scope.narrowness()), -cmp.Compare(r.depth, other.depth),
+		-cmp.Compare(r.blame(), other.blame()), slices.Compare(a[:], b[:]))
+}
+
+// isWithin reports whether all servers that count against a suspect have ended under
+// another one as well.
+func (r *record) isWithin(other *record) bool {
+	for server, e := range r.ended {
+		if _, ok := other.ended[server]; !e.cleared && !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// withoutExplained removes the chosen suspects whose servers others explain that have more
+// evidence against them: a suspect that ran beside a harmful one a few times is held back
+// only until the harmful one has ended more servers.
+func withoutExplained(c *choice) *choice {
+	out := &choice{candidates: c.candidates, doubtful: c.doubtful, explanations: map[string][]Key{}}
+	for _, key := range c.keys {
+		if !c.explained(key) {
+			out.add(key, c.candidates[key])
+		}
+	}
+	return out
+}
+
+// explained reports whether each server that counts against a chosen suspect also counts
+// against another chosen one with more evidence.
+func (c *choice) explained(key Key) bool {
+	r := c.candidates[key]
+	blame := r.blame()
+	for server, e := range r.ended {
+		if e.cleared {
+			continue
+		}
+		if !slices.ContainsFunc(c.explanations[server], func(by Key) bool { return by != key && c.candidates[by].blame() > blame }) {
+			return false
+		}
+	}
+	return true
+}
+
+// explains reports whether suspects that are held back explain all servers that count
+// against a request.
+func (h *holds) explains(r *record) bool {
+	if len(h.servers) == 0 {
+		return false
+	}
+	for server, e := range r.ended {
+		if !e.cleared && !h.servers[server] {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -60,17 +60,27 @@
 	Body   []byte
 }
 
-// KeyedRequest is a request with a key that is computed when first needed. It is for use by
+// KeyedRequest is a request with keys that are computed when first needed. It is for use by
 // one goroutine.
 type KeyedRequest struct {
 	Request
+	shared []Carrier
 	// key is zero until it is computed: the digest of a long body takes as long as
 	// forwarding it.
 	key Key
+	// sharedKeys are the keys of shared; nil until they are computed.
+	sharedKeys []Key
+	// heldBy is the accusation that last held the request back.
+	heldBy Accusation
+	// held is the carrier of heldBy, the zero value for the request itself.
+	held Carrier
 }
 
-// NewKeyedRequest returns a KeyedRequest whose key is not computed yet.
-func NewKeyedRequest(r Request) *KeyedRequest { return &KeyedRequest{Request: r} }
+// NewKeyedRequest returns a KeyedRequest whose keys are not computed yet. shared is what the
+// request has in common with others.
+func NewKeyedRequest(r Request, shared ...Carrier) *KeyedRequest {
+	return &KeyedRequest{Request: r, shared: shared}
+}
 
 // Key returns the request's key.
 func (r *KeyedRequest) Key() Key {
@@ -80,6 +90,17 @@
 	return r.key
 }
 
+// sharedKey returns the key of a carrier by its index.
+func (r *KeyedRequest) sharedKey(i int) Key {
+	if r.sharedKeys == nil {
+		r.sharedKeys = make([]Key, len(r.shared))
+	}
+	if r.sharedKeys[i] == (Key{}) {
+		r.sharedKeys[i] = r.shared[i].Key()
+	}
+	return r.sharedKeys[i]
+}
+
 // ComputedKey returns the request's key as text, or "" if it was not computed.
 func (r *KeyedRequest) ComputedKey() string {
 	if r == nil || r.key == (Key{}) {
@@ -88,6 +109,15 @@
 	return r.key.String()
 }
 
+// HeldBy returns what last held the request back: the key of the request or of what it
+// shares with others, its scope, and the name of the latter. The key is "" if nothing did.
+func (r *KeyedRequest) HeldBy() (key, scope, name string) {
+	if r == nil || r.heldBy.Key == (Key{}) {
+		return "", "", ""
+	}
+	return r.heldBy.Key.String(), r.heldBy.Scope.String(), r.held.Name
+}
+
 // Hint returns the hint of the request's key.
 func (r Request) Hint() Hint {
 	return Hint(xxhash.Sum64String(r.Target) + uint64(len(r.Body)))
--- a/internal/quarantine/prober.go
+++ b/internal/quarantine/prober.go
@@ -18,9 +18,9 @@
 	probeWorkers = 4
 	// probeQueueLength is the maximum number of servers that wait for a probe.
 	probeQueueLength = 64
-	// maxKeysPerProbe is the maximum number of requests remembered for a server until its
-	// probe is finished: as many as run at an engine.
-	maxKeysPerProbe = 128
+	// maxAccusedPerProbe is the maximum number of suspects remembered for a server until its
+	// probe is finished: the requests that run at an engine, and what they share.
+	maxAccusedPerProbe = 1024
 	// probeAttempts and probeInterval are how often an address is tried that does not
 	// refuse: the last connections of an ending process may close before its port, and a
 	// packet may be lost.
@@ -38,8 +38,9 @@
 	Probe func(ctx context.Context, address string) relay.Presence
 	// MayProbe reports whether this host may connect to a server now.
 	MayProbe func(server string) bool
-	// OnEnded receives the requests whose attempts broke off when their server ended.
-	OnEnded func(server string, keys []Key)
+	// OnEnded receives what is accused of the end of a server at a time: the requests whose
+	// attempts broke off then, and what they share with others.
+	OnEnded func(server string, at time.Time, accused []Accusation)
 	Log     logr.Logger
 }
 
@@ -66,9 +67,13 @@
 // serverProbe is the probe of one incarnation of a server.
 type serverProbe struct {
 	server, address string
-	// The fields below are guarded by the prober's mutex. keys are those of the attempts
-	// that broke off and are not reported yet.
-	keys []Key
+	// The fields below are guarded by the prober's mutex. accused is what the attempts ran
+	// that broke off, without what is reported, and index its positions by key.
+	accused []Accusation
+	index   map[Key]int
+	// attempts counts these attempts, the first of which broke off at failedAt.
+	attempts int
+	failedAt time.Time
 	// pending is set until the address has been tried and the requests are reported.
 	pending bool
 	// ended is set once the server is known to have ended, which is final.
@@ -105,19 +110,19 @@
 	<-p.done
 }
 
-// AttemptFailed records that an attempt broke off on a server, and queues a probe.
-func (p *ServerProber) AttemptFailed(server, address string, key Key) {
+// AttemptFailed records that an attempt broke off on a server, with what it ran, and queues
+// a probe.
+func (p *ServerProber) AttemptFailed(server, address string, accused ...Accusation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.expire(time.Now())
+	now := time.Now()
+	p.expire(now)
 	probe := p.probes[server]
 	if probe == nil {
-		probe = &serverProbe{server: server, address: address}
+		probe = &serverProbe{server: server, address: address, failedAt: now}
 		p.probes[server] = probe
 	}
-	if len(probe.keys) < maxKeysPerProbe && !slices.Contains(probe.keys, key) {
-		probe.keys = append(probe.keys, key)
-	}
+	probe.accuse(accused)
 	if probe.pending {
 		return
 	}
@@ -131,6 +136,24 @@
 	}
 }
 
+// accuse adds what an attempt ran; the caller holds the prober's mutex.
+func (p *serverProbe) accuse(accused []Accusation) {
+	p.attempts++
+	if p.index == nil {
+		p.index = map[Key]int{}
+	}
+	for _, a := range accused {
+		i, known := p.index[a.Key]
+		switch {
+		case known:
+			p.accused[i].Weak = p.accused[i].Weak && a.Weak
+		case len(p.accused) < maxAccusedPerProbe:
+			p.index[a.Key] = len(p.accused)
+			p.accused = append(p.accused, a)
+		}
+	}
+}
+
 // Idle reports whether no probe is pending.
 func (p *ServerProber) Idle() bool { return p.active.Load() == 0 }
 
@@ -140,7 +163,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, probe := range p.probes {
-		if probe.pending && slices.Contains(probe.keys, key) {
+		if _, accused := probe.index[key]; probe.pending && accused {
 			servers++
 		}
 	}
@@ -173,17 +196,8 @@
 	ended := probe.ended
 	p.mu.Unlock()
 	presence := relay.PresenceRefused
-	for try := 0; !ended && try < probeAttempts; try++ {
-		if try > 0 && !p.wait() {
-			return
-		}
-		if !p.cfg.MayProbe(probe.server) {
-			presence = relay.PresenceNotProbed
-			break
-		}
-		if presence = p.cfg.Probe(p.ctx, probe.address); presence == relay.PresenceRefused {
-			break
-		}
+	if !ended {
+		presence = p.Ask(p.ctx, probe.server, probe.address)
 	}
 	if p.ctx.Err() != nil {
 		return
@@ -191,10 +205,28 @@
 	p.finish(probe, presence)
 }
 
-// wait waits for probeInterval. It returns false if the prober is closed before.
-func (p *ServerProber) wait() bool {
+// Ask tries an address, several times as long as it does not refuse, and returns the last
+// result.
+func (p *ServerProber) Ask(ctx context.Context, server, address string) relay.Presence {
+	presence := relay.PresenceNotProbed
+	for try := range probeAttempts {
+		if try > 0 && !wait(ctx) {
+			return presence
+		}
+		if !p.cfg.MayProbe(server) {
+			return relay.PresenceNotProbed
+		}
+		if presence = p.cfg.Probe(ctx, address); presence == relay.PresenceRefused {
+			return presence
+		}
+	}
+	return presence
+}
+
+// wait waits for probeInterval. It returns false if the context ends before.
+func wait(ctx context.Context) bool {
 	select {
-	case <-p.ctx.Done():
+	case <-ctx.Done():
 		return false
 	case <-time.After(probeInterval):
 		return true
@@ -208,31 +240,34 @@
 	defer p.mu.Unlock()
 	probe.ended = presence == relay.PresenceRefused
 	for reported := 0; ; {
-		keys := slices.Clone(probe.keys[reported:])
-		reported = len(probe.keys)
+		accused := slices.Clone(probe.accused[reported:])
+		reported = len(probe.accused)
 		p.cfg.Log.Info("attempts broke off", "server", probe.server, "address", probe.address, "answers", presence.String(),
-			"ended", probe.ended, "attempts", len(keys), "keys", keyStrings(keys))
+			"ended", probe.ended, "attempts", probe.attempts, "accused", len(accused), "keys", requestKeys(accused))
 		if !probe.ended {
 			break
 		}
+		at := probe.failedAt
 		p.mu.Unlock()
-		p.cfg.OnEnded(probe.server, keys)
+		p.cfg.OnEnded(probe.server, at, accused)
 		p.mu.Lock()
-		if reported == len(probe.keys) {
+		if reported == len(probe.accused) {
 			break
 		}
 	}
-	probe.keys, probe.pending, probe.finishedAt = nil, false, time.Now()
+	probe.accused, probe.index, probe.attempts, probe.pending, probe.finishedAt = nil, nil, 0, false, time.Now()
 	p.active.Add(-1)
 	close(p.finished)
 	p.finished = make(chan struct{})
 }
 
-// keyStrings returns up to maxKeysLogged keys as text.
-func keyStrings(keys []Key) []string {
+// requestKeys returns the keys of up to maxKeysLogged accused requests as text.
+func requestKeys(accused []Accusation) []string {
 	var out []string
-	for _, k := range keys[:min(len(keys), maxKeysLogged)] {
-		out = append(out, k.String())
+	for _, a := range accused {
+		if !a.Scope.shared() && len(out) < maxKeysLogged {
+			out = append(out, a.Key.String())
+		}
 	}
 	return out
 }
--- a/internal/quarantine/prober_test.go
+++ b/internal/quarantine/prober_test.go
@@ -44,17 +44,17 @@
 						probes++
 						return tt.results[min(probes, len(tt.results))-1]
 					},
-					OnEnded: func(_ string, keys []quarantine.Key) {
+					OnEnded: func(_ string, _ time.Time, accused []quarantine.Accusation) {
 						mu.Lock()
 						defer mu.Unlock()
-						reported = append(reported, keys...)
+						reported = append(reported, keysOf(accused)...)
 					},
 					Log: logr.Discard(),
 				})
 				defer prober.Close()
 				one, two := keyOf("/1"), keyOf("/2")
-				prober.AttemptFailed("s", "a:1", one)
-				prober.AttemptFailed("s", "a:1", two)
+				prober.AttemptFailed("s", "a:1", quarantine.Accusation{Key: one})
+				prober.AttemptFailed("s", "a:1", quarantine.Accusation{Key: two})
 				time.Sleep(time.Second)
 				mu.Lock()
 				defer mu.Unlock()
@@ -68,6 +68,15 @@
 	}
 }
 
+// keysOf returns the keys of what is accused.
+func keysOf(accused []quarantine.Accusation) []quarantine.Key {
+	var out []quarantine.Key
+	for _, a := range accused {
+		out = append(out, a.Key)
+	}
+	return out
+}
+
 // always lets a prober connect to all servers.
 func always(string) bool { return true }
 
@@ -82,14 +91,14 @@
 				return relay.PresenceListening
 			},
 			MayProbe: func(string) bool { return probes.Load() == 0 },
-			OnEnded:  func(string, []quarantine.Key) { reported.Add(1) },
+			OnEnded:  func(string, time.Time, []quarantine.Accusation) { reported.Add(1) },
 			Log:      logr.Discard(),
 		})
 		defer prober.Close()
-		prober.AttemptFailed("s", "a:1", keyOf("/1"))
+		prober.AttemptFailed("s", "a:1", quarantine.Accusation{Key: keyOf("/1")})
 		time.Sleep(time.Second)
 		require.Equal(t, int64(1), probes.Load(), "none after the server has asked for a cooldown")
-		prober.AttemptFailed("s", "a:1", keyOf("/2"))
+		prober.AttemptFailed("s", "a:1", quarantine.Accusation{Key: keyOf("/2")})
 		time.Sleep(time.Second)
 		require.Equal(t, int64(1), probes.Load())
 		require.Zero(t, reported.Load())
--- a/internal/quarantine/reader.go
+++ b/internal/quarantine/reader.go
@@ -11,7 +11,7 @@
 	// another: 6 KB, which is what updates of servers and loads leave of a host's 18 KB a
 	// second for control. A caller that repeats a thousand different harmful requests a
 	// second is held back a little later.
-	maxRecordsPerSecond = 75.0
+	maxRecordsPerSecond = 68.0
 	// maxReaderBurst is the maximum number of records sent at once after a time with fewer.
 	maxReaderBurst = 256
 )
@@ -21,8 +21,9 @@
 type Reader struct {
 	suspects *SuspectSet
 	part     Part
-	// change is the change number up to which the other host was sent the records.
-	change uint64
+	// likely and others are the change numbers up to which the other host was sent the
+	// records of likely suspects, and all others.
+	likely, others uint64
 	// tokens is the number of records that could be sent at lastRefill.
 	tokens     float64
 	lastRefill time.Time
@@ -34,7 +35,8 @@
 }
 
 // Next returns the records that changed since the last call, within maxRecordsPerSecond;
-// later calls return the rest.
+// later calls return the rest. Those of likely suspects come first: when a busy engine ends,
+// hundreds of others are recorded with them.
 func (r *Reader) Next() []*schema.Suspect {
 	if r.suspects.Empty() {
 		return nil
@@ -42,8 +44,9 @@
 	now := r.suspects.cfg.Now()
 	r.tokens = min(r.tokens+maxRecordsPerSecond*now.Sub(r.lastRefill).Seconds(), maxReaderBurst)
 	r.lastRefill = now
-	list, to := r.suspects.since(r.change, r.part, int(r.tokens))
-	r.change = to
-	r.tokens -= float64(len(list))
-	return list
+	list, likely := r.suspects.since(r.likely, r.part, int(r.tokens), (*record).likely)
+	others, to := r.suspects.since(r.others, r.part, int(r.tokens)-len(list), func(r *record) bool { return !r.likely() })
+	r.likely, r.others = likely, to
+	r.tokens -= float64(len(list) + len(others))
+	return append(list, others...)
 }
--- /dev/null
+++ b/internal/quarantine/record.go
@@ -0,0 +1,153 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"fennelyard/internal/schema"
+)
+
+const (
+	// maxServersPerRecord is the maximum number of servers in a record.
+	maxServersPerRecord = 16
+	// weakGroupWindow is the time within which servers end together, as those of a rack that
+	// loses power do: they are one piece of weak evidence.
+	weakGroupWindow = time.Second
+)
+
+// record is the evidence against one suspect.
+type record struct {
+	scope Scope
+	depth int
+	// ended are the servers that ended under the suspect, by incarnation.
+	ended map[string]endedServer
+	// lastEnded is when the last of these servers ended.
+	lastEnded time.Time
+	// droppedUntil is when the last of the servers ended that were removed from ended to
+	// make room. Servers that ended before are not added again.
+	droppedUntil time.Time
+	// change is the number of the last change, and ownChange of the last one that did not
+	// come from the leader.
+	change, ownChange uint64
+}
+
+// endedServer is a server that ended under a suspect.
+type endedServer struct {
+	at time.Time
+	// cleared is set if such a request has completed somewhere since, which clears it of
+	// this server.
+	cleared bool
+	// weak is set if such a request had completed shortly before at each entry that reported
+	// the server.
+	weak bool
+}
+
+// blame returns the number of servers that count against the suspect. Those that are weak
+// evidence count once for each group that ended together.
+func (r *record) blame() int { return r.blameWithout(func(string) bool { return false }) }
+
+// blameWithout is blame without the servers for which explained returns true.
+func (r *record) blameWithout(explained func(server string) bool) int {
+	n := 0
+	var weak []time.Time
+	for server, e := range r.ended {
+		switch {
+		case e.cleared || explained(server):
+		case e.weak:
+			weak = append(weak, e.at)
+		default:
+			n++
+		}
+	}
+	slices.SortFunc(weak, time.Time.Compare)
+	var group time.Time
+	for i, at := range weak {
+		if i == 0 || at.Sub(group) > weakGroupWindow {
+			n, group = n+1, at
+		}
+	}
+	return n
+}
+
+// heldUntil returns until when the suspect is held back if its blame reaches the threshold.
+func (r *record) heldUntil() time.Time {
+	return r.lastEnded.Add(firstHold << min(max(r.blame()-r.scope.threshold(), 0), maxHoldDoublings))
+}
+
+// add adds a server, and reports whether that changed the record.
+func (r *record) add(server string, e endedServer) bool {
+	known, ok := r.ended[server]
+	if ok {
+		merged := endedServer{at: known.at, cleared: known.cleared || e.cleared, weak: known.weak && e.weak}
+		r.ended[server] = merged
+		return merged != known
+	}
+	if !e.at.After(r.droppedUntil) || !r.makeRoom() {
+		return false
+	}
+	r.ended[server] = e
+	if e.at.After(r.lastEnded) {
+		r.lastEnded = e.at
+	}
+	return true
+}
+
+// makeRoom removes the oldest cleared server of a full record. It returns false if all
+// servers count against the suspect: one more would prove nothing new.
+func (r *record) makeRoom() bool {
+	if len(r.ended) < maxServersPerRecord {
+		return true
+	}
+	oldest := ""
+	for server, e := range r.ended {
+		if e.cleared && (oldest == "" || e.at.Before(r.ended[oldest].at)) {
+			oldest = server
+		}
+	}
+	if oldest == "" {
+		return false
+	}
+	r.droppedUntil = r.ended[oldest].at
+	delete(r.ended, oldest)
+	return true
+}
+
+// clearUntil clears the suspect of the servers that ended up to a time, and reports whether
+// that changed the record.
+func (r *record) clearUntil(at time.Time) bool {
+	changed := false
+	for server, e := range r.ended {
+		if !e.cleared && !e.at.After(at) {
+			e.cleared = true
+			r.ended[server], changed = e, true
+		}
+	}
+	return changed
+}
+
+// message returns the record as a message.
+func (r *record) message(key Key, now time.Time) *schema.Suspect {
+	out := &schema.Suspect{
+		Key: key[:], AgeMs: now.Sub(r.lastEnded).Milliseconds(), Scope: schema.SuspectScope(r.scope), Depth: uint32(r.depth),
+	}
+	for _, server := range slices.Sorted(maps.Keys(r.ended)) {
+		e := r.ended[server]
+		out.Ended = append(out.Ended, &schema.EndedServer{
+			Server: server, Cleared: e.cleared, Weak: e.weak, AgeMs: now.Sub(e.at).Milliseconds(),
+		})
+	}
+	return out
+}
+
+// view returns the record for operators.
+func (r *record) view(key Key, now time.Time) *schema.SuspectView {
+	v := &schema.SuspectView{Key: key.String(), Scope: r.scope.String(), LastEndedAgoMs: uint64(max(now.Sub(r.lastEnded).Milliseconds(), 0))}
+	for _, server := range slices.Sorted(maps.Keys(r.ended)) {
+		v.EndedServers = append(v.EndedServers, server)
+		if r.ended[server].cleared {
+			v.ClearedServers = append(v.ClearedServers, server)
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/internal/quarantine/sync.go
@@ -0,0 +1,122 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fennelyard/internal/schema"
+)
+
+//go:generate go tool stringer -type=Part -linecomment
+
+// Part selects the records that a receiver needs.
+type Part int
+
+// Parts of a set.
+const (
+	// PartAll is all records, for hosts that may become the leader.
+	PartAll Part = iota // all
+	// PartOwn is the records that did not come from the leader, which needs them.
+	PartOwn // noted
+	// PartHeld is the requests that are or were held back, for entries, and what requests
+	// share that would be after one more server: entries know what has completed.
+	PartHeld // held
+	// PartLikely is the requests that are held back or would be after one more server, for
+	// the log.
+	PartLikely // likely
+)
+
+// changeNumber returns the change number of a record in a part, or 0 if it is not in the
+// part.
+func (p Part) changeNumber(r *record) uint64 {
+	threshold := r.scope.threshold()
+	switch {
+	case p == PartOwn:
+		return r.ownChange
+	case p == PartHeld && len(r.ended) < threshold && (!r.scope.shared() || len(r.ended) < threshold-1), p == PartLikely && len(r.ended) < threshold-1:
+		return 0
+	}
+	return r.change
+}
+
+// likely reports whether a suspect is held back or would be after one more server.
+func (r *record) likely() bool { return r.blame() >= r.scope.threshold()-1 }
+
+// Since returns the records of a part that changed after a change number, 0 for all, and
+// the number up to which they are complete. The number of records is bounded; further calls
+// return the rest.
+func (s *SuspectSet) Since(after uint64, part Part) ([]*schema.Suspect, uint64) {
+	if s.Empty() {
+		return nil, after
+	}
+	return s.since(after, part, maxReaderBurst, func(*record) bool { return true })
+}
+
+// since is Since for the records for which selects returns true, with a limit on their
+// number.
+func (s *SuspectSet) since(after uint64, part Part, limit int, selects func(*record) bool) ([]*schema.Suspect, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.cfg.Now()
+	if now.Sub(s.lastExpiry) > expiryInterval {
+		s.expire()
+	}
+	if after == s.change || limit == 0 {
+		return nil, after
+	}
+	var keys []Key
+	for key, r := range s.records {
+		if part.changeNumber(r) > after && selects(r) {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(k, l Key) int {
+		return cmp.Compare(part.changeNumber(s.records[k]), part.changeNumber(s.records[l]))
+	})
+	to := s.change
+	if len(keys) > limit {
+		keys = keys[:limit]
+		to = part.changeNumber(s.records[keys[limit-1]])
+	}
+	out := make([]*schema.Suspect, 0, len(keys))
+	for _, key := range keys {
+		out = append(out, s.records[key].message(key, now))
+	}
+	return out, to
+}
+
+// Merge merges another host's records into the set. It reports whether any of them changed
+// it.
+func (s *SuspectSet) Merge(list []*schema.Suspect, fromLeader bool) bool {
+	if len(list) == 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := false
+	for _, suspect := range list {
+		var key Key
+		scope := Scope(suspect.GetScope())
+		if len(suspect.GetKey()) != len(key) || scope < ScopeRequest || scope > ScopePartAtModel {
+			s.cfg.Log.Info("suspicion not taken", "reason", "its key has another length, or its scope is unknown", "bytes", len(suspect.GetKey()), "scope", int(scope))
+			continue
+		}
+		copy(key[:], suspect.GetKey())
+		r := s.getOrAdd(Accusation{Key: key, Scope: scope, Depth: int(suspect.GetDepth())})
+		changed = s.update(key, r, !fromLeader, func(r *record) bool { return s.mergeServers(r, suspect) }) || changed
+	}
+	s.evaluate()
+	return changed
+}
+
+// mergeServers merges the servers of a suspect into its record, and reports whether that
+// changed the record.
+func (s *SuspectSet) mergeServers(r *record, suspect *schema.Suspect) bool {
+	changed, now := false, s.cfg.Now()
+	for _, e := range suspect.GetEnded() {
+		age := time.Duration(cmp.Or(e.GetAgeMs(), suspect.GetAgeMs())) * time.Millisecond
+		changed = r.add(e.GetServer(), endedServer{at: now.Add(-age), cleared: e.GetCleared(), weak: e.GetWeak()}) || changed
+	}
+	return changed
+}
--- a/internal/role/suspects.go
+++ b/internal/role/suspects.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/asynclog"
 	"fennelyard/internal/ledger"
@@ -101,5 +100,7 @@
 
 // sameEndedServers reports whether two records of a suspect list the same ended servers.
 func sameEndedServers(one, other *schema.Suspect) bool {
-	return slices.EqualFunc(one.GetEnded(), other.GetEnded(), func(a, b *schema.EndedServer) bool { return proto.Equal(a, b) })
+	return slices.EqualFunc(one.GetEnded(), other.GetEnded(), func(a, b *schema.EndedServer) bool {
+		return a.GetServer() == b.GetServer() && a.GetCleared() == b.GetCleared() && a.GetWeak() == b.GetWeak()
+	})
 }
