relay: the end of a connection is not the end of a response if the server has ended

A stream that ended inside an event was broken off for its caller, but accused nobody.

Cause: a process that ends closes its connections like any others, so a body without a length or chunks has no end of its own. The request counted as completed, which clears what it is suspected of. The error for a partial event was not one of those that are looked into.

Change: at the end of such a body the server's address is tried: if it refuses connections, the response was interrupted; if it does not respond, the response is forwarded and clears nobody. A leaving server ends its process once it has responded and is not asked. A partial event is an interruption. Responses of status 500 and above clear nobody either.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -246,7 +246,7 @@
 		a.e.reportFailedAttempt(ctx, a.in, chosen, err)
 		return a.handleFailure(ctx, chosen, err)
 	}
-	a.e.guard.AttemptCompleted(a.in.keyedRequest())
+	a.e.attemptCompleted(a.in, response)
 	a.e.cfg.Metrics.FirstByte(a.in.kind, time.Since(a.in.received), a.cold)
 	copyHeader(c.Response().Header(), response.Header())
 	c.Response().Header().Set(routing.HeaderRequestID, a.in.id)
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -9,6 +9,7 @@
 	"fennelyard/internal/cooldown"
 	"fennelyard/internal/path"
 	"fennelyard/internal/refusal"
+	"fennelyard/internal/relay"
 	"fennelyard/internal/routing"
 )
 
@@ -23,6 +24,7 @@
 		_, held := e.guard.HeldBack(in.keyedRequest())
 		return !held && e.cooldown(to) == 0
 	}
+	call.VerifyEnd = func() relay.Presence { return e.verifyEnd(ctx, in, to) }
 	sentAt := time.Now()
 	response, err := e.sender.Send(ctx, call)
 	if err != nil {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -257,7 +257,7 @@
 		// incomplete.
 		return refusal.Ran, nil, err
 	}
-	e.guard.AttemptCompleted(r.in.keyedRequest())
+	e.attemptCompleted(r.in, response)
 	return refusal.Ran, &schema.Answer{
 		Status: uint32(response.Status()), ContentType: response.Header().Get("Content-Type"), Body: body,
 	}, nil
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"strconv"
 	"time"
@@ -13,6 +14,7 @@
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/refusal"
+	"fennelyard/internal/relay"
 	"fennelyard/internal/routing"
 	"fennelyard/internal/schema"
 )
@@ -61,6 +63,26 @@
 	return strconv.FormatUint(xxhash.Sum64(message), 16) + "-" + strconv.Itoa(len(message))
 }
 
+// verifyEnd reports what is known of a server's process at the end of a response that ends
+// with its connection. A leaving server ends its process once it has responded.
+func (e *Entry) verifyEnd(ctx context.Context, in *incomingRequest, at routing.Candidate) relay.Presence {
+	if !e.accepts(at) {
+		return relay.PresenceNotProbed
+	}
+	server := incarnationOf(at)
+	presence := e.guard.Ended(ctx, server, at.Address)
+	e.cfg.Log.Info("response ended with its connection", "server", server, "request", in.id, "answers", presence.String())
+	return presence
+}
+
+// attemptCompleted records a response that ended regularly. One whose end nothing proves is
+// no evidence that the request does not crash servers.
+func (e *Entry) attemptCompleted(in *incomingRequest, response *routing.Response) {
+	if response.Complete() && response.Status() < http.StatusInternalServerError {
+		e.guard.AttemptCompleted(in.keyedRequest())
+	}
+}
+
 // accepts reports whether a server takes new work.
 func (e *Entry) accepts(at routing.Candidate) bool {
 	accepts := false
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,6 +103,7 @@
 		}
 		return x.g.fleet.maySend(s)
 	}
+	request.VerifyEnd = func() relay.Presence { return x.verifyEnd(s) }
 	response, err := x.g.cfg.Sender.Send(ctx, s.address, request)
 	if err != nil {
 		return nil, ResponseInfo{}, errors.Newf("send to server %s: %w", s.id, err)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -301,7 +301,7 @@
 	}
 	x.g.fleet.recordSuccess(s)
 	if response.Status < http.StatusInternalServerError {
-		x.g.guard.AttemptCompleted(x.keyedRequest())
+		x.attemptCompleted(response)
 	}
 	if response.Status >= http.StatusInternalServerError && x.canRetryNow() {
 		x.cause = errors.Newf("server %s: status %d", s.id, response.Status)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,7 +30,7 @@
 		switch {
 		case err == nil:
 			x.g.fleet.recordSuccess(s)
-			x.g.guard.AttemptCompleted(x.keyedRequest())
+			x.attemptCompleted(response)
 			x.status, x.outcome = http.StatusOK, OutcomeServed
 			return false
 		case errors.Is(err, errCallerGone):
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -254,6 +254,12 @@
 	}
 }
 
+// Ended reports what is known of a server's process at the end of a response that only the
+// end of its connection marks: if the process has ended, the response may be incomplete.
+func (g *Guard) Ended(ctx context.Context, server, address string) relay.Presence {
+	return g.prober.Ask(ctx, server, address)
+}
+
 // Clear records that a suspect does not end servers. It reports whether this is new.
 func (g *Guard) Clear(key Key) bool {
 	changed := g.suspects.Clear(key)
--- /dev/null
+++ b/internal/relay/body_test.go
@@ -0,0 +1,58 @@
+package relay_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelyard/internal/relay"
+)
+
+// A process that crashes within a response without a length or chunks closes its connection
+// as at the regular end. Only if the process still runs, the response is known to be
+// complete.
+func TestResponseThatEndsWithItsConnection(t *testing.T) {
+	for name, tt := range map[string]struct {
+		header   string
+		verify   func() relay.Presence
+		complete bool
+		err      error
+		framing  relay.Framing
+	}{
+		"the process runs":         {"", func() relay.Presence { return relay.PresenceListening }, true, nil, relay.FramingClose},
+		"the process has ended":    {"", func() relay.Presence { return relay.PresenceRefused }, false, relay.ErrInterrupted, relay.FramingClose},
+		"the path is lost":         {"", func() relay.Presence { return relay.PresenceSilent }, false, nil, relay.FramingClose},
+		"nobody may ask":           {"", nil, false, nil, relay.FramingClose},
+		"a length is proof enough": {"Content-Length: 2\r\n", func() relay.Presence { return relay.PresenceRefused }, true, nil, relay.FramingLength},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { require.NoError(t, l.Close()) }()
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = conn.Read(make([]byte, 1<<10))
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\nok", tt.header)
+				_ = conn.Close()
+			}()
+			response, err := relay.NewSender(relay.Config{}).Send(t.Context(), l.Addr().String(), &relay.Request{
+				Method: "GET", Target: "/", Host: "h", VerifyEnd: tt.verify,
+				MatchesResponse: func(http.Header) bool { return true },
+			})
+			require.NoError(t, err)
+			defer response.Close()
+			require.Equal(t, tt.framing, response.Framing)
+			body, err := io.ReadAll(response.Body)
+			require.ErrorIs(t, err, tt.err)
+			require.Equal(t, "ok", string(body))
+			require.Equal(t, tt.complete, response.Body.Complete())
+		})
+	}
+}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -12,8 +12,9 @@
 // hundred bytes.
 const maxEventBytes = 1 << 20
 
-// ErrPartialEvent reports a stream that ended inside an event.
-var ErrPartialEvent = errors.New("the stream ended inside an event")
+// ErrPartialEvent reports a stream that ended inside an event. It wraps ErrInterrupted: the
+// server broke the stream off.
+var ErrPartialEvent = errors.Newf("the stream ended inside an event: %w", ErrInterrupted)
 
 // EventReader splits a stream into server-sent events, each with the blank line
 // that ends it.
--- a/internal/relay/framing.go
+++ b/internal/relay/framing.go
@@ -25,7 +25,7 @@
 	switch {
 	case len(r.TransferEncoding) > 0:
 		return FramingChunked
-	case r.ContentLength >= 0:
+	case r.ContentLength >= 0 || r.Body == http.NoBody:
 		return FramingLength
 	}
 	return FramingClose
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -65,6 +65,10 @@
 	// it returns false: it may take until tcp.ConnectTimeout to connect. via is the host through which
 	// the connection is made, empty for a direct one.
 	MaySend func(via string) bool
+	// VerifyEnd, if set, is called when a response without a length or chunks ends with its
+	// connection. The body ends early if it returns PresenceRefused: the connection of a
+	// process that has ended is closed like any other.
+	VerifyEnd func() Presence
 }
 
 // Config configures a Sender. The zero value is ready for use.
@@ -111,7 +115,7 @@
 	// Framing is how the end of the body is marked.
 	Framing Framing
 	// Body fails with ErrInterrupted if the response ends early.
-	Body  io.Reader
+	Body  *Body
 	close func()
 }
 
@@ -128,7 +132,7 @@
 		return nil, notSentError{err}
 	}
 	stop := context.AfterFunc(ctx, func() { tcp.Reset(conn) })
-	response, body, err := roundTrip(conn, req)
+	response, err := roundTrip(conn, req)
 	if err != nil {
 		stop()
 		tcp.Reset(conn)
@@ -136,7 +140,7 @@
 	}
 	response.close = func() {
 		stop()
-		if body.complete {
+		if response.Body.ended {
 			_ = conn.Close()
 			return
 		}
@@ -153,32 +157,31 @@
 	return ""
 }
 
-func roundTrip(conn net.Conn, req *Request) (*Response, *bodyReader, error) {
+func roundTrip(conn net.Conn, req *Request) (*Response, error) {
 	if req.MaySend != nil && !req.MaySend(viaOf(conn)) {
-		return nil, nil, ErrWithheld
+		return nil, ErrWithheld
 	}
 	if n, err := conn.Write(req.encode()); err != nil {
 		if n == 0 {
-			return nil, nil, errors.Newf("write request: %v: %w", err, ErrNotSent)
+			return nil, errors.Newf("write request: %v: %w", err, ErrNotSent)
 		}
-		return nil, nil, errors.Newf("write request: %v: %w", err, ErrInterrupted)
+		return nil, errors.Newf("write request: %v: %w", err, ErrInterrupted)
 	}
 	in := bufio.NewReaderSize(conn, readBufferBytes)
 	for range maxMismatchedResponses {
 		r, err := readResponse(in, req.Method)
 		if err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 		if req.MatchesResponse(r.Header) {
 			tcp.AwaitPeer(conn)
-			body := &bodyReader{r: r.Body}
-			return &Response{Status: r.StatusCode, Header: r.Header, Framing: framingOf(r), Body: body}, body, nil
+			return &Response{Status: r.StatusCode, Header: r.Header, Framing: framingOf(r), Body: NewBody(r, req.VerifyEnd)}, nil
 		}
 		if _, err = io.Copy(io.Discard, r.Body); err != nil {
-			return nil, nil, errors.Newf("discard mismatched response: %v: %w", err, ErrInterrupted)
+			return nil, errors.Newf("discard mismatched response: %v: %w", err, ErrInterrupted)
 		}
 	}
-	return nil, nil, ErrMismatchedResponse
+	return nil, ErrMismatchedResponse
 }
 
 // readResponse reads the next final response and skips informational (1xx) ones.
@@ -208,24 +211,6 @@
 	return b.Bytes()
 }
 
-// bodyReader wraps every error other than the regular end of the body with
-// ErrInterrupted. A response without a length ends when its connection is closed,
-// but not when it is reset.
-type bodyReader struct {
-	r io.Reader
-	// complete is set once the regular end was read.
-	complete bool
-}
-
-func (b *bodyReader) Read(p []byte) (int, error) {
-	n, err := b.r.Read(p)
-	b.complete = b.complete || errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
-	if err != nil && !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-		return n, errors.Newf("read body: %v: %w", err, ErrInterrupted)
-	}
-	return n, err
-}
-
 // hopByHopFields are the header fields that apply to a single connection and are
 // never forwarded.
 var hopByHopFields = []string{
--- a/internal/role/backends_test.go
+++ b/internal/role/backends_test.go
@@ -83,7 +83,10 @@
 	leaving        map[string]bool
 	departures     []serverStatement
 	departureCount int
-	// crashes of prompt parts: partCrash is how a server crashes that runs a request with a part,
+	// bodyCrash is how a server crashes that runs a request with the harmful body, nil: before it
+	// responds.
+	bodyCrash partCrash
+	// partCrash is how a server crashes that runs a request with a part,
 	// partArrivals are the times at which such requests reached servers, partCrashes those of crashes.
 	partCrash                 map[string]partCrash
 	partArrivals, partCrashes map[string][]time.Time
@@ -369,6 +372,12 @@
 	case <-time.After(p.backends.runTimeOrDefault()):
 	}
 	if string(body) == harmfulBody {
+		p.backends.mu.Lock()
+		crash := p.backends.bodyCrash
+		p.backends.mu.Unlock()
+		if crash != nil {
+			crash(p, conn, request.Header.Get("X-Id"))
+		}
 		p.backends.recordHarmful(harmfulBody, &p.backends.crashes)
 		p.stop()
 		return
--- a/internal/role/harmful_part_test.go
+++ b/internal/role/harmful_part_test.go
@@ -224,3 +224,28 @@
 		}
 	}
 }
+
+// A request that is repeated crashes its servers within responses that do not look broken off.
+func TestRequestThatCrashesServersWithinResponsesIsHeldBack(t *testing.T) {
+	for name, c := range partCrashes {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newSettledDeployment(t, 62, 3)
+				defer d.close()
+				b := startBackends(d, 12)
+				defer b.close()
+				b.mu.Lock()
+				b.bodyCrash = c.crash
+				b.mu.Unlock()
+				d.repeatHarmful(10*time.Second, c.path)
+				results := d.repeatHarmful(3*time.Second, c.path)
+				t.Logf("%d servers crashed, %d late arrivals", b.crashCount(), b.lateArrivals(maxHoldBackDelay))
+				require.LessOrEqual(t, b.lateArrivals(maxHoldBackDelay), maxLateArrivals)
+				require.Equal(t, 503, results.harmful.status)
+				for _, r := range results.ordinary {
+					require.Equal(t, 200, r.status)
+				}
+			})
+		})
+	}
+}
--- a/internal/routing/sender.go
+++ b/internal/routing/sender.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"fennelyard/internal/path"
+	"fennelyard/internal/relay"
 )
 
 // The headers between an entry and a backend server.
@@ -78,6 +79,9 @@
 	// MaySend, if set, is called once a new connection is established, and the request is not sent
 	// if it returns false: it may take until connectTimeout to connect.
 	MaySend func() bool
+	// VerifyEnd, if set, is called when a response without a length or chunks ends with its
+	// connection, see relay.NewBody.
+	VerifyEnd func() relay.Presence
 }
 
 // Sender sends calls over pooled connections. It is safe for concurrent use.
@@ -167,8 +171,10 @@
 type Response struct {
 	status int
 	header http.Header
-	body   io.ReadCloser
-	cancel context.CancelFunc
+	body   *relay.Body
+	// closeBody closes the connection, or returns it to the pool.
+	closeBody func() error
+	cancel    context.CancelFunc
 	// firstByte is the time from the call to the response header.
 	firstByte time.Duration
 	// via is the host that carried the connection, empty for none.
@@ -187,6 +193,10 @@
 // Body returns the response body.
 func (r *Response) Body() io.Reader { return r.body }
 
+// Complete reports whether the body was read to an end that is proved to be its regular
+// one.
+func (r *Response) Complete() bool { return r.body.Complete() }
+
 // FirstByte returns the time from the call to the response header.
 func (r *Response) FirstByte() time.Duration { return r.firstByte }
 
@@ -205,7 +215,8 @@
 // Close cancels the call and closes the body.
 func (r *Response) Close() {
 	r.cancel()
-	_ = r.body.Close()
+	// The connection is not used again if that fails.
+	_ = r.closeBody()
 }
 
 // ReadAll reads a body of at most limit bytes. A body that ends early is an error
@@ -261,7 +272,7 @@
 		return nil, errors.Newf("asked %s, answered %s: %w", c.RequestID, id, ErrMismatchedResponse)
 	}
 	return &Response{
-		status: resp.StatusCode, header: resp.Header, body: resp.Body,
+		status: resp.StatusCode, header: resp.Header, body: relay.NewBody(resp, c.VerifyEnd), closeBody: resp.Body.Close,
 		cancel: stop, firstByte: time.Since(start), via: via,
 	}, nil
 }
