Soak: a prompt part that crashes servers, some of them within responses that end with their connection

Requests with the part arrive at all entries, no two alike, on all routes, beside the faults. In the end every entry holds them back and serves others with the same first part.

--- a/cmd/fennelyard/soak_harmful_test.go
+++ b/cmd/fennelyard/soak_harmful_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -64,3 +65,92 @@
 	}
 	return true
 }
+
+// harmfulPart is a part of prompts that crashes the backend server that runs a request with it, and
+// ordinaryPart one that ordinary requests share with the harmful ones.
+const (
+	harmfulPart  = "bad0"
+	ordinaryPart = "a1"
+)
+
+// sendHarmfulParts sends requests with the harmful part until the soak's context ends, no two alike.
+func (s *soak) sendHarmfulParts(r *rand.Rand) {
+	for n := 0; s.ctx.Err() == nil; n++ {
+		s.sendHarmfulPart(r.IntN(s.entries), n)
+		time.Sleep(time.Duration(100+r.IntN(300)) * time.Millisecond)
+	}
+}
+
+func (s *soak) sendHarmfulPart(entry, n int) (status int) {
+	status, _ = s.sendWithParts(entry, n, fmt.Sprintf("p-%d-%d", s.seed, n), harmfulPart)
+	return status
+}
+
+// sendWithParts sends a request of its own kind and body whose prompt has a middle part.
+func (s *soak) sendWithParts(entry, n int, id, middle string) (int, string) {
+	kind := standin.RouteNames[uint(n)%uint(len(standin.RouteNames))]
+	header := standin.RequestHeader(id, 2000)
+	standin.SetPromptParts(header, ordinaryPart, middle, fmt.Sprintf("%x", uint32(n)))
+	url := fmt.Sprintf("http://%s:%d/%s/x", s.entryIP(entry), s.port+2, kind)
+	return s.call(http.MethodPost, url, "body "+id, header, 3*time.Second)
+}
+
+// crashWithinResponse records that a server crashes under the harmful part. For some requests the
+// server has written a part of a response that ends with its connection.
+func (s *soak) crashWithinResponse(w http.ResponseWriter, q *http.Request, kind string) {
+	s.mu.Lock()
+	s.crashedByPart++
+	n := s.crashedByPart
+	s.mu.Unlock()
+	if n%2 == 0 {
+		return
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	text := "ans"
+	if kind == standin.StreamRoute {
+		text = "id: 1\ndata: x\n\n"
+	}
+	// The server ends whether or not its client still reads.
+	_, _ = io.WriteString(conn, standin.UnframedResponse(q)+text)
+	_ = conn.Close()
+}
+
+func (s *soak) partCrashCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashedByPart
+}
+
+// checkHarmfulPartHeldBack checks, after the end of the faults, that every entry holds requests with
+// the harmful part back, and no others that share their first part.
+func (s *soak) checkHarmfulPartHeldBack() {
+	rounds := 0
+	require.Eventually(s.t, func() bool {
+		rounds++
+		return s.holdsBackHarmfulPart(rounds)
+	}, waitLimit, 50*time.Millisecond, "seed %d: the harmful prompt part is not held back everywhere", s.seed)
+	before := s.partCrashCount()
+	for round := range harmfulRounds {
+		s.holdsBackHarmfulPart(rounds + 1 + round)
+	}
+	require.Equal(s.t, before, s.partCrashCount(), "seed %d: a server crashed although the part is held back", s.seed)
+}
+
+// holdsBackHarmfulPart reports whether every entry refuses a new request with the harmful part and
+// then serves one with another part.
+func (s *soak) holdsBackHarmfulPart(round int) bool {
+	for i := range s.entries {
+		if s.sendHarmfulPart(i, -(round*s.entries+i)) != http.StatusServiceUnavailable {
+			return false
+		}
+	}
+	for i := range s.entries {
+		if status, _ := s.sendWithParts(i, round*s.entries+i, fmt.Sprintf("q-%d-%d-%d", s.seed, round, i), "b2"); status != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
--- a/cmd/fennelyard/soak_test.go
+++ b/cmd/fennelyard/soak_test.go
@@ -92,8 +92,9 @@
 	served int
 	// servedByModels counts those of them that were sent to models.
 	servedByModels int
-	// crashed counts the servers that crashed under the harmful request.
-	crashed int
+	// crashed counts the servers that crashed under the harmful request, and crashedByPart those
+	// that crashed under the harmful prompt part.
+	crashed, crashedByPart int
 	// acknowledgedVersion is the newest version of the configuration that was acknowledged.
 	acknowledgedVersion uint64
 	// requests are the clients' requests in progress, by id, and starts counts the starts of each
@@ -153,6 +154,11 @@
 	if err != nil {
 		return
 	}
+	if standin.HasPromptPart(q, harmfulPart) {
+		s.crashWithinResponse(w, q, kind)
+		crash()
+		return
+	}
 	if string(body) == harmfulBody {
 		s.mu.Lock()
 		s.crashed++
@@ -396,6 +402,7 @@
 	}
 	wg.Go(func() { s.updateConfig(rand.New(rand.NewPCG(seed, 100))) })
 	wg.Go(func() { s.sendHarmfulRequests(rand.New(rand.NewPCG(seed, 400))) })
+	wg.Go(func() { s.sendHarmfulParts(rand.New(rand.NewPCG(seed, 900))) })
 	faultsEnd := make(chan struct{})
 	time.AfterFunc(*soakFor, func() { close(faultsEnd) })
 	if s.proxiedControls {
@@ -455,6 +462,7 @@
 		return ok && version >= s.acknowledgedVersion
 	}, waitLimit, 50*time.Millisecond, "seed %d: the acknowledged configuration is not restored", s.seed)
 	s.checkHarmfulHeldBack()
+	s.checkHarmfulPartHeldBack()
 	s.checkModels()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -467,6 +475,6 @@
 		require.NotContains(s.t, p.log.String(), "DATA RACE", "seed %d: %s", s.seed, name)
 	}
 	require.Positive(s.t, s.served, "seed %d", s.seed)
-	s.t.Logf("seed %d: %d requests served, %d of them by models, %d refused as not run, version %d acknowledged, %d servers ended under the harmful request",
-		s.seed, s.served, s.servedByModels, len(s.notRun), s.acknowledgedVersion, s.crashed)
+	s.t.Logf("seed %d: %d requests served, %d of them by models, %d refused as not run, version %d acknowledged, %d servers ended under the harmful request, %d under the harmful prompt part",
+		s.seed, s.served, s.servedByModels, len(s.notRun), s.acknowledgedVersion, s.crashed, s.crashedByPart)
 }
