quarantine: parts that lack one server are held back before what is wider

Callers saw all requests with a first part refused for minutes where two harmful parts behind it had ended two servers each at once: only the first part had ended three, nobody had seen it complete since, and held back it could not.

The last part of a prompt is a session's, a scope of its own.

--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -47,10 +47,13 @@
 	messages := in.messages[:min(len(in.messages), maxCarrierMessages)]
 	for depth, message := range slices.Backward(messages) {
 		id := messageID(message)
-		if depth < len(in.messages)-1 {
-			out = append(out, quarantine.Carrier{Scope: quarantine.ScopePartAtModel, Name: id, Within: in.target.name, Depth: depth})
+		if depth == len(in.messages)-1 {
+			out = append(out, quarantine.Carrier{Scope: quarantine.ScopeSession, Name: id})
+			continue
 		}
-		out = append(out, quarantine.Carrier{Scope: quarantine.ScopePart, Name: id, Depth: depth})
+		out = append(out,
+			quarantine.Carrier{Scope: quarantine.ScopePart, Name: id, Depth: depth},
+			quarantine.Carrier{Scope: quarantine.ScopePartAtModel, Name: id, Within: in.target.name, Depth: depth})
 	}
 	if in.kind == kindModel {
 		out = append(out, quarantine.Carrier{Scope: quarantine.ScopeModel, Name: in.target.name})
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -30,10 +30,13 @@
 	parts := info.PromptParts[:min(len(info.PromptParts), maxCarrierParts)]
 	out := make([]quarantine.Carrier, 0, 2*len(parts)+3)
 	for depth, part := range slices.Backward(parts) {
-		if depth < len(info.PromptParts)-1 {
-			out = append(out, quarantine.Carrier{Scope: quarantine.ScopePartAtModel, Name: part.ID, Within: info.Model, Depth: depth})
+		if depth == len(info.PromptParts)-1 {
+			out = append(out, quarantine.Carrier{Scope: quarantine.ScopeSession, Name: part.ID})
+			continue
 		}
-		out = append(out, quarantine.Carrier{Scope: quarantine.ScopePart, Name: part.ID, Depth: depth})
+		out = append(out,
+			quarantine.Carrier{Scope: quarantine.ScopePart, Name: part.ID, Depth: depth},
+			quarantine.Carrier{Scope: quarantine.ScopePartAtModel, Name: part.ID, Within: info.Model, Depth: depth})
 	}
 	if info.Adapter != "" {
 		out = append(out, quarantine.Carrier{Scope: quarantine.ScopeAdapter, Name: info.Adapter, Within: info.Model})
--- a/internal/quarantine/carrier.go
+++ b/internal/quarantine/carrier.go
@@ -28,6 +28,8 @@
 	// them for one model.
 	ScopePart        // part
 	ScopePartAtModel // part-at-model
+	// ScopeSession is all requests of one session: those with the same last part.
+	ScopeSession // session
 )
 
 const (
--- a/internal/quarantine/holds.go
+++ b/internal/quarantine/holds.go
@@ -27,7 +27,8 @@
 // so that each end of a server accuses many. The fewest requests are refused if of these
 // only the narrowest are held back that explain what has happened.
 type holds struct {
-	// candidates are the shared suspects whose blame reaches their thresholds.
+	// candidates are the shared suspects whose blame reaches their thresholds, and the parts
+	// that lack one server.
 	candidates map[Key]*record
 	// until are the shared suspects that are held back, with the ends of their holds.
 	until map[Key]time.Time
@@ -48,7 +49,8 @@
 		return
 	}
 	_, was := h.candidates[key]
-	is := r.blame() >= r.scope.threshold()
+	blame := r.blame()
+	is := blame >= r.scope.threshold() || r.scope == ScopePart && blame == r.scope.threshold()-1
 	switch {
 	case is:
 		h.candidates[key] = r
@@ -105,7 +107,7 @@
 type choice struct {
 	candidates map[Key]*record
 	keys       []Key
-	// doubtful are those of keys for which the others explain too much.
+	// doubtful are those of keys that others explain in part, or that lack one server.
 	doubtful map[Key]bool
 	// explanations are the chosen suspects by the servers that count against them.
 	explanations map[string][]Key
@@ -114,37 +116,81 @@
 // choose goes through the candidates from the narrowest to the widest. What a narrower one
 // explains is no evidence against a wider one, unless all of the narrower one's servers
 // count against the wider one as well: then the narrower one may be one of several that
-// have only the wider one in common, and together they are one piece of evidence.
+// have only the wider one in common, and together they are one piece of evidence. Where
+// parts that lack one server would explain a wider suspect, they are held back in its
+// place.
 func (h *holds) choose() *choice {
 	c := &choice{candidates: h.candidates, doubtful: map[Key]bool{}, explanations: map[string][]Key{}}
+	var partial []Key
 	for _, key := range slices.SortedFunc(maps.Keys(h.candidates), h.compare) {
 		r := h.candidates[key]
-		within := map[Key]bool{}
-		unexplained := r.blameWithout(func(server string) bool {
-			for _, by := range c.explanations[server] {
-				if _, seen := within[by]; !seen {
-					within[by] = h.candidates[by].isWithin(r)
-				}
-			}
-			return len(c.explanations[server]) > 0
-		})
-		nested := 0
-		for _, is := range within {
-			if is {
-				nested++
+		if r.blame() < r.scope.threshold() {
+			partial = append(partial, key)
+			continue
+		}
+		unexplained, nested := c.unexplained(r)
+		if unexplained+nested < r.scope.threshold() {
+			if unexplained > 0 && r.blame() >= r.scope.threshold()+maxDoubtfulServers {
+				c.addDoubtful(key, r)
 			}
+			continue
 		}
-		switch {
-		case unexplained+nested >= r.scope.threshold():
-			c.add(key, r)
-		case unexplained > 0 && r.blame() >= r.scope.threshold()+maxDoubtfulServers:
-			c.add(key, r)
-			c.doubtful[key] = true
+		if with := c.withPartial(r, partial); with != nil {
+			c = with
+			continue
 		}
+		c.add(key, r)
+		c.doubtful[key] = nested > 1
 	}
 	return c
 }
 
+// withPartial returns the choice with the partial suspects that explain servers of another
+// suspect, if that is enough not to hold it back; otherwise nil.
+func (c *choice) withPartial(r *record, partial []Key) *choice {
+	with := &choice{candidates: c.candidates, keys: slices.Clone(c.keys), doubtful: maps.Clone(c.doubtful), explanations: map[string][]Key{}}
+	for server, by := range c.explanations {
+		with.explanations[server] = slices.Clone(by)
+	}
+	added := false
+	for _, key := range partial {
+		p := c.candidates[key]
+		if unexplained, _ := with.unexplained(p); unexplained > 0 && p.isWithin(r) {
+			with.addDoubtful(key, p)
+			added = true
+		}
+	}
+	if unexplained, nested := with.unexplained(r); !added || unexplained+nested >= r.scope.threshold() {
+		return nil
+	}
+	return with
+}
+
+// unexplained returns the blame of a suspect without the servers that chosen suspects
+// explain, and the number of these whose servers all count against it as well.
+func (c *choice) unexplained(r *record) (blame, nested int) {
+	within := map[Key]bool{}
+	blame = r.blameWithout(func(server string) bool {
+		for _, by := range c.explanations[server] {
+			if _, seen := within[by]; !seen {
+				within[by] = c.candidates[by].isWithin(r)
+			}
+		}
+		return len(c.explanations[server]) > 0
+	})
+	for _, is := range within {
+		if is {
+			nested++
+		}
+	}
+	return blame, nested
+}
+
+func (c *choice) addDoubtful(key Key, r *record) {
+	c.add(key, r)
+	c.doubtful[key] = true
+}
+
 func (c *choice) add(key Key, r *record) {
 	c.keys = append(c.keys, key)
 	for server, e := range r.ended {
@@ -194,7 +240,9 @@
 		if e.cleared {
 			continue
 		}
-		if !slices.ContainsFunc(c.explanations[server], func(by Key) bool { return by != key && c.candidates[by].blame() > blame }) {
+		if !slices.ContainsFunc(c.explanations[server], func(by Key) bool {
+			return by != key && !c.doubtful[by] && c.candidates[by].blame() > blame
+		}) {
 			return false
 		}
 	}
--- a/internal/quarantine/part_series_test.go
+++ b/internal/quarantine/part_series_test.go
@@ -147,7 +147,7 @@
 		entry: f.entries[f.random.Intn(len(f.entries))], model: model, harmful: harmful,
 		keyed: quarantine.NewKeyedRequest(
 			quarantine.Request{Target: "/x", Caller: "caller", Body: []byte(own)},
-			quarantine.Carrier{Scope: quarantine.ScopePart, Name: own, Depth: 2},
+			quarantine.Carrier{Scope: quarantine.ScopeSession, Name: own},
 			quarantine.Carrier{Scope: quarantine.ScopePartAtModel, Name: middle, Within: name, Depth: 1},
 			quarantine.Carrier{Scope: quarantine.ScopePart, Name: middle, Depth: 1},
 			quarantine.Carrier{Scope: quarantine.ScopePartAtModel, Name: first, Within: name},
--- a/internal/quarantine/scope_string.go
+++ b/internal/quarantine/scope_string.go
@@ -14,11 +14,12 @@
 	_ = x[ScopeAdapter-3]
 	_ = x[ScopePart-4]
 	_ = x[ScopePartAtModel-5]
+	_ = x[ScopeSession-6]
 }
 
-const _Scope_name = "requestteammodeladapterpartpart-at-model"
+const _Scope_name = "requestteammodeladapterpartpart-at-modelsession"
 
-var _Scope_index = [...]uint8{0, 7, 11, 16, 23, 27, 40}
+var _Scope_index = [...]uint8{0, 7, 11, 16, 23, 27, 40, 47}
 
 func (i Scope) String() string {
 	idx := int(i) - 0
--- a/internal/quarantine/sync.go
+++ b/internal/quarantine/sync.go
@@ -98,7 +98,7 @@
 	for _, suspect := range list {
 		var key Key
 		scope := Scope(suspect.GetScope())
-		if len(suspect.GetKey()) != len(key) || scope < ScopeRequest || scope > ScopePartAtModel {
+		if len(suspect.GetKey()) != len(key) || scope < ScopeRequest || scope > ScopeSession {
 			s.cfg.Log.Info("suspicion not taken", "reason", "its key has another length, or its scope is unknown", "bytes", len(suspect.GetKey()), "scope", int(scope))
 			continue
 		}
--- a/internal/role/harmful_part_test.go
+++ b/internal/role/harmful_part_test.go
@@ -249,3 +249,83 @@
 		})
 	}
 }
+
+// harmfulPartEvents happen while requests with one or two harmful parts arrive.
+var harmfulPartEvents = map[string]func(d *deployment, b *backends){
+	"servers that crash by themselves": func(_ *deployment, b *backends) {
+		for range 6 {
+			b.stopSome(1)
+			time.Sleep(700 * time.Millisecond)
+		}
+	},
+	"a rack lost": func(_ *deployment, b *backends) {
+		time.Sleep(500 * time.Millisecond)
+		b.stopSome(4)
+	},
+	"the leader lost": func(d *deployment, _ *backends) {
+		time.Sleep(400 * time.Millisecond)
+		d.powerOff(d.leader())
+	},
+	"entries that restart": func(d *deployment, _ *backends) {
+		for _, ip := range []string{"10.0.1.1", "10.0.1.2"} {
+			time.Sleep(500 * time.Millisecond)
+			d.restartEntry(ip)
+		}
+	},
+	"an entry partitioned from the control hosts": func(d *deployment, _ *backends) {
+		time.Sleep(200 * time.Millisecond)
+		d.setEntryPartition("10.0.1.3", true)
+		time.Sleep(4 * time.Second)
+		d.setEntryPartition("10.0.1.3", false)
+	},
+	"control hosts that restart in turn": func(d *deployment, _ *backends) {
+		for _, host := range d.controlIPs() {
+			d.restartControlHosts(host)
+			time.Sleep(3 * time.Second)
+		}
+	},
+}
+
+// Harmful parts must be found and stay held back while hosts and servers fail for other reasons.
+func TestHarmfulPromptPartsUnderFaults(t *testing.T) {
+	for name, event := range harmfulPartEvents {
+		for _, l := range []*partLoad{
+			{path: "/again/x", harmful: []string{"bad"}, interval: 250 * time.Millisecond, ordinaryParts: 6},
+			{path: "/once/x", harmful: []string{"bad", "worse"}, interval: 800 * time.Millisecond, burst: 4, ordinaryParts: 6},
+		} {
+			t.Run(fmt.Sprint(name, ", ", len(l.harmful), " parts"), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					d := newSettledDeployment(t, 63, 6)
+					defer d.close()
+					b := startBackends(d, 14)
+					defer b.close()
+					for _, part := range l.harmful {
+						b.setHarmfulPart(part, partCrashes["in a body that ends with the connection"].crash)
+					}
+					done := make(chan struct{})
+					go func() {
+						defer close(done)
+						l.run(d, 12*time.Second)
+					}()
+					event(d, b)
+					<-done
+					l.takeServedShare()
+					d.await(15*time.Second, "the servers", func() bool {
+						for _, e := range d.entries {
+							if e.ReadyServers() < 10 {
+								return false
+							}
+						}
+						return true
+					})
+					l.run(d, 6*time.Second)
+					for _, part := range l.harmful {
+						t.Logf("%s: %d servers crashed, %d late arrivals", part, b.partCrashCount(part), b.latePartArrivals(part))
+						require.LessOrEqual(t, b.latePartArrivals(part), maxLateArrivals)
+					}
+					require.GreaterOrEqual(t, l.takeServedShare(), minSoundShare)
+				})
+			})
+		}
+	}
+}
