Test: a message of conversations that crashes engines is held back on listed hosts

Each conversation is another one; engines crash within responses that end with their connections, and start again. After five engines at the latest new conversations with the message are refused as not run, others with the same first message are served.

--- a/internal/host/heldback_test.go
+++ b/internal/host/heldback_test.go
@@ -105,3 +105,63 @@
 	require.NoError(h.t, err)
 	return newResponse(resp, data)
 }
+
+// Conversations that share one message crash the engines that respond to them, within responses that
+// end with their connections. No two are alike. They must be held back after five engines at
+// the latest, and conversations that share the first message only must be served.
+func TestCrashingMessageIsHeldBack(t *testing.T) {
+	// One request that is retried may crash three engines before others do.
+	const engines, maxCrashes = 2, 5
+	h := newHarness(t, "")
+	var crashes atomic.Int64
+	var start func(name string)
+	start = func(name string) {
+		var e *standin.Engine
+		e = h.engine(name, func(c *standin.EngineConfig) {
+			c.Complete = func(w http.ResponseWriter, r *http.Request, _ string) {
+				body, err := io.ReadAll(r.Body)
+				if err != nil || !strings.Contains(string(body), "harmful") {
+					_, _ = io.WriteString(w, `{"text":"ok"}`)
+					return
+				}
+				crashes.Add(1)
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+routing.HeaderRequestID+": "+r.Header.Get(routing.HeaderRequestID)+"\r\n\r\n{\"text\":\"o\"}")
+				_ = c.Listener.Close()
+				_ = conn.Close()
+				go func() {
+					e.Close()
+					start(name)
+				}()
+			}
+		})
+	}
+	for i := range engines {
+		start(fmt.Sprint("engine-", i))
+	}
+	h.awaitServers(engines)
+	h.configure(engines)
+	talk := func(document, question string) response {
+		return h.post("/v1/chat/completions", fmt.Sprintf(`{"model":%q,"messages":[{"role":"system","content":"plan"},{"role":"user","content":%q},{"role":"user","content":%q}]}`,
+			testModel, document, question))
+	}
+	require.Equal(t, http.StatusOK, talk("ordinary", "first").status)
+	for n := range 3 * maxCrashes {
+		if got := talk("harmful", fmt.Sprint("question ", n)); got.code == "held-back" && got.outcome == "not-run" {
+			break
+		}
+		h.eventually("the model at another engine", func() bool { return talk("ordinary", fmt.Sprint("after ", n)).status == http.StatusOK })
+	}
+	require.LessOrEqual(t, crashes.Load(), int64(maxCrashes))
+	before := crashes.Load()
+	got := talk("harmful", "the last question")
+	require.Equal(t, "held-back", got.code)
+	require.Equal(t, "not-run", got.outcome)
+	require.Contains(t, got.message, "same part")
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+	require.Equal(t, http.StatusOK, talk("ordinary", "second").status)
+	require.Equal(t, before, crashes.Load())
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -233,10 +234,12 @@
 		Model  string `json:"model"`
 		Stream bool   `json:"stream"`
 	}
-	if json.NewDecoder(r.Body).Decode(&body) != nil {
+	data, err := io.ReadAll(r.Body)
+	if err != nil || json.Unmarshal(data, &body) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	r.Body = io.NopCloser(bytes.NewReader(data))
 	id := r.Header.Get(routing.HeaderRequestID)
 	w.Header().Set(routing.HeaderRequestID, id)
 	if !e.beginRequest(body.Model) {
