--- a/cmd/fennelyard/harmful.go
+++ b/cmd/fennelyard/harmful.go
@@ -15,8 +15,8 @@
 func newHarmful() *cobra.Command {
 	c := &cobra.Command{
 		Use: "harmful", Short: "Show and release requests that crash backend servers",
-		Long: `harmful shows the requests under which backend servers ended, as known to one host,
-and releases a request that is held back. --address is the operator address of any
+		Long: `harmful shows the requests under which backend servers ended, and what such requests
+share with others, as known to one host, and releases what is held back. --address is the operator address of any
 host, or of a control host where hosts discover each other through seeds.`,
 		Example: "  fennelyard harmful list --address 10.0.0.1:7002",
 	}
@@ -40,9 +40,9 @@
 				list = onlyHeldBack(list)
 			}
 			return writeOutput(c, flags.output, list, func(w io.Writer) {
-				writeTable(w, "KEY\tSERVERS ENDED\tCLEARED\tLAST\tHELD BACK FOR", func(t io.Writer) {
+				writeTable(w, "KEY\tSCOPE\tSERVERS ENDED\tCLEARED\tLAST\tHELD BACK FOR", func(t io.Writer) {
 					for _, s := range list.GetSuspects() {
-						_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%s ago\t%s\n", s.GetKey(), len(s.GetEndedServers()), len(s.GetClearedServers()),
+						_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s ago\t%s\n", s.GetKey(), s.GetScope(), len(s.GetEndedServers()), len(s.GetClearedServers()),
 							durationFromMs(s.GetLastEndedAgoMs()), durationFromMs(s.GetHeldBackForMs()))
 					}
 				})
@@ -94,7 +94,7 @@
 }
 
 func writeSuspect(w io.Writer, s *schema.SuspectView) {
-	_, _ = fmt.Fprintf(w, "request %s: %d servers ended, the last %s ago; held back for %s\n", s.GetKey(), len(s.GetEndedServers()),
+	_, _ = fmt.Fprintf(w, "%s %s: %d servers ended, the last %s ago; held back for %s\n", s.GetScope(), s.GetKey(), len(s.GetEndedServers()),
 		durationFromMs(s.GetLastEndedAgoMs()), durationFromMs(s.GetHeldBackForMs()))
 	for _, server := range s.GetEndedServers() {
 		_, _ = fmt.Fprintln(w, "  ended:  ", server)
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -25,7 +25,11 @@
 	maxLineBytes = 1 << 20
 	// requestMessage and droppedMessage are messages of log lines.
 	requestMessage = "request"
-	droppedMessage = "log lines dropped"
+	// probeMessage and heldBackMessage are the messages on servers that ended under
+	// requests, and on what is held back for it.
+	probeMessage    = "attempts broke off"
+	heldBackMessage = "request held back"
+	droppedMessage  = "log lines dropped"
 )
 
 // ErrRequestNotFound is returned if no log line names the request.
@@ -142,10 +146,15 @@
 	if len(t.Requests) == 0 {
 		return nil, errors.Newf("request %s: %w", id, ErrRequestNotFound)
 	}
+	ended := t.endedServers(lines)
 	for _, l := range lines {
 		if l.Message == requestMessage {
 			continue
 		}
+		if l.Message == probeMessage && ended[l.text("server")] {
+			t.StateChanges = append(t.StateChanges, l)
+			continue
+		}
 		for _, request := range t.Requests {
 			if t.isRelated(l, request) {
 				t.StateChanges = append(t.StateChanges, l)
@@ -159,11 +168,29 @@
 	return t, nil
 }
 
+// endedServers returns the servers that ended under what held the request back, if that is
+// something that it shares with others: the lines on these servers name other requests.
+func (t *Timeline) endedServers(lines []*Line) map[string]bool {
+	out := map[string]bool{}
+	for _, l := range lines {
+		for _, request := range t.Requests {
+			if l.Message != heldBackMessage || request.text("held-by") == "" || l.text("key") != request.text("held-by") {
+				continue
+			}
+			servers, _ := l.fields["servers"].([]any)
+			for _, server := range servers {
+				out[fmt.Sprint(server)] = true
+			}
+		}
+	}
+	return out
+}
+
 // isRelated reports whether a line is about something that the request depended on.
 // It sets Dropped if lines were dropped.
 func (t *Timeline) isRelated(l, request *Line) bool {
 	from := request.At.Add(-request.milliseconds("took-ms") - lookback)
-	if namesKey(l, request.text("key")) && l.At.Before(request.At) {
+	if (namesKey(l, request.text("key")) || namesKey(l, request.text("held-by"))) && l.At.Before(request.At) {
 		// What made the request suspect may lie long before it.
 		return true
 	}
@@ -221,6 +248,9 @@
 	case "caller-gone":
 		return "the caller disconnected before the response was complete"
 	case "held-back":
+		if scope := request.text("held-scope"); scope != "" && scope != "request" {
+			return "servers had ended while they ran requests with the same " + scope + " (" + request.text("held-name") + "), see key " + request.text("held-by") + "; they are held back"
+		}
 		return "three servers had ended while they ran the same request, see key " + request.text("key") + "; it is held back"
 	case "unauthorized":
 		return "the request's API key belongs to no team in version " + request.text("version") + ", confirmed " + request.text("confirmed-age-ms") + " ms before"
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -98,3 +98,23 @@
 	require.Contains(t, got.StateChanges[0].String(), "server=s1")
 	require.Contains(t, got.StateChanges[1].String(), "request held back")
 }
+
+const heldBackPartLogs = `
+{"time":"2026-01-02T03:03:01Z","level":"INFO","msg":"attempts broke off","host":"e2","logger":"entry/inquest","server":"s1","answers":"refused","ended":true,"keys":["k0"]}
+{"time":"2026-01-02T03:03:01Z","level":"INFO","msg":"attempts broke off","host":"e2","logger":"entry/inquest","server":"s5","answers":"refused","ended":true,"keys":["k9"]}
+{"time":"2026-01-02T03:03:02Z","level":"INFO","msg":"request held back","host":"e2","logger":"entry/quarantine","key":"p1","scope":"part","servers":["s1","s2","s3"],"blamed":3}
+{"time":"2026-01-02T03:04:03Z","level":"INFO","msg":"request","host":"e1","id":"42","key":"k1","outcome":"held-back","held-by":"p1","held-scope":"part","held-name":"5c1e","status":503,"took-ms":1}
+`
+
+// The timeline of a request that is held back for a prompt part must contain the servers that ended
+// under other requests with the part.
+func TestTimelineOfHeldBackPart(t *testing.T) {
+	lines, err := timeline.Read(strings.NewReader(heldBackPartLogs))
+	require.NoError(t, err)
+	got, err := timeline.Collect("42", lines)
+	require.NoError(t, err)
+	require.Contains(t, timeline.Cause(got.Requests[0]), "the same part (5c1e), see key p1")
+	require.Len(t, got.StateChanges, 2)
+	require.Contains(t, got.StateChanges[0].String(), "server=s1")
+	require.Contains(t, got.StateChanges[1].String(), "request held back")
+}
