roster: the version of a server's software is known at the entries; test that streams mix versions (red)

What servers of two versions write does not fit together, and a stream is resumed at any server. The version goes from the announcement to the leader, its log, hosts and entries, and into their logs; the first one of an incarnation holds. Requests name the attempt that they continue. Nothing is decided by either yet.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -35,6 +35,10 @@
 	// LastEventID is the id of the last event that the caller received of an earlier response; 0:
 	// none.
 	LastEventID int64
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream that this one
+	// continues; empty: not stated. ResumesInvalid is set if it is stated more than once or malformed.
+	Resumes        string
+	ResumesInvalid bool
 }
 
 // ForwardInfo holds the attributes that are added to a request to a backend server.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -247,7 +247,7 @@
 		for _, m := range s.GetModels() {
 			loaded += 1 + len(m.GetAdapters())
 		}
-		g.cfg.Log.V(1).Info("server believed", "server", s.GetId(), "state", s.GetState().String(), "held", loaded,
+		g.cfg.Log.V(1).Info("server believed", "server", s.GetId(), "state", s.GetState().String(), "version", s.GetSoftware(), "held", loaded,
 			"sequence", update.GetSequence())
 	}
 }
--- a/internal/loading/restore.go
+++ b/internal/loading/restore.go
@@ -44,6 +44,7 @@
 func announcementOf(k *schema.KnownServer) roster.Announcement {
 	return roster.Announcement{
 		ID: k.GetId(), Pool: k.GetPool(), Address: k.GetAddress(), DataCentre: k.GetDataCentre(), Slots: int(k.GetSlots()),
+		Software: k.GetSoftware(),
 	}
 }
 
--- a/internal/role/backends_test.go
+++ b/internal/role/backends_test.go
@@ -90,6 +90,8 @@
 	// partArrivals are the times at which such requests reached servers, partCrashes those of crashes.
 	partCrash                 map[string]partCrash
 	partArrivals, partCrashes map[string][]time.Time
+	// versions are the versions of the servers' software, by address.
+	versions map[string]string
 	// silent are the addresses of servers that send no announcements.
 	silent map[string]bool
 	// sameIDs is set if servers start again under their ids.
@@ -100,7 +102,9 @@
 func backendCodec() gateway.Codec {
 	return gateway.Codec{
 		ParseRequest: func(r *http.Request) gateway.RequestInfo {
-			info := gateway.RequestInfo{ID: r.Header.Get("X-Id")}
+			info := gateway.RequestInfo{ID: r.Header.Get("X-Id"), Resumes: r.Header.Get("X-Resumes")}
+			// Without the header the number is 0.
+			info.LastEventID, _ = strconv.ParseInt(r.Header.Get("X-Last-Event"), 10, 64)
 			for _, id := range splitParts(r) {
 				info.PromptParts = append(info.PromptParts, gateway.PromptPart{ID: id, Tokens: 100})
 			}
@@ -136,7 +140,12 @@
 
 // startBackendsWith is like startBackends. With sameIDs the servers start again under their ids.
 func startBackendsWith(d *deployment, n int, sameIDs bool) *backends {
-	b := &backends{sameIDs: sameIDs, deployment: d, count: n, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]func() *rejection{}, leaving: map[string]bool{}, runs: map[string]int{}, rejectionLimits: map[string]string{}, present: map[string]int{}, rejectedAt: map[string][]time.Time{}, silent: map[string]bool{}, partCrash: map[string]partCrash{}, partArrivals: map[string][]time.Time{}, partCrashes: map[string][]time.Time{}}
+	return startBackendsAs(d, n, sameIDs, func(*backends) {})
+}
+
+// startBackendsAs is like startBackendsWith; prepare is called before the servers start.
+func startBackendsAs(d *deployment, n int, sameIDs bool, prepare func(*backends)) *backends {
+	b := &backends{sameIDs: sameIDs, deployment: d, count: n, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]func() *rejection{}, leaving: map[string]bool{}, runs: map[string]int{}, rejectionLimits: map[string]string{}, present: map[string]int{}, rejectedAt: map[string][]time.Time{}, silent: map[string]bool{}, versions: map[string]string{}, partCrash: map[string]partCrash{}, partArrivals: map[string][]time.Time{}, partCrashes: map[string][]time.Time{}}
 	route := func(name string, repeat schema.Repeat) *schema.Route {
 		return &schema.Route{
 			Name: name, Host: "h.example", Prefix: "/" + name + "/", Repeat: repeat, TimeoutMs: 3000, AimMs: 300, MaxAttempts: 2,
@@ -154,6 +163,7 @@
 			stream(route("stream", schema.Repeat_REPEAT_NEVER)), stream(route("resume", schema.Repeat_REPEAT_RESUME)),
 		},
 	}))
+	prepare(b)
 	for i := range n {
 		b.wg.Add(1)
 		go func() {
@@ -209,7 +219,7 @@
 	if err != nil {
 		return
 	}
-	p := &backendProcess{backends: b, id: id, address: address, listener: listener, stopped: make(chan struct{})}
+	p := &backendProcess{backends: b, id: id, address: address, version: b.version(address), listener: listener, stopped: make(chan struct{})}
 	b.track(p, true)
 	defer b.track(p, false)
 	var wg sync.WaitGroup
@@ -220,7 +230,7 @@
 	}()
 	for sequence, tick := uint64(1), time.NewTicker(announceInterval); ; sequence++ {
 		if !b.isSilent(address) {
-			b.announce(roster.Announcement{ID: id, Pool: "app", Address: address, Slots: b.slotCount(), Sequence: sequence})
+			b.announce(roster.Announcement{ID: id, Pool: "app", Address: address, Slots: b.slotCount(), Software: p.version, Sequence: sequence})
 		}
 		select {
 		case <-tick.C:
@@ -301,6 +311,7 @@
 	backends *backends
 	id       string
 	address  string
+	version  string
 	listener net.Listener
 	once     sync.Once
 	stopped  chan struct{}
@@ -394,6 +405,10 @@
 	}
 	p.backends.recordRun(request)
 	if strings.HasPrefix(request.URL.Path, "/stream/") || strings.HasPrefix(request.URL.Path, "/resume/") {
+		if p.version != "" {
+			p.respondVersions(conn, request)
+			return
+		}
 		p.respondEvents(conn, request)
 		return
 	}
@@ -461,6 +476,8 @@
 	status int
 	// retryAfterSeconds is the value of Retry-After, 0 if there is none.
 	retryAfterSeconds float64
+	// body is what arrived of the response's body.
+	body string
 }
 
 // call sends a request to an entry. It may be called from other goroutines than the
@@ -468,23 +485,30 @@
 func (d *deployment) call(ip, path, body string) callResult { return d.callWithParts(ip, path, body) }
 
 // callWithParts is call with the IDs of the parts of the request's prompt.
-func (d *deployment) callWithParts(ip, path, body string, parts ...string) (result callResult) {
+func (d *deployment) callWithParts(ip, path, body string, parts ...string) callResult {
+	header := http.Header{}
+	if len(parts) > 0 {
+		header.Set("X-Parts", strings.Join(parts, ","))
+	}
+	return d.callWith(ip, path, body, header)
+}
+
+// callWith is call with other headers of the request.
+func (d *deployment) callWith(ip, path, body string, header http.Header) (result callResult) {
 	d.entriesMu.RLock()
 	entry := d.entries[ip]
 	d.entriesMu.RUnlock()
 	request := httptest.NewRequest(http.MethodPost, "http://h.example"+path, strings.NewReader(body))
+	request.Header = header
 	id := strconv.FormatInt(d.lastCallID.Add(1), 10)
 	request.Header.Set("X-Id", id)
-	if len(parts) > 0 {
-		request.Header.Set("X-Parts", strings.Join(parts, ","))
-	}
+	recorder := httptest.NewRecorder()
 	defer func() {
 		if recover() != nil {
-			result = callResult{id: id}
+			result = callResult{id: id, body: recorder.Body.String()}
 		}
 	}()
-	recorder := httptest.NewRecorder()
 	entry.CallerHandler().ServeHTTP(recorder, request)
 	retryAfter, _ := strconv.ParseFloat(recorder.Header().Get("Retry-After"), 64)
-	return callResult{id, recorder.Code, retryAfter}
+	return callResult{id, recorder.Code, retryAfter, recorder.Body.String()}
 }
--- a/internal/roster/announcements.go
+++ b/internal/roster/announcements.go
@@ -60,7 +60,7 @@
 // sameContent reports whether two announcements are equal except for their sequence numbers
 // and times.
 func (a *Announcement) sameContent(b *Announcement) bool {
-	return a.Pool == b.Pool && a.Address == b.Address && a.DataCentre == b.DataCentre && a.Slots == b.Slots &&
+	return a.Pool == b.Pool && a.Address == b.Address && a.DataCentre == b.DataCentre && a.Slots == b.Slots && a.Software == b.Software &&
 		sameModels(a.Loaded, b.Loaded) && slices.Equal(a.InMemory, b.InMemory) && slices.Equal(a.OnDisk, b.OnDisk)
 }
 
@@ -102,7 +102,7 @@
 func (a *Announcement) message() *schema.ServerWord {
 	return &schema.ServerWord{
 		Pool: a.Pool, Address: a.Address, DataCentre: a.DataCentre, Slots: uint32(a.Slots),
-		Held: a.Loaded, InMemory: a.InMemory, OnDisk: a.OnDisk,
+		Held: a.Loaded, InMemory: a.InMemory, OnDisk: a.OnDisk, Software: a.Software,
 	}
 }
 
@@ -124,7 +124,7 @@
 	if w := m.GetWord(); w != nil {
 		a = Announcement{
 			ID: m.GetId(), Pool: w.GetPool(), Address: w.GetAddress(), DataCentre: w.GetDataCentre(), Slots: int(w.GetSlots()),
-			Loaded: w.GetHeld(), InMemory: w.GetInMemory(), OnDisk: w.GetOnDisk(),
+			Loaded: w.GetHeld(), InMemory: w.GetInMemory(), OnDisk: w.GetOnDisk(), Software: w.GetSoftware(),
 		}
 	} else if !known {
 		return Announcement{}, false
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -38,6 +38,9 @@
 	Address    string
 	DataCentre string
 	Slots      int
+	// Software is the version of the server's software, "" if it announces none. Versions have
+	// no order.
+	Software string
 	// Leaving is set once the server takes no new work.
 	Leaving bool
 	// Sequence increases with each announcement of an incarnation.
@@ -189,16 +192,21 @@
 		state = schema.RosterState_ROSTER_STATE_LEAVING
 	}
 	view := &schema.RosterServer{
-		Id: a.ID, Pool: a.Pool, Address: a.Address, DataCentre: a.DataCentre, Slots: uint32(a.Slots), State: state,
+		Id: a.ID, Pool: a.Pool, Address: a.Address, DataCentre: a.DataCentre, Slots: uint32(a.Slots), State: state, Software: a.Software,
 	}
 	if s == nil {
 		s = &server{}
 		r.servers[a.ID] = s
 		view.Models = a.Loaded
 		r.cfg.Log.Info("server heard", "server", a.ID, "pool", a.Pool, "address", a.Address, "state", state.String(),
-			"sequence", a.Sequence)
+			"version", a.Software, "sequence", a.Sequence)
 	} else {
 		view.Models, view.Limit = s.view.GetModels(), s.view.GetLimit()
+		if known := s.view.GetSoftware(); known != a.Software && s.sequence > 0 {
+			// A process runs one version: what was announced first holds.
+			r.cfg.Log.Info("server announces another version", "server", a.ID, "version", a.Software, "first", known, "sequence", a.Sequence)
+			view.Software = known
+		}
 	}
 	s.sequence, s.lastReceived = a.Sequence, a.ReceivedAt(r.cfg.Now())
 	r.setView(s, view)
@@ -241,7 +249,7 @@
 	for id, s := range r.servers {
 		if v := s.view; v.GetState() == schema.RosterState_ROSTER_STATE_READY {
 			out[id] = &schema.KnownServer{
-				Id: id, Pool: v.GetPool(), Address: v.GetAddress(), DataCentre: v.GetDataCentre(), Slots: v.GetSlots(),
+				Id: id, Pool: v.GetPool(), Address: v.GetAddress(), DataCentre: v.GetDataCentre(), Slots: v.GetSlots(), Software: v.GetSoftware(),
 			}
 		}
 	}
@@ -306,7 +314,7 @@
 
 func sameView(a, b *schema.RosterServer) bool {
 	return a.GetState() == b.GetState() && a.GetPool() == b.GetPool() && a.GetAddress() == b.GetAddress() &&
-		a.GetSlots() == b.GetSlots() && sameModels(a.GetModels(), b.GetModels()) && proto.Equal(a.GetLimit(), b.GetLimit())
+		a.GetSlots() == b.GetSlots() && a.GetSoftware() == b.GetSoftware() && sameModels(a.GetModels(), b.GetModels()) && proto.Equal(a.GetLimit(), b.GetLimit())
 }
 
 func sameModels(a, b []*schema.HeldModel) bool {
@@ -327,7 +335,7 @@
 func withState(v *schema.RosterServer, state schema.RosterState) *schema.RosterServer {
 	return &schema.RosterServer{
 		Id: v.GetId(), Pool: v.GetPool(), Address: v.GetAddress(), DataCentre: v.GetDataCentre(), Slots: v.GetSlots(),
-		State: state, Models: v.GetModels(), Limit: v.GetLimit(),
+		State: state, Models: v.GetModels(), Limit: v.GetLimit(), Software: v.GetSoftware(),
 	}
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -109,3 +109,22 @@
 	require.Equal(t, schema.RosterState_ROSTER_STATE_GONE, views[0].GetState())
 	require.False(t, r.Ready("s"))
 }
+
+// A server that announces another version of its software under the same incarnation must keep the
+// first one: streams that it began could be joined with those of another version otherwise. A server
+// that an earlier leader recorded without a version takes the announced one.
+func TestFirstAnnouncedVersionHolds(t *testing.T) {
+	r, _ := newRoster()
+	a := announcement("i-1", "a:1", 1)
+	a.Software = "v1"
+	require.True(t, r.Announce(a))
+	a.Software, a.Sequence = "v2", 2
+	require.True(t, r.Announce(a))
+	require.Equal(t, "v1", r.ReadyServers()["i-1"].GetSoftware())
+
+	require.True(t, r.Restore(announcement("i-2", "a:2", 0)))
+	a = announcement("i-2", "a:2", 1)
+	a.Software = "v2"
+	require.True(t, r.Announce(a))
+	require.Equal(t, "v2", r.ReadyServers()["i-2"].GetSoftware())
+}
