gateway: a stream goes on only at servers of the software version that began it

Callers got streams with events of two versions of their servers' software, which do not fit together: a stream was resumed at any server, within a response and by its caller at any entry.

Cause: the version of a server was known to nobody but the leader's reader of announcements, and nothing tied an attempt to the one that it continues. Change: entries remember pool and version of each resumable stream that they begin; while a pool has several versions two other entries record it as well, before the first event; a resumed stream is bound to the version, or refused as not run.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -43,6 +43,7 @@
 	defer markPrefilled()
 	timer := x.newAttemptTimer(cancel, remaining)
 	defer timer.stop()
+	x.recordOrigin(s)
 	sentAt := time.Now()
 	defer func() {
 		took := time.Since(sentAt)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -39,6 +39,10 @@
 	// continues; empty: not stated. ResumesInvalid is set if it is stated more than once or malformed.
 	Resumes        string
 	ResumesInvalid bool
+	// resumable is set for a new stream that its caller may resume. bound is set for one that goes on only
+	// at servers whose software is of a version.
+	resumable, bound bool
+	version          string
 }
 
 // ForwardInfo holds the attributes that are added to a request to a backend server.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -97,7 +97,7 @@
 		}
 		candidates = append(candidates, s)
 	}
-	return candidates
+	return f.ofVersion(candidates, pool, info)
 }
 
 // bestOf returns the best one of some servers, nil for none; the caller holds mu.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -43,6 +43,9 @@
 	OutcomeServerLimit                   // server-limit
 	OutcomeServerCooldown                // server-cooldown
 	OutcomeNoPath                        // no-path
+	OutcomeBadResumes                    // bad-resumes
+	OutcomeVersionUnknown                // version-unknown
+	OutcomeVersionGone                   // version-gone
 )
 
 const (
@@ -117,6 +120,8 @@
 	statedCooldown time.Duration
 	// keyed is the request with its key, for the guard; nil until first needed.
 	keyed *quarantine.KeyedRequest
+	// originRecorded is closed once another entry has recorded where the stream begins; nil if none is to.
+	originRecorded chan struct{}
 	// started is set once a byte of the response was sent to the caller.
 	started bool
 	status  int
@@ -210,6 +215,9 @@
 		return
 	}
 	x.pool = pickPool(x.route, x.random)
+	if !x.bindToOrigin() {
+		return
+	}
 	x.g.retryBudget(x.pool).deposit(x.startTime, x.g.sharingEntries())
 	if x.info.Model != "" {
 		x.g.demand.addArrival(x.target())
@@ -361,6 +369,7 @@
 
 // finish logs the request, and aborts the connection of an interrupted response.
 func (x *exchange) finish() {
+	x.streamEnded()
 	x.refundQuota()
 	x.g.logRequest(x)
 	if x.status == 0 {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -29,6 +29,8 @@
 	// connected reports whether this entry receives the leader's updates, and sharingEntries returns
 	// the number of entries that divide the limits for all of them together.
 	connected func() bool
+	// confirmedAt returns when this entry was last confirmed by the control group.
+	confirmedAt func() time.Time
 	// limited holds the servers that have stated a limit, by incarnation: of thousands of servers,
 	// only these are looked at for each report.
 	limited map[string]*server
@@ -50,6 +52,10 @@
 	// endedUntil holds until when servers stay ejected that other entries have found to have ended, by
 	// incarnation; also those that are not in servers yet.
 	endedUntil map[string]time.Time
+	// versions are the versions of the servers' software in use, by pool.
+	versions map[string]map[string]*versionUse
+	// onSecondVersion is called when a pool gets a second version; it must not block.
+	onSecondVersion func(pool string)
 	// stats holds the observed statistics of the engines and prompts of each pool.
 	stats map[string]*poolStats
 }
@@ -57,9 +63,10 @@
 func newFleet() *fleet {
 	f := &fleet{
 		servers: map[string]*server{}, incarnations: map[string]int{}, addresses: map[string]map[string]bool{}, changed: make(chan struct{}), stats: map[string]*poolStats{},
-		sendRates: map[string]*arrivalRate{}, connected: func() bool { return true }, sharingEntries: func() int { return 1 },
+		sendRates: map[string]*arrivalRate{}, connected: func() bool { return true }, confirmedAt: time.Now, sharingEntries: func() int { return 1 },
 		maxConnections: map[string]float64{}, limited: map[string]*server{}, departures: map[string][]departure{}, endedUntil: map[string]time.Time{},
 		rejectionLimits: ratelimit.NewRejectionLimits(), cacheTokens: map[string]float64{}, roomWaiting: map[string]int{},
+		versions: map[string]map[string]*versionUse{}, onSecondVersion: func(string) {},
 	}
 	f.cooldowns = cooldown.NewTable(cooldown.Config{Hosts: func() int { return f.sharingEntries() }, Random: rand.Float64})
 	return f
@@ -136,6 +143,9 @@
 		}
 	}
 	now := time.Now()
+	if prune || len(views) > 0 {
+		f.noteVersions(now)
+	}
 	f.expireDepartures(now)
 	maps.DeleteFunc(f.endedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
 	f.notifyChanged()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"fennelyard/internal/ledger"
+	"fennelyard/internal/origin"
 	"fennelyard/internal/peer"
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/quota"
@@ -36,6 +37,8 @@
 	// StateCooldown reports to another entry that a server has stated a cooldown in a response that
 	// passed through it. It may be nil if requests never pass through other entries.
 	StateCooldown func(host, server string, wait time.Duration)
+	// Origins records and finds at other entries where streams began.
+	Origins OriginExchange
 	// KeyRevocation bounds how long a removed API key may still be accepted; 0 is unbounded.
 	KeyRevocation time.Duration
 	// QuotaWindow is the window over which the quotas of teams are counted.
@@ -68,6 +71,11 @@
 	subscriber *subscriber
 	// guard holds back requests that end the servers that run them.
 	guard *quarantine.Guard
+	// origins are where streams began, and originWrites the messages about it to other entries.
+	origins      *origin.Table
+	originWrites sync.WaitGroup
+	// openStreams holds the origins of the resumable streams in progress, by origin.Key.
+	openStreams sync.Map
 	// quotas tracks the usage of teams' quotas at this entry.
 	quotas *quota.Meter
 	table  atomic.Pointer[routeTable]
@@ -107,8 +115,10 @@
 		retryBudgets: map[string]*retryBudget{}, latencies: map[string]*latency{},
 	}
 	g.subscriber = newSubscriber(g)
+	g.origins = origin.NewTable(time.Now)
+	g.fleet.onSecondVersion = func(pool string) { g.goUnlessClosed(func() { g.replicateOpenStreams(pool) }) }
 	g.fleet.self, g.fleet.sharingEntries = cfg.Self.GetHost(), g.sharingEntries
-	g.fleet.connected = g.connected
+	g.fleet.connected, g.fleet.confirmedAt = g.connected, g.subscriber.confirmedAt
 	g.quotas = quota.NewMeter(quota.MeterConfig{Window: cfg.QuotaWindow, Random: rand.Float64}, g.startTime)
 	g.guard = quarantine.NewGuard(quarantine.GuardConfig{
 		Entry: cfg.Self.GetCallerAddress(), Probe: cfg.Sender.Probe, OnChange: g.reportNow, Log: cfg.Log,
@@ -157,10 +167,14 @@
 
 // Close aborts all requests and ends the subscription to the control host.
 func (g *Gateway) Close() {
+	// The lock orders the last goUnlessClosed before Wait.
+	g.mu.Lock()
 	g.abort()
+	g.mu.Unlock()
 	g.once.Do(func() { close(g.stop) })
 	g.guard.Close()
 	<-g.done
+	g.originWrites.Wait()
 }
 
 // Done returns a channel that is closed when the gateway has stopped.
--- /dev/null
+++ b/internal/gateway/origin.go
@@ -0,0 +1,376 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"fennelyard/internal/origin"
+	"fennelyard/internal/schema"
+)
+
+const (
+	// originReplicas is the number of other entries that record where a stream began: callers
+	// resume streams at other entries after the loss of their own, and of one more.
+	originReplicas = 2
+	// originTimeout bounds recording and finding an origin at other entries.
+	originTimeout = 300 * time.Millisecond
+	// maxOriginWait is how long the first event waits for an entry that has recorded the origin.
+	// It is recorded while the server reads the prompt.
+	maxOriginWait = 50 * time.Millisecond
+	// maxOpenReplications is the number of open streams whose origins are sent to other entries at once
+	// when a pool gets a second version.
+	maxOpenReplications = 32
+	// maxOriginQueries is the number of entries that are asked for an origin.
+	maxOriginQueries = 64
+	// versionWindow is the time for which a version counts as in use after its last server: as long as
+	// streams may be resumed that it began.
+	versionWindow = 30 * time.Second
+	// newVersionDelay is how long no resumable stream begins at the servers of a version that is new to
+	// a pool of another one, if there are others, counted up to the last confirmation by the control
+	// group: by then all other entries know that there are two versions, or know that they have not been
+	// confirmed for maxConfirmationAge.
+	newVersionDelay = 2 * time.Second
+)
+
+// OriginExchange records and finds at other entries where streams began. All functions are required.
+type OriginExchange struct {
+	Put func(ctx context.Context, entry string, key origin.Key, o origin.Origin) error
+	Get func(ctx context.Context, entry string, key origin.Key) (o origin.Origin, known bool, err error)
+}
+
+// Origins returns where streams began, as this entry knows.
+func (g *Gateway) Origins() *origin.Table { return g.origins }
+
+// versionUse is the use of a version of a pool's software.
+type versionUse struct {
+	// first is when the first server of the version was known, and gone when the last one was no longer;
+	// gone is the zero time while there are any.
+	first, gone time.Time
+}
+
+// versionsInUse returns the versions of a pool's software in use.
+func (f *fleet) versionsInUse(pool string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Sorted(maps.Keys(f.versions[pool]))
+}
+
+// noteVersions records the versions in use after a change of the servers; the caller holds mu.
+func (f *fleet) noteVersions(now time.Time) {
+	present := map[*versionUse]bool{}
+	for _, s := range f.servers {
+		pool := s.view.GetPool()
+		if f.versions[pool] == nil {
+			f.versions[pool] = map[string]*versionUse{}
+		}
+		use := f.versions[pool][s.view.GetSoftware()]
+		if use == nil {
+			use = &versionUse{first: now}
+			f.versions[pool][s.view.GetSoftware()] = use
+			if len(f.versions[pool]) == 2 {
+				f.onSecondVersion(pool)
+			}
+		}
+		use.gone, present[use] = time.Time{}, true
+	}
+	for _, uses := range f.versions {
+		for _, use := range uses {
+			if !present[use] && use.gone.IsZero() {
+				use.gone = now
+			}
+		}
+	}
+}
+
+// onlyVersion returns the version of a pool's servers, and whether all of them have been of this
+// version for versionWindow, as far as this entry knows.
+func (f *fleet) onlyVersion(pool string, now time.Time) (version string, only bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	uses := f.versions[pool]
+	maps.DeleteFunc(uses, func(_ string, use *versionUse) bool { return !use.gone.IsZero() && now.Sub(use.gone) > versionWindow })
+	for version = range uses {
+		if len(uses) == 1 {
+			return version, true
+		}
+	}
+	return "", false
+}
+
+// versionOf returns the version of a server's software.
+func (f *fleet) versionOf(s *server) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.view.GetSoftware()
+}
+
+// hasVersion reports whether a server of a version takes new work.
+func (f *fleet) hasVersion(pool, version string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		if s.view.GetPool() == pool && s.ready() && s.view.GetSoftware() == version {
+			return true
+		}
+	}
+	return false
+}
+
+// ofVersion removes the candidates at which a request must not run for the version of their software;
+// the caller holds mu.
+func (f *fleet) ofVersion(candidates []*server, pool string, info *RequestInfo) []*server {
+	if info.bound {
+		return slices.DeleteFunc(candidates, func(s *server) bool { return s.view.GetSoftware() != info.version })
+	}
+	if !info.resumable || len(f.versions[pool]) < 2 {
+		return candidates
+	}
+	confirmed := f.confirmedAt()
+	settled := slices.DeleteFunc(slices.Clone(candidates), func(s *server) bool {
+		use := f.versions[pool][s.view.GetSoftware()]
+		return use == nil || confirmed.Sub(use.first) < newVersionDelay
+	})
+	if len(settled) == 0 {
+		return candidates
+	}
+	return settled
+}
+
+// isResumable reports whether the route's streams may be resumed.
+func (x *exchange) isResumable() bool {
+	return x.route.GetStream() && x.route.GetRepeat() == schema.Repeat_REPEAT_RESUME
+}
+
+// bindToOrigin restricts a resumed stream to the servers of the version that began it. It sends the
+// response itself and returns false if the version is not known, or has no servers.
+func (x *exchange) bindToOrigin() bool {
+	if !x.isResumable() {
+		return true
+	}
+	x.info.resumable = true
+	if x.info.LastEventID <= 0 {
+		// Nothing is joined: the stream begins anew.
+		return true
+	}
+	if x.info.ResumesInvalid {
+		x.refuse(http.StatusBadRequest, OutcomeBadResumes, 0)
+		return false
+	}
+	o, known, complete := x.findOrigin()
+	switch {
+	case !known && complete:
+		// No other entry will know it later.
+		x.fail(OutcomeVersionUnknown, 0)
+		return false
+	case !known:
+		x.fail(OutcomeVersionUnknown, defaultRetryAfter)
+		return false
+	}
+	x.pool, x.info.bound, x.info.version = o.Pool, true, o.Version
+	return x.hasBoundServers()
+}
+
+// hasBoundServers reports whether the version that began the stream has servers. Otherwise it refuses
+// the request: nobody knows whether there will be any.
+func (x *exchange) hasBoundServers() bool {
+	if x.info.bound && !x.g.fleet.hasVersion(x.pool, x.info.version) {
+		x.fail(OutcomeVersionGone, 0)
+		return false
+	}
+	return true
+}
+
+// findOrigin finds where the stream began that the request continues. complete is set if all entries
+// were asked that may know it.
+func (x *exchange) findOrigin() (o origin.Origin, known, complete bool) {
+	var key origin.Key
+	if x.info.Resumes != "" {
+		key = origin.NewKey(x.info.APIKey, x.info.Resumes)
+		if o, known = x.g.origins.Get(key); known {
+			return o, true, true
+		}
+	}
+	version, only := x.g.fleet.onlyVersion(x.pool, time.Now())
+	only = only && x.g.connected()
+	if only && time.Since(x.g.startTime) > versionWindow {
+		return origin.Origin{Pool: x.pool, Version: version}, true, true
+	}
+	complete = true
+	if x.info.Resumes != "" {
+		if o, known, complete = x.askForOrigin(key); known {
+			return o, true, true
+		}
+	}
+	// This entry may have started after the last server of another version ended. While there were two,
+	// the origins were recorded at other entries.
+	if only {
+		return origin.Origin{Pool: x.pool, Version: version}, true, true
+	}
+	return origin.Origin{}, false, complete
+}
+
+// askForOrigin asks the other entries for an origin, first those that should have recorded it.
+func (x *exchange) askForOrigin(key origin.Key) (o origin.Origin, known, complete bool) {
+	ctx, cancel := context.WithTimeout(x.ctx, originTimeout)
+	defer cancel()
+	entries := x.g.originEntries(key)
+	first := min(2*originReplicas, len(entries))
+	complete = len(entries) <= maxOriginQueries
+	for _, some := range [][]string{entries[:first], entries[first:min(len(entries), maxOriginQueries)]} {
+		o, known, asked := x.g.askEntries(ctx, some, key)
+		if known {
+			return o, true, true
+		}
+		complete = complete && asked
+	}
+	return origin.Origin{}, false, complete
+}
+
+// originEntries returns the addresses of the other entries, first those that record the origin of a
+// stream.
+func (g *Gateway) originEntries(key origin.Key) []string {
+	list := g.entries.Load()
+	if list == nil {
+		return nil
+	}
+	text := key.String()
+	var out []string
+	for _, e := range *list {
+		if e.GetHost() != g.cfg.Self.GetHost() && e.GetTunnelAddress() != "" {
+			out = append(out, e.GetTunnelAddress())
+		}
+	}
+	slices.SortFunc(out, func(a, b string) int {
+		return cmp.Or(cmp.Compare(rendezvousHash(text, b), rendezvousHash(text, a)), cmp.Compare(a, b))
+	})
+	return out
+}
+
+// askEntries asks some entries at once. complete is set if all of them responded.
+func (g *Gateway) askEntries(ctx context.Context, entries []string, key origin.Key) (o origin.Origin, known, complete bool) {
+	type result struct {
+		origin origin.Origin
+		known  bool
+		err    error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result, len(entries))
+	for _, entry := range entries {
+		go func() {
+			o, known, err := g.cfg.Origins.Get(ctx, entry, key)
+			results <- result{o, known, err}
+		}()
+	}
+	complete = true
+	for range entries {
+		r := <-results
+		if r.known {
+			return r.origin, true, true
+		}
+		complete = complete && r.err == nil
+	}
+	return origin.Origin{}, false, complete
+}
+
+// recordOrigin records that the stream begins at a server. While the pool has several versions, other
+// entries record it as well.
+func (x *exchange) recordOrigin(s *server) {
+	if !x.info.resumable || x.started {
+		return
+	}
+	key := origin.NewKey(x.info.APIKey, x.info.ID)
+	o := origin.Origin{Pool: x.pool, Version: x.g.fleet.versionOf(s), Attempt: x.attempts}
+	if x.info.bound {
+		// The caller may name this attempt as well.
+		o.Version = x.info.version
+	}
+	x.g.origins.Put(key, o)
+	x.g.openStreams.Store(key, o)
+	x.originRecorded = nil
+	if _, only := x.g.fleet.onlyVersion(x.pool, time.Now()); !only {
+		x.originRecorded = x.g.replicateOrigin(key, o)
+	}
+}
+
+// streamEnded removes the request from the open streams.
+func (x *exchange) streamEnded() {
+	if x.info.resumable {
+		x.g.openStreams.Delete(origin.NewKey(x.info.APIKey, x.info.ID))
+	}
+}
+
+// replicateOrigin has other entries record where a stream began. The channel that it returns is closed
+// once one of them has.
+func (g *Gateway) replicateOrigin(key origin.Key, o origin.Origin) chan struct{} {
+	entries := g.originEntries(key)
+	recorded := make(chan struct{})
+	var once sync.Once
+	for _, entry := range entries[:min(len(entries), originReplicas)] {
+		g.goUnlessClosed(func() {
+			ctx, cancel := context.WithTimeout(g.aborted, originTimeout)
+			defer cancel()
+			if err := g.cfg.Origins.Put(ctx, entry, key, o); err != nil {
+				g.cfg.Log.Info("origin not recorded", "entry", entry, "stream", key.String(), "error", err.Error())
+				return
+			}
+			once.Do(func() { close(recorded) })
+		})
+	}
+	return recorded
+}
+
+// goUnlessClosed calls f in a goroutine that Close waits for.
+func (g *Gateway) goUnlessClosed(f func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.aborted.Err() == nil {
+		g.originWrites.Go(f)
+	}
+}
+
+// replicateOpenStreams has other entries record where the open streams of a pool began that has got
+// a second version: until then any server could resume them.
+func (g *Gateway) replicateOpenStreams(pool string) {
+	n := 0
+	g.openStreams.Range(func(key, value any) bool {
+		if o, _ := value.(origin.Origin); o.Pool == pool && g.aborted.Err() == nil {
+			n++
+			recorded := g.replicateOrigin(key.(origin.Key), o)
+			if n%maxOpenReplications == 0 {
+				awaitRecorded(g.aborted, recorded)
+			}
+		}
+		return true
+	})
+	g.cfg.Log.Info("pool has several versions", "pool", pool, "versions", g.fleet.versionsInUse(pool), "open-streams", n)
+}
+
+// awaitOrigin waits, before the first event is forwarded, until another entry has recorded where the
+// stream began.
+func (x *exchange) awaitOrigin() {
+	if x.originRecorded != nil {
+		awaitRecorded(x.ctx, x.originRecorded)
+	}
+}
+
+// awaitRecorded waits for maxOriginWait at most.
+func awaitRecorded(ctx context.Context, recorded chan struct{}) {
+	timer := time.NewTimer(maxOriginWait)
+	defer timer.Stop()
+	select {
+	case <-recorded:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// bindTo restricts further attempts to servers of the version that began the response.
+func (x *exchange) bindTo(s *server) {
+	x.info.bound, x.info.version = true, x.g.fleet.versionOf(s)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -53,6 +53,7 @@
 		x.g.fleet.recordFailure(s, time.Now())
 		x.reportInterruption(s, err)
 		x.excluded = append(x.excluded, s.id)
+		x.bindTo(s)
 		var ended func()
 		if s, response, ended = x.resume(lastID); response == nil {
 			x.fail(OutcomeCut, 0)
@@ -100,6 +101,7 @@
 			*lastID, x.lastEventID = last, last
 		}
 		if !x.started {
+			x.awaitOrigin()
 			x.startStream(response)
 		}
 		if _, err = x.w.Write(events); err == nil {
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -22,6 +22,9 @@
 	for missed := false; ; {
 		changed := x.g.fleet.changes()
 		now := time.Now()
+		if !x.hasBoundServers() {
+			return false
+		}
 		c := x.g.fleet.chooseWithin(x.pool, &x.info, x.excluded, now, x.random)
 		if c.limited != nil && !missed {
 			missed = true
--- a/internal/role/deployment_test.go
+++ b/internal/role/deployment_test.go
@@ -144,7 +144,7 @@
 	e, err := role.NewEntry(role.EntryConfig{
 		Settings: d.settings(ip, fmt.Sprintf("caller-address: %s:9000\nready-address: %s:9001\nkey-revocation: %s\n", ip, ip, revocationLimit)),
 		Codec:    backendCodec(), Ready: notFound, Directory: notFound, Metrics: metrics.New(), Log: deploymentLog(ip),
-		RequestLog: logr.Discard(), Network: d.networkOf(ip),
+		RequestLog: deploymentLog(ip), Network: d.networkOf(ip),
 	})
 	require.NoError(d.t, err)
 	d.entriesMu.Lock()
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -14,6 +14,7 @@
 	"fennelyard/internal/gateway"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/metrics"
+	"fennelyard/internal/origin"
 	"fennelyard/internal/path"
 	"fennelyard/internal/peer"
 	"fennelyard/internal/relay"
@@ -61,8 +62,10 @@
 	gateway *gateway.Gateway
 	// paths connects to the backend servers, and tunnels carries connections to them for other
 	// entries.
-	paths          *path.Dialer
-	tunnels        *tunnel.Server
+	paths   *path.Dialer
+	tunnels *tunnel.Server
+	// origins records and finds at other entries where streams began.
+	origins        *origin.Client
 	callerServer   *http.Server
 	callerListener net.Listener
 	servers        []*http.Server
@@ -92,6 +95,7 @@
 		Cooldown:     func(address string) time.Duration { return e.gateway.ServerCooldown(address) },
 		OnCooldown:   func(server string, wait time.Duration) { e.gateway.CarriedCooldown(server, wait) },
 	})
+	e.origins = origin.NewClient(direct)
 	e.gateway = gateway.New(gateway.Config{
 		Self: &schema.RosterEntry{
 			Host: s.GetHost(), DataCentre: s.GetDataCentre(), CallerAddress: s.GetCallerAddress(),
@@ -106,6 +110,7 @@
 		RetryBudget: gateway.RetryBudgetConfig{
 			Ratio: s.GetRepeatRatio(), Window: s.GetRepeatWindow().AsDuration(), Burst: int(s.GetRepeatSlack()),
 		},
+		Origins:       gateway.OriginExchange{Put: e.origins.Put, Get: e.origins.Get},
 		KeyRevocation: s.GetKeyRevocation().AsDuration(), QuotaWindow: s.GetQuotaWindow().AsDuration(),
 		OnRequestDone: func(r gateway.RequestStats) {
 			cfg.Metrics.RouteRequest(r.RouteKind, r.Outcome.String(), r.Status, r.Duration, r.TimeToFirstByte, r.Attempts)
@@ -170,7 +175,7 @@
 		{s.GetCallerAddress(), e.cfg.Network.Listen, e.gateway, true},
 		{s.GetReadyAddress(), e.cfg.Network.Listen, e.cfg.Ready(e), false},
 		{s.GetDirectoryAddress(), e.cfg.Network.Listen, e.cfg.Directory(e), false},
-		{settings.PeerAddress(s.GetPeerListenIp(), s), e.cfg.Network.listenHosts, e.tunnels, false},
+		{settings.PeerAddress(s.GetPeerListenIp(), s), e.cfg.Network.listenHosts, e.hostHandler(), false},
 	} {
 		if endpoint.address == "" {
 			continue
@@ -193,6 +198,18 @@
 	return nil
 }
 
+// hostHandler handles what other entries send: tunnels, and where streams began.
+func (e *Entry) hostHandler() http.Handler {
+	origins := origin.NewHandler(e.gateway.Origins())
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if origin.IsRequest(r) {
+			origins.ServeHTTP(w, r)
+			return
+		}
+		e.tunnels.ServeHTTP(w, r)
+	})
+}
+
 // Ready reports whether callers may be sent to this entry.
 func (e *Entry) Ready() bool { return e.gateway.Ready() }
 
@@ -262,6 +279,7 @@
 		e.tunnels.Reset()
 		e.wg.Wait()
 		e.gateway.Close()
+		e.origins.Close()
 		e.paths.Close()
 		e.dialer.Close()
 	})
--- a/internal/role/version_test.go
+++ b/internal/role/version_test.go
@@ -1,6 +1,7 @@
 package role_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand"
 	"net"
@@ -15,6 +16,11 @@
 	"github.com/stretchr/testify/require"
 )
 
+var (
+	versionSeeds     = flag.Int("version-seeds", 4, "series of releases and faults to try")
+	versionFirstSeed = flag.Int64("version-first-seed", 1, "seed of the first such series")
+)
+
 const (
 	// versionedEvents is the number of events of a stream of servers with versions, and eventInterval the
 	// time between two of them.
@@ -140,7 +146,10 @@
 // runFor begins a stream every interval.
 func (l *streamLoad) runFor(length, interval time.Duration, seed int64) {
 	var entries []string
-	for i := range len(l.d.entries) {
+	l.d.entriesMu.RLock()
+	n := len(l.d.entries)
+	l.d.entriesMu.RUnlock()
+	for i := range n {
 		entries = append(entries, fmt.Sprintf("10.0.1.%d", i+1))
 	}
 	for i, start := int64(0), time.Now(); time.Since(start) < length; i++ {
@@ -197,3 +206,155 @@
 		}
 	})
 }
+
+// versionFaults is a series of releases, back and forth, and faults, drawn from a seed.
+type versionFaults struct {
+	d       *deployment
+	b       *backends
+	random  *rand.Rand
+	entries int
+	// partitioned is set once an entry was partitioned from the control hosts.
+	partitioned bool
+}
+
+// run causes faults until a time.
+func (f *versionFaults) run(length time.Duration) {
+	for start := time.Now(); time.Since(start) < length; time.Sleep(time.Duration(200+f.random.Intn(1500)) * time.Millisecond) {
+		entry := fmt.Sprintf("10.0.1.%d", f.random.Intn(f.entries)+1)
+		switch f.random.Intn(8) {
+		case 0, 1, 2:
+			for range 1 + f.random.Intn(3) {
+				f.b.replace(backendAddress(f.random.Intn(f.b.count)), fmt.Sprint("v", 1+f.random.Intn(2)))
+			}
+		case 3:
+			f.b.replace(backendAddress(f.random.Intn(f.b.count)), fmt.Sprint("v", 1+f.random.Intn(4)))
+		case 4, 5:
+			f.d.restartEntry(entry)
+		case 6:
+			f.partitioned = true
+			f.d.setEntryPartition(entry, true)
+			time.Sleep(time.Duration(f.random.Intn(4000)) * time.Millisecond)
+			f.d.setEntryPartition(entry, false)
+		case 7:
+			host := f.d.leader()
+			if host != "" && f.random.Intn(3) == 0 {
+				f.d.restartControlHosts(host)
+			}
+		}
+	}
+}
+
+// Releases in the middle of streams, back and forth, beside restarts of entries and control hosts and
+// partitions of entries: no stream may hold events of two versions, whichever entries its caller uses.
+func TestStreamsStayAtOneVersionUnderFaults(t *testing.T) {
+	for i := range *versionSeeds {
+		seed := *versionFirstSeed + int64(i)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewSource(seed))
+				entries := 3 + random.Intn(6)
+				d := newSettledDeployment(t, seed, entries)
+				defer d.close()
+				b := startVersionedBackends(d, 6+random.Intn(6), "v1")
+				defer b.close()
+				l, f := &streamLoad{d: d}, &versionFaults{d: d, b: b, random: random, entries: entries}
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					f.run(15 * time.Second)
+				}()
+				l.runFor(18*time.Second, 50*time.Millisecond, seed)
+				<-done
+				begun, resumed := l.shares()
+				t.Logf("%d entries, %d servers: %d streams begun (%.3f), %d resumed by their callers (%.3f), %d mixed, partitions %v",
+					entries, b.count, l.begun, begun, l.resumed, resumed, len(l.mixed), f.partitioned)
+				require.Empty(t, l.mixed)
+			})
+		})
+	}
+}
+
+// What a caller states about the stream that it continues may be missing, wrong or about a version that
+// has no servers: then the request must be refused at once as not run, and never guessed.
+func TestResumedStreamsOfUnknownOrigin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newSettledDeployment(t, 72, 3)
+		defer d.close()
+		b := startVersionedBackends(d, 6, "v1")
+		defer b.close()
+		resume := func(entry int, after int, resumes ...string) callResult {
+			header := http.Header{"X-Resumes": resumes}
+			header.Set("X-Last-Event", strconv.Itoa(after))
+			return d.callWith(fmt.Sprintf("10.0.1.%d", entry), "/resume/x", "stream", header)
+		}
+		versionsOf := func(r callResult) map[string]bool {
+			_, versions := events(r.body)
+			return versions
+		}
+		require.Equal(t, 200, resume(1, 3).status, "all servers are of one version")
+
+		for i := range 3 {
+			b.replace(backendAddress(i), "v2")
+		}
+		time.Sleep(2 * backendRestartDelay)
+		old := map[string]string{}
+		for len(old) < 2 {
+			r := d.callWith("10.0.1.1", "/resume/x", "stream", http.Header{})
+			for v := range versionsOf(r) {
+				old[v] = r.id
+			}
+		}
+		for v, id := range old {
+			for entry := 1; entry <= 3; entry++ {
+				r := resume(entry, 3, id)
+				require.Equal(t, map[string]bool{v: true}, versionsOf(r))
+				require.Equal(t, map[string]bool{v: true}, versionsOf(resume(entry, 5, r.id)), "an attempt that resumed another")
+			}
+		}
+		for name, r := range map[string]callResult{
+			"nothing stated":              resume(2, 3),
+			"an attempt that never was":   resume(2, 3, "no-such-attempt"),
+			"an attempt without an event": resume(2, 3, resume(2, 3, "no-such-attempt").id),
+		} {
+			require.Equal(t, 503, r.status, name)
+			require.Zero(t, r.retryAfterSeconds, name)
+			require.Empty(t, r.body, name)
+		}
+		require.Equal(t, 400, resume(2, 3, old["v1"], old["v2"]).status)
+		require.Equal(t, 200, resume(2, 0, "no-such-attempt").status, "nothing is joined")
+
+		for i := range 3 {
+			b.replace(backendAddress(3+i), "v2")
+		}
+		time.Sleep(2 * backendRestartDelay)
+		start := time.Now()
+		require.Equal(t, 503, resume(3, 3, old["v1"]).status, "the version has no servers")
+		require.Zero(t, time.Since(start))
+		require.Equal(t, 200, resume(3, 3, old["v2"]).status)
+	})
+}
+
+// An entry that is partitioned from the control hosts knows of no other version: it must not resume
+// streams that began elsewhere at one.
+func TestPartitionedEntryJoinsNoVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newSettledDeployment(t, 73, 2)
+		defer d.close()
+		b := startVersionedBackends(d, 6, "v1")
+		defer b.close()
+		d.setEntryPartition("10.0.1.2", true)
+		time.Sleep(2 * time.Second)
+		for i := range 5 {
+			b.replace(backendAddress(i), "v2")
+		}
+		time.Sleep(2 * backendRestartDelay)
+		var began callResult
+		for versions := map[string]bool{}; !versions["v2"]; {
+			began = d.callWith("10.0.1.1", "/resume/x", "stream", http.Header{})
+			_, versions = events(began.body)
+		}
+		header := http.Header{"X-Resumes": {began.id}, "X-Last-Event": {"3"}}
+		_, versions := events(d.callWith("10.0.1.2", "/resume/x", "stream", header).body)
+		require.False(t, versions["v1"])
+	})
+}
