Soak: servers of two versions; streams whose callers resume them at any entry hold events of one

Each start of a server draws a version. Clients leave streams in the middle and take them up at other entries.

--- a/cmd/fennelyard/soak_engines_test.go
+++ b/cmd/fennelyard/soak_engines_test.go
@@ -86,7 +86,7 @@
 		h := &http.Server{ReadHeaderTimeout: time.Second}
 		h.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 			if !e.HandleControl(w, q) && e.CheckLoaded(w, q) {
-				s.serveRequest(w, q, end)
+				s.serveRequest(w, q, "", end)
 			}
 		})
 		go func() { _ = h.Serve(server) }()
--- a/cmd/fennelyard/soak_test.go
+++ b/cmd/fennelyard/soak_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -92,6 +93,9 @@
 	served int
 	// servedByModels counts those of them that were sent to models.
 	servedByModels int
+	// streamsResumed and streamsRefused count the attempts of callers to resume a stream that went on, and
+	// the others.
+	streamsResumed, streamsRefused int
 	// crashed counts the servers that crashed under the harmful request, and crashedByPart those
 	// that crashed under the harmful prompt part.
 	crashed, crashedByPart int
@@ -148,7 +152,7 @@
 
 // serveRequest is the handler of a backend server. It counts the run and responds with the
 // request's id, in one body or as a stream of events. A harmful request crashes the server.
-func (s *soak) serveRequest(w http.ResponseWriter, q *http.Request, crash func()) {
+func (s *soak) serveRequest(w http.ResponseWriter, q *http.Request, version string, crash func()) {
 	id, kind, after := standin.BeginResponse(w, q)
 	body, err := io.ReadAll(q.Body)
 	if err != nil {
@@ -179,7 +183,7 @@
 		return
 	}
 	for i := after + 1; i <= soakEvents && q.Context().Err() == nil; i++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, id)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %s\n\n", i, id, version)
 		_ = http.NewResponseController(w).Flush()
 		time.Sleep(20 * time.Millisecond)
 	}
@@ -190,6 +194,7 @@
 func (s *soak) runServer(i int, r *rand.Rand) {
 	for s.serversCtx.Err() == nil {
 		server := s.listenServer(i)
+		version := soakVersions[r.IntN(len(soakVersions))]
 		limits, statements := s.newLimitedServer(i, r), s.newStatingServer(i, r)
 		lifetime, end := context.WithTimeout(s.serversCtx, limits.uptime(s.uptime(r)))
 		go limits.runLimits(lifetime)
@@ -203,14 +208,14 @@
 		h.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 			limits.handle(w)
 			if !statements.handle(w, q) {
-				s.serveRequest(w, q, crash)
+				s.serveRequest(w, q, version, crash)
 			}
 		})
 		go func() { _ = h.Serve(server) }()
 		address, closeProxy := s.startServerProxy(lifetime, i, server.Addr().String(), r)
 		startMs := time.Now().UnixMilli()
 		s.announce(lifetime, i, func(sequence int) (path, body string) {
-			return standin.Announcement(fmt.Sprint("i-", i), address, startMs, sequence)
+			return standin.Announcement(fmt.Sprint("i-", i), address, version, startMs, sequence)
 		})
 		crash()
 		closeProxy()
@@ -309,14 +314,11 @@
 // checkResponse checks that a successful response is complete and belongs to its request, and
 // records whether the request was refused as not run.
 func (s *soak) checkResponse(id, kind string, status int, body string) {
-	want := "answer " + id
+	complete := body == "answer "+id
 	if kind == standin.StreamRoute {
-		want = ""
-		for i := range soakEvents {
-			want += fmt.Sprintf("id: %d\ndata: %s\n\n", i+1, id)
-		}
+		complete = slices.ContainsFunc(soakVersions, func(version string) bool { return body == soakStream(id, version) })
 	}
-	if status == http.StatusOK && body != want {
+	if status == http.StatusOK && !complete {
 		s.recordViolation("%s %s: got %q", kind, id, body)
 	}
 	s.mu.Lock()
@@ -402,6 +404,7 @@
 	}
 	wg.Go(func() { s.updateConfig(rand.New(rand.NewPCG(seed, 100))) })
 	wg.Go(func() { s.sendHarmfulRequests(rand.New(rand.NewPCG(seed, 400))) })
+	wg.Go(func() { s.resumeStreams(rand.New(rand.NewPCG(seed, 1000))) })
 	wg.Go(func() { s.sendHarmfulParts(rand.New(rand.NewPCG(seed, 900))) })
 	faultsEnd := make(chan struct{})
 	time.AfterFunc(*soakFor, func() { close(faultsEnd) })
@@ -475,6 +478,6 @@
 		require.NotContains(s.t, p.log.String(), "DATA RACE", "seed %d: %s", s.seed, name)
 	}
 	require.Positive(s.t, s.served, "seed %d", s.seed)
-	s.t.Logf("seed %d: %d requests served, %d of them by models, %d refused as not run, version %d acknowledged, %d servers ended under the harmful request, %d under the harmful prompt part",
-		s.seed, s.served, s.servedByModels, len(s.notRun), s.acknowledgedVersion, s.crashed, s.crashedByPart)
+	s.t.Logf("seed %d: %d requests served, %d of them by models, %d refused as not run, version %d acknowledged, %d servers ended under the harmful request, %d under the harmful prompt part, %d streams resumed by callers and %d not",
+		s.seed, s.served, s.servedByModels, len(s.notRun), s.acknowledgedVersion, s.crashed, s.crashedByPart, s.streamsResumed, s.streamsRefused)
 }
