Tests for safeguards of quarantine and streams that had none; explain names the outcomes of resumed streams

Found by taking safeguards out in a scratch copy: the check once connected, of waiting requests, errors that would clear, the memory of completions, what an unconfirmed entry knows of versions, the delay of a new version, the question to all entries, the time for which a version counts.

--- a/internal/gateway/cooldown_test.go
+++ b/internal/gateway/cooldown_test.go
@@ -19,7 +19,8 @@
 )
 
 // A request connects to a server while another one gets the response that asks for a cooldown or
-// states that the server leaves, or the leader removes the server. It must not be sent all the same.
+// states that the server leaves, the leader removes the server, or the request is held back. It must not
+// be sent all the same.
 func TestRequestsAreWithheldWhileTheyConnect(t *testing.T) {
 	for name, change := range map[string]func(tg *testGateway, b *backend){
 		"cooldown": func(*testGateway, *backend) {},
@@ -27,6 +28,7 @@
 		"gone": func(tg *testGateway, b *backend) {
 			tg.g.ApplyServers(false, &schema.RosterServer{Id: "s0", Pool: "p", Address: b.l.Addr().String(), State: schema.RosterState_ROSTER_STATE_GONE})
 		},
+		"held back": func(tg *testGateway, _ *backend) { tg.g.HoldBackPart("harmful") },
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBackend(t, func(conn net.Conn, request *http.Request) {
@@ -50,7 +52,7 @@
 			}})
 			tg := startTestGatewayWithSender(t, gateway.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Millisecond, Burst: 100}, logr.Discard(), sender, b)
 			statuses := make(chan int, 1)
-			go func() { statuses <- tg.call(t, "/once/x", "slow", "").status }()
+			go func() { statuses <- tg.callWithParts(t, "/once/x", "slow", "", "first", "harmful", "last").status }()
 			<-dialing
 			tg.call(t, "/once/x", "fast", "")
 			change(tg, b)
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -312,3 +312,11 @@
 func (g *Gateway) AddPermits(id string, n uint32) {
 	g.fleet.addPermits([]*schema.PermitGrant{{Server: id, Count: n}}, time.Now())
 }
+
+// HoldBackPart records that enough servers have ended under a prompt part to hold it back.
+func (g *Gateway) HoldBackPart(id string) {
+	part := quarantine.Carrier{Scope: quarantine.ScopePart, Name: id, Depth: 1}
+	for _, server := range []string{"ended-1", "ended-2", "ended-3"} {
+		g.guard.Suspects().Accuse(server, time.Now(), []quarantine.Accusation{{Key: part.Key(), Scope: part.Scope, Depth: part.Depth}})
+	}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -32,9 +32,13 @@
 		ParseRequest: func(r *http.Request) gateway.RequestInfo {
 			ms, _ := strconv.Atoi(r.Header.Get("X-Wait"))
 			model, adapter, _ := strings.Cut(r.Header.Get("X-Model"), "/")
-			return gateway.RequestInfo{
+			info := gateway.RequestInfo{
 				ID: r.Header.Get("X-Id"), APIKey: r.Header.Get("X-Key"), Model: model, Adapter: adapter, Timeout: time.Duration(ms) * time.Millisecond,
 			}
+			for _, id := range strings.Fields(r.Header.Get("X-Parts")) {
+				info.PromptParts = append(info.PromptParts, gateway.PromptPart{ID: id})
+			}
+			return info
 		},
 		SetForwardHeader: func(h http.Header, m gateway.ForwardInfo) {
 			h.Set("X-For", m.Server)
@@ -224,6 +228,12 @@
 }
 
 func (tg *testGateway) call(t *testing.T, path, body string, model string) result {
+	t.Helper()
+	return tg.callWithParts(t, path, body, model)
+}
+
+// callWithParts is call with the IDs of the parts of the request's prompt.
+func (tg *testGateway) callWithParts(t *testing.T, path, body, model string, parts ...string) result {
 	t.Helper()
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, tg.url+path, strings.NewReader(body))
 	require.NoError(t, err)
@@ -231,6 +241,7 @@
 	request.Header.Set("X-Id", "42")
 	request.Header.Set("X-Wait", tg.timeoutMs)
 	request.Header.Set("X-Model", model)
+	request.Header.Set("X-Parts", strings.Join(parts, " "))
 	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
 	if err != nil {
 		return result{interrupted: true}
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -3,7 +3,9 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,3 +99,45 @@
 	require.Equal(t, before, reached())
 	require.Equal(t, 200, tg.call(t, "/once/x", "other", "").status)
 }
+
+// A request waits for its model when a part of its prompt is found to crash servers. It must be refused
+// at once, with the time for which the part is held back.
+func TestWaitingRequestIsHeldBack(t *testing.T) {
+	tg := newTestGateway(t, newBackend(t, respondOK))
+	results := make(chan result, 1)
+	go func() { results <- tg.callWithParts(t, "/once/x", "body", "missing", "first", "harmful", "last") }()
+	require.Eventually(t, func() bool { return tg.g.State().Waiting == 1 }, 20*time.Second, time.Millisecond)
+	tg.g.HoldBackPart("harmful")
+	got := <-results
+	require.Equal(t, 503, got.status)
+	seconds, err := strconv.ParseFloat(got.retryAfter, 64)
+	require.NoError(t, err)
+	require.Greater(t, seconds, 200.0)
+}
+
+// Servers that fail part of their requests respond with an error to a harmful request, too. That must
+// not clear it: they have not run it.
+func TestFailedResponseClearsNoRequest(t *testing.T) {
+	var servers []*backend
+	var fails atomic.Bool
+	for range 5 {
+		var server *backend
+		server = newBackend(t, func(conn net.Conn, request *http.Request) {
+			if fails.Load() {
+				respondError(conn, request)
+				return
+			}
+			_ = server.l.Close()
+		})
+		servers = append(servers, server)
+	}
+	tg := newTestGateway(t, servers...)
+	for want := 1; want <= 3; want++ {
+		fails.Store(true)
+		require.Equal(t, 500, tg.call(t, "/once/x", "harmful", "").status)
+		fails.Store(false)
+		require.Equal(t, 502, tg.call(t, "/once/x", "harmful", "").status)
+		require.Eventually(t, func() bool { return tg.g.MaxEndedServers() == want }, 20*time.Second, time.Millisecond)
+	}
+	require.Equal(t, 503, tg.call(t, "/once/x", "harmful", "").status)
+}
--- a/internal/host/heldback_test.go
+++ b/internal/host/heldback_test.go
@@ -116,8 +116,8 @@
 	var crashes atomic.Int64
 	var start func(name string)
 	start = func(name string) {
-		var e *standin.Engine
-		e = h.engine(name, func(c *standin.EngineConfig) {
+		started := make(chan *standin.Engine, 1)
+		started <- h.engine(name, func(c *standin.EngineConfig) {
 			c.Complete = func(w http.ResponseWriter, r *http.Request, _ string) {
 				body, err := io.ReadAll(r.Body)
 				if err != nil || !strings.Contains(string(body), "harmful") {
@@ -133,7 +133,7 @@
 				_ = c.Listener.Close()
 				_ = conn.Close()
 				go func() {
-					e.Close()
+					(<-started).Close()
 					start(name)
 				}()
 			}
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -88,3 +88,33 @@
 		require.True(t, prober.Idle())
 	})
 }
+
+// Other entries have accused a part that has completed here since. The entry must clear it as soon as
+// it receives the record: held back everywhere, the part cannot complete again.
+func TestReceivedSuspectIsClearedByItsCompletion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		changes := 0
+		g := quarantine.NewGuard(quarantine.GuardConfig{
+			Entry: "entry", MayProbe: always, OnChange: func() { changes++ }, Log: logr.Discard(),
+			Probe: func(context.Context, string) relay.Presence { return relay.PresenceRefused },
+		})
+		defer g.Close()
+		part := quarantine.Carrier{Scope: quarantine.ScopePart, Name: "first"}
+		other := newSuspectSet(&clock{time.Now()})
+		for _, server := range []string{"a", "b", "c"} {
+			other.Accuse(server, time.Now(), []quarantine.Accusation{{Key: part.Key(), Scope: part.Scope}})
+		}
+		time.Sleep(time.Second)
+		g.AttemptCompleted(quarantine.NewKeyedRequest(quarantine.Request{Target: "/x"}, part))
+		list, _ := other.Since(0, quarantine.PartAll)
+		for _, s := range list {
+			s.AgeMs = 1000
+			for _, e := range s.GetEnded() {
+				e.AgeMs = 1000
+			}
+		}
+		g.Merge(list)
+		require.Zero(t, g.Suspects().UnclearedCount(part.Key()))
+		require.Equal(t, 1, changes, "other entries are to know")
+	})
+}
--- a/internal/quarantine/part_series_test.go
+++ b/internal/quarantine/part_series_test.go
@@ -23,6 +23,9 @@
 	partFirstSeed = flag.Int64("part-first-seed", 1, "seed of the first such series")
 )
 
+// keptPartSeeds are those of series that once failed.
+var keptPartSeeds = []int64{1008, 1095, 1538}
+
 const (
 	// partStep is the resolution of the simulated fleet, and partRestart how long a server
 	// that crashed stays down.
@@ -280,8 +283,11 @@
 // must be served all the same.
 func TestPartsThatCrashServersAreHeldBack(t *testing.T) {
 	var crashes, harmfulParts, sound, refused int
+	seeds := slices.Clone(keptPartSeeds)
 	for i := range *partSeries {
-		seed := *partFirstSeed + int64(i)
+		seeds = append(seeds, *partFirstSeed+int64(i))
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				random := rand.New(rand.NewSource(seed))
--- a/internal/role/version_test.go
+++ b/internal/role/version_test.go
@@ -331,6 +331,33 @@
 		require.Equal(t, 503, resume(3, 3, old["v1"]).status, "the version has no servers")
 		require.Zero(t, time.Since(start))
 		require.Equal(t, 200, resume(3, 3, old["v2"]).status)
+		require.Equal(t, 503, resume(3, 3).status, "the version that is gone may have begun it")
+		time.Sleep(31 * time.Second)
+		require.Equal(t, 200, resume(3, 3).status)
+	})
+}
+
+// A stream broke off while all servers were of one version, so that only its own entry knows where it
+// began. Once there are two versions, each entry must find that out.
+func TestOriginFromBeforeTheSecondVersionIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newSettledDeployment(t, 74, 12)
+		defer d.close()
+		b := startVersionedBackends(d, 6, "v1")
+		defer b.close()
+		var began []callResult
+		for i := range 8 {
+			began = append(began, d.callWith(fmt.Sprintf("10.0.1.%d", i+1), "/resume/x", "stream", http.Header{}))
+		}
+		for i := range 4 {
+			b.replace(backendAddress(i), "v2")
+		}
+		time.Sleep(2 * backendRestartDelay)
+		for _, first := range began {
+			header := http.Header{"X-Resumes": {first.id}, "X-Last-Event": {"3"}}
+			_, versions := events(d.callWith("10.0.1.12", "/resume/x", "stream", header).body)
+			require.Equal(t, map[string]bool{"v1": true}, versions)
+		}
 	})
 }
 
@@ -342,9 +369,13 @@
 		defer d.close()
 		b := startVersionedBackends(d, 6, "v1")
 		defer b.close()
+		// Both entries have known one version alone for long, and neither reaches the other.
+		time.Sleep(40 * time.Second)
 		d.setEntryPartition("10.0.1.2", true)
+		d.network.Cut("10.0.1.1", "10.0.1.2", true)
+		d.network.Cut("10.0.1.2", "10.0.1.1", true)
 		time.Sleep(2 * time.Second)
-		for i := range 5 {
+		for i := range 2 {
 			b.replace(backendAddress(i), "v2")
 		}
 		time.Sleep(2 * backendRestartDelay)
@@ -354,7 +385,41 @@
 			_, versions = events(began.body)
 		}
 		header := http.Header{"X-Resumes": {began.id}, "X-Last-Event": {"3"}}
-		_, versions := events(d.callWith("10.0.1.2", "/resume/x", "stream", header).body)
-		require.False(t, versions["v1"])
+		r := d.callWith("10.0.1.2", "/resume/x", "stream", header)
+		require.Equal(t, 503, r.status)
+		require.Positive(t, r.retryAfterSeconds, "the other entry may know")
+	})
+}
+
+// A server of a second version starts just as an entry is cut off, which still counts as confirmed for
+// more than a second, and crashes again. A stream that begins at another entry must not be resumed there
+// at the first version.
+func TestNoStreamBeginsAtAVersionThatOthersLack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newSettledDeployment(t, 75, 2)
+		defer d.close()
+		b := startVersionedBackends(d, 2, "v1")
+		defer b.close()
+		time.Sleep(40 * time.Second)
+		b.replace(backendAddress(0), "v2")
+		time.Sleep(backendRestartDelay - 100*time.Millisecond)
+		d.setEntryPartition("10.0.1.2", true)
+		d.network.Cut("10.0.1.1", "10.0.1.2", true)
+		d.network.Cut("10.0.1.2", "10.0.1.1", true)
+		time.Sleep(550 * time.Millisecond)
+		time.AfterFunc(100*time.Millisecond, func() { b.replace(backendAddress(0), "v2") })
+		var wg sync.WaitGroup
+		for range 20 {
+			wg.Go(func() {
+				began := d.callWith("10.0.1.1", "/resume/x", "stream", http.Header{})
+				_, versions := events(began.body)
+				header := http.Header{"X-Resumes": {began.id}, "X-Last-Event": {"1"}}
+				_, resumed := events(d.callWith("10.0.1.2", "/resume/x", "stream", header).body)
+				for v := range resumed {
+					require.True(t, versions[v], "began at %v, went on at %s", versions, v)
+				}
+			})
+		}
+		wg.Wait()
 	})
 }
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -252,6 +252,12 @@
 			return "servers had ended while they ran requests with the same " + scope + " (" + request.text("held-name") + "), see key " + request.text("held-by") + "; they are held back"
 		}
 		return "three servers had ended while they ran the same request, see key " + request.text("key") + "; it is held back"
+	case "bad-resumes":
+		return "the request names the attempt that it continues more than once, or in a malformed way"
+	case "version-unknown":
+		return "no entry that could be asked knows where the stream of attempt " + request.text("resumes") + " began, so not which version of the servers' software it may go on at"
+	case "version-gone":
+		return "the stream began at version " + request.text("software") + " of the servers' software, which no server runs now"
 	case "unauthorized":
 		return "the request's API key belongs to no team in version " + request.text("version") + ", confirmed " + request.text("confirmed-age-ms") + " ms before"
 	case "keys-unconfirmed":
