--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -118,3 +118,44 @@
 		require.Equal(t, 1, changes, "other entries are to know")
 	})
 }
+
+// BenchmarkShared measures what the parts, model and team of a request cost beside the request itself:
+// the check before an attempt while 1000 others are suspected, and its completion.
+func BenchmarkShared(b *testing.B) {
+	g := quarantine.NewGuard(quarantine.GuardConfig{
+		Entry: "entry", MayProbe: always, OnChange: func() {}, Log: logr.Discard(),
+		Probe: func(context.Context, string) relay.Presence { return relay.PresenceRefused },
+	})
+	defer g.Close()
+	for i := range 1000 {
+		part := quarantine.Carrier{Scope: quarantine.ScopePart, Name: fmt.Sprint("part-", i)}
+		g.Suspects().Accuse("s", time.Now(), []quarantine.Accusation{{Key: part.Key(), Scope: part.Scope}})
+	}
+	newRequest := func() *quarantine.KeyedRequest {
+		return quarantine.NewKeyedRequest(
+			quarantine.Request{Method: "POST", Target: "/chat/completions", Body: make([]byte, 1<<10)},
+			quarantine.Carrier{Scope: quarantine.ScopeSession, Name: "e4402b7d"},
+			quarantine.Carrier{Scope: quarantine.ScopePart, Name: "91bd3f06", Depth: 1},
+			quarantine.Carrier{Scope: quarantine.ScopePartAtModel, Name: "91bd3f06", Within: "daka510000", Depth: 1},
+			quarantine.Carrier{Scope: quarantine.ScopePart, Name: "5c1e07a2"},
+			quarantine.Carrier{Scope: quarantine.ScopePartAtModel, Name: "5c1e07a2", Within: "daka510000"},
+			quarantine.Carrier{Scope: quarantine.ScopeModel, Name: "daka510000"},
+			quarantine.Carrier{Scope: quarantine.ScopeTeam, Name: "team"},
+		)
+	}
+	r := newRequest()
+	b.Run("held-back", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, held := g.HeldBack(r); held {
+				b.Fatal("nothing of the request is suspected")
+			}
+		}
+	})
+	b.Run("completed", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			g.AttemptCompleted(r)
+		}
+	})
+}
