quarantine: a harmful part that once ran beside another one is held back before what is wider

Callers saw all requests with a first part refused for minutes: of two harmful parts behind it one had ended four servers, the other three, of which one had run both. The first explained that server, so the second had two, and the first part was one piece of evidence and two servers: enough to hold it back for five minutes, and nobody could clear it.

Parts that others explain in part now also count as an explanation of what is wider. Doubtful holds are 2 s, doubled with each server that nothing else explains, and entries try in turn, 200 ms apart for each of them, in place of 15 s and a minute. Found beside: a request could name an attempt on a route to another pool and so reach that pool; it is refused.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,7 +121,7 @@
 	g.fleet.connected, g.fleet.confirmedAt = g.connected, g.subscriber.confirmedAt
 	g.quotas = quota.NewMeter(quota.MeterConfig{Window: cfg.QuotaWindow, Random: rand.Float64}, g.startTime)
 	g.guard = quarantine.NewGuard(quarantine.GuardConfig{
-		Entry: cfg.Self.GetCallerAddress(), Probe: cfg.Sender.Probe, OnChange: g.reportNow, Log: cfg.Log,
+		Entry: cfg.Self.GetCallerAddress(), Entries: g.entryCount, Probe: cfg.Sender.Probe, OnChange: g.reportNow, Log: cfg.Log,
 		MayProbe: func(server string) bool { return g.fleet.cooldowns.Remaining(server, time.Now()) == 0 },
 	})
 	g.aborted, g.abort = context.WithCancel(context.Background())
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -162,6 +162,10 @@
 		return false
 	}
 	o, known, complete := x.findOrigin()
+	if known && !x.routeHasPool(o.Pool) {
+		// The caller names an attempt on another route.
+		known, complete = false, true
+	}
 	switch {
 	case !known && complete:
 		// No other entry will know it later.
@@ -175,6 +179,11 @@
 	return x.hasBoundServers()
 }
 
+// routeHasPool reports whether the route may send requests to a pool.
+func (x *exchange) routeHasPool(pool string) bool {
+	return slices.ContainsFunc(x.route.GetShares(), func(s *schema.Share) bool { return s.GetPool() == pool && s.GetWeight() > 0 })
+}
+
 // hasBoundServers reports whether the version that began the stream has servers. Otherwise it refuses
 // the request: nobody knows whether there will be any.
 func (x *exchange) hasBoundServers() bool {
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -22,10 +22,12 @@
 // its server ends, it completes, or its caller cancels it.
 const maxTrialDuration = 30 * time.Second
 
-// GuardConfig configures a Guard. All fields are required.
+// GuardConfig configures a Guard. All fields but Entries are required.
 type GuardConfig struct {
 	// Entry identifies this entry among all entries.
 	Entry string
+	// Entries returns the number of entries; it may be nil if there is one.
+	Entries func() int
 	// Probe connects to a server's address and returns the result.
 	Probe func(ctx context.Context, address string) relay.Presence
 	// MayProbe reports whether this entry may connect to a server now: one that has asked for a
@@ -66,7 +68,7 @@
 	log := cfg.Log.WithName("quarantine")
 	g := &Guard{
 		onChange:  cfg.OnChange,
-		suspects:  NewSuspectSet(SuspectSetConfig{Entry: cfg.Entry, Now: time.Now, Log: log}),
+		suspects:  NewSuspectSet(SuspectSetConfig{Entry: cfg.Entry, Entries: cfg.Entries, Now: time.Now, Log: log}),
 		completed: NewCompleted(time.Now),
 		shared:    NewCompleted(time.Now),
 		log:       log,
--- a/internal/quarantine/holds.go
+++ b/internal/quarantine/holds.go
@@ -14,10 +14,12 @@
 	evaluationInterval   = 250 * time.Millisecond
 	// maxDoubtfulServers is how many servers more than the threshold may end under a suspect
 	// as long as others explain them, if they do not explain all of them: the wrong one of
-	// two that ran side by side may have been chosen. From then on it is held back for
-	// doubtfulHold until it may try again.
+	// two that ran side by side may have been chosen.
 	maxDoubtfulServers = 2
-	doubtfulHold       = 15 * time.Second
+	// doubtfulHold is how long a suspect that others explain in part is held back until it
+	// may try again, doubled with each server that they do not explain: if it is wide and
+	// harmless, nothing but a trial can clear it.
+	doubtfulHold = 2 * time.Second
 	// maxExplanations bounds the suspects that are looked at for each server.
 	maxExplanations = 8
 )
@@ -30,8 +32,8 @@
 	// candidates are the shared suspects whose blame reaches their thresholds, and the parts
 	// that lack one server.
 	candidates map[Key]*record
-	// until are the shared suspects that are held back, with the ends of their holds.
-	until map[Key]time.Time
+	// held are the shared suspects that are held back.
+	held map[Key]hold
 	// servers are those under which shared suspects are held back.
 	servers map[string]bool
 	// dirty is set if candidates have changed since they were evaluated.
@@ -39,8 +41,15 @@
 	evaluated time.Time
 }
 
+// hold is how long a suspect is held back.
+type hold struct {
+	until time.Time
+	// doubtful is set if other suspects explain a part of the evidence.
+	doubtful bool
+}
+
 func newHolds() holds {
-	return holds{candidates: map[Key]*record{}, until: map[Key]time.Time{}, servers: map[string]bool{}}
+	return holds{candidates: map[Key]*record{}, held: map[Key]hold{}, servers: map[string]bool{}}
 }
 
 // recordChanged takes note of a change of a record.
@@ -74,14 +83,14 @@
 		return nil
 	}
 	h.dirty, h.evaluated = false, now
-	before := h.until
+	before := h.held
 	chosen := withoutExplained(h.choose())
-	h.until, h.servers = map[Key]time.Time{}, map[string]bool{}
+	h.held, h.servers = map[Key]hold{}, map[string]bool{}
 	for _, key := range chosen.keys {
 		r := h.candidates[key]
-		h.until[key] = r.heldUntil()
-		if chosen.doubtful[key] {
-			h.until[key] = r.lastEnded.Add(doubtfulHold)
+		h.held[key] = hold{until: r.heldUntil()}
+		if unexplained, doubtful := chosen.doubtful[key]; doubtful {
+			h.held[key] = hold{r.lastEnded.Add(doubtfulHold << min(unexplained, maxHoldDoublings)), true}
 		}
 		for server, e := range r.ended {
 			if !e.cleared {
@@ -90,13 +99,13 @@
 		}
 	}
 	changed := map[Key]time.Time{}
-	for key, until := range h.until {
-		if !until.Equal(before[key]) {
-			changed[key] = until
+	for key, current := range h.held {
+		if !current.until.Equal(before[key].until) {
+			changed[key] = current.until
 		}
 	}
 	for key := range before {
-		if _, held := h.until[key]; !held {
+		if _, held := h.held[key]; !held {
 			changed[key] = time.Time{}
 		}
 	}
@@ -107,8 +116,9 @@
 type choice struct {
 	candidates map[Key]*record
 	keys       []Key
-	// doubtful are those of keys that others explain in part, or that lack one server.
-	doubtful map[Key]bool
+	// doubtful are those of keys that others explain in part, or that lack one server, with
+	// the number of servers that the others do not explain.
+	doubtful map[Key]int
 	// explanations are the chosen suspects by the servers that count against them.
 	explanations map[string][]Key
 }
@@ -117,10 +127,10 @@
 // explains is no evidence against a wider one, unless all of the narrower one's servers
 // count against the wider one as well: then the narrower one may be one of several that
 // have only the wider one in common, and together they are one piece of evidence. Where
-// parts that lack one server would explain a wider suspect, they are held back in its
-// place.
+// parts that lack servers, or whose servers others explain in part, would explain a wider
+// suspect, they are held back in its place.
 func (h *holds) choose() *choice {
-	c := &choice{candidates: h.candidates, doubtful: map[Key]bool{}, explanations: map[string][]Key{}}
+	c := &choice{candidates: h.candidates, doubtful: map[Key]int{}, explanations: map[string][]Key{}}
 	var partial []Key
 	for _, key := range slices.SortedFunc(maps.Keys(h.candidates), h.compare) {
 		r := h.candidates[key]
@@ -130,8 +140,13 @@
 		}
 		unexplained, nested := c.unexplained(r)
 		if unexplained+nested < r.scope.threshold() {
-			if unexplained > 0 && r.blame() >= r.scope.threshold()+maxDoubtfulServers {
-				c.addDoubtful(key, r)
+			switch {
+			case unexplained == 0:
+			case r.blame() >= r.scope.threshold()+maxDoubtfulServers:
+				c.add(key, r)
+				c.doubtful[key] = unexplained
+			case r.scope == ScopePart:
+				partial = append(partial, key)
 			}
 			continue
 		}
@@ -140,7 +155,9 @@
 			continue
 		}
 		c.add(key, r)
-		c.doubtful[key] = nested > 1
+		if nested > 1 {
+			c.doubtful[key] = unexplained
+		}
 	}
 	return c
 }
@@ -156,7 +173,8 @@
 	for _, key := range partial {
 		p := c.candidates[key]
 		if unexplained, _ := with.unexplained(p); unexplained > 0 && p.isWithin(r) {
-			with.addDoubtful(key, p)
+			with.add(key, p)
+			with.doubtful[key] = unexplained
 			added = true
 		}
 	}
@@ -186,11 +204,6 @@
 	return blame, nested
 }
 
-func (c *choice) addDoubtful(key Key, r *record) {
-	c.add(key, r)
-	c.doubtful[key] = true
-}
-
 func (c *choice) add(key Key, r *record) {
 	c.keys = append(c.keys, key)
 	for server, e := range r.ended {
@@ -241,7 +254,8 @@
 			continue
 		}
 		if !slices.ContainsFunc(c.explanations[server], func(by Key) bool {
-			return by != key && !c.doubtful[by] && c.candidates[by].blame() > blame
+			_, doubtful := c.doubtful[by]
+			return by != key && !doubtful && c.candidates[by].blame() > blame
 		}) {
 			return false
 		}
--- a/internal/quarantine/holds_test.go
+++ b/internal/quarantine/holds_test.go
@@ -68,7 +68,10 @@
 			[]string{"first/0 bad/1", "first/0 worse/1", "first/0 bad/1", "first/0 worse/1", "first/0 bad/1", "first/0 worse/1"}, "", "bad/1 worse/1",
 		},
 		"two harmful parts that end two servers each": {[]string{"first/0 bad/1", "first/0 worse/1", "first/0 bad/1", "first/0 worse/1"}, "", "bad/1 worse/1"},
-		"four servers, and a part ended two of them":  {[]string{"first/0 a/1", "first/0 a/1", "first/0 b/1", "first/0 c/1"}, "", "first/0"},
+		"two harmful parts that once ran on the same server": {
+			[]string{"first/0 bad/1", "first/0 bad/1", "first/0 bad/1 worse/1", "first/0 bad/1", "first/0 worse/1", "first/0 worse/1"}, "", "bad/1 worse/1",
+		},
+		"four servers, and a part ended two of them": {[]string{"first/0 a/1", "first/0 a/1", "first/0 b/1", "first/0 c/1"}, "", "first/0"},
 		"three harmful parts behind one first part": {
 			[]string{"first/0 a/1", "first/0 a/1", "first/0 a/1", "first/0 b/1", "first/0 b/1", "first/0 b/1", "first/0 c/1", "first/0 c/1", "first/0 c/1"}, "", "first/0 a/1 b/1 c/1",
 		},
--- a/internal/quarantine/part_series_test.go
+++ b/internal/quarantine/part_series_test.go
@@ -111,7 +111,7 @@
 	for i := range entries {
 		e := &partEntry{}
 		e.guard = quarantine.NewGuard(quarantine.GuardConfig{
-			Entry: fmt.Sprint("entry-", i), MayProbe: always, OnChange: func() {}, Log: logr.Discard(),
+			Entry: fmt.Sprint("entry-", i), Entries: func() int { return entries }, MayProbe: always, OnChange: func() {}, Log: logr.Discard(),
 			Probe: func(_ context.Context, address string) relay.Presence {
 				f.mu.Lock()
 				defer f.mu.Unlock()
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -20,12 +20,13 @@
 	// doubles the time.
 	firstHold        = 5 * time.Minute
 	maxHoldDoublings = 6
-	// The hold of each entry is extended by up to 1/holdJitterDivisor of its length, or
-	// minHoldJitter, in holdJitterSteps steps. With 640 entries the record of the first
-	// trial has a quarter of a second to reach the next entry, a tenth after short holds.
+	// The hold of each entry is extended by up to 1/holdJitterDivisor of its length, in
+	// holdJitterSteps steps. With 640 entries the record of the first trial has a quarter
+	// of a second to reach the next entry. A doubtful hold is short and is extended by
+	// trialInterval for each entry.
 	holdJitterDivisor = 2
 	holdJitterSteps   = 1024
-	minHoldJitter     = time.Minute
+	trialInterval     = 200 * time.Millisecond
 	// suspicionRetention is how long a record is kept after its hold. A caller that repeats
 	// a request does so sooner.
 	suspicionRetention = time.Hour
@@ -38,12 +39,14 @@
 	recordsAfterEviction = maxRecords * 7 / 8
 )
 
-// SuspectSetConfig configures a SuspectSet. All fields are required.
+// SuspectSetConfig configures a SuspectSet. All fields but Entries are required.
 type SuspectSetConfig struct {
 	// Entry identifies the entry that has the set; "" at control hosts.
 	Entry string
-	Now   func() time.Time
-	Log   logr.Logger
+	// Entries returns the number of entries; nil: one.
+	Entries func() int
+	Now     func() time.Time
+	Log     logr.Logger
 }
 
 // SuspectSet holds the requests that a host suspects because servers ended while they ran
@@ -97,8 +100,12 @@
 	if !held {
 		return 0, false
 	}
+	spread := until.Sub(r.lastEnded) / holdJitterDivisor
+	if s.holds.held[key].doubtful && s.cfg.Entries != nil {
+		spread = time.Duration(s.cfg.Entries()) * trialInterval
+	}
 	jitter := xxhash.Sum64String(key.String()+s.cfg.Entry) % holdJitterSteps
-	jitter *= uint64(max(until.Sub(r.lastEnded)/holdJitterDivisor, minHoldJitter)) / holdJitterSteps
+	jitter *= uint64(spread) / holdJitterSteps
 	return max(until.Add(time.Duration(jitter)).Sub(s.cfg.Now()), 0), true
 }
 
@@ -109,8 +116,8 @@
 	case r == nil:
 		return time.Time{}, false
 	case r.scope.shared():
-		until, held := s.holds.until[key]
-		return until, held
+		h, held := s.holds.held[key]
+		return h.until, held
 	}
 	if r.blame() < holdThreshold || s.holds.explains(r) {
 		return time.Time{}, false
--- a/internal/role/backends_test.go
+++ b/internal/role/backends_test.go
@@ -155,11 +155,14 @@
 		r.Stream, r.GapMs = true, 500
 		return r
 	}
+	other := stream(route("other", schema.Repeat_REPEAT_RESUME))
+	other.Shares[0].Pool = "empty"
 	require.NoError(d.t, d.control[d.leader()].PutConfiguration(context.Background(), &schema.PutConfiguration{
-		Configuration: &schema.Configuration{Version: 2}, Pools: []*schema.Pool{{Name: "app", MaxConnections: backendMaxConnections}},
+		Configuration: &schema.Configuration{Version: 2}, Pools: []*schema.Pool{{Name: "app", MaxConnections: backendMaxConnections}, {Name: "empty", MaxConnections: backendMaxConnections}},
 		Routes: []*schema.Route{
 			route("once", schema.Repeat_REPEAT_NEVER), route("again", schema.Repeat_REPEAT_WHOLE),
 			stream(route("stream", schema.Repeat_REPEAT_NEVER)), stream(route("resume", schema.Repeat_REPEAT_RESUME)),
+			other,
 		},
 	}))
 	prepare(b)
--- a/internal/role/export_test.go
+++ b/internal/role/export_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -142,3 +143,14 @@
 
 // PathLost reports whether the entry reports that it reaches no server over its own path.
 func (e *Entry) PathLost() bool { return e.paths.Unreached() }
+
+// DescribeSuspects returns what this host suspects with more than one server against it.
+func (c *Control) DescribeSuspects() string {
+	var out []string
+	for _, v := range c.suspects.List() {
+		if len(v.GetEndedServers())-len(v.GetClearedServers()) > 1 || v.GetHeldBackForMs() > 0 {
+			out = append(out, fmt.Sprint(v.GetKey()[:8], " ", v.GetScope(), " ended ", v.GetEndedServers(), " cleared ", v.GetClearedServers(), " held ", v.GetHeldBackForMs()))
+		}
+	}
+	return strings.Join(out, "\n")
+}
--- a/internal/role/harmful_part_test.go
+++ b/internal/role/harmful_part_test.go
@@ -323,7 +323,7 @@
 						t.Logf("%s: %d servers crashed, %d late arrivals", part, b.partCrashCount(part), b.latePartArrivals(part))
 						require.LessOrEqual(t, b.latePartArrivals(part), maxLateArrivals)
 					}
-					require.GreaterOrEqual(t, l.takeServedShare(), minSoundShare)
+					require.GreaterOrEqual(t, l.takeServedShare(), minSoundShare, "suspected: %s", d.control[d.leader()].DescribeSuspects())
 				})
 			})
 		}
--- a/internal/role/version_test.go
+++ b/internal/role/version_test.go
@@ -315,6 +315,8 @@
 			"nothing stated":              resume(2, 3),
 			"an attempt that never was":   resume(2, 3, "no-such-attempt"),
 			"an attempt without an event": resume(2, 3, resume(2, 3, "no-such-attempt").id),
+			"an attempt on a route to another pool": d.callWith("10.0.1.2", "/other/x", "stream",
+				http.Header{"X-Resumes": {old["v1"]}, "X-Last-Event": {"3"}}),
 		} {
 			require.Equal(t, 503, r.status, name)
 			require.Zero(t, r.retryAfterSeconds, name)
