quarantine: keys of a request are safe for concurrent use

On listed hosts the check once connected runs where the connection is opened, which may go on after its request has ended. Found by reading; not seen in a run.

--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -100,9 +100,10 @@
 		case !held || g.hasCompleted(r, a, carrier):
 		case left == 0:
 			expired = append(expired, a.Key)
-			r.heldBy, r.held = a, carrier
+			r.setHeldBy(a, carrier)
 		case left > longest:
-			longest, r.heldBy, r.held = left, a, carrier
+			longest = left
+			r.setHeldBy(a, carrier)
 		}
 	}
 	if g.suspects.MayContain(r.Hint()) {
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"io"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -60,13 +61,15 @@
 	Body   []byte
 }
 
-// KeyedRequest is a request with keys that are computed when first needed. It is for use by
-// one goroutine.
+// KeyedRequest is a request with keys that are computed when first needed. All methods are
+// safe for concurrent use: a connection may still be opened for a request that has ended.
 type KeyedRequest struct {
 	Request
 	shared []Carrier
+
+	mu sync.Mutex
 	// key is zero until it is computed: the digest of a long body takes as long as
-	// forwarding it.
+	// forwarding it. Guarded by mu, as all fields below.
 	key Key
 	// sharedKeys are the keys of shared; nil until they are computed.
 	sharedKeys []Key
@@ -84,6 +87,8 @@
 
 // Key returns the request's key.
 func (r *KeyedRequest) Key() Key {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.key == (Key{}) {
 		r.key = r.Request.Key()
 	}
@@ -92,6 +97,8 @@
 
 // sharedKey returns the key of a carrier by its index.
 func (r *KeyedRequest) sharedKey(i int) Key {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.sharedKeys == nil {
 		r.sharedKeys = make([]Key, len(r.shared))
 	}
@@ -103,16 +110,33 @@
 
 // ComputedKey returns the request's key as text, or "" if it was not computed.
 func (r *KeyedRequest) ComputedKey() string {
-	if r == nil || r.key == (Key{}) {
+	if r == nil {
+		return ""
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.key == (Key{}) {
 		return ""
 	}
 	return r.key.String()
 }
 
+// setHeldBy records what holds the request back.
+func (r *KeyedRequest) setHeldBy(a Accusation, c Carrier) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.heldBy, r.held = a, c
+}
+
 // HeldBy returns what last held the request back: the key of the request or of what it
 // shares with others, its scope, and the name of the latter. The key is "" if nothing did.
 func (r *KeyedRequest) HeldBy() (key, scope, name string) {
-	if r == nil || r.heldBy.Key == (Key{}) {
+	if r == nil {
+		return "", "", ""
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.heldBy.Key == (Key{}) {
 		return "", "", ""
 	}
 	return r.heldBy.Key.String(), r.heldBy.Scope.String(), r.held.Name
