quarantine: one request that is repeated accuses nobody who shares its team

A request that is held back did not explain the servers that it ended to wider suspects; now it is one piece of evidence against them, as a harmful part is.

--- a/internal/quarantine/carrier.go
+++ b/internal/quarantine/carrier.go
@@ -53,13 +53,16 @@
 	return holdThreshold
 }
 
-// narrowness orders the shared scopes, the widest first, but for a part, which counts as
+// narrowness orders the scopes, the widest first, but for a part, which counts as
 // narrower than its part at a model: a part that crashes the servers of one model most often
 // crashes those of all, and to find that out would take several more servers of each. Once it
 // has completed at another model, only the part at the model is left.
 func (s Scope) narrowness() int {
-	if s == ScopePartAtModel {
+	switch s {
+	case ScopePartAtModel:
 		return int(ScopeAdapter)*2 + 1
+	case ScopeRequest:
+		return int(ScopeSession)*2 + 1
 	}
 	return int(s) * 2
 }
--- a/internal/quarantine/holds.go
+++ b/internal/quarantine/holds.go
@@ -29,8 +29,8 @@
 // so that each end of a server accuses many. The fewest requests are refused if of these
 // only the narrowest are held back that explain what has happened.
 type holds struct {
-	// candidates are the shared suspects whose blame reaches their thresholds, and the parts
-	// that lack one server.
+	// candidates are the suspects whose blame reaches their thresholds, and the parts that
+	// lack one server.
 	candidates map[Key]*record
 	// held are the shared suspects that are held back.
 	held map[Key]hold
@@ -54,9 +54,6 @@
 
 // recordChanged takes note of a change of a record.
 func (h *holds) recordChanged(key Key, r *record) {
-	if !r.scope.shared() {
-		return
-	}
 	_, was := h.candidates[key]
 	blame := r.blame()
 	is := blame >= r.scope.threshold() || r.scope == ScopePart && blame == r.scope.threshold()-1
@@ -88,6 +85,9 @@
 	h.held, h.servers = map[Key]hold{}, map[string]bool{}
 	for _, key := range chosen.keys {
 		r := h.candidates[key]
+		if !r.scope.shared() {
+			continue
+		}
 		h.held[key] = hold{until: r.heldUntil()}
 		if unexplained, doubtful := chosen.doubtful[key]; doubtful {
 			h.held[key] = hold{r.lastEnded.Add(doubtfulHold << min(unexplained, maxHoldDoublings)), true}
@@ -134,6 +134,11 @@
 	var partial []Key
 	for _, key := range slices.SortedFunc(maps.Keys(h.candidates), h.compare) {
 		r := h.candidates[key]
+		if !r.scope.shared() {
+			// A request that is repeated is held back by itself.
+			c.add(key, r)
+			continue
+		}
 		if r.blame() < r.scope.threshold() {
 			partial = append(partial, key)
 			continue
--- a/internal/quarantine/holds_test.go
+++ b/internal/quarantine/holds_test.go
@@ -96,6 +96,9 @@
 		"one request that is repeated, then others with its part": {
 			[]string{"request:1 bad/1", "request:1 bad/1", "request:1 bad/1", "request:2 bad/1", "request:3 bad/1"}, "", "bad/1",
 		},
+		"one request of a team that is repeated": {
+			[]string{"request:1 team:t", "request:1 team:t", "request:1 team:t", "request:1 team:t", "request:1 team:t", "request:1 team:t"}, "", "",
+		},
 		"a model, whatever else":           {[]string{"model:m a/0", "model:m b/0", "model:m c/0", "model:m d/0", "model:m e/0"}, "", "model:m"},
 		"a model that has completed since": {[]string{"model:m a/0", "model:m b/0", "model:m c/0", "model:m d/0", "model:m e/0"}, "model:m", ""},
 		"an adapter":                       {[]string{"adapter:a model:m", "adapter:a model:m", "adapter:a model:m", "adapter:a model:m", "adapter:a model:m"}, "", "adapter:a"},
