quarantine: log where records come from, what clears a request, and the key of abandoned attempts

The logs could not tell the hypotheses of the incident apart: which way a record came to an entry and how old it was, which completion cleared a request, and under which request a server may still crash after its entry has given up the attempt. Merge takes the source of the records in place of a flag; no decision changes.

--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -26,6 +26,10 @@
 	if x.server != nil {
 		server, software = x.server.id, g.fleet.versionOf(x.server)
 	}
+	if x.abandoned {
+		// The key tells which request its server may still crash under.
+		x.keyedRequest().Key()
+	}
 	heldBy, heldScope, heldName := x.keyed.HeldBy()
 	g.cfg.RequestLog.Info("request", "id", x.info.ID, "key", x.keyed.ComputedKey(), "held-by", heldBy, "held-scope", heldScope, "held-name", heldName, "outcome", x.outcome.String(), "team", x.teamName(), "quota-cost", x.access.cost, "confirmed-age-ms", time.Since(g.subscriber.confirmedAt()).Milliseconds(), "status", x.status, "route", route,
 		"version", version, "pool", x.pool, "model", x.info.Model, "adapter", x.info.Adapter, "server", server, "via", x.via,
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -155,7 +155,7 @@
 // Merge merges the records of other hosts, and clears at once what has completed here: the
 // next request with it may arrive at any entry.
 func (g *Guard) Merge(list []*schema.Suspect) {
-	g.suspects.Merge(list, true)
+	g.suspects.Merge(list, SourceControl)
 	for _, s := range list {
 		var key Key
 		if scope := Scope(s.GetScope()); scope.shared() && copy(key[:], s.GetKey()) == len(key) {
@@ -247,8 +247,8 @@
 	if g.suspects.Empty() {
 		return
 	}
-	if g.suspects.MayContain(r.Hint()) {
-		g.Clear(r.Key())
+	if g.suspects.MayContain(r.Hint()) && g.Clear(r.Key()) {
+		g.log.Info("suspect cleared", "key", r.Key().String(), "scope", ScopeRequest.String(), "completed-ago-ms", 0)
 	}
 	for i, c := range r.shared {
 		if g.suspects.MayContain(c.Hint()) {
--- a/internal/quarantine/holds_test.go
+++ b/internal/quarantine/holds_test.go
@@ -164,7 +164,7 @@
 		accuse(100 + i)
 	}
 	require.True(t, isHeldBack(set, key))
-	set.Merge(old, false)
+	set.Merge(old, quarantine.SourceEntry)
 	require.Equal(t, 3, set.UnclearedCount(key), "a server that was dropped does not count again")
 }
 
@@ -208,8 +208,8 @@
 	for range 2 {
 		list, _ := one.Since(0, quarantine.PartAll)
 		other, _ := two.Since(0, quarantine.PartAll)
-		two.Merge(list, false)
-		one.Merge(other, false)
+		two.Merge(list, quarantine.SourceEntry)
+		one.Merge(other, quarantine.SourceEntry)
 	}
 	require.Equal(t, one.List(), two.List())
 	for _, set := range []*quarantine.SuspectSet{one, two} {
--- a/internal/quarantine/part_series_test.go
+++ b/internal/quarantine/part_series_test.go
@@ -264,7 +264,7 @@
 func (f *partFleet) report() {
 	for _, e := range f.entries {
 		if list := e.up.Next(); len(list) > 0 && !e.partitioned {
-			time.AfterFunc(newsDelay, func() { f.leader.Merge(list, false) })
+			time.AfterFunc(newsDelay, func() { f.leader.Merge(list, quarantine.SourceEntry) })
 		}
 	}
 }
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -190,7 +190,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, a := range accused {
-		s.update(a.Key, s.getOrAdd(a), true, func(r *record) bool {
+		s.update(a.Key, s.getOrAdd(a), SourceOwn, func(r *record) bool {
 			return r.add(server, endedServer{at: at, weak: a.Weak})
 		})
 	}
@@ -207,22 +207,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.records[key]
-	changed := r != nil && s.update(key, r, true, func(r *record) bool { return r.clearUntil(at) })
+	changed := r != nil && s.update(key, r, SourceOwn, func(r *record) bool { return r.clearUntil(at) })
 	s.evaluate()
 	return changed
 }
 
-// update changes a record, numbers the change and adapts the holds. own is set if the change
-// does not come from the leader. It reports whether the record changed; the caller holds mu
-// and calls evaluate afterwards.
-func (s *SuspectSet) update(key Key, r *record, own bool, change func(*record) bool) bool {
+// update changes a record, numbers the change and adapts the holds. It reports whether the
+// record changed; the caller holds mu and calls evaluate afterwards.
+func (s *SuspectSet) update(key Key, r *record, source Source, change func(*record) bool) bool {
 	before, wasHeld := s.heldUntil(key, r)
 	if !change(r) {
 		return false
 	}
 	s.change++
 	r.change = s.change
-	if own {
+	if source != SourceControl {
 		r.ownChange = s.change
 	}
 	s.holds.recordChanged(key, r)
--- a/internal/quarantine/suspects_test.go
+++ b/internal/quarantine/suspects_test.go
@@ -116,14 +116,14 @@
 			if random.Intn(3) == 0 {
 				from, to := random.Intn(len(sets)), random.Intn(len(sets))
 				records, _ := sets[from].Since(0, quarantine.PartAll)
-				sets[to].Merge(records, random.Intn(2) == 0)
+				sets[to].Merge(records, []quarantine.Source{quarantine.SourceControl, quarantine.SourceEntry}[random.Intn(2)])
 			}
 		}
 		for range 2 {
 			for from := range sets {
 				records, _ := sets[from].Since(0, quarantine.PartAll)
 				for to := range sets {
-					sets[to].Merge(records, true)
+					sets[to].Merge(records, quarantine.SourceControl)
 				}
 			}
 		}
@@ -146,10 +146,10 @@
 	before, _ := one.HeldBack(keyOf("/1"))
 	records, _ := one.Since(0, quarantine.PartOwn)
 	c.current = c.current.Add(time.Second)
-	require.True(t, two.Merge(records, false))
+	require.True(t, two.Merge(records, quarantine.SourceEntry))
 	back, _ := two.Since(0, quarantine.PartAll)
 	c.current = c.current.Add(time.Second)
-	require.False(t, one.Merge(back, true))
+	require.False(t, one.Merge(back, quarantine.SourceControl))
 	after, _ := one.HeldBack(keyOf("/1"))
 	require.Equal(t, before-2*time.Second, after)
 }
@@ -170,7 +170,7 @@
 		other.RecordEnded(keyOf("leader's"), strconv.Itoa(i))
 	}
 	records, _ := other.Since(0, quarantine.PartAll)
-	require.True(t, set.Merge(records, true))
+	require.True(t, set.Merge(records, quarantine.SourceControl))
 
 	total := 0
 	change := uint64(0)
@@ -196,7 +196,7 @@
 func TestMalformedKeyIsIgnored(t *testing.T) {
 	set := newSuspectSet(&clock{time.Unix(1e9, 0)})
 	suspect := &schema.Suspect{Key: []byte{1, 2}, Ended: []*schema.EndedServer{{Server: "a"}}}
-	require.False(t, set.Merge([]*schema.Suspect{proto.Clone(suspect).(*schema.Suspect)}, true))
+	require.False(t, set.Merge([]*schema.Suspect{proto.Clone(suspect).(*schema.Suspect)}, quarantine.SourceControl))
 	require.True(t, set.Empty())
 }
 
--- a/internal/quarantine/sync.go
+++ b/internal/quarantine/sync.go
@@ -88,13 +88,15 @@
 
 // Merge merges another host's records into the set. It reports whether any of them changed
 // it.
-func (s *SuspectSet) Merge(list []*schema.Suspect, fromLeader bool) bool {
+func (s *SuspectSet) Merge(list []*schema.Suspect, source Source) bool {
 	if len(list) == 0 {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed := false
+	changed := 0
+	var likely []string
+	var oldest time.Duration
 	for _, suspect := range list {
 		var key Key
 		scope := Scope(suspect.GetScope())
@@ -104,10 +106,20 @@
 		}
 		copy(key[:], suspect.GetKey())
 		r := s.getOrAdd(Accusation{Key: key, Scope: scope, Depth: int(suspect.GetDepth())})
-		changed = s.update(key, r, !fromLeader, func(r *record) bool { return s.mergeServers(r, suspect) }) || changed
+		if !s.update(key, r, source, func(r *record) bool { return s.mergeServers(r, suspect) }) {
+			continue
+		}
+		changed++
+		if r.likely() && len(likely) < maxSuspectsLogged {
+			likely = append(likely, key.String())
+			oldest = max(oldest, time.Duration(suspect.GetAgeMs())*time.Millisecond)
+		}
 	}
 	s.evaluate()
-	return changed
+	if len(likely) > 0 {
+		s.cfg.Log.Info("suspects received", "source", source.String(), "count", len(list), "changed", changed, "likely", likely, "age-ms", oldest.Milliseconds())
+	}
+	return changed > 0
 }
 
 // mergeServers merges the servers of a suspect into its record, and reports whether that
--- a/internal/quarantine/trial_test.go
+++ b/internal/quarantine/trial_test.go
@@ -35,7 +35,7 @@
 			list, _ := from.Suspects().Since(0, quarantine.PartAll)
 			time.AfterFunc(recordDelay, func() {
 				for _, g := range guards {
-					g.Suspects().Merge(list, true)
+					g.Suspects().Merge(list, quarantine.SourceControl)
 				}
 			})
 		}
@@ -52,7 +52,7 @@
 		}
 		request := quarantine.Request{Method: "POST", Target: "/once", Body: []byte("harmful")}
 		for _, g := range guards {
-			g.Suspects().Merge(threeEnded(request), true)
+			g.Suspects().Merge(threeEnded(request), quarantine.SourceControl)
 		}
 		ended := 0
 		for began := time.Now(); time.Since(began) < duration; time.Sleep(repeatInterval) {
@@ -94,7 +94,7 @@
 		})
 		defer g.Close()
 		request := quarantine.Request{Target: "/once"}
-		g.Suspects().Merge(threeEnded(request), true)
+		g.Suspects().Merge(threeEnded(request), quarantine.SourceControl)
 		one, two := quarantine.NewKeyedRequest(request), quarantine.NewKeyedRequest(request)
 		remaining, held := g.HeldBack(one)
 		require.True(t, held)
--- a/internal/role/entry_session.go
+++ b/internal/role/entry_session.go
@@ -202,7 +202,7 @@
 func (s *entrySession) handleReport(report *schema.EntryNews) {
 	s.echoUs.Store(report.GetSentUs())
 	s.acknowledge(report.GetTaken())
-	if s.c.suspects.Merge(report.GetSuspects(), false) {
+	if s.c.suspects.Merge(report.GetSuspects(), quarantine.SourceEntry) {
 		s.c.subscribers.RequestReport()
 	}
 	if s.c.rejectionLimits.Merge(report.GetRejectionLimits(), time.Now()) {
--- a/internal/role/follow.go
+++ b/internal/role/follow.go
@@ -109,7 +109,7 @@
 		// Suspects are merged before the mirror is updated, which allows updates to
 		// entries: an entry that has just started must not serve before it knows the
 		// held-back requests.
-		c.suspects.Merge(update.GetSuspects(), true)
+		c.suspects.Merge(update.GetSuspects(), quarantine.SourceControl)
 		c.rejectionLimits.Merge(update.GetRejectionLimits(), time.Now())
 		if !c.mirror.Apply(update) {
 			return errors.Newf("term %d: %w", update.GetKnown().GetTerm(), errOtherLeader)
--- a/internal/role/host_session.go
+++ b/internal/role/host_session.go
@@ -133,7 +133,7 @@
 	h.c.roster.ApplyHostReport(h.number, h.address(), h.term, report)
 	h.c.driver.HandleDemand(h.address(), report.GetDemands())
 	h.pacer.setQuery(report.GetDemands())
-	h.c.suspects.Merge(report.GetSuspects(), false)
+	h.c.suspects.Merge(report.GetSuspects(), quarantine.SourceEntry)
 	h.c.roster.ApplyLimits(report.GetLimits())
 	h.c.roster.ApplyDepartures(report.GetLeavingServers())
 	h.c.rejectionLimits.Merge(report.GetRejectionLimits(), time.Now())
--- a/internal/role/suspects.go
+++ b/internal/role/suspects.go
@@ -49,7 +49,7 @@
 	if len(list) == 0 {
 		return
 	}
-	c.suspects.Merge(list, false)
+	c.suspects.Merge(list, quarantine.SourceLog)
 	c.cfg.Log.Info("suspects recalled", "count", len(list), "term", term)
 }
 
