Test: a harmful request under overlapping disruptions (red)

A request that crashes its servers is repeated at entries drawn by lot while two to four things fail within seven seconds.

--- /dev/null
+++ b/internal/role/harmful_disruptions_test.go
@@ -0,0 +1,242 @@
+package role_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	harmfulSeeds       = flag.Int("harmful-seeds", 1, "series of disruptions beside a harmful request to play")
+	harmfulFirstSeed   = flag.Int64("harmful-first-seed", 1, "seed of the first series")
+	harmfulEntries     = flag.Int("harmful-entries", 24, "entries of each series")
+	harmfulCallerLimit = flag.Duration("harmful-caller-limit", 3*time.Second, "how long callers of the harmful request wait")
+	harmfulOnly        = flag.String("harmful-only", "", "disruptions to play alone, separated by commas; empty: by lot")
+)
+
+const (
+	// harmfulSeriesServers and harmfulSeriesControlHosts are the numbers of hosts of a series.
+	harmfulSeriesServers      = 60
+	harmfulSeriesControlHosts = 9
+	// disruptionWindow is the time within which the disruptions of a series begin, and
+	// harmfulSeriesLength how long the harmful request is repeated.
+	disruptionWindow    = 7 * time.Second
+	harmfulSeriesLength = 18 * time.Second
+	// maxHarmfulCrashes is how many servers a harmful request may crash, whatever else fails.
+	maxHarmfulCrashes = 6
+)
+
+// keptHarmfulSeeds are seeds of series in which too many servers crashed once.
+var keptHarmfulSeeds = []int64{14, 23, 25}
+
+// disruption is something that fails while a harmful request is repeated.
+type disruption struct {
+	name string
+	run  func(d *deployment, b *backends, random *rand.Rand, end time.Time)
+}
+
+// disruptions are drawn by lot for each series.
+var disruptions = []disruption{
+	{"entries-cut-off", func(d *deployment, _ *backends, random *rand.Rand, end time.Time) {
+		some := d.someEntries(random, 0.2+0.6*random.Float64())
+		for _, ip := range some {
+			d.setEntryPartition(ip, true)
+		}
+		time.Sleep(min(2*time.Second+time.Duration(random.Int63n(int64(4*time.Second))), time.Until(end)))
+		for _, ip := range some {
+			d.setEntryPartition(ip, false)
+		}
+	}},
+	{"leader-lost", func(d *deployment, _ *backends, _ *rand.Rand, end time.Time) {
+		if leader := d.leader(); leader != "" {
+			d.restartControlHosts(leader)
+		}
+		time.Sleep(min(2*time.Second, time.Until(end)))
+	}},
+	{"leader-silent", func(d *deployment, _ *backends, random *rand.Rand, end time.Time) {
+		leader := d.leader()
+		cut := func(block bool) {
+			for _, ip := range slices.Concat(d.controlIPs(), d.entryIPs()) {
+				if ip != leader {
+					d.network.Cut(leader, ip, block)
+					d.network.Cut(ip, leader, block)
+				}
+			}
+		}
+		if leader == "" {
+			return
+		}
+		cut(true)
+		time.Sleep(min(time.Second+time.Duration(random.Int63n(int64(3*time.Second))), time.Until(end)))
+		cut(false)
+	}},
+	{"all-control-hosts-restarted", func(d *deployment, _ *backends, _ *rand.Rand, _ time.Time) {
+		d.restartControlHosts(d.controlIPs()...)
+	}},
+	{"entries-restarted", func(d *deployment, _ *backends, random *rand.Rand, _ time.Time) {
+		for _, ip := range d.someEntries(random, 0.2) {
+			d.restartEntry(ip)
+		}
+	}},
+	{"halves", func(d *deployment, _ *backends, random *rand.Rand, end time.Time) {
+		hosts := slices.Concat(d.controlIPs(), d.entryIPs())
+		random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+		half := hosts[:len(hosts)/2]
+		cut := func(block bool) {
+			for _, a := range half {
+				for _, b := range hosts[len(hosts)/2:] {
+					d.network.Cut(a, b, block)
+					d.network.Cut(b, a, block)
+				}
+			}
+		}
+		cut(true)
+		time.Sleep(min(2*time.Second+time.Duration(random.Int63n(int64(3*time.Second))), time.Until(end)))
+		cut(false)
+	}},
+	{"rack-lost", func(_ *deployment, b *backends, _ *rand.Rand, _ time.Time) { b.stopSome(8) }},
+	{"rack-dark", func(d *deployment, b *backends, random *rand.Rand, end time.Time) {
+		first := random.Intn(harmfulSeriesServers - 8)
+		for i := range 8 {
+			d.network.PowerOff(backendIP(first + i))
+		}
+		time.Sleep(min(4*time.Second, time.Until(end)))
+		for i := range 8 {
+			d.network.PowerOn(backendIP(first + i))
+		}
+	}},
+}
+
+// someEntries returns a share of the entries, drawn by lot.
+func (d *deployment) someEntries(random *rand.Rand, share float64) []string {
+	all := d.entryIPs()
+	random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:max(int(share*float64(len(all))), 1)]
+}
+
+// callFor is call by a caller that leaves after a time.
+func (d *deployment) callFor(limit time.Duration, ip, path, body string) int {
+	d.entriesMu.RLock()
+	entry := d.entries[ip]
+	d.entriesMu.RUnlock()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	request := httptest.NewRequest(http.MethodPost, "http://h.example"+path, strings.NewReader(body)).WithContext(ctx)
+	request.Header.Set("X-Id", strconv.FormatInt(d.lastCallID.Add(1), 10))
+	recorder := httptest.NewRecorder()
+	// An interrupted response panics, as net/http expects.
+	defer func() { _ = recover() }()
+	entry.CallerHandler().ServeHTTP(recorder, request)
+	return recorder.Code
+}
+
+// harmfulSeries plays a series: the harmful request at entries drawn by lot, ordinary ones beside it,
+// and two to four disruptions.
+type harmfulSeries struct {
+	d      *deployment
+	b      *backends
+	random *rand.Rand
+	// callerLimit is how long the callers of the harmful request wait.
+	callerLimit time.Duration
+	played      []string
+
+	mu sync.Mutex
+	// served and ordinary count the ordinary requests.
+	served, ordinary int
+}
+
+func (s *harmfulSeries) disrupt(wg *sync.WaitGroup, end time.Time) {
+	var some []disruption
+	for _, x := range disruptions {
+		if slices.Contains(strings.Split(*harmfulOnly, ","), x.name) {
+			some = append(some, x)
+		}
+	}
+	if len(some) == 0 {
+		for range 2 + s.random.Intn(3) {
+			some = append(some, disruptions[s.random.Intn(len(disruptions))])
+		}
+	}
+	// Disruptions that restart hosts run one after the other: deployment belongs to one goroutine.
+	var ats []time.Duration
+	for range some {
+		ats = append(ats, time.Duration(s.random.Int63n(int64(disruptionWindow))))
+	}
+	slices.Sort(ats)
+	start := time.Now()
+	for i, x := range some {
+		s.played = append(s.played, fmt.Sprint(x.name, "@", ats[i].Truncate(100*time.Millisecond)))
+		time.Sleep(time.Until(start.Add(ats[i])))
+		if restarts := strings.Contains(x.name, "restart") || x.name == "leader-lost"; restarts {
+			x.run(s.d, s.b, s.random, end)
+			continue
+		}
+		random := rand.New(rand.NewSource(s.random.Int63()))
+		wg.Go(func() { x.run(s.d, s.b, random, end) })
+	}
+}
+
+func (s *harmfulSeries) play() {
+	end := time.Now().Add(harmfulSeriesLength)
+	entries := s.d.entryIPs()
+	var wg sync.WaitGroup
+	random := rand.New(rand.NewSource(s.random.Int63()))
+	wg.Go(func() {
+		for i := 0; time.Now().Before(end); i++ {
+			ip := entries[random.Intn(len(entries))]
+			wg.Go(func() { s.d.callFor(s.callerLimit, ip, "/once/x", harmfulBody) })
+			for range 3 {
+				at, body := entries[random.Intn(len(entries))], fmt.Sprint("ordinary ", random.Int63())
+				wg.Go(func() {
+					status := s.d.callFor(3*time.Second, at, "/again/x", body)
+					s.mu.Lock()
+					defer s.mu.Unlock()
+					s.ordinary++
+					if status == http.StatusOK {
+						s.served++
+					}
+				})
+			}
+			time.Sleep(50*time.Millisecond + time.Duration(random.Int63n(int64(250*time.Millisecond))))
+		}
+	})
+	s.disrupt(&wg, end)
+	wg.Wait()
+}
+
+// Entries, control hosts and servers fail within seconds of each other while a request is repeated that
+// crashes its servers: its evidence does not add up, and it crashes many more.
+func TestHarmfulRequestUnderOverlappingDisruptions(t *testing.T) {
+	seeds := slices.Clone(keptHarmfulSeeds)
+	for i := range *harmfulSeeds {
+		seeds = append(seeds, *harmfulFirstSeed+int64(i))
+	}
+	for _, seed := range seeds {
+		t.Run(strconv.FormatInt(seed, 10), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newSettledDeploymentOf(t, seed, harmfulSeriesControlHosts, *harmfulEntries)
+				defer d.close()
+				b := startBackends(d, harmfulSeriesServers)
+				defer b.close()
+				s := &harmfulSeries{d: d, b: b, random: rand.New(rand.NewSource(seed)), callerLimit: *harmfulCallerLimit}
+				s.play()
+				late := b.lateArrivals(maxHoldBackDelay)
+				t.Logf("%v: %d servers crashed, %d late arrivals, %d of %d ordinary requests served", s.played, b.crashCount(), late, s.served, s.ordinary)
+				require.LessOrEqual(t, b.crashCount(), maxHarmfulCrashes)
+				require.LessOrEqual(t, late, maxLateArrivals)
+			})
+		})
+	}
+}
