path: the end of a server is confirmed though some of the asked hosts do not respond

Causes, three: a refused connection that one other host had confirmed waited for all hosts that were asked until the attempt timed out after 400 ms; hosts that had not responded were asked again by the next probe; and hosts that had reached no other server yet, or none but crashed ones, could not say whether a refusal was their own fault. Ruled out: the prober's queue (idle), records that travel late (they arrived within 10 ms of the finding).

Change: one confirmation ends the wait 50 ms after the last result; the next host is asked after 50 ms in place of 150 ms, six in place of three, once the own connection was refused; silent ones are set aside; a host tries any known server.

--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -8,6 +8,23 @@
 // IsServer reports whether an address is the one of a known backend server.
 func (g *Gateway) IsServer(address string) bool { return g.fleet.hasAddress(address) }
 
+// AnyServer returns the address of a backend server that takes requests and is none of those given, empty
+// if there is none.
+func (g *Gateway) AnyServer(except ...string) string { return g.fleet.anyReady(except) }
+
+// anyReady returns the address of a server that takes new work, but none of some.
+func (f *fleet) anyReady(except []string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for _, s := range f.servers {
+		if s.ready() && !now.Before(s.ejectedUntil) && !slices.Contains(except, s.address) {
+			return s.address
+		}
+	}
+	return ""
+}
+
 // CarriesTunnels reports whether this entry takes new tunnels of other entries: a stopping one does not.
 func (g *Gateway) CarriesTunnels() bool { return !g.draining.Load() }
 
--- a/internal/path/attempt.go
+++ b/internal/path/attempt.go
@@ -93,7 +93,11 @@
 // ask asks another host. It returns false if there is none to ask.
 func (a *attempt) ask(ctx context.Context) bool {
 	slow := len(a.asked) - a.declined - a.unsure
-	if ctx.Err() != nil || slow >= maxHostsAsked || len(a.asked) >= maxAsked || a.refused+a.silent >= minOpinions {
+	limit := maxHostsAsked
+	if a.directRefused() {
+		limit = maxHostsAskedRefused
+	}
+	if ctx.Err() != nil || slow >= limit || len(a.asked) >= maxAsked || a.refused+a.silent >= minOpinions {
 		return false
 	}
 	host := ""
@@ -133,8 +137,18 @@
 			if !a.ask(tunnelCtx) && a.pending == 0 {
 				return nil, a.fail(ctx.Err())
 			}
+			if r.via == "" {
+				timer.Reset(confirmDelay)
+			}
 		case <-timer.C:
+			if a.confirmed() {
+				return nil, a.fail(ctx.Err())
+			}
 			a.ask(tunnelCtx)
+			if a.directErr != nil {
+				timer.Reset(confirmDelay)
+				continue
+			}
 			timer.Reset(tunnelDelay)
 		case <-tunnelCtx.Done():
 			return nil, a.fail(ctx.Err())
@@ -175,13 +189,18 @@
 // settle waits for the paths that were not used, and records whether the direct one is lost.
 func (a *attempt) settle(used net.Conn) {
 	usedAt := time.Now()
+	patience := tunnelDelay
+	if a.directRefused() {
+		patience = confirmDelay
+	}
 	for ; a.pending > 0; a.pending-- {
 		r := <-a.results
 		switch {
 		case r.via == "" && used != nil:
 			a.applyDirect(r)
-		case used != nil && r.err != nil && usedAt.Sub(a.askedAt[r.via]) >= tunnelDelay:
-			// The server responds to others at once, so that this host is what is slow.
+		case (used != nil || a.directRefused()) && r.err != nil && usedAt.Sub(a.askedAt[r.via]) >= patience:
+			// The server responds to others or refuses this host at once, so that the asked host is what
+			// is slow.
 			a.d.setAside(r.via, r.err)
 		}
 		if r.conn != nil {
@@ -215,15 +234,20 @@
 	return err
 }
 
+func (a *attempt) directRefused() bool { return errors.Is(a.directErr, syscall.ECONNREFUSED) }
+
+// confirmed reports whether the server has refused this host and another one, and no host got no response
+// from it.
+func (a *attempt) confirmed() bool { return a.directRefused() && a.refused > 0 && a.silent == 0 }
+
 // failure returns the error of a server that no path leads to. It wraps ECONNREFUSED only if that is
 // no fault of this host's path, or if there is no other host to ask.
 func (a *attempt) failure() error {
 	left, hostsKnown := a.d.nextHost(a.asked)
-	directRefused := errors.Is(a.directErr, syscall.ECONNREFUSED)
 	// Hosts that are unsure have perhaps lost their paths as well: they count only if nobody else is left to
 	// ask.
-	confirmed := a.silent == 0 && (a.refused > 0 || a.unsure > 0 && left == "")
-	ended := directRefused && (!hostsKnown || confirmed) || a.refused >= minOpinions
+	unsure := a.silent == 0 && a.unsure > 0 && left == ""
+	ended := a.confirmed() || a.directRefused() && (!hostsKnown || unsure) || a.refused >= minOpinions
 	switch {
 	case ended:
 		return errors.Newf("connect to %s: refused also to %d other hosts: %w", a.address, a.refused+a.unsure, syscall.ECONNREFUSED)
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -23,6 +23,9 @@
 	// tunnelDelay is the time after which another host is asked beside an attempt that neither
 	// connects nor fails: many round trips, as connecting waits for nothing but the network.
 	tunnelDelay = 150 * time.Millisecond
+	// confirmDelay is the same once the own path has failed: a host that reaches the server, or is
+	// refused by it, responds within a few round trips, and one that does not is out of reach itself.
+	confirmDelay = 50 * time.Millisecond
 	// connectTimeout bounds an attempt. It is shorter than tcp.ConnectTimeout, with which callers give
 	// an attempt up, so that it fails with what the other hosts have said.
 	connectTimeout = 400 * time.Millisecond
@@ -30,8 +33,11 @@
 	// are unsure, which respond at once, and maxAsked with them. minOpinions is the number of them that must agree that a server has
 	// ended: one alone may have just lost its path as well.
 	maxHostsAsked = 3
-	maxAsked      = 8
-	minOpinions   = 2
+	// maxHostsAskedRefused is the same once the server has refused this host's own connection: half of the other hosts may
+	// be out of reach.
+	maxHostsAskedRefused = 6
+	maxAsked             = 8
+	minOpinions          = 2
 	// maxUnconfirmed bounds the hosts asked at the same time while this host's own path is not known
 	// to be lost: servers that crash must not cost other hosts more than this.
 	maxUnconfirmed = 32
@@ -53,7 +59,7 @@
 // connections for it: the failure says nothing about the server.
 var ErrNoPath = errors.New("no path to the backend servers")
 
-// Config configures a Dialer. All fields are required.
+// Config configures a Dialer. All fields but AnyServer are required.
 type Config struct {
 	// Direct connects to an address over this host's own network path.
 	Direct func(ctx context.Context, address string) (net.Conn, error)
@@ -64,6 +70,10 @@
 	// Cooling reports whether the server at an address wants nothing from this host for some time: it is not
 	// connected to for a check.
 	Cooling func(address string) bool
+	// AnyServer returns the address of a server that takes requests and is none of those given, empty if
+	// there is none: a host that has reached no server yet, or none but servers that have crashed, could
+	// not say whether its own path is lost. It may be nil.
+	AnyServer func(except ...string) string
 	// OnChange is called when Lost or Unreached changes.
 	OnChange func()
 	Random   func(n int) int
@@ -202,7 +212,7 @@
 
 // ReachesOther reports whether this host reaches another server than the one at an address over its own path
 // right now: a refused connection may otherwise be the first sign that the path is lost. It tries one that it
-// has reached before.
+// has reached before, and then any other one.
 func (d *Dialer) ReachesOther(ctx context.Context, address string) bool {
 	d.mu.Lock()
 	other := d.reached
@@ -210,10 +220,18 @@
 		other = d.reachedBefore
 	}
 	d.mu.Unlock()
-	if other == "" || d.cfg.Cooling(other) {
+	if d.tryServer(ctx, other) {
+		return true
+	}
+	return d.cfg.AnyServer != nil && d.tryServer(ctx, d.cfg.AnyServer(address, other))
+}
+
+// tryServer reports whether this host reaches a server over its own path; false for the empty address.
+func (d *Dialer) tryServer(ctx context.Context, address string) bool {
+	if address == "" || d.cfg.Cooling(address) {
 		return false
 	}
-	conn, err := d.Connect(ctx, other)
+	conn, err := d.Connect(ctx, address)
 	if err != nil {
 		return false
 	}
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -82,9 +82,10 @@
 	direct := cfg.Network.dial()
 	e.paths = path.New(path.Config{
 		Direct: direct, Through: tunnel.NewOpener(direct), Random: rand.IntN, Log: cfg.Log.WithName("path"),
-		Hosts:    func() (preferred, others []string) { return e.gateway.TunnelHosts() },
-		Cooling:  func(address string) bool { return e.gateway.ServerCooldown(address) > 0 },
-		OnChange: func() { e.gateway.ReportPath() },
+		Hosts:     func() (preferred, others []string) { return e.gateway.TunnelHosts() },
+		Cooling:   func(address string) bool { return e.gateway.ServerCooldown(address) > 0 },
+		AnyServer: func(except ...string) string { return e.gateway.AnyServer(except...) },
+		OnChange:  func() { e.gateway.ReportPath() },
 	})
 	e.tunnels = tunnel.NewServer(tunnel.ServerConfig{
 		Connect: e.paths.Connect, Log: cfg.Log.WithName("tunnel"),
