gossip: entries exchange evidence on harmful requests directly

Cause: records took one way only, from the entry that found them over its control host to the leader and back. An entry that is cut off from all control hosts gave none and got none, though it reached all other entries, and needed three servers of its own; nothing crossed between control hosts while nobody led. Evidence: in all series with late arrivals the late ones came from entries that were cut off, and no 'suspects received' line of theirs precedes them. Ruled out: cleared records (the request never completes), records that are dropped.

Change: an entry sends what it finds to two collectors of the suspect, chosen by rendezvous hashing, where the evidence of several entries adds up; suspects that lack one server or none are flooded with a fan-out of ln(n) + 3; entries compare their likely suspects once a second after a flood, later 20 times a second over the whole fleet, which joins groups that were cut off from each other. Entries that have left the leader's list stay among those that are sent to for ten minutes: they may only have lost their control host. No message while there are no suspects. What control hosts have sent meanwhile is not reported to them again.

--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -186,5 +186,5 @@
 func (e *Entry) mergeRecordedSuspects() {
 	var list []*schema.Suspect
 	e.cfg.Replica.View(func(r *ledger.Records) { list = r.Suspects(time.Now()) })
-	e.guard.Merge(list)
+	e.guard.Merge(list, quarantine.SourceControl)
 }
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -320,3 +320,20 @@
 		g.guard.Suspects().Accuse(server, time.Now(), []quarantine.Accusation{{Key: part.Key(), Scope: part.Scope, Depth: part.Depth}})
 	}
 }
+
+// Bounds of RecentEntries.
+const (
+	EntryRetention     = entryRetention
+	MaxDepartedEntries = maxDepartedEntries
+)
+
+// RecentEntries is the record of a gateway's other entries.
+type RecentEntries struct{ entries recentEntries }
+
+// Set applies a list of the leader.
+func (r *RecentEntries) Set(list []*schema.RosterEntry, self string, now time.Time) {
+	r.entries.set(list, self, now)
+}
+
+// All returns the addresses of the other entries.
+func (r *RecentEntries) All(now time.Time) []string { return r.entries.all(now) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,6 +84,8 @@
 	startTime  time.Time
 	configured chan struct{}
 	entries    atomic.Pointer[[]*schema.RosterEntry]
+	// recentEntries are the other entries of the last lists.
+	recentEntries recentEntries
 	// shares counts the entries that divide the limits that hold for all of them together.
 	shares   shareCounter
 	draining atomic.Bool
@@ -268,6 +270,7 @@
 
 func (g *Gateway) setEntries(list []*schema.RosterEntry) {
 	g.entries.Store(&list)
+	g.recentEntries.set(list, g.cfg.Self.GetHost(), time.Now())
 	g.shares.set(len(list), time.Now())
 	g.fleet.setEntries(len(list))
 	lost := 0
@@ -279,6 +282,10 @@
 	g.cfg.Log.Info("entries believed", "count", len(list), "path-lost", lost)
 }
 
+// RecentEntries returns the addresses at which other entries take messages, also of those that have left
+// the leader's list a short time ago.
+func (g *Gateway) RecentEntries() []string { return g.recentEntries.all(time.Now()) }
+
 func (g *Gateway) entryCount() int {
 	if list := g.entries.Load(); list != nil {
 		return len(*list)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -2,11 +2,13 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/relay"
+	"fennelyard/internal/schema"
 )
 
 // keyedRequest returns the request with its key, for the guard.
@@ -19,6 +21,22 @@
 	return x.keyed
 }
 
+// Suspects returns the requests that this entry suspects.
+func (g *Gateway) Suspects() *quarantine.SuspectSet { return g.guard.Suspects() }
+
+// MergeSuspects merges the suspects of another entry.
+func (g *Gateway) MergeSuspects(list []*schema.Suspect) {
+	g.mergeSuspects(list, quarantine.SourceEntry)
+}
+
+// mergeSuspects merges suspects of other hosts, and ejects the servers that ended under them.
+func (g *Gateway) mergeSuspects(list []*schema.Suspect, source quarantine.Source) {
+	g.guard.Merge(list, source)
+	if ejected := g.fleet.recordEnded(list, time.Now()); len(ejected) > 0 {
+		g.cfg.Log.Info("servers ejected that have ended", "count", len(ejected), "servers", ejected[:min(len(ejected), maxServersLogged)])
+	}
+}
+
 // maxCarrierParts is the maximum number of parts of a prompt that are looked at for what
 // crashes servers.
 const maxCarrierParts = 16
--- a/internal/gateway/subscriber.go
+++ b/internal/gateway/subscriber.go
@@ -374,10 +374,7 @@
 	}
 	// Suspects, rejection limits and the entries that share them are applied before the configuration,
 	// as a newly started entry begins to serve once it has a configuration.
-	s.g.guard.Merge(update.GetSuspects())
-	if ejected := s.g.fleet.recordEnded(update.GetSuspects(), time.Now()); len(ejected) > 0 {
-		s.g.cfg.Log.Info("servers ejected that have ended", "count", len(ejected), "servers", ejected[:min(len(ejected), maxServersLogged)])
-	}
+	s.g.mergeSuspects(update.GetSuspects(), quarantine.SourceControl)
 	if s.g.fleet.rejectionLimits.Merge(update.GetRejectionLimits(), time.Now()) {
 		s.g.cfg.Log.Info("rejection limits believed", "pools", len(update.GetRejectionLimits()), "sequence", update.GetSequence())
 	}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -154,8 +154,8 @@
 
 // Merge merges the records of other hosts, and clears at once what has completed here: the
 // next request with it may arrive at any entry.
-func (g *Guard) Merge(list []*schema.Suspect) {
-	g.suspects.Merge(list, SourceControl)
+func (g *Guard) Merge(list []*schema.Suspect, source Source) {
+	g.suspects.Merge(list, source)
 	for _, s := range list {
 		var key Key
 		if scope := Scope(s.GetScope()); scope.shared() && copy(key[:], s.GetKey()) == len(key) {
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -113,7 +113,7 @@
 				e.AgeMs = 1000
 			}
 		}
-		g.Merge(list)
+		g.Merge(list, quarantine.SourceControl)
 		require.Zero(t, g.Suspects().UnclearedCount(part.Key()))
 		require.Equal(t, 1, changes, "other entries are to know")
 	})
--- a/internal/quarantine/part_series_test.go
+++ b/internal/quarantine/part_series_test.go
@@ -272,7 +272,7 @@
 func (f *partFleet) update() {
 	for _, e := range f.entries {
 		if list := e.down.Next(); len(list) > 0 && !e.partitioned {
-			time.AfterFunc(newsDelay, func() { e.guard.Merge(list) })
+			time.AfterFunc(newsDelay, func() { e.guard.Merge(list, quarantine.SourceControl) })
 		}
 	}
 }
--- a/internal/quarantine/part_string.go
+++ b/internal/quarantine/part_string.go
@@ -10,13 +10,14 @@
 	var x [1]struct{}
 	_ = x[PartAll-0]
 	_ = x[PartOwn-1]
-	_ = x[PartHeld-2]
-	_ = x[PartLikely-3]
+	_ = x[PartFound-2]
+	_ = x[PartHeld-3]
+	_ = x[PartLikely-4]
 }
 
-const _Part_name = "allnotedheldlikely"
+const _Part_name = "allnotedfoundheldlikely"
 
-var _Part_index = [...]uint8{0, 3, 8, 12, 18}
+var _Part_index = [...]uint8{0, 3, 8, 13, 17, 23}
 
 func (i Part) String() string {
 	idx := int(i) - 0
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -11,6 +11,10 @@
 const (
 	// maxServersPerRecord is the maximum number of servers in a record.
 	maxServersPerRecord = 16
+	// maxServerBytes is the maximum length of a server's name in a record of another host.
+	maxServerBytes = 512
+	// maxRecordAge is how long ago a server ended at most in a record that another host may still have.
+	maxRecordAge = firstHold<<maxHoldDoublings + 2*suspicionRetention
 	// weakGroupWindow is the time within which servers end together, as those of a rack that
 	// loses power do: they are one piece of weak evidence.
 	weakGroupWindow = time.Second
@@ -27,9 +31,9 @@
 	// droppedUntil is when the last of the servers ended that were removed from ended to
 	// make room. Servers that ended before are not added again.
 	droppedUntil time.Time
-	// change is the number of the last change, and ownChange of the last one that did not
-	// come from the leader.
-	change, ownChange uint64
+	// change is the number of the last change, ownChange of the last one that control hosts
+	// may not know, and foundChange of the last one that this host found itself.
+	change, ownChange, foundChange uint64
 }
 
 // endedServer is a server that ended under a suspect.
@@ -93,6 +97,17 @@
 	return true
 }
 
+// isCoveredBy reports whether a message has all that the record has.
+func (r *record) isCoveredBy(suspect *schema.Suspect) bool {
+	covered := 0
+	for _, e := range suspect.GetEnded() {
+		if known, ok := r.ended[e.GetServer()]; ok && known.cleared == e.GetCleared() && known.weak == e.GetWeak() {
+			covered++
+		}
+	}
+	return covered == len(r.ended)
+}
+
 // makeRoom removes the oldest cleared server of a full record. It returns false if all
 // servers count against the suspect: one more would prove nothing new.
 func (r *record) makeRoom() bool {
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -70,11 +70,15 @@
 	holds holds
 	// holdsChanged is closed and replaced when the hold of a suspect changes.
 	holdsChanged chan struct{}
+	// digest is that of the likely records at change number digestChange.
+	digest, digestChange uint64
+	// recorded has a token while a change of a record has not been read by its receiver.
+	recorded chan struct{}
 }
 
 // NewSuspectSet returns an empty set.
 func NewSuspectSet(cfg SuspectSetConfig) *SuspectSet {
-	return &SuspectSet{cfg: cfg, records: map[Key]*record{}, hints: map[Hint]int{}, holds: newHolds(), holdsChanged: make(chan struct{})}
+	return &SuspectSet{cfg: cfg, records: map[Key]*record{}, hints: map[Hint]int{}, holds: newHolds(), holdsChanged: make(chan struct{}), recorded: make(chan struct{}, 1)}
 }
 
 // Empty reports whether no request is suspected.
@@ -180,6 +184,9 @@
 	return s.holdsChanged
 }
 
+// Recorded returns a channel with a token after a record has changed. It has one receiver.
+func (s *SuspectSet) Recorded() <-chan struct{} { return s.recorded }
+
 // RecordEnded records that a server ended under a request.
 func (s *SuspectSet) RecordEnded(key Key, server string) {
 	s.Accuse(server, s.cfg.Now(), []Accusation{{Key: key}})
@@ -224,6 +231,13 @@
 	if source != SourceControl {
 		r.ownChange = s.change
 	}
+	if source == SourceOwn {
+		r.foundChange = s.change
+	}
+	select {
+	case s.recorded <- struct{}{}:
+	default:
+	}
 	s.holds.recordChanged(key, r)
 	if until, held := s.heldUntil(key, r); !r.scope.shared() && (held != wasHeld || !until.Equal(before)) {
 		s.signalHold(key, r, until)
--- a/internal/quarantine/sync.go
+++ b/internal/quarantine/sync.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"fennelyard/internal/schema"
 )
 
@@ -19,6 +22,8 @@
 	PartAll Part = iota // all
 	// PartOwn is the records that did not come from the leader, which needs them.
 	PartOwn // noted
+	// PartFound is the records of what this host found itself.
+	PartFound // found
 	// PartHeld is the requests that are or were held back, for entries, and what requests
 	// share that would be after one more server: entries know what has completed.
 	PartHeld // held
@@ -34,6 +39,8 @@
 	switch {
 	case p == PartOwn:
 		return r.ownChange
+	case p == PartFound:
+		return r.foundChange
 	case p == PartHeld && len(r.ended) < threshold && (!r.scope.shared() || len(r.ended) < threshold-1), p == PartLikely && len(r.ended) < threshold-1:
 		return 0
 	}
@@ -94,19 +101,25 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed := 0
+	changed, rejected, lastReason := 0, 0, ""
 	var likely []string
 	var oldest time.Duration
 	for _, suspect := range list {
 		var key Key
 		scope := Scope(suspect.GetScope())
-		if len(suspect.GetKey()) != len(key) || scope < ScopeRequest || scope > ScopeSession {
-			s.cfg.Log.Info("suspicion not taken", "reason", "its key has another length, or its scope is unknown", "bytes", len(suspect.GetKey()), "scope", int(scope))
+		if reason := rejectionOf(suspect); reason != "" {
+			rejected++
+			lastReason = reason
 			continue
 		}
 		copy(key[:], suspect.GetKey())
 		r := s.getOrAdd(Accusation{Key: key, Scope: scope, Depth: int(suspect.GetDepth())})
-		if !s.update(key, r, source, func(r *record) bool { return s.mergeServers(r, suspect) }) {
+		merged := s.update(key, r, source, func(r *record) bool { return s.mergeServers(r, suspect) })
+		if source == SourceControl && r.isCoveredBy(suspect) {
+			// Nothing is left to report.
+			r.ownChange = 0
+		}
+		if !merged {
 			continue
 		}
 		changed++
@@ -116,12 +129,38 @@
 		}
 	}
 	s.evaluate()
+	if rejected > 0 {
+		s.cfg.Log.Info("suspicions not taken", "source", source.String(), "count", rejected, "last-reason", lastReason)
+	}
 	if len(likely) > 0 {
 		s.cfg.Log.Info("suspects received", "source", source.String(), "count", len(list), "changed", changed, "likely", likely, "age-ms", oldest.Milliseconds())
 	}
 	return changed > 0
 }
 
+// rejectionOf returns why a record of another host is not merged, "" if it is.
+func rejectionOf(suspect *schema.Suspect) string {
+	scope := Scope(suspect.GetScope())
+	switch {
+	case len(suspect.GetKey()) != len(Key{}):
+		return "its key has another length"
+	case scope < ScopeRequest || scope > ScopeSession:
+		return "its scope is unknown"
+	}
+	for _, e := range suspect.GetEnded() {
+		age := time.Duration(cmp.Or(e.GetAgeMs(), suspect.GetAgeMs())) * time.Millisecond
+		switch {
+		case age < 0:
+			return "its servers end in the future"
+		case age > maxRecordAge:
+			return "it is too old"
+		case e.GetServer() == "" || len(e.GetServer()) > maxServerBytes:
+			return "the name of a server is empty or too long"
+		}
+	}
+	return ""
+}
+
 // mergeServers merges the servers of a suspect into its record, and reports whether that
 // changed the record.
 func (s *SuspectSet) mergeServers(r *record, suspect *schema.Suspect) bool {
@@ -132,3 +171,60 @@
 	}
 	return changed
 }
+
+// LikelyDigest returns a digest of PartLikely, 0 if it has no records. Sets with the same records have
+// the same digest.
+func (s *SuspectSet) LikelyDigest() uint64 {
+	if s.Empty() {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.digestChange == s.change {
+		return s.digest
+	}
+	s.digest, s.digestChange = 0, s.change
+	for key, r := range s.records {
+		if PartLikely.changeNumber(r) > 0 {
+			s.digest ^= r.digest(key)
+		}
+	}
+	return s.digest
+}
+
+// digest returns a digest of a record that does not depend on the order of its servers.
+func (r *record) digest(key Key) (sum uint64) {
+	for server, e := range r.ended {
+		var d xxhash.Digest
+		d.Reset()
+		// Writing to a hash does not fail.
+		_, _ = d.Write(key[:])
+		_, _ = d.WriteString(server)
+		_, _ = d.WriteString(strconv.FormatBool(e.cleared) + strconv.FormatBool(e.weak))
+		sum ^= d.Sum64()
+	}
+	return sum
+}
+
+// Sample returns up to n records of PartLikely, those first that count against their suspects, and of
+// these the latest.
+func (s *SuspectSet) Sample(n int) []*schema.Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []Key
+	for key, r := range s.records {
+		if PartLikely.changeNumber(r) > 0 {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(k, l Key) int {
+		r, other := s.records[k], s.records[l]
+		return cmp.Or(cmp.Compare(other.blame(), r.blame()), other.lastEnded.Compare(r.lastEnded), slices.Compare(k[:], l[:]))
+	})
+	now := s.cfg.Now()
+	var out []*schema.Suspect
+	for _, key := range keys[:min(n, len(keys))] {
+		out = append(out, s.records[key].message(key, now))
+	}
+	return out
+}
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"fennelyard/internal/gateway"
+	"fennelyard/internal/gossip"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/metrics"
 	"fennelyard/internal/origin"
@@ -65,7 +66,10 @@
 	paths   *path.Dialer
 	tunnels *tunnel.Server
 	// origins records and finds at other entries where streams began.
-	origins        *origin.Client
+	origins *origin.Client
+	// suspects exchanges evidence on harmful requests with other entries.
+	suspects       *gossip.Gossip
+	suspectsClient *gossip.Client
 	callerServer   *http.Server
 	callerListener net.Listener
 	servers        []*http.Server
@@ -96,7 +100,7 @@
 		Cooldown:     func(address string) time.Duration { return e.gateway.ServerCooldown(address) },
 		OnCooldown:   func(server string, wait time.Duration) { e.gateway.CarriedCooldown(server, wait) },
 	})
-	e.origins = origin.NewClient(direct)
+	e.origins, e.suspectsClient = origin.NewClient(direct), gossip.NewClient(direct)
 	e.gateway = gateway.New(gateway.Config{
 		Self: &schema.RosterEntry{
 			Host: s.GetHost(), DataCentre: s.GetDataCentre(), CallerAddress: s.GetCallerAddress(),
@@ -118,6 +122,10 @@
 			cfg.Metrics.TeamRequest(r.Team, r.Outcome.String())
 		},
 	})
+	e.suspects = gossip.New(gossip.Config{
+		Self: settings.PeerAddress(s.GetIp(), s), Entries: e.gateway.RecentEntries, Suspects: e.gateway.Suspects(), Merge: e.gateway.MergeSuspects,
+		Exchange: e.suspectsClient.Exchange, Random: rand.IntN, Log: cfg.Log.WithName("gossip"),
+	})
 	e.registerGauges()
 	if err := e.listen(s); err != nil {
 		e.Close()
@@ -199,15 +207,19 @@
 	return nil
 }
 
-// hostHandler handles what other entries send: tunnels, and where streams began.
+// hostHandler handles what other entries send: tunnels, where streams began, and evidence on harmful
+// requests.
 func (e *Entry) hostHandler() http.Handler {
-	origins := origin.NewHandler(e.gateway.Origins())
+	origins, suspects := origin.NewHandler(e.gateway.Origins()), gossip.NewHandler(e.suspects)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if origin.IsRequest(r) {
+		switch {
+		case origin.IsRequest(r):
 			origins.ServeHTTP(w, r)
-			return
+		case gossip.IsRequest(r):
+			suspects.ServeHTTP(w, r)
+		default:
+			e.tunnels.ServeHTTP(w, r)
 		}
-		e.tunnels.ServeHTTP(w, r)
 	})
 }
 
@@ -279,8 +291,10 @@
 		}
 		e.tunnels.Reset()
 		e.wg.Wait()
+		e.suspects.Close()
 		e.gateway.Close()
 		e.origins.Close()
+		e.suspectsClient.Close()
 		e.paths.Close()
 		e.dialer.Close()
 	})
--- a/internal/role/harmful_disruptions_test.go
+++ b/internal/role/harmful_disruptions_test.go
@@ -107,7 +107,7 @@
 		cut(false)
 	}},
 	{"rack-lost", func(_ *deployment, b *backends, _ *rand.Rand, _ time.Time) { b.stopSome(8) }},
-	{"rack-dark", func(d *deployment, b *backends, random *rand.Rand, end time.Time) {
+	{"rack-dark", func(d *deployment, _ *backends, random *rand.Rand, end time.Time) {
 		first := random.Intn(harmfulSeriesServers - 8)
 		for i := range 8 {
 			d.network.PowerOff(backendIP(first + i))
@@ -150,6 +150,7 @@
 	random *rand.Rand
 	// callerLimit is how long the callers of the harmful request wait.
 	callerLimit time.Duration
+	began       time.Time
 	played      []string
 
 	mu sync.Mutex
@@ -189,7 +190,8 @@
 }
 
 func (s *harmfulSeries) play() {
-	end := time.Now().Add(harmfulSeriesLength)
+	s.began = time.Now()
+	end := s.began.Add(harmfulSeriesLength)
 	entries := s.d.entryIPs()
 	var wg sync.WaitGroup
 	random := rand.New(rand.NewSource(s.random.Int63()))
@@ -216,6 +218,17 @@
 	wg.Wait()
 }
 
+// crashTimes returns when servers crashed, since the begin of the series.
+func (s *harmfulSeries) crashTimes() (out []time.Duration) {
+	s.b.mu.Lock()
+	defer s.b.mu.Unlock()
+	for _, at := range s.b.crashes {
+		out = append(out, at.Sub(s.began).Truncate(time.Millisecond))
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Entries, control hosts and servers fail within seconds of each other while a request is repeated that
 // crashes its servers: its evidence does not add up, and it crashes many more.
 func TestHarmfulRequestUnderOverlappingDisruptions(t *testing.T) {
@@ -233,7 +246,7 @@
 				s := &harmfulSeries{d: d, b: b, random: rand.New(rand.NewSource(seed)), callerLimit: *harmfulCallerLimit}
 				s.play()
 				late := b.lateArrivals(maxHoldBackDelay)
-				t.Logf("%v: %d servers crashed, %d late arrivals, %d of %d ordinary requests served", s.played, b.crashCount(), late, s.served, s.ordinary)
+				t.Logf("%v: %d servers crashed, %d late arrivals, %d of %d ordinary requests served; crashes after %v", s.played, b.crashCount(), late, s.served, s.ordinary, s.crashTimes())
 				require.LessOrEqual(t, b.crashCount(), maxHarmfulCrashes)
 				require.LessOrEqual(t, late, maxLateArrivals)
 			})
