--- a/internal/role/harmful_disruptions_test.go
+++ b/internal/role/harmful_disruptions_test.go
@@ -1,6 +1,7 @@
 package role_test
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -150,8 +151,13 @@
 	random *rand.Rand
 	// callerLimit is how long the callers of the harmful request wait.
 	callerLimit time.Duration
-	began       time.Time
-	played      []string
+	// path is that of the harmful request, and afterCall, if set, is called as it is sent to an entry.
+	path      string
+	afterCall func(ip string)
+	// noDisruptions is set if nothing else fails.
+	noDisruptions bool
+	began         time.Time
+	played        []string
 
 	mu sync.Mutex
 	// served and ordinary count the ordinary requests.
@@ -198,7 +204,10 @@
 	wg.Go(func() {
 		for i := 0; time.Now().Before(end); i++ {
 			ip := entries[random.Intn(len(entries))]
-			wg.Go(func() { s.d.callFor(s.callerLimit, ip, "/once/x", harmfulBody) })
+			wg.Go(func() { s.d.callFor(s.callerLimit, ip, cmp.Or(s.path, "/once/x"), harmfulBody) })
+			if s.afterCall != nil {
+				wg.Go(func() { s.afterCall(ip) })
+			}
 			for range 3 {
 				at, body := entries[random.Intn(len(entries))], fmt.Sprint("ordinary ", random.Int63())
 				wg.Go(func() {
@@ -214,10 +223,66 @@
 			time.Sleep(50*time.Millisecond + time.Duration(random.Int63n(int64(250*time.Millisecond))))
 		}
 	})
-	s.disrupt(&wg, end)
+	if !s.noDisruptions {
+		s.disrupt(&wg, end)
+	}
 	wg.Wait()
 }
 
+// abandonments are the ways in which an attempt ends before its server does.
+var abandonments = map[string]struct {
+	path string
+	// callerLimit is how long callers wait, and runTime how long a server runs the request before it crashes.
+	callerLimit, runTime time.Duration
+	// resets is set if the connections to the servers are reset while they run it.
+	resets bool
+	// crashes is how many servers may crash.
+	crashes int
+}{
+	"callers leave":                 {"/once/x", 60 * time.Millisecond, 100 * time.Millisecond, false, maxHarmfulCrashes},
+	"callers leave within a stream": {"/resume/x", 60 * time.Millisecond, 100 * time.Millisecond, false, maxHarmfulCrashes},
+	"callers leave, slow crash":     {"/once/x", 100 * time.Millisecond, 1200 * time.Millisecond, false, maxSlowCrashes},
+	"another attempt begins":        {"/again/x", 3 * time.Second, 700 * time.Millisecond, false, maxSlowCrashes},
+	"connections are reset":         {"/once/x", 3 * time.Second, 800 * time.Millisecond, true, maxSlowCrashes},
+}
+
+// maxSlowCrashes is how many servers may crash that take a second or so for it: copies of the request
+// that were sent before the first crash meet servers of their own.
+const maxSlowCrashes = 12
+
+// Attempts at a harmful request end before their servers do, as callers leave, time runs out or connections
+// are reset: nobody looks whether the servers end, and the request goes on to others.
+func TestHarmfulRequestWhoseAttemptsAreAbandoned(t *testing.T) {
+	for name, tt := range abandonments {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newSettledDeploymentOf(t, 64, 3, 12)
+				defer d.close()
+				b := startBackends(d, harmfulSeriesServers)
+				defer b.close()
+				b.mu.Lock()
+				b.runTime = tt.runTime
+				b.mu.Unlock()
+				s := &harmfulSeries{d: d, b: b, random: rand.New(rand.NewSource(64)), callerLimit: tt.callerLimit, path: tt.path, noDisruptions: true}
+				if tt.resets {
+					s.afterCall = func(ip string) {
+						time.Sleep(tt.runTime / 2)
+						for i := range harmfulSeriesServers {
+							d.network.ResetConnections(ip, backendIP(i))
+						}
+					}
+				}
+				s.play()
+				late := b.lateArrivals(maxHoldBackDelay)
+				t.Logf("%d servers crashed, %d late arrivals; crashes after %v", b.crashCount(), late, s.crashTimes())
+				require.GreaterOrEqual(t, b.crashCount(), 3)
+				require.LessOrEqual(t, b.crashCount(), tt.crashes)
+				require.LessOrEqual(t, late, maxLateArrivals)
+			})
+		})
+	}
+}
+
 // crashTimes returns when servers crashed, since the begin of the series.
 func (s *harmfulSeries) crashTimes() (out []time.Duration) {
 	s.b.mu.Lock()
