quarantine: the end of a server is blamed on attempts that ended before it

What callers saw: a request that crashes its servers went on to others, 90 to 104 servers in 18 s, where its callers leave before the crash, and 39 to 100 where connections to servers are reset.

Cause: only attempts that were open when the server ended accused anybody. An attempt that its caller, its time or the entry ended proved nothing, and a broken connection was looked into within 100 ms, while the server still ran.

Change: what such attempts ran is remembered by server for 3 s, the server is looked at after 150, 500 and 1,300 ms, two looks a second for each entry, and whoever finds it ended, here or elsewhere, has it blamed on them.

--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -114,13 +114,14 @@
 	return refusal.New(refusal.HeldBack, "servers ended that ran requests with the same %s (%s)", scope, key).WithRetryAfter(left)
 }
 
-// reportFailedAttempt reports a server at which an attempt failed to the guard. A
-// leaving server is not reported: it ends whatever it runs.
+// reportFailedAttempt reports a server at which an attempt failed to the guard. One at which it was given up
+// may still run the request, and crash later. A leaving server is not reported: it ends whatever it runs.
 func (e *Entry) reportFailedAttempt(ctx context.Context, in *incomingRequest, at routing.Candidate, err error) {
-	if ctx.Err() != nil || errors.Is(err, routing.ErrNotRun) || errors.Is(err, routing.ErrSilent) {
-		return
-	}
-	if e.accepts(at) {
+	switch {
+	case errors.Is(err, routing.ErrNotRun) || !e.accepts(at):
+	case ctx.Err() != nil || errors.Is(err, routing.ErrSilent):
+		e.guard.AttemptAbandoned(in.keyedRequest(), incarnationOf(at), at.Address)
+	default:
 		e.guard.AttemptFailed(in.keyedRequest(), incarnationOf(at), at.Address)
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -132,6 +132,7 @@
 func (x *exchange) attemptFailed(s *server, err error) bool {
 	x.cause, x.abandoned = err, !errors.Is(err, relay.ErrNotSent)
 	if x.r.Context().Err() != nil {
+		x.reportInterruption(s, err)
 		x.fail(OutcomeCallerGone, 0)
 		return false
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -87,14 +87,17 @@
 	}
 }
 
-// reportInterruption reports an interrupted attempt to the guard. An interruption by the
-// caller, by the deadline or by this entry proves nothing about the server, and neither does
-// one of a server that is leaving, which ends whatever it runs.
+// reportInterruption reports an attempt that ended before its response to the guard. An interruption by the
+// caller, by the deadline or by this entry proves nothing about the server, which may crash later. A
+// server that is leaving ends whatever it runs.
 func (x *exchange) reportInterruption(s *server, err error) {
-	if !errors.Is(err, relay.ErrInterrupted) || x.retryReserved || x.ctx.Err() != nil || !x.g.fleet.isReady(s) {
-		return
+	switch {
+	case errors.Is(err, relay.ErrNotSent) || !x.g.fleet.isReady(s):
+	case !errors.Is(err, relay.ErrInterrupted) || x.retryReserved || x.ctx.Err() != nil:
+		x.g.guard.AttemptAbandoned(x.keyedRequest(), s.id, s.address)
+	default:
+		x.g.guard.AttemptFailed(x.keyedRequest(), s.id, s.address)
 	}
-	x.g.guard.AttemptFailed(x.keyedRequest(), s.id, s.address)
 }
 
 // refusedByQuarantine refuses at once a request that is known to end the servers that run it.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -34,6 +34,7 @@
 			x.status, x.outcome = http.StatusOK, OutcomeServed
 			return false
 		case errors.Is(err, errCallerGone):
+			x.reportInterruption(s, err)
 			x.cause = err
 			x.fail(OutcomeCallerGone, 0)
 			return false
@@ -42,6 +43,7 @@
 			x.fail(OutcomeStopping, stoppingRetryAfter)
 			return false
 		case x.ctx.Err() != nil:
+			x.reportInterruption(s, err)
 			x.cause = err
 			x.fail(OutcomeTimeout, 0)
 			return false
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"sync"
@@ -156,6 +157,7 @@
 // next request with it may arrive at any entry.
 func (g *Guard) Merge(list []*schema.Suspect, source Source) {
 	g.suspects.Merge(list, source)
+	g.accuseAbandoned(list)
 	for _, s := range list {
 		var key Key
 		if scope := Scope(s.GetScope()); scope.shared() && copy(key[:], s.GetKey()) == len(key) {
@@ -164,6 +166,17 @@
 	}
 }
 
+// accuseAbandoned accuses what this entry had sent to servers that others have found ended.
+func (g *Guard) accuseAbandoned(list []*schema.Suspect) {
+	for _, s := range list {
+		for _, e := range s.GetEnded() {
+			if age := time.Duration(cmp.Or(e.GetAgeMs(), s.GetAgeMs())) * time.Millisecond; age < abandonedWindow {
+				g.prober.ServerEnded(e.GetServer())
+			}
+		}
+	}
+}
+
 // startTrialOrWait starts a trial of suspects with a request, or returns how long it has to
 // wait for another instance's trial.
 func (g *Guard) startTrialOrWait(r *KeyedRequest, keys []Key) (time.Duration, bool) {
@@ -226,16 +239,29 @@
 // AttemptFailed starts a probe of the server on which an attempt broke off. A request that
 // has just completed on another server did not end this one.
 func (g *Guard) AttemptFailed(r *KeyedRequest, server, address string) {
-	var accused []Accusation
+	if accused := g.accusations(r); len(accused) > 0 {
+		g.prober.AttemptFailed(server, address, accused...)
+	}
+}
+
+// AttemptAbandoned records that an attempt ended while its server may still run the request: the caller has
+// left, its time is over, or another attempt has begun. If the server ends soon, the request may be why.
+func (g *Guard) AttemptAbandoned(r *KeyedRequest, server, address string) {
+	if accused := g.accusations(r); len(accused) > 0 {
+		g.prober.AttemptAbandoned(server, address, accused...)
+	}
+}
+
+// accusations returns what is accused if a server ends that runs a request. A request that has just completed
+// is not.
+func (g *Guard) accusations(r *KeyedRequest) (out []Accusation) {
 	if !g.completed.Recently(r.Request) {
-		accused = append(accused, Accusation{Key: r.Key()})
+		out = append(out, Accusation{Key: r.Key()})
 	}
 	for i, c := range r.shared {
-		accused = append(accused, Accusation{Key: r.sharedKey(i), Scope: c.Scope, Depth: c.Depth, Weak: g.shared.RecentlyShared(c)})
-	}
-	if len(accused) > 0 {
-		g.prober.AttemptFailed(server, address, accused...)
+		out = append(out, Accusation{Key: r.sharedKey(i), Scope: c.Scope, Depth: c.Depth, Weak: g.shared.RecentlyShared(c)})
 	}
+	return out
 }
 
 // AttemptCompleted records that a server completed a request.
--- a/internal/quarantine/prober.go
+++ b/internal/quarantine/prober.go
@@ -49,7 +49,7 @@
 // server is no evidence against a request. All methods are safe for concurrent use.
 type ServerProber struct {
 	cfg   ServerProberConfig
-	queue chan *serverProbe
+	queue chan queuedProbe
 	ctx   context.Context
 	stop  context.CancelFunc
 	done  chan struct{}
@@ -62,6 +62,14 @@
 	probes map[string]*serverProbe
 	// finished is closed and replaced when a probe finishes; guarded by mu.
 	finished chan struct{}
+	// looks limits the looks at servers after abandoned attempts; guarded by mu.
+	looks lookLimit
+}
+
+// queuedProbe is a probe to be made; look is set if it follows abandoned attempts alone.
+type queuedProbe struct {
+	probe *serverProbe
+	look  bool
 }
 
 // serverProbe is the probe of one incarnation of a server.
@@ -78,6 +86,10 @@
 	pending bool
 	// ended is set once the server is known to have ended, which is final.
 	ended bool
+	// abandoned are the attempts that ended before the server, and lookScheduled is set by the index of
+	// lookDelays while it is to be looked at for them.
+	abandoned     []abandonedAttempt
+	lookScheduled [len(lookDelays)]bool
 	// finishedAt is when the probe last finished.
 	finishedAt time.Time
 }
@@ -85,9 +97,10 @@
 // NewServerProber starts a prober.
 func NewServerProber(cfg ServerProberConfig) *ServerProber {
 	p := &ServerProber{
-		cfg: cfg, queue: make(chan *serverProbe, probeQueueLength), done: make(chan struct{}),
+		cfg: cfg, queue: make(chan queuedProbe, probeQueueLength), done: make(chan struct{}),
 		probes: map[string]*serverProbe{}, finished: make(chan struct{}),
 	}
+	p.looks = lookLimit{tokens: lookBurst, lastRefill: time.Now()}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for range probeWorkers {
@@ -117,22 +130,35 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.expire(now)
+	probe := p.getOrAdd(server, address, now)
+	if probe.failedAt.IsZero() {
+		probe.failedAt = now
+	}
+	probe.accuse(accused)
+	if !probe.pending {
+		p.enqueue(probe, false)
+	}
+}
+
+// getOrAdd returns the probe of a server and adds it if needed; the caller holds mu.
+func (p *ServerProber) getOrAdd(server, address string, now time.Time) *serverProbe {
 	probe := p.probes[server]
 	if probe == nil {
-		probe = &serverProbe{server: server, address: address, failedAt: now}
+		probe = &serverProbe{server: server, address: address, finishedAt: now}
 		p.probes[server] = probe
 	}
-	probe.accuse(accused)
-	if probe.pending {
-		return
-	}
+	return probe
+}
+
+// enqueue queues a probe; the caller holds mu.
+func (p *ServerProber) enqueue(probe *serverProbe, look bool) {
 	select {
-	case p.queue <- probe:
+	case p.queue <- queuedProbe{probe, look}:
 		probe.pending = true
 		p.active.Add(1)
 	default:
 		// The server is not probed before its next attempt breaks off.
-		p.cfg.Log.Info("server not asked after", "server", server, "waiting", probeQueueLength)
+		p.cfg.Log.Info("server not asked after", "server", probe.server, "waiting", probeQueueLength)
 	}
 }
 
@@ -184,25 +210,25 @@
 		select {
 		case <-p.ctx.Done():
 			return
-		case probe := <-p.queue:
-			p.probe(probe)
+		case q := <-p.queue:
+			p.probe(q.probe, q.look)
 		}
 	}
 }
 
 // probe tries an address, unless its server is known to have ended.
-func (p *ServerProber) probe(probe *serverProbe) {
+func (p *ServerProber) probe(probe *serverProbe, look bool) {
 	p.mu.Lock()
 	ended := probe.ended
 	p.mu.Unlock()
 	presence := relay.PresenceRefused
 	if !ended {
-		presence = p.Ask(p.ctx, probe.server, probe.address)
+		presence = p.presenceOf(probe, look)
 	}
 	if p.ctx.Err() != nil {
 		return
 	}
-	p.finish(probe, presence)
+	p.finish(probe, presence, look)
 }
 
 // Ask tries an address, several times as long as it does not refuse, and returns the last
@@ -213,16 +239,21 @@
 		if try > 0 && !wait(ctx) {
 			return presence
 		}
-		if !p.cfg.MayProbe(server) {
-			return relay.PresenceNotProbed
-		}
-		if presence = p.cfg.Probe(ctx, address); presence == relay.PresenceRefused {
+		if presence = p.try(ctx, server, address); presence == relay.PresenceRefused || presence == relay.PresenceNotProbed {
 			return presence
 		}
 	}
 	return presence
 }
 
+// try tries an address once, unless its server may not be probed.
+func (p *ServerProber) try(ctx context.Context, server, address string) relay.Presence {
+	if !p.cfg.MayProbe(server) {
+		return relay.PresenceNotProbed
+	}
+	return p.cfg.Probe(ctx, address)
+}
+
 // wait waits for probeInterval. It returns false if the context ends before.
 func wait(ctx context.Context) bool {
 	select {
@@ -235,15 +266,28 @@
 
 // finish logs and reports the result of a probe. The probe stays pending until all requests
 // that ran on the server are reported, because a retry must wait for exactly that.
-func (p *ServerProber) finish(probe *serverProbe, presence relay.Presence) {
+func (p *ServerProber) finish(probe *serverProbe, presence relay.Presence, look bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	probe.ended = presence == relay.PresenceRefused
+	if probe.failedAt.IsZero() {
+		probe.failedAt = time.Now()
+	}
+	if probe.ended {
+		for _, a := range probe.takeAbandoned(time.Now()) {
+			probe.accuse([]Accusation{a})
+		}
+	} else if len(probe.accused) > 0 {
+		// The server may still run what the broken attempts sent it.
+		p.abandon(probe, probe.failedAt, slices.Clone(probe.accused))
+	}
 	for reported := 0; ; {
 		accused := slices.Clone(probe.accused[reported:])
 		reported = len(probe.accused)
-		p.cfg.Log.Info("attempts broke off", "server", probe.server, "address", probe.address, "answers", presence.String(),
-			"ended", probe.ended, "attempts", probe.attempts, "accused", len(accused), "keys", requestKeys(accused))
+		if !look || probe.ended {
+			p.cfg.Log.Info("attempts broke off", "server", probe.server, "address", probe.address, "answers", presence.String(),
+				"ended", probe.ended, "attempts", probe.attempts, "abandoned", look, "accused", len(accused), "keys", requestKeys(accused))
+		}
 		if !probe.ended {
 			break
 		}
@@ -255,7 +299,7 @@
 			break
 		}
 	}
-	probe.accused, probe.index, probe.attempts, probe.pending, probe.finishedAt = nil, nil, 0, false, time.Now()
+	probe.accused, probe.index, probe.attempts, probe.failedAt, probe.pending, probe.finishedAt = nil, nil, 0, time.Time{}, false, time.Now()
 	p.active.Add(-1)
 	close(p.finished)
 	p.finished = make(chan struct{})
