Test: a request that crashes the servers of one software version (red)

A request or a prompt part crashes a quarter or half of the servers, those of one version, and completes at the others.

--- a/internal/role/backends_test.go
+++ b/internal/role/backends_test.go
@@ -85,6 +85,9 @@
 	// bodyCrash is how a server crashes that runs a request with the harmful body, nil: before it
 	// responds.
 	bodyCrash partCrash
+	// harmfulVersion is the version of the servers that a request with the harmful body or part crashes, empty:
+	// all of them.
+	harmfulVersion string
 	// partCrash is how a server crashes that runs a request with a part,
 	// partArrivals are the times at which such requests reached servers, partCrashes those of crashes.
 	partCrash                 map[string]partCrash
@@ -384,7 +387,7 @@
 		return
 	case <-time.After(p.backends.runTimeOrDefault()):
 	}
-	if string(body) == harmfulBody {
+	if string(body) == harmfulBody && p.isVulnerable() {
 		p.backends.mu.Lock()
 		crash := p.backends.bodyCrash
 		p.backends.mu.Unlock()
@@ -395,7 +398,7 @@
 		p.stop()
 		return
 	}
-	if part, crash := p.backends.harmfulPart(request); crash != nil {
+	if part, crash := p.backends.harmfulPart(request); crash != nil && p.isVulnerable() {
 		crash(p, conn, request.Header.Get("X-Id"))
 		p.backends.recordPartCrash(part)
 		p.stop()
@@ -417,6 +420,13 @@
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%s%sContent-Length: 2\r\n\r\nok", request.Header.Get("X-Id"), limit, p.recordDeparture(conn))
 }
 
+// isVulnerable reports whether harmful requests crash the server.
+func (p *backendProcess) isVulnerable() bool {
+	p.backends.mu.Lock()
+	defer p.backends.mu.Unlock()
+	return p.backends.harmfulVersion == "" || p.version == p.backends.harmfulVersion
+}
+
 // recordRun records that a request ran.
 func (b *backends) recordRun(request *http.Request) {
 	if !strings.HasPrefix(request.URL.Path, "/once/") {
--- a/internal/role/harmful_disruptions_test.go
+++ b/internal/role/harmful_disruptions_test.go
@@ -283,6 +283,81 @@
 	}
 }
 
+// maxVersionCrashes is how many servers of one version a request may crash, and minHarmlessShare the share
+// of such requests that must be served by the others from settledAfter on.
+const (
+	maxVersionCrashes = 6
+	minHarmlessShare  = 0.9
+	settledAfter      = 5 * time.Second
+)
+
+// A request, or a prompt part, crashes the servers of one software version and completes at the others: each
+// completion cleared what the crashes had found, or the request was held back from all servers.
+func TestRequestThatCrashesOneVersionIsServedByOthers(t *testing.T) {
+	for _, entries := range []int{3, 24} {
+		for _, vulnerable := range []int{6, 12} {
+			for _, path := range []string{"/once/x", "/again/x"} {
+				for _, part := range []string{"", "bad"} {
+					t.Run(fmt.Sprint(entries, " entries, ", vulnerable, " of 24 servers, ", path, " ", part), func(t *testing.T) {
+						synctest.Test(t, func(t *testing.T) {
+							d := newSettledDeploymentOf(t, 65, 3, entries)
+							defer d.close()
+							b := startBackendsAs(d, 24, false, func(b *backends) {
+								b.harmfulVersion = "v1"
+								for i := range 24 {
+									b.versions[backendAddress(i)] = "v2"
+									if i < vulnerable {
+										b.versions[backendAddress(i)] = "v1"
+									}
+								}
+							})
+							defer b.close()
+							if part != "" {
+								b.setHarmfulPart(part, partCrashes["before the response"].crash)
+							}
+							served, sent := repeatAtVersions(d, path, part)
+							crashes := b.crashCount() + b.partCrashCount(part)
+							t.Logf("%d servers crashed, %d of %d requests served", crashes, served, sent)
+							require.LessOrEqual(t, crashes, maxVersionCrashes)
+							require.GreaterOrEqual(t, float64(served), minHarmlessShare*float64(sent))
+						})
+					})
+				}
+			}
+		}
+	}
+}
+
+// repeatAtVersions sends a harmful request, or different ones with a harmful part, for 20 s, and returns how
+// many were served of those sent from settledAfter on.
+func repeatAtVersions(d *deployment, path, part string) (served, sent int) {
+	random := rand.New(rand.NewSource(65))
+	entries := d.entryIPs()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for start := time.Now(); time.Since(start) < 20*time.Second; {
+		ip, settled := entries[random.Intn(len(entries))], time.Since(start) >= settledAfter
+		body, parts := harmfulBody, []string(nil)
+		if part != "" {
+			body, parts = fmt.Sprint("with part ", random.Int63()), []string{"first", part, fmt.Sprint("last ", random.Int63())}
+		}
+		wg.Go(func() {
+			result := d.callWithParts(ip, path, body, parts...)
+			mu.Lock()
+			defer mu.Unlock()
+			if settled {
+				sent++
+			}
+			if settled && result.status == http.StatusOK {
+				served++
+			}
+		})
+		time.Sleep(50*time.Millisecond + time.Duration(random.Int63n(int64(250*time.Millisecond))))
+	}
+	wg.Wait()
+	return served, sent
+}
+
 // crashTimes returns when servers crashed, since the begin of the series.
 func (s *harmfulSeries) crashTimes() (out []time.Duration) {
 	s.b.mu.Lock()
