quarantine: evidence speaks of servers of the pool and software version where it was found

What callers saw: a request that crashes the servers of one software version and completes at others crashed 16 to 49 servers in 20 s, or was refused everywhere, 0 of 87 served though half of the servers would have served it (24 servers, 3 and 24 entries, a request or a prompt part).

Cause: one record for all servers. A completion anywhere cleared the crashes of all, and a request that had completed within 30 s at the entry was not accused at all; where three crashes came without a completion between them, it was held back from all servers, and nothing could complete any more. Ruled out: records that do not arrive (three entries in good touch behave the same).

Change: each server in a record has its kind, its pool and software version. A completion clears servers of its kind alone, and exempts from accusations of its kind alone; a suspect is held back from the kinds of servers that have ended under it, for every send, and goes to the others. A new version is free at once. Where no server is left that may take it, it is refused at once. What other evidence there is adds up over kinds: one crash of a second kind is enough once three have ended. Listed hosts do not know versions: all servers are of one kind there.

--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -14,6 +14,7 @@
 	"github.com/labstack/echo/v4"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"fennelyard/internal/quarantine"
 	"fennelyard/internal/refusal"
 	"fennelyard/internal/routing"
 )
@@ -88,7 +89,7 @@
 		OK: err == nil || ctx.Err() != nil, FirstByte: response.FirstByte(), Reported: response.Outstanding(),
 	})
 	if err == nil {
-		a.e.guard.AttemptCompleted(a.in.keyedRequest())
+		a.e.guard.AttemptCompleted(a.in.keyedRequest(), quarantine.AnyKind)
 		return true, true, nil
 	}
 	if !s.started {
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -82,7 +82,7 @@
 // no evidence that the request does not crash servers.
 func (e *Entry) attemptCompleted(in *incomingRequest, response *routing.Response) {
 	if response.Complete() && response.Status() < http.StatusInternalServerError {
-		e.guard.AttemptCompleted(in.keyedRequest())
+		e.guard.AttemptCompleted(in.keyedRequest(), quarantine.AnyKind)
 	}
 }
 
@@ -98,6 +98,11 @@
 	return incarnation.Name{Server: at.Server, StartMs: int64(at.Incarnation)}.String()
 }
 
+// serverOf returns a server as the guard knows it. Listed hosts do not know the versions of servers' software.
+func serverOf(at routing.Candidate) quarantine.Server {
+	return quarantine.Server{ID: incarnationOf(at), Address: at.Address}
+}
+
 // checkHeldBack refuses a request that is known to end the servers that run it, and
 // returns nil for any other. It waits for the probes of servers at which an attempt
 // of the request has just failed.
@@ -120,9 +125,9 @@
 	switch {
 	case errors.Is(err, routing.ErrNotRun) || !e.accepts(at):
 	case ctx.Err() != nil || errors.Is(err, routing.ErrSilent):
-		e.guard.AttemptAbandoned(in.keyedRequest(), incarnationOf(at), at.Address)
+		e.guard.AttemptAbandoned(in.keyedRequest(), serverOf(at))
 	default:
-		e.guard.AttemptFailed(in.keyedRequest(), incarnationOf(at), at.Address)
+		e.guard.AttemptFailed(in.keyedRequest(), serverOf(at))
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -99,7 +99,7 @@
 	var sentAt time.Time
 	request.MaySend = func(via string) bool {
 		sentAt, x.via = time.Now(), via
-		if _, held := x.g.guard.HeldBack(x.keyedRequest()); held {
+		if _, held := x.g.guard.Hold(x.keyedRequest()).At(s.kind); held {
 			return false
 		}
 		return x.g.fleet.maySend(s)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fennelyard/internal/cooldown"
+	"fennelyard/internal/quarantine"
 )
 
 // PromptPart is a part of a prompt that requests share; an engine with the part in its prefix
@@ -43,6 +44,8 @@
 	// at servers whose software is of a version.
 	resumable, bound bool
 	version          string
+	// hold is from which kinds of servers the request is held back.
+	hold quarantine.Hold
 }
 
 // ForwardInfo holds the attributes that are added to a request to a backend server.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -85,8 +85,24 @@
 	return available, first
 }
 
-// candidates returns the servers that have what a request needs; the caller holds mu.
+// candidates returns the servers that have what a request needs and may run it; the caller holds mu.
 func (f *fleet) candidates(pool string, info *RequestInfo, excluded []string, now time.Time) []*server {
+	return f.ofVersion(withoutHeld(f.withNeeds(pool, info, excluded, now), info), pool, info)
+}
+
+// withoutHeld removes the servers from which a request is held back.
+func withoutHeld(servers []*server, info *RequestInfo) []*server {
+	if info.hold.Empty() {
+		return servers
+	}
+	return slices.DeleteFunc(servers, func(s *server) bool {
+		_, held := info.hold.At(s.kind)
+		return held
+	})
+}
+
+// withNeeds returns the servers that have what a request needs; the caller holds mu.
+func (f *fleet) withNeeds(pool string, info *RequestInfo, excluded []string, now time.Time) []*server {
 	var candidates []*server
 	for _, s := range f.servers {
 		if s.view.GetPool() != pool || !s.ready() || slices.Contains(excluded, s.id) {
@@ -97,7 +113,7 @@
 		}
 		candidates = append(candidates, s)
 	}
-	return f.ofVersion(candidates, pool, info)
+	return candidates
 }
 
 // bestOf returns the best one of some servers, nil for none; the caller holds mu.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -211,10 +211,10 @@
 	defer cancel()
 	defer context.AfterFunc(x.g.aborted, cancel)()
 	x.ctx = ctx
+	x.pool = pickPool(x.route, x.random)
 	if x.refusedByQuarantine() {
 		return
 	}
-	x.pool = pickPool(x.route, x.random)
 	if !x.bindToOrigin() {
 		return
 	}
@@ -231,7 +231,7 @@
 // tryNext makes one attempt and reports whether another one should follow.
 func (x *exchange) tryNext() bool {
 	x.g.guard.AwaitProbes(x.ctx, x.keyedRequest())
-	if !x.findServer() || x.refusedByQuarantine() {
+	if x.refusedByQuarantine() || !x.findServer() {
 		return false
 	}
 	if x.attempts > 0 && !x.retryReserved && !x.g.retryBudget(x.pool).withdraw(time.Now(), x.g.sharingEntries()) {
@@ -309,7 +309,7 @@
 	}
 	x.g.fleet.recordSuccess(s)
 	if response.Status < http.StatusInternalServerError {
-		x.attemptCompleted(response)
+		x.attemptCompleted(s, response)
 	}
 	if response.Status >= http.StatusInternalServerError && x.canRetryNow() {
 		x.cause = errors.Newf("server %s: status %d", s.id, response.Status)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -81,12 +81,17 @@
 
 // attemptCompleted records a response that ended regularly. One whose end nothing proves is
 // no evidence that the request does not crash servers.
-func (x *exchange) attemptCompleted(response *relay.Response) {
+func (x *exchange) attemptCompleted(s *server, response *relay.Response) {
 	if response.Body.Complete() {
-		x.g.guard.AttemptCompleted(x.keyedRequest())
+		x.g.guard.AttemptCompleted(x.keyedRequest(), s.kind)
 	}
 }
 
+// suspectServer returns a server as the guard knows it.
+func (s *server) suspectServer() quarantine.Server {
+	return quarantine.Server{ID: s.id, Address: s.address, Kind: s.kind}
+}
+
 // reportInterruption reports an attempt that ended before its response to the guard. An interruption by the
 // caller, by the deadline or by this entry proves nothing about the server, which may crash later. A
 // server that is leaving ends whatever it runs.
@@ -94,19 +99,77 @@
 	switch {
 	case errors.Is(err, relay.ErrNotSent) || !x.g.fleet.isReady(s):
 	case !errors.Is(err, relay.ErrInterrupted) || x.retryReserved || x.ctx.Err() != nil:
-		x.g.guard.AttemptAbandoned(x.keyedRequest(), s.id, s.address)
+		x.g.guard.AttemptAbandoned(x.keyedRequest(), s.suspectServer())
 	default:
-		x.g.guard.AttemptFailed(x.keyedRequest(), s.id, s.address)
+		x.g.guard.AttemptFailed(x.keyedRequest(), s.suspectServer())
 	}
 }
 
-// refusedByQuarantine refuses at once a request that is known to end the servers that run it.
-// Another attempt would fail in the same way and would interrupt all requests that run beside
-// it.
+// refusedByQuarantine refuses at once a request that is known to end all servers that could run it. Another
+// attempt would fail in the same way and would interrupt all requests that run beside it. From now on
+// servers of other kinds alone are chosen for it.
 func (x *exchange) refusedByQuarantine() bool {
-	retryAfter, quarantined := x.g.guard.HeldBack(x.keyedRequest())
+	retryAfter, quarantined := x.heldBack()
 	if quarantined {
 		x.fail(OutcomeHeldBack, retryAfter)
 	}
 	return quarantined
 }
+
+// heldBack updates from which kinds of servers the request is held back, and reports whether it is from all
+// that could run it, and for how long.
+func (x *exchange) heldBack() (time.Duration, bool) {
+	x.info.hold = x.g.guard.Hold(x.keyedRequest())
+	if x.info.hold.Empty() {
+		return 0, false
+	}
+	return x.g.fleet.heldFromAll(x.pool, &x.info, time.Now())
+}
+
+// heldFromAll reports whether a request is held back from all servers that have what it needs, and the time
+// after which the first of them may run it.
+func (f *fleet) heldFromAll(pool string, info *RequestInfo, now time.Time) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	servers := f.withNeeds(pool, info, nil, now)
+	switch {
+	case len(servers) == 0:
+		return info.hold.Longest(), !f.hasOtherKind(pool, info)
+	case len(f.ofVersion(withoutHeld(slices.Clone(servers), info), pool, info)) > 0:
+		return 0, false
+	}
+	shortest := info.hold.Longest()
+	for _, s := range f.ofVersion(servers, pool, info) {
+		if left, held := info.hold.At(s.kind); held {
+			shortest = min(shortest, left)
+		}
+	}
+	return shortest, true
+}
+
+// heldVersions returns the versions of a pool's software from which a request is held back.
+func (f *fleet) heldVersions(pool string, info *RequestInfo) (out []string) {
+	if info.hold.Empty() {
+		return nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		if _, held := info.hold.At(s.kind); held && s.view.GetPool() == pool && !slices.Contains(out, s.view.GetSoftware()) {
+			out = append(out, s.view.GetSoftware())
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// hasOtherKind reports whether a pool has servers from which a request is not held back; the caller holds
+// mu.
+func (f *fleet) hasOtherKind(pool string, info *RequestInfo) bool {
+	for _, s := range f.servers {
+		if _, held := info.hold.At(s.kind); !held && s.view.GetPool() == pool && s.ready() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fennelyard/internal/incarnation"
+	"fennelyard/internal/quarantine"
 	"fennelyard/internal/ratelimit"
 	"fennelyard/internal/schema"
 )
@@ -30,7 +31,9 @@
 	// id is the key of the incarnation and server the id of the server. These and address never
 	// change; all other fields are guarded by the fleet's mutex.
 	id, server, address string
-	view                *schema.RosterServer
+	// kind is the kind of its software, which does not change either.
+	kind quarantine.Kind
+	view *schema.RosterServer
 	// models holds the loaded adapters by loaded model.
 	models map[string]map[string]bool
 	// running is the number of this entry's requests at the server; runs holds the same by model
@@ -88,7 +91,8 @@
 
 func newServer(v *schema.RosterServer) *server {
 	s := &server{
-		id: v.GetId(), server: incarnation.ServerOf(v.GetId()), address: v.GetAddress(), promptParts: map[string]uint64{}, absentUntil: map[string]time.Time{},
+		kind: quarantine.KindOf(v.GetPool(), v.GetSoftware()),
+		id:   v.GetId(), server: incarnation.ServerOf(v.GetId()), address: v.GetAddress(), promptParts: map[string]uint64{}, absentUntil: map[string]time.Time{},
 		runs: map[string]int{},
 	}
 	s.update(v)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,7 +30,7 @@
 		switch {
 		case err == nil:
 			x.g.fleet.recordSuccess(s)
-			x.attemptCompleted(response)
+			x.attemptCompleted(s, response)
 			x.status, x.outcome = http.StatusOK, OutcomeServed
 			return false
 		case errors.Is(err, errCallerGone):
@@ -129,7 +129,7 @@
 			return nil, nil, nil
 		}
 		x.g.guard.AwaitProbes(x.ctx, x.keyedRequest())
-		if _, quarantined := x.g.guard.HeldBack(x.keyedRequest()); quarantined {
+		if _, quarantined := x.heldBack(); quarantined {
 			return nil, nil, nil
 		}
 		if !x.keyAllowsResume() {
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -103,7 +103,7 @@
 // unservable reports whether a request for a model that no server has loaded cannot be served
 // in time, with its outcome and its Retry-After.
 func (x *exchange) unservable(t target, now time.Time) (outcome Outcome, retryAfter time.Duration, unservable bool) {
-	if remaining, quarantined := x.g.guard.HeldBack(x.keyedRequest()); quarantined {
+	if remaining, quarantined := x.heldBack(); quarantined {
 		return OutcomeHeldBack, remaining, true
 	}
 	forecast, known := x.g.demand.forecast(t, x.startTime)
--- a/internal/quarantine/carrier.go
+++ b/internal/quarantine/carrier.go
@@ -122,6 +122,8 @@
 	Scope Scope
 	// Depth is that of the carrier.
 	Depth int
+	// Kind is that of the server.
+	Kind Kind
 	// Weak is set if such a request has completed shortly before.
 	Weak bool
 }
--- a/internal/quarantine/completed.go
+++ b/internal/quarantine/completed.go
@@ -42,11 +42,16 @@
 	return &Completed{now: now, seed: maphash.MakeSeed()}
 }
 
-// Record records that a request has completed.
-func (c *Completed) Record(r Request) { c.record(r.hash(c.seed)) }
+// Record records that a request has completed at a server of a kind.
+func (c *Completed) Record(r Request, kind Kind) { c.record(kind.mix(r.hash(c.seed))) }
 
-// RecordShared records that a request with a carrier has completed.
-func (c *Completed) RecordShared(carrier Carrier) { c.record(uint64(carrier.Hint())) }
+// RecordShared records that a request with a carrier has completed at a server of a kind.
+func (c *Completed) RecordShared(carrier Carrier, kind Kind) {
+	c.record(kind.mix(uint64(carrier.Hint())))
+}
+
+// mix returns the hash of what completed at servers of the kind.
+func (k Kind) mix(hash uint64) uint64 { return hash ^ uint64(k)*0x9e3779b97f4a7c15 }
 
 func (c *Completed) record(hash uint64) {
 	c.mu.Lock()
@@ -54,18 +59,21 @@
 	c.slots[hash%completedSlots] = completion{hash, c.now()}
 }
 
-// Recently reports whether a request has completed within completionRetention.
-func (c *Completed) Recently(r Request) bool { return c.isRecent(c.last(r.hash(c.seed))) }
-
-// RecentlyShared reports whether a request with a carrier has completed within
+// Recently reports whether a request has completed at a server of a kind within
 // completionRetention.
-func (c *Completed) RecentlyShared(carrier Carrier) bool {
-	return c.isRecent(c.LastShared(carrier.Hint()))
+func (c *Completed) Recently(r Request, kind Kind) bool {
+	return c.isRecent(c.last(kind.mix(r.hash(c.seed))))
+}
+
+// RecentlyShared reports whether a request with a carrier has completed at a server of a kind
+// within completionRetention.
+func (c *Completed) RecentlyShared(carrier Carrier, kind Kind) bool {
+	return c.isRecent(c.LastShared(carrier.Hint(), kind))
 }
 
-// LastShared returns when a request last completed that has a carrier with a hint, the zero
-// time if that is not known.
-func (c *Completed) LastShared(hint Hint) time.Time { return c.last(uint64(hint)) }
+// LastShared returns when a request last completed at a server of a kind that has a carrier with
+// a hint, the zero time if that is not known.
+func (c *Completed) LastShared(hint Hint, kind Kind) time.Time { return c.last(kind.mix(uint64(hint))) }
 
 func (c *Completed) isRecent(at time.Time) bool {
 	return !at.IsZero() && c.now().Sub(at) < completionRetention
--- a/internal/quarantine/completed_test.go
+++ b/internal/quarantine/completed_test.go
@@ -15,14 +15,14 @@
 	c := &clock{time.Unix(1e9, 0)}
 	completed := quarantine.NewCompleted(c.now)
 	ran, other := quarantine.Request{Target: "/a", Body: []byte("1")}, quarantine.Request{Target: "/a", Body: []byte("2")}
-	require.False(t, completed.Recently(ran))
-	completed.Record(ran)
-	require.True(t, completed.Recently(ran))
-	require.False(t, completed.Recently(other))
+	require.False(t, completed.Recently(ran, quarantine.AnyKind))
+	completed.Record(ran, quarantine.AnyKind)
+	require.True(t, completed.Recently(ran, quarantine.AnyKind))
+	require.False(t, completed.Recently(other, quarantine.AnyKind))
 	c.current = c.current.Add(20 * time.Second)
-	require.True(t, completed.Recently(ran))
+	require.True(t, completed.Recently(ran, quarantine.AnyKind))
 	c.current = c.current.Add(11 * time.Second)
-	require.False(t, completed.Recently(ran))
+	require.False(t, completed.Recently(ran, quarantine.AnyKind))
 }
 
 // BenchmarkCompleted measures the cost of a request that is not suspected: recording its
@@ -34,7 +34,7 @@
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				completed.Record(request)
+				completed.Record(request, quarantine.AnyKind)
 			}
 		})
 	}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -85,26 +86,36 @@
 // Suspects returns the requests that the entry suspects.
 func (g *Guard) Suspects() *SuspectSet { return g.suspects }
 
-// HeldBack returns how long a request is held back, and whether it is, because servers
-// ended that ran it or others with which it shares something. It is called before each
-// attempt: a record may arrive while the request waits, or result from its own last
-// attempt. Once the hold has expired, one instance may try.
+// HeldBack returns how long a request is held back from any kind of servers, and whether it
+// is.
 func (g *Guard) HeldBack(r *KeyedRequest) (time.Duration, bool) {
+	hold := g.Hold(r)
+	return hold.Longest(), !hold.Empty()
+}
+
+// Hold returns from which kinds of servers a request is held back, because such servers ended
+// that ran it or others with which it shares something. It is called before each attempt: a
+// record may arrive while the request waits, or result from its own last attempt. Once the
+// hold has expired, one instance may try.
+func (g *Guard) Hold(r *KeyedRequest) Hold {
+	var hold Hold
 	if g.suspects.Empty() {
-		return 0, false
+		return hold
 	}
-	var longest time.Duration
 	var expired []Key
+	var expiredKinds []Kind
 	check := func(a Accusation, carrier Carrier) {
-		left, held := g.suspects.HeldBack(a.Key)
+		left, kinds, held := g.suspects.HeldBackFrom(a.Key)
 		switch {
-		case !held || g.hasCompleted(r, a, carrier):
+		case !held || g.hasCompleted(r, a, carrier, kinds):
 		case left == 0:
-			expired = append(expired, a.Key)
+			expired, expiredKinds = append(expired, a.Key), append(expiredKinds, kinds...)
 			r.setHeldBy(a, carrier)
-		case left > longest:
-			longest = left
+		case left > hold.Longest():
 			r.setHeldBy(a, carrier)
+			fallthrough
+		default:
+			hold.add(kinds, left)
 		}
 	}
 	if g.suspects.MayContain(r.Hint()) {
@@ -115,40 +126,41 @@
 			check(Accusation{Key: r.sharedKey(i), Scope: c.Scope, Depth: c.Depth}, c)
 		}
 	}
-	switch {
-	case longest > 0:
-		return longest, true
-	case len(expired) > 0:
-		return g.startTrialOrWait(r, expired)
+	if slices.ContainsFunc(expiredKinds, func(kind Kind) bool { _, held := hold.At(kind); return !held }) {
+		if left, wait := g.startTrialOrWait(r, expired); wait {
+			hold.add(expiredKinds, left)
+		}
 	}
-	return 0, false
+	return hold
 }
 
-// hasCompleted clears a suspect that is held back if such a request has completed here, and
-// reports whether it is no longer held back.
-func (g *Guard) hasCompleted(r *KeyedRequest, a Accusation, carrier Carrier) bool {
-	if !a.Scope.shared() {
-		if g.completed.Recently(r.Request) {
-			g.Clear(a.Key)
-			return true
+// hasCompleted clears a suspect that is held back if such a request has completed here at the
+// kinds of servers from which it is, and reports whether it is no longer held back.
+func (g *Guard) hasCompleted(r *KeyedRequest, a Accusation, carrier Carrier, kinds []Kind) bool {
+	cleared := false
+	for _, kind := range kinds {
+		switch {
+		case a.Scope.shared():
+			cleared = g.clearCompleted(a.Key, carrier.Scope, kind) || cleared
+		case g.completed.Recently(r.Request, kind):
+			cleared = g.clear(a.Key, kind) || cleared
 		}
-		return false
 	}
-	if !g.clearCompleted(a.Key, carrier.Scope) {
+	if !cleared {
 		return false
 	}
 	_, held := g.suspects.HeldBack(a.Key)
 	return !held
 }
 
-// clearCompleted clears a shared suspect of the servers that ended before such a request
-// completed here. It reports whether this is new.
-func (g *Guard) clearCompleted(key Key, scope Scope) bool {
-	at := g.shared.LastShared(key.Hint())
-	if at.IsZero() || !g.suspects.ClearUntil(key, at) {
+// clearCompleted clears a shared suspect of the servers of a kind that ended before such a
+// request completed there. It reports whether this is new.
+func (g *Guard) clearCompleted(key Key, scope Scope, kind Kind) bool {
+	at := g.shared.LastShared(key.Hint(), kind)
+	if at.IsZero() || !g.suspects.ClearUntil(key, at, kind) {
 		return false
 	}
-	g.log.Info("suspect cleared", "key", key.String(), "scope", scope.String(), "completed-ago-ms", time.Since(at).Milliseconds())
+	g.log.Info("suspect cleared", "key", key.String(), "scope", scope.String(), "kind", kind, "completed-ago-ms", time.Since(at).Milliseconds())
 	g.onChange()
 	return true
 }
@@ -161,7 +173,9 @@
 	for _, s := range list {
 		var key Key
 		if scope := Scope(s.GetScope()); scope.shared() && copy(key[:], s.GetKey()) == len(key) {
-			g.clearCompleted(key, scope)
+			for _, kind := range kindsOf(s) {
+				g.clearCompleted(key, scope, kind)
+			}
 		}
 	}
 }
@@ -236,49 +250,59 @@
 	return false
 }
 
+// kindsOf returns the kinds of the servers in a record of another host.
+func kindsOf(s *schema.Suspect) (out []Kind) {
+	for _, e := range s.GetEnded() {
+		if kind := Kind(e.GetKind()); !slices.Contains(out, kind) {
+			out = append(out, kind)
+		}
+	}
+	return out
+}
+
 // AttemptFailed starts a probe of the server on which an attempt broke off. A request that
-// has just completed on another server did not end this one.
-func (g *Guard) AttemptFailed(r *KeyedRequest, server, address string) {
-	if accused := g.accusations(r); len(accused) > 0 {
-		g.prober.AttemptFailed(server, address, accused...)
+// has just completed on another server of the kind did not end this one.
+func (g *Guard) AttemptFailed(r *KeyedRequest, s Server) {
+	if accused := g.accusations(r, s.Kind); len(accused) > 0 {
+		g.prober.AttemptFailed(s.ID, s.Address, accused...)
 	}
 }
 
 // AttemptAbandoned records that an attempt ended while its server may still run the request: the caller has
 // left, its time is over, or another attempt has begun. If the server ends soon, the request may be why.
-func (g *Guard) AttemptAbandoned(r *KeyedRequest, server, address string) {
-	if accused := g.accusations(r); len(accused) > 0 {
-		g.prober.AttemptAbandoned(server, address, accused...)
+func (g *Guard) AttemptAbandoned(r *KeyedRequest, s Server) {
+	if accused := g.accusations(r, s.Kind); len(accused) > 0 {
+		g.prober.AttemptAbandoned(s.ID, s.Address, accused...)
 	}
 }
 
-// accusations returns what is accused if a server ends that runs a request. A request that has just completed
-// is not.
-func (g *Guard) accusations(r *KeyedRequest) (out []Accusation) {
-	if !g.completed.Recently(r.Request) {
-		out = append(out, Accusation{Key: r.Key()})
+// accusations returns what is accused if a server of a kind ends that runs a request. A request that has just
+// completed at another one is not.
+func (g *Guard) accusations(r *KeyedRequest, kind Kind) (out []Accusation) {
+	if !g.completed.Recently(r.Request, kind) {
+		out = append(out, Accusation{Key: r.Key(), Kind: kind})
 	}
 	for i, c := range r.shared {
-		out = append(out, Accusation{Key: r.sharedKey(i), Scope: c.Scope, Depth: c.Depth, Weak: g.shared.RecentlyShared(c)})
+		out = append(out, Accusation{Key: r.sharedKey(i), Scope: c.Scope, Depth: c.Depth, Kind: kind, Weak: g.shared.RecentlyShared(c, kind)})
 	}
 	return out
 }
 
-// AttemptCompleted records that a server completed a request.
-func (g *Guard) AttemptCompleted(r *KeyedRequest) {
-	g.completed.Record(r.Request)
+// AttemptCompleted records that a server of a kind completed a request.
+func (g *Guard) AttemptCompleted(r *KeyedRequest, kind Kind) {
+	g.completed.Record(r.Request, kind)
 	for _, c := range r.shared {
-		g.shared.RecordShared(c)
+		g.shared.RecordShared(c, kind)
 	}
 	if g.suspects.Empty() {
 		return
 	}
-	if g.suspects.MayContain(r.Hint()) && g.Clear(r.Key()) {
-		g.log.Info("suspect cleared", "key", r.Key().String(), "scope", ScopeRequest.String(), "completed-ago-ms", 0)
+	if g.suspects.MayContain(r.Hint()) && g.clear(r.Key(), kind) {
+		g.log.Info("suspect cleared", "key", r.Key().String(), "scope", ScopeRequest.String(), "kind", kind, "completed-ago-ms", 0)
 	}
 	for i, c := range r.shared {
 		if g.suspects.MayContain(c.Hint()) {
-			g.Clear(r.sharedKey(i))
+			g.clear(r.sharedKey(i), kind)
 		}
 	}
 }
@@ -289,9 +313,12 @@
 	return g.prober.Ask(ctx, server, address)
 }
 
-// Clear records that a suspect does not end servers. It reports whether this is new.
-func (g *Guard) Clear(key Key) bool {
-	changed := g.suspects.Clear(key)
+// Clear releases a suspect everywhere. It reports whether this is new.
+func (g *Guard) Clear(key Key) bool { return g.clear(key, AnyKind) }
+
+// clear records that a suspect does not end servers of a kind. It reports whether this is new.
+func (g *Guard) clear(key Key, kind Kind) bool {
+	changed := g.suspects.ClearUntil(key, time.Now(), kind)
 	if changed {
 		g.onChange()
 	}
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -51,7 +51,7 @@
 				request := quarantine.NewKeyedRequest(quarantine.Request{Method: "PUT", Target: "/book", Body: []byte("harmful")})
 				other := quarantine.NewKeyedRequest(quarantine.Request{Method: "PUT", Target: "/book", Body: []byte("ordinary")})
 				for i := range tt.failed {
-					g.AttemptFailed(request, fmt.Sprint("app-", i), fmt.Sprint("a:", i))
+					g.AttemptFailed(request, quarantine.Server{ID: fmt.Sprint("app-", i), Address: fmt.Sprint("a:", i)})
 				}
 				start := time.Now()
 				g.AwaitProbes(t.Context(), other)
@@ -105,7 +105,7 @@
 			other.Accuse(server, time.Now(), []quarantine.Accusation{{Key: part.Key(), Scope: part.Scope}})
 		}
 		time.Sleep(time.Second)
-		g.AttemptCompleted(quarantine.NewKeyedRequest(quarantine.Request{Target: "/x"}, part))
+		g.AttemptCompleted(quarantine.NewKeyedRequest(quarantine.Request{Target: "/x"}, part), quarantine.AnyKind)
 		list, _ := other.Since(0, quarantine.PartAll)
 		for _, s := range list {
 			s.AgeMs = 1000
@@ -155,7 +155,7 @@
 	b.Run("completed", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
-			g.AttemptCompleted(r)
+			g.AttemptCompleted(r, quarantine.AnyKind)
 		}
 	})
 }
--- a/internal/quarantine/part_series_test.go
+++ b/internal/quarantine/part_series_test.go
@@ -215,7 +215,7 @@
 	f.setDown(s.name, true)
 	time.AfterFunc(partRestart, func() { f.setDown(s.name, false) })
 	for _, r := range broken {
-		r.entry.guard.AttemptFailed(r.keyed, id, s.name)
+		r.entry.guard.AttemptFailed(r.keyed, quarantine.Server{ID: id, Address: s.name})
 	}
 	for _, r := range broken {
 		if r.repeats++; r.repeats < 2 {
@@ -246,7 +246,7 @@
 				crashes = true
 				return false
 			}
-			r.entry.guard.AttemptCompleted(r.keyed)
+			r.entry.guard.AttemptCompleted(r.keyed, quarantine.AnyKind)
 			return true
 		})
 		if crashes {
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -45,6 +45,17 @@
 	// weak is set if such a request had completed shortly before at each entry that reported
 	// the server.
 	weak bool
+	kind Kind
+}
+
+// kinds returns the kinds of the servers that count against the suspect.
+func (r *record) kinds() (out []Kind) {
+	for _, e := range r.ended {
+		if !e.cleared && !slices.Contains(out, e.kind) {
+			out = append(out, e.kind)
+		}
+	}
+	return out
 }
 
 // blame returns the number of servers that count against the suspect. Those that are weak
@@ -83,7 +94,7 @@
 func (r *record) add(server string, e endedServer) bool {
 	known, ok := r.ended[server]
 	if ok {
-		merged := endedServer{at: known.at, cleared: known.cleared || e.cleared, weak: known.weak && e.weak}
+		merged := endedServer{at: known.at, cleared: known.cleared || e.cleared, weak: known.weak && e.weak, kind: known.kind}
 		r.ended[server] = merged
 		return merged != known
 	}
@@ -128,12 +139,12 @@
 	return true
 }
 
-// clearUntil clears the suspect of the servers that ended up to a time, and reports whether
-// that changed the record.
-func (r *record) clearUntil(at time.Time) bool {
+// clearUntil clears the suspect of the servers of a kind that ended up to a time, and reports
+// whether that changed the record.
+func (r *record) clearUntil(at time.Time, kind Kind) bool {
 	changed := false
 	for server, e := range r.ended {
-		if !e.cleared && !e.at.After(at) {
+		if !e.cleared && !e.at.After(at) && kind.includes(e.kind) {
 			e.cleared = true
 			r.ended[server], changed = e, true
 		}
@@ -149,7 +160,7 @@
 	for _, server := range slices.Sorted(maps.Keys(r.ended)) {
 		e := r.ended[server]
 		out.Ended = append(out.Ended, &schema.EndedServer{
-			Server: server, Cleared: e.cleared, Weak: e.weak, AgeMs: now.Sub(e.at).Milliseconds(),
+			Server: server, Cleared: e.cleared, Weak: e.weak, AgeMs: now.Sub(e.at).Milliseconds(), Kind: uint32(e.kind),
 		})
 	}
 	return out
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -96,13 +96,20 @@
 // ended at all entries at once, a caller that repeats the request at each of them would end
 // a server with each before the others received the first record.
 func (s *SuspectSet) HeldBack(key Key) (time.Duration, bool) {
+	left, _, held := s.HeldBackFrom(key)
+	return left, held
+}
+
+// HeldBackFrom is HeldBack with the kinds of servers from which the suspect is held back: those that have
+// ended under it.
+func (s *SuspectSet) HeldBackFrom(key Key) (left time.Duration, kinds []Kind, held bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.evaluate()
 	r := s.records[key]
 	until, held := s.heldUntil(key, r)
 	if !held {
-		return 0, false
+		return 0, nil, false
 	}
 	spread := until.Sub(r.lastEnded) / holdJitterDivisor
 	if s.holds.held[key].doubtful && s.cfg.Entries != nil {
@@ -110,7 +117,7 @@
 	}
 	jitter := xxhash.Sum64String(key.String()+s.cfg.Entry) % holdJitterSteps
 	jitter *= uint64(spread) / holdJitterSteps
-	return max(until.Add(time.Duration(jitter)).Sub(s.cfg.Now()), 0), true
+	return max(until.Add(time.Duration(jitter)).Sub(s.cfg.Now()), 0), r.kinds(), true
 }
 
 // heldUntil returns whether a suspect is held back and until when it may not try again; r
@@ -198,7 +205,7 @@
 	defer s.mu.Unlock()
 	for _, a := range accused {
 		s.update(a.Key, s.getOrAdd(a), SourceOwn, func(r *record) bool {
-			return r.add(server, endedServer{at: at, weak: a.Weak})
+			return r.add(server, endedServer{at: at, weak: a.Weak, kind: a.Kind})
 		})
 	}
 	s.evaluate()
@@ -206,15 +213,15 @@
 
 // Clear records that a request has completed and so does not end servers by itself, or that
 // one with something shared has. It reports whether this is new.
-func (s *SuspectSet) Clear(key Key) bool { return s.ClearUntil(key, s.cfg.Now()) }
+func (s *SuspectSet) Clear(key Key) bool { return s.ClearUntil(key, s.cfg.Now(), AnyKind) }
 
-// ClearUntil is Clear for a request that completed at a time: servers that ended later
-// still count.
-func (s *SuspectSet) ClearUntil(key Key, at time.Time) bool {
+// ClearUntil is Clear for a request that completed at a time at a server of a kind: servers
+// that ended later and those of other kinds still count.
+func (s *SuspectSet) ClearUntil(key Key, at time.Time, kind Kind) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.records[key]
-	changed := r != nil && s.update(key, r, SourceOwn, func(r *record) bool { return r.clearUntil(at) })
+	changed := r != nil && s.update(key, r, SourceOwn, func(r *record) bool { return r.clearUntil(at, kind) })
 	s.evaluate()
 	return changed
 }
--- a/internal/quarantine/sync.go
+++ b/internal/quarantine/sync.go
@@ -167,7 +167,7 @@
 	changed, now := false, s.cfg.Now()
 	for _, e := range suspect.GetEnded() {
 		age := time.Duration(cmp.Or(e.GetAgeMs(), suspect.GetAgeMs())) * time.Millisecond
-		changed = r.add(e.GetServer(), endedServer{at: now.Add(-age), cleared: e.GetCleared(), weak: e.GetWeak()}) || changed
+		changed = r.add(e.GetServer(), endedServer{at: now.Add(-age), cleared: e.GetCleared(), weak: e.GetWeak(), kind: Kind(e.GetKind())}) || changed
 	}
 	return changed
 }
--- a/internal/quarantine/trial_test.go
+++ b/internal/quarantine/trial_test.go
@@ -63,7 +63,7 @@
 				}
 				ended++
 				server := fmt.Sprint("server-", ended)
-				time.AfterFunc(runTime, func() { g.AttemptFailed(r, server, server) })
+				time.AfterFunc(runTime, func() { g.AttemptFailed(r, quarantine.Server{ID: server, Address: server}) })
 			}
 		}
 		// A hold of five minutes, doubled each time or half as long again, expires two or
@@ -115,7 +115,7 @@
 		require.False(t, held, "the first trial had no result")
 		_, held = g.HeldBack(one)
 		require.True(t, held)
-		g.AttemptCompleted(two)
+		g.AttemptCompleted(two, quarantine.AnyKind)
 		_, held = g.HeldBack(one)
 		require.False(t, held)
 	})
