quarantine: an entry that reaches no other host holds a request back after one server

What callers saw: entries that reach the servers and nobody else (5 of 24) each sent a harmful request on for as long as it was repeated: 17 to 19 servers in 18 s, where the others need three.

Causes: such an entry never found out that a server had ended, as no other host could confirm a refused connection; and if it had, it would have needed three servers of its own.

Change: a refusal counts if no other host responds at all and this one reaches another server over its own path; and while an entry reaches neither control hosts nor entries, one server is enough to hold a request back, for 2 s at a time. Prompt parts still take three there.

TestHarmfulRequestAtIsolatedEntries and TestIsolatedHostConfirmsTheEndOfAServer fail without it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,8 @@
 	// StateCooldown reports to another entry that a server has stated a cooldown in a response that
 	// passed through it. It may be nil if requests never pass through other entries.
 	StateCooldown func(host, server string, wait time.Duration)
+	// Isolated reports whether this entry reaches no other one, as far as it knows; nil: it always does.
+	Isolated func() bool
 	// Origins records and finds at other entries where streams began.
 	Origins OriginExchange
 	// KeyRevocation bounds how long a removed API key may still be accepted; 0 is unbounded.
@@ -124,6 +126,7 @@
 	g.quotas = quota.NewMeter(quota.MeterConfig{Window: cfg.QuotaWindow, Random: rand.Float64}, g.startTime)
 	g.guard = quarantine.NewGuard(quarantine.GuardConfig{
 		Entry: cfg.Self.GetCallerAddress(), Entries: g.entryCount, Probe: cfg.Sender.Probe, OnChange: g.reportNow, Log: cfg.Log,
+		Isolated: func() bool { return cfg.Isolated != nil && cfg.Isolated() && !g.connected() },
 		MayProbe: func(server string) bool { return g.fleet.cooldowns.Remaining(server, time.Now()) == 0 },
 	})
 	g.aborted, g.abort = context.WithCancel(context.Background())
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -99,6 +100,9 @@
 	// by mu.
 	failed       int
 	failedLogged time.Time
+	// isolated is set if no other entry responded to the last records sent, and none has sent any since;
+	// guarded by mu.
+	isolated bool
 }
 
 // New starts a Gossip.
@@ -180,10 +184,17 @@
 		byShard[shard] = append(byShard[shard], s)
 	}
 	for shard, some := range byShard {
-		ranked := ranking(shard, entries)
+		ranked, wanted := ranking(shard, entries), collectors
+		if i := slices.Index(ranked, g.cfg.Self); i >= 0 {
+			ranked = slices.Delete(ranked, i, i+1)
+			if i < collectors {
+				// This entry is one of them.
+				wanted--
+			}
+		}
+		ranked = ranked[:min(len(ranked), maxCollectorTries)]
 		g.start(func() {
-			// This entry may be one of the collectors.
-			if g.deliver(ranked[:min(len(ranked), maxCollectorTries)], collectors, some) < min(collectors, len(ranked)) {
+			if g.deliver(ranked, wanted, some) < min(wanted, len(ranked)) {
 				g.logFailure("too few collectors responded")
 			}
 		})
@@ -213,7 +224,7 @@
 			address := entries[started]
 			started, pending = started+1, pending+1
 			g.exchanges.Go(func() {
-				responded <- address == g.cfg.Self || g.exchange(address, &schema.SuspectExchange{Suspects: list}) != nil
+				responded <- g.exchange(address, &schema.SuspectExchange{Suspects: list}) != nil
 			})
 		}
 	}
@@ -233,9 +244,28 @@
 			more *= 2
 		}
 	}
+	if reached == 0 && started > 0 && g.ctx.Err() == nil {
+		g.setIsolated(true)
+	}
 	return reached
 }
 
+// Isolated reports whether this entry reaches no other one, as far as it knows.
+func (g *Gossip) Isolated() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.isolated
+}
+
+func (g *Gossip) setIsolated(isolated bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.isolated != isolated {
+		g.isolated = isolated
+		g.cfg.Log.Info("other entries reached", "reached", !isolated)
+	}
+}
+
 // compare compares the likely suspects with those of an entry drawn by lot, and exchanges some if they
 // differ.
 func (g *Gossip) compare() {
@@ -259,6 +289,7 @@
 
 // Receive handles a message of another entry and returns the response.
 func (g *Gossip) Receive(m *schema.SuspectExchange) *schema.SuspectExchange {
+	g.setIsolated(false)
 	g.cfg.Merge(m.GetSuspects())
 	reply := &schema.SuspectExchange{}
 	if m.GetDigest() != 0 {
@@ -293,6 +324,7 @@
 		g.logFailure(err.Error())
 		return nil
 	}
+	g.setIsolated(false)
 	return reply
 }
 
--- a/internal/path/attempt.go
+++ b/internal/path/attempt.go
@@ -240,6 +240,17 @@
 // from it.
 func (a *attempt) confirmed() bool { return a.directRefused() && a.refused > 0 && a.silent == 0 }
 
+// confirmedAlone reports whether the server has refused this host, no other host responds, and this one reaches
+// another server: a host that is cut off from all others would never find out that servers end.
+func (a *attempt) confirmedAlone() bool {
+	if !a.directRefused() || len(a.asked) == 0 || a.refused+a.silent+a.unsure+a.declined > 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*confirmDelay)
+	defer cancel()
+	return a.d.ReachesOther(ctx, a.address)
+}
+
 // failure returns the error of a server that no path leads to. It wraps ECONNREFUSED only if that is
 // no fault of this host's path, or if there is no other host to ask.
 func (a *attempt) failure() error {
@@ -247,7 +258,7 @@
 	// Hosts that are unsure have perhaps lost their paths as well: they count only if nobody else is left to
 	// ask.
 	unsure := a.silent == 0 && a.unsure > 0 && left == ""
-	ended := a.confirmed() || a.directRefused() && (!hostsKnown || unsure) || a.refused >= minOpinions
+	ended := a.confirmed() || a.directRefused() && (!hostsKnown || unsure) || a.refused >= minOpinions || a.confirmedAlone()
 	switch {
 	case ended:
 		return errors.Newf("connect to %s: refused also to %d other hosts: %w", a.address, a.refused+a.unsure, syscall.ECONNREFUSED)
--- a/internal/path/confirm_test.go
+++ b/internal/path/confirm_test.go
@@ -86,3 +86,26 @@
 		})
 	}
 }
+
+// A host that is cut off from all others finds out that a server has ended if it reaches another one; it must not
+// while it reaches none.
+func TestIsolatedHostConfirmsTheEndOfAServer(t *testing.T) {
+	for name, reachesOther := range map[string]bool{"reaches another server": true, "reaches no server": false} {
+		t.Run(name, func(t *testing.T) {
+			n := &network{}
+			simulate(t, n, func(t *testing.T, d *path.Dialer) {
+				reach(t, d, "s0", "s")
+				n.set(func(n *network) {
+					n.hosts["near"], n.hosts["far"] = errSilent, errSilent
+					n.server["s"] = syscall.ECONNREFUSED
+					if !reachesOther {
+						n.direct = syscall.ECONNREFUSED
+					}
+				})
+				_, _, err := dial(d, "s")
+				require.Error(t, err)
+				require.Equal(t, reachesOther, errors.Is(err, syscall.ECONNREFUSED))
+			})
+		})
+	}
+}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -24,7 +24,10 @@
 // its server ends, it completes, or its caller cancels it.
 const maxTrialDuration = 30 * time.Second
 
-// GuardConfig configures a Guard. All fields but Entries are required.
+// isolatedHold is the time after which a request may try again that an isolated entry holds back.
+const isolatedHold = 2 * time.Second
+
+// GuardConfig configures a Guard. All fields but Entries and Isolated are required.
 type GuardConfig struct {
 	// Entry identifies this entry among all entries.
 	Entry string
@@ -35,6 +38,8 @@
 	// MayProbe reports whether this entry may connect to a server now: one that has asked for a
 	// cooldown is not probed, and its end is no evidence then.
 	MayProbe func(server string) bool
+	// Isolated reports whether this entry reaches no other host that knows suspects; nil: it always does.
+	Isolated func() bool
 	// OnChange is called when this entry has records that other hosts lack. The next repeat
 	// of the request may arrive at any entry.
 	OnChange func()
@@ -45,6 +50,7 @@
 // requests are suspected when a server ends. All methods are safe for concurrent use.
 type Guard struct {
 	onChange func()
+	isolated func() bool
 	suspects *SuspectSet
 	prober   *ServerProber
 	// completed are requests, and shared what they have in common with others.
@@ -68,8 +74,12 @@
 // NewGuard starts a guard without suspected requests.
 func NewGuard(cfg GuardConfig) *Guard {
 	log := cfg.Log.WithName("quarantine")
+	if cfg.Isolated == nil {
+		cfg.Isolated = func() bool { return false }
+	}
 	g := &Guard{
 		onChange:  cfg.OnChange,
+		isolated:  cfg.Isolated,
 		suspects:  NewSuspectSet(SuspectSetConfig{Entry: cfg.Entry, Entries: cfg.Entries, Now: time.Now, Log: log}),
 		completed: NewCompleted(time.Now),
 		shared:    NewCompleted(time.Now),
@@ -120,6 +130,11 @@
 	}
 	if g.suspects.MayContain(r.Hint()) {
 		check(Accusation{Key: r.Key()}, Carrier{})
+		if kinds := g.suspects.BlamedKinds(r.Key()); hold.Empty() && len(kinds) > 0 && g.isolated() {
+			// One server is enough: the others may have found more.
+			hold.add(kinds, isolatedHold)
+			r.setHeldBy(Accusation{Key: r.Key()}, Carrier{})
+		}
 	}
 	for i, c := range r.shared {
 		if g.suspects.MayContain(c.Hint()) {
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -120,6 +120,16 @@
 	return max(until.Add(time.Duration(jitter)).Sub(s.cfg.Now()), 0), r.kinds(), true
 }
 
+// BlamedKinds returns the kinds of the servers that count against a suspect.
+func (s *SuspectSet) BlamedKinds(key Key) []Kind {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.records[key]; r != nil {
+		return r.kinds()
+	}
+	return nil
+}
+
 // heldUntil returns whether a suspect is held back and until when it may not try again; r
 // may be nil. The caller holds mu.
 func (s *SuspectSet) heldUntil(key Key, r *record) (time.Time, bool) {
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -115,6 +115,7 @@
 		RetryBudget: gateway.RetryBudgetConfig{
 			Ratio: s.GetRepeatRatio(), Window: s.GetRepeatWindow().AsDuration(), Burst: int(s.GetRepeatSlack()),
 		},
+		Isolated:      func() bool { return e.suspects.Isolated() },
 		Origins:       gateway.OriginExchange{Put: e.origins.Put, Get: e.origins.Get},
 		KeyRevocation: s.GetKeyRevocation().AsDuration(), QuotaWindow: s.GetQuotaWindow().AsDuration(),
 		OnRequestDone: func(r gateway.RequestStats) {
--- a/internal/role/harmful_disruptions_test.go
+++ b/internal/role/harmful_disruptions_test.go
@@ -120,6 +120,18 @@
 	}},
 }
 
+// isolate cuts entries off from all control hosts and from all other entries, each by itself, or heals that.
+func (d *deployment) isolate(entries []string, cut bool) {
+	for _, ip := range entries {
+		for _, other := range slices.Concat(d.controlIPs(), d.entryIPs()) {
+			if other != ip {
+				d.network.Cut(ip, other, cut)
+				d.network.Cut(other, ip, cut)
+			}
+		}
+	}
+}
+
 // someEntries returns a share of the entries, drawn by lot.
 func (d *deployment) someEntries(random *rand.Rand, share float64) []string {
 	all := d.entryIPs()
@@ -229,6 +241,36 @@
 	wg.Wait()
 }
 
+// Some entries reach the servers and nobody else: each needs three servers of its own to find out what the
+// others know.
+func TestHarmfulRequestAtIsolatedEntries(t *testing.T) {
+	const entries, isolated = 24, 5
+	synctest.Test(t, func(t *testing.T) {
+		d := newSettledDeploymentOf(t, 66, 3, entries)
+		defer d.close()
+		b := startBackends(d, harmfulSeriesServers)
+		defer b.close()
+		random := rand.New(rand.NewSource(66))
+		some := d.someEntries(random, float64(isolated)/entries)
+		d.isolate(some, true)
+		time.Sleep(2 * time.Second)
+		s := &harmfulSeries{d: d, b: b, random: random, callerLimit: 3 * time.Second, noDisruptions: true}
+		s.play()
+		t.Logf("%d servers crashed after %v, %d of %d ordinary requests served", b.crashCount(), s.crashTimes(), s.served, s.ordinary)
+		require.LessOrEqual(t, b.crashCount(), maxHarmfulCrashes+isolated)
+		require.GreaterOrEqual(t, float64(s.served), minSoundShare*float64(s.ordinary))
+		// Once they reach the others they know what these know, and ordinary requests are served.
+		d.isolate(some, false)
+		time.Sleep(5 * time.Second)
+		crashes := b.crashCount()
+		for _, ip := range some {
+			require.Equal(t, 503, d.call(ip, "/once/x", harmfulBody).status)
+			require.Equal(t, 200, d.call(ip, "/once/x", "ordinary").status)
+		}
+		require.Equal(t, crashes, b.crashCount())
+	})
+}
+
 // abandonments are the ways in which an attempt ends before its server does.
 var abandonments = map[string]struct {
 	path string
