entry: listed hosts exchange evidence on harmful requests directly as well

The same cause as between entries that subscribe to control hosts: listed hosts had evidence from the log alone, so that without a quorum each needed three servers of its own. They now exchange it over the addresses at which they carry tunnels, and a host that has reached no server yet tries any known one before it confirms a refusal. TestCrashingRequestIsHeldBackWithoutQuorum: nine servers, three hosts, the only control host stopped; without the exchange the other hosts never hold the request back, now all do after the first host's third server.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"fennelyard/internal/backend"
 	"fennelyard/internal/claim"
 	"fennelyard/internal/control"
+	"fennelyard/internal/gossip"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/membership"
 	"fennelyard/internal/metrics"
@@ -84,8 +85,11 @@
 	// has a token while the guard has suspects that are not recorded yet.
 	guard       *quarantine.Guard
 	suspectsDue chan struct{}
-	forecasts   *forecasts
-	httpServers []*http.Server
+	// gossip exchanges suspects with other entries.
+	gossip       *gossip.Gossip
+	gossipClient *gossip.Client
+	forecasts    *forecasts
+	httpServers  []*http.Server
 	// capacityDue has a token while the capacity of queues has changed with the cooldown of a server.
 	capacityDue chan struct{}
 	// reportDue has a token while a report to the leader is due immediately.
@@ -135,6 +139,7 @@
 		Entry: cfg.Self.GetName(), Probe: relay.NewSender(relay.Config{Dial: e.paths.Dial}).Probe, OnChange: e.requestRecording, Log: cfg.Log,
 		MayProbe: func(server string) bool { return e.table.Cooldown(time.Now(), server) == 0 },
 	})
+	e.startGossip()
 	e.registerGauges()
 	e.serve(cfg.CallerListener, e.callerRoutes())
 	e.serve(cfg.OperatorListener, e.operatorRoutes())
@@ -289,6 +294,8 @@
 			}
 		}
 		close(e.stop)
+		e.gossip.Close()
+		e.gossipClient.Close()
 		e.guard.Close()
 		e.sender.Close()
 		e.closePaths(ctx)
--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/gossip"
 	"fennelyard/internal/incarnation"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/path"
@@ -17,14 +19,12 @@
 // startPaths creates what connects this entry to backend servers, through other entries while it has lost its
 // own path, and what carries their connections.
 func (e *Entry) startPaths() {
-	dial := e.cfg.Dial
-	if dial == nil {
-		dial = routing.Dial
-	}
+	dial := e.dial()
 	e.paths = path.New(path.Config{
 		Direct: dial, Through: tunnel.NewOpener(dial), Hosts: e.tunnelHosts, OnChange: func() {},
-		Cooling: func(address string) bool { return e.cooldownAt(address) > 0 },
-		Random:  e.cfg.Random, Log: e.cfg.Log.WithName("path"),
+		Cooling:   func(address string) bool { return e.cooldownAt(address) > 0 },
+		AnyServer: e.anyServer,
+		Random:    e.cfg.Random, Log: e.cfg.Log.WithName("path"),
 	})
 	e.tunnels = tunnel.NewServer(tunnel.ServerConfig{
 		Connect: e.paths.Connect, Log: e.cfg.Log.WithName("tunnel"), IsServer: e.isServer,
@@ -37,15 +37,18 @@
 	e.stateCooldown = tunnel.NewCooldownReporter(dial, e.cfg.Log)
 }
 
-// backendHandler serves announcements of backend servers, and tunnels for other entries.
+// backendHandler serves announcements of backend servers, and tunnels and evidence of other entries.
 func (e *Entry) backendHandler() http.Handler {
-	announcements := e.backendRoutes()
+	announcements, suspects := e.backendRoutes(), gossip.NewHandler(e.gossip)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if tunnel.IsRequest(r) {
+		switch {
+		case tunnel.IsRequest(r):
 			e.tunnels.ServeHTTP(w, r)
-			return
+		case gossip.IsRequest(r):
+			suspects.ServeHTTP(w, r)
+		default:
+			announcements.ServeHTTP(w, r)
 		}
-		announcements.ServeHTTP(w, r)
 	})
 }
 
@@ -65,6 +68,19 @@
 	return preferred, others
 }
 
+// anyServer returns the address of a known server that is none of those given, empty if there is none.
+func (e *Entry) anyServer(except ...string) (address string) {
+	e.cfg.Replica.View(func(r *ledger.Records) {
+		for _, s := range r.Servers() {
+			if s.GetAddress() != "" && !slices.Contains(except, s.GetAddress()) {
+				address = s.GetAddress()
+				return
+			}
+		}
+	})
+	return address
+}
+
 // serversAt returns the incarnations of the known servers at an address.
 func (e *Entry) serversAt(address string) []string {
 	var out []string
--- a/internal/host/heldback_test.go
+++ b/internal/host/heldback_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"fennelyard/internal/routing"
+	"fennelyard/internal/schema"
 	"fennelyard/internal/standin"
 )
 
@@ -83,6 +84,14 @@
 	return most
 }
 
+// firstHeldFor returns for how long the first suspect of a list is held back, in milliseconds.
+func firstHeldFor(list *schema.SuspectList) uint64 {
+	if len(list.GetSuspects()) == 0 {
+		return 0
+	}
+	return list.GetSuspects()[0].GetHeldBackForMs()
+}
+
 // book sends one booking without the client's retries.
 func (h *harness) book(method, body, key string) response {
 	h.t.Helper()
@@ -165,3 +174,45 @@
 	require.Equal(t, http.StatusOK, talk("ordinary", "second").status)
 	require.Equal(t, before, crashes.Load())
 }
+
+// The control group has no quorum, so that nothing is recorded in its log: each host needed three servers of its
+// own to hold a request back.
+func TestCrashingRequestIsHeldBackWithoutQuorum(t *testing.T) {
+	const crashing, hostCount, servers = `{"seat":"harmful"}`, 3, 9
+	h, hosts := newHarnessWithHosts(t, hostCount)
+	var crashes atomic.Int64
+	for i := range servers {
+		h.application(fmt.Sprint("app-", i), func(c *standin.ApplicationConfig) {
+			c.CrashBody, c.Crashed = crashing, func() { crashes.Add(1) }
+		})
+	}
+	h.awaitServers(servers)
+	h.configure(1)
+	put := func(address, body string) response {
+		q, err := http.NewRequestWithContext(context.Background(), http.MethodPut, "http://"+address+"/services/"+testService+"/book", strings.NewReader(body))
+		require.NoError(t, err)
+		q.Header.Set(routing.HeaderCustomer, testCustomer)
+		return h.send(q)
+	}
+	for _, p := range hosts {
+		h.eventually("a booking served by each host", func() bool { return put(p.caller, `{"seat":"4"}`).status == http.StatusOK })
+	}
+	h.host.Close()
+	heldBack := func(p *partitionableHost) bool { return put(p.caller, crashing).code == "held-back" }
+	h.eventually("the request held back by a host", func() bool { return heldBack(hosts[0]) })
+	before := crashes.Load()
+	require.LessOrEqual(t, before, int64(4))
+	h.eventually("the evidence at the other hosts", func() bool {
+		for _, p := range hosts {
+			if list, err := p.operator.Suspects(context.Background()); err != nil || firstHeldFor(list) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	for _, p := range hosts {
+		require.True(t, heldBack(p))
+		require.Equal(t, http.StatusOK, put(p.caller, `{"seat":"5"}`).status)
+	}
+	require.Equal(t, before, crashes.Load())
+}
--- a/internal/host/partition_test.go
+++ b/internal/host/partition_test.go
@@ -27,8 +27,9 @@
 // partitionableHost is a host whose connections to servers can be made to fail.
 type partitionableHost struct {
 	*host.Host
-	caller string
-	mu     sync.Mutex
+	caller   string
+	operator *operator.Client
+	mu       sync.Mutex
 	// failure is how new connections to servers fail, nil for not at all; guarded by mu.
 	failure func(ctx context.Context) error
 }
@@ -68,7 +69,7 @@
 	for _, l := range layout.Hosts()[1:] {
 		s, err := settings.Parse("bed.yaml", []byte(layout.YAML(l.Name)))
 		require.NoError(t, err)
-		p := &partitionableHost{caller: l.Caller}
+		p := &partitionableHost{caller: l.Caller, operator: operator.NewClient(l.Operator)}
 		p.Host, err = host.New(host.Config{Settings: s, Dial: p.dial})
 		require.NoError(t, err)
 		t.Cleanup(p.Close)
