gateway: a request that waits for a permit or a cooldown is refused at once when it is held back

What callers saw: a request that waited for a server's permit, or for the end of its cooldown, was refused as held back only after that wait. awaitRelease did not ask the guard. It does before each look now. TestWaitingRequestIsRefusedOnceItIsHeldBack fails without it.

--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/require"
 
+	"fennelyard/internal/quarantine"
 	"fennelyard/internal/schema"
 )
 
@@ -141,3 +142,24 @@
 	}
 	require.Equal(t, 503, tg.call(t, "/once/x", "harmful", "").status)
 }
+
+// A request waits for the end of a server's cooldown when it turns out to be harmful: it must be refused at once,
+// not after its wait.
+func TestWaitingRequestIsRefusedOnceItIsHeldBack(t *testing.T) {
+	server := newBackend(t, respondOK)
+	tg := newTestGateway(t, server)
+	require.Equal(t, 200, tg.call(t, "/once/x", "ordinary", "").status)
+	tg.g.CarriedCooldown("s0", 2*time.Second)
+	key := quarantine.Request{Method: http.MethodPost, Host: "h.example", Target: "/once/x", Body: []byte("harmful")}.Key()
+	suspect := &schema.Suspect{Key: key[:]}
+	for i := range 3 {
+		suspect.Ended = append(suspect.Ended, &schema.EndedServer{Server: strconv.Itoa(i), AgeMs: 1})
+	}
+	time.AfterFunc(100*time.Millisecond, func() { tg.g.MergeSuspects([]*schema.Suspect{suspect}) })
+	result := tg.call(t, "/once/x", "harmful", "")
+	require.Equal(t, 503, result.status)
+	require.Positive(t, tg.g.ServerCooldown(server.l.Addr().String()), "refused after its wait")
+	seconds, err := strconv.ParseFloat(result.retryAfter, 64)
+	require.NoError(t, err)
+	require.Greater(t, seconds, 60.0)
+}
--- a/internal/gateway/release.go
+++ b/internal/gateway/release.go
@@ -29,6 +29,9 @@
 	defer func() { x.waited += time.Since(start) }()
 	for {
 		changed, now := x.g.fleet.changes(), time.Now()
+		if x.refusedByQuarantine() {
+			return false
+		}
 		c := x.g.fleet.chooseWithin(x.pool, &x.info, x.excluded, now, x.random)
 		if c.server != nil || !c.awaitable() || (c.limited == nil) != (first.limited == nil) {
 			return true
