Soak: engines and their proxies draw from random sources of their own

TestSoak/seed-1 once failed under the race detector: an engine's order faults (under the soak's mutex) and its proxy (under the proxy's) drew from one source. Each has its own now, seeded from it.

--- a/cmd/fennelyard/soak_engines_test.go
+++ b/cmd/fennelyard/soak_engines_test.go
@@ -75,8 +75,10 @@
 // runEngine runs a model engine until the soak ends. It crashes repeatedly and restarts with
 // the same id and disk at another address.
 func (s *soak) runEngine(i int, r *rand.Rand) {
+	// Orders are carried out by other goroutines.
+	orders := rand.New(rand.NewPCG(r.Uint64(), 2))
 	e := standin.NewEngine(standin.EngineConfig{
-		ID: fmt.Sprint("e-", i), OrderFate: func() (bool, time.Duration) { return s.drawOrderFault(r) }, OnOrder: s.checkOrder, Errorf: s.recordViolation,
+		ID: fmt.Sprint("e-", i), OrderFate: func() (bool, time.Duration) { return s.drawOrderFault(orders) }, OnOrder: s.checkOrder, Errorf: s.recordViolation,
 	})
 	index := s.servers + i
 	for s.serversCtx.Err() == nil {
--- a/cmd/fennelyard/soak_test.go
+++ b/cmd/fennelyard/soak_test.go
@@ -238,7 +238,7 @@
 	if !s.proxiedServers || s.isStating(i) {
 		return server, func() {}
 	}
-	p := newProxy(lifetime, s.ctx, s.listenServer(i), server, maxResponseFaultBytes, r)
+	p := newProxy(lifetime, s.ctx, s.listenServer(i), server, maxResponseFaultBytes, rand.New(rand.NewPCG(r.Uint64(), 3)))
 	return p.listener.Addr().String(), p.close
 }
 
