--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -149,7 +149,7 @@
 	server := newBackend(t, respondOK)
 	tg := newTestGateway(t, server)
 	require.Equal(t, 200, tg.call(t, "/once/x", "ordinary", "").status)
-	tg.g.CarriedCooldown("s0", 2*time.Second)
+	tg.g.CarriedCooldown("s0", 1200*time.Millisecond)
 	key := quarantine.Request{Method: http.MethodPost, Host: "h.example", Target: "/once/x", Body: []byte("harmful")}.Key()
 	suspect := &schema.Suspect{Key: key[:]}
 	for i := range 3 {
