entry: a leader that leads again is sent all announcements anew

Cause: an entry knew by the leader's name what it had reported. A host that leads again in a later term, after another one or after its own restart, has lost all reports; to it the entry sent keep-alives, which the leader ignores for servers that it does not know ('which the entry sends later'). Evidence: reading, then TestLeaderThatStartsAgainLearnsTheServers, which brings it about with a restart and failed before (31 s, no model loaded).

--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -21,7 +21,7 @@
 // reportLoop reports the announcements that this entry receives and the requests
 // that wait here to the leader.
 func (e *Entry) reportLoop() {
-	reportedLeader := ""
+	var reported reportedTo
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -33,7 +33,7 @@
 		case <-e.backends.ReportDue():
 		}
 		next := reportInterval
-		if e.sendReport(&reportedLeader) {
+		if e.sendReport(&reported) {
 			next = waitingReportInterval
 		}
 		if !e.sleep(minReportInterval) {
@@ -43,13 +43,19 @@
 	}
 }
 
+// reportedTo is the leader that received the last report, and its term. A leader knows nothing of earlier
+// reports in a new term.
+type reportedTo struct {
+	leader string
+	term   uint64
+}
+
 // sendReport sends one report and returns whether requests wait, or true if the
-// report failed. reportedLeader is the leader of the last report.
-func (e *Entry) sendReport(reportedLeader *string) bool {
-	// A new leader has not received any report from this entry yet.
-	if leader := e.cfg.Control.Leader(); leader != *reportedLeader {
+// report failed.
+func (e *Entry) sendReport(reported *reportedTo) bool {
+	if leader := e.cfg.Control.Leader(); leader != reported.leader {
 		e.backends.MarkAllUnreported()
-		*reportedLeader = leader
+		reported.leader = leader
 	}
 	now := time.Now()
 	queues := e.admission.TakeDemands()
@@ -64,9 +70,9 @@
 		e.cfg.Log.V(1).Info("report not taken", "reason", err.Error())
 		return true
 	}
-	if leader := e.cfg.Control.Leader(); leader != *reportedLeader {
+	if current := (reportedTo{e.cfg.Control.Leader(), reply.GetTerm()}); current != *reported {
 		e.backends.MarkAllUnreported()
-		*reportedLeader = leader
+		*reported = current
 	} else {
 		e.backends.MarkReported(announcements)
 	}
--- a/internal/host/partition_test.go
+++ b/internal/host/partition_test.go
@@ -208,3 +208,18 @@
 	}
 	require.Equal(t, int64(1), requests.Load())
 }
+
+// The leader restarts, or leads again after another one, and has lost what entries announced to it. An entry that knows it by
+// its name alone sent it keep-alives of servers that it did not know: they were recorded as lost after 15 s, for
+// good, and no model could be loaded.
+func TestLeaderThatStartsAgainLearnsTheServers(t *testing.T) {
+	h, hosts := newHarnessWithHosts(t, 1)
+	h.engine("engine-1", func(c *standin.EngineConfig) { c.Entries = h.layout.Backends()[1:] })
+	h.awaitServers(1)
+	h.restart()
+	h.eventually("the leader", func() bool { return len(h.status().GetServers()) == 1 })
+	h.configure(1)
+	h.eventually("a model loaded on the engine", func() bool {
+		return h.postTo(hosts[0].caller, "/v1/chat/completions", completion(testModel)).status == http.StatusOK
+	})
+}
--- a/internal/order/reports.go
+++ b/internal/order/reports.go
@@ -94,7 +94,7 @@
 	if waiting && (now.Sub(d.lastRound) >= minRoundInterval || d.needsForecast(report.GetDemands())) {
 		d.runRound()
 	}
-	out := &schema.ReportReply{}
+	out := &schema.ReportReply{Term: d.term}
 	for _, dm := range report.GetDemands() {
 		if f, ok := d.forecasts[dm.GetTarget()]; ok && dm.GetWaiting() > 0 {
 			out.Forecasts = append(out.Forecasts, newForecast(dm.GetTarget(), f, now))
