gateway: an entry that has just started does not guess the version that began a stream

What callers saw: events of two software versions in one stream (ORDER). An entry younger than 30 s whose pool had one version took that one for the origin of an unknown stream, also when the entry that knew better did not respond, or when the caller named no attempt. After a complete replacement within that time it joined two versions.

Found by reading; TestYoungEntryGuessesNoVersion brings it about (an entry restarted, its link to the one where the stream began cut) and got 200 where 503 is due. Change: others that are asked say whether they have known one version for 30 s, which settles it, or several, which refuses it; the entry guesses only if all have responded and none has seen another version.

--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"fennelyard/internal/origin"
 	"fennelyard/internal/schema"
 )
@@ -40,7 +42,7 @@
 // OriginExchange records and finds at other entries where streams began. All functions are required.
 type OriginExchange struct {
 	Put func(ctx context.Context, entry string, key origin.Key, o origin.Origin) error
-	Get func(ctx context.Context, entry string, key origin.Key) (o origin.Origin, known bool, err error)
+	Get func(ctx context.Context, entry string, key origin.Key, pool string) (o origin.Origin, known bool, err error)
 }
 
 // Origins returns where streams began, as this entry knows.
@@ -204,40 +206,49 @@
 			return o, true, true
 		}
 	}
-	version, only := x.g.fleet.onlyVersion(x.pool, time.Now())
-	only = only && x.g.connected()
-	if only && time.Since(x.g.startTime) > versionWindow {
-		return origin.Origin{Pool: x.pool, Version: version}, true, true
+	v := x.g.Versions(x.pool)
+	if v.Only {
+		return origin.Origin{Pool: x.pool, Version: v.Version}, true, true
 	}
-	complete = true
-	if x.info.Resumes != "" {
-		if o, known, complete = x.askForOrigin(key); known {
-			return o, true, true
-		}
+	if x.info.Resumes == "" && v.Several {
+		return origin.Origin{}, false, true
+	}
+	var several bool
+	if o, known, several, complete = x.askForOrigin(key); known {
+		return o, true, true
 	}
-	// This entry may have started after the last server of another version ended. While there were two,
-	// the origins were recorded at other entries.
-	if only {
-		return origin.Origin{Pool: x.pool, Version: version}, true, true
+	// This entry may have started after the last server of another version ended: an older one knows. While
+	// there were two, the origins were recorded at other entries.
+	if !v.Several && !several && complete && x.g.connected() {
+		return origin.Origin{Pool: x.pool, Version: v.Version}, true, true
 	}
 	return origin.Origin{}, false, complete
 }
 
-// askForOrigin asks the other entries for an origin, first those that should have recorded it.
-func (x *exchange) askForOrigin(key origin.Key) (o origin.Origin, known, complete bool) {
+// Versions returns what this entry knows of the versions of a pool's software, by the leader's updates.
+func (g *Gateway) Versions(pool string) origin.Versions {
+	version, single := g.fleet.onlyVersion(pool, time.Now())
+	return origin.Versions{
+		Pool: pool, Version: version, Several: len(g.fleet.versionsInUse(pool)) > 1, Only: single && time.Since(g.startTime) > versionWindow && g.connected(),
+	}
+}
+
+// askForOrigin asks the other entries for an origin, first those that should have recorded it. several is set
+// if one of them has seen several versions in the pool.
+func (x *exchange) askForOrigin(key origin.Key) (o origin.Origin, known, several, complete bool) {
 	ctx, cancel := context.WithTimeout(x.ctx, originTimeout)
 	defer cancel()
 	entries := x.g.originEntries(key)
 	first := min(2*originReplicas, len(entries))
 	complete = len(entries) <= maxOriginQueries
 	for _, some := range [][]string{entries[:first], entries[first:min(len(entries), maxOriginQueries)]} {
-		o, known, asked := x.g.askEntries(ctx, some, key)
+		o, known, differ, asked := x.g.askEntries(ctx, some, key, x.pool)
 		if known {
-			return o, true, true
+			return o, true, false, true
 		}
-		complete = complete && asked
+		complete, several = complete && asked, several || differ
 	}
-	return origin.Origin{}, false, complete
+	return origin.Origin{}, false, several, complete
 }
 
 // originEntries returns the addresses of the other entries, first those that record the origin of a
@@ -261,7 +272,7 @@
 }
 
 // askEntries asks some entries at once. complete is set if all of them responded.
-func (g *Gateway) askEntries(ctx context.Context, entries []string, key origin.Key) (o origin.Origin, known, complete bool) {
+func (g *Gateway) askEntries(ctx context.Context, entries []string, key origin.Key, pool string) (o origin.Origin, known, several, complete bool) {
 	type result struct {
 		origin origin.Origin
 		known  bool
@@ -272,7 +283,7 @@
 	results := make(chan result, len(entries))
 	for _, entry := range entries {
 		go func() {
-			o, known, err := g.cfg.Origins.Get(ctx, entry, key)
+			o, known, err := g.cfg.Origins.Get(ctx, entry, key, pool)
 			results <- result{o, known, err}
 		}()
 	}
@@ -280,11 +291,12 @@
 	for range entries {
 		r := <-results
 		if r.known {
-			return r.origin, true, true
+			return r.origin, true, false, true
 		}
-		complete = complete && r.err == nil
+		differ := errors.Is(r.err, origin.ErrSeveralVersions)
+		complete, several = complete && (r.err == nil || differ), several || differ
 	}
-	return origin.Origin{}, false, complete
+	return origin.Origin{}, false, several, complete
 }
 
 // recordOrigin records that the stream begins at a server. While the pool has several versions, other
--- a/internal/origin/exchange.go
+++ b/internal/origin/exchange.go
@@ -30,12 +30,26 @@
 	maxIdlePerHost = 2
 )
 
+// Versions is what an entry knows of the versions of a pool's software.
+type Versions struct {
+	Pool string
+	// Only is set if all servers have been of one version for as long as streams may be resumed: it is the
+	// origin of streams that are not recorded. Several is set if they were of several within that time.
+	Only, Several bool
+	// Version is the only version.
+	Version string
+}
+
+// ErrSeveralVersions is returned if an entry does not know an origin and has seen servers of several versions
+// in the pool.
+var ErrSeveralVersions = errors.New("the servers of the pool are or were of several versions")
+
 // IsRequest reports whether a request between hosts is one for a Handler.
 func IsRequest(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, pathPrefix) }
 
 // NewHandler returns the handler for other entries: PUT records an origin, GET returns it,
-// with 404 if it is not known.
-func NewHandler(t *Table) http.Handler {
+// with 404 if it is not known, and 409 if the servers of the pool are or were of several versions.
+func NewHandler(t *Table, versions func(pool string) Versions) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		key, err := parseKey(strings.TrimPrefix(r.URL.Path, pathPrefix))
 		if err != nil {
@@ -46,7 +60,7 @@
 		case http.MethodPut:
 			put(t, key, w, r.URL.Query())
 		case http.MethodGet:
-			get(t, key, w)
+			get(t, key, w, versions(r.URL.Query().Get(poolKey)))
 		default:
 			w.WriteHeader(http.StatusMethodNotAllowed)
 		}
@@ -71,11 +85,18 @@
 	Attempt int    `json:"attempt"`
 }
 
-func get(t *Table, key Key, w http.ResponseWriter) {
+func get(t *Table, key Key, w http.ResponseWriter, v Versions) {
 	o, ok := t.Get(key)
-	if !ok {
+	switch {
+	case ok:
+	case v.Several:
+		w.WriteHeader(http.StatusConflict)
+		return
+	case !v.Only:
 		w.WriteHeader(http.StatusNotFound)
 		return
+	default:
+		o = Origin{Pool: v.Pool, Version: v.Version}
 	}
 	w.Header().Set("Content-Type", "application/json")
 	// A write fails only if the other entry no longer waits.
@@ -112,9 +133,10 @@
 	return nil
 }
 
-// Get finds an origin at another entry; known is false if the entry does not know it.
-func (c *Client) Get(ctx context.Context, entry string, key Key) (o Origin, known bool, err error) {
-	r, err := c.do(ctx, http.MethodGet, entry, key, nil)
+// Get finds an origin at another entry; known is false if the entry does not know it. pool is where the
+// stream would go on.
+func (c *Client) Get(ctx context.Context, entry string, key Key, pool string) (o Origin, known bool, err error) {
+	r, err := c.do(ctx, http.MethodGet, entry, key, url.Values{poolKey: {pool}})
 	if err != nil {
 		return Origin{}, false, err
 	}
@@ -122,6 +144,8 @@
 	switch r.StatusCode {
 	case http.StatusNotFound:
 		return Origin{}, false, nil
+	case http.StatusConflict:
+		return Origin{}, false, errors.Newf("find origin at %s: %w", entry, ErrSeveralVersions)
 	case http.StatusOK:
 		var found reply
 		if err = json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxReplyBytes)).Decode(&found); err != nil {
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -19,7 +19,9 @@
 func startEntry(t *testing.T) (*origin.Table, string) {
 	t.Helper()
 	table := origin.NewTable(time.Now)
-	server := httptest.NewServer(origin.NewHandler(table))
+	server := httptest.NewServer(origin.NewHandler(table, func(pool string) origin.Versions {
+		return origin.Versions{Pool: pool, Only: pool == "single", Several: pool == "several", Version: "v9"}
+	}))
 	t.Cleanup(server.Close)
 	return table, strings.TrimPrefix(server.URL, "http://")
 }
@@ -39,15 +41,23 @@
 	c := newClient(t)
 	want := origin.Origin{Pool: "llm", Version: "v 1/ü", Attempt: 1}
 	require.NoError(t, c.Put(t.Context(), address, origin.NewKey("secret", "a-1"), want))
-	got, known, err := c.Get(t.Context(), address, origin.NewKey("secret", "a-1"))
+	got, known, err := c.Get(t.Context(), address, origin.NewKey("secret", "a-1"), "llm")
 	require.NoError(t, err)
 	require.True(t, known)
 	require.Equal(t, want, got)
 	for _, key := range []origin.Key{origin.NewKey("other", "a-1"), origin.NewKey("", "a-1"), origin.NewKey("secret", "a-2"), origin.NewKey("secreta", "-1")} {
-		_, known, err = c.Get(t.Context(), address, key)
+		_, known, err = c.Get(t.Context(), address, key, "llm")
 		require.NoError(t, err)
 		require.False(t, known)
 	}
+	// A pool whose servers have all been of one version needs no record.
+	got, known, err = c.Get(t.Context(), address, origin.NewKey("secret", "a-2"), "single")
+	require.NoError(t, err)
+	require.True(t, known)
+	require.Equal(t, origin.Origin{Pool: "single", Version: "v9"}, got)
+	_, known, err = c.Get(t.Context(), address, origin.NewKey("secret", "a-2"), "several")
+	require.ErrorIs(t, err, origin.ErrSeveralVersions)
+	require.False(t, known)
 }
 
 // Before its first event a stream may begin anew at another server: the later attempt must hold,
--- a/internal/role/version_test.go
+++ b/internal/role/version_test.go
@@ -425,3 +425,49 @@
 		wg.Wait()
 	})
 }
+
+// An entry that has just started sees servers of one version, and an entry that may know that the stream began at
+// another one does not respond: it guessed the version that it saw, and joined two.
+func TestYoungEntryGuessesNoVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newSettledDeployment(t, 74, 3)
+		defer d.close()
+		b := startVersionedBackends(d, 4, "v1")
+		defer b.close()
+		// Entries must be older than versions are remembered.
+		time.Sleep(40 * time.Second)
+		cut := func(block bool) {
+			d.network.Cut("10.0.1.1", "10.0.1.2", block)
+			d.network.Cut("10.0.1.2", "10.0.1.1", block)
+		}
+		restart := func() {
+			d.restartEntry("10.0.1.2")
+			d.await(5*time.Second, "the servers", func() bool { return d.entries["10.0.1.2"].ReadyServers() == 4 })
+		}
+		resume := func(id string) callResult {
+			return d.callWith("10.0.1.2", "/resume/x", "stream", http.Header{"X-Resumes": {id}, "X-Last-Event": {"3"}})
+		}
+		// All servers have been of one version for long: another entry confirms it.
+		cut(true)
+		restart()
+		id := d.callWith("10.0.1.1", "/resume/x", "stream", http.Header{}).id
+		require.Equal(t, 200, resume(id).status)
+
+		for i := range 4 {
+			b.replace(backendAddress(i), "v2")
+		}
+		// The servers start again, and the old ones are no longer known.
+		time.Sleep(3 * backendRestartDelay)
+		restart()
+		require.Equal(t, 503, resume(id).status)
+		require.Equal(t, 503, resume("").status, "nothing stated")
+		cut(false)
+		require.Equal(t, 503, resume(id).status, "v1 has no servers")
+		// Nobody can resume what began at v1 any more.
+		time.Sleep(40 * time.Second)
+		cut(true)
+		restart()
+		id = d.callWith("10.0.1.1", "/resume/x", "stream", http.Header{}).id
+		require.Equal(t, 200, resume(id).status)
+	})
+}
