--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -9,10 +10,13 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/require"
 
+	"fennelyard/internal/gateway"
 	"fennelyard/internal/quarantine"
+	"fennelyard/internal/relay"
 	"fennelyard/internal/schema"
 )
 
@@ -163,3 +167,35 @@
 	require.NoError(t, err)
 	require.Greater(t, seconds, 60.0)
 }
+
+// A request is held back from the servers of one version: no connection may be opened to one, and its attempts must
+// go to the others.
+func TestServersOfAHeldVersionAreNotChosen(t *testing.T) {
+	var connections atomic.Int64
+	held, other := newBackend(t, respondOK), newBackend(t, respondOK)
+	sender := relay.NewSender(relay.Config{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		if address == held.l.Addr().String() {
+			connections.Add(1)
+		}
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}})
+	tg := startTestGatewayWithSender(t, gateway.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Millisecond, Burst: 100}, logr.Discard(), sender)
+	tg.g.ApplyServers(false,
+		&schema.RosterServer{Id: "s0", Pool: "p", Address: held.l.Addr().String(), Slots: 6, Software: "v1"},
+		&schema.RosterServer{Id: "s1", Pool: "p", Address: other.l.Addr().String(), Slots: 6, Software: "v2"})
+	key := quarantine.Request{Method: http.MethodPost, Host: "h.example", Target: "/once/x", Body: []byte("harmful")}.Key()
+	suspect := &schema.Suspect{Key: key[:]}
+	for i := range 3 {
+		suspect.Ended = append(suspect.Ended, &schema.EndedServer{Server: strconv.Itoa(i), AgeMs: 1, Kind: uint32(quarantine.KindOf("p", "v1"))})
+	}
+	tg.g.MergeSuspects([]*schema.Suspect{suspect})
+	for range 20 {
+		require.Equal(t, 200, tg.call(t, "/once/x", "harmful", "").status)
+	}
+	require.Zero(t, connections.Load())
+	require.Equal(t, int64(20), other.requests.Load())
+	// No other server is left.
+	tg.g.ApplyServers(true, &schema.RosterServer{Id: "s0", Pool: "p", Address: held.l.Addr().String(), Slots: 6, Software: "v1"})
+	require.Equal(t, 503, tg.call(t, "/once/x", "harmful", "").status)
+	require.Equal(t, 200, tg.call(t, "/once/x", "ordinary", "").status)
+}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -250,3 +250,52 @@
 		})
 	}
 }
+
+// Half of the entries hang, those among them that would collect the evidence: waiting for each of them in turn, the
+// others would hold the request back seconds after its third server.
+func TestEvidenceDoesNotWaitForSilentCollectors(t *testing.T) {
+	for seed := range int64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			g := newEntryGroup(seed, 40)
+			defer g.close()
+			random := rand.New(rand.NewSource(seed))
+			silent := map[*groupEntry]bool{}
+			for len(silent) < 20 {
+				silent[g.entries[3+random.Intn(37)]] = true
+			}
+			g.setCut(func(a, b *groupEntry) bool { return silent[a] || silent[b] })
+			var running []*groupEntry
+			for _, e := range g.entries {
+				if !silent[e] {
+					running = append(running, e)
+				}
+			}
+			for i := range 3 {
+				g.accuse(i, "/harmful", fmt.Sprint("s-", i))
+			}
+			time.Sleep(300 * time.Millisecond)
+			// A few are left to the next comparison.
+			require.GreaterOrEqual(t, g.holders("/harmful", running), len(running)*3/4, "seed %d", seed)
+		})
+	}
+}
+
+// More records than a message holds, and nothing happens after: the rest must be sent all the same.
+func TestRecordsWithoutRoomAreSentLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newEntryGroup(1, 3)
+		defer g.close()
+		const suspects = 400
+		for k := range suspects {
+			g.accuse(0, fmt.Sprint("/", k), "s-0")
+		}
+		time.Sleep(10 * time.Second)
+		received := 0
+		for k := range suspects {
+			if g.entries[1].set.UnclearedCount(keyOf(fmt.Sprint("/", k))) > 0 || g.entries[2].set.UnclearedCount(keyOf(fmt.Sprint("/", k))) > 0 {
+				received++
+			}
+		}
+		require.Equal(t, suspects, received)
+	})
+}
--- a/internal/quarantine/abandoned_test.go
+++ b/internal/quarantine/abandoned_test.go
@@ -130,3 +130,21 @@
 		require.Empty(t, f.accused)
 	})
 }
+
+// Another entry has found a server ended at which this one had given an attempt up: its request must be accused.
+func TestReceivedEndIsBlamedOnAbandonedAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := quarantine.NewGuard(quarantine.GuardConfig{
+			Entry: "entry", MayProbe: always, OnChange: func() {}, Log: logr.Discard(),
+			Probe: func(context.Context, string) relay.Presence { return relay.PresenceSilent },
+		})
+		defer g.Close()
+		r := quarantine.NewKeyedRequest(quarantine.Request{Target: "/abandoned"})
+		g.AttemptAbandoned(r, quarantine.Server{ID: "s", Address: "a:1"})
+		other := newSuspectSet(&clock{time.Now()})
+		other.Accuse("s", time.Now(), []quarantine.Accusation{{Key: keyOf("/other")}})
+		list, _ := other.Since(0, quarantine.PartAll)
+		g.Merge(list, quarantine.SourceEntry)
+		require.Equal(t, 1, g.Suspects().UnclearedCount(r.Key()))
+	})
+}
