Tests: a stream that its caller leaves after an event; a server that another entry found ended

Taken out in a scratch copy, no test failed: the report of a stream that its caller leaves, and the ejection of servers by records of other entries.

--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -199,3 +199,16 @@
 	require.Equal(t, 503, tg.call(t, "/once/x", "harmful", "").status)
 	require.Equal(t, 200, tg.call(t, "/once/x", "ordinary", "").status)
 }
+
+// Another entry reports that a server has ended: each attempt there would cost a retry until the leader has
+// removed it.
+func TestServerThatAnotherEntryFoundEndedIsNotChosen(t *testing.T) {
+	ended, other := newBackend(t, respondOK), newBackend(t, respondOK)
+	tg := newTestGateway(t, ended, other)
+	key := quarantine.Request{Target: "/other"}.Key()
+	tg.g.MergeSuspects([]*schema.Suspect{{Key: key[:], Ended: []*schema.EndedServer{{Server: "s0", AgeMs: 1}}}})
+	for range 20 {
+		require.Equal(t, 200, tg.call(t, "/once/x", "ordinary", "").status)
+	}
+	require.Zero(t, ended.requests.Load())
+}
--- a/internal/role/harmful_disruptions_test.go
+++ b/internal/role/harmful_disruptions_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"math/rand"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -280,12 +281,18 @@
 	resets bool
 	// crashes is how many servers may crash.
 	crashes int
+	// crash is what a server does before it crashes, nil for nothing.
+	crash partCrash
 }{
-	"callers leave":                 {"/once/x", 60 * time.Millisecond, 100 * time.Millisecond, false, maxHarmfulCrashes},
-	"callers leave within a stream": {"/resume/x", 60 * time.Millisecond, 100 * time.Millisecond, false, maxHarmfulCrashes},
-	"callers leave, slow crash":     {"/once/x", 100 * time.Millisecond, 1200 * time.Millisecond, false, maxSlowCrashes},
-	"another attempt begins":        {"/again/x", 3 * time.Second, 700 * time.Millisecond, false, maxSlowCrashes},
-	"connections are reset":         {"/once/x", 3 * time.Second, 800 * time.Millisecond, true, maxSlowCrashes},
+	"callers leave":                 {"/once/x", 60 * time.Millisecond, 100 * time.Millisecond, false, maxHarmfulCrashes, nil},
+	"callers leave within a stream": {"/resume/x", 60 * time.Millisecond, 100 * time.Millisecond, false, maxHarmfulCrashes, nil},
+	"callers leave, slow crash":     {"/once/x", 100 * time.Millisecond, 1200 * time.Millisecond, false, maxSlowCrashes, nil},
+	"another attempt begins":        {"/again/x", 3 * time.Second, 700 * time.Millisecond, false, maxSlowCrashes, nil},
+	"callers leave after an event": {"/stream/x", 60 * time.Millisecond, 20 * time.Millisecond, false, maxHarmfulCrashes, func(_ *backendProcess, conn net.Conn, id string) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n", id)
+		time.Sleep(100 * time.Millisecond)
+	}},
+	"connections are reset": {"/once/x", 3 * time.Second, 800 * time.Millisecond, true, maxSlowCrashes, nil},
 }
 
 // maxSlowCrashes is how many servers may crash that take a second or so for it: copies of the request
@@ -303,7 +310,7 @@
 				b := startBackends(d, harmfulSeriesServers)
 				defer b.close()
 				b.mu.Lock()
-				b.runTime = tt.runTime
+				b.runTime, b.bodyCrash = tt.runTime, tt.crash
 				b.mu.Unlock()
 				s := &harmfulSeries{d: d, b: b, random: rand.New(rand.NewSource(64)), callerLimit: tt.callerLimit, path: tt.path, noDisruptions: true}
 				if tt.resets {
