--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -33,11 +33,11 @@
 	// are unsure, which respond at once, and maxAsked with them. minOpinions is the number of them that must agree that a server has
 	// ended: one alone may have just lost its path as well.
 	maxHostsAsked = 3
-	// maxHostsAskedRefused is the same once the server has refused this host's own connection: half of the other hosts may
-	// be out of reach.
+	maxAsked      = 8
+	minOpinions   = 2
+	// maxHostsAskedRefused is maxHostsAsked once the server has refused this host's own connection: half
+	// of the other hosts may be out of reach.
 	maxHostsAskedRefused = 6
-	maxAsked             = 8
-	minOpinions          = 2
 	// maxUnconfirmed bounds the hosts asked at the same time while this host's own path is not known
 	// to be lost: servers that crash must not cost other hosts more than this.
 	maxUnconfirmed = 32
