quarantine: the latest abandoned attempts at a server are remembered

Found by reading the diff: attempts that end before their server were kept until it was found running, but not removed then, so that the record of a server at which callers leave all the time filled up with old ones, and the latest were dropped; and it expired with them where no look was due. TestLatestAbandonedAttemptsAreRemembered fails without it.

--- a/internal/quarantine/abandoned.go
+++ b/internal/quarantine/abandoned.go
@@ -64,6 +64,7 @@
 // abandon records what an attempt ran that ended at a time, and schedules looks at the server; the caller
 // holds mu.
 func (p *ServerProber) abandon(probe *serverProbe, at time.Time, accused []Accusation) {
+	probe.abandoned = slices.DeleteFunc(probe.abandoned, func(a abandonedAttempt) bool { return at.Sub(a.at) > abandonedWindow })
 	kept := 0
 	for _, a := range probe.abandoned {
 		kept += len(a.accused)
--- a/internal/quarantine/abandoned_test.go
+++ b/internal/quarantine/abandoned_test.go
@@ -148,3 +148,27 @@
 		require.Equal(t, 1, g.Suspects().UnclearedCount(r.Key()))
 	})
 }
+
+// Attempts at one server are abandoned all the time, with and without looks to spare for it: what is remembered must
+// not fill up with old ones, nor be forgotten with them.
+func TestLatestAbandonedAttemptsAreRemembered(t *testing.T) {
+	for name, others := range map[string]int{"looked at": 0, "not looked at": 20} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newAbandonmentFixture(time.Hour)
+				defer f.prober.Close()
+				for i := range 1049 {
+					f.prober.AttemptAbandoned("s", "a:1", quarantine.Accusation{Key: keyOf(fmt.Sprint(i))})
+					for k := 0; i%20 == 0 && k < others; k++ {
+						f.prober.AttemptAbandoned(fmt.Sprint("other ", i, k), "a:2", quarantine.Accusation{Key: keyOf("/other")})
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+				f.prober.ServerEnded("s")
+				require.Contains(t, f.accusedAt("s"), keyOf("1048"))
+				require.Contains(t, f.accusedAt("s"), keyOf("850"))
+				require.NotContains(t, f.accusedAt("s"), keyOf("500"))
+			})
+		})
+	}
+}
--- a/internal/quarantine/prober.go
+++ b/internal/quarantine/prober.go
@@ -199,7 +199,7 @@
 // expire removes old results; the caller holds mu.
 func (p *ServerProber) expire(now time.Time) {
 	for server, probe := range p.probes {
-		if !probe.pending && now.Sub(probe.finishedAt) > probeRetention {
+		if !probe.pending && now.Sub(probe.finishedAt) > probeRetention && !probe.hasAbandoned(now) {
 			delete(p.probes, server)
 		}
 	}
