quarantine: a request that a harmful part explains in part may try again soon

A request is released if parts that are held back explain all its servers; one server less, and it is held for five minutes, while nothing can clear it.

Ruled out: lost clearing (nothing of it completed), records of other hosts (all say the same).

Change: a request of whose servers some, not all, are explained by a shared suspect that has more evidence and is not doubtful itself, and which has fewer than three others, is doubtful like such a part: one instance may try after 2 s, doubled with each server that nothing else explains. A harmful one ends one more server with that and is held as before. What has no more evidence casts no doubt: beside innocents that were chosen with it a harmful request stays held.

--- a/internal/quarantine/holds.go
+++ b/internal/quarantine/holds.go
@@ -34,8 +34,11 @@
 	candidates map[Key]*record
 	// held are the shared suspects that are held back.
 	held map[Key]hold
-	// servers are those under which shared suspects are held back.
-	servers map[string]bool
+	// servers are those under which shared suspects are held back, each with the largest blame of such a
+	// suspect that is not doubtful, 0 for none.
+	servers map[string]int
+	// doubted are the requests that are held back and doubtful, for the log.
+	doubted map[Key]time.Time
 	// dirty is set if candidates have changed since they were evaluated.
 	dirty     bool
 	evaluated time.Time
@@ -49,7 +52,7 @@
 }
 
 func newHolds() holds {
-	return holds{candidates: map[Key]*record{}, held: map[Key]hold{}, servers: map[string]bool{}}
+	return holds{candidates: map[Key]*record{}, held: map[Key]hold{}, servers: map[string]int{}, doubted: map[Key]time.Time{}}
 }
 
 // recordChanged takes note of a change of a record.
@@ -82,19 +85,21 @@
 	h.dirty, h.evaluated = false, now
 	before := h.held
 	chosen := withoutExplained(h.choose())
-	h.held, h.servers = map[Key]hold{}, map[string]bool{}
+	h.held, h.servers = map[Key]hold{}, map[string]int{}
 	for _, key := range chosen.keys {
 		r := h.candidates[key]
 		if !r.scope.shared() {
 			continue
 		}
 		h.held[key] = hold{until: r.heldUntil()}
+		firm := r.blame()
 		if unexplained, doubtful := chosen.doubtful[key]; doubtful {
-			h.held[key] = hold{r.lastEnded.Add(doubtfulHold << min(unexplained, maxHoldDoublings)), true}
+			h.held[key] = r.doubtfulHold(unexplained)
+			firm = 0
 		}
 		for server, e := range r.ended {
 			if !e.cleared {
-				h.servers[server] = true
+				h.servers[server] = max(h.servers[server], firm)
 			}
 		}
 	}
@@ -109,9 +114,43 @@
 			changed[key] = time.Time{}
 		}
 	}
+	h.doubtRequests(changed)
 	return changed
 }
 
+// doubtRequests adds the requests to changed that have become doubtful, or no longer are.
+func (h *holds) doubtRequests(changed map[Key]time.Time) {
+	before := h.doubted
+	h.doubted = map[Key]time.Time{}
+	for key, r := range h.candidates {
+		if r.scope.shared() {
+			continue
+		}
+		current, held := h.ofRequest(r)
+		if held && current.doubtful {
+			h.doubted[key] = current.until
+		}
+		if _, was := before[key]; held && was != current.doubtful {
+			changed[key] = current.until
+		}
+	}
+}
+
+// ofRequest returns how long a request is held back whose blame reaches the threshold. One whose servers
+// shared suspects explain is not. If those with more evidence explain some of them, what is left may be
+// chance, and nothing but a trial can clear the request.
+func (h *holds) ofRequest(r *record) (hold, bool) {
+	if h.explains(r) {
+		return hold{}, false
+	}
+	blame := r.blame()
+	unexplained := r.blameWithout(func(server string) bool { return h.servers[server] > blame })
+	if unexplained < blame && unexplained < holdThreshold {
+		return r.doubtfulHold(unexplained), true
+	}
+	return hold{until: r.heldUntil()}, true
+}
+
 // choice is the suspects chosen to explain the ends of servers.
 type choice struct {
 	candidates map[Key]*record
@@ -275,7 +314,7 @@
 		return false
 	}
 	for server, e := range r.ended {
-		if !e.cleared && !h.servers[server] {
+		if _, held := h.servers[server]; !e.cleared && !held {
 			return false
 		}
 	}
--- a/internal/quarantine/holds_test.go
+++ b/internal/quarantine/holds_test.go
@@ -217,3 +217,43 @@
 		require.False(t, isHeldBack(set, carrierOf("first/0").Key()))
 	}
 }
+
+// A popular request ran at three servers that ended under a harmful request and a harmful part. It was held back
+// for five minutes, in which nothing could clear it. Where a part with more evidence explains one of its servers,
+// it may try again after eight seconds; a harmful request ends one more server with that.
+func TestRequestBesideAHarmfulPartTriesAgainSoon(t *testing.T) {
+	ended := []string{
+		"request:popular bad/1", "request:popular request:harmful", "request:popular request:harmful",
+		"request:harmful bad/1", "bad/1", "bad/1", "bad/1",
+	}
+	c := &clock{time.Unix(1e9, 0)}
+	set := newSuspectSet(c)
+	accuse := func(server int, accused string) {
+		set.Accuse(fmt.Sprint("s-", server), c.current, accusationsOf(accused))
+	}
+	heldFor := func(name string) time.Duration {
+		left, held := set.HeldBack(keyOf(name))
+		require.True(t, held, name)
+		return left
+	}
+	const firm, doubtful = 5 * time.Minute, 8 * time.Second
+	for i, accused := range ended[:4] {
+		accuse(i, accused)
+	}
+	// The part has no more evidence than the requests.
+	require.GreaterOrEqual(t, heldFor("popular"), firm)
+	for i, accused := range ended[4:] {
+		accuse(4+i, accused)
+	}
+	require.True(t, isHeldBack(set, carrierOf("bad/1").Key()))
+	require.Less(t, heldFor("popular"), 2*doubtful)
+	require.Less(t, heldFor("harmful"), 2*doubtful)
+
+	c.current = c.current.Add(2 * doubtful)
+	require.Zero(t, heldFor("popular"))
+	require.True(t, set.Clear(keyOf("popular")))
+	accuse(9, "request:harmful")
+	require.GreaterOrEqual(t, heldFor("harmful"), firm)
+	_, held := set.HeldBack(keyOf("popular"))
+	require.False(t, held)
+}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -90,6 +90,11 @@
 	return r.lastEnded.Add(firstHold << min(max(r.blame()-r.scope.threshold(), 0), maxHoldDoublings))
 }
 
+// doubtfulHold is the hold of a suspect of whose servers others explain all but some.
+func (r *record) doubtfulHold(unexplained int) hold {
+	return hold{r.lastEnded.Add(doubtfulHold << min(unexplained, maxHoldDoublings)), true}
+}
+
 // add adds a server, and reports whether that changed the record.
 func (r *record) add(server string, e endedServer) bool {
 	known, ok := r.ended[server]
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -107,17 +107,17 @@
 	defer s.mu.Unlock()
 	s.evaluate()
 	r := s.records[key]
-	until, held := s.heldUntil(key, r)
+	current, held := s.hold(key, r)
 	if !held {
 		return 0, nil, false
 	}
-	spread := until.Sub(r.lastEnded) / holdJitterDivisor
-	if s.holds.held[key].doubtful && s.cfg.Entries != nil {
+	spread := current.until.Sub(r.lastEnded) / holdJitterDivisor
+	if current.doubtful && s.cfg.Entries != nil {
 		spread = time.Duration(s.cfg.Entries()) * trialInterval
 	}
 	jitter := xxhash.Sum64String(key.String()+s.cfg.Entry) % holdJitterSteps
 	jitter *= uint64(spread) / holdJitterSteps
-	return max(until.Add(time.Duration(jitter)).Sub(s.cfg.Now()), 0), r.kinds(), true
+	return max(current.until.Add(time.Duration(jitter)).Sub(s.cfg.Now()), 0), r.kinds(), true
 }
 
 // BlamedKinds returns the kinds of the servers that count against a suspect.
@@ -130,20 +130,18 @@
 	return nil
 }
 
-// heldUntil returns whether a suspect is held back and until when it may not try again; r
-// may be nil. The caller holds mu.
-func (s *SuspectSet) heldUntil(key Key, r *record) (time.Time, bool) {
+// hold returns whether a suspect is held back and how long; r may be nil. The caller holds mu.
+func (s *SuspectSet) hold(key Key, r *record) (hold, bool) {
 	switch {
 	case r == nil:
-		return time.Time{}, false
+		return hold{}, false
 	case r.scope.shared():
 		h, held := s.holds.held[key]
-		return h.until, held
+		return h, held
+	case r.blame() < holdThreshold:
+		return hold{}, false
 	}
-	if r.blame() < holdThreshold || s.holds.explains(r) {
-		return time.Time{}, false
-	}
-	return r.heldUntil(), true
+	return s.holds.ofRequest(r)
 }
 
 // UnclearedCount returns the number of servers that count against a suspect.
@@ -166,7 +164,7 @@
 	s.evaluate()
 	n, now := 0, s.cfg.Now()
 	for key, r := range s.records {
-		if until, held := s.heldUntil(key, r); held && until.After(now) {
+		if current, held := s.hold(key, r); held && current.until.After(now) {
 			n++
 		}
 	}
@@ -182,8 +180,8 @@
 	out := make([]*schema.SuspectView, 0, len(s.records))
 	for key, r := range s.records {
 		v := r.view(key, now)
-		if until, held := s.heldUntil(key, r); held {
-			v.HeldBackForMs = uint64(max(until.Sub(now).Milliseconds(), 0))
+		if current, held := s.hold(key, r); held {
+			v.HeldBackForMs = uint64(max(current.until.Sub(now).Milliseconds(), 0))
 		}
 		out = append(out, v)
 	}
@@ -239,7 +237,7 @@
 // update changes a record, numbers the change and adapts the holds. It reports whether the
 // record changed; the caller holds mu and calls evaluate afterwards.
 func (s *SuspectSet) update(key Key, r *record, source Source, change func(*record) bool) bool {
-	before, wasHeld := s.heldUntil(key, r)
+	before, wasHeld := s.hold(key, r)
 	if !change(r) {
 		return false
 	}
@@ -256,8 +254,8 @@
 	default:
 	}
 	s.holds.recordChanged(key, r)
-	if until, held := s.heldUntil(key, r); !r.scope.shared() && (held != wasHeld || !until.Equal(before)) {
-		s.signalHold(key, r, until)
+	if current, held := s.hold(key, r); !r.scope.shared() && (held != wasHeld || !current.until.Equal(before.until)) {
+		s.signalHold(key, r, current.until)
 	}
 	return true
 }
@@ -308,8 +306,8 @@
 	now := s.cfg.Now()
 	s.lastExpiry = now
 	for key, r := range s.records {
-		until, held := s.heldUntil(key, r)
-		if now.Sub(r.lastEnded) > suspicionRetention && (!held || now.Sub(until) > suspicionRetention) {
+		current, held := s.hold(key, r)
+		if now.Sub(r.lastEnded) > suspicionRetention && (!held || now.Sub(current.until) > suspicionRetention) {
 			s.remove(key)
 		}
 	}
