gateway: what began a stream is replaced at all entries that may hold an earlier attempt's version

Cause, brought about by a test: an entry records where a stream begins as it sends the request, at two others as well, and forwards the first event once one of them has recorded it, or after 50 ms. If the first server fails before its first event and the next one is of another version, the entry records that too, but an entry that did not get the second record still holds the first, and resumes the stream there without asking anybody. Attempts that were not sent did not count, so that two records could have the same number and the one that arrived last held.

Ruled out: a young entry that guesses (the resuming entry knew both versions), a server with another version under its ID (the resumed events were v1's).

Change: records are numbered apart from attempts. Before a request goes to a server of another version than the one recorded, every entry that may hold that record must have replaced it, within 300 ms; otherwise the stream is refused. It costs one round trip, where a first attempt failed and the next one is of another version. A second attempt at the same version records nothing any more.

TestStreamBegunByALaterAttemptIsNotResumedAtTheFirstVersion: v1 joined to v2 before; now refused, and resumed where the entries are in reach.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/origin"
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/relay"
 	"fennelyard/internal/schema"
@@ -120,6 +121,10 @@
 	statedCooldown time.Duration
 	// keyed is the request with its key, for the guard; nil until first needed.
 	keyed *quarantine.KeyedRequest
+	// origin is the origin recorded last, the zero value for none; its Attempt increases with each. originEntries
+	// are the entries that may hold an earlier one.
+	origin        origin.Origin
+	originEntries []string
 	// originRecorded is closed once another entry has recorded where the stream begins; nil if none is to.
 	originRecorded chan struct{}
 	// started is set once a byte of the response was sent to the caller.
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -300,23 +301,60 @@
 }
 
 // recordOrigin records that the stream begins at a server. While the pool has several versions, other
-// entries record it as well.
-func (x *exchange) recordOrigin(s *server) {
+// entries record it as well. If an earlier attempt was recorded with another version, each entry that may hold
+// that must have replaced it before the request is sent: otherwise recordOrigin returns false, and the request
+// must not be sent there.
+func (x *exchange) recordOrigin(s *server) bool {
 	if !x.info.resumable || x.started {
-		return
+		return true
 	}
-	key := origin.NewKey(x.info.APIKey, x.info.ID)
-	o := origin.Origin{Pool: x.pool, Version: x.g.fleet.versionOf(s), Attempt: x.attempts}
+	version := x.g.fleet.versionOf(s)
 	if x.info.bound {
 		// The caller may name this attempt as well.
-		o.Version = x.info.version
+		version = x.info.version
+	}
+	moved := x.origin.Attempt > 0
+	if moved && x.origin.Version == version {
+		return true
 	}
-	x.g.origins.Put(key, o)
-	x.g.openStreams.Store(key, o)
+	// Attempts that are not sent do not count, but their origins are recorded.
+	x.origin = origin.Origin{Pool: x.pool, Version: version, Attempt: x.origin.Attempt + 1}
+	key := origin.NewKey(x.info.APIKey, x.info.ID)
+	x.g.origins.Put(key, x.origin)
+	x.g.openStreams.Store(key, x.origin)
 	x.originRecorded = nil
+	if moved {
+		return x.replaceOrigin(key)
+	}
 	if _, only := x.g.fleet.onlyVersion(x.pool, time.Now()); !only {
-		x.originRecorded = x.g.replicateOrigin(key, o)
+		x.originEntries = x.g.replicas(key)
+		x.originRecorded = x.g.replicateOrigin(key, x.origin, x.originEntries)
 	}
+	return true
+}
+
+// replaceOrigin has all entries that may hold an earlier origin of the stream record the present one. It reports
+// whether all of them have.
+func (x *exchange) replaceOrigin(key origin.Key) bool {
+	ctx, cancel := context.WithTimeout(x.ctx, originTimeout)
+	defer cancel()
+	for _, entry := range x.g.replicas(key) {
+		if !slices.Contains(x.originEntries, entry) {
+			x.originEntries = append(x.originEntries, entry)
+		}
+	}
+	var missing atomic.Int64
+	var puts sync.WaitGroup
+	for _, entry := range x.originEntries {
+		puts.Go(func() {
+			if err := x.g.cfg.Origins.Put(ctx, entry, key, x.origin); err != nil {
+				missing.Add(1)
+				x.g.cfg.Log.Info("origin not replaced", "entry", entry, "stream", key.String(), "request", x.info.ID, "version", x.origin.Version, "error", err.Error())
+			}
+		})
+	}
+	puts.Wait()
+	return missing.Load() == 0
 }
 
 // streamEnded removes the request from the open streams.
@@ -326,13 +364,18 @@
 	}
 }
 
+// replicas returns the addresses of the entries that record the origin of a stream beside this one.
+func (g *Gateway) replicas(key origin.Key) []string {
+	entries := g.originEntries(key)
+	return entries[:min(len(entries), originReplicas)]
+}
+
 // replicateOrigin has other entries record where a stream began. The channel that it returns is closed
 // once one of them has.
-func (g *Gateway) replicateOrigin(key origin.Key, o origin.Origin) chan struct{} {
-	entries := g.originEntries(key)
+func (g *Gateway) replicateOrigin(key origin.Key, o origin.Origin, entries []string) chan struct{} {
 	recorded := make(chan struct{})
 	var once sync.Once
-	for _, entry := range entries[:min(len(entries), originReplicas)] {
+	for _, entry := range entries {
 		g.goUnlessClosed(func() {
 			ctx, cancel := context.WithTimeout(g.aborted, originTimeout)
 			defer cancel()
@@ -362,7 +405,7 @@
 	g.openStreams.Range(func(key, value any) bool {
 		if o, _ := value.(origin.Origin); o.Pool == pool && g.aborted.Err() == nil {
 			n++
-			recorded := g.replicateOrigin(key.(origin.Key), o)
+			recorded := g.replicateOrigin(key.(origin.Key), o, g.replicas(key.(origin.Key)))
 			if n%maxOpenReplications == 0 {
 				awaitRecorded(g.aborted, recorded)
 			}
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -66,8 +66,8 @@
 	Pool string
 	// Version is the version of the server's software.
 	Version string
-	// Attempt is the number of the entry's attempt at a server: before its first event a
-	// stream may begin anew at another one, and the later attempt holds.
+	// Attempt increases from 1 each time that the entry records another version: before its first event a
+	// stream may begin anew at another server, and the latest holds.
 	Attempt int
 }
 
--- a/internal/role/version_test.go
+++ b/internal/role/version_test.go
@@ -471,3 +471,57 @@
 		require.Equal(t, 200, resume(id).status)
 	})
 }
+
+// The first server crashes before the stream's first event, and the stream begins at one of another version. The
+// entries that recorded the first attempt must not resume it there.
+func TestStreamBegunByALaterAttemptIsNotResumedAtTheFirstVersion(t *testing.T) {
+	for name, cut := range map[string]bool{"entries reached": false, "entries out of reach": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const entry = "10.0.1.1"
+				others := []string{"10.0.1.2", "10.0.1.3"}
+				d := newSettledDeployment(t, 75, 3)
+				defer d.close()
+				b := startVersionedBackends(d, 8, "v1")
+				defer b.close()
+				for i := range 4 {
+					b.replace(backendAddress(i), "v2")
+				}
+				time.Sleep(2*time.Second + 2*backendRestartDelay)
+				setCut := func(cut bool) {
+					for _, other := range others {
+						d.network.Cut(entry, other, cut)
+						d.network.Cut(other, entry, cut)
+					}
+				}
+				b.mu.Lock()
+				b.harmfulVersion = "v1"
+				b.bodyCrash = func(*backendProcess, net.Conn, string) { setCut(cut) }
+				b.mu.Unlock()
+
+				tried := 0
+				for i := range 8 {
+					crashes := b.crashCount()
+					first := d.callWith(entry, fmt.Sprint("/resume/", i), harmfulBody, http.Header{})
+					setCut(false)
+					_, versions := events(first.body)
+					if b.crashCount() == crashes || len(versions) == 0 {
+						continue
+					}
+					require.Equal(t, map[string]bool{"v2": true}, versions)
+					tried++
+					for _, other := range others {
+						resumed := d.callWith(other, "/resume/x", "stream", http.Header{"X-Resumes": {first.id}, "X-Last-Event": {"3"}})
+						_, joined := events(resumed.body)
+						require.NotContains(t, joined, "v1", "resumed at %s", other)
+						require.Equal(t, cut, resumed.status != http.StatusOK)
+					}
+					time.Sleep(backendRestartDelay)
+				}
+				if !cut {
+					require.Positive(t, tried)
+				}
+			})
+		})
+	}
+}
