gateway: copies of a request for which nothing speaks yet share three servers

What callers saw: a harmful request that comes 60 times a second and crashes its servers after 1.2 s crashed 43 to 46 of 60 at 24 entries, and with them the ordinary requests that ran there: 289 of 353 served (TestCopiesOfAHarmfulRequestShareServers, three ways to repeat).

Cause: nothing is known before the first crash, and each copy went to a server that was least busy.

Weighed: a bound on the servers at which copies run at once needs a message before each send; knowledge of an entry's own copies alone helps three entries, not 24, which have one copy each. Rendezvous hashing needs no message.

Change: requests to plain services of which no copy has completed here lately go to the least busy of the first three servers in the rendezvous order of their content, the same at all entries. That ends once a copy has completed, or 3 s after the first one here, so that popular requests and responses that last for minutes do not stay there; and those servers have at most 24 requests of all entries together more than the least busy one of each. Engines are chosen as before: by what they have cached.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -46,6 +46,9 @@
 	version          string
 	// hold is from which kinds of servers the request is held back.
 	hold quarantine.Hold
+	// copyKey is the same for the copies of a request to a plain service for which nothing speaks yet; empty for
+	// all other requests.
+	copyKey string
 }
 
 // ForwardInfo holds the attributes that are added to a request to a backend server.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -126,14 +126,55 @@
 		return nil
 	}
 	if info.Model == "" {
-		return leastBusy(candidates, random)
+		best := leastBusy(candidates, random)
+		if shared := leastBusy(copyServers(candidates, info.copyKey), random); shared != nil && shared.running <= best.running+f.copiesAhead() {
+			return shared
+		}
+		return best
 	}
 	return f.cheapest(candidates, info, f.poolStats(pool), now, random)
 }
 
-// leastBusy picks a random one of the servers with the fewest requests of this entry: if all
+const (
+	// copySpread is the number of servers that share the copies of a request before one has completed: as many
+	// as hold it back once they have ended under it.
+	copySpread = 3
+	// maxCopiesAhead is how many requests more than the least busy server a server may have for these copies, of
+	// all entries together: a request that is popular and slow spreads beyond.
+	maxCopiesAhead = 24
+)
+
+// copiesAhead returns this entry's share of maxCopiesAhead, at least 1; the caller holds mu.
+func (f *fleet) copiesAhead() int { return max(maxCopiesAhead/max(f.entries, 1), 1) }
+
+// copyServers returns the servers for the copies of a request that may crash each server that runs it, the same
+// ones at all entries; none if the key is empty.
+func copyServers(candidates []*server, key string) []*server {
+	if key == "" {
+		return nil
+	}
+	var out []*server
+	var weights []uint64
+	for _, s := range candidates {
+		weight := rendezvousWeight(key, s)
+		i := 0
+		for i < len(out) && (weights[i] > weight || weights[i] == weight && out[i].id < s.id) {
+			i++
+		}
+		if i < copySpread {
+			out, weights = slices.Insert(out, i, s), slices.Insert(weights, i, weight)
+			out, weights = out[:min(len(out), copySpread)], weights[:min(len(weights), copySpread)]
+		}
+	}
+	return out
+}
+
+// leastBusy picks a random one of the servers with the fewest requests of this entry, nil of none: if all
 // entries took the first one, they would overload it.
 func leastBusy(candidates []*server, random func(int) int) *server {
+	if len(candidates) == 0 {
+		return nil
+	}
 	slices.SortFunc(candidates, func(a, b *server) int {
 		return cmp.Or(cmp.Compare(a.running, b.running), cmp.Compare(a.id, b.id))
 	})
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -217,6 +217,7 @@
 	defer context.AfterFunc(x.g.aborted, cancel)()
 	x.ctx = ctx
 	x.pool = pickPool(x.route, x.random)
+	x.info.copyKey = x.copyKey()
 	if x.refusedByQuarantine() {
 		return
 	}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -62,6 +62,9 @@
 	return n
 }
 
+// CopyOf returns a request to a plain service for which nothing speaks yet, one of the copies with a key.
+func CopyOf(key string) *RequestInfo { return &RequestInfo{copyKey: key} }
+
 // Engines is a set of engines with the model m loaded, for tests of the choice.
 type Engines struct {
 	f      *fleet
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -116,6 +117,15 @@
 	return quarantined
 }
 
+// copyKey returns RequestInfo.copyKey. Engines are chosen by what they have cached of a prompt, which brings
+// copies together anyway.
+func (x *exchange) copyKey() string {
+	if x.info.Model != "" || !x.g.guard.Unproven(x.keyedRequest()) {
+		return ""
+	}
+	return strconv.FormatUint(x.keyedRequest().CopyHash(), 16)
+}
+
 // heldBack updates from which kinds of servers the request is held back, and reports whether it is from all
 // that could run it, and for how long.
 func (x *exchange) heldBack() (time.Duration, bool) {
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -56,6 +56,7 @@
 	// completed are requests, and shared what they have in common with others.
 	completed *Completed
 	shared    *Completed
+	arrivals  *arrivals
 	log       logr.Logger
 
 	mu sync.Mutex
@@ -83,6 +84,7 @@
 		suspects:  NewSuspectSet(SuspectSetConfig{Entry: cfg.Entry, Entries: cfg.Entries, Now: time.Now, Log: log}),
 		completed: NewCompleted(time.Now),
 		shared:    NewCompleted(time.Now),
+		arrivals:  newArrivals(time.Now),
 		log:       log,
 		trials:    map[Key]trial{},
 	}
@@ -303,9 +305,18 @@
 	return out
 }
 
+// Unproven records that a request is about to be sent, and reports whether nothing speaks for it yet: no copy
+// has recently completed here, at a server of any kind, and the first one came less than provingTime ago.
+func (g *Guard) Unproven(r *KeyedRequest) bool {
+	return g.arrivals.isNew(r.Request) && !g.completed.Recently(r.Request, AnyKind)
+}
+
 // AttemptCompleted records that a server of a kind completed a request.
 func (g *Guard) AttemptCompleted(r *KeyedRequest, kind Kind) {
 	g.completed.Record(r.Request, kind)
+	if kind != AnyKind {
+		g.completed.Record(r.Request, AnyKind)
+	}
 	for _, c := range r.shared {
 		g.shared.RecordShared(c, kind)
 	}
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -147,6 +147,18 @@
 	return Hint(xxhash.Sum64String(r.Target) + uint64(len(r.Body)))
 }
 
+// CopyHash returns a hash that is the same for each copy of the request at every entry.
+func (r Request) CopyHash() uint64 {
+	h := xxhash.New()
+	for _, part := range []string{r.Method, r.Host, r.Target, r.Caller} {
+		// Writing to a hash does not fail.
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(r.Body)
+	return h.Sum64()
+}
+
 // Key returns the request's key.
 func (r Request) Key() Key {
 	h := sha256.New()
