Operators see from which software a suspect is held back, and how records change by source

`harmful list` and `show` gave servers and times alone: since evidence speaks of pool and software version, nobody could see that a request still goes to another version. held-from names POOL/VERSION, a number where no server of the software is known any more, any where nothing is known. fennelyard_suspect_changes_total counts changes of records by source, on all hosts. TestListNamesTheKinds; TestHarmfulCaller checks both commands.

--- a/cmd/fennelyard/harmful.go
+++ b/cmd/fennelyard/harmful.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,10 +41,10 @@
 				list = onlyHeldBack(list)
 			}
 			return writeOutput(c, flags.output, list, func(w io.Writer) {
-				writeTable(w, "KEY\tSCOPE\tSERVERS ENDED\tCLEARED\tLAST\tHELD BACK FOR", func(t io.Writer) {
+				writeTable(w, "KEY\tSCOPE\tSERVERS ENDED\tCLEARED\tLAST\tHELD BACK FOR\tFROM", func(t io.Writer) {
 					for _, s := range list.GetSuspects() {
-						_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s ago\t%s\n", s.GetKey(), s.GetScope(), len(s.GetEndedServers()), len(s.GetClearedServers()),
-							durationFromMs(s.GetLastEndedAgoMs()), durationFromMs(s.GetHeldBackForMs()))
+						_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s ago\t%s\t%s\n", s.GetKey(), s.GetScope(), len(s.GetEndedServers()), len(s.GetClearedServers()),
+							durationFromMs(s.GetLastEndedAgoMs()), durationFromMs(s.GetHeldBackForMs()), strings.Join(s.GetHeldFrom(), ","))
 					}
 				})
 			})
@@ -96,6 +97,9 @@
 func writeSuspect(w io.Writer, s *schema.SuspectView) {
 	_, _ = fmt.Fprintf(w, "%s %s: %d servers ended, the last %s ago; held back for %s\n", s.GetScope(), s.GetKey(), len(s.GetEndedServers()),
 		durationFromMs(s.GetLastEndedAgoMs()), durationFromMs(s.GetHeldBackForMs()))
+	for _, name := range s.GetHeldFrom() {
+		_, _ = fmt.Fprintln(w, "  held back from:", name)
+	}
 	for _, server := range s.GetEndedServers() {
 		_, _ = fmt.Fprintln(w, "  ended:  ", server)
 	}
--- a/cmd/fennelyard/harmful_test.go
+++ b/cmd/fennelyard/harmful_test.go
@@ -87,6 +87,11 @@
 	code, out, errOut = runCommand("harmful", "show", key, "--address", address(1))
 	require.Equal(s.t, exitOK, code, errOut)
 	require.Contains(s.t, out, fmt.Sprint(s.crashCount(), " servers ended"))
+	require.NotEmpty(s.t, list.GetSuspects()[0].GetHeldFrom())
+	for _, name := range list.GetSuspects()[0].GetHeldFrom() {
+		require.Contains(s.t, []string{"app/v1", "app/v2"}, name)
+		require.Contains(s.t, out, "held back from: "+name)
+	}
 	// Three are enough, but a version of which none has ended is free.
 	allowed := 3
 	if byVersion := slices.Sorted(maps.Values(s.crashesByVersion())); slices.Equal(byVersion, []int{1, 3}) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -137,7 +137,8 @@
 	})
 	e.guard = quarantine.NewGuard(quarantine.GuardConfig{
 		Entry: cfg.Self.GetName(), Probe: relay.NewSender(relay.Config{Dial: e.paths.Dial}).Probe, OnChange: e.requestRecording, Log: cfg.Log,
-		MayProbe: func(server string) bool { return e.table.Cooldown(time.Now(), server) == 0 },
+		OnRecordChanged: func(s quarantine.Source) { cfg.Metrics.SuspectChanged(s.String()) },
+		MayProbe:        func(server string) bool { return e.table.Cooldown(time.Now(), server) == 0 },
 	})
 	e.startGossip()
 	e.registerGauges()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,8 @@
 	// Log receives changes of the known cluster state, RequestLog one line for each request.
 	Log        logr.Logger
 	RequestLog logr.Logger
+	// OnSuspectChanged, if set, is called for each change of a record of a suspect, with its source.
+	OnSuspectChanged func(quarantine.Source)
 	// OnRequestDone, if set, is called at the end of each request.
 	OnRequestDone func(RequestStats)
 }
@@ -125,7 +127,7 @@
 	g.fleet.connected, g.fleet.confirmedAt = g.connected, g.subscriber.confirmedAt
 	g.quotas = quota.NewMeter(quota.MeterConfig{Window: cfg.QuotaWindow, Random: rand.Float64}, g.startTime)
 	g.guard = quarantine.NewGuard(quarantine.GuardConfig{
-		Entry: cfg.Self.GetCallerAddress(), Entries: g.entryCount, Probe: cfg.Sender.Probe, OnChange: g.reportNow, Log: cfg.Log,
+		Entry: cfg.Self.GetCallerAddress(), Entries: g.entryCount, Probe: cfg.Sender.Probe, OnChange: g.reportNow, OnRecordChanged: cfg.OnSuspectChanged, Log: cfg.Log,
 		Isolated: func() bool { return cfg.Isolated != nil && cfg.Isolated() && !g.connected() },
 		MayProbe: func(server string) bool { return g.fleet.cooldowns.Remaining(server, time.Now()) == 0 },
 	})
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -36,6 +36,7 @@
 	backendConnections *prometheus.CounterVec
 	refusedMessages    *prometheus.CounterVec
 	teamRequests       *prometheus.CounterVec
+	suspectChanges     *prometheus.CounterVec
 
 	teamsMu sync.Mutex
 	// teamLabels holds the teams that have their own label value; guarded by teamsMu.
--- a/internal/metrics/routes.go
+++ b/internal/metrics/routes.go
@@ -37,7 +37,10 @@
 	s.teamRequests = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "team_requests_total", Help: "Requests of teams by outcome; the first 64 teams by themselves, others together.",
 	}, []string{"team", "outcome"})
-	s.registry.MustRegister(s.teamRequests, s.routeRequests, s.routeRequestTime, s.routeFirstByte, s.dispatches, s.engineOrders, s.backendConnections, s.refusedMessages)
+	s.suspectChanges = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "suspect_changes_total", Help: "Changes of records of requests that may crash servers, by the source of the change.",
+	}, []string{"source"})
+	s.registry.MustRegister(s.suspectChanges, s.teamRequests, s.routeRequests, s.routeRequestTime, s.routeFirstByte, s.dispatches, s.engineOrders, s.backendConnections, s.refusedMessages)
 }
 
 // RefusedMessage counts a message of a server or an operator that was refused, by the kind of
@@ -46,6 +49,9 @@
 	s.refusedMessages.WithLabelValues(kind, reason).Inc()
 }
 
+// SuspectChanged counts a change of a record of a request that may crash servers.
+func (s *Set) SuspectChanged(source string) { s.suspectChanges.WithLabelValues(source).Inc() }
+
 // RouteRequest records a finished request on a route: its status, its duration, the time to the
 // first byte of the response (0 without one) and the number of attempts.
 func (s *Set) RouteRequest(kind, outcome string, status int, duration, firstByte time.Duration, attempts int) {
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -27,7 +27,7 @@
 // isolatedHold is the time after which a request may try again that an isolated entry holds back.
 const isolatedHold = 2 * time.Second
 
-// GuardConfig configures a Guard. All fields but Entries and Isolated are required.
+// GuardConfig configures a Guard. All fields but Entries, Isolated and OnRecordChanged are required.
 type GuardConfig struct {
 	// Entry identifies this entry among all entries.
 	Entry string
@@ -40,6 +40,8 @@
 	MayProbe func(server string) bool
 	// Isolated reports whether this entry reaches no other host that knows suspects; nil: it always does.
 	Isolated func() bool
+	// OnRecordChanged is SuspectSetConfig.OnChanged.
+	OnRecordChanged func(Source)
 	// OnChange is called when this entry has records that other hosts lack. The next repeat
 	// of the request may arrive at any entry.
 	OnChange func()
@@ -81,7 +83,7 @@
 	g := &Guard{
 		onChange:  cfg.OnChange,
 		isolated:  cfg.Isolated,
-		suspects:  NewSuspectSet(SuspectSetConfig{Entry: cfg.Entry, Entries: cfg.Entries, Now: time.Now, Log: log}),
+		suspects:  NewSuspectSet(SuspectSetConfig{Entry: cfg.Entry, Entries: cfg.Entries, Now: time.Now, OnChanged: cfg.OnRecordChanged, Log: log}),
 		completed: NewCompleted(time.Now),
 		shared:    NewCompleted(time.Now),
 		arrivals:  newArrivals(time.Now),
--- a/internal/quarantine/kind.go
+++ b/internal/quarantine/kind.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,6 +30,17 @@
 	return 1
 }
 
+// String returns a text for a kind of which no server is known.
+func (k Kind) String() string {
+	if k == AnyKind {
+		return "any"
+	}
+	return "kind-" + strconv.FormatUint(uint64(k), 10)
+}
+
+// NameOf returns the name of the servers of a pool with a software version.
+func NameOf(pool, version string) string { return pool + "/" + version }
+
 // includes reports whether what holds for servers of a kind holds for those of another one.
 func (k Kind) includes(other Kind) bool { return k == AnyKind || other == AnyKind || k == other }
 
--- a/internal/quarantine/kind_test.go
+++ b/internal/quarantine/kind_test.go
@@ -144,3 +144,31 @@
 		})
 	}
 }
+
+// Operators must see from which servers a suspect is held back, also those of which no server is known any more.
+func TestListNamesTheKinds(t *testing.T) {
+	c := &clock{time.Unix(1e9, 0)}
+	var changes []quarantine.Source
+	set := quarantine.NewSuspectSet(quarantine.SuspectSetConfig{
+		Now: c.now, Log: logr.Discard(), OnChanged: func(s quarantine.Source) { changes = append(changes, s) },
+		KindNames: func() map[quarantine.Kind]string {
+			return map[quarantine.Kind]string{kindOne: quarantine.NameOf("app", "v1"), kindTwo: quarantine.NameOf("app", "v2")}
+		},
+	})
+	for server, kind := range map[string]quarantine.Kind{"a": kindOne, "b": kindThree, "c": quarantine.AnyKind} {
+		require.Empty(t, heldFrom(set))
+		set.Accuse(server, c.current, []quarantine.Accusation{{Key: keyOf("/x"), Kind: kind}})
+	}
+	require.Equal(t, []string{"any", "app/v1", kindThree.String()}, heldFrom(set))
+	require.Equal(t, []quarantine.Source{quarantine.SourceOwn, quarantine.SourceOwn, quarantine.SourceOwn}, changes)
+	set.ClearUntil(keyOf("/x"), c.current, kindTwo)
+	require.Empty(t, heldFrom(set), "what has no kind is cleared by any, and two are too few")
+}
+
+// heldFrom returns from which servers the first suspect of a set is held back.
+func heldFrom(set *quarantine.SuspectSet) []string {
+	for _, s := range set.List() {
+		return s.GetHeldFrom()
+	}
+	return nil
+}
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -39,14 +39,19 @@
 	recordsAfterEviction = maxRecords * 7 / 8
 )
 
-// SuspectSetConfig configures a SuspectSet. All fields but Entries are required.
+// SuspectSetConfig configures a SuspectSet. All fields but Entries, KindNames and
+// OnChanged are required.
 type SuspectSetConfig struct {
 	// Entry identifies the entry that has the set; "" at control hosts.
 	Entry string
 	// Entries returns the number of entries; nil: one.
 	Entries func() int
 	Now     func() time.Time
-	Log     logr.Logger
+	// KindNames returns the names of the known kinds of servers, for operators; nil: none is known.
+	KindNames func() map[Kind]string
+	// OnChanged is called for each change of a record with its source; nil: it is not. It must not block.
+	OnChanged func(Source)
+	Log       logr.Logger
 }
 
 // SuspectSet holds the requests that a host suspects because servers ended while they ran
@@ -173,6 +178,10 @@
 
 // List returns all suspects, the longest holds first.
 func (s *SuspectSet) List() []*schema.SuspectView {
+	var names map[Kind]string
+	if s.cfg.KindNames != nil {
+		names = s.cfg.KindNames()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.evaluate()
@@ -182,6 +191,10 @@
 		v := r.view(key, now)
 		if current, held := s.hold(key, r); held {
 			v.HeldBackForMs = uint64(max(current.until.Sub(now).Milliseconds(), 0))
+			for _, kind := range r.kinds() {
+				v.HeldFrom = append(v.HeldFrom, cmp.Or(names[kind], kind.String()))
+			}
+			slices.Sort(v.HeldFrom)
 		}
 		out = append(out, v)
 	}
@@ -249,6 +262,9 @@
 	if source == SourceOwn {
 		r.foundChange = s.change
 	}
+	if s.cfg.OnChanged != nil {
+		s.cfg.OnChanged(source)
+	}
 	select {
 	case s.recorded <- struct{}{}:
 	default:
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -134,7 +134,9 @@
 	})
 	c.mirror = roster.NewMirror(roster.MirrorConfig{Now: time.Now})
 	c.announcements = roster.NewAnnouncementForwarder(time.Now)
-	c.suspects = quarantine.NewSuspectSet(quarantine.SuspectSetConfig{Now: time.Now, Log: cfg.Log.WithName("quarantine")})
+	c.suspects = quarantine.NewSuspectSet(quarantine.SuspectSetConfig{
+		Now: time.Now, KindNames: c.kindNames, OnChanged: func(s quarantine.Source) { cfg.Metrics.SuspectChanged(s.String()) }, Log: cfg.Log.WithName("quarantine"),
+	})
 	quotaWindow := s.GetQuotaWindow().AsDuration()
 	c.quotas = quota.NewTotals(quotaWindow)
 	c.hostPermits, c.entryPermits = ratelimit.NewGrantBuffer(), ratelimit.NewGrantBuffer()
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -18,6 +18,7 @@
 	"fennelyard/internal/origin"
 	"fennelyard/internal/path"
 	"fennelyard/internal/peer"
+	"fennelyard/internal/quarantine"
 	"fennelyard/internal/relay"
 	"fennelyard/internal/schema"
 	"fennelyard/internal/settings"
@@ -118,6 +119,7 @@
 		Isolated:      func() bool { return e.suspects.Isolated() },
 		Origins:       gateway.OriginExchange{Put: e.origins.Put, Get: e.origins.Get},
 		KeyRevocation: s.GetKeyRevocation().AsDuration(), QuotaWindow: s.GetQuotaWindow().AsDuration(),
+		OnSuspectChanged: func(s quarantine.Source) { cfg.Metrics.SuspectChanged(s.String()) },
 		OnRequestDone: func(r gateway.RequestStats) {
 			cfg.Metrics.RouteRequest(r.RouteKind, r.Outcome.String(), r.Status, r.Duration, r.TimeToFirstByte, r.Attempts)
 			cfg.Metrics.TeamRequest(r.Team, r.Outcome.String())
--- a/internal/role/suspects.go
+++ b/internal/role/suspects.go
@@ -28,6 +28,17 @@
 	return mux
 }
 
+// kindNames returns the names of the kinds of servers that this host knows.
+func (c *Control) kindNames() map[quarantine.Kind]string {
+	out := map[quarantine.Kind]string{}
+	for pool, versions := range c.mirror.Software() {
+		for _, version := range versions {
+			out[quarantine.KindOf(pool, version)] = quarantine.NameOf(pool, version)
+		}
+	}
+	return out
+}
+
 // releaseSuspect releases a request that is held back, here and, as updates spread,
 // everywhere.
 func (c *Control) releaseSuspect(key quarantine.Key) bool {
--- a/internal/roster/mirror.go
+++ b/internal/roster/mirror.go
@@ -243,6 +243,20 @@
 	m.forecastsUpdated = make(chan struct{})
 }
 
+// Software returns the software versions of the servers that are not gone, by pool.
+func (m *Mirror) Software() map[string][]string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := map[string][]string{}
+	for _, s := range m.servers {
+		pool, version := s.view.GetPool(), s.view.GetSoftware()
+		if s.goneSince.IsZero() && !slices.Contains(out[pool], version) {
+			out[pool] = append(out[pool], version)
+		}
+	}
+	return out
+}
+
 // Sweep removes servers that have been gone for goneServerRetention.
 func (m *Mirror) Sweep() {
 	m.mu.Lock()
