consensus: a lost voter leaves the group also after its replacement has become a voter

Cause, as traced then and brought about by a test now: a lost voter was removed only at the moment when a newcomer was made a voter, and only after 2.5 s of silence under the present leader. A newcomer that came sooner after a change of leader left it in, and nothing looked again: each replacement raised the quorum by one.

Weighed: removal after long silence alone takes out who is only cut off; what a leader remembers is gone with it.

Change: the membership carries the number of voters that there should be: those that founded the group, or have been there all at once for 2.5 s. A silent voter beyond that is removed by any leader that finds it silent, one at a time. The decisions are functions of the core, so that the random schedules make them too, with hosts replaced at other addresses.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -81,7 +81,7 @@
 		committed: map[uint64]string{}, leaders: map[uint64]uint64{}, minReadIndex: map[uint64]uint64{},
 		acknowledgedByTerm: map[uint64]uint64{},
 	}
-	membership := &schema.Membership{}
+	membership := &schema.Membership{Size: uint32(size)}
 	for i := range size {
 		membership.Members = append(membership.Members, &schema.Member{Id: uint64(i + 1), Host: fmt.Sprintf("host-%d", i+1)})
 	}
@@ -316,12 +316,19 @@
 	n.core.Compact(n.applied - min(n.applied, 2))
 }
 
-// replace removes a node and its disk and starts a new node on the same host.
+// clusterSilentTicks is the number of ticks without a reply after which a voter makes room for a newcomer.
+const clusterSilentTicks = 40
+
+// replace removes a node and its disk and starts a new node on the same host, or on another one.
 func (c *cluster) replace(n *node) {
 	n.down = true
 	c.ids = slices.DeleteFunc(c.ids, func(id uint64) bool { return id == n.id })
 	delete(c.nodes, n.id)
-	c.start(c.add(c.nextID, n.host))
+	host := n.host
+	if c.random.Intn(2) == 0 {
+		host = fmt.Sprint("host-", c.nextID)
+	}
+	c.start(c.add(c.nextID, host))
 	c.stats.replaced++
 }
 
@@ -331,9 +338,13 @@
 		if n.core.Role() != consensus.RoleLeader {
 			continue
 		}
+		if next := n.core.WithSize(clusterSilentTicks); next != nil && n.core.ProposeMembership(next) == nil {
+			c.process(n, false)
+			continue
+		}
 		for _, id := range c.ids {
 			other := c.nodes[id]
-			next := consensus.NextMembershipChange(n.core.Membership(), &schema.Member{Id: other.id, Host: other.host}, n.core)
+			next := n.core.WithJoining(&schema.Member{Id: other.id, Host: other.host}, clusterSilentTicks)
 			if next != nil && n.core.ProposeMembership(next) == nil {
 				c.process(n, false)
 				break
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -133,8 +133,11 @@
 	// progress has one item for each member of the current membership. It is
 	// nil on members other than the leader.
 	progress map[uint64]*progress
-	round    uint64
-	reads    []pendingRead
+	// presentFor is the number of ticks for which all voters have been present without a
+	// change of the membership; valid for leaders.
+	presentFor int
+	round      uint64
+	reads      []pendingRead
 	// elapsed counts the ticks since the last message from the leader, or on a
 	// leader since the last quorum check.
 	elapsed int
@@ -272,6 +275,10 @@
 	for _, p := range c.progress {
 		p.silentTicks++
 	}
+	c.presentFor++
+	if !c.allPresent() {
+		c.presentFor = 0
+	}
 	if c.elapsed >= c.cfg.ElectionTicks*c.timeoutFactor() {
 		c.elapsed = 0
 		if !c.quorumActive() {
@@ -320,6 +327,7 @@
 		return errors.Newf("encode membership: %w", err)
 	}
 	c.appendEntry(schema.EntryKind_ENTRY_KIND_MEMBERSHIP, data)
+	c.presentFor = 0
 	return nil
 }
 
--- a/internal/consensus/join.go
+++ b/internal/consensus/join.go
@@ -16,52 +16,100 @@
 	// member of a host's new disk can replace the host's old member. It prevents
 	// two processes with the same host name from removing each other.
 	replaceAfterTicks = 40
+	// presentTicks is the number of ticks without a reply up to which a voter counts as
+	// present.
+	presentTicks = 5
 )
 
-// reconcileMembership proposes the next membership change for the pending join
-// requests, if one is due.
+// reconcileMembership proposes the next membership change, if one is due: to remove a
+// voter that has been replaced, or for the pending join requests.
 func (m *Member) reconcileMembership() {
+	if next := m.core.WithSize(m.cfg.SilentTicks); next != nil {
+		// A rejected change is retried at the next tick.
+		_ = m.core.ProposeMembership(next)
+		return
+	}
 	for host, member := range m.joinRequests {
-		next := NextMembershipChange(m.core.Membership(), member, m.core)
-		if voter := m.silentVoterIndex(); voter >= 0 && makesVoter(next, member.GetId()) {
-			next = withoutMember(m.core.Membership(), voter)
-		}
+		next := m.core.WithJoining(member, m.cfg.SilentTicks)
 		if next == nil {
 			if isVoter(m.core.Membership(), member.GetId()) {
 				delete(m.joinRequests, host)
 			}
 			continue
 		}
-		// A rejected change is retried at the next tick.
 		_ = m.core.ProposeMembership(next)
 		return
 	}
 }
 
-// silentVoterIndex returns the position of a voter that has not replied for
-// SilentTicks, or -1. Hosts that fail permanently are replaced by hosts with other
-// addresses. If the failed voters stayed in the membership, each replacement would
-// raise the quorum, and after a few of them the loss of one more host would stop
-// the group. A voter that was only partitioned requests to join again once it is
-// connected.
-func (m *Member) silentVoterIndex() int {
-	if m.cfg.SilentTicks == 0 {
-		return -1
+// WithSize returns the next change that brings the number of voters and the size of the group
+// together, or nil if none is due. If there are more voters than the size, one that has not
+// replied for silentTicks, 0 for never, is removed: a newcomer became a voter before this
+// leader or an earlier one knew that the voter was silent. If all of them have been present
+// for that time, the group has grown. In a group of its size a silent voter stays until a
+// newcomer has caught up.
+func (c *Core) WithSize(silentTicks int) *schema.Membership {
+	current := c.Membership()
+	voters := voterCount(current)
+	if silentTicks == 0 || voters <= current.GetSize() {
+		return nil
 	}
-	for i, member := range m.core.Membership().GetMembers() {
-		if member.GetLearner() || member.GetId() == m.cfg.Storage.ID() {
-			continue
-		}
-		if _, silentTicks, ok := m.core.Match(member.GetId()); ok && silentTicks > m.cfg.SilentTicks {
-			return i
-		}
+	if voter := c.silentVoterIndex(silentTicks); voter >= 0 && current.GetSize() > 0 {
+		return withoutMember(current, voter)
+	}
+	if c.presentFor <= silentTicks {
+		return nil
+	}
+	next := cloneMembership(current)
+	next.Size = voters
+	return next
+}
+
+// WithJoining returns the next membership change for a member that requests to join, or nil
+// if none is due. A voter that has not replied for silentTicks, 0 for never, makes room for it:
+// hosts that fail permanently are replaced by hosts with other addresses. If the failed voters
+// stayed in the membership, each replacement would raise the quorum, and after a few of
+// them the loss of one more host would stop the group. A voter that was only partitioned
+// requests to join again once it is connected.
+func (c *Core) WithJoining(member *schema.Member, silentTicks int) *schema.Membership {
+	next := NextMembershipChange(c.Membership(), member, c)
+	if next == nil || !isVoter(next, member.GetId()) {
+		return next
+	}
+	if voter := c.silentVoterIndex(silentTicks); voter >= 0 {
+		return withoutMember(c.Membership(), voter)
 	}
-	return -1
+	return next
 }
 
-// makesVoter reports whether next is set and contains the member as a voter.
-func makesVoter(next *schema.Membership, id uint64) bool {
-	return next != nil && isVoter(next, id)
+// silentVoterIndex returns the position of another voter that has not replied for
+// silentTicks, or -1.
+func (c *Core) silentVoterIndex(silentTicks int) int {
+	if silentTicks == 0 {
+		return -1
+	}
+	return slices.IndexFunc(c.Membership().GetMembers(), func(member *schema.Member) bool {
+		_, silent, ok := c.Match(member.GetId())
+		return !member.GetLearner() && member.GetId() != c.cfg.ID && ok && silent > silentTicks
+	})
+}
+
+// allPresent reports whether all other voters have replied to this leader within
+// presentTicks.
+func (c *Core) allPresent() bool {
+	return !slices.ContainsFunc(c.Membership().GetMembers(), func(member *schema.Member) bool {
+		match, silent, ok := c.Match(member.GetId())
+		return !member.GetLearner() && member.GetId() != c.cfg.ID && (!ok || match == 0 || silent > presentTicks)
+	})
+}
+
+func voterCount(m *schema.Membership) (n uint32) {
+	for _, member := range m.GetMembers() {
+		if !member.GetLearner() {
+			n++
+		}
+	}
+	return n
 }
 
 func withoutMember(current *schema.Membership, index int) *schema.Membership {
--- a/internal/consensus/member_test.go
+++ b/internal/consensus/member_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -26,6 +27,8 @@
 	members     map[uint64]*groupMember
 	partitioned map[uint64]bool
 	tick        time.Duration
+	// silentTicks is MemberConfig.SilentTicks.
+	silentTicks int
 }
 
 type groupMember struct {
@@ -38,7 +41,15 @@
 }
 
 func newGroup(t testing.TB, size int, tick time.Duration) *group {
-	g := &group{t: t, membership: &schema.Membership{}, members: map[uint64]*groupMember{}, partitioned: map[uint64]bool{}, tick: tick}
+	return newReplacingGroup(t, size, tick, 0)
+}
+
+// newReplacingGroup is newGroup with members that replace voters after silentTicks.
+func newReplacingGroup(t testing.TB, size int, tick time.Duration, silentTicks int) *group {
+	g := &group{
+		t: t, membership: &schema.Membership{Size: uint32(size)}, members: map[uint64]*groupMember{}, partitioned: map[uint64]bool{}, tick: tick,
+		silentTicks: silentTicks,
+	}
 	for i := range size {
 		g.membership.Members = append(g.membership.Members, &schema.Member{Id: uint64(i + 1), Host: fmt.Sprint("host-", i+1)})
 	}
@@ -51,13 +62,14 @@
 func (g *group) start(id uint64, folder string) {
 	s, err := consensus.OpenStorage(consensus.StorageConfig{Folder: folder, Group: 1, NewID: func() uint64 { return id }})
 	require.NoError(g.t, err)
-	if stored, err := s.Membership(); err == nil && stored == nil {
+	founder := slices.ContainsFunc(g.membership.GetMembers(), func(m *schema.Member) bool { return m.GetId() == id })
+	if stored, err := s.Membership(); err == nil && stored == nil && founder {
 		require.NoError(g.t, s.Bootstrap(g.membership))
 	}
 	member := &groupMember{storage: s, folder: folder}
 	random := rand.New(rand.NewSource(int64(id)))
 	member.Member, err = consensus.NewMember(consensus.MemberConfig{
-		Group: 1, Storage: s, Tick: g.tick, SnapshotAfter: 300, Random: random.Intn,
+		Group: 1, Storage: s, Tick: g.tick, SnapshotAfter: 300, SilentTicks: g.silentTicks, Random: random.Intn,
 		Send: func(to *schema.Member, messages []*schema.ConsensusMessage) { g.send(id, to.GetId(), messages) },
 		StateMachine: consensus.StateMachine{
 			Apply: func(_ uint64, data []byte) any {
@@ -118,7 +130,8 @@
 
 // leader waits for a leader that is not partitioned and has committed an entry in its term.
 func (g *group) leader() uint64 {
-	for {
+	for limit := time.Now().Add(time.Minute); ; {
+		require.True(g.t, time.Now().Before(limit), "no leader within a minute")
 		g.mu.Lock()
 		for id, m := range g.members {
 			if m.Status().CommittedInTerm && !g.partitioned[id] {
--- a/internal/control/form.go
+++ b/internal/control/form.go
@@ -102,7 +102,7 @@
 
 func (g *Group) startFormed(members []*schema.Member, formed bool) error {
 	if !formed {
-		if err := g.cfg.Storage.Bootstrap(&schema.Membership{Members: members}); err != nil {
+		if err := g.cfg.Storage.Bootstrap(&schema.Membership{Members: members, Size: uint32(len(members))}); err != nil {
 			return errors.Newf("bootstrap group: %w", err)
 		}
 		g.cfg.Log.Info("control group formed", "members", len(members))
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -133,7 +133,7 @@
 		},
 		MembersChanged: func(s consensus.MemberStatus) {
 			voters, learners := hostsOf(s.Membership)
-			g.cfg.Log.Info("control members", "voters", voters, "learners", learners, "silent", s.SilentVoters)
+			g.cfg.Log.Info("control members", "voters", voters, "learners", learners, "silent", s.SilentVoters, "size", s.Membership.GetSize())
 		},
 	})
 	if err != nil {
