--- a/internal/cooldown/table.go
+++ b/internal/cooldown/table.go
@@ -47,6 +47,8 @@
 	// servers is keyed by the server's id, as an incarnation that the host does not know yet may have
 	// sent a response; guarded by mu.
 	servers map[string]*server
+	// nextExpiry is when cooldowns that no longer bind are removed next; guarded by mu.
+	nextExpiry time.Time
 }
 
 // server holds the cooldowns of the incarnations of one server.
@@ -134,6 +136,10 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !now.Before(t.nextExpiry) {
+		// A server that has gone never responds, and each choice would go through its cooldown.
+		t.expire(now)
+	}
 	return t.availableIn(t.servers[incarnation.ServerOf(key)], key, now)
 }
 
@@ -199,6 +205,7 @@
 
 // expire removes what no longer binds; the caller holds mu.
 func (t *Table) expire(now time.Time) {
+	t.nextExpiry = now.Add(trialPeriod)
 	for id, s := range t.servers {
 		s.cooldowns = slices.DeleteFunc(s.cooldowns, func(c cooldown) bool { return now.Sub(c.until) > trialPeriod })
 		t.removeIfUnused(id)
--- a/internal/cooldown/table_test.go
+++ b/internal/cooldown/table_test.go
@@ -128,3 +128,16 @@
 	}
 	require.Equal(t, 1, table.Len())
 }
+
+// A server asks for a cooldown and is gone: without another cooldown its own stayed for good, and each choice among
+// all servers went through the table.
+func TestCooldownsOfServersThatAreGoneAreRemoved(t *testing.T) {
+	table, now := newTable(), time.Unix(1000, 0)
+	for _, server := range []string{"a@1", "b@1", "c@1"} {
+		table.Observe(server, time.Second, now, now)
+	}
+	require.Equal(t, 3, table.Len())
+	now = now.Add(20 * time.Second)
+	require.Zero(t, table.AvailableIn("other@1", now))
+	require.Zero(t, table.Len())
+}
