--- a/internal/quarantine/holds.go
+++ b/internal/quarantine/holds.go
@@ -38,7 +38,7 @@
 	// suspect that is not doubtful, 0 for none.
 	servers map[string]int
 	// doubted are the requests that are held back and doubtful, for the log.
-	doubted map[Key]time.Time
+	doubted map[Key]bool
 	// dirty is set if candidates have changed since they were evaluated.
 	dirty     bool
 	evaluated time.Time
@@ -52,7 +52,7 @@
 }
 
 func newHolds() holds {
-	return holds{candidates: map[Key]*record{}, held: map[Key]hold{}, servers: map[string]int{}, doubted: map[Key]time.Time{}}
+	return holds{candidates: map[Key]*record{}, held: map[Key]hold{}, servers: map[string]int{}, doubted: map[Key]bool{}}
 }
 
 // recordChanged takes note of a change of a record.
@@ -121,16 +121,16 @@
 // doubtRequests adds the requests to changed that have become doubtful, or no longer are.
 func (h *holds) doubtRequests(changed map[Key]time.Time) {
 	before := h.doubted
-	h.doubted = map[Key]time.Time{}
+	h.doubted = map[Key]bool{}
 	for key, r := range h.candidates {
 		if r.scope.shared() {
 			continue
 		}
 		current, held := h.ofRequest(r)
 		if held && current.doubtful {
-			h.doubted[key] = current.until
+			h.doubted[key] = true
 		}
-		if _, was := before[key]; held && was != current.doubtful {
+		if held && before[key] != current.doubtful {
 			changed[key] = current.until
 		}
 	}
