--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -167,13 +167,20 @@
 }
 
 func startTestGatewayWithSender(t *testing.T, budget gateway.RetryBudgetConfig, log logr.Logger, sender *relay.Sender, backends ...*backend) *testGateway {
+	t.Helper()
+	return startConfiguredGateway(t, func(cfg *gateway.Config) { cfg.RetryBudget, cfg.Log, cfg.Sender = budget, log, sender }, backends...)
+}
+
+// startConfiguredGateway starts a gateway of whose configuration a test sets some fields.
+func startConfiguredGateway(t *testing.T, configure func(*gateway.Config), backends ...*backend) *testGateway {
 	t.Helper()
 	dialer := peer.NewDialer(peer.DialerConfig{})
-	g := gateway.New(gateway.Config{
+	cfg := gateway.Config{
 		Self: &schema.RosterEntry{Host: "e", CallerAddress: "127.0.0.1:1"}, Seeds: func() []string { return nil }, Dialer: dialer,
-		Replica: ledger.NewReplica(), Sender: sender, Codec: codec(),
-		RetryBudget: budget, Log: log, RequestLog: logr.Discard(), KeyRevocation: keyRevocation,
-	})
+		Replica: ledger.NewReplica(), Codec: codec(), RequestLog: logr.Discard(), KeyRevocation: keyRevocation,
+	}
+	configure(&cfg)
+	g := gateway.New(cfg)
 	t.Cleanup(func() {
 		g.Close()
 		dialer.Close()
