quarantine, consensus: conditions that decide nothing are gone

Found by taking safeguards out. A part that is held back for good has three servers that no chosen request explains, so that comparing its evidence with a request's decided nothing. A leader that has had no reply from a voter does not count it as present, so that resetting the count at a change of leader or membership decided nothing either. New: TestDoubtfulPartCastsNoDoubt, which fails if doubtful parts count as well.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -133,8 +133,8 @@
 	// progress has one item for each member of the current membership. It is
 	// nil on members other than the leader.
 	progress map[uint64]*progress
-	// presentFor is the number of ticks for which all voters have been present without a
-	// change of the membership; valid for leaders.
+	// presentFor is the number of ticks for which all voters have been present; valid for
+	// leaders. A new leader has had no reply yet.
 	presentFor int
 	round      uint64
 	reads      []pendingRead
@@ -327,7 +327,6 @@
 		return errors.Newf("encode membership: %w", err)
 	}
 	c.appendEntry(schema.EntryKind_ENTRY_KIND_MEMBERSHIP, data)
-	c.presentFor = 0
 	return nil
 }
 
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -246,7 +246,6 @@
 	c.votes = nil
 	c.elapsed, c.heartbeatElapsed = 0, 0
 	c.progress = map[uint64]*progress{}
-	c.presentFor = 0
 	c.refreshProgress()
 	// The new round makes the replies to the entry below the first ones that
 	// confirm this leader.
--- a/internal/quarantine/holds.go
+++ b/internal/quarantine/holds.go
@@ -34,9 +34,8 @@
 	candidates map[Key]*record
 	// held are the shared suspects that are held back.
 	held map[Key]hold
-	// servers are those under which shared suspects are held back, each with the largest blame of such a
-	// suspect that is not doubtful, 0 for none.
-	servers map[string]int
+	// servers are those under which shared suspects are held back, true if one of these is not doubtful.
+	servers map[string]bool
 	// doubted are the requests that are held back and doubtful, for the log.
 	doubted map[Key]bool
 	// dirty is set if candidates have changed since they were evaluated.
@@ -52,7 +51,7 @@
 }
 
 func newHolds() holds {
-	return holds{candidates: map[Key]*record{}, held: map[Key]hold{}, servers: map[string]int{}, doubted: map[Key]bool{}}
+	return holds{candidates: map[Key]*record{}, held: map[Key]hold{}, servers: map[string]bool{}, doubted: map[Key]bool{}}
 }
 
 // recordChanged takes note of a change of a record.
@@ -85,21 +84,20 @@
 	h.dirty, h.evaluated = false, now
 	before := h.held
 	chosen := withoutExplained(h.choose())
-	h.held, h.servers = map[Key]hold{}, map[string]int{}
+	h.held, h.servers = map[Key]hold{}, map[string]bool{}
 	for _, key := range chosen.keys {
 		r := h.candidates[key]
 		if !r.scope.shared() {
 			continue
 		}
 		h.held[key] = hold{until: r.heldUntil()}
-		firm := r.blame()
-		if unexplained, doubtful := chosen.doubtful[key]; doubtful {
+		unexplained, doubtful := chosen.doubtful[key]
+		if doubtful {
 			h.held[key] = r.doubtfulHold(unexplained)
-			firm = 0
 		}
 		for server, e := range r.ended {
 			if !e.cleared {
-				h.servers[server] = max(h.servers[server], firm)
+				h.servers[server] = h.servers[server] || !doubtful
 			}
 		}
 	}
@@ -137,15 +135,14 @@
 }
 
 // ofRequest returns how long a request is held back whose blame reaches the threshold. One whose servers
-// shared suspects explain is not. If those with more evidence explain some of them, what is left may be
-// chance, and nothing but a trial can clear the request.
+// shared suspects explain is not. If those that are not doubtful, which have three servers beside the request's,
+// explain some of them, what is left may be chance, and nothing but a trial can clear the request.
 func (h *holds) ofRequest(r *record) (hold, bool) {
 	if h.explains(r) {
 		return hold{}, false
 	}
-	blame := r.blame()
-	unexplained := r.blameWithout(func(server string) bool { return h.servers[server] > blame })
-	if unexplained < blame && unexplained < holdThreshold {
+	unexplained := r.blameWithout(func(server string) bool { return h.servers[server] })
+	if unexplained < r.blame() && unexplained < holdThreshold {
 		return r.doubtfulHold(unexplained), true
 	}
 	return hold{until: r.heldUntil()}, true
--- a/internal/quarantine/holds_test.go
+++ b/internal/quarantine/holds_test.go
@@ -219,8 +219,8 @@
 }
 
 // A popular request ran at three servers that ended under a harmful request and a harmful part. It was held back
-// for five minutes, in which nothing could clear it. Where a part with more evidence explains one of its servers,
-// it may try again after eight seconds; a harmful request ends one more server with that.
+// for five minutes, in which nothing could clear it. Where a part that is held back for good explains one of its
+// servers, it may try again after eight seconds; a harmful request ends one more server with that.
 func TestRequestBesideAHarmfulPartTriesAgainSoon(t *testing.T) {
 	ended := []string{
 		"request:popular bad/1", "request:popular request:harmful", "request:popular request:harmful",
@@ -240,12 +240,19 @@
 	for i, accused := range ended[:4] {
 		accuse(i, accused)
 	}
-	// The part has no more evidence than the requests.
 	require.GreaterOrEqual(t, heldFor("popular"), firm)
 	for i, accused := range ended[4:] {
 		accuse(4+i, accused)
 	}
 	require.True(t, isHeldBack(set, carrierOf("bad/1").Key()))
+	// Three servers that the part does not explain are enough.
+	for i := range 3 {
+		accuse(10+i, "request:other")
+	}
+	for i := range 3 {
+		accuse(20+i, "request:other bad/1")
+	}
+	require.GreaterOrEqual(t, heldFor("other"), firm)
 	require.Less(t, heldFor("popular"), 2*doubtful)
 	require.Less(t, heldFor("harmful"), 2*doubtful)
 
@@ -257,3 +264,20 @@
 	_, held := set.HeldBack(keyOf("popular"))
 	require.False(t, held)
 }
+
+// A part that requests explain but for two servers may be innocent: it must not let these requests try again.
+func TestDoubtfulPartCastsNoDoubt(t *testing.T) {
+	c := &clock{time.Unix(1e9, 0)}
+	set := newSuspectSet(c)
+	for i, accused := range []string{"request:harmful bad/1", "request:harmful bad/1", "request:harmful", "bad/1", "bad/1", "request:other bad/1", "request:other", "request:other"} {
+		set.Accuse(fmt.Sprint("s-", i), c.current, accusationsOf(accused))
+	}
+	left, held := set.HeldBack(carrierOf("bad/1").Key())
+	require.True(t, held)
+	require.Less(t, left, time.Minute)
+	for _, name := range []string{"harmful", "other"} {
+		left, held = set.HeldBack(keyOf(name))
+		require.True(t, held)
+		require.GreaterOrEqual(t, left, 5*time.Minute, name)
+	}
+}
