--- a/internal/role/version_test.go
+++ b/internal/role/version_test.go
@@ -499,8 +499,12 @@
 				b.bodyCrash = func(*backendProcess, net.Conn, string) { setCut(cut) }
 				b.mu.Unlock()
 
-				tried := 0
-				for i := range 8 {
+				// Which server is first, and whether the retry budget allows another, is drawn by lot.
+				tried, tries := 0, 16
+				if !cut {
+					tries = 100
+				}
+				for i := 0; i < tries && tried < 2; i++ {
 					crashes := b.crashCount()
 					first := d.callWith(entry, fmt.Sprint("/resume/", i), harmfulBody, http.Header{})
 					setCut(false)
