--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -61,8 +61,12 @@
 	if old != nil && isOlder(a, old.announcement) {
 		return false
 	}
-	if a.GetServer().GetLeaving() {
-		r.left[name] = departedIncarnation{a.GetServer().GetIncarnation(), now}
+	switch incarnation := a.GetServer().GetIncarnation(); {
+	case a.GetServer().GetLeaving():
+		r.left[name] = departedIncarnation{incarnation, now}
+	case r.left[name].incarnation == incarnation:
+		// It stays after all.
+		delete(r.left, name)
 	}
 	changed := old == nil || old.changed || !sameContent(a, old.announcement)
 	r.servers[name] = &announcedServer{announcement: a, receivedAt: now, unreported: true, changed: changed}
