gateway: a server gets the time that is left after origins were replaced

The time was taken before other entries replaced an origin, which may last 300 ms, so that the server was given that much more than its caller waits. Found by reading; the test fails without the change.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -17,10 +17,6 @@
 // another attempt should follow.
 func (x *exchange) attempt(remaining time.Duration) bool {
 	s := x.server
-	if !x.recordOrigin(s) {
-		x.fail(OutcomeVersionUnknown, defaultRetryAfter)
-		return false
-	}
 	stamp, admitted := x.g.fleet.admit(s, &x.info)
 	if !admitted {
 		// Another request took the permit, or the server has asked for a cooldown since it was chosen.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -248,6 +248,10 @@
 	if !x.authenticate() {
 		return false
 	}
+	if !x.recordOrigin(x.server) {
+		x.fail(OutcomeVersionUnknown, defaultRetryAfter)
+		return false
+	}
 	remaining := time.Until(x.deadline)
 	if remaining < minTimeLeft {
 		x.fail(OutcomeTimeout, 0)
--- a/internal/gateway/origin_test.go
+++ b/internal/gateway/origin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -27,7 +28,11 @@
 	losesVersion string
 }
 
+// recordDelay is how long the other entry takes to record an origin.
+const recordDelay = 100 * time.Millisecond
+
 func (e *otherEntry) put(_ context.Context, _ string, key origin.Key, o origin.Origin) error {
+	time.Sleep(recordDelay)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.puts = append(e.puts, o)
@@ -68,6 +73,9 @@
 				return
 			}
 			require.Equal(t, http.StatusOK, got.status)
+			left, err := strconv.Atoi(good.header("X-Left"))
+			require.NoError(t, err)
+			require.LessOrEqual(t, time.Duration(left)*time.Millisecond, 2*time.Second-recordDelay, "the server gets the time that is left")
 			recorded, known := other.table.Get(origin.NewKey("", "42"))
 			require.True(t, known)
 			require.Equal(t, "v2", recorded.Version)
