--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -46,8 +46,8 @@
 	version          string
 	// hold is from which kinds of servers the request is held back.
 	hold quarantine.Hold
-	// copyKey is the same for the copies of a request to a plain service for which nothing speaks yet; empty for
-	// all other requests.
+	// copyKey is the same for the copies of a request to a plain service that may still crash its servers, as none
+	// has completed; empty for all other requests.
 	copyKey string
 }
 
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -62,7 +62,7 @@
 	return n
 }
 
-// CopyOf returns a request to a plain service for which nothing speaks yet, one of the copies with a key.
+// CopyOf returns a request to a plain service of which no copy has completed, with the key of its copies.
 func CopyOf(key string) *RequestInfo { return &RequestInfo{copyKey: key} }
 
 // Engines is a set of engines with the model m loaded, for tests of the choice.
--- a/internal/gossip/http.go
+++ b/internal/gossip/http.go
@@ -6,12 +6,12 @@
 	"io"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/schema"
+	"fennelyard/internal/tcp"
 )
 
 const (
@@ -20,9 +20,6 @@
 	// maxMessageBytes and maxSuspects bound a message: 256 records of 16 servers.
 	maxMessageBytes = 256 << 10
 	maxSuspects     = 256
-	// idleTimeout closes connections between entries that have not been used: a middlebox may
-	// have dropped its state of an older one.
-	idleTimeout = 10 * time.Second
 	// maxIdlePerHost is the number of idle connections to each entry, and maxIdle to all.
 	maxIdlePerHost = 1
 	maxIdle        = 32
@@ -80,10 +77,7 @@
 
 // NewClient returns a Client that connects with dial.
 func NewClient(dial func(ctx context.Context, address string) (net.Conn, error)) *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:        func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
-		DisableCompression: true, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: maxIdlePerHost, MaxIdleConns: maxIdle,
-	}}}
+	return &Client{http: &http.Client{Transport: tcp.NewTransport(dial, maxIdlePerHost, maxIdle)}}
 }
 
 // Close closes the idle connections.
--- a/internal/origin/exchange.go
+++ b/internal/origin/exchange.go
@@ -8,9 +8,10 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"fennelyard/internal/tcp"
 )
 
 const (
@@ -23,9 +24,6 @@
 	// maxTextBytes bounds the name of a pool and a version, maxReplyBytes a reply.
 	maxTextBytes  = 512
 	maxReplyBytes = 4 << 10
-	// idleTimeout closes connections between entries that have not been used: a middlebox may
-	// have dropped its state of an older one.
-	idleTimeout = 10 * time.Second
 	// maxIdlePerHost is the number of idle connections to each entry.
 	maxIdlePerHost = 2
 )
@@ -110,10 +108,7 @@
 
 // NewClient returns a Client that connects with dial.
 func NewClient(dial func(ctx context.Context, address string) (net.Conn, error)) *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:        func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
-		DisableCompression: true, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: maxIdlePerHost,
-	}}}
+	return &Client{http: &http.Client{Transport: tcp.NewTransport(dial, maxIdlePerHost, 0)}}
 }
 
 // Close closes the idle connections.
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -307,8 +307,9 @@
 	return out
 }
 
-// Unproven records that a request is about to be sent, and reports whether nothing speaks for it yet: no copy
-// has recently completed here, at a server of any kind, and the first one came less than provingTime ago.
+// Unproven records that a request is about to be sent, and reports whether it may still crash the servers that
+// run it: no copy has recently completed here, at a server of any kind, and the first one came less than
+// provingTime ago.
 func (g *Guard) Unproven(r *KeyedRequest) bool {
 	return g.arrivals.isNew(r.Request) && !g.completed.Recently(r.Request, AnyKind)
 }
--- a/internal/role/copies_test.go
+++ b/internal/role/copies_test.go
@@ -1,7 +1,6 @@
 package role_test
 
 import (
-	"fmt"
 	"math/rand"
 	"net/http"
 	"sync"
@@ -49,7 +48,7 @@
 				}
 				wg.Wait()
 				late := b.lateArrivals(maxHoldBackDelay)
-				t.Log(fmt.Sprintf("%d servers crashed, %d late arrivals, %d of %d popular requests served", b.crashCount(), late, served, sound))
+				t.Logf("%d servers crashed, %d late arrivals, %d of %d popular requests served", b.crashCount(), late, served, sound)
 				require.LessOrEqual(t, b.crashCount(), maxSlowCrashes)
 				require.LessOrEqual(t, late, maxLateArrivals)
 				require.GreaterOrEqual(t, float64(served), minSoundShare*float64(sound))
