quarantine: a request that ran beside a harmful part alone does not try again

Cause: the rule of this landing for requests beside harmful parts asked only that a part explains some of the servers. In the case that it was made for each of them is explained: by the part, or by the harmful request beside it.

Change: it applies only if all servers are explained by parts that are held back for good and other requests. Once the innocent one has completed, the harmful one is held for minutes again.

--- a/internal/quarantine/holds.go
+++ b/internal/quarantine/holds.go
@@ -36,6 +36,8 @@
 	held map[Key]hold
 	// servers are those under which shared suspects are held back, true if one of these is not doubtful.
 	servers map[string]bool
+	// requests are those whose blame reaches the threshold, by the servers that count against them.
+	requests map[string][]*record
 	// doubted are the requests that are held back and doubtful, for the log.
 	doubted map[Key]bool
 	// dirty is set if candidates have changed since they were evaluated.
@@ -51,7 +53,7 @@
 }
 
 func newHolds() holds {
-	return holds{candidates: map[Key]*record{}, held: map[Key]hold{}, servers: map[string]bool{}, doubted: map[Key]bool{}}
+	return holds{candidates: map[Key]*record{}, held: map[Key]hold{}, servers: map[string]bool{}, requests: map[string][]*record{}, doubted: map[Key]bool{}}
 }
 
 // recordChanged takes note of a change of a record.
@@ -84,7 +86,17 @@
 	h.dirty, h.evaluated = false, now
 	before := h.held
 	chosen := withoutExplained(h.choose())
-	h.held, h.servers = map[Key]hold{}, map[string]bool{}
+	h.held, h.servers, h.requests = map[Key]hold{}, map[string]bool{}, map[string][]*record{}
+	for _, r := range h.candidates {
+		if r.scope.shared() {
+			continue
+		}
+		for server, e := range r.ended {
+			if !e.cleared {
+				h.requests[server] = append(h.requests[server], r)
+			}
+		}
+	}
 	for _, key := range chosen.keys {
 		r := h.candidates[key]
 		if !r.scope.shared() {
@@ -135,19 +147,31 @@
 }
 
 // ofRequest returns how long a request is held back whose blame reaches the threshold. One whose servers
-// shared suspects explain is not. If those that are not doubtful, which have three servers beside the request's,
-// explain some of them, what is left may be chance, and nothing but a trial can clear the request.
+// shared suspects explain is not. If those that are not doubtful explain some of them and other requests all the
+// rest, it may have run beside them by chance, and nothing but a trial can clear it.
 func (h *holds) ofRequest(r *record) (hold, bool) {
 	if h.explains(r) {
 		return hold{}, false
 	}
 	unexplained := r.blameWithout(func(server string) bool { return h.servers[server] })
-	if unexplained < r.blame() && unexplained < holdThreshold {
+	if unexplained < r.blame() && h.ranBesideOthers(r) {
 		return r.doubtfulHold(unexplained), true
 	}
 	return hold{until: r.heldUntil()}, true
 }
 
+// ranBesideOthers reports whether shared suspects that are not doubtful or other requests explain each server that
+// counts against a request.
+func (h *holds) ranBesideOthers(r *record) bool {
+	for server, e := range r.ended {
+		others := slices.ContainsFunc(h.requests[server], func(other *record) bool { return other != r })
+		if !e.cleared && !h.servers[server] && !others {
+			return false
+		}
+	}
+	return true
+}
+
 // choice is the suspects chosen to explain the ends of servers.
 type choice struct {
 	candidates map[Key]*record
--- a/internal/quarantine/holds_test.go
+++ b/internal/quarantine/holds_test.go
@@ -219,8 +219,8 @@
 }
 
 // A popular request ran at three servers that ended under a harmful request and a harmful part. It was held back
-// for five minutes, in which nothing could clear it. Where a part that is held back for good explains one of its
-// servers, it may try again after eight seconds; a harmful request ends one more server with that.
+// for five minutes, in which nothing could clear it. Where these explain all its servers it may try again after
+// eight seconds; so may the harmful one until the popular one has completed, and ends one more server with that.
 func TestRequestBesideAHarmfulPartTriesAgainSoon(t *testing.T) {
 	ended := []string{
 		"request:popular bad/1", "request:popular request:harmful", "request:popular request:harmful",
@@ -245,13 +245,10 @@
 		accuse(4+i, accused)
 	}
 	require.True(t, isHeldBack(set, carrierOf("bad/1").Key()))
-	// Three servers that the part does not explain are enough.
-	for i := range 3 {
-		accuse(10+i, "request:other")
-	}
-	for i := range 3 {
-		accuse(20+i, "request:other bad/1")
-	}
+	// Nothing but this request explains two of its servers.
+	accuse(10, "request:other bad/1")
+	accuse(11, "request:other")
+	accuse(12, "request:other")
 	require.GreaterOrEqual(t, heldFor("other"), firm)
 	require.Less(t, heldFor("popular"), 2*doubtful)
 	require.Less(t, heldFor("harmful"), 2*doubtful)
