gateway: the last servers of a version keep room for the streams that it began

What callers saw: while software is replaced, streams of the old version can be resumed at its last one or two servers alone, and these were filled with new requests like all others: 12 of 12 slots, so that resumed streams waited there for a slot while new ones had ten servers to choose from.

Change: while a pool has several versions, up to two servers of one count as a quarter fuller than they are for requests that are not bound to a version: engines by a quarter of their slots, plain servers by four requests to three. It is a cost, so that new requests still get there once all others are as full.

Weighed: a bound (new requests refused while a quarter of two servers is idle); by all servers of the old version, however many (the cost grows with the release, and resumed streams are spread over as many).

Before: TestLastServersOfAVersionKeepRoomForResumedStreams fails for one and two servers, engines and plain ones. After: at most 10 of 12 at these, also with 120 requests for 120 slots.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -125,14 +125,15 @@
 	if len(candidates) == 0 {
 		return nil
 	}
+	last := f.lastOfVersion(candidates, pool, info)
 	if info.Model == "" {
-		best := leastBusy(candidates, random)
-		if shared := leastBusy(copyServers(candidates, info.copyKey), random); shared != nil && shared.running <= best.running+f.copiesAhead() {
+		best := leastBusy(candidates, last, random)
+		if shared := leastBusy(copyServers(candidates, info.copyKey), last, random); shared != nil && shared.running <= best.running+f.copiesAhead() {
 			return shared
 		}
 		return best
 	}
-	return f.cheapest(candidates, info, f.poolStats(pool), now, random)
+	return f.cheapest(candidates, last, info, f.poolStats(pool), now, random)
 }
 
 const (
@@ -170,16 +171,16 @@
 }
 
 // leastBusy picks a random one of the servers with the fewest requests of this entry, nil of none: if all
-// entries took the first one, they would overload it.
-func leastBusy(candidates []*server, random func(int) int) *server {
+// entries took the first one, they would overload it. Those in last count as busier.
+func leastBusy(candidates []*server, last map[*server]bool, random func(int) int) *server {
 	if len(candidates) == 0 {
 		return nil
 	}
 	slices.SortFunc(candidates, func(a, b *server) int {
-		return cmp.Or(cmp.Compare(a.running, b.running), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(relativeLoad(a, last), relativeLoad(b, last)), cmp.Compare(a.id, b.id))
 	})
 	n := 1
-	for n < len(candidates) && candidates[n].running == candidates[0].running {
+	for n < len(candidates) && relativeLoad(candidates[n], last) == relativeLoad(candidates[0], last) {
 		n++
 	}
 	return candidates[random(n)]
@@ -221,8 +222,9 @@
 // cheapest returns the engine with the lowest estimated cost. The requests that other entries
 // sent since their last reports are unknown and are assumed to be spread at random. Otherwise
 // all entries would send their requests to the engine with the lowest reported load: with 68
-// entries and engines of 12 slots, the busiest engine had six times the mean load.
-func (f *fleet) cheapest(candidates []*server, info *RequestInfo, stats *poolStats, now time.Time, random func(int) int) *server {
+// entries and engines of 12 slots, the busiest engine had six times the mean load. Engines in last keep some of
+// their slots from the request.
+func (f *fleet) cheapest(candidates []*server, last map[*server]bool, info *RequestInfo, stats *poolStats, now time.Time, random func(int) int) *server {
 	key := affinityKey(info)
 	otherEngines, long := otherPartition(candidates, info, stats), stats.isLong(info)
 	prefillRate, rankCost := stats.prefillRate(), stats.sharedPrefillMs(info)/spreadAfterRequests
@@ -235,8 +237,12 @@
 	for rank, s := range candidates {
 		slots, running := int(s.view.GetSlots()), s.running+s.others.running
 		estimated := unreported * float64(random(randomSteps)) / randomSteps
+		kept := 0
+		if last[s] {
+			kept = keptSlots(slots)
+		}
 		cost := float64(s.pendingPrefill+s.others.pendingPrefill+s.uncached(info))/prefillRate + rankCost*float64(rank) +
-			runCostMs*(float64(running)+estimated) + stats.slotCost(running+int(math.Round(estimated)), slots)
+			runCostMs*(float64(running)+estimated) + stats.slotCost(running+kept+int(math.Round(estimated)), slots)
 		if stats.minGap > 0 && !long {
 			cost += pendingPrefillCostFactor * s.meanPendingPrefill / prefillRate
 		}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/schema"
 )
@@ -143,6 +145,22 @@
 	}
 }
 
+// SetVersion sets the version of the software of some engines, with room for slots requests.
+func (e *Engines) SetVersion(version string, slots uint32, ids ...string) {
+	var views []*schema.RosterServer
+	for _, id := range ids {
+		view := proto.Clone(e.f.servers[id].view).(*schema.RosterServer)
+		view.Software, view.Slots = version, slots
+		views = append(views, view)
+	}
+	e.f.update(views, false, nil)
+}
+
+// ResumedAt returns a request that continues a stream of a version's servers.
+func ResumedAt(version, model string) *RequestInfo {
+	return &RequestInfo{Model: model, resumable: true, bound: true, version: version}
+}
+
 // ObserveRunTime records how long an engine ran a request.
 func (e *Engines) ObserveRunTime(d time.Duration) { e.f.poolStats("p").observeEnd(d) }
 
