Operators see the versions of the servers' software

What operators saw: request lines name the version to which a stream is bound, but nothing showed which versions a pool has now and how many servers of each take new work; that had to be collected from `server heard` and `server gone` lines.

Tests: TestSoftwareIsListedByVersion, and TestHarmfulCaller asks real processes of two versions.

--- a/cmd/fennelyard/harmful_test.go
+++ b/cmd/fennelyard/harmful_test.go
@@ -75,7 +75,7 @@
 
 // checkHarmfulCommands lists, shows and releases the request that is held back, each at another
 // control host. After the release each entry sends it to a server again. The commands report an
-// invalid key and an unknown key as errors.
+// invalid key and an unknown key as errors. It also lists the servers' software.
 func (s *soak) checkHarmfulCommands() {
 	address := func(i int) string { return fmt.Sprintf("%s:%d", s.controlIP(i), s.port+1) }
 	list := &schema.SuspectList{}
@@ -106,6 +106,15 @@
 		require.Equal(s.t, exitRefused, code)
 		require.Contains(s.t, errOut, "no request under suspicion has the key")
 	}
+	software := &schema.SoftwareList{}
+	code, out, errOut = runCommand("software", "--address", address(0), "--output", "json")
+	require.Equal(s.t, exitOK, code, errOut)
+	require.NoError(s.t, protojson.Unmarshal([]byte(out), software))
+	for _, v := range software.GetSoftware() {
+		require.Contains(s.t, soakVersions, v.GetVersion())
+		require.NotZero(s.t, v.GetServers())
+	}
+	require.NotEmpty(s.t, software.GetSoftware())
 	before := s.crashCount()
 	code, _, errOut = runCommand("harmful", "release", key, "--address", address(2), "--operator", "ann")
 	require.Equal(s.t, exitOK, code, errOut)
--- a/cmd/fennelyard/root.go
+++ b/cmd/fennelyard/root.go
@@ -80,7 +80,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Newf("%v: %w", err, errUsage) })
 	root.AddCommand(newServe(), newJoin(), newCheck(), newDemo(), newEntries(), newSend(), newIntent(), newPlan(),
-		newServer(), newStatus(), newHarmful(), newExplain(), newMeasure(), newPage(), newVersion(), newStandin())
+		newServer(), newStatus(), newSoftware(), newHarmful(), newExplain(), newMeasure(), newPage(), newVersion(), newStandin())
 	return root
 }
 
--- a/internal/role/suspects.go
+++ b/internal/role/suspects.go
@@ -17,13 +17,15 @@
 )
 
 // operatorHandler serves the platform's operator endpoints and, beside them, the product's
-// own endpoints for suspect requests.
+// own endpoints for suspect requests and the servers' software.
 func (c *Control) operatorHandler() http.Handler {
-	suspectRoutes := echo.New()
-	operator.RegisterSuspects(suspectRoutes, operator.SuspectsConfig{List: c.suspects.List, Release: c.releaseSuspect, Log: c.cfg.Log.WithName("quarantine")})
+	own := echo.New()
+	operator.RegisterSuspects(own, operator.SuspectsConfig{List: c.suspects.List, Release: c.releaseSuspect, Log: c.cfg.Log.WithName("quarantine")})
+	operator.RegisterSoftware(own, c.mirror.Software)
 	mux := http.NewServeMux()
-	mux.Handle(operator.SuspectsPath, suspectRoutes)
-	mux.Handle(operator.SuspectsPath+"/", suspectRoutes)
+	for _, path := range []string{operator.SuspectsPath, operator.SuspectsPath + "/", operator.SoftwarePath} {
+		mux.Handle(path, own)
+	}
 	mux.Handle("/", c.cfg.Handler(c))
 	return mux
 }
@@ -31,10 +33,8 @@
 // kindNames returns the names of the kinds of servers that this host knows.
 func (c *Control) kindNames() map[quarantine.Kind]string {
 	out := map[quarantine.Kind]string{}
-	for pool, versions := range c.mirror.Software() {
-		for _, version := range versions {
-			out[quarantine.KindOf(pool, version)] = quarantine.NameOf(pool, version)
-		}
+	for _, s := range c.mirror.Software() {
+		out[quarantine.KindOf(s.GetPool(), s.GetVersion())] = quarantine.NameOf(s.GetPool(), s.GetVersion())
 	}
 	return out
 }
--- a/internal/roster/mirror.go
+++ b/internal/roster/mirror.go
@@ -1,7 +1,9 @@
 package roster
 
 import (
+	"cmp"
 	"container/list"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -243,18 +245,28 @@
 	m.forecastsUpdated = make(chan struct{})
 }
 
-// Software returns the software versions of the servers that are not gone, by pool.
-func (m *Mirror) Software() map[string][]string {
+// Software returns the software of the servers that are not gone, by pool and version.
+func (m *Mirror) Software() []*schema.SoftwareView {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := map[string][]string{}
+	type software struct{ pool, version string }
+	views := map[software]*schema.SoftwareView{}
 	for _, s := range m.servers {
-		pool, version := s.view.GetPool(), s.view.GetSoftware()
-		if s.goneSince.IsZero() && !slices.Contains(out[pool], version) {
-			out[pool] = append(out[pool], version)
+		if !s.goneSince.IsZero() {
+			continue
+		}
+		key := software{s.view.GetPool(), s.view.GetSoftware()}
+		if views[key] == nil {
+			views[key] = &schema.SoftwareView{Pool: key.pool, Version: key.version}
+		}
+		views[key].Servers++
+		if s.view.GetState() == schema.RosterState_ROSTER_STATE_READY {
+			views[key].Ready++
 		}
 	}
-	return out
+	return slices.SortedFunc(maps.Values(views), func(a, b *schema.SoftwareView) int {
+		return cmp.Or(cmp.Compare(a.GetPool(), b.GetPool()), cmp.Compare(a.GetVersion(), b.GetVersion()))
+	})
 }
 
 // Sweep removes servers that have been gone for goneServerRetention.
--- a/internal/roster/mirror_test.go
+++ b/internal/roster/mirror_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -206,3 +207,20 @@
 	<-changed
 	require.True(t, m.Since(roster.Position{Term: 1, Change: 1}).GetConfirm())
 }
+
+// Operators see by pool and version how many servers there are and take new work, without those that are gone.
+func TestSoftwareIsListedByVersion(t *testing.T) {
+	m, _ := newMirror()
+	withVersion := func(id, version string, state schema.RosterState) *schema.RosterServer {
+		s := server(id, state)
+		s.Software = version
+		return s
+	}
+	m.Apply(leaderUpdate(1, 4, withVersion("i-1", "v1", ready), withVersion("i-2", "v1", leaving),
+		withVersion("i-3", "v2", ready), withVersion("i-4", "", gone)))
+	var got []string
+	for _, s := range m.Software() {
+		got = append(got, fmt.Sprintf("%s/%s %d %d", s.GetPool(), s.GetVersion(), s.GetServers(), s.GetReady()))
+	}
+	require.Equal(t, []string{"p/v1 2 1", "p/v2 1 1"}, got)
+}
