gateway: rejections come in groups, which entries with less than one request's share of a server counted as independent

It was on record as a test whose verdict differs between runs (TestServersThatCannotRejectAreNotOverloaded/one,_forty_entries,_overload).

Cause, traced (every rejection with its entry): few rejections, about a tenth of the limit as meant, but two within 20 to 50 ms. A server that is full rejects whatever arrives until one of its requests ends. The share of the limit that entries may use was a mean rate of rejections, as if these were independent.

Ruled out: crashes that the first one causes (most crashes had none before within seconds), entries that did not know the limit (all rejections after the first 2 s were single ones of different entries), requests sent to the start before.

Change: the load is bounded by how often the limit is exceeded: rejections a second, times the chance that as many more come within the second as the limit allows, which is at most rejections a second plus the share of slots in use for each. Once in 200 s for each server.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -358,3 +358,11 @@
 
 // All returns the addresses of the other entries.
 func (r *RecentEntries) All(now time.Time) []string { return r.entries.all(now) }
+
+// UsableLoad returns the mean number of requests that a server may have of entries that each have less
+// than one request's share of it, and ChanceOverloads how often a second its rejection limit may be exceeded.
+func UsableLoad(capacity, limit, runSeconds float64) float64 {
+	return usableLoad(capacity, limit, runSeconds)
+}
+
+const ChanceOverloads = chanceOverloads
--- a/internal/gateway/rejection_limit.go
+++ b/internal/gateway/rejection_limit.go
@@ -1,16 +1,16 @@
 package gateway
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 )
 
 const (
-	// chanceRejections is the part of a rejection limit that entries may use by chance whose share of a
-	// server's capacity is less than one request: they send at random times, and a limit of one is
-	// exceeded by two within a second.
-	chanceRejections = 0.1
+	// chanceOverloads is how often a second a server's rejection limit may be exceeded by chance by entries
+	// whose share of its capacity is less than one request: they send at random times.
+	chanceOverloads = 0.005
 	// usableLoadSteps halve the interval in which the usable load lies, and minUsableLoad is the least
 	// one: entries that send nothing would never learn that a limit has ended.
 	usableLoadSteps = 16
@@ -82,7 +82,7 @@
 	capacity, entries := f.capacity(pool, slots, info), float64(max(f.sharingEntries(), 1))
 	r := room{limited: true, runTime: f.meanRunTime(pool), whole: int(capacity / entries)}
 	if r.whole == 0 {
-		running := usableLoad(capacity, chanceRejections*max(limit, 1)*r.runTime.Seconds())
+		running := usableLoad(capacity, max(limit, 1), r.runTime.Seconds())
 		r.interval = time.Duration(float64(r.runTime) * entries / running)
 	}
 	return r
@@ -121,12 +121,12 @@
 	}
 }
 
-// usableLoad returns the mean number of requests at a server with some capacity at which requests that
-// arrive at random find it full at most rejections times in the time of a request.
-func usableLoad(capacity, rejections float64) float64 {
+// usableLoad returns the highest mean number of requests at a server at which requests that arrive at
+// random exceed its rejection limit chanceOverloads times a second. runSeconds is the time of a request.
+func usableLoad(capacity, limit, runSeconds float64) float64 {
 	low, high := 0.0, max(capacity, 1)
 	for range usableLoadSteps {
-		if load := (low + high) / 2; load*blockingProbability(load, int(max(capacity, 1))) > rejections {
+		if load := (low + high) / 2; overloadsPerSecond(load, max(capacity, 1), limit, runSeconds) > chanceOverloads {
 			high = load
 		} else {
 			low = load
@@ -135,6 +135,15 @@
 	return max(low, minUsableLoad)
 }
 
+// overloadsPerSecond returns an upper bound of how often a second more than limit requests are rejected
+// within one second. Rejections come together: until one of a full server's requests ends, whatever
+// arrives is rejected as well.
+func overloadsPerSecond(load, capacity, limit, runSeconds float64) float64 {
+	rejections := load / runSeconds * blockingProbability(load, int(capacity))
+	whileFull := load / capacity
+	return rejections * math.Pow(min(rejections+whileFull, 1), math.Floor(limit))
+}
+
 // blockingProbability returns the probability that a request which arrives at random finds all slots of
 // a server taken that has load requests on average (Erlang's B formula).
 func blockingProbability(load float64, slots int) float64 {
