gateway: the continuation of a stream that is not sent costs no retry

What callers saw: streams that broke off were cut though servers of their version had room. Found by reading: each time that a continuation got no permit after all, or was withheld as its connection stood, it took another retry from the budget, though nothing had been sent. Many that break off at once before a limited server, or before one that asks for a cooldown, spend the budget so.

Change: a retry that was taken is kept until a request has been sent for it.

--- a/internal/gateway/cooldown_test.go
+++ b/internal/gateway/cooldown_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -197,6 +198,49 @@
 	require.GreaterOrEqual(t, resumedAt.Load().Sub(*rejectedAt.Load()), 300*time.Millisecond)
 }
 
+// A stream breaks off, and while its continuation connects to the only other server, that one asks for a short
+// cooldown. The continuation that was not sent must not cost a retry: many streams that break off at once would spend
+// the budget without sending anything, and be cut.
+func TestContinuationThatIsNotSentCostsNoRetry(t *testing.T) {
+	handle := func(conn net.Conn, request *http.Request) {
+		if request.Header.Get("X-After") == "2" {
+			streamEvents(3, 4, true)(conn, request)
+			return
+		}
+		streamEvents(1, 2, false)(conn, request)
+	}
+	backends := map[string]*backend{"s0": newBackend(t, handle), "s1": newBackend(t, handle)}
+	var tg *testGateway
+	var mu sync.Mutex
+	var first string
+	dials := 0
+	sender := relay.NewSender(relay.Config{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if first == "" {
+			first = address
+		}
+		// The first server is dialed again to find out whether it has ended.
+		if address != first {
+			if dials++; dials == 1 {
+				for id, b := range backends {
+					if b.l.Addr().String() == address {
+						tg.g.CarriedCooldown(id, 300*time.Millisecond)
+					}
+				}
+			}
+		}
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}})
+	// Each request adds one retry, and nothing else does.
+	budget := gateway.RetryBudgetConfig{Ratio: 1.25, Window: time.Hour, Burst: 100}
+	tg = startTestGatewayWithSender(t, budget, logr.Discard(), sender, backends["s0"], backends["s1"])
+	got := tg.call(t, "/resume/x", "body", "m")
+	require.False(t, got.interrupted)
+	require.Equal(t, "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\nid: 4\ndata: e4\n\n", got.body)
+	require.Equal(t, 2, dials)
+}
+
 // A server that has stated that it leaves vanishes from the leader's updates, and a new leader sends
 // it as ready. Only its next start takes requests.
 func TestStatedDepartureOutlivesTheServerInUpdates(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -124,6 +124,8 @@
 // resume continues the stream at another server after the event lastID. It returns nil if no
 // server can. ended must be called at the end of the stream.
 func (x *exchange) resume(lastID int64) (s *server, response *relay.Response, ended func()) {
+	// reserved is set while a retry has been taken from the budget and nothing has been sent for it.
+	reserved := false
 	for {
 		if x.route.GetRepeat() != schema.Repeat_REPEAT_RESUME || x.runs >= int(x.route.GetMaxAttempts()) {
 			return nil, nil, nil
@@ -144,9 +146,10 @@
 			}
 			continue
 		}
-		if s == nil || remaining < minTimeLeft || !x.g.retryBudget(x.pool).withdraw(time.Now(), x.g.sharingEntries()) {
+		if s == nil || remaining < minTimeLeft || !reserved && !x.g.retryBudget(x.pool).withdraw(time.Now(), x.g.sharingEntries()) {
 			return nil, nil, nil
 		}
+		reserved = true
 		stamp, admitted := x.g.fleet.admit(s, &x.info)
 		if !admitted {
 			continue
@@ -155,6 +158,7 @@
 		x.attempts++
 		ended = x.g.fleet.requestResumed(s)
 		response, responseInfo, err := x.send(x.ctx, s, remaining, lastID, stamp)
+		reserved = errors.Is(err, relay.ErrNotSent)
 		if err != nil || responseInfo.NotRun {
 			if err != nil && !errors.Is(err, relay.ErrNotSent) {
 				x.g.fleet.requestAbandoned(s, time.Now())
