gateway: a misdirected request ends no rejection limit

What callers saw: servers at one rejection a second could be overloaded for up to a minute after a request of that pool had met a server of another one, at an address that is used again: its response states no rejection limit, which ended that of the pool. Limits for requests had this check, rejection limits had not.

TestOnlyResponsesOfTheServiceEndLimits: "misdirected" fails before; each of the four conditions taken out makes it fail.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -50,7 +50,12 @@
 
 // SetRejectionLimit records that a response has stated a rejection limit.
 func (g *Gateway) SetRejectionLimit(pool string, perSecond float64) {
-	g.fleet.rejectionLimits.Observe(pool, perSecond, time.Now())
+	g.SetOldRejectionLimit(pool, perSecond, 0)
+}
+
+// SetOldRejectionLimit records that a response has stated a rejection limit some time ago.
+func (g *Gateway) SetOldRejectionLimit(pool string, perSecond float64, age time.Duration) {
+	g.fleet.rejectionLimits.Observe(pool, perSecond, time.Now().Add(-age))
 }
 
 // AbandonedRequests returns the number of abandoned requests that have kept their places at servers.
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -80,3 +80,35 @@
 		require.Equal(t, "e1", e.Send(&gateway.RequestInfo{Model: "m"}))
 	}
 }
+
+// Something between an entry and a server responds, or a server that does not take the request: they know of no
+// limit, and entries that took it for ended would overload the server.
+func TestOnlyResponsesOfTheServiceEndLimits(t *testing.T) {
+	for name, test := range map[string]struct {
+		handle func(net.Conn, *http.Request)
+		// limits and rejectionLimits are how many limits hold afterwards.
+		limits, rejectionLimits int
+	}{
+		"service":     {respondOK, 0, 0},
+		"unsigned":    {respond(http.StatusOK, "", "done"), 1, 1},
+		"not run":     {respond(http.StatusServiceUnavailable, signed+"X-Not-Run: 1\r\n", ""), 1, 0},
+		"misdirected": {respond(http.StatusMisdirectedRequest, signed, ""), 1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, test.handle)
+			tg := newTestGateway(t, b)
+			tg.g.SetConfirmationAge(0)
+			tg.g.ApplyServers(false, &schema.RosterServer{
+				Id: "s0", Pool: "p", Address: b.l.Addr().String(), Models: []*schema.HeldModel{{Name: "m"}},
+				Limit: &schema.RequestLimit{Limited: true, PerSecond: 1000, Revision: 1},
+			})
+			tg.g.SetOldRejectionLimit("p", 1000, 10*time.Second)
+			tg.g.AddPermits("s0", 1)
+			tg.call(t, "/once/x", "body", "m")
+			require.EqualValues(t, 1, b.requests.Load())
+			state := tg.g.State()
+			require.Equal(t, test.limits, state.LimitedServers)
+			require.Equal(t, test.rejectionLimits, state.RejectionLimits)
+		})
+	}
+}
--- a/internal/gateway/rejection_limit.go
+++ b/internal/gateway/rejection_limit.go
@@ -23,7 +23,8 @@
 )
 
 // rejectionLimitStated applies the rejection limit that a response states. It holds for all servers of
-// the pool: the others state the same, and one that starts again has stated nothing yet.
+// the pool: the others state the same, and one that starts again has stated nothing yet. A misdirected
+// request may have reached a server of another pool, which knows of no limit here.
 func (x *exchange) rejectionLimitStated(s *server, responseInfo ResponseInfo) {
 	stated := responseInfo.RejectionLimit
 	switch {
@@ -32,7 +33,7 @@
 	case stated.Limited && x.g.fleet.rejectionLimits.Observe(x.pool, stated.PerSecond, time.Now()):
 		x.g.reportNow()
 		x.g.cfg.Log.Info("servers state a rejection limit", "pool", x.pool, "server", s.id, "per-second", stated.PerSecond, "request", x.info.ID)
-	case !stated.Limited && responseInfo.Signed && x.g.fleet.rejectionLimits.ObserveNone(x.pool, time.Now()):
+	case !stated.Limited && responseInfo.Signed && !responseInfo.Misdirected && x.g.fleet.rejectionLimits.ObserveNone(x.pool, time.Now()):
 		x.g.cfg.Log.Info("servers state no rejection limit", "pool", x.pool, "server", s.id, "request", x.info.ID)
 	}
 }
