--- a/internal/gateway/cooldown_test.go
+++ b/internal/gateway/cooldown_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -263,6 +264,27 @@
 	require.True(t, e.HasEngine(info))
 }
 
+// A server leaves for longer than departures are kept of servers that have vanished, and then vanishes and is sent as
+// ready by a new leader. It must not get requests while it is still leaving.
+func TestDepartureIsKeptAsLongAsItsServerIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := gateway.NewEngines(0)
+		id := incarnationKey("e", time.Now().UnixMilli())
+		view := func(id string, state schema.RosterState) *schema.RosterServer {
+			return &schema.RosterServer{Id: id, Pool: "p", State: state, Models: []*schema.HeldModel{{Name: "m"}}}
+		}
+		e.ApplyServers(view(id, schema.RosterState_ROSTER_STATE_READY))
+		e.RecordDeparture(id)
+		for range 10 {
+			time.Sleep(time.Minute)
+			e.ApplyServers()
+		}
+		e.ApplyServers(view(id, schema.RosterState_ROSTER_STATE_GONE))
+		e.ApplyServers(view(id, schema.RosterState_ROSTER_STATE_READY))
+		require.False(t, e.HasEngine(&gateway.RequestInfo{Model: "m"}))
+	})
+}
+
 // A server starts again under its id while an entry has no updates, and its responses state that it
 // leaves. The entry must not take it for a server that does not leave once it knows of the start.
 func TestDepartureOfAStartThatIsNotKnownYet(t *testing.T) {
