Tests: cooldowns take no permits, servers with one are not probed, limits go with servers that are gone

Three safeguards of which no test failed when they were taken out (the order of the checks in fleet.admit, the gateway's MayProbe, both conditions of mergeLimit). Each of them taken out makes one fail now.

--- a/internal/gateway/cooldown_test.go
+++ b/internal/gateway/cooldown_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/require"
 
 	"fennelyard/internal/gateway"
@@ -199,6 +201,56 @@
 	require.GreaterOrEqual(t, resumedAt.Load().Sub(*rejectedAt.Load()), 300*time.Millisecond)
 }
 
+// A request is refused for a cooldown that was stated after its engine was chosen. Its permit must remain for the next
+// one: the leader grants no other in its place, and a server with a low limit would be idle.
+func TestCooldownTakesNoPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const wait = 200 * time.Millisecond
+		e := gateway.NewEngines(1)
+		e.ApplyServers(&schema.RosterServer{
+			Id: "e0", Pool: "p", Models: []*schema.HeldModel{{Name: "m"}}, Limit: &schema.RequestLimit{Limited: true, PerSecond: 1, Revision: 1},
+		})
+		e.AddPermits("e0", 1)
+		e.RecordCooldown("e0", wait)
+		info := &gateway.RequestInfo{Model: "m"}
+		require.False(t, e.Admit("e0", info))
+		time.Sleep(2 * wait)
+		require.True(t, e.Admit("e0", info))
+		require.False(t, e.Admit("e0", info))
+	})
+}
+
+// A server asks for a cooldown and breaks an attempt off. An entry that connects to it to find out whether it has ended
+// does what it was asked not to do.
+func TestServersWithACooldownAreNotProbed(t *testing.T) {
+	for name, cools := range map[string]bool{"cooldown": true, "no cooldown": false} {
+		t.Run(name, func(t *testing.T) {
+			var tg *testGateway
+			b := newBackend(t, func(conn net.Conn, request *http.Request) {
+				if cools {
+					tg.g.CarriedCooldown("s0", 10*time.Second)
+				}
+				closeConnection(conn, request)
+			})
+			var dials atomic.Int64
+			sender := relay.NewSender(relay.Config{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+				dials.Add(1)
+				return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			}})
+			judged := make(chan struct{}, 1)
+			log := funcr.New(func(_, args string) {
+				if strings.Contains(args, "attempts broke off") {
+					judged <- struct{}{}
+				}
+			}, funcr.Options{})
+			tg = startTestGatewayWithSender(t, gateway.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Millisecond, Burst: 100}, log, sender, b)
+			tg.call(t, "/once/x", "body", "")
+			<-judged
+			require.Equal(t, cools, dials.Load() == 1, "%d dials", dials.Load())
+		})
+	}
+}
+
 // A stream breaks off, and while its continuation connects to the only other server, that one asks for a short
 // cooldown. The continuation that was not sent must not cost a retry: many streams that break off at once would spend
 // the budget without sending anything, and be cut.
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -105,6 +105,17 @@
 	return s.view.GetId()
 }
 
+// Admit reports whether a request may be sent to an engine now, and takes what it needs.
+func (e *Engines) Admit(id string, info *RequestInfo) bool {
+	_, ok := e.f.admit(e.f.servers[id], info)
+	return ok
+}
+
+// RecordCooldown records that an engine has just asked for a cooldown.
+func (e *Engines) RecordCooldown(id string, wait time.Duration) {
+	e.f.observeCooldown(e.f.servers[id], wait, time.Now())
+}
+
 // RecordDeparture records that a response of an engine states that it leaves.
 func (e *Engines) RecordDeparture(id string) { e.f.recordDeparture(e.f.servers[id], time.Now()) }
 
--- a/internal/roster/limits_test.go
+++ b/internal/roster/limits_test.go
@@ -61,6 +61,31 @@
 	require.True(t, proto.Equal(limited.GetLimit(), r.Limits()["s1"]))
 }
 
+// A server that has ended has no limit that a new leader must know, and one that is sent again after its end does not
+// get the old one: entries would wait for permits that nobody grants.
+func TestLimitsOfServersThatAreGoneAreNotMerged(t *testing.T) {
+	for name, end := range map[string]*schema.LeaderNews{
+		"sent as gone":  leaderUpdate(2, 1, server("s1", gone)),
+		"not sent":      {Known: &schema.RosterPosition{Term: 2, Change: 1}, Settled: true},
+		"both at once":  {Known: &schema.RosterPosition{Term: 2, Change: 1}, Settled: true, Servers: []*schema.RosterServer{server("s1", gone)}},
+		"another first": leaderUpdate(2, 1, server("s2", ready), server("s1", gone)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			m, _ := newMirror()
+			limited := server("s1", ready)
+			limited.Limit = &schema.RequestLimit{Limited: true, PerSecond: 2, Revision: 3}
+			require.True(t, m.Apply(leaderUpdate(1, 5, limited)))
+			require.True(t, m.Apply(end))
+			require.Empty(t, m.TakeNewerLimits())
+			require.True(t, m.Apply(leaderUpdate(2, 2, server("s1", ready))))
+			require.Empty(t, m.TakeNewerLimits())
+			for _, v := range m.Since(roster.Position{}).GetServers() {
+				require.Nil(t, v.GetLimit())
+			}
+		})
+	}
+}
+
 // Entries that vanish without a graceful stop may still send requests.
 func TestLostEntriesAreCounted(t *testing.T) {
 	r, c := newRoster()
