--- a/internal/consensus/member.go
+++ b/internal/consensus/member.go
@@ -19,6 +19,8 @@
 	ErrOverwritten = errors.New("the proposal was overwritten")
 	// ErrStopped is returned if the member has stopped.
 	ErrStopped = errors.New("the member has stopped")
+
+	errSnapshotNotWhole = errors.New("the snapshot has no membership")
 )
 
 const (
@@ -72,6 +74,10 @@
 	// MembersChanged, if set, is called when the membership or the set of silent
 	// voters changes. It must not block.
 	MembersChanged func(MemberStatus)
+	// SnapshotDamaged, if set, is called when the stored snapshot can't be read, or when
+	// another member, from, sends one that is not whole; from is 0 for the stored one. It
+	// must not block.
+	SnapshotDamaged func(from, index uint64, err error)
 }
 
 type proposal struct {
@@ -283,7 +289,7 @@
 		case <-ticks:
 			m.tick()
 		case msg := <-m.inbox:
-			m.core.Step(msg)
+			m.step(msg)
 		case p := <-m.proposals:
 			m.propose(p)
 		case r := <-m.readRequests:
@@ -305,7 +311,7 @@
 	for range batchLimit {
 		select {
 		case msg := <-m.inbox:
-			m.core.Step(msg)
+			m.step(msg)
 		case p := <-m.proposals:
 			m.propose(p)
 		default:
@@ -360,7 +366,9 @@
 				return err
 			}
 		}
-		m.sendAll(r.Messages)
+		if err := m.sendAll(r.Messages); err != nil {
+			return err
+		}
 		m.apply(r.Committed)
 		m.readyReads = append(m.readyReads, r.Reads...)
 		m.core.Advance(r)
@@ -385,11 +393,15 @@
 	return nil
 }
 
-func (m *Member) sendAll(messages []*schema.ConsensusMessage) {
+func (m *Member) sendAll(messages []*schema.ConsensusMessage) error {
 	byMember := map[uint64][]*schema.ConsensusMessage{}
 	for _, msg := range messages {
 		if msg.GetKind() == schema.MessageKind_MESSAGE_KIND_SNAPSHOT {
-			m.fillSnapshot(msg)
+			s, err := m.readSnapshot()
+			if err != nil {
+				return err
+			}
+			msg.Snapshot = s
 		}
 		byMember[msg.GetTo()] = append(byMember[msg.GetTo()], msg)
 	}
@@ -398,16 +410,35 @@
 			m.cfg.Send(to, batch)
 		}
 	}
+	return nil
 }
 
-func (m *Member) fillSnapshot(msg *schema.ConsensusMessage) {
+// readSnapshot returns the stored snapshot. If it can't be read, a new one of the state
+// machine, which has the state of at least that snapshot, replaces it.
+func (m *Member) readSnapshot() (*schema.SnapshotState, error) {
 	s, err := m.cfg.Storage.Snapshot()
-	if err != nil {
-		// The message keeps the index and term set by the core, but has no
-		// membership and no data.
-		return
+	if err == nil {
+		return s, nil
+	}
+	m.snapshotDamaged(0, m.lastSnapshotIndex, err)
+	if s, err = m.saveSnapshot(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (m *Member) snapshotDamaged(from, index uint64, err error) {
+	if m.cfg.SnapshotDamaged != nil {
+		m.cfg.SnapshotDamaged(from, index, err)
 	}
-	msg.Snapshot = s
+}
+
+// step passes a message of another member to the core.
+func (m *Member) step(msg *schema.ConsensusMessage) {
+	if msg.GetKind() == schema.MessageKind_MESSAGE_KIND_SNAPSHOT && !isWhole(msg.GetSnapshot()) {
+		m.snapshotDamaged(msg.GetFrom(), msg.GetSnapshot().GetIndex(), errSnapshotNotWhole)
+	}
+	m.core.Step(msg)
 }
 
 // memberByID returns the member with an id, or a member with the id only if the
@@ -476,21 +507,32 @@
 	if m.applied < m.lastSnapshotIndex+m.cfg.SnapshotAfter {
 		return nil
 	}
+	if _, ok := m.core.log.term(m.applied); !ok {
+		return nil
+	}
+	if _, err := m.saveSnapshot(); err != nil {
+		return err
+	}
+	m.core.Compact(m.applied - min(m.applied, m.cfg.SnapshotAfter/retainedEntriesDivisor))
+	return nil
+}
+
+// saveSnapshot stores and returns a snapshot of everything applied.
+func (m *Member) saveSnapshot() (*schema.SnapshotState, error) {
 	data, err := m.cfg.StateMachine.Snapshot()
 	if err != nil {
-		return errors.Newf("take snapshot: %w", err)
+		return nil, errors.Newf("take snapshot: %w", err)
 	}
 	term, ok := m.core.log.term(m.applied)
 	if !ok {
-		return nil
+		return nil, errors.Newf("take snapshot: the log does not reach back to %d", m.applied)
 	}
 	s := &schema.SnapshotState{
 		Index: m.applied, Term: term, Membership: m.core.MembershipAt(m.applied), Data: data,
 	}
-	if err := m.cfg.Storage.SaveSnapshot(s); err != nil {
-		return errors.Newf("the snapshot could not be synced: %w", err)
+	if err = m.cfg.Storage.SaveSnapshot(s); err != nil {
+		return nil, errors.Newf("the snapshot could not be synced: %w", err)
 	}
 	m.lastSnapshotIndex = m.applied
-	m.core.Compact(m.applied - min(m.applied, m.cfg.SnapshotAfter/retainedEntriesDivisor))
-	return nil
+	return s, nil
 }
--- a/internal/consensus/member_test.go
+++ b/internal/consensus/member_test.go
@@ -40,6 +40,9 @@
 	applied []string
 }
 
+// snapshotMarker follows the number of commands in a snapshot of the state machine.
+const snapshotMarker = " commands of this state machine"
+
 func newGroup(t testing.TB, size int, tick time.Duration) *group {
 	return newReplacingGroup(t, size, tick, 0)
 }
@@ -82,7 +85,7 @@
 			Snapshot: func() ([]byte, error) {
 				member.mu.Lock()
 				defer member.mu.Unlock()
-				return []byte(fmt.Sprint(len(member.applied))), nil
+				return []byte(fmt.Sprint(len(member.applied), snapshotMarker)), nil
 			},
 			Restore: func(data []byte) error {
 				member.mu.Lock()
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -135,6 +135,9 @@
 			voters, learners := hostsOf(s.Membership)
 			g.cfg.Log.Info("control members", "voters", voters, "learners", learners, "silent", s.SilentVoters, "size", s.Membership.GetSize())
 		},
+		SnapshotDamaged: func(from, index uint64, err error) {
+			g.cfg.Log.Info("snapshot damaged", "from", from, "index", index, "error", err.Error())
+		},
 	})
 	if err != nil {
 		return errors.Newf("start control member: %w", err)
