membership: a host's own fact that was handed out does not change

What others could receive: a fact that changed while it was encoded, with an incarnation that the host has not announced. Found by reading: refute raised the incarnation of the record that probes on their way share, before it replaced it. TestFactsThatWereHandedOutDoNotChange fails before. Also under the race detector.

--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -161,7 +161,7 @@
 	if left {
 		state = schema.HostState_HOST_STATE_LEFT
 	}
-	l.updateSelf(state, true)
+	l.updateSelf(l.self.GetIncarnation(), state, true)
 	var out []Datagram
 	for _, h := range l.order {
 		out = append(out, l.ping(h))
@@ -169,11 +169,11 @@
 	return out
 }
 
-// updateSelf changes this host's own fact and raises its incarnation, so that it
-// supersedes the facts that other hosts have.
-func (l *List) updateSelf(state schema.HostState, stopping bool) {
+// updateSelf replaces this host's own fact by one that supersedes those that other hosts
+// have, the latest of which has the incarnation latest. The old one may be on its way.
+func (l *List) updateSelf(latest uint64, state schema.HostState, stopping bool) {
 	l.self = &schema.HostFact{
-		Host: l.self.GetHost(), Incarnation: l.self.GetIncarnation() + 1, State: state,
+		Host: l.self.GetHost(), Incarnation: latest + 1, State: state,
 		Load: l.self.GetLoad(), Stopping: stopping,
 	}
 	l.changed = true
@@ -388,8 +388,7 @@
 	if f.GetIncarnation() == l.self.GetIncarnation() && f.GetState() <= l.self.GetState() {
 		return
 	}
-	l.self.Incarnation = f.GetIncarnation()
-	l.updateSelf(l.self.GetState(), l.self.GetStopping())
+	l.updateSelf(f.GetIncarnation(), l.self.GetState(), l.self.GetStopping())
 }
 
 func (l *List) setFact(now time.Time, f *schema.HostFact) {
--- a/internal/membership/list_test.go
+++ b/internal/membership/list_test.go
@@ -172,3 +172,25 @@
 	n.deliver("h02", n.lists["h02"].AnnounceStop(true))
 	n.requireState(t, "h02", left)
 }
+
+// A host refutes a suspicion of a later incarnation while its own fact is on the way to others: they received a fact that
+// changed as it was encoded.
+func TestFactsThatWereHandedOutDoNotChange(t *testing.T) {
+	n := newNetwork(2)
+	l := n.lists["h00"]
+	handedOut := []*schema.HostFact{l.Facts()[0]}
+	for _, d := range l.Tick(n.now) {
+		handedOut = append(handedOut, d.Probe.GetFacts()...)
+	}
+	var before []string
+	for _, f := range handedOut {
+		before = append(before, f.String())
+	}
+	l.Receive(n.now, &schema.Probe{Kind: schema.ProbeKind_PROBE_KIND_PING, From: "h01", Facts: []*schema.HostFact{
+		{Host: "h00", Incarnation: 7, State: schema.HostState_HOST_STATE_SUSPECT},
+	}})
+	require.EqualValues(t, 8, l.Facts()[0].GetIncarnation(), "refuted")
+	for i, f := range handedOut {
+		require.Equal(t, before[i], f.String())
+	}
+}
