--- a/internal/gateway/access_test.go
+++ b/internal/gateway/access_test.go
@@ -119,6 +119,32 @@
 	require.Equal(t, int64(1), a.requests.Load()+b.requests.Load())
 }
 
+// A key is revoked while a stream runs, and its server fails: the stream must not go on at another one with a key that
+// has been revoked everywhere.
+func TestKeyRevokedWhileAStreamRuns(t *testing.T) {
+	for name, keys := range map[string][]string{"revoked": {"other"}, "another added": {"k1", "other"}} {
+		t.Run(name, func(t *testing.T) {
+			var tg *testGateway
+			handle := func(conn net.Conn, request *http.Request) {
+				if request.Header.Get("X-After") == "2" {
+					streamEvents(3, 4, true)(conn, request)
+					return
+				}
+				tg.g.Configure(configurationWithTeams(3, teamWithKeys("a", nil, keys...)))
+				streamEvents(1, 2, false)(conn, request)
+			}
+			a, b := newBackend(t, handle), newBackend(t, handle)
+			tg = newTestGatewayWithTeams(t, []*schema.Team{teamWithKeys("a", nil, "k1")}, a, b)
+			require.Equal(t, http.StatusOK, tg.callWithKey(t, "/resume/x", "k1").status)
+			want := int64(1)
+			if len(keys) > 1 {
+				want = 2
+			}
+			require.Equal(t, want, a.requests.Load()+b.requests.Load())
+		})
+	}
+}
+
 // An entry is frozen, or its connection delayed, with a control host's update in its socket.
 // When it is read late, the update must not count as a recent confirmation.
 func TestLateUpdateDoesNotConfirm(t *testing.T) {
