asynclog: lines that were dropped are reported at the end as well, and Close may be called twice

What operators saw: a process that ends while its output is behind left no trace of the lines that were dropped since the last report; a second Close panicked. Found by reading. TestCloseReportsDroppedLines fails before for both (the panic hides the other; taken out alone, the report at the end makes it fail as well).

--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,11 +39,14 @@
 	out     io.Writer
 	buffer  chan []byte
 	dropped atomic.Int64
-	stop    chan struct{}
-	done    chan struct{}
+	// reported is the number of dropped lines that have been reported; used by run only.
+	reported int64
+	stop     chan struct{}
+	stopOnce sync.Once
+	done     chan struct{}
 }
 
-// New starts a Writer that writes to out. Close must be called once to stop it.
+// New starts a Writer that writes to out. Close must be called to stop it.
 func New(out io.Writer) *Writer {
 	w := &Writer{out: out, buffer: make(chan []byte, bufferSize), stop: make(chan struct{}), done: make(chan struct{})}
 	go func() {
@@ -53,23 +57,30 @@
 }
 
 func (w *Writer) run() {
-	var reported int64
 	for {
 		select {
 		case line := <-w.buffer:
 			w.write(w.batch(line))
 		case <-w.stop:
 			w.flush()
+			w.reportDropped()
 			return
 		}
-		if n := w.dropped.Load(); n > reported && len(w.buffer) == 0 {
-			w.write(fmt.Appendf(nil, "{\"time\":%q,\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n",
-				time.Now().Format(time.RFC3339Nano), n-reported))
-			reported = n
+		if len(w.buffer) == 0 {
+			w.reportDropped()
 		}
 	}
 }
 
+// reportDropped writes how many lines have been dropped since the last report, if any.
+func (w *Writer) reportDropped() {
+	if n := w.dropped.Load(); n > w.reported {
+		w.write(fmt.Appendf(nil, "{\"time\":%q,\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n",
+			time.Now().Format(time.RFC3339Nano), n-w.reported))
+		w.reported = n
+	}
+}
+
 // batch waits for batchDelay, or until the Writer is closed, and returns the given line
 // together with those received until then, up to about maxBatchBytes.
 func (w *Writer) batch(lines []byte) []byte {
@@ -106,9 +117,9 @@
 }
 
 // Close writes the buffered lines and stops the Writer. It waits for the output for at
-// most flushTimeout.
+// most flushTimeout. Further calls do nothing but wait.
 func (w *Writer) Close() {
-	close(w.stop)
+	w.stopOnce.Do(func() { close(w.stop) })
 	select {
 	case <-w.done:
 	case <-time.After(flushTimeout):
--- a/internal/asynclog/asynclog_test.go
+++ b/internal/asynclog/asynclog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"strings"
 	"sync"
@@ -49,6 +50,28 @@
 	require.Equal(t, 500, strings.Count(out.buf.String(), `"msg":"state change"`))
 }
 
+// A process ends while its output is behind: the last lines must say that others are missing. It is closed by whoever
+// stops it and by a deferred call.
+func TestCloseReportsDroppedLines(t *testing.T) {
+	for range 20 {
+		out := &stalledWriter{open: make(chan struct{})}
+		w := asynclog.New(out)
+		log := w.Requests(0)
+		for range 6000 {
+			log.Info("request")
+		}
+		dropped := w.Dropped()
+		require.Positive(t, dropped)
+		close(out.open)
+		w.Close()
+		w.Close()
+		out.mu.Lock()
+		require.Equal(t, 6000-int(dropped), strings.Count(out.buf.String(), `"msg":"request"`))
+		require.Contains(t, out.buf.String(), fmt.Sprintf(`"msg":"log lines dropped","count":%d}`, dropped))
+		out.mu.Unlock()
+	}
+}
+
 // countingWriter counts the write calls and the lines.
 type countingWriter struct{ calls, lines int }
 
