consensus: a change of the membership that arrives damaged is not appended

What could happen: a member appended the entry, dropped the membership in it without a word, and counted the old quorum from then on. Found by reading; TestDamagedMembershipIsNotAppended fails before.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -358,7 +358,8 @@
 
 // Step processes a message from another member.
 func (c *Core) Step(m *schema.ConsensusMessage) {
-	if m.GetTo() != c.cfg.ID {
+	if m.GetTo() != c.cfg.ID || damage(m) != nil {
+		// A leader sends again what has no reply.
 		return
 	}
 	switch {
--- a/internal/consensus/unreadable_snapshot_test.go
+++ b/internal/consensus/damaged_test.go
@@ -79,3 +79,21 @@
 		require.Len(t, c.Membership().GetMembers(), 3, name)
 	}
 }
+
+// A change of the membership arrives damaged. A member that drops the change alone, and keeps its entry, counts the
+// wrong quorum from then on.
+func TestDamagedMembershipIsNotAppended(t *testing.T) {
+	c := newCore(2)
+	damaged := &schema.LogEntry{Index: 2, Term: 2, Kind: schema.EntryKind_ENTRY_KIND_MEMBERSHIP, Data: []byte{0xff}}
+	for name, entries := range map[string][]*schema.LogEntry{
+		"alone": {damaged}, "after others": {entryAt(2, 2, "a"), {Index: 3, Term: 2, Kind: damaged.GetKind(), Data: damaged.GetData()}},
+	} {
+		c.Step(&schema.ConsensusMessage{
+			Kind: schema.MessageKind_MESSAGE_KIND_APPEND, From: 1, To: 2, Term: 2, Index: consensus.FirstIndex, LogTerm: 1, Entries: entries,
+		})
+		for _, sent := range processReady(c) {
+			require.NotEqual(t, schema.MessageKind_MESSAGE_KIND_APPEND_REPLY, sent.GetKind(), name)
+		}
+		require.EqualValues(t, consensus.FirstIndex, c.Last(), name)
+	}
+}
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -175,8 +175,8 @@
 		return
 	}
 	m := &schema.Membership{}
-	// The data was encoded by the proposer, and its checksum is verified when it is
-	// read from disk.
+	// Damaged entries are not received, and checksums are verified when entries are read
+	// from disk.
 	if err := proto.Unmarshal(e.GetData(), m); err != nil {
 		return
 	}
--- a/internal/consensus/member.go
+++ b/internal/consensus/member.go
@@ -19,8 +19,6 @@
 	ErrOverwritten = errors.New("the proposal was overwritten")
 	// ErrStopped is returned if the member has stopped.
 	ErrStopped = errors.New("the member has stopped")
-
-	errSnapshotNotWhole = errors.New("the snapshot has no membership")
 )
 
 const (
@@ -74,10 +72,10 @@
 	// MembersChanged, if set, is called when the membership or the set of silent
 	// voters changes. It must not block.
 	MembersChanged func(MemberStatus)
-	// SnapshotDamaged, if set, is called when the stored snapshot can't be read, or when
-	// another member, from, sends one that is not whole; from is 0 for the stored one. It
-	// must not block.
-	SnapshotDamaged func(from, index uint64, err error)
+	// Damaged, if set, is called when the stored snapshot can't be read, for which from is
+	// 0, or when another member sends something that must not change the state. It must not
+	// block.
+	Damaged func(from uint64, err error)
 }
 
 type proposal struct {
@@ -420,23 +418,24 @@
 	if err == nil {
 		return s, nil
 	}
-	m.snapshotDamaged(0, m.lastSnapshotIndex, err)
+	m.damaged(0, err)
 	if s, err = m.saveSnapshot(); err != nil {
 		return nil, err
 	}
 	return s, nil
 }
 
-func (m *Member) snapshotDamaged(from, index uint64, err error) {
-	if m.cfg.SnapshotDamaged != nil {
-		m.cfg.SnapshotDamaged(from, index, err)
+func (m *Member) damaged(from uint64, err error) {
+	if m.cfg.Damaged != nil {
+		m.cfg.Damaged(from, err)
 	}
 }
 
 // step passes a message of another member to the core.
 func (m *Member) step(msg *schema.ConsensusMessage) {
-	if msg.GetKind() == schema.MessageKind_MESSAGE_KIND_SNAPSHOT && !isWhole(msg.GetSnapshot()) {
-		m.snapshotDamaged(msg.GetFrom(), msg.GetSnapshot().GetIndex(), errSnapshotNotWhole)
+	if err := damage(msg); err != nil {
+		m.damaged(msg.GetFrom(), err)
+		return
 	}
 	m.core.Step(msg)
 }
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -183,15 +183,8 @@
 	return hint
 }
 
-// isWhole reports whether a snapshot can replace a member's state.
-func isWhole(s *schema.SnapshotState) bool { return len(s.GetMembership().GetMembers()) > 0 }
-
 func (c *Core) handleSnapshot(m *schema.ConsensusMessage) {
 	s := m.GetSnapshot()
-	if !isWhole(s) {
-		// The leader sends another one after snapshotTimeoutElections.
-		return
-	}
 	reply := &schema.ConsensusMessage{
 		Kind: schema.MessageKind_MESSAGE_KIND_APPEND_REPLY, To: m.GetFrom(), Term: c.term, Round: m.GetRound(),
 	}
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -135,8 +135,8 @@
 			voters, learners := hostsOf(s.Membership)
 			g.cfg.Log.Info("control members", "voters", voters, "learners", learners, "silent", s.SilentVoters, "size", s.Membership.GetSize())
 		},
-		SnapshotDamaged: func(from, index uint64, err error) {
-			g.cfg.Log.Info("snapshot damaged", "from", from, "index", index, "error", err.Error())
+		Damaged: func(from uint64, err error) {
+			g.cfg.Log.Info("control state damaged", "from", from, "error", err.Error())
 		},
 	})
 	if err != nil {
