control: a host that was removed while it was away joins again

What operators would have seen: a control host that was stopped, without power or cut off for more than 2.5 s never was a voter again, though it was back with its disk: one vote less after each restart, and no quorum after a few.

Cause: hosts asked to join only if they were no voters by their own membership, which for a host that was away is that of before. Its pre-votes are ignored as there is a leader.

Change: a member that knows no leader asks to join as well, once a second; a leader takes that up only for who is no voter.

Ruled out: keeping silent voters longer (a partition may last for hours), raising the size earlier (a host that is away for longer than the founders were together is removed all the same).

Before: TestHostThatWasAwayIsAVoterAgain fails in all three cases (stopped, without power, partitioned).

--- a/internal/control/form.go
+++ b/internal/control/form.go
@@ -17,8 +17,8 @@
 	// helloTimeout is the timeout for each host. A reply takes milliseconds, and a
 	// host that is down must not delay the queries to other hosts for long.
 	helloTimeout = 700 * time.Millisecond
-	// rejoinInterval is the interval at which a member that is not a voter requests
-	// to join.
+	// rejoinInterval is the interval at which a member that is not a voter, or may no
+	// longer be one, requests to join.
 	rejoinInterval = time.Second
 )
 
@@ -219,7 +219,8 @@
 	return reply, nil
 }
 
-// rejoin repeats the join requests while this member is not a voter.
+// rejoin repeats the join requests while this member is not a voter, or knows no leader:
+// the others may have removed it while it was away, and it has the membership of before.
 func (g *Group) rejoin(m *consensus.Member) {
 	ticker := time.NewTicker(rejoinInterval)
 	defer ticker.Stop()
@@ -235,7 +236,7 @@
 		voter := slices.ContainsFunc(s.Membership.GetMembers(), func(member *schema.Member) bool {
 			return member.GetId() == s.ID && !member.GetLearner()
 		})
-		if !voter {
+		if !voter || s.Leader == 0 {
 			g.queryAll()
 		}
 	}
--- a/internal/role/deployment_test.go
+++ b/internal/role/deployment_test.go
@@ -178,6 +178,11 @@
 // disk can be used again once the returned channel is closed.
 func (d *deployment) powerOff(ip string) <-chan struct{} {
 	d.network.PowerOff(ip)
+	return d.stopControl(ip)
+}
+
+// stopControl stops a control host. Its disk can be used again once the returned channel is closed.
+func (d *deployment) stopControl(ip string) <-chan struct{} {
 	c, closed := d.control[ip], make(chan struct{})
 	d.controlMu.Lock()
 	delete(d.control, ip)
--- a/internal/role/lost_disks_test.go
+++ b/internal/role/lost_disks_test.go
@@ -15,6 +15,8 @@
 	// propagationLimit is how long after its acknowledgement a configuration may take to be
 	// in force at every entry.
 	propagationLimit = 2 * time.Second
+	// awayTime is how long a host is away that others take for lost.
+	awayTime = 4 * time.Second
 )
 
 // Callers are served by an old configuration, and requests that need a new load are
@@ -83,3 +85,49 @@
 		d.network.Cut(controlIP(i), ip, cut)
 	}
 }
+
+// A control host is away for longer than its vote is kept, with its disk, and nobody has taken its place. It returned as a
+// voter of a membership that others had left, did not join again, and the group was one voter short until its next loss.
+func TestHostThatWasAwayIsAVoterAgain(t *testing.T) {
+	for name, away := range map[string]func(d *deployment, ip string){
+		"stopped": func(d *deployment, ip string) {
+			closed := d.stopControl(ip)
+			time.Sleep(awayTime)
+			<-closed
+			d.startControl(ip, d.disks[ip], false)
+		},
+		"without power": func(d *deployment, ip string) {
+			closed := d.powerOff(ip)
+			time.Sleep(awayTime)
+			<-closed
+			d.network.PowerOn(ip)
+			d.startControl(ip, d.disks[ip], false)
+		},
+		"partitioned": func(d *deployment, ip string) {
+			cut := func(cut bool) {
+				for i := range d.control {
+					if i != ip {
+						d.network.Cut(ip, i, cut)
+						d.network.Cut(i, ip, cut)
+					}
+				}
+			}
+			cut(true)
+			time.Sleep(awayTime)
+			cut(false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeployment(t, 5, 5, 0, anyLeader)
+				defer d.close()
+				d.await(20*time.Second, "five voters", func() bool { return d.voters() == 5 })
+				for i := range 5 {
+					ip := controlIP(i)
+					away(d, ip)
+					d.await(catchUpLimit, "the host as a voter", func() bool { return d.voters() == 5 && d.control[ip].IsVoter() })
+				}
+			})
+		})
+	}
+}
--- a/internal/role/schedule_test.go
+++ b/internal/role/schedule_test.go
@@ -245,6 +245,8 @@
 		s.partitionHost(s.randomHost(), length, s.random.Intn(3))
 	case kind == 6:
 		s.powerOffAllHosts(length)
+	case kind == 7 && s.faultKinds > originalFaultKinds:
+		s.stopHost(s.randomHost(), length)
 	}
 }
 
@@ -287,6 +289,20 @@
 	})
 }
 
+// stopHost stops a control host as an operator does, who starts it again later: it hands over and leaves nothing
+// undone.
+func (s *schedule) stopHost(ip string, length time.Duration) {
+	s.tracef("%s stops", ip)
+	s.lostHosts[ip] = true
+	closed := s.stopControl(ip)
+	s.runAfter(length, func() {
+		<-closed
+		s.startControl(ip, s.disks[ip], false)
+		s.tracef("%s is back", ip)
+		s.scheduleRecovery(ip)
+	})
+}
+
 // wipeAfterAck powers the host off that has just acknowledged a change, and wipes its disk.
 func (s *schedule) wipeAfterAck(length time.Duration) {
 	version := s.nextVersion
