peer: a host stops without waiting for connections that have not begun

Cause, by the stacks of a host that had not stopped after 15 s: the server of calls between hosts waits, as it stops, for each connection's handshake, whose limit was two minutes by default.

Change: the limit is 2 s. Clients give a connection up after one.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -31,6 +31,9 @@
 	// minKeepaliveTime is the shortest ping interval that a server accepts from clients.
 	minKeepaliveTime = time.Second
 	maxDialBackoff   = 500 * time.Millisecond
+	// handshakeTimeout is how long a server waits for the beginning of a connection's protocol, also
+	// while it stops. A client that is as slow gives up earlier.
+	handshakeTimeout = 2 * time.Second
 	// maxTimeouts is the number of consecutive calls that time out on a connection
 	// before it is replaced by a new one.
 	maxTimeouts = 2
@@ -192,6 +195,7 @@
 func NewServer(cfg ServerConfig) *Server {
 	opts := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepaliveTime, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 	}
