gateway: idle servers of a new version get requests like others

What callers and operators would have seen: the first one or two servers of a new version got no request of a plain service until all others were busy, so that a release that begins with one server shows nothing.

Found by TestPartitionedEntryJoinsNoVersions, which waits for a stream of the new version: it did not end (ten minutes of a run of the package's tests, taken for the machine's load at first; 120 s alone). It gives up after 200 tries now.

Change: an idle server counts as idle.

--- a/internal/gateway/last_servers.go
+++ b/internal/gateway/last_servers.go
@@ -35,10 +35,11 @@
 func keptSlots(slots int) int { return (slots + resumeRoomDivisor - 1) / resumeRoomDivisor }
 
 // relativeLoad returns the load by which a plain server is compared: for one of the last of a version, as many
-// requests as it would have with what it keeps for resumed streams.
+// requests as it would have with what it keeps for resumed streams. An idle one is like others: otherwise the
+// first servers of a new version would get nothing until all others are busy.
 func relativeLoad(s *server, last map[*server]bool) int {
 	if last[s] {
-		return s.running*resumeRoomDivisor + 1
+		return s.running * resumeRoomDivisor
 	}
 	return s.running * (resumeRoomDivisor - 1)
 }
--- a/internal/gateway/last_servers_test.go
+++ b/internal/gateway/last_servers_test.go
@@ -50,3 +50,21 @@
 		}
 	}
 }
+
+// A release begins with one server. If that got no request until all others are busy, nobody would see whether the new
+// version works.
+func TestIdleServersOfANewVersionGetRequests(t *testing.T) {
+	for _, model := range []string{"m", ""} {
+		e := gateway.NewEngines(6)
+		e.SetEntries(1, 1)
+		e.SetVersion("v1", 8, "e0", "e1", "e2", "e3", "e4")
+		e.SetVersion("v2", 8, "e5")
+		chosen := map[string]int{}
+		for i := range 600 {
+			info := &gateway.RequestInfo{Model: model, PromptParts: []gateway.PromptPart{{ID: fmt.Sprint(i), Tokens: 10}}}
+			chosen[e.Choose(info)]++
+			e.Serve(info)
+		}
+		require.Greater(t, chosen["e5"], 50, "model %q: %v", model, chosen)
+	}
+}
--- a/internal/role/version_test.go
+++ b/internal/role/version_test.go
@@ -382,7 +382,8 @@
 		}
 		time.Sleep(2 * backendRestartDelay)
 		var began callResult
-		for versions := map[string]bool{}; !versions["v2"]; {
+		for tries, versions := 0, map[string]bool{}; !versions["v2"]; tries++ {
+			require.Less(t, tries, 200, "a third of the servers have the new version")
 			began = d.callWith("10.0.1.1", "/resume/x", "stream", http.Header{})
 			_, versions = events(began.body)
 		}
