consensus: a damaged message is judged once, by the core

Read once more as a newcomer; no behaviour changes. - Member and core each checked a message for damage.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -356,23 +356,27 @@
 	c.log.compact(min(index, c.log.applied))
 }
 
-// Step processes a message from another member.
-func (c *Core) Step(m *schema.ConsensusMessage) {
-	if m.GetTo() != c.cfg.ID || damage(m) != nil {
-		// A leader sends again what has no reply.
-		return
+// Step processes a message from another member. It returns an error, and leaves the message
+// unanswered, if that is damaged: a leader sends again what has no reply.
+func (c *Core) Step(m *schema.ConsensusMessage) error {
+	if m.GetTo() != c.cfg.ID {
+		return nil
+	}
+	if err := damage(m); err != nil {
+		return err
 	}
 	switch {
 	case m.GetTerm() > c.term:
 		if c.ignoresVoteRequest(m) {
-			return
+			return nil
 		}
 		c.adoptTerm(m)
 	case m.GetTerm() < c.term:
 		c.rejectOldTerm(m)
-		return
+		return nil
 	}
 	c.dispatch(m)
+	return nil
 }
 
 func (c *Core) dispatch(m *schema.ConsensusMessage) {
--- a/internal/consensus/damaged_test.go
+++ b/internal/consensus/damaged_test.go
@@ -71,7 +71,7 @@
 		"no membership": {Index: 50, Term: 1},
 		"no members":    {Index: 50, Term: 1, Membership: &schema.Membership{Size: 3}, Data: []byte("x")},
 	} {
-		c.Step(&schema.ConsensusMessage{Kind: schema.MessageKind_MESSAGE_KIND_SNAPSHOT, From: 1, To: 2, Term: 2, Snapshot: snapshot})
+		require.Error(t, c.Step(&schema.ConsensusMessage{Kind: schema.MessageKind_MESSAGE_KIND_SNAPSHOT, From: 1, To: 2, Term: 2, Snapshot: snapshot}), name)
 		for _, sent := range processReady(c) {
 			require.NotEqual(t, schema.MessageKind_MESSAGE_KIND_APPEND_REPLY, sent.GetKind(), name)
 		}
@@ -88,9 +88,9 @@
 	for name, entries := range map[string][]*schema.LogEntry{
 		"alone": {damaged}, "after others": {entryAt(2, 2, "a"), {Index: 3, Term: 2, Kind: damaged.GetKind(), Data: damaged.GetData()}},
 	} {
-		c.Step(&schema.ConsensusMessage{
+		require.Error(t, c.Step(&schema.ConsensusMessage{
 			Kind: schema.MessageKind_MESSAGE_KIND_APPEND, From: 1, To: 2, Term: 2, Index: consensus.FirstIndex, LogTerm: 1, Entries: entries,
-		})
+		}), name)
 		for _, sent := range processReady(c) {
 			require.NotEqual(t, schema.MessageKind_MESSAGE_KIND_APPEND_REPLY, sent.GetKind(), name)
 		}
--- a/internal/consensus/member.go
+++ b/internal/consensus/member.go
@@ -382,15 +382,6 @@
 	return nil
 }
 
-func (m *Member) restore(s *schema.SnapshotState) error {
-	if err := m.cfg.StateMachine.Restore(s.GetData()); err != nil {
-		return errors.Newf("restore snapshot %d: %w", s.GetIndex(), err)
-	}
-	m.applied = s.GetIndex()
-	m.lastSnapshotIndex = s.GetIndex()
-	return nil
-}
-
 func (m *Member) sendAll(messages []*schema.ConsensusMessage) error {
 	byMember := map[uint64][]*schema.ConsensusMessage{}
 	for _, msg := range messages {
@@ -411,20 +402,6 @@
 	return nil
 }
 
-// readSnapshot returns the stored snapshot. If it can't be read, a new one of the state
-// machine, which has the state of at least that snapshot, replaces it.
-func (m *Member) readSnapshot() (*schema.SnapshotState, error) {
-	s, err := m.cfg.Storage.Snapshot()
-	if err == nil {
-		return s, nil
-	}
-	m.damaged(0, err)
-	if s, err = m.saveSnapshot(); err != nil {
-		return nil, err
-	}
-	return s, nil
-}
-
 func (m *Member) damaged(from uint64, err error) {
 	if m.cfg.Damaged != nil {
 		m.cfg.Damaged(from, err)
@@ -433,11 +410,9 @@
 
 // step passes a message of another member to the core.
 func (m *Member) step(msg *schema.ConsensusMessage) {
-	if err := damage(msg); err != nil {
+	if err := m.core.Step(msg); err != nil {
 		m.damaged(msg.GetFrom(), err)
-		return
 	}
-	m.core.Step(msg)
 }
 
 // memberByID returns the member with an id, or a member with the id only if the
@@ -501,37 +476,3 @@
 	}
 	m.readyReads = nil
 }
-
-func (m *Member) snapshot() error {
-	if m.applied < m.lastSnapshotIndex+m.cfg.SnapshotAfter {
-		return nil
-	}
-	if _, ok := m.core.log.term(m.applied); !ok {
-		return nil
-	}
-	if _, err := m.saveSnapshot(); err != nil {
-		return err
-	}
-	m.core.Compact(m.applied - min(m.applied, m.cfg.SnapshotAfter/retainedEntriesDivisor))
-	return nil
-}
-
-// saveSnapshot stores and returns a snapshot of everything applied.
-func (m *Member) saveSnapshot() (*schema.SnapshotState, error) {
-	data, err := m.cfg.StateMachine.Snapshot()
-	if err != nil {
-		return nil, errors.Newf("take snapshot: %w", err)
-	}
-	term, ok := m.core.log.term(m.applied)
-	if !ok {
-		return nil, errors.Newf("take snapshot: the log does not reach back to %d", m.applied)
-	}
-	s := &schema.SnapshotState{
-		Index: m.applied, Term: term, Membership: m.core.MembershipAt(m.applied), Data: data,
-	}
-	if err = m.cfg.Storage.SaveSnapshot(s); err != nil {
-		return nil, errors.Newf("the snapshot could not be synced: %w", err)
-	}
-	m.lastSnapshotIndex = m.applied
-	return s, nil
-}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -221,9 +221,8 @@
 
 // cheapest returns the engine with the lowest estimated cost. The requests that other entries
 // sent since their last reports are unknown and are assumed to be spread at random. Otherwise
-// all entries would send their requests to the engine with the lowest reported load: with 68
-// entries and engines of 12 slots, the busiest engine had six times the mean load. Engines in last keep some of
-// their slots from the request.
+// all entries would send their requests to the engine with the lowest reported load. Engines in
+// last keep some of their slots from the request.
 func (f *fleet) cheapest(candidates []*server, last map[*server]bool, info *RequestInfo, stats *poolStats, now time.Time, random func(int) int) *server {
 	key := affinityKey(info)
 	otherEngines, long := otherPartition(candidates, info, stats), stats.isLong(info)
--- a/internal/quarantine/arrivals.go
+++ b/internal/quarantine/arrivals.go
@@ -12,7 +12,7 @@
 	provingTime = abandonedWindow
 	// arrivalRetention is how long after its last copy a request counts as known.
 	arrivalRetention = 10 * time.Minute
-	// arrivalSlots is the number of requests that are remembered, in 256 KB. If two share a slot, the later one
+	// arrivalSlots is the number of requests that are remembered, in 192 KB. If two share a slot, the later one
 	// replaces the other.
 	arrivalSlots = 8192
 )
