settings: sizes and the retry budget's slack may be fractions

Cause: the settings decode the template's fields by the kinds of the schema, and three of them that the platform states as numbers (disk-mb, memory-mb, repeat-slack) were whole numbers there. The other fields of the template are durations, which take fractions of their unit, ports, addresses and texts.

TestFractionalBounds failed for disk-mb, memory-mb and repeat-slack before. shares_test compares with the slack and converts its own count now.

--- a/cmd/fennelyard/join.go
+++ b/cmd/fennelyard/join.go
@@ -74,7 +74,7 @@
 	defer logs.Close()
 	log := logs.StateChanges(logVerbosity).WithValues("host", s.Get().GetHost())
 	if mb := s.Get().GetMemoryMb(); mb > 0 {
-		debug.SetMemoryLimit(int64(float64(mb) * memoryLimitRatio * (1 << 20)))
+		debug.SetMemoryLimit(int64(mb * memoryLimitRatio * (1 << 20)))
 	}
 	set := metrics.New()
 	set.Gauge("log_lines_dropped", "Log lines that were dropped.", func() float64 { return float64(logs.Dropped()) })
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -14,7 +14,7 @@
 type RetryBudgetConfig struct {
 	Ratio  float64
 	Window time.Duration
-	Burst  int
+	Burst  float64
 }
 
 // retryBudget is this entry's share of the retry budget of one pool. Each request deposits
@@ -34,7 +34,7 @@
 }
 
 func (b *retryBudget) limit(entries int) float64 {
-	return usableBudgetShare * float64(b.cfg.Burst) / 2 / float64(max(entries, 1))
+	return usableBudgetShare * b.cfg.Burst / 2 / float64(max(entries, 1))
 }
 
 func (b *retryBudget) refill(now time.Time, entries int) {
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -46,6 +46,6 @@
 				}
 			}
 		}
-		require.LessOrEqual(t, retries, budget.Burst)
+		require.LessOrEqual(t, float64(retries), budget.Burst)
 	}
 }
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -211,7 +211,7 @@
 	var err error
 	c.storage, err = consensus.OpenStorage(consensus.StorageConfig{
 		Folder: filepath.Join(s.GetDataFolder(), "control"), Group: groupID, NewID: consensus.RandomID,
-		FreeBytes: consensus.FreeBytes, ReserveBytes: uint64(s.GetDiskMb()) << 20 / diskReserveDivisor,
+		FreeBytes: consensus.FreeBytes, ReserveBytes: uint64(s.GetDiskMb() * (1 << 20) / diskReserveDivisor),
 		BeforeWrite: c.cfg.BeforeWrite,
 	})
 	if err != nil {
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -114,7 +114,7 @@
 		}),
 		Codec: cfg.Codec, Log: cfg.Log.WithName("entry"), RequestLog: cfg.RequestLog,
 		RetryBudget: gateway.RetryBudgetConfig{
-			Ratio: s.GetRepeatRatio(), Window: s.GetRepeatWindow().AsDuration(), Burst: int(s.GetRepeatSlack()),
+			Ratio: s.GetRepeatRatio(), Window: s.GetRepeatWindow().AsDuration(), Burst: s.GetRepeatSlack(),
 		},
 		Isolated:      func() bool { return e.suspects.Isolated() },
 		Origins:       gateway.OriginExchange{Put: e.origins.Put, Get: e.origins.Get},
--- a/internal/settings/join.go
+++ b/internal/settings/join.go
@@ -22,7 +22,7 @@
 	DefaultOrderLease        = 3 * time.Second
 	DefaultRepeatRatio       = 0.2
 	DefaultRepeatWindow      = 10 * time.Second
-	DefaultRepeatSlack       = 50
+	DefaultRepeatSlack       = 50.0
 	DefaultLoadWindow        = 5 * time.Second
 )
 
@@ -98,8 +98,19 @@
 	checkDuration(d, "load-window", s.GetLoadWindow(), 100*time.Millisecond, time.Hour)
 	checkDuration(d, "key-revocation", s.GetKeyRevocation(), 0, time.Hour)
 	checkDuration(d, "quota-window", s.GetQuotaWindow(), time.Second, time.Hour)
-	if s.GetRepeatRatio() < 0 {
-		d.addKeyFault("repeat-ratio", "must not be negative", "write for example 0.2")
+	checkQuantity(d, "disk-mb", s.GetDiskMb(), "write for example 128")
+	checkQuantity(d, "memory-mb", s.GetMemoryMb(), "write for example 256")
+	checkQuantity(d, "repeat-ratio", s.GetRepeatRatio(), "write for example 0.2")
+	checkQuantity(d, "repeat-slack", s.GetRepeatSlack(), "write for example 50")
+}
+
+// maxQuantity is the greatest value of a setting that counts or measures something.
+const maxQuantity = 1 << 32
+
+// checkQuantity checks a number that is not necessarily whole.
+func checkQuantity(d *document, path string, value float64, remedy string) {
+	if !(value >= 0 && value < maxQuantity) {
+		d.addKeyFault(path, "must be from 0 to 4294967295", remedy)
 	}
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -130,3 +130,31 @@
 	require.ErrorContains(t, err, "core-1.yaml:8")
 	require.ErrorContains(t, err, "peer-listen-ip")
 }
+
+// A platform may state every size, time and bound as a fraction. A host that reads one of them
+// as a whole number does not start.
+func TestFractionalBounds(t *testing.T) {
+	for key, value := range map[string]string{
+		"disk-mb": "6.7", "memory-mb": "160.5", "repeat-slack": "32.73684210526316", "repeat-ratio": "0.2",
+		"announce-every": "1200.5ms", "stop-limit": "8.25s", "order-lease": "3000.0ms", "repeat-window": "10.5s",
+		"load-window": "4.75s", "quota-window": "7.5s", "key-revocation": "1500.25ms",
+	} {
+		t.Run(key, func(t *testing.T) {
+			_, err := settings.ParseJoin("core-1.yaml", []byte(validJoinSettings+key+": "+value+"\n"))
+			require.NoError(t, err)
+		})
+	}
+	s, err := settings.ParseJoin("core-1.yaml", []byte(validJoinSettings+"repeat-slack: 32.75\n"))
+	require.NoError(t, err)
+	require.InDelta(t, 32.75, s.GetRepeatSlack(), 0)
+}
+
+func TestQuantitiesOutOfRange(t *testing.T) {
+	for _, key := range []string{"disk-mb", "memory-mb", "repeat-slack", "repeat-ratio"} {
+		for _, value := range []string{"-0.5", "1e300", ".nan", "nan", "inf"} {
+			_, err := settings.ParseJoin("core-1.yaml", []byte(validJoinSettings+key+": "+value+"\n"))
+			require.ErrorContains(t, err, "core-1.yaml:8", "%s: %s", key, value)
+			require.ErrorContains(t, err, key)
+		}
+	}
+}
