worktime: control hosts log what they spend a second on while their goroutines wait

Ruled out as measures: CPU profiles, for which the platform has no timer; the processor time of the process, which says nothing of its parts.

A control host now measures nine kinds of work and, by the scheduler's own histogram, how long the latest hundredth of its goroutines waited. It logs one line a second while that is 50 ms or more; both are metrics. No decision depends on it.

--- a/internal/consensus/member.go
+++ b/internal/consensus/member.go
@@ -72,6 +72,9 @@
 	// MembersChanged, if set, is called when the membership or the set of silent
 	// voters changes. It must not block.
 	MembersChanged func(MemberStatus)
+	// MeasureWork, if set, is called before each piece of work of the member, and the
+	// returned function after it.
+	MeasureWork func() (ended func())
 	// Damaged, if set, is called when the stored snapshot can't be read, for which from is
 	// 0, or when another member sends something that must not change the state. It must not
 	// block.
@@ -136,6 +139,9 @@
 	if cfg.Tick == 0 {
 		cfg.Tick = defaultTick
 	}
+	if cfg.MeasureWork == nil {
+		cfg.MeasureWork = func() func() { return func() {} }
+	}
 	if cfg.SnapshotAfter == 0 {
 		cfg.SnapshotAfter = defaultSnapshotAfter
 	}
@@ -295,9 +301,12 @@
 		case f := <-m.calls:
 			f()
 		}
+		ended := m.cfg.MeasureWork()
 		m.lastStepAt = time.Now()
 		m.stepQueued()
-		if err := m.process(); err != nil {
+		err := m.process()
+		ended()
+		if err != nil {
 			return err
 		}
 	}
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -60,6 +60,8 @@
 	// are never replaced.
 	SilentTicks int
 	Random      func(n int) int
+	// MeasureWork is consensus.MemberConfig.MeasureWork; it may be nil.
+	MeasureWork func() (ended func())
 	Log         logr.Logger
 }
 
@@ -127,7 +129,7 @@
 			Apply: g.ledger.Apply, Advance: g.ledger.Advance, Snapshot: g.ledger.Snapshot, Restore: g.ledger.Restore,
 		},
 		Tick: g.cfg.HeartbeatInterval, ElectionTicks: int(g.cfg.ElectionTimeout / g.cfg.HeartbeatInterval),
-		SnapshotAfter: g.cfg.SnapshotAfter, SilentTicks: g.cfg.SilentTicks, Random: g.cfg.Random,
+		SnapshotAfter: g.cfg.SnapshotAfter, SilentTicks: g.cfg.SilentTicks, Random: g.cfg.Random, MeasureWork: g.cfg.MeasureWork,
 		LeaderChanged: func(s consensus.MemberStatus) {
 			g.cfg.Log.Info("control role", "role", s.Role.String(), "term", s.Term, "leader", s.LeaderHost)
 		},
--- a/internal/loading/driver.go
+++ b/internal/loading/driver.go
@@ -84,7 +84,7 @@
 	Term     uint64
 }
 
-// Config configures a Driver. All fields are required but ObserveOrder.
+// Config configures a Driver. All fields are required but ObserveOrder and MeasureWork.
 type Config struct {
 	Leadership func() Leadership
 	Holders    Holders
@@ -104,6 +104,8 @@
 	Log        logr.Logger
 	// ObserveOrder, if set, is called for each reply to an order.
 	ObserveOrder func(o Outcome, load, adapter bool)
+	// MeasureWork, if set, is called before each round, and the returned function after it.
+	MeasureWork func() (ended func())
 }
 
 // Driver sends the leader's orders. All methods are safe from any goroutine.
@@ -152,6 +154,9 @@
 
 // NewDriver starts a driver. It sends no orders until this host leads.
 func NewDriver(cfg Config) *Driver {
+	if cfg.MeasureWork == nil {
+		cfg.MeasureWork = func() func() { return func() {} }
+	}
 	d := &Driver{
 		cfg: cfg, wakeup: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
 		engines: map[string]*engine{}, incarnationCounts: map[string]int{}, lateLoads: map[string][]sentLoad{},
@@ -287,6 +292,7 @@
 func (d *Driver) runRound() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	defer d.cfg.MeasureWork()()
 	now := d.cfg.Now()
 	d.refreshLeadership(now)
 	d.pools = updatePools(d.cfg.Pools(), d.pools)
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,7 @@
 	"fennelyard/internal/schema"
 	"fennelyard/internal/settings"
 	"fennelyard/internal/subscription"
+	"fennelyard/internal/worktime"
 )
 
 const (
@@ -106,6 +108,8 @@
 	changesCache   changesCache
 	// refusalLog limits the log lines of refusals.
 	refusalLog refusalLogLimiter
+	// work measures what this host spends its processor time on.
+	work *worktime.Meter
 	// ackGate withholds acknowledgements of configurations that entries are missing.
 	ackGate ackGate
 	stop    chan struct{}
@@ -137,6 +141,7 @@
 	c.suspects = quarantine.NewSuspectSet(quarantine.SuspectSetConfig{
 		Now: time.Now, KindNames: c.kindNames, OnChanged: func(s quarantine.Source) { cfg.Metrics.SuspectChanged(s.String()) }, Log: cfg.Log.WithName("quarantine"),
 	})
+	c.work = worktime.New(worktime.Config{Log: cfg.Log.WithName("work")})
 	quotaWindow := s.GetQuotaWindow().AsDuration()
 	c.quotas = quota.NewTotals(quotaWindow)
 	c.hostPermits, c.entryPermits = ratelimit.NewGrantBuffer(), ratelimit.NewGrantBuffer()
@@ -221,6 +226,7 @@
 		Group: groupID, Self: c.self, Seeds: c.cfg.Settings.Seeds, Bootstrap: s.GetFounding(),
 		Storage: c.storage, Dialer: c.dialer, QueryDialer: c.orderDialer, HeartbeatInterval: heartbeatInterval, ElectionTimeout: electionTimeout,
 		SnapshotAfter: snapshotAfterEntries, SilentTicks: silentHeartbeats, Random: c.cfg.Random, Log: c.cfg.Log.WithName("group"),
+		MeasureWork: func() func() { return c.work.Start(worktime.KindReplication) },
 	})
 	if err != nil {
 		return errors.Newf("start control member: %w", err)
@@ -243,6 +249,14 @@
 	c.cfg.Metrics.Gauge("control_leader_age_seconds", "Time since this control host heard the leader; below 0: never.", func() float64 {
 		return float64(c.leaderAge()) / float64(time.Second/time.Millisecond)
 	})
+	c.cfg.Metrics.Gauge("control_processor_delay_seconds", "How long the latest hundredth of this control host's goroutines waited for the processor at least, in the last second.", func() float64 {
+		return c.work.Delay().Seconds()
+	})
+	for _, kind := range worktime.Kinds() {
+		c.cfg.Metrics.Gauge("control_work_"+strings.ReplaceAll(kind.String(), "-", "_")+"_seconds", "Time that this control host has spent on work of the kind "+kind.String()+".", func() float64 {
+			return c.work.Seconds(kind)
+		})
+	}
 	c.cfg.Metrics.Gauge("control_requests_held_back", "Requests that end their servers, and that entries hold back.", func() float64 {
 		return float64(c.suspects.HeldBackCount())
 	})
@@ -326,6 +340,7 @@
 			c.peerServer.Stop()
 		}
 		c.wg.Wait()
+		c.work.Stop()
 		c.dialer.Close()
 		c.leaderDialer.Close()
 		c.orderDialer.Close()
--- a/internal/role/entry_session.go
+++ b/internal/role/entry_session.go
@@ -15,6 +15,7 @@
 	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
 	"fennelyard/internal/subscription"
+	"fennelyard/internal/worktime"
 )
 
 const (
@@ -200,9 +201,10 @@
 }
 
 func (s *entrySession) handleReport(report *schema.EntryNews) {
+	defer s.c.work.Start(worktime.KindEntryReport)()
 	s.echoUs.Store(report.GetSentUs())
 	s.acknowledge(report.GetTaken())
-	if s.c.suspects.Merge(report.GetSuspects(), quarantine.SourceEntry) {
+	if s.c.mergeSuspects(report.GetSuspects(), quarantine.SourceEntry) {
 		s.c.subscribers.RequestReport()
 	}
 	if s.c.rejectionLimits.Merge(report.GetRejectionLimits(), time.Now()) {
@@ -237,6 +239,7 @@
 }
 
 func (s *entrySession) nextUpdate() *schema.LeaderNews {
+	defer s.c.work.Start(worktime.KindEntryUpdate)()
 	s.sequence++
 	echo := s.echoUs.Load()
 	confirmedAt, revision := s.c.mirror.Confirmed()
@@ -257,7 +260,7 @@
 		update.Forecasts = s.forecasts(s.pacer.query)
 		s.pacer.queryPending = len(update.GetForecasts()) == 0
 	}
-	update.Suspects, update.Permits = s.suspects.Next(), s.c.entryPermits.Take(s.entry.GetHost(), time.Now())
+	update.Suspects, update.Permits = s.c.nextSuspects(s.suspects), s.c.entryPermits.Take(s.entry.GetHost(), time.Now())
 	if s.pacer.intervalElapsed {
 		update.PermitQueues, update.RejectionLimits = s.c.mirror.PermitQueues(), s.c.rejectionLimits.Messages(time.Now())
 		update.Loads, update.TeamUses, s.pacer.intervalElapsed = s.c.mirror.Loads(), s.c.mirror.TeamUses(), false
--- a/internal/role/follow.go
+++ b/internal/role/follow.go
@@ -12,6 +12,7 @@
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/schema"
 	"fennelyard/internal/subscription"
+	"fennelyard/internal/worktime"
 )
 
 const (
@@ -109,9 +110,12 @@
 		// Suspects are merged before the mirror is updated, which allows updates to
 		// entries: an entry that has just started must not serve before it knows the
 		// held-back requests.
-		c.suspects.Merge(update.GetSuspects(), quarantine.SourceControl)
+		ended := c.work.Start(worktime.KindLeaderUpdate)
+		c.mergeSuspects(update.GetSuspects(), quarantine.SourceControl)
 		c.rejectionLimits.Merge(update.GetRejectionLimits(), time.Now())
-		if !c.mirror.Apply(update) {
+		applied := c.mirror.Apply(update)
+		ended()
+		if !applied {
 			return errors.Newf("term %d: %w", update.GetKnown().GetTerm(), errOtherLeader)
 		}
 		c.mirror.Confirm(c.leaderConfirmedAt(update), update.GetRevision())
@@ -158,11 +162,13 @@
 	host := &schema.ControlHost{Address: c.self.GetPeerAddress(), DataCentre: c.self.GetDataCentre()}
 	suspects := c.suspects.Reader(quarantine.PartOwn)
 	for intervalElapsed := true; ; {
+		ended := c.work.Start(worktime.KindLeaderReport)
 		report := c.subscribers.NextReport(subscription.Progress{Known: c.mirror.Position(), Revision: c.appliedIndex()}, intervalElapsed)
 		report.RejectionLimits = c.rejectionLimits.Messages(time.Now())
 		report.Host, report.Lagging, report.Servers = host, c.logLags(), c.announcements.TakePending()
 		report.Limits = append(report.Limits, c.mirror.TakeNewerLimits()...)
-		report.Suspects, report.SentUs = suspects.Next(), uint64(time.Since(c.startedAt).Microseconds())
+		report.Suspects, report.SentUs = c.nextSuspects(suspects), uint64(time.Since(c.startedAt).Microseconds())
+		ended()
 		if err := stream.Send(report); err != nil {
 			return
 		}
--- a/internal/role/host_session.go
+++ b/internal/role/host_session.go
@@ -13,6 +13,7 @@
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
+	"fennelyard/internal/worktime"
 )
 
 const (
@@ -126,6 +127,7 @@
 }
 
 func (h *hostSession) handleReport(report *schema.HostNews) {
+	defer h.c.work.Start(worktime.KindHostReport)()
 	h.echoUs.Store(report.GetSentUs())
 	if u := report.GetTeamUses(); u != nil {
 		h.c.quotas.Report(h.address(), u, time.Now())
@@ -133,7 +135,7 @@
 	h.c.roster.ApplyHostReport(h.number, h.address(), h.term, report)
 	h.c.driver.HandleDemand(h.address(), report.GetDemands())
 	h.pacer.setQuery(report.GetDemands())
-	h.c.suspects.Merge(report.GetSuspects(), quarantine.SourceEntry)
+	h.c.mergeSuspects(report.GetSuspects(), quarantine.SourceEntry)
 	h.c.roster.ApplyLimits(report.GetLimits())
 	h.c.roster.ApplyDepartures(report.GetLeavingServers())
 	h.c.rejectionLimits.Merge(report.GetRejectionLimits(), time.Now())
@@ -169,6 +171,7 @@
 }
 
 func (h *hostSession) nextUpdate() *schema.LeaderNews {
+	defer h.c.work.Start(worktime.KindHostUpdate)()
 	h.sequence++
 	echo, status := h.echoUs.Load(), h.c.group.Status()
 	update := h.c.roster.UpdateSince(h.sentChange)
@@ -186,7 +189,7 @@
 	if h.pacer.queryPending {
 		update.Forecasts, h.pacer.queryPending = h.c.driver.Forecasts(h.pacer.query.targets), false
 	}
-	update.Suspects, update.Permits = h.suspects.Next(), h.c.hostPermits.Take(h.streamName(), time.Now())
+	update.Suspects, update.Permits = h.c.nextSuspects(h.suspects), h.c.hostPermits.Take(h.streamName(), time.Now())
 	if h.pacer.intervalElapsed {
 		update.PermitQueues, update.RejectionLimits = h.c.allocator.Queues(), h.c.rejectionLimits.Messages(time.Now())
 		update.Loads, update.TeamUses, h.pacer.intervalElapsed = h.c.roster.Loads(), h.c.quotas.Sum(time.Now(), h.c.reportsUse), false
--- a/internal/role/orders.go
+++ b/internal/role/orders.go
@@ -11,6 +11,7 @@
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/loading"
 	"fennelyard/internal/schema"
+	"fennelyard/internal/worktime"
 )
 
 // startOrders starts the driver, which decides on orders while this host leads, and the
@@ -37,6 +38,7 @@
 		FetchReport: engines.FetchReport, Roster: c.roster, Pools: c.pools, KnownServers: c.recordedServers,
 		OrderLease: s.GetOrderLease().AsDuration(), LoadWindow: s.GetLoadWindow().AsDuration(),
 		Now: time.Now, Log: log,
+		MeasureWork:  func() func() { return c.work.Start(worktime.KindDecision) },
 		ObserveOrder: func(o loading.Outcome, load, adapter bool) { c.cfg.Metrics.Order(o.String(), load, adapter) },
 	})
 }
--- a/internal/role/suspects.go
+++ b/internal/role/suspects.go
@@ -14,6 +14,7 @@
 	"fennelyard/internal/operator"
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/schema"
+	"fennelyard/internal/worktime"
 )
 
 // operatorHandler serves the platform's operator endpoints and, beside them, the product's
@@ -49,6 +50,24 @@
 	return released
 }
 
+// mergeSuspects merges another host's records, and reports whether any of them is new here.
+func (c *Control) mergeSuspects(list []*schema.Suspect, source quarantine.Source) bool {
+	if len(list) == 0 {
+		return false
+	}
+	defer c.work.Start(worktime.KindEvidence)()
+	return c.suspects.Merge(list, source)
+}
+
+// nextSuspects returns the next records for another host.
+func (c *Control) nextSuspects(r *quarantine.Reader) []*schema.Suspect {
+	if c.suspects.Empty() {
+		return nil
+	}
+	defer c.work.Start(worktime.KindEvidence)()
+	return r.Next()
+}
+
 // restoreSuspects restores, once a term, the suspect requests that earlier leaders
 // recorded.
 func (c *Control) restoreSuspects(term uint64) {
