--- a/internal/quarantine/holds.go
+++ b/internal/quarantine/holds.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 )
 
@@ -43,6 +44,8 @@
 	// dirty is set if candidates have changed since they were evaluated.
 	dirty     bool
 	evaluated time.Time
+	// examined counts the records that evaluations looked at.
+	examined *atomic.Uint64
 }
 
 // hold is how long a suspect is held back.
@@ -53,7 +56,7 @@
 }
 
 func newHolds() holds {
-	return holds{candidates: map[Key]*record{}, held: map[Key]hold{}, servers: map[string]bool{}, requests: map[string][]*record{}, doubted: map[Key]bool{}}
+	return holds{candidates: map[Key]*record{}, held: map[Key]hold{}, servers: map[string]bool{}, requests: map[string][]*record{}, doubted: map[Key]bool{}, examined: &atomic.Uint64{}}
 }
 
 // recordChanged takes note of a change of a record.
@@ -85,6 +88,7 @@
 	}
 	h.dirty, h.evaluated = false, now
 	before := h.held
+	h.examined.Add(uint64(len(h.candidates)))
 	chosen := withoutExplained(h.choose())
 	h.held, h.servers, h.requests = map[Key]hold{}, map[string]bool{}, map[string][]*record{}
 	for _, r := range h.candidates {
@@ -181,6 +185,8 @@
 	doubtful map[Key]int
 	// explanations are the chosen suspects by the servers that count against them.
 	explanations map[string][]Key
+	// examined counts the records that were looked at.
+	examined *atomic.Uint64
 }
 
 // choose goes through the candidates from the narrowest to the widest. What a narrower one
@@ -190,7 +196,7 @@
 // parts that lack servers, or whose servers others explain in part, would explain a wider
 // suspect, they are held back in its place.
 func (h *holds) choose() *choice {
-	c := &choice{candidates: h.candidates, doubtful: map[Key]int{}, explanations: map[string][]Key{}}
+	c := &choice{candidates: h.candidates, doubtful: map[Key]int{}, explanations: map[string][]Key{}, examined: h.examined}
 	var partial []Key
 	for _, key := range slices.SortedFunc(maps.Keys(h.candidates), h.compare) {
 		r := h.candidates[key]
@@ -230,8 +236,9 @@
 // withPartial returns the choice with the partial suspects that explain servers of another
 // suspect, if that is enough not to hold it back; otherwise nil.
 func (c *choice) withPartial(r *record, partial []Key) *choice {
-	with := &choice{candidates: c.candidates, keys: slices.Clone(c.keys), doubtful: maps.Clone(c.doubtful), explanations: map[string][]Key{}}
+	with := &choice{candidates: c.candidates, keys: slices.Clone(c.keys), doubtful: maps.Clone(c.doubtful), explanations: map[string][]Key{}, examined: c.examined}
 	for server, by := range c.explanations {
+		c.examined.Add(uint64(len(by)))
 		with.explanations[server] = slices.Clone(by)
 	}
 	added := false
@@ -252,10 +259,12 @@
 // unexplained returns the blame of a suspect without the servers that chosen suspects
 // explain, and the number of these whose servers all count against it as well.
 func (c *choice) unexplained(r *record) (blame, nested int) {
+	c.examined.Add(1)
 	within := map[Key]bool{}
 	blame = r.blameWithout(func(server string) bool {
 		for _, by := range c.explanations[server] {
 			if _, seen := within[by]; !seen {
+				c.examined.Add(1)
 				within[by] = c.candidates[by].isWithin(r)
 			}
 		}
@@ -280,6 +289,7 @@
 
 // compare orders two candidates: the narrower one first, then the one with more evidence.
 func (h *holds) compare(a, b Key) int {
+	h.examined.Add(1)
 	r, other := h.candidates[a], h.candidates[b]
 	return cmp.Or(-cmp.Compare(r.scope.narrowness(), other.scope.narrowness()), -cmp.Compare(r.depth, other.depth),
 		-cmp.Compare(r.blame(), other.blame()), slices.Compare(a[:], b[:]))
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -62,6 +62,8 @@
 	cfg SuspectSetConfig
 	// size is the number of records, for a check without the lock.
 	size atomic.Int64
+	// examined counts the records that were looked at to send or to judge them.
+	examined atomic.Uint64
 
 	mu sync.Mutex
 	// change increases with each change of a record; guarded by mu, as all fields below.
@@ -89,6 +91,10 @@
 // Empty reports whether no request is suspected.
 func (s *SuspectSet) Empty() bool { return s.size.Load() == 0 }
 
+// Examined returns how many records were looked at so far to send them to other hosts, and to decide
+// which suspects are held back: each counts as often as it was looked at.
+func (s *SuspectSet) Examined() uint64 { return s.examined.Load() + s.holds.examined.Load() }
+
 // MayContain reports whether a request with a hint may be suspected.
 func (s *SuspectSet) MayContain(h Hint) bool {
 	s.mu.Lock()
--- a/internal/quarantine/sync.go
+++ b/internal/quarantine/sync.go
@@ -74,6 +74,7 @@
 	}
 	var keys []Key
 	for key, r := range s.records {
+		s.examined.Add(1)
 		if part.changeNumber(r) > after && selects(r) {
 			keys = append(keys, key)
 		}
