quarantine: other hosts are sent what has changed without a look at all records

Each update to each entry and host went through all records of evidence, up to 4,096, twice and under one lock, and went on doing so for the minute that it takes to send them at 68 a second; each new subscription began from the first.

Records are now listed in the order of their changes, and their blame is kept until they change.

--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -22,10 +22,13 @@
 
 // record is the evidence against one suspect.
 type record struct {
+	key   Key
 	scope Scope
 	depth int
 	// ended are the servers that ended under the suspect, by incarnation.
 	ended map[string]endedServer
+	// knownBlame is blame plus one, or 0 after a change of ended.
+	knownBlame int
 	// lastEnded is when the last of these servers ended.
 	lastEnded time.Time
 	// droppedUntil is when the last of the servers ended that were removed from ended to
@@ -60,7 +63,12 @@
 
 // blame returns the number of servers that count against the suspect. Those that are weak
 // evidence count once for each group that ended together.
-func (r *record) blame() int { return r.blameWithout(func(string) bool { return false }) }
+func (r *record) blame() int {
+	if r.knownBlame == 0 {
+		r.knownBlame = r.blameWithout(func(string) bool { return false }) + 1
+	}
+	return r.knownBlame - 1
+}
 
 // blameWithout is blame without the servers for which explained returns true.
 func (r *record) blameWithout(explained func(server string) bool) int {
@@ -100,13 +108,13 @@
 	known, ok := r.ended[server]
 	if ok {
 		merged := endedServer{at: known.at, cleared: known.cleared || e.cleared, weak: known.weak && e.weak, kind: known.kind}
-		r.ended[server] = merged
+		r.ended[server], r.knownBlame = merged, 0
 		return merged != known
 	}
 	if !e.at.After(r.droppedUntil) || !r.makeRoom() {
 		return false
 	}
-	r.ended[server] = e
+	r.ended[server], r.knownBlame = e, 0
 	if e.at.After(r.lastEnded) {
 		r.lastEnded = e.at
 	}
@@ -141,6 +149,7 @@
 	}
 	r.droppedUntil = r.ended[oldest].at
 	delete(r.ended, oldest)
+	r.knownBlame = 0
 	return true
 }
 
@@ -151,16 +160,16 @@
 	for server, e := range r.ended {
 		if !e.cleared && !e.at.After(at) && kind.includes(e.kind) {
 			e.cleared = true
-			r.ended[server], changed = e, true
+			r.ended[server], r.knownBlame, changed = e, 0, true
 		}
 	}
 	return changed
 }
 
 // message returns the record as a message.
-func (r *record) message(key Key, now time.Time) *schema.Suspect {
+func (r *record) message(now time.Time) *schema.Suspect {
 	out := &schema.Suspect{
-		Key: key[:], AgeMs: now.Sub(r.lastEnded).Milliseconds(), Scope: schema.SuspectScope(r.scope), Depth: uint32(r.depth),
+		Key: r.key[:], AgeMs: now.Sub(r.lastEnded).Milliseconds(), Scope: schema.SuspectScope(r.scope), Depth: uint32(r.depth),
 	}
 	for _, server := range slices.Sorted(maps.Keys(r.ended)) {
 		e := r.ended[server]
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -69,6 +69,8 @@
 	// change increases with each change of a record; guarded by mu, as all fields below.
 	change  uint64
 	records map[Key]*record
+	// changes, ownChanges and foundChanges list the records by change, ownChange and foundChange.
+	changes, ownChanges, foundChanges changeLog
 	// hints counts the records by the hints of their keys.
 	hints map[Hint]int
 	// lastExpiry is when expired records were last removed.
@@ -85,7 +87,13 @@
 
 // NewSuspectSet returns an empty set.
 func NewSuspectSet(cfg SuspectSetConfig) *SuspectSet {
-	return &SuspectSet{cfg: cfg, records: map[Key]*record{}, hints: map[Hint]int{}, holds: newHolds(), holdsChanged: make(chan struct{}), recorded: make(chan struct{}, 1)}
+	return &SuspectSet{
+		cfg: cfg, records: map[Key]*record{}, hints: map[Hint]int{}, holds: newHolds(),
+		changes:      changeLog{number: func(r *record) uint64 { return r.change }},
+		ownChanges:   changeLog{number: func(r *record) uint64 { return r.ownChange }},
+		foundChanges: changeLog{number: func(r *record) uint64 { return r.foundChange }},
+		holdsChanged: make(chan struct{}), recorded: make(chan struct{}, 1),
+	}
 }
 
 // Empty reports whether no request is suspected.
@@ -261,12 +269,12 @@
 		return false
 	}
 	s.change++
-	r.change = s.change
+	s.setChange(&s.changes, &r.change, r)
 	if source != SourceControl {
-		r.ownChange = s.change
+		s.setChange(&s.ownChanges, &r.ownChange, r)
 	}
 	if source == SourceOwn {
-		r.foundChange = s.change
+		s.setChange(&s.foundChanges, &r.foundChange, r)
 	}
 	if s.cfg.OnChanged != nil {
 		s.cfg.OnChanged(source)
@@ -282,6 +290,20 @@
 	return true
 }
 
+// setChange sets a change number of a record to that of the current change and lists the record in
+// the log of such numbers; the caller holds mu.
+func (s *SuspectSet) setChange(l *changeLog, number *uint64, r *record) {
+	before := *number
+	*number = s.change
+	l.append(r, before)
+}
+
+// clearChange sets a change number of a record to 0; the caller holds mu.
+func (s *SuspectSet) clearChange(l *changeLog, number *uint64) {
+	l.remove(*number)
+	*number = 0
+}
+
 // evaluate decides which shared suspects are held back; the caller holds mu.
 func (s *SuspectSet) evaluate() {
 	for key, until := range s.holds.evaluate(s.cfg.Now()) {
@@ -305,7 +327,7 @@
 	r := s.records[a.Key]
 	if r == nil {
 		s.makeRoom()
-		r = &record{scope: a.Scope, ended: map[string]endedServer{}}
+		r = &record{key: a.Key, scope: a.Scope, ended: map[string]endedServer{}}
 		s.records[a.Key] = r
 		s.hints[a.Key.Hint()]++
 		s.size.Store(int64(len(s.records)))
@@ -316,6 +338,10 @@
 
 // remove removes a record; the caller holds mu.
 func (s *SuspectSet) remove(key Key) {
+	r := s.records[key]
+	s.clearChange(&s.changes, &r.change)
+	s.clearChange(&s.ownChanges, &r.ownChange)
+	s.clearChange(&s.foundChanges, &r.foundChange)
 	delete(s.records, key)
 	s.holds.recordRemoved(key)
 	if s.hints[key.Hint()]--; s.hints[key.Hint()] == 0 {
--- a/internal/quarantine/sync.go
+++ b/internal/quarantine/sync.go
@@ -72,24 +72,19 @@
 	if after == s.change || limit == 0 {
 		return nil, after
 	}
-	var keys []Key
-	for key, r := range s.records {
-		s.examined.Add(1)
-		if part.changeNumber(r) > after && selects(r) {
-			keys = append(keys, key)
-		}
-	}
-	slices.SortFunc(keys, func(k, l Key) int {
-		return cmp.Compare(part.changeNumber(s.records[k]), part.changeNumber(s.records[l]))
-	})
-	to := s.change
-	if len(keys) > limit {
-		keys = keys[:limit]
-		to = part.changeNumber(s.records[keys[limit-1]])
-	}
-	out := make([]*schema.Suspect, 0, len(keys))
-	for _, key := range keys {
-		out = append(out, s.records[key].message(key, now))
+	changes := &s.changes
+	switch part {
+	case PartOwn:
+		changes = &s.ownChanges
+	case PartFound:
+		changes = &s.foundChanges
+	case PartAll, PartHeld, PartLikely:
+	}
+	records, to, examined := changes.since(after, s.change, limit, func(r *record) bool { return part.changeNumber(r) != 0 && selects(r) })
+	s.examined.Add(uint64(examined))
+	out := make([]*schema.Suspect, 0, len(records))
+	for _, r := range records {
+		out = append(out, r.message(now))
 	}
 	return out, to
 }
@@ -118,7 +113,7 @@
 		merged := s.update(key, r, source, func(r *record) bool { return s.mergeServers(r, suspect) })
 		if source == SourceControl && r.isCoveredBy(suspect) {
 			// Nothing is left to report.
-			r.ownChange = 0
+			s.clearChange(&s.ownChanges, &r.ownChange)
 		}
 		if !merged {
 			continue
@@ -225,7 +220,7 @@
 	now := s.cfg.Now()
 	var out []*schema.Suspect
 	for _, key := range keys[:min(n, len(keys))] {
-		out = append(out, s.records[key].message(key, now))
+		out = append(out, s.records[key].message(now))
 	}
 	return out
 }
