quarantine: suspects are judged within a budget

While hundreds of entries report what thousands of requests had in common after a crash wave, each message made a host judge up to 256 suspects anew (5 ms on a whole core; with more, four times a second at up to 34 ms, more than half of a quarter core).

A host now examines 50,000 records a second, 2% of a core at 350 ns each, and 100,000 at once after a calm time; what it has no credit for is judged with the next call that finds some. Ruled out: the interval alone, which does not bound the cost of one round.

--- a/internal/quarantine/holds.go
+++ b/internal/quarantine/holds.go
@@ -9,10 +9,13 @@
 )
 
 const (
-	// maxPromptEvaluations is the number of shared suspects up to which holds are evaluated
-	// with each change; with more, at most once every evaluationInterval.
-	maxPromptEvaluations = 256
-	evaluationInterval   = 250 * time.Millisecond
+	// examinationsPerSecond is how many records a host examines in a second to decide which
+	// suspects are held back, about 2% of a core, and maxExaminationCredit how many at once after
+	// a time with fewer. Decisions are made with each change while they stay within that, and
+	// otherwise as soon as there is credit again: after dozens of servers have ended together
+	// hundreds of entries report what thousands of requests had in common.
+	examinationsPerSecond = 50_000.0
+	maxExaminationCredit  = 100_000.0
 	// maxDoubtfulServers is how many servers more than the threshold may end under a suspect
 	// as long as others explain them, if they do not explain all of them: the wrong one of
 	// two that ran side by side may have been chosen.
@@ -42,8 +45,10 @@
 	// doubted are the requests that are held back and doubtful, for the log.
 	doubted map[Key]bool
 	// dirty is set if candidates have changed since they were evaluated.
-	dirty     bool
-	evaluated time.Time
+	dirty bool
+	// credit is the number of records that could be examined at creditedAt. An evaluation may overdraw it.
+	credit     float64
+	creditedAt time.Time
 	// examined counts the records that evaluations looked at.
 	examined *atomic.Uint64
 }
@@ -56,7 +61,7 @@
 }
 
 func newHolds() holds {
-	return holds{candidates: map[Key]*record{}, held: map[Key]hold{}, servers: map[string]bool{}, requests: map[string][]*record{}, doubted: map[Key]bool{}, examined: &atomic.Uint64{}}
+	return holds{candidates: map[Key]*record{}, held: map[Key]hold{}, servers: map[string]bool{}, requests: map[string][]*record{}, doubted: map[Key]bool{}, examined: &atomic.Uint64{}, credit: maxExaminationCredit}
 }
 
 // recordChanged takes note of a change of a record.
@@ -80,13 +85,22 @@
 	}
 }
 
+// hasCredit reports whether an evaluation may begin.
+func (h *holds) hasCredit(now time.Time) bool {
+	h.credit = min(h.credit+examinationsPerSecond*max(now.Sub(h.creditedAt).Seconds(), 0), maxExaminationCredit)
+	h.creditedAt = now
+	return h.credit > 0
+}
+
 // evaluate decides anew if candidates have changed. It returns the suspects that are held
 // back for another time than before; nil if there are none.
 func (h *holds) evaluate(now time.Time) map[Key]time.Time {
-	if !h.dirty || len(h.candidates) > maxPromptEvaluations && now.Sub(h.evaluated) < evaluationInterval {
+	if !h.dirty || !h.hasCredit(now) {
 		return nil
 	}
-	h.dirty, h.evaluated = false, now
+	h.dirty = false
+	examinedBefore := h.examined.Load()
+	defer func() { h.credit -= float64(h.examined.Load() - examinedBefore) }()
 	before := h.held
 	h.examined.Add(uint64(len(h.candidates)))
 	chosen := withoutExplained(h.choose())
@@ -310,7 +324,7 @@
 // evidence against them: a suspect that ran beside a harmful one a few times is held back
 // only until the harmful one has ended more servers.
 func withoutExplained(c *choice) *choice {
-	out := &choice{candidates: c.candidates, doubtful: c.doubtful, explanations: map[string][]Key{}}
+	out := &choice{candidates: c.candidates, doubtful: c.doubtful, explanations: map[string][]Key{}, examined: c.examined}
 	for _, key := range c.keys {
 		if !c.explained(key) {
 			out.add(key, c.candidates[key])
@@ -322,6 +336,7 @@
 // explained reports whether each server that counts against a chosen suspect also counts
 // against another chosen one with more evidence.
 func (c *choice) explained(key Key) bool {
+	c.examined.Add(1)
 	r := c.candidates[key]
 	blame := r.blame()
 	for server, e := range r.ended {
