Tests: entries move from host to host while none has a leader

In a cut of all control hosts from each other, of five seconds, one of twenty entries opens 20 streams more than it had: its host redirects it once it has had no word of a leader for 1.8 s, and no other host would have it.

--- a/internal/role/export_test.go
+++ b/internal/role/export_test.go
@@ -102,6 +102,9 @@
 // CallerHandler returns the handler for callers' requests.
 func (e *Entry) CallerHandler() http.Handler { return e.gateway }
 
+// Subscriptions returns the number of streams to control hosts that this entry has opened.
+func (e *Entry) Subscriptions() uint64 { return e.gateway.State().Subscriptions }
+
 // ControlHost returns the IP address of the control host that this entry subscribes to, or
 // "".
 func (e *Entry) ControlHost() string {
--- a/internal/role/subscribers_test.go
+++ b/internal/role/subscribers_test.go
@@ -173,6 +173,44 @@
 	})
 }
 
+// All control hosts lose their leader for longer than they send entries its last state. No other
+// host has a leader either, so that entries that left would only cost all hosts new streams, and the
+// next leader its lead.
+func TestEntriesStaySubscribedWhileNoHostHasALeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newSettledDeploymentOf(t, 19, 5, 20)
+		defer d.close()
+		before := map[string]uint64{}
+		for ip, e := range d.entries {
+			before[ip] = e.Subscriptions()
+		}
+		cutAll := func(cut bool) {
+			for _, ip := range d.controlIPs() {
+				for _, other := range d.controlIPs() {
+					if ip != other {
+						d.network.Cut(ip, other, cut)
+					}
+				}
+			}
+		}
+		cutAll(true)
+		time.Sleep(5 * time.Second)
+		cutAll(false)
+		d.await(5*time.Second, "an acknowledgement", func() bool { return d.put(2) != "" })
+		d.await(propagationLimit, "the configuration in force", func() bool { return d.oldestVersion() == 2 })
+		time.Sleep(5 * time.Second)
+		lead := 0
+		for ip, e := range d.entries {
+			if e.ControlHost() != d.leader() {
+				require.Equal(t, before[ip], e.Subscriptions(), ip)
+			} else {
+				lead++
+			}
+		}
+		require.Less(t, lead, len(d.entries))
+	})
+}
+
 // A server sends its departure to a leader that most entries don't subscribe to. Once the
 // departure is acknowledged, no entry may send the server requests: each has acknowledged
 // it through its own host.
