gateway, role: entries stay with their host while it looks for a leader, and move only to one that is in sync

Operators saw changes without an acknowledgement while leaders were lost in series.

Cause: a host that has no word of a leader ended its entries' streams, whether or not another host was better off. Ruled out: a longer tolerance alone, as entries of a host that is cut off have to leave within the time in which a change is in force.

A host out of sync now keeps the stream and says so; its entries ask other hosts, one at a time and more and more seldom, and change only to one that is in sync. One that follows a new leader for less than 0.5 s is not searched for: by then the entry's own host follows as well. A move to a preferred host asks first, too. Hosts without the query are tried as before, and entries without it are redirected as before.

--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -91,6 +91,11 @@
 	return all
 }
 
+// others returns all known hosts but one, the most preferred one first.
+func (h *controlHosts) others(address string) []string {
+	return slices.DeleteFunc(h.ranked(), func(a string) bool { return a == address })
+}
+
 // next returns the host to try next, empty if none is known: the hint if there is one, the most
 // preferred host that is not avoided, or else the one whose failure is the longest ago.
 func (h *controlHosts) next(now time.Time) string {
--- a/internal/gateway/subscriber.go
+++ b/internal/gateway/subscriber.go
@@ -59,8 +59,6 @@
 var (
 	// errNoLeaderUpdates is returned if the host does not receive the leader's updates.
 	errNoLeaderUpdates = errors.New("the control host does not receive the leader's updates")
-	// errPreferredHost is returned if the entry moves to a host that it prefers.
-	errPreferredHost = errors.New("a preferred control host is available")
 	// errEarlierTerm is returned if a host's update belongs to an earlier leader than the last one
 	// received.
 	errEarlierTerm = errors.New("the update belongs to an earlier leader")
@@ -135,7 +133,9 @@
 
 // streamEnded records why a stream ended and returns how long to wait before the next one.
 func (s *subscriber) streamEnded(address string, err error) time.Duration {
-	if errors.Is(err, errPreferredHost) {
+	var found *foundHostError
+	if errors.As(err, &found) {
+		s.hosts.hint = found.address
 		return 0
 	}
 	wasSubscribed := s.subscribed
@@ -219,7 +219,7 @@
 	s.moveAt = time.Time{}
 	report := &schema.EntryNews{
 		Entry: s.g.cfg.Self, After: s.g.cfg.Replica.Revision(), Known: s.position.Message(), Stream: s.startMs + s.subscriptions.Add(1),
-		StartedMs: s.startMs,
+		StartedMs: s.startMs, KeepsStream: true,
 	}
 	var wg sync.WaitGroup
 	wg.Add(1)
@@ -229,6 +229,12 @@
 	}()
 	defer wg.Wait()
 	defer cancel(nil)
+	// search looks for another host: for one that is in sync while this one is not, or, if
+	// preferred is set, for the one that the entry prefers.
+	var search *hostSearch
+	preferred := false
+	defer func() { search.stop() }()
+	found := func(address string) { cancel(&foundHostError{address}) }
 	for started := false; ; {
 		update, err := stream.Recv()
 		if err != nil {
@@ -243,8 +249,17 @@
 			return errNoLeaderUpdates
 		}
 		if update.GetWait() {
+			if started && (preferred || search == nil) {
+				search.stop()
+				s.hostLostSync(address, update)
+				search, preferred = s.startSearch(ctx, s.position.Term, s.hosts.others(address), true, found), false
+			}
 			continue
 		}
+		if !preferred {
+			search.stop()
+			search = nil
+		}
 		if !started {
 			started = true
 			s.streamStarted(address, update)
@@ -252,8 +267,12 @@
 		if err := s.applyUpdate(update); err != nil {
 			return errors.Newf("apply update: %w", err)
 		}
-		if s.shouldMove(address, time.Now()) {
-			return errPreferredHost
+		if search.running() {
+			continue
+		}
+		search = nil
+		if to := s.hostToMoveTo(address, time.Now()); to != "" {
+			search, preferred = s.startSearch(ctx, s.position.Term, []string{to}, false, found), true
 		}
 	}
 }
@@ -275,18 +294,27 @@
 	s.hosts.hint = update.GetLeaderAddress()
 }
 
-// shouldMove reports whether to move now to a host that this entry prefers.
-func (s *subscriber) shouldMove(current string, now time.Time) bool {
+// hostLostSync records that the host of the current stream has lost the leader or its log lags.
+func (s *subscriber) hostLostSync(address string, update *schema.LeaderNews) {
+	s.g.cfg.Log.Info("control host out of sync", "address", address, "leader-age-ms", update.GetLeaderAgeMs())
+	if members := update.GetControlAddresses(); len(members) > 0 {
+		s.hosts.members = members
+	}
+}
+
+// hostToMoveTo returns the host that this entry prefers if it is time to move there, empty for none.
+func (s *subscriber) hostToMoveTo(current string, now time.Time) string {
 	switch preferred := s.hosts.preferredTo(current, now); {
 	case preferred == "":
 		s.moveAt = time.Time{}
 	case s.moveAt.IsZero():
 		s.moveAt = now.Add(rand.N(maxMoveDelay))
 	case now.After(s.moveAt):
+		s.moveAt = time.Time{}
 		s.g.cfg.Log.Info("control host preferred", "from", current, "to", preferred)
-		return true
+		return preferred
 	}
-	return false
+	return ""
 }
 
 func (s *subscriber) sendReports(ctx context.Context, stream grpc.BidiStreamingClient[schema.EntryNews, schema.LeaderNews], report *schema.EntryNews) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -171,6 +171,7 @@
 	SendReport func(context.Context, *schema.Report) (*schema.ReportReply, error)
 	Fetch      func(context.Context, *schema.FetchRequest) (*schema.FetchReply, error)
 	GiveOrder  func(context.Context, *schema.GiveOrderRequest) (*schema.GiveOrderReply, error)
+	InSync     func(context.Context, *schema.InSyncRequest) (*schema.InSyncReply, error)
 	Attend     func(grpc.BidiStreamingServer[schema.EntryNews, schema.LeaderNews]) error
 	Follow     func(grpc.BidiStreamingServer[schema.HostNews, schema.LeaderNews]) error
 }
@@ -264,6 +265,11 @@
 	return handle(ctx, s.h.GiveOrder, q)
 }
 
+// InSync implements schema.PeerServer.
+func (s *Server) InSync(ctx context.Context, q *schema.InSyncRequest) (*schema.InSyncReply, error) {
+	return handle(ctx, s.h.InSync, q)
+}
+
 // Attend implements schema.PeerServer.
 func (s *Server) Attend(stream grpc.BidiStreamingServer[schema.EntryNews, schema.LeaderNews]) error {
 	if s.h.Attend == nil {
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -173,7 +173,7 @@
 	c.startOrders(s)
 	c.registerGauges()
 	handlers := c.group.Handlers()
-	handlers.Attend, handlers.Follow, handlers.GiveOrder = c.serveEntry, c.serveHost, c.handleOrder
+	handlers.Attend, handlers.InSync, handlers.Follow, handlers.GiveOrder = c.serveEntry, c.handleInSync, c.serveHost, c.handleOrder
 	c.peerServer = peer.NewServer(peer.ServerConfig{Listener: peers, Handlers: handlers})
 	c.operatorServer = newServer(c.operatorHandler())
 	c.wg.Add(8)
--- a/internal/role/entry_session.go
+++ b/internal/role/entry_session.go
@@ -77,7 +77,7 @@
 func (c *Control) awaitLeader(stream entryStream, term uint64) (bool, error) {
 	start, lastSent := time.Now(), time.Time{}
 	for {
-		if c.inSync() && c.mirror.Position().Term >= term {
+		if c.inSyncFrom(term) {
 			return true, nil
 		}
 		if lastSeen, _ := c.mirror.LeaderLastSeen(); !lastSeen.IsZero() || time.Since(start) > leaderWaitTimeout {
@@ -85,8 +85,8 @@
 		}
 		if time.Since(lastSent) > entryUpdateInterval {
 			lastSent = time.Now()
-			if err := stream.Send(&schema.LeaderNews{Wait: true, LeaderAgeMs: c.leaderAge()}); err != nil {
-				return false, errors.Newf("tell entry to wait: %w", err)
+			if err := c.delayEntry(stream); err != nil {
+				return false, err
 			}
 		}
 		select {
@@ -99,6 +99,14 @@
 	}
 }
 
+// delayEntry keeps an entry waiting until this host is in sync.
+func (c *Control) delayEntry(stream entryStream) error {
+	if err := stream.Send(&schema.LeaderNews{Wait: true, LeaderAgeMs: c.leaderAge(), ControlAddresses: c.memberAddresses()}); err != nil {
+		return errors.Newf("tell entry to wait: %w", err)
+	}
+	return nil
+}
+
 // redirectEntry redirects an entry to other control hosts.
 func (c *Control) redirectEntry(stream entryStream) error {
 	update := &schema.LeaderNews{NotLeader: true, ControlAddresses: c.memberAddresses(), LeaderAgeMs: c.leaderAge()}
@@ -125,6 +133,8 @@
 	number uint64
 	entry  *schema.RosterEntry
 	pacer  updatePacer
+	// keepsStream is set if the entry stays while this host is not in sync.
+	keepsStream bool
 	// echoUs is the entry's clock when it sent its latest report, in microseconds.
 	echoUs atomic.Uint64
 	// mu guards unacked: the updates that the entry has not acknowledged, oldest first.
@@ -142,7 +152,7 @@
 
 func newEntrySession(c *Control, stream entryStream, first *schema.EntryNews) *entrySession {
 	s := &entrySession{
-		c: c, stream: stream, number: c.lastStream.Add(1), entry: first.GetEntry(),
+		c: c, stream: stream, number: c.lastStream.Add(1), entry: first.GetEntry(), keepsStream: first.GetKeepsStream(),
 		suspects: c.suspects.Reader(quarantine.PartHeld),
 		sent:     subscription.Progress{Known: roster.PositionOf(first.GetKnown()), Revision: first.GetAfter()},
 	}
@@ -221,7 +231,12 @@
 	defer s.pacer.ticker.Stop()
 	for {
 		if !s.c.inSync() {
-			return s.c.redirectEntry(s.stream)
+			if !s.keepsStream {
+				return s.c.redirectEntry(s.stream)
+			}
+			if err := s.awaitSync(ctx); err != nil || ctx.Err() != nil {
+				return err
+			}
 		}
 		s.pacer.watchChanges()
 		update := s.nextUpdate()
@@ -238,6 +253,28 @@
 	}
 }
 
+// awaitSync keeps the entry waiting until this host is in sync or the stream ends. The entry
+// searches for another host meanwhile, and finds none while all of them have lost the leader.
+func (s *entrySession) awaitSync(ctx context.Context) error {
+	var lastSent time.Time
+	for !s.c.inSync() {
+		if time.Since(lastSent) > entryUpdateInterval {
+			lastSent = time.Now()
+			if err := s.c.delayEntry(s.stream); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.c.stop:
+			return nil
+		case <-time.After(leaderWaitPollInterval):
+		}
+	}
+	return nil
+}
+
 func (s *entrySession) nextUpdate() *schema.LeaderNews {
 	defer s.c.work.Start(worktime.KindEntryUpdate)()
 	s.sequence++
--- a/internal/role/in_sync.go
+++ b/internal/role/in_sync.go
@@ -1,8 +1,11 @@
 package role
 
 import (
+	"context"
 	"sync"
 	"time"
+
+	"fennelyard/internal/schema"
 )
 
 const (
@@ -72,3 +75,17 @@
 	lastSeen, _ := c.mirror.LeaderLastSeen()
 	return !lastSeen.IsZero() && time.Since(lastSeen) < leaderLossTolerance && !c.mirror.MarkedLagging() && !c.logLags()
 }
+
+// inSyncFrom reports whether an entry that knows a leader's term may rely on updates from this host.
+func (c *Control) inSyncFrom(term uint64) bool {
+	return c.inSync() && c.mirror.Position().Term >= term
+}
+
+// searchGrace is how long this host follows a new leader before entries move here that search for a
+// host: those of all other hosts that are not cut off from the leader are in sync by then.
+const searchGrace = 500 * time.Millisecond
+
+// handleInSync replies to an entry that searches for a host.
+func (c *Control) handleInSync(_ context.Context, q *schema.InSyncRequest) (*schema.InSyncReply, error) {
+	return &schema.InSyncReply{InSync: c.inSyncFrom(q.GetTerm()) && time.Since(c.mirror.TermSince()) >= searchGrace}, nil
+}
--- a/internal/roster/mirror.go
+++ b/internal/roster/mirror.go
@@ -50,6 +50,8 @@
 	entriesPosition, hostsPosition Position
 	loads                          *schema.EngineLoads
 	forecasts                      map[forecastKey]forecast
+	// termSince is when the first update of the current leader was received.
+	termSince time.Time
 	// leaderLastSeen is when a quorum last acknowledged the leader, by its latest update,
 	// and revision what its log had applied when it sent that update.
 	leaderLastSeen time.Time
@@ -116,7 +118,7 @@
 	}
 	if at.Term > m.position.Term {
 		m.previousPosition, m.previousFirstPosition = m.position, m.firstPosition
-		m.firstPosition, m.listed, m.settled = at, map[string]bool{}, false
+		m.firstPosition, m.listed, m.settled, m.termSince = at, map[string]bool{}, false, m.cfg.Now()
 	}
 	advanced := m.position.Before(at)
 	if advanced {
@@ -393,6 +395,14 @@
 	return m.position
 }
 
+// TermSince returns when the first update of the current leader was received, the zero time for
+// never.
+func (m *Mirror) TermSince() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.termSince
+}
+
 // MarkedLagging reports whether the leader, by its latest update, treats this host as
 // lagging and does not wait for acknowledgements of its entries.
 func (m *Mirror) MarkedLagging() bool {
