Tests: a lost disk's voter stays while leaders change

Voters whose disks are gone are such a state: three of five, and no quorum is ever had again.

The test loses the leader's disk, one at a time, and stalls the next leaders' disks; the host is no voter within the time that the deployment states.

--- a/internal/role/lost_disks_test.go
+++ b/internal/role/lost_disks_test.go
@@ -15,6 +15,8 @@
 	// propagationLimit is how long after its acknowledgement a configuration may take to be
 	// in force at every entry.
 	propagationLimit = 2 * time.Second
+	// stallTime is for how long a disk stalls to cost its host the lead.
+	stallTime = 1500 * time.Millisecond
 	// awayTime is how long a host is away that others take for lost.
 	awayTime = 4 * time.Second
 )
@@ -56,6 +58,33 @@
 	})
 }
 
+// Disks are lost one at a time, each of a leader and far enough apart for the group to survive each
+// loss, but leaders change in between, as one whose disk stalls for a second. A lost disk's voter
+// stayed, as each leader waited anew until it had been silent for four seconds, and the third loss
+// took the quorum for good.
+func TestHostsWithLostDisksRejoinWhileLeadersChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 3, 5, 2, anyLeader)
+		defer d.close()
+		d.await(20*time.Second, "five voters", func() bool { return d.voters() == 5 })
+		for version := uint64(2); version < 8; version++ {
+			d.await(2*propagationLimit, "an acknowledgement", func() bool { return d.put(version) != "" })
+			lost := d.leader()
+			d.powerOff(lost)
+			time.Sleep(time.Second)
+			d.network.PowerOn(lost)
+			d.startControl(lost, t.TempDir(), false)
+			returned := time.Now()
+			for range 2 {
+				d.await(propagationLimit, "a leader", func() bool { return d.leader() != "" })
+				d.stall(d.leader(), stallTime)
+				time.Sleep(stallTime)
+			}
+			d.await(catchUpLimit-time.Since(returned), "the lost host as a voter", func() bool { return d.voters() == 5 && d.control[lost].IsVoter() })
+		}
+	})
+}
+
 // A new host receives the membership from a seed while it can't reach the leader. Then it
 // is partitioned from all seeds, and can reach the leader. It must query the leader, whose
 // address it received: if it queried only seeds, it would stay out for as long as the
