--- a/internal/quarantine/crash_wave_test.go
+++ b/internal/quarantine/crash_wave_test.go
@@ -101,3 +101,47 @@
 	// A burst of one second's budget is allowed beyond the rate.
 	require.LessOrEqual(t, float64(set.Examined()), examinationsPerSecond*(c.current.Sub(start).Seconds()+1))
 }
+
+// More servers end under one prompt part than a record holds, and requests with it complete
+// everywhere. Each host dropped other servers than its neighbours to make room, took those of the
+// others for new ones, and all of them sent each other the record for as long as they ran.
+func TestRecordsOfManyServersComeToRest(t *testing.T) {
+	const (
+		hosts, servers = 4, 60
+		transit        = 20 * time.Millisecond
+		rounds, quiet  = 400, 50
+	)
+	c := &clock{time.Unix(1e9, 0)}
+	var sets []*quarantine.SuspectSet
+	readers := map[[2]int]*quarantine.Reader{}
+	for i := range hosts {
+		sets = append(sets, newSuspectSet(c))
+		for j := range hosts {
+			if i != j {
+				readers[[2]int{i, j}] = sets[i].Reader(quarantine.PartOwn)
+			}
+		}
+	}
+	part := quarantine.Accusation{Key: keyOf("part"), Scope: quarantine.ScopePart}
+	lastChange := 0
+	for round := range rounds {
+		if round < servers {
+			sets[round%hosts].Accuse(fmt.Sprint("i-", round), c.current, []quarantine.Accusation{part})
+			sets[(round+1)%hosts].Clear(part.Key)
+			lastChange = round
+		}
+		sent := map[int][][]*schema.Suspect{}
+		for link, r := range readers {
+			sent[link[1]] = append(sent[link[1]], r.Next())
+		}
+		c.current = c.current.Add(transit)
+		for to, lists := range sent {
+			for _, list := range lists {
+				if sets[to].Merge(list, quarantine.SourceEntry) {
+					lastChange = round
+				}
+			}
+		}
+	}
+	require.Less(t, lastChange, rounds-quiet)
+}
