quarantine: what a full record has dropped is not taken for new

Cause: a record keeps 16 servers and drops the oldest cleared one for a new one. Which one that is differs from host to host, and what kept it from coming back was its end's time, which arrives a little later with each host that it passes. So two hosts with different records of 17 servers changed each other's for ever. A bounded set of evidence that is merged must forget by names, not by times that the transfer shifts.

A record remembers what it dropped, 256 servers by eight bytes each. Ruled out: the same 16 everywhere, by the order of their names, as evidence that is new has to find room.

--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -5,12 +5,16 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"fennelyard/internal/schema"
 )
 
 const (
 	// maxServersPerRecord is the maximum number of servers in a record.
 	maxServersPerRecord = 16
+	// maxDroppedServers is the maximum number of servers that a record remembers as dropped.
+	maxDroppedServers = 256
 	// maxServerBytes is the maximum length of a server's name in a record of another host.
 	maxServerBytes = 512
 	// maxRecordAge is how long ago a server ended at most in a record that another host may still have.
@@ -31,8 +35,10 @@
 	knownBlame int
 	// lastEnded is when the last of these servers ended.
 	lastEnded time.Time
-	// droppedUntil is when the last of the servers ended that were removed from ended to
-	// make room. Servers that ended before are not added again.
+	// dropped are the hashes of the servers that were removed from ended to make room, the latest
+	// last, and droppedUntil is when the last of those ended that are no longer in it. They are not
+	// added again: each host drops others, and the hosts would send them to each other for ever.
+	dropped      []uint64
 	droppedUntil time.Time
 	// change is the number of the last change, ownChange of the last one that control hosts
 	// may not know, and foundChange of the last one that this host found itself.
@@ -111,7 +117,7 @@
 		r.ended[server], r.knownBlame = merged, 0
 		return merged != known
 	}
-	if !e.at.After(r.droppedUntil) || !r.makeRoom() {
+	if !e.at.After(r.droppedUntil) || slices.Contains(r.dropped, xxhash.Sum64String(server)) || !r.makeRoom() {
 		return false
 	}
 	r.ended[server], r.knownBlame = e, 0
@@ -147,7 +153,10 @@
 	if oldest == "" {
 		return false
 	}
-	r.droppedUntil = r.ended[oldest].at
+	if r.dropped = append(r.dropped, xxhash.Sum64String(oldest)); len(r.dropped) > maxDroppedServers {
+		// The one that is forgotten ended before this one, as the oldest is dropped first.
+		r.dropped, r.droppedUntil = r.dropped[1:], r.ended[oldest].at
+	}
 	delete(r.ended, oldest)
 	r.knownBlame = 0
 	return true
