control: messages to a member are a stream, and large ones take one round trip

Each batch to a member was a call that the next one waited for, ended after 300 ms and took the member for unreachable, so that everything it lacked was sent anew, up to 512 KB. With HTTP/2's 64 KB of window that is eight round trips, which hosts short of processor time do not make in 300 ms. So what a call lost was sent again for as long as they were short of it.

Now messages go by one stream to each member, and replies only prove that it works: one that is missing for an election timeout ends the stream and its connection. The window of streams and connections between hosts is 1 MB. Members of before have no such stream and are called.

TestMessagesDoNotWaitForEarlierReplies failed before (120 ms instead of 100 on a link of 100 ms, the 21st message). TestConnectionWithoutRepliesIsReplaced, TestMembersWithoutStreamsReceiveMessages.

--- a/internal/control/export_test.go
+++ b/internal/control/export_test.go
@@ -11,3 +11,19 @@
 	}}
 	return g.mayBootstrap()
 }
+
+// Transport exports transport.
+type Transport struct{ t *transport }
+
+// NewTransport returns a transport that reports members to unreachable.
+func NewTransport(cfg Config, unreachable func(id uint64)) Transport {
+	return Transport{newTransport(cfg, unreachable)}
+}
+
+// Send exports send, and Stop stop.
+func (t Transport) Send(to *schema.Member, messages ...*schema.ConsensusMessage) {
+	t.t.send(to, messages)
+}
+
+// Stop stops the transport.
+func (t Transport) Stop() { t.t.stop() }
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"strings"
 	"sync"
 	"time"
@@ -282,7 +283,7 @@
 // Handlers returns the handlers for calls of peers.
 func (g *Group) Handlers() peer.Handlers {
 	return peer.Handlers{
-		Deliver: g.deliver, Hello: g.hello, Propose: g.propose, Read: g.read,
+		Deliver: g.deliver, DeliverAll: g.deliverAll, Hello: g.hello, Propose: g.propose, Read: g.read,
 		Watch: g.watch, SendReport: g.handleReport, Fetch: g.fetch,
 	}
 }
@@ -299,6 +300,26 @@
 	return &schema.DeliveryReply{}, nil
 }
 
+// deliverAll takes the messages of a stream until it ends.
+func (g *Group) deliverAll(stream grpc.BidiStreamingServer[schema.Delivery, schema.DeliveryReply]) error {
+	for {
+		q, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Newf("receive delivery: %w", err)
+		}
+		reply, err := g.deliver(stream.Context(), q)
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(reply); err != nil {
+			return errors.Newf("reply to delivery: %w", err)
+		}
+	}
+}
+
 func (g *Group) propose(ctx context.Context, q *schema.ProposeRequest) (*schema.ProposeReply, error) {
 	cmd := q.GetCommand()
 	if a := cmd.GetApplyIntent(); a != nil {
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -5,6 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"fennelyard/internal/schema"
 )
 
@@ -104,25 +108,106 @@
 	return q
 }
 
+// run sends the messages of a queue to a member until the transport stops.
 func (t *transport) run(address string, q <-chan *schema.ConsensusMessage) {
+	m := &memberSender{t: t, address: address}
+	defer m.close()
 	for {
 		var batch []*schema.ConsensusMessage
 		select {
 		case <-t.quit:
 			return
-		case m := <-q:
-			batch = append(batch, m)
+		case <-m.ended():
+			m.linkEnded()
+			continue
+		case message := <-q:
+			batch = append(batch, message)
 		}
 		for more := true; more && len(batch) < maxBatchMessages; {
 			select {
-			case m := <-q:
-				batch = append(batch, m)
+			case message := <-q:
+				batch = append(batch, message)
 			default:
 				more = false
 			}
 		}
-		t.deliver(address, batch, max(t.cfg.ElectionTimeout/2, minDeliverTimeout))
+		m.send(batch)
+	}
+}
+
+// memberSender sends messages to one member over a link, or with a call for each batch to a member
+// without streams of deliveries. It belongs to one goroutine.
+type memberSender struct {
+	t       *transport
+	address string
+	// link is nil until the first message and after it has ended.
+	link *link
+	// calls is set for a member without streams of deliveries.
+	calls bool
+	// to is the member that was sent to last.
+	to uint64
+}
+
+func (m *memberSender) send(batch []*schema.ConsensusMessage) {
+	m.to = batch[0].GetTo()
+	if m.calls {
+		m.t.deliver(m.address, batch, max(m.t.cfg.ElectionTimeout/2, minDeliverTimeout))
+		return
+	}
+	if m.link == nil && !m.open() {
+		m.t.unreachable(m.to)
+		return
+	}
+	if err := m.link.send(m.t.delivery(batch)); err != nil {
+		<-m.link.done
+		m.linkEnded()
+	}
+}
+
+// open opens the link, and reports whether it is open.
+func (m *memberSender) open() bool {
+	client, err := m.t.cfg.Dialer.Client(m.address)
+	if err != nil {
+		return false
+	}
+	m.link, err = openLink(client, max(m.t.cfg.ElectionTimeout, minDeliverTimeout))
+	if errors.Is(err, errNoReplies) {
+		m.t.cfg.Dialer.Reset(m.address)
+	}
+	return err == nil
+}
+
+// linkEnded takes note of the end of the link. Messages on it may be lost.
+func (m *memberSender) linkEnded() {
+	err := m.link.err
+	m.close()
+	switch {
+	case status.Code(errors.UnwrapAll(err)) == codes.Unimplemented:
+		m.calls = true
+	case errors.Is(err, errNoReplies):
+		// A device between the hosts may have dropped its state of the connection.
+		m.t.cfg.Dialer.Reset(m.address)
+	}
+	m.t.unreachable(m.to)
+}
+
+// ended returns a channel that is closed when the link has ended, nil if there is none.
+func (m *memberSender) ended() <-chan struct{} {
+	if m.link == nil {
+		return nil
 	}
+	return m.link.done
+}
+
+func (m *memberSender) close() {
+	if m.link != nil {
+		m.link.close()
+		m.link = nil
+	}
+}
+
+func (t *transport) delivery(batch []*schema.ConsensusMessage) *schema.Delivery {
+	return &schema.Delivery{Group: t.cfg.Group, Messages: batch, Host: t.cfg.Self.GetName(), Address: t.cfg.Self.GetPeerAddress()}
 }
 
 func (t *transport) deliver(address string, batch []*schema.ConsensusMessage, timeout time.Duration) {
@@ -130,9 +215,7 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
-		_, err = client.Deliver(ctx, &schema.Delivery{
-			Group: t.cfg.Group, Messages: batch, Host: t.cfg.Self.GetName(), Address: t.cfg.Self.GetPeerAddress(),
-		})
+		_, err = client.Deliver(ctx, t.delivery(batch))
 	}
 	if err != nil {
 		t.unreachable(batch[0].GetTo())
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -34,6 +34,10 @@
 	// handshakeTimeout is how long a server waits for the beginning of a connection's protocol, also
 	// while it stops. A client that is as slow gives up earlier.
 	handshakeTimeout = 2 * time.Second
+	// windowBytes is how much a peer may send on a stream or a connection before the receiver has
+	// read it. A batch of configurations of half a megabyte takes one round trip with it, and
+	// eight with HTTP/2's default: seconds between hosts that are short of processor time.
+	windowBytes = 1 << 20
 	// maxTimeouts is the number of consecutive calls that time out on a connection
 	// before it is replaced by a new one.
 	maxTimeouts = 2
@@ -92,6 +96,7 @@
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout, PermitWithoutStream: true}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
 		grpc.WithDisableServiceConfig(),
+		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithUnaryInterceptor(d.replaceUnresponsive(address)),
 	}
 	if d.cfg.Dial != nil {
@@ -164,6 +169,7 @@
 // Unimplemented.
 type Handlers struct {
 	Deliver    func(context.Context, *schema.Delivery) (*schema.DeliveryReply, error)
+	DeliverAll func(grpc.BidiStreamingServer[schema.Delivery, schema.DeliveryReply]) error
 	Hello      func(context.Context, *schema.HelloRequest) (*schema.HelloReply, error)
 	Propose    func(context.Context, *schema.ProposeRequest) (*schema.ProposeReply, error)
 	Read       func(context.Context, *schema.ReadRequest) (*schema.ReadReply, error)
@@ -196,7 +202,7 @@
 func NewServer(cfg ServerConfig) *Server {
 	opts := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
-		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.ConnectionTimeout(handshakeTimeout), grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepaliveTime, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 	}
@@ -260,6 +266,14 @@
 	return s.h.Watch(q, stream)
 }
 
+// DeliverAll implements schema.PeerServer.
+func (s *Server) DeliverAll(stream grpc.BidiStreamingServer[schema.Delivery, schema.DeliveryReply]) error {
+	if s.h.DeliverAll == nil {
+		return status.Error(codes.Unimplemented, "this host has no control role")
+	}
+	return s.h.DeliverAll(stream)
+}
+
 // GiveOrder implements schema.PeerServer.
 func (s *Server) GiveOrder(ctx context.Context, q *schema.GiveOrderRequest) (*schema.GiveOrderReply, error) {
 	return handle(ctx, s.h.GiveOrder, q)
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -43,6 +43,8 @@
 	powerLosses map[string]int
 	poweredOff  map[string]bool
 	lastPort    int
+	// delay is how long data takes from one host to another.
+	delay time.Duration
 	// changed is closed and replaced when any of the fields above changes.
 	changed chan struct{}
 }
@@ -56,7 +58,7 @@
 	return &Network{
 		listeners: map[string]*networkListener{}, blocked: map[direction]bool{}, refused: map[direction]bool{},
 		resets: map[direction]int{}, powerLosses: map[string]int{},
-		poweredOff: map[string]bool{}, lastPort: firstOutgoingPort, changed: make(chan struct{}),
+		poweredOff: map[string]bool{}, lastPort: firstOutgoingPort, delay: networkDelay, changed: make(chan struct{}),
 	}
 }
 
@@ -94,6 +96,19 @@
 	n.notify()
 }
 
+// SetDelay sets how long data that is written from now on takes from one host to another.
+func (n *Network) SetDelay(delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay = delay
+}
+
+func (n *Network) delayOfData() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.delay
+}
+
 // Refuse makes a host's connections to another one be refused, or be accepted again. Open
 // connections stay.
 func (n *Network) Refuse(from, to string, refuse bool) {
@@ -342,7 +357,7 @@
 			p.mu.Unlock()
 			return 0, os.ErrDeadlineExceeded
 		case p.size < networkWindow:
-			p.segments = append(p.segments, segment{time.Now().Add(networkDelay), append([]byte(nil), b...)})
+			p.segments = append(p.segments, segment{time.Now().Add(p.network.delayOfData()), append([]byte(nil), b...)})
 			p.size += len(b)
 			p.notify()
 			p.mu.Unlock()
