consensus: a heartbeat to a member that is probed carries no entries

Hosts that were cut off lack six seconds of log, configurations of 67 KB and more each, and reply late.

A member that was unreachable once, or lags, is probed, and each heartbeat sent it up to 512 KB of entries again, ten times a second, until it replied.

The probe carries no entries now; its reply resumes replication, which sends them once.

--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -247,3 +247,38 @@
 	c.Advance(r)
 	require.Equal(t, index, c.Commit())
 }
+
+// A member that replies late, as one short of processor time, was sent all that it lacks with each
+// heartbeat until it replied.
+func TestHeartbeatsDoNotRepeatEntries(t *testing.T) {
+	c := newCore(1)
+	electLeader(t, c)
+	acknowledge := func(index uint64) {
+		require.NoError(t, c.Step(&schema.ConsensusMessage{
+			Kind: schema.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: 2, To: 1, Term: c.Term(), Index: index,
+		}))
+	}
+	before := c.Last()
+	acknowledge(before)
+	processReady(c)
+	_, _, err := c.Propose([]byte("x"))
+	require.NoError(t, err)
+	processReady(c)
+	c.Unreachable(2)
+	for range 5 {
+		c.Tick()
+		for _, m := range processReady(c) {
+			if m.GetTo() == 2 {
+				require.Empty(t, m.GetEntries())
+			}
+		}
+	}
+	acknowledge(before)
+	sent := 0
+	for _, m := range processReady(c) {
+		if m.GetTo() == 2 {
+			sent += len(m.GetEntries())
+		}
+	}
+	require.Equal(t, 1, sent)
+}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -68,8 +68,7 @@
 		p := c.progress[id]
 		c.probeStalled(p)
 		if p.state == progressProbe {
-			p.paused = false
-			c.sendAppend(id, true)
+			c.sendProbe(id)
 			continue
 		}
 		c.send(&schema.ConsensusMessage{
@@ -103,6 +102,22 @@
 	}
 }
 
+// sendProbe sends a member in progressProbe an append without entries. Its reply resumes replication:
+// the entries themselves, sent again with each heartbeat, would keep a slow member slow.
+func (c *Core) sendProbe(id uint64) {
+	p := c.progress[id]
+	prevTerm, ok := c.log.term(p.next - 1)
+	if !ok {
+		c.sendSnapshot(id, p)
+		return
+	}
+	c.send(&schema.ConsensusMessage{
+		Kind: schema.MessageKind_MESSAGE_KIND_APPEND, To: id, Term: c.term,
+		Index: p.next - 1, LogTerm: prevTerm, Commit: c.log.commit, Round: c.round,
+	})
+	p.paused = true
+}
+
 // sendAppend sends missing entries to a member within its flow control limits. With
 // empty, it sends a message even if there are no new entries.
 func (c *Core) sendAppend(id uint64, empty bool) {
--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// replied takes note of the reply to the oldest delivery.
+// replied records the reply to the oldest delivery.
 func (l *link) replied() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -177,7 +177,7 @@
 	return err == nil
 }
 
-// linkEnded takes note of the end of the link. Messages on it may be lost.
+// linkEnded handles the end of the link. Messages on it may be lost.
 func (m *memberSender) linkEnded() {
 	err := m.link.err
 	m.close()
--- a/internal/quarantine/change_log.go
+++ b/internal/quarantine/change_log.go
@@ -35,7 +35,7 @@
 	}
 }
 
-// remove takes note of a record that no longer has a change.
+// remove records that a record no longer has a change.
 func (l *changeLog) remove(before uint64) {
 	if before != 0 {
 		l.live--
