control: a member that can't be reached is dialled again, and one with streams gets streams again

What callers would have seen: a host that returns after a loss of power without messages of the others for up to a second and a half, as the attempt to connect to it hangs. Opening a stream ended after an election timeout, but with the error of its own cancellation, by which the connection was not replaced.

Beside it: a member of an earlier version was called for as long as the sender ran, also after it was upgraded. It is sent a stream again after the first call that fails, as its restart makes one.

TestHostWithoutPowerIsDialledAgain failed before (3 attempts in three seconds, 4 wanted).

--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -38,7 +38,7 @@
 	ctx, cancel := context.WithCancelCause(context.Background())
 	opening := time.AfterFunc(replyTimeout, func() { cancel(errNoReplies) })
 	stream, err := client.DeliverAll(ctx)
-	if !opening.Stop() && err == nil {
+	if !opening.Stop() {
 		err = errNoReplies
 	}
 	if err != nil {
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -151,7 +151,8 @@
 func (m *memberSender) send(batch []*schema.ConsensusMessage) {
 	m.to = batch[0].GetTo()
 	if m.calls {
-		m.t.deliver(m.address, batch, max(m.t.cfg.ElectionTimeout/2, minDeliverTimeout))
+		// A member that has restarted may have streams of deliveries.
+		m.calls = m.t.deliver(m.address, batch, max(m.t.cfg.ElectionTimeout/2, minDeliverTimeout))
 		return
 	}
 	if m.link == nil && !m.open() {
@@ -210,7 +211,8 @@
 	return &schema.Delivery{Group: t.cfg.Group, Messages: batch, Host: t.cfg.Self.GetName(), Address: t.cfg.Self.GetPeerAddress()}
 }
 
-func (t *transport) deliver(address string, batch []*schema.ConsensusMessage, timeout time.Duration) {
+// deliver sends messages with a call, and reports whether it succeeded.
+func (t *transport) deliver(address string, batch []*schema.ConsensusMessage, timeout time.Duration) bool {
 	client, err := t.cfg.Dialer.Client(address)
 	if err == nil {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
@@ -220,6 +222,7 @@
 	if err != nil {
 		t.unreachable(batch[0].GetTo())
 	}
+	return err == nil
 }
 
 // sendSnapshot sends a snapshot in a call of its own, so that heartbeats do not wait
--- a/internal/control/transport_test.go
+++ b/internal/control/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -77,6 +78,7 @@
 	transport   control.Transport
 	mu          sync.Mutex
 	unreachable int
+	dials       int
 	sent        uint64
 }
 
@@ -85,7 +87,13 @@
 	l, err := tt.network.Listen("tcp", receiverAddress)
 	require.NoError(t, err)
 	server := peer.NewServer(peer.ServerConfig{Listener: l, Handlers: tt.receiver.handlers(streams)})
-	dialer := peer.NewDialer(peer.DialerConfig{Dial: tt.network.DialFrom("10.0.0.1")})
+	dial := tt.network.DialFrom("10.0.0.1")
+	dialer := peer.NewDialer(peer.DialerConfig{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		tt.mu.Lock()
+		tt.dials++
+		tt.mu.Unlock()
+		return dial(ctx, address)
+	}})
 	tt.transport = control.NewTransport(control.Config{
 		Self: &schema.HostSettings{Name: "a"}, Dialer: dialer, ElectionTimeout: 600 * time.Millisecond, Log: logr.Discard(),
 		Seeds: func() []string { return nil },
@@ -173,3 +181,19 @@
 		require.Equal(t, 1, tt.unreachableCount())
 	})
 }
+
+// A host without power is dialled again after each election timeout: a connection attempt that hangs
+// would otherwise keep it from an election for a second after it has returned.
+func TestHostWithoutPowerIsDialledAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tt := newTransportTest(t, true)
+		tt.network.PowerOff("10.0.0.2")
+		for range 30 {
+			tt.send()
+			time.Sleep(100 * time.Millisecond)
+		}
+		tt.mu.Lock()
+		defer tt.mu.Unlock()
+		require.GreaterOrEqual(t, tt.dials, 4)
+	})
+}
