quarantine: a server that was dropped counts when it ends again

A server that announces no start has one name for all its ends.

The end's time is remembered with the name, and only ends within ten seconds of it are the dropped one: a host that passes an end on makes it seem later by the time of the transfer.

TestServerThatWasDroppedCountsWhenItEndsAgain failed before; TestRecordsOfManyServersComeToRest holds.

--- a/internal/quarantine/crash_wave_test.go
+++ b/internal/quarantine/crash_wave_test.go
@@ -145,3 +145,19 @@
 	}
 	require.Less(t, lastChange, rounds-quiet)
 }
+
+// A server that announces no start ends again under a part, long after a full record has dropped its
+// first end: that is new evidence.
+func TestServerThatWasDroppedCountsWhenItEndsAgain(t *testing.T) {
+	c := &clock{time.Unix(1e9, 0)}
+	set := newSuspectSet(c)
+	part := quarantine.Accusation{Key: keyOf("part"), Scope: quarantine.ScopePart}
+	for i := range 20 {
+		set.Accuse(fmt.Sprint("i-", i), c.current, []quarantine.Accusation{part})
+		c.current = c.current.Add(time.Second)
+		set.Clear(part.Key)
+	}
+	c.current = c.current.Add(time.Minute)
+	set.Accuse("i-0", c.current, []quarantine.Accusation{part})
+	require.Equal(t, 1, set.UnclearedCount(part.Key))
+}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -15,6 +15,9 @@
 	maxServersPerRecord = 16
 	// maxDroppedServers is the maximum number of servers that a record remembers as dropped.
 	maxDroppedServers = 256
+	// maxEndShift bounds how much later than it was the end of a server may seem to a host, as each
+	// host that passes it on adds the time of the transfer.
+	maxEndShift = 10 * time.Second
 	// maxServerBytes is the maximum length of a server's name in a record of another host.
 	maxServerBytes = 512
 	// maxRecordAge is how long ago a server ended at most in a record that another host may still have.
@@ -35,16 +38,22 @@
 	knownBlame int
 	// lastEnded is when the last of these servers ended.
 	lastEnded time.Time
-	// dropped are the hashes of the servers that were removed from ended to make room, the latest
-	// last, and droppedUntil is when the last of those ended that are no longer in it. They are not
+	// dropped are the servers that were removed from ended to make room, the latest last, and
+	// droppedUntil is when the last of those ended that are no longer in it. These ends are not
 	// added again: each host drops others, and the hosts would send them to each other for ever.
-	dropped      []uint64
+	dropped      []droppedServer
 	droppedUntil time.Time
 	// change is the number of the last change, ownChange of the last one that control hosts
 	// may not know, and foundChange of the last one that this host found itself.
 	change, ownChange, foundChange uint64
 }
 
+// droppedServer is the hash of a server's name and when the server ended.
+type droppedServer struct {
+	hash uint64
+	at   time.Time
+}
+
 // endedServer is a server that ended under a suspect.
 type endedServer struct {
 	at time.Time
@@ -117,7 +126,7 @@
 		r.ended[server], r.knownBlame = merged, 0
 		return merged != known
 	}
-	if !e.at.After(r.droppedUntil) || slices.Contains(r.dropped, xxhash.Sum64String(server)) || !r.makeRoom() {
+	if !e.at.After(r.droppedUntil) || r.hasDropped(server, e.at) || !r.makeRoom() {
 		return false
 	}
 	r.ended[server], r.knownBlame = e, 0
@@ -153,7 +162,7 @@
 	if oldest == "" {
 		return false
 	}
-	if r.dropped = append(r.dropped, xxhash.Sum64String(oldest)); len(r.dropped) > maxDroppedServers {
+	if r.dropped = append(r.dropped, droppedServer{xxhash.Sum64String(oldest), r.ended[oldest].at}); len(r.dropped) > maxDroppedServers {
 		// The one that is forgotten ended before this one, as the oldest is dropped first.
 		r.dropped, r.droppedUntil = r.dropped[1:], r.ended[oldest].at
 	}
@@ -162,6 +171,15 @@
 	return true
 }
 
+// hasDropped reports whether an end of a server was removed to make room.
+func (r *record) hasDropped(server string, at time.Time) bool {
+	if len(r.dropped) == 0 {
+		return false
+	}
+	hash := xxhash.Sum64String(server)
+	return slices.ContainsFunc(r.dropped, func(d droppedServer) bool { return d.hash == hash && at.Sub(d.at) <= maxEndShift })
+}
+
 // clearUntil clears the suspect of the servers of a kind that ended up to a time, and reports
 // whether that changed the record.
 func (r *record) clearUntil(at time.Time, kind Kind) bool {
