settings: a retry slack or ratio of 0 is kept

Found by reading the change. A deployment whose bounds allow no retries beyond a ratio got 50 in a window, and one with a ratio of 0 a fifth of its requests: 0 counted as not set, and was replaced by the default. The two are optional now, and the default is for those that are not set.

TestRetryBudgetOfZero fails before.

--- a/internal/settings/join.go
+++ b/internal/settings/join.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"fennelyard/internal/quota"
@@ -132,8 +133,13 @@
 	} {
 		*setting.value = durationpb.New(durationOrDefault(*setting.value, setting.fallback))
 	}
-	s.RepeatRatio = valueOrDefault(s.GetRepeatRatio(), DefaultRepeatRatio)
-	s.RepeatSlack = valueOrDefault(s.GetRepeatSlack(), DefaultRepeatSlack)
+	// A budget of 0 is a bound like any other.
+	if s.RepeatRatio == nil {
+		s.RepeatRatio = proto.Float64(DefaultRepeatRatio)
+	}
+	if s.RepeatSlack == nil {
+		s.RepeatSlack = proto.Float64(DefaultRepeatSlack)
+	}
 }
 
 // PeerAddress returns the peer address (IP:PORT) of the host with the given IP address.
--- a/internal/settings/page.go
+++ b/internal/settings/page.go
@@ -10,7 +10,7 @@
 
 var (
 	messageLine = regexp.MustCompile(`^message (\w+) \{`)
-	fieldLine   = regexp.MustCompile(`^  (repeated )?([\w.]+) \w+ = \d+ \[json_name = "([^"]+)"\];`)
+	fieldLine   = regexp.MustCompile(`^  (repeated |optional )?([\w.]+) \w+ = \d+ \[json_name = "([^"]+)"\];`)
 	commentLine = regexp.MustCompile(`^\s*// ?(.*)$`)
 )
 
@@ -32,7 +32,7 @@
 			continue
 		}
 		if m := fieldLine.FindStringSubmatch(line); m != nil {
-			fmt.Fprintf(&b, "| `%s` | %s | %s |\n", m[3], kindName(m[1] != "", m[2]), text)
+			fmt.Fprintf(&b, "| `%s` | %s | %s |\n", m[3], kindName(m[1] == "repeated ", m[2]), text)
 		}
 	}
 	return b.String()
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -158,3 +158,15 @@
 		}
 	}
 }
+
+// A retry budget without slack or ratio was taken for one that is not set, and got the default.
+func TestRetryBudgetOfZero(t *testing.T) {
+	s, err := settings.ParseJoin("core-1.yaml", []byte(validJoinSettings+"repeat-slack: 0\nrepeat-ratio: 0\n"))
+	require.NoError(t, err)
+	require.Zero(t, s.GetRepeatSlack())
+	require.Zero(t, s.GetRepeatRatio())
+	s, err = settings.ParseJoin("core-1.yaml", []byte(validJoinSettings))
+	require.NoError(t, err)
+	require.InDelta(t, settings.DefaultRepeatSlack, s.GetRepeatSlack(), 0)
+	require.InDelta(t, settings.DefaultRepeatRatio, s.GetRepeatRatio(), 0)
+}
