review: a server taken away at short notice passes on half of its answer as a whole one

Callers get a complete, signed 200 with a part of the server's body: the server answered without a length, had reported that it leaves, and its process was gone when its time ran out.

--- /dev/null
+++ b/review/rig/cases.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// playShortNotice takes one of the servers away at short notice while it answers. The rule is MIXED:
+// an answer that ends early must not look complete.
+func playShortNotice(d *deployment) error {
+	if err := d.startAll(); err != nil {
+		return err
+	}
+	const requests, pieces = 12, 24
+	answers := make([]answer, requests)
+	var wg sync.WaitGroup
+	for i := range requests {
+		c, err := dialCaller(d.callerAddress(i % entries))
+		if err != nil {
+			return err
+		}
+		defer c.close()
+		d.record.add("caller: sends %s, a safe request whose answer has %d pieces", requestID(i), pieces)
+		wg.Go(func() {
+			answers[i] = c.exchange(requestID(i), fmt.Sprintf("%s%d", safePrefix, pieces))
+			d.record.add("caller: got for %s: %v", requestID(i), answers[i])
+		})
+	}
+	time.Sleep(time.Second)
+	if d.trouble {
+		if err := d.takeAway(d.serverOf(requestID(0))); err != nil {
+			return err
+		}
+	}
+	wg.Wait()
+	partial, whole := 0, 0
+	for _, a := range answers {
+		switch {
+		case a.status != http.StatusOK || !a.complete():
+		case pieceCount(a.body) < pieces:
+			partial++
+		default:
+			whole++
+		}
+	}
+	d.record.add("check: of %d answers %d are a success with the server's whole body, %d a success with a part of it", requests, whole, partial)
+	switch {
+	case partial > 0:
+		return fmt.Errorf("MIXED: %d callers got a complete 200 with a part of the server's body: %w", partial, errBroken)
+	case !d.trouble && whole < requests:
+		return fmt.Errorf("%d of %d answers were whole without a disruption", whole, requests)
+	}
+	return nil
+}
+
+func requestID(i int) string { return fmt.Sprintf("read-%d", i+1) }
+
+// takeAway takes a server away, noticeMs after the notice.
+func (d *deployment) takeAway(server string) error {
+	if !d.noNotice {
+		if err := d.signal(server, syscall.SIGUSR1); err != nil {
+			return err
+		}
+	}
+	time.Sleep(noticeMs * time.Millisecond)
+	return d.kill(server)
+}
+
+// playPlannedStop stops an entry by SIGTERM. The rule is LOST, around planned work: a request that the
+// entry took on later than 3 s after the signal and passed on is cut off.
+func playPlannedStop(d *deployment) error {
+	if err := d.startAll(); err != nil {
+		return err
+	}
+	// A stream from before the signal, which ends well within GraceS.
+	first, err := dialCaller(d.callerAddress(0))
+	if err != nil {
+		return err
+	}
+	defer first.close()
+	var wg sync.WaitGroup
+	var firstAnswer answer
+	d.record.add("caller 1: sends stream-1, 24 pieces")
+	wg.Go(func() {
+		firstAnswer = first.exchange("stream-1", streamPrefix+"24")
+		d.record.add("caller 1: got for stream-1: %v", firstAnswer)
+	})
+	time.Sleep(time.Second)
+	ttl, err := d.resolve()
+	if err != nil {
+		return err
+	}
+	stopped := time.Now()
+	if d.trouble {
+		if err := d.signal(entryName(0), syscall.SIGTERM); err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Until(stopped.Add(2 * time.Second)))
+	second, err := dialCaller(d.callerAddress(0))
+	if err != nil {
+		return fmt.Errorf("connect 2 s after the signal: %w", err)
+	}
+	defer second.close()
+	d.record.add("caller 2: connected %.3f s after the signal, by an answer of the directory that it keeps for %.0f s", time.Since(stopped).Seconds(), 3*ttl)
+	time.Sleep(time.Until(stopped.Add(4 * time.Second)))
+	d.record.add("caller 2: sends stream-2, 24 pieces, %.3f s after the signal", time.Since(stopped).Seconds())
+	a := second.exchange("stream-2", streamPrefix+"24")
+	d.record.add("caller 2: got for stream-2 %.3f s after the signal: %v", time.Since(stopped).Seconds(), a)
+	wg.Wait()
+	if !firstAnswer.complete() || pieceCount(firstAnswer.body) != 24 {
+		return fmt.Errorf("stream-1 was not served: %v", firstAnswer)
+	}
+	if d.trouble {
+		time.Sleep(time.Until(stopped.Add(stopLimit)))
+		if err := d.await(entryName(0)); err != nil {
+			return err
+		}
+	}
+	switch {
+	case a.status == http.StatusOK && !a.complete():
+		return fmt.Errorf("LOST: stream-2 was passed on to a server and ended after %d of 24 pieces: %w", pieceCount(a.body), errBroken)
+	case !d.trouble && (!a.complete() || pieceCount(a.body) != 24):
+		return fmt.Errorf("stream-2 was not served without a disruption: %v", a)
+	}
+	return nil
+}
+
+// playFirstStart kills the first seed a moment after it has been started for the first time, before the last
+// seed listens, and starts it again. The rule is Fault: no request is served.
+func playFirstStart(d *deployment) error {
+	started := time.Now()
+	for i := range controlHosts - 1 {
+		if err := d.startControl(i, true); err != nil {
+			return err
+		}
+	}
+	for i := range entries {
+		if err := d.startEntry(i, true); err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Until(started.Add(startSpread)))
+	if d.trouble {
+		if err := d.kill(controlName(0)); err != nil {
+			return err
+		}
+	}
+	if err := d.startControl(controlHosts-1, true); err != nil {
+		return err
+	}
+	d.record.add("platform: started %s, the last one, %.3f s after the first", controlName(controlHosts-1), time.Since(started).Seconds())
+	if d.trouble {
+		time.Sleep(restartDelay)
+		if err := d.startControl(0, false); err != nil {
+			return err
+		}
+		d.record.add("platform: started %s again, with the settings of a start that is not the first one of the system", controlName(0))
+	}
+	for i := range servers {
+		if err := d.startServer(i); err != nil {
+			return err
+		}
+	}
+	if err := d.putConfig(firstStartLimit); err != nil {
+		d.record.add("operator: %v", err)
+		served := 0
+		for i := range entries {
+			if d.serves(i) {
+				served++
+			}
+		}
+		return fmt.Errorf("fault: %v, and %d of %d entries serve: %w", err, served, entries, errBroken)
+	}
+	return d.awaitServing(20 * time.Second)
+}
+
+const (
+	// startSpread is the time within which all machines start for the first time.
+	startSpread = 300 * time.Millisecond
+	// firstStartLimit is more than twice the sum of ContactMs, CatchUpS, AckMs and RecoveryS.
+	firstStartLimit = 60 * time.Second
+)
--- /dev/null
+++ b/review/rig/server.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	// runsPrefix begins the line by which a server says that it runs a request.
+	runsPrefix = "runs "
+	// pieceMark begins each piece of an answer.
+	pieceMark     = "piece "
+	heartbeat     = 1200 * time.Millisecond
+	pieceInterval = 250 * time.Millisecond
+	// noticeMs is the notice that a server gets before it is taken away.
+	noticeMs = 2000
+)
+
+// serverSettings are the settings of a stand-in of a backend server.
+type serverSettings struct {
+	ID       string
+	Address  string
+	Controls []string
+}
+
+// backendServer is a stand-in of a backend server.
+type backendServer struct {
+	serverSettings
+	sequence int
+	// noticedAt is when the notice came that the server is taken away, in Unix milliseconds; 0:
+	// none.
+	noticedAt atomic.Int64
+}
+
+// runServer runs a backend server until its process ends. SIGUSR1 is the notice that it is taken
+// away.
+func runServer(file string) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	s := &backendServer{}
+	if err := json.Unmarshal(text, &s.serverSettings); err != nil {
+		return fmt.Errorf("decode settings: %w", err)
+	}
+	notices := make(chan os.Signal, 1)
+	signal.Notify(notices, syscall.SIGUSR1)
+	go s.announce(notices)
+	h := &http.Server{Addr: s.Address, Handler: s, ReadHeaderTimeout: 5 * time.Second}
+	return h.ListenAndServe()
+}
+
+func (s *backendServer) announce(notices <-chan os.Signal) {
+	for {
+		s.sendHeartbeat()
+		select {
+		case <-notices:
+			s.noticedAt.Store(time.Now().UnixMilli())
+			fmt.Printf("notice: gone in %d ms\n", noticeMs)
+		case <-time.After(heartbeat):
+		}
+	}
+}
+
+// sendHeartbeat sends one heartbeat to one control host after the other until it is
+// acknowledged.
+func (s *backendServer) sendHeartbeat() {
+	s.sequence++
+	beat := map[string]any{
+		"Backend": serviceName, "Address": s.Address, "Zone": "hall-a", "Version": "v1", "Slots": 96, "State": "ready",
+		"ColdRemainingMs": 0, "Seq": s.sequence,
+	}
+	if at := s.noticedAt.Load(); at != 0 {
+		beat["State"], beat["RemainingMs"] = "draining", max(noticeMs-(time.Now().UnixMilli()-at), 0)
+	}
+	body, _ := json.Marshal(beat)
+	for _, control := range s.Controls {
+		status, _ := call(http.MethodPut, "http://"+control+"/v1/instances/"+s.ID, body)
+		if status == http.StatusOK {
+			if beat["State"] == "draining" {
+				fmt.Println("draining is acknowledged")
+			}
+			return
+		}
+	}
+}
+
+// ServeHTTP runs requests. The last part of the path says how long the answer is: "short", or the
+// number of pieces.
+func (s *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	if r.URL.Path == "/health" {
+		w.Header().Set("Instance-Id", s.ID)
+		return
+	}
+	if r.Header.Get("Expect-Instance") != s.ID {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	pieces, err := strconv.Atoi(r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:])
+	if err != nil {
+		w.Header().Set("Request-Id", id)
+		w.Header().Set("Response-Signature", "short")
+		_, _ = io.WriteString(w, "short")
+		return
+	}
+	fmt.Println(runsPrefix + id)
+	if strings.HasPrefix(r.URL.Path, streamPrefix) {
+		s.stream(w, r, id, pieces)
+		return
+	}
+	s.answerWithoutLength(w, id, pieces)
+}
+
+// stream answers with a stream of events.
+func (s *backendServer) stream(w http.ResponseWriter, r *http.Request, id string, pieces int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Request-Id", id)
+	w.Header().Set("Response-Signature", "stream")
+	for i := 1; i <= pieces; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s%d of %d\n\n", i, pieceMark, i, pieces)
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-r.Context().Done():
+			fmt.Printf("the connection of %s has closed after piece %d\n", id, i)
+			return
+		case <-time.After(pieceInterval):
+		}
+	}
+	fmt.Printf("has sent all pieces of %s\n", id)
+}
+
+// answerWithoutLength answers with a body that has no length and ends with its connection.
+func (s *backendServer) answerWithoutLength(w http.ResponseWriter, id string, pieces int) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: whole-%d\r\nConnection: close\r\n\r\n", id, pieces)
+	for i := 1; i <= pieces; i++ {
+		if _, err = fmt.Fprintf(conn, "%s%d of %d\n", pieceMark, i, pieces); err != nil {
+			return
+		}
+		time.Sleep(pieceInterval)
+	}
+	fmt.Printf("has sent all pieces of %s\n", id)
+}
