review: the control group is never formed if the first seed is killed as the system starts

The first seed is killed 0.3 s after the first start of the system, before the last seed listens, and started again 0.5 s later. For 60 s no configuration is acknowledged (503 at every try), no entry is ready and no request is served.

--- a/review/rig/operator.go
+++ b/review/rig/operator.go
@@ -64,15 +64,17 @@
 // putConfig sends the configuration to one control host after the other until it is
 // acknowledged.
 func (d *deployment) putConfig(wait time.Duration) error {
+	answers := map[int]int{}
 	for deadline, try := time.Now().Add(wait), 0; time.Now().Before(deadline); try++ {
 		status, _ := call(http.MethodPut, "http://"+d.operatorAddress(try%controlHosts)+"/v1/config", config())
 		if status == http.StatusOK {
 			d.record.add("operator: configuration acknowledged at try %d", try+1)
 			return nil
 		}
+		answers[status]++
 		time.Sleep(200 * time.Millisecond)
 	}
-	return fmt.Errorf("no acknowledgement of the configuration within %v", wait)
+	return fmt.Errorf("no acknowledgement of the configuration within %v, tries by their status (0: none): %v", wait, answers)
 }
 
 // awaitServing waits until all entries are ready, and serve at a server each.
