--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -60,6 +61,11 @@
 
 // takeAway takes a server away, noticeMs after the notice.
 func (d *deployment) takeAway(server string) error {
+	if d.full {
+		if err := d.fillServers(); err != nil {
+			return err
+		}
+	}
 	if !d.noNotice {
 		if err := d.signal(server, syscall.SIGUSR1); err != nil {
 			return err
@@ -69,6 +75,23 @@
 	return d.kill(server)
 }
 
+// fillServers sends requests to an entry that all servers reject as they are full.
+func (d *deployment) fillServers() error {
+	for i := range servers / maxServersTried {
+		c, err := dialCaller(d.callerAddress(0))
+		if err != nil {
+			return err
+		}
+		id := fmt.Sprintf("full-%d", i+1)
+		d.record.add("caller: got for %s: %v", id, c.exchange(id, strings.TrimSuffix(safePrefix, "/")+fullPath))
+		c.close()
+	}
+	return nil
+}
+
+// maxServersTried is the number of full servers that an entry tries for a request.
+const maxServersTried = 3
+
 // playPlannedStop stops an entry by SIGTERM. The rule is LOST, around planned work: a request that the
 // entry took on later than 3 s after the signal and passed on is cut off.
 func playPlannedStop(d *deployment) error {
--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -42,10 +42,11 @@
 type deployment struct {
 	// trouble is false for a run without the disruption.
 	trouble bool
-	// noNotice is set if servers are taken away without a notice, for comparison.
-	noNotice bool
-	record   *record
-	folder   string
+	// noNotice is set if servers end without a notice, and full if they have rejected a request
+	// before that.
+	noNotice, full bool
+	record         *record
+	folder         string
 	// network is the third number of the IP addresses.
 	network int
 
@@ -69,7 +70,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("make folder: %w", err)
 	}
-	d := &deployment{trouble: trouble != "0", noNotice: trouble == "no-notice", record: r, folder: folder, processes: map[string]*exec.Cmd{}, runs: map[string]string{}}
+	d := &deployment{trouble: trouble != "0", noNotice: trouble == "no-notice" || trouble == "full", full: trouble == "full", record: r, folder: folder, processes: map[string]*exec.Cmd{}, runs: map[string]string{}}
 	if d.network, err = freeNetwork(); err != nil {
 		d.close()
 		return nil, err
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -21,6 +21,8 @@
 	pieceMark     = "piece "
 	heartbeat     = 1200 * time.Millisecond
 	pieceInterval = 250 * time.Millisecond
+	// fullPath ends the path of a request that finds its server full.
+	fullPath = "/full"
 	// noticeMs is the notice that a server gets before it is taken away.
 	noticeMs = 2000
 )
@@ -95,7 +97,7 @@
 }
 
 // ServeHTTP runs requests. The last part of the path says how long the answer is: "short", or the
-// number of pieces.
+// number of pieces, or that the server is full.
 func (s *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	if r.URL.Path == "/health" {
@@ -107,6 +109,13 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if strings.HasSuffix(r.URL.Path, fullPath) {
+		w.Header().Set("Request-Id", id)
+		w.Header().Set("Not-Executed", "1")
+		w.Header().Set("Retry-After", "5")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	pieces, err := strconv.Atoi(r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:])
 	if err != nil {
 		w.Header().Set("Request-Id", id)
