review: one answer without an end costs an entry its process and its callers their requests

A faulty server's header field without an end fills an entry's memory within 1.2 s; the platform kills it above MemoryMb, and 8 or 9 unsafe requests from kept connections that sound servers were working on have no answer.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 test -x target/review/rig && test -x target/fennelyard || exit 2
-exec target/review/rig planned-stop review/2
+exec target/review/rig without-end review/2
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 test -x target/review/rig && test -x target/fennelyard || exit 2
-exec target/review/rig first-start review/3
+exec target/review/rig planned-stop review/3
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -42,7 +42,7 @@
 		return exitHeld
 	}
 	play, ok := map[string]func(*deployment) error{
-		"short-notice": playShortNotice, "planned-stop": playPlannedStop, "first-start": playFirstStart,
+		"short-notice": playShortNotice, "planned-stop": playPlannedStop, "without-end": playWithoutEnd,
 	}[args[0]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", args[0])
--- a/review/rig/operator.go
+++ b/review/rig/operator.go
@@ -16,6 +16,7 @@
 const (
 	streamPrefix = "/lohu930/"
 	safePrefix   = "/puxa403/"
+	unsafePrefix = "/hold77/"
 	serviceName  = "wuno96b"
 	// requestTimeoutMs is TimeoutMs of all routes and Deadline-Ms of all requests.
 	requestTimeoutMs = 13000
@@ -32,7 +33,7 @@
 	}
 	text, _ := json.Marshal(object{
 		"Version":  7,
-		"Routes":   []object{route("r-stream", streamPrefix, "streaming"), route("r-safe", safePrefix, "safe")},
+		"Routes":   []object{route("r-stream", streamPrefix, "streaming"), route("r-safe", safePrefix, "safe"), route("r-unsafe", unsafePrefix, "unsafe")},
 		"Services": []object{{"Name": serviceName, "HealthPath": "/health", "MaxConns": 480, "Protocol": "h1", "Tls": false}},
 		"Limits":   object{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 	})
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -21,6 +22,14 @@
 	pieceMark     = "piece "
 	heartbeat     = 1200 * time.Millisecond
 	pieceInterval = 250 * time.Millisecond
+	// workPath ends the path of a request whose answer takes workTime.
+	workPath = "/work"
+	workTime = 6 * time.Second
+	// soundAnswers is how many sound answers a server gives, at least, for one that is no response: the
+	// platform's dose is one in twenty.
+	soundAnswers = 20
+	// linkBytesPerMs is the bandwidth of a host's link, 1,000 Mbit/s.
+	linkBytesPerMs = 125000
 	// fullPath ends the path of a request that finds its server full.
 	fullPath = "/full"
 	// noticeMs is the notice that a server gets before it is taken away.
@@ -41,10 +50,14 @@
 	// noticedAt is when the notice came that the server is taken away, in Unix milliseconds; 0:
 	// none.
 	noticedAt atomic.Int64
+	// answers counts the sound answers since the last one that was no response, and garbles is set
+	// while the next answer is none.
+	answers atomic.Int64
+	garbles atomic.Bool
 }
 
 // runServer runs a backend server until its process ends. SIGUSR1 is the notice that it is taken
-// away.
+// away, and SIGUSR2 makes one of its answers no response.
 func runServer(file string) error {
 	text, err := os.ReadFile(file)
 	if err != nil {
@@ -57,6 +70,13 @@
 	notices := make(chan os.Signal, 1)
 	signal.Notify(notices, syscall.SIGUSR1)
 	go s.announce(notices)
+	troubles := make(chan os.Signal, 1)
+	signal.Notify(troubles, syscall.SIGUSR2)
+	go func() {
+		for range troubles {
+			s.garbles.Store(true)
+		}
+	}()
 	h := &http.Server{Addr: s.Address, Handler: s, ReadHeaderTimeout: 5 * time.Second}
 	return h.ListenAndServe()
 }
@@ -116,6 +136,20 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if s.answers.Load() >= soundAnswers && s.garbles.CompareAndSwap(true, false) {
+		s.answerWithoutEnd(w, id)
+		return
+	}
+	s.answers.Add(1)
+	if strings.HasSuffix(r.URL.Path, workPath) {
+		fmt.Println(runsPrefix + id)
+		select {
+		case <-r.Context().Done():
+			fmt.Printf("the connection of %s has closed\n", id)
+			return
+		case <-time.After(workTime):
+		}
+	}
 	pieces, err := strconv.Atoi(r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:])
 	if err != nil {
 		w.Header().Set("Request-Id", id)
@@ -149,6 +183,27 @@
 	fmt.Printf("has sent all pieces of %s\n", id)
 }
 
+// answerWithoutEnd sends bytes that are no response, a header field without an end, until the caller
+// closes.
+func (s *backendServer) answerWithoutEnd(w http.ResponseWriter, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	fmt.Printf("sends bytes without end for %s, after %d sound answers\n", id, s.answers.Swap(0))
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: ")
+	endless := bytes.Repeat([]byte("a"), linkBytesPerMs)
+	sent, start := 0, time.Now()
+	for err == nil {
+		var n int
+		n, err = conn.Write(endless)
+		sent += n
+		time.Sleep(time.Until(start.Add(time.Duration(sent/linkBytesPerMs) * time.Millisecond)))
+	}
+	fmt.Printf("the caller of %s has closed after %d MB\n", id, sent>>20)
+}
+
 // answerWithoutLength answers with a body that has no length and ends with its connection.
 func (s *backendServer) answerWithoutLength(w http.ResponseWriter, id string, pieces int) {
 	conn, _, err := http.NewResponseController(w).Hijack()
