--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -58,11 +58,11 @@
 	closed    bool
 }
 
-func newDeployment(recordFolder, trouble string) (*deployment, error) {
+func newDeployment(recordFile, trouble string) (*deployment, error) {
 	if _, err := os.Stat(programFile); err != nil {
 		return nil, fmt.Errorf("find the program: %w", err)
 	}
-	r, err := newRecord(filepath.Join(recordFolder, "record.txt"))
+	r, err := newRecord(recordFile)
 	if err != nil {
 		return nil, err
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -31,7 +31,7 @@
 
 func run(args []string) int {
 	if len(args) != 2 {
-		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER | rig server FILE")
+		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD | rig server SETTINGS")
 		return exitNotRun
 	}
 	if args[0] == "server" {
@@ -51,8 +51,8 @@
 	return playCase(play, args[1])
 }
 
-func playCase(play func(*deployment) error, folder string) int {
-	d, err := newDeployment(folder, os.Getenv("TROUBLE"))
+func playCase(play func(*deployment) error, recordFile string) int {
+	d, err := newDeployment(recordFile, os.Getenv("TROUBLE"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
