relay: what precedes a response is bounded

Cause: http.ReadResponse reads a head of any length, and holds it all. The only bound was the deadline of the request. Its class is wider: the bodies of responses to other requests, which are read to find the next response; the responses to CONNECT and to cooldowns of other entries; heads of up to 10 MB from hosts and engines (net/http's default, 16 MB in gRPC); replies of engines, hosts and the client library that were cut at a bound and then taken for whole. Bodies that match their request, events, request bodies and listed hosts follow by themselves.

Change: package bound has the bounds, their error, and a Reader that hands a head to net/http line by line and counts bytes and lines, so that nothing read ahead of a body counts and a malformed line is still found at once. An error that meets a bound wraps ErrInterrupted: the request may have run. A response to another request that ends with its connection is not read to its end any more: nothing can follow. Bodies over 16 KB are not copied behind their header.

Ruled out: a bound of the kernel's buffers (the process grew, 289 MB resident); the body, which is a fault of its own; the collector (the bytes were live).

--- a/client.go
+++ b/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	cryptorand "crypto/rand"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -14,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"fennelyard/internal/bound"
 	"fennelyard/internal/cooldown"
 )
 
@@ -241,7 +241,7 @@
 		return nil, errors.Newf("send request to %s: %w", address, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := bound.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return nil, errors.Newf("read response of %s: %w", address, err)
 	}
--- a/cmd/fennelyard/join.go
+++ b/cmd/fennelyard/join.go
@@ -16,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"fennelyard/internal/asynclog"
+	"fennelyard/internal/bound"
 	"fennelyard/internal/metrics"
 	"fennelyard/internal/role"
 	"fennelyard/internal/schema"
@@ -175,7 +176,7 @@
 func serveMetrics(s *schema.JoinSettings, set *metrics.Set, log logr.Logger) (*http.Server, error) {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", set.Handler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: metricsHeaderTimeout}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: metricsHeaderTimeout, MaxHeaderBytes: bound.ReplyHeadBytes}
 	if s.GetMetricsPort() == 0 {
 		return server, nil
 	}
--- a/directory.go
+++ b/directory.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/bound"
 	"fennelyard/internal/cooldown"
 )
 
@@ -68,7 +68,7 @@
 		return nil, 0, errors.Newf("query directory of %s: %w", address, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxDirectoryBytes))
+	body, err := bound.ReadAll(resp.Body, maxDirectoryBytes)
 	if err != nil {
 		return nil, 0, errors.Newf("read directory of %s: %w", address, err)
 	}
--- /dev/null
+++ b/internal/bound/bound.go
@@ -0,0 +1,100 @@
+// Package bound bounds what is read from peers: any of them may send bytes without end, in any
+// part of a message.
+package bound
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+//go:generate go tool stringer -type=Kind -linecomment
+
+// Kind is what a bound limits.
+type Kind int
+
+// The kinds of bounds.
+const (
+	KindHead      Kind = iota // head-bytes
+	KindFields                // head-fields
+	KindInterim               // interim-responses
+	KindDiscarded             // discarded-bytes
+	KindEvent                 // event-bytes
+	KindReply                 // reply-bytes
+)
+
+const (
+	// HeadBytes bounds the status lines and header fields of all responses that are read for one
+	// request.
+	HeadBytes = 64 << 10
+	// HeadFields bounds the lines of these. A field takes some twenty times its bytes once it is
+	// parsed.
+	HeadFields = 256
+	// InterimResponses bounds the informational responses (1xx) before a final one.
+	InterimResponses = 16
+	// ReplyHeadBytes bounds the head of the reply of a host, an engine or an operator's host to a call.
+	ReplyHeadBytes = 16 << 10
+	// DiscardedBytes bounds the body of a response to another request, behind which the response
+	// is read.
+	DiscardedBytes = 1 << 20
+	// EventBytes bounds one event of a stream.
+	EventBytes = 1 << 20
+	// SmallEventBytes is the size of an event from which on it takes a place among the large ones,
+	// whose number the memory for bodies limits.
+	SmallEventBytes = 16 << 10
+	// HeldResponseBytes is how much of a response an entry holds until it is complete, so that the
+	// request can be tried again; a longer one is forwarded as it comes.
+	HeldResponseBytes = 256 << 10
+	// ReportBytes bounds the reply of a model server to an order or a query.
+	ReportBytes = 256 << 10
+	// OrderReplyBytes bounds the reply of an engine to an order, on listed hosts.
+	OrderReplyBytes = 64 << 10
+	// HTTPReplyBytes bounds the response of a server on listed hosts that is no stream.
+	HTTPReplyBytes = 16 << 20
+)
+
+// Error reports that a peer sent more than a bound allows.
+type Error struct {
+	Kind  Kind
+	Limit int64
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("over the bound of %d %v", e.Limit, e.Kind) }
+
+// transportHeadError is in the text of the error of an http.Transport whose peer sends too long
+// a head; it has no type.
+const transportHeadError = "server response headers exceeded"
+
+// Of returns the bound that was met, or nil if an error has another cause.
+func Of(err error) *Error {
+	var met *Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &met):
+		return met
+	}
+	if _, stated, found := strings.Cut(err.Error(), transportHeadError); found {
+		limit := int64(0)
+		// Without a number the kind alone is known.
+		_, _ = fmt.Sscan(stated, &limit)
+		return &Error{KindHead, limit}
+	}
+	return nil
+}
+
+// ReadAll reads a reply of at most limit bytes. A longer one is an *Error: its beginning must not be
+// taken for the whole.
+func ReadAll(in io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(in, limit+1))
+	if err != nil {
+		return nil, errors.Newf("read reply: %w", err)
+	}
+	if int64(len(data)) > limit {
+		return nil, &Error{KindReply, limit}
+	}
+	return data, nil
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -5,13 +5,13 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"fennelyard/internal/bound"
 	"fennelyard/internal/schema"
 )
 
@@ -28,7 +28,6 @@
 )
 
 const (
-	maxReplyBytes  = 64 << 10
 	connectTimeout = 2 * time.Second
 	// sendTimeout bounds the time from the call until the order is written.
 	sendTimeout = 3 * time.Second
@@ -42,7 +41,9 @@
 // NewClient returns a Client that opens a connection for each order: a pooled
 // connection may have been lost, and orders are rare.
 func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialBeforeDeadline}}}
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true, DialContext: dialBeforeDeadline, MaxResponseHeaderBytes: bound.ReplyHeadBytes,
+	}}}
 }
 
 // SendOrder sends an order and waits for the engine's final reply. After an error the
@@ -66,7 +67,7 @@
 		return nil, errors.Newf("send order %d: %w", o.GetFencing(), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	data, err := bound.ReadAll(resp.Body, bound.OrderReplyBytes)
 	if err != nil {
 		return nil, errors.Newf("read reply to order %d: %w", o.GetFencing(), err)
 	}
--- a/internal/gossip/http.go
+++ b/internal/gossip/http.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"fennelyard/internal/bound"
 	"fennelyard/internal/schema"
 	"fennelyard/internal/tcp"
 )
@@ -65,10 +66,7 @@
 	g.logFailure("malformed message: " + err.Error())
 }
 
-var (
-	errTooManySuspects = errors.New("too many suspects in a message")
-	errReplyTooLong    = errors.New("the reply is too long")
-)
+var errTooManySuspects = errors.New("too many suspects in a message")
 
 // Client sends messages to other entries. It is safe for concurrent use.
 type Client struct {
@@ -101,12 +99,9 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Newf("send suspects to %s: status %d", address, response.StatusCode)
 	}
-	if body, err = io.ReadAll(io.LimitReader(response.Body, maxMessageBytes+1)); err != nil {
+	if body, err = bound.ReadAll(response.Body, maxMessageBytes); err != nil {
 		return nil, errors.Newf("read reply of %s: %w", address, err)
 	}
-	if len(body) > maxMessageBytes {
-		return nil, errors.Newf("%s: %w", address, errReplyTooLong)
-	}
 	reply := &schema.SuspectExchange{}
 	if err = proto.Unmarshal(body, reply); err != nil {
 		return nil, errors.Newf("decode reply of %s: %w", address, err)
--- a/internal/host/scrape.go
+++ b/internal/host/scrape.go
@@ -8,6 +8,8 @@
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
+
+	"fennelyard/internal/bound"
 )
 
 const metricsHeaderTimeout = 5 * time.Second
@@ -32,7 +34,7 @@
 		}
 		_, _ = w.Write([]byte(h.entry.Readiness().String() + "\n"))
 	})
-	h.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: metricsHeaderTimeout}
+	h.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: metricsHeaderTimeout, MaxHeaderBytes: bound.ReplyHeadBytes}
 	go func() {
 		// Serve returns when Host.Close closes the server.
 		_ = h.metricsServer.Serve(l)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -37,6 +37,7 @@
 	refusedMessages    *prometheus.CounterVec
 	teamRequests       *prometheus.CounterVec
 	suspectChanges     *prometheus.CounterVec
+	boundsMet          *prometheus.CounterVec
 
 	teamsMu sync.Mutex
 	// teamLabels holds the teams that have their own label value; guarded by teamsMu.
--- a/internal/metrics/routes.go
+++ b/internal/metrics/routes.go
@@ -40,7 +40,10 @@
 	s.suspectChanges = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "suspect_changes_total", Help: "Changes of records of requests that may crash servers, by the source of the change.",
 	}, []string{"source"})
-	s.registry.MustRegister(s.suspectChanges, s.teamRequests, s.routeRequests, s.routeRequestTime, s.routeFirstByte, s.dispatches, s.engineOrders, s.backendConnections, s.refusedMessages)
+	s.boundsMet = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "bounds_met_total", Help: "Responses that sent more than is read, by the kind of the peer and of the bound.",
+	}, []string{"peer", "bound"})
+	s.registry.MustRegister(s.boundsMet, s.suspectChanges, s.teamRequests, s.routeRequests, s.routeRequestTime, s.routeFirstByte, s.dispatches, s.engineOrders, s.backendConnections, s.refusedMessages)
 }
 
 // RefusedMessage counts a message of a server or an operator that was refused, by the kind of
@@ -52,6 +55,9 @@
 // SuspectChanged counts a change of a record of a request that may crash servers.
 func (s *Set) SuspectChanged(source string) { s.suspectChanges.WithLabelValues(source).Inc() }
 
+// BoundMet counts a response that sent more than is read.
+func (s *Set) BoundMet(peer, bound string) { s.boundsMet.WithLabelValues(peer, bound).Inc() }
+
 // RouteRequest records a finished request on a route: its status, its duration, the time to the
 // first byte of the response (0 without one) and the number of attempts.
 func (s *Set) RouteRequest(kind, outcome string, status int, duration, firstByte time.Duration, attempts int) {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -15,6 +14,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"fennelyard/internal/bound"
 	"fennelyard/internal/schema"
 )
 
@@ -35,7 +35,9 @@
 
 // NewClient returns a client for an operator address.
 func NewClient(address string) *Client {
-	return &Client{address: address, http: &http.Client{Timeout: callTimeout}}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = bound.ReplyHeadBytes
+	return &Client{address: address, http: &http.Client{Timeout: callTimeout, Transport: transport}}
 }
 
 // Apply requests a plan for an intent. The reply contains whether the command was
@@ -111,7 +113,7 @@
 		return errors.Newf("reach %s: %w", c.address, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	data, err := bound.ReadAll(resp.Body, maxReplyBytes)
 	if err != nil {
 		return errors.Newf("read response of %s: %w", c.address, err)
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -38,6 +38,8 @@
 	// read it. A batch of configurations of half a megabyte takes one round trip with it, and
 	// eight with HTTP/2's default: seconds between hosts that are short of processor time.
 	windowBytes = 1 << 20
+	// maxHeaderListBytes bounds the header fields of a call.
+	maxHeaderListBytes = 16 << 10
 	// maxTimeouts is the number of consecutive calls that time out on a connection
 	// before it is replaced by a new one.
 	maxTimeouts = 2
@@ -95,7 +97,7 @@
 		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second, Backoff: dialBackoff()}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout, PermitWithoutStream: true}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
-		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableServiceConfig(), grpc.WithMaxHeaderListSize(maxHeaderListBytes),
 		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithUnaryInterceptor(d.replaceUnresponsive(address)),
 	}
@@ -201,7 +203,7 @@
 // NewServer starts to serve on the listener.
 func NewServer(cfg ServerConfig) *Server {
 	opts := []grpc.ServerOption{
-		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes), grpc.MaxHeaderListSize(maxHeaderListBytes),
 		grpc.ConnectionTimeout(handshakeTimeout), grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepaliveTime, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,10 +4,8 @@
 package relay
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/bound"
 	"fennelyard/internal/tcp"
 )
 
@@ -36,7 +35,8 @@
 	// maxMismatchedResponses is the number of responses to other requests after which
 	// the connection is closed: a server may send a response twice.
 	maxMismatchedResponses = 2
-	readBufferBytes        = 8 << 10
+	// maxCopiedBodyBytes is the size of a body up to which it is sent in one write with its header.
+	maxCopiedBodyBytes = 16 << 10
 )
 
 // notSentError is the error of a connection that was not established.
@@ -114,6 +114,8 @@
 	Header http.Header
 	// Framing is how the end of the body is marked.
 	Framing Framing
+	// Length is the stated length of the body in bytes, negative if there is none.
+	Length int64
 	// Body fails with ErrInterrupted if the response ends early.
 	Body  *Body
 	close func()
@@ -125,7 +127,8 @@
 
 // Send sends a request and waits for the header of the response. The connection
 // is reset when the context ends, also while the body is read. The error wraps
-// ErrNotSent, ErrInterrupted or ErrMismatchedResponse.
+// ErrNotSent, ErrInterrupted or ErrMismatchedResponse, and a bound.Error if the server sent
+// more than is read of a head or of responses to other requests.
 func (s *Sender) Send(ctx context.Context, address string, req *Request) (*Response, error) {
 	conn, err := s.dial(ctx, address)
 	if err != nil {
@@ -161,45 +164,76 @@
 	if req.MaySend != nil && !req.MaySend(viaOf(conn)) {
 		return nil, ErrWithheld
 	}
-	if n, err := conn.Write(req.encode()); err != nil {
-		if n == 0 {
-			return nil, errors.Newf("write request: %v: %w", err, ErrNotSent)
-		}
-		return nil, errors.Newf("write request: %v: %w", err, ErrInterrupted)
+	if err := req.write(conn); err != nil {
+		return nil, err
 	}
-	in := bufio.NewReaderSize(conn, readBufferBytes)
+	in := bound.NewReader(conn)
 	for range maxMismatchedResponses {
-		r, err := readResponse(in, req.Method)
+		r, err := in.ReadResponse(&http.Request{Method: req.Method})
 		if err != nil {
-			return nil, err
+			return nil, interrupted(err)
 		}
 		if req.MatchesResponse(r.Header) {
 			tcp.AwaitPeer(conn)
-			return &Response{Status: r.StatusCode, Header: r.Header, Framing: framingOf(r), Body: NewBody(r, req.VerifyEnd)}, nil
+			return &Response{
+				Status: r.StatusCode, Header: r.Header, Framing: framingOf(r), Length: r.ContentLength, Body: NewBody(r, req.VerifyEnd),
+			}, nil
 		}
-		if _, err = io.Copy(io.Discard, r.Body); err != nil {
-			return nil, errors.Newf("discard mismatched response: %v: %w", err, ErrInterrupted)
+		if framingOf(r) == FramingClose {
+			// Nothing can follow it.
+			break
+		}
+		if err = in.Discard(r); err != nil {
+			return nil, interrupted(err)
 		}
 	}
 	return nil, ErrMismatchedResponse
 }
 
-// readResponse reads the next final response and skips informational (1xx) ones.
-func readResponse(in *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		r, err := http.ReadResponse(in, &http.Request{Method: method})
-		if err != nil {
-			return nil, errors.Newf("read response: %v: %w", err, ErrInterrupted)
-		}
-		if r.StatusCode >= http.StatusOK {
-			return r, nil
+// interruptedError is the error of an exchange that a bound has ended.
+type interruptedError struct{ cause error }
+
+func (e interruptedError) Error() string {
+	return e.cause.Error() + ": " + ErrInterrupted.Error()
+}
+
+// Unwrap returns the errors that the error wraps.
+func (e interruptedError) Unwrap() []error { return []error{e.cause, ErrInterrupted} }
+
+// interrupted returns an error that wraps ErrInterrupted, and a bound that was met.
+func interrupted(cause error) error {
+	if bound.Of(cause) != nil {
+		return interruptedError{cause}
+	}
+	return errors.Newf("%v: %w", cause, ErrInterrupted)
+}
+
+// write sends the request. The error wraps ErrNotSent if no byte of it was sent, and ErrInterrupted
+// otherwise.
+func (req *Request) write(conn net.Conn) error {
+	head, body := req.encode(), req.Body
+	if len(body) <= maxCopiedBodyBytes {
+		head, body = append(head, body...), nil
+	}
+	if n, err := conn.Write(head); err != nil {
+		if n == 0 {
+			return errors.Newf("write request: %v: %w", err, ErrNotSent)
 		}
+		return errors.Newf("write request: %v: %w", err, ErrInterrupted)
+	}
+	if len(body) == 0 {
+		return nil
+	}
+	if _, err := conn.Write(body); err != nil {
+		return errors.Newf("write body: %v: %w", err, ErrInterrupted)
 	}
+	return nil
 }
 
+// encode returns the request line and the header.
 func (req *Request) encode() []byte {
 	var b bytes.Buffer
-	b.Grow(len(req.Body) + 1024)
+	b.Grow(min(len(req.Body), maxCopiedBodyBytes) + 1024)
 	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	// Writes to a bytes.Buffer do not fail.
 	_ = req.Header.Write(&b)
@@ -207,7 +241,6 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(req.Body)
 	return b.Bytes()
 }
 
--- a/internal/role/orders.go
+++ b/internal/role/orders.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/bound"
 	"fennelyard/internal/cooldown"
 	"fennelyard/internal/incarnation"
 	"fennelyard/internal/ledger"
@@ -18,7 +19,7 @@
 // sender, which sends orders to the engines whose order holder is this host.
 func (c *Control) startOrders(s *schema.JoinSettings) {
 	log, host := c.cfg.Log.WithName("loading"), s.GetHost()
-	engines := loading.WithCooldowns(c.cfg.Engines, log)
+	engines := loading.WithCooldowns(c.reportBounds(c.cfg.Engines), log)
 	c.orderSender = loading.NewSender(loading.SenderConfig{
 		CatchUp: func(ctx context.Context) (uint64, error) { return c.group.CatchUp(ctx, loading.MaxLeadershipProofAge) },
 		IsHolder: func(key string) bool {
@@ -43,6 +44,28 @@
 	})
 }
 
+// reportBounds returns a client that logs and counts replies of engines that are over a bound.
+func (c *Control) reportBounds(engines loading.Engines) loading.Engines {
+	report := func(call, server, address string, err error) {
+		if met := bound.Of(err); met != nil {
+			c.cfg.Log.Info("reply over a bound", "server", server, "address", address, "call", call, "bound", met.Kind.String(), "limit", met.Limit)
+			c.cfg.Metrics.BoundMet("engine", met.Kind.String())
+		}
+	}
+	return loading.Engines{
+		SendOrder: func(ctx context.Context, address, holder string, o loading.Order) (loading.Outcome, error) {
+			outcome, err := engines.SendOrder(ctx, address, holder, o)
+			report("order", o.Server, address, err)
+			return outcome, err
+		},
+		FetchReport: func(ctx context.Context, address, server string) (loading.Report, error) {
+			r, err := engines.FetchReport(ctx, address, server)
+			report("report", server, address, err)
+			return r, err
+		},
+	}
+}
+
 // orderHolder returns the order holder of a server. It ignores the server's incarnation: an
 // engine that restarted must not receive orders from two holders in turn.
 func (c *Control) orderHolder(server string) loading.Holder {
--- a/internal/routing/sender.go
+++ b/internal/routing/sender.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/bound"
 	"fennelyard/internal/path"
 	"fennelyard/internal/relay"
 )
@@ -141,10 +142,11 @@
 			}
 			return conn, nil
 		},
-		DisableKeepAlives:   unpooled,
-		DisableCompression:  true,
-		IdleConnTimeout:     idleConnTimeout,
-		MaxIdleConnsPerHost: maxIdleConnsPerServer,
+		DisableKeepAlives:      unpooled,
+		DisableCompression:     true,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
+		MaxResponseHeaderBytes: bound.HeadBytes,
 	}
 }
 
--- a/internal/tcp/transport.go
+++ b/internal/tcp/transport.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"fennelyard/internal/bound"
 )
 
 // idleTimeout closes connections between hosts that have not been used: a middlebox may have
@@ -15,7 +17,7 @@
 // up to idlePerHost idle connections to each host, and idle to all of them, 0 for any number.
 func NewTransport(dial func(ctx context.Context, address string) (net.Conn, error), idlePerHost, idle int) *http.Transport {
 	return &http.Transport{
-		DialContext:        func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
-		DisableCompression: true, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: idlePerHost, MaxIdleConns: idle,
+		DialContext:            func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
+		MaxResponseHeaderBytes: bound.ReplyHeadBytes, DisableCompression: true, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: idlePerHost, MaxIdleConns: idle,
 	}
 }
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -1,7 +1,6 @@
 package tunnel
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -13,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"fennelyard/internal/bound"
 	"fennelyard/internal/tcp"
 )
 
@@ -34,13 +34,9 @@
 	ErrRefusedUnsure = errors.New("the server refuses the other host, and so do others")
 )
 
-const (
-	// readBufferBytes holds the response to CONNECT.
-	readBufferBytes = 1 << 10
-	// cooldownTimeout bounds how long a rejected request is delayed to report the cooldown of its server to
-	// the host that carried it.
-	cooldownTimeout = 150 * time.Millisecond
-)
+// cooldownTimeout bounds how long a rejected request is delayed to report the cooldown of its server to
+// the host that carried it.
+const cooldownTimeout = 150 * time.Millisecond
 
 // Options describe a tunnel. All fields are required.
 type Options struct {
@@ -54,16 +50,19 @@
 type Conn struct {
 	net.Conn
 	via string
-	in  *bufio.Reader
+	// ahead are the server's first bytes, which have arrived with the response to CONNECT.
+	ahead []byte
 }
 
 // Via returns the address of the host that carries the tunnel.
 func (c *Conn) Via() string { return c.via }
 
-// Read implements net.Conn. The server's first bytes may have arrived with the response to CONNECT.
+// Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
-	if c.in.Buffered() > 0 {
-		return c.in.Read(p)
+	if len(c.ahead) > 0 {
+		n := copy(p, c.ahead)
+		c.ahead = c.ahead[n:]
+		return n, nil
 	}
 	return c.Conn.Read(p)
 }
@@ -92,7 +91,7 @@
 		return nil, errors.Newf("connect to %s: %v: %w", o.Host, err, ErrUnavailable)
 	}
 	stop := context.AfterFunc(ctx, func() { tcp.Reset(conn) })
-	in := bufio.NewReaderSize(conn, readBufferBytes)
+	in := bound.NewReader(conn)
 	response, err := connect(conn, in, o)
 	if !stop() && err == nil {
 		err = ctx.Err()
@@ -105,7 +104,7 @@
 		_ = conn.Close()
 		return nil, errors.Newf("tunnel through %s: %w", o.Host, err)
 	}
-	return &Conn{Conn: conn, via: o.Host, in: in}, nil
+	return &Conn{Conn: conn, via: o.Host, ahead: in.Ahead()}, nil
 }
 
 // NewOpener returns a function that opens tunnels over connections of dial.
@@ -120,12 +119,12 @@
 }
 
 // connect sends CONNECT and returns the response, whose body is not read.
-func connect(conn net.Conn, in *bufio.Reader, o Options) (*http.Response, error) {
+func connect(conn net.Conn, in *bound.Reader, o Options) (*http.Response, error) {
 	request := &http.Request{Method: http.MethodConnect, URL: &url.URL{Opaque: o.Server}, Host: o.Server, Header: http.Header{}}
 	if err := request.Write(conn); err != nil {
 		return nil, errors.Newf("send CONNECT: %w", err)
 	}
-	response, err := http.ReadResponse(in, request)
+	response, err := in.ReadResponse(request)
 	if err != nil {
 		return nil, errors.Newf("read response to CONNECT: %w", err)
 	}
@@ -177,7 +176,7 @@
 	if err = request.Write(conn); err != nil {
 		return errors.Newf("send cooldown: %w", err)
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	response, err := bound.NewReader(conn).ReadResponse(request)
 	if err != nil {
 		return errors.Newf("read response to cooldown: %w", err)
 	}
--- a/probe.go
+++ b/probe.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"fennelyard/internal/bound"
 )
 
 const (
@@ -62,7 +64,9 @@
 	if err != nil {
 		return false
 	}
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: connectTimeout}).DialContext}
+	transport := &http.Transport{
+		DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: connectTimeout}).DialContext, MaxResponseHeaderBytes: bound.ReplyHeadBytes,
+	}
 	resp, err := (&http.Client{Transport: transport}).Do(req)
 	if err != nil {
 		return false
--- a/request.go
+++ b/request.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/propagation"
+
+	"fennelyard/internal/bound"
 )
 
 const (
@@ -34,7 +36,7 @@
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
 	}
-	return &http.Transport{DialContext: d.DialContext, IdleConnTimeout: idleConnTimeout}
+	return &http.Transport{DialContext: d.DialContext, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: bound.HeadBytes}
 }
 
 // newRequest returns the HTTP request for an attempt, with the trace context and the
