gateway: bodies and events take a stated share of an entry's memory

Callers saw: as with heads without end, a body without end in a response that matches its request, or an event, ended the entry with all its requests.

Cause: nothing added up what requests and responses hold.

Change: package memory has one budget for all bodies, a quarter of memory-mb unless buffer-mb says otherwise. An entry holds 256 KiB of a response, so that the request can be tried again if it breaks off, and forwards the rest as it comes, no faster than the caller reads; where there is no memory it forwards earlier, so that no sound response is refused for its size. What breaks off after that is cut and does not look complete. A request whose body finds no memory is refused at once, as not run (no-memory, 503, Retry-After); 8 KiB of each body are free. Events over 16 KiB take a place of 1 MiB each, as many as a quarter of the budget holds; a stream waits for one without reading. Scanning an event does not begin anew with each read.

Each bound that is met is logged with server, address, via, bound, limit and request, and counted.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -85,8 +85,7 @@
 	if x.retryReserved = !timer.stop(); x.retryReserved {
 		return x.responseFailed(s, errAttemptTimeout)
 	}
-	defer func() { x.g.latency(x.pool).observe(time.Since(sentAt)) }()
-	return x.relayResponse(s, response, responseInfo)
+	return x.relayResponse(s, response, responseInfo, func() { x.g.latency(x.pool).observe(time.Since(sentAt)) })
 }
 
 // send sends the request to a server, and applies what the response states about the server.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/bound"
+	"fennelyard/internal/memory"
 	"fennelyard/internal/origin"
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/relay"
@@ -47,6 +49,7 @@
 	OutcomeBadResumes                    // bad-resumes
 	OutcomeVersionUnknown                // version-unknown
 	OutcomeVersionGone                   // version-gone
+	OutcomeNoMemory                      // no-memory
 )
 
 const (
@@ -82,13 +85,16 @@
 	startTime time.Time
 	random    func(int) int
 
-	table    *routeTable
-	route    *schema.Route
-	access   access
-	pool     string
-	body     []byte
-	ctx      context.Context
-	deadline time.Time
+	table  *routeTable
+	route  *schema.Route
+	access access
+	pool   string
+	body   []byte
+	// bodyMemory is what the body takes, and bodyRead is set once it has been read.
+	bodyMemory *memory.Share
+	bodyRead   bool
+	ctx        context.Context
+	deadline   time.Time
 
 	// attempts counts dispatches, runs those that may have run.
 	attempts int
@@ -163,18 +169,27 @@
 	if x.table != nil && x.table.limits.GetMaxBodyBytes() > 0 {
 		limit = int64(x.table.limits.GetMaxBodyBytes())
 	}
-	if x.body == nil {
+	if x.r.ContentLength > limit {
+		x.refuse(http.StatusRequestEntityTooLarge, OutcomeBadBody, 0)
+		return false
+	}
+	ended := x.bodyRead
+	if !x.bodyRead {
+		x.bodyRead = true
 		// Reading one byte over the limit detects a body that is too long.
-		if x.body, x.cause = io.ReadAll(io.LimitReader(x.r.Body, limit+1)); x.cause != nil {
-			x.refuse(http.StatusBadRequest, OutcomeBadBody, 0)
-			return false
-		}
+		x.body, ended, x.cause = x.bodyMemory.Read(x.r.Body, x.r.ContentLength, limit+1)
 	}
-	if int64(len(x.body)) > limit {
+	switch {
+	case x.cause != nil:
+		x.refuse(http.StatusBadRequest, OutcomeBadBody, 0)
+	case int64(len(x.body)) > limit:
 		x.refuse(http.StatusRequestEntityTooLarge, OutcomeBadBody, 0)
-		return false
+	case !ended:
+		x.refuse(http.StatusServiceUnavailable, OutcomeNoMemory, defaultRetryAfter)
+	default:
+		return true
 	}
-	return true
+	return false
 }
 
 // awaitTable returns the current route table, nil if there is none. A request at a newly
@@ -306,20 +321,25 @@
 	x.status, x.outcome = 0, outcome
 }
 
-// relayResponse forwards a response that is not an event stream. It is read completely first:
-// an interrupted response can still be retried or reported as a failure.
-func (x *exchange) relayResponse(s *server, response *relay.Response, responseInfo ResponseInfo) bool {
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return x.responseFailed(s, err)
-	}
+// relayResponse forwards a response that is not an event stream. It is held until it is complete, so that an
+// interrupted response can still be retried or reported as a failure. One that is longer than
+// bound.HeldResponseBytes, or than there is memory for, is forwarded as it comes. onHeld is called once no more
+// of it is held.
+func (x *exchange) relayResponse(s *server, response *relay.Response, responseInfo ResponseInfo, onHeld func()) bool {
 	success := response.Status >= 200 && response.Status < 300
 	if success && !responseInfo.Signed || response.Header.Get("Content-Encoding") != "" {
+		onHeld()
 		return x.responseFailed(s, errors.Newf("status %d without a signature", response.Status))
 	}
-	x.g.fleet.recordSuccess(s)
-	if response.Status < http.StatusInternalServerError {
-		x.attemptCompleted(s, response)
+	share := x.g.cfg.Memory.NewShare()
+	defer share.Release()
+	held, complete, err := share.Read(response.Body, response.Length, bound.HeldResponseBytes)
+	onHeld()
+	if err != nil {
+		return x.responseFailed(s, err)
+	}
+	if complete {
+		x.responseEnded(s, response)
 	}
 	if response.Status >= http.StatusInternalServerError && x.canRetryNow() {
 		x.cause = errors.Newf("server %s: status %d", s.id, response.Status)
@@ -330,19 +350,92 @@
 	if responseInfo.Cooldown.Wait > 0 {
 		x.replaceRetryAfter()
 	}
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	switch {
+	case complete:
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(held)))
+	case response.Length >= 0:
+		x.w.Header().Set("Content-Length", strconv.FormatInt(response.Length, 10))
+	}
 	x.w.WriteHeader(response.Status)
 	x.timeToFirstByte = time.Since(x.startTime)
 	x.status, x.outcome = response.Status, OutcomeServed
 	if !success {
 		x.outcome = OutcomeServerFailed
 	}
-	if _, err = x.w.Write(body); err != nil {
-		x.cause, x.outcome = err, OutcomeCallerGone
+	_, err = x.w.Write(held)
+	if complete {
+		if err != nil {
+			x.cause, x.outcome = err, OutcomeCallerGone
+		}
+		return false
+	}
+	held = nil
+	share.Release()
+	if err != nil {
+		err = errors.Newf("write response: %v: %w", err, errCallerGone)
+	} else {
+		err = x.forwardBody(response.Body)
+	}
+	if err != nil {
+		x.forwardingFailed(s, err)
+		return false
 	}
+	x.responseEnded(s, response)
 	return false
 }
 
+// forwardBufferBytes is what is held of a response that is forwarded as it comes.
+const forwardBufferBytes = 16 << 10
+
+// forwardBody forwards the rest of a body, no faster than the caller reads it. The error wraps errCallerGone
+// if the caller has disconnected.
+func (x *exchange) forwardBody(body io.Reader) error {
+	buffer := make([]byte, forwardBufferBytes)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if _, writeErr := x.w.Write(buffer[:n]); writeErr != nil {
+				return errors.Newf("write response: %v: %w", writeErr, errCallerGone)
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return errors.Newf("forward response: %w", err)
+		}
+	}
+}
+
+// responseEnded records a response that the server has sent to its end.
+func (x *exchange) responseEnded(s *server, response *relay.Response) {
+	x.g.fleet.recordSuccess(s)
+	if response.Status < http.StatusInternalServerError {
+		x.attemptCompleted(s, response)
+	}
+}
+
+// forwardingFailed ends a response of which a part has been sent to the caller, so that it does not look
+// complete.
+func (x *exchange) forwardingFailed(s *server, err error) {
+	x.cause, x.abandoned = err, true
+	outcome := OutcomeCut
+	switch {
+	case errors.Is(err, errCallerGone) || x.r.Context().Err() != nil:
+		outcome = OutcomeCallerGone
+	case x.g.aborted.Err() != nil:
+		outcome = OutcomeStopping
+	case x.ctx.Err() != nil:
+		outcome = OutcomeTimeout
+	default:
+		x.g.fleet.recordFailure(s, time.Now())
+	}
+	if outcome != OutcomeStopping {
+		x.reportInterruption(s, err)
+	}
+	x.fail(outcome, 0)
+}
+
 // canRetryNow reports whether a request that has run may be retried, and whether a server and a
 // retry of the budget are available.
 func (x *exchange) canRetryNow() bool {
@@ -379,6 +472,7 @@
 
 // finish logs the request, and aborts the connection of an interrupted response.
 func (x *exchange) finish() {
+	x.bodyMemory.Release()
 	x.streamEnded()
 	x.refundQuota()
 	x.g.logRequest(x)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,8 +10,11 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"golang.org/x/sync/semaphore"
 
+	"fennelyard/internal/bound"
 	"fennelyard/internal/ledger"
+	"fennelyard/internal/memory"
 	"fennelyard/internal/origin"
 	"fennelyard/internal/peer"
 	"fennelyard/internal/quarantine"
@@ -31,6 +34,10 @@
 	Sender      *relay.Sender
 	Codec       Codec
 	RetryBudget RetryBudgetConfig
+	// Memory is what bodies and large events may take; nil: memory.DefaultBytes.
+	Memory *memory.Budget
+	// OnBoundMet, if set, is called for each response of a server that meets a bound.
+	OnBoundMet func(bound.Kind)
 	// PathLost reports whether this entry reaches no backend server over its own network path; nil: it
 	// always does.
 	PathLost func() bool
@@ -67,6 +74,9 @@
 	Attempts        int
 }
 
+// largeEventsDivisor is the inverse of the part of the memory for bodies that large events may take in addition.
+const largeEventsDivisor = 4
+
 // Gateway serves the requests of callers. It is safe for concurrent use.
 type Gateway struct {
 	cfg        Config
@@ -80,6 +90,8 @@
 	originWrites sync.WaitGroup
 	// openStreams holds the origins of the resumable streams in progress, by origin.Key.
 	openStreams sync.Map
+	// largeEvents is the memory for events over bound.SmallEventBytes.
+	largeEvents *semaphore.Weighted
 	// quotas tracks the usage of teams' quotas at this entry.
 	quotas *quota.Meter
 	table  atomic.Pointer[routeTable]
@@ -115,8 +127,12 @@
 	if cfg.PathLost == nil {
 		cfg.PathLost = func() bool { return false }
 	}
+	if cfg.Memory == nil {
+		cfg.Memory = memory.NewBudget(memory.Config{})
+	}
 	g := &Gateway{
-		cfg: cfg, fleet: newFleet(), demand: newDemandTracker(), startTime: time.Now(), configured: make(chan struct{}),
+		largeEvents: semaphore.NewWeighted(max(cfg.Memory.Limit()/largeEventsDivisor, bound.EventBytes)),
+		cfg:         cfg, fleet: newFleet(), demand: newDemandTracker(), startTime: time.Now(), configured: make(chan struct{}),
 		stop: make(chan struct{}), done: make(chan struct{}),
 		retryBudgets: map[string]*retryBudget{}, latencies: map[string]*latency{},
 	}
@@ -354,7 +370,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	x := &exchange{g: g, w: w, r: r, startTime: time.Now(), random: rand.IntN}
+	x := &exchange{g: g, w: w, r: r, startTime: time.Now(), random: rand.IntN, bodyMemory: g.cfg.Memory.NewShare()}
 	x.info = g.cfg.Codec.ParseRequest(r)
 	defer x.finish()
 	if x.open() {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/bound"
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/relay"
 	"fennelyard/internal/schema"
@@ -93,10 +94,24 @@
 	return quarantine.Server{ID: s.id, Address: s.address, Kind: s.kind}
 }
 
+// reportBound logs a bound that the response of a server has met.
+func (x *exchange) reportBound(s *server, err error) {
+	met := bound.Of(err)
+	if met == nil {
+		return
+	}
+	x.g.cfg.Log.Info("response over a bound", "server", s.id, "address", s.address, "via", x.via, "bound", met.Kind.String(),
+		"limit", met.Limit, "request", x.info.ID)
+	if x.g.cfg.OnBoundMet != nil {
+		x.g.cfg.OnBoundMet(met.Kind)
+	}
+}
+
 // reportInterruption reports an attempt that ended before its response to the guard. An interruption by the
 // caller, by the deadline or by this entry proves nothing about the server, which may crash later. A
 // server that is leaving ends whatever it runs.
 func (x *exchange) reportInterruption(s *server, err error) {
+	x.reportBound(s, err)
 	switch {
 	case errors.Is(err, relay.ErrNotSent) || !x.g.fleet.isReady(s):
 	case !errors.Is(err, relay.ErrInterrupted) || x.retryReserved || x.ctx.Err() != nil:
--- a/internal/relay/events_test.go
+++ b/internal/relay/events_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"strings"
 	"testing"
@@ -9,11 +10,13 @@
 
 	"github.com/stretchr/testify/require"
 
+	"fennelyard/internal/bound"
 	"fennelyard/internal/relay"
 )
 
 func readAll(in io.Reader) (string, error) {
-	events := relay.NewEventReader(in)
+	events := relay.NewEventReader(relay.EventReaderConfig{In: in})
+	defer events.Close()
 	var out bytes.Buffer
 	for {
 		b, err := events.Next()
@@ -45,6 +48,55 @@
 	}
 }
 
+// A large event waits for its memory before more is read, and gives it back once it has been forwarded, also if the
+// stream goes on or breaks off.
+func TestLargeEventsReserveMemory(t *testing.T) {
+	large := "data: " + strings.Repeat("x", 3*bound.SmallEventBytes) + "\n\n"
+	small := "data: y\n\n"
+	for name, test := range map[string]struct {
+		in                string
+		reserved, heldAny int
+	}{
+		"small events":                 {strings.Repeat(small, 9000), 0, 0},
+		"a large one among small ones": {small + large + strings.Repeat(small, 9000), 1, 0},
+		"two large ones":               {large + strings.Repeat(small, 9000) + large + strings.Repeat(small, 9000), 2, 0},
+		"a large one that breaks off":  {small + large[:len(large)-2], 1, 1},
+		"a large one at the very end":  {small + large, 1, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reserved, held := 0, 0
+			events := relay.NewEventReader(relay.EventReaderConfig{In: strings.NewReader(test.in), Reserve: func() (func(), error) {
+				reserved, held = reserved+1, held+1
+				return func() { held-- }, nil
+			}})
+			var got strings.Builder
+			for {
+				b, err := events.Next()
+				if err != nil {
+					break
+				}
+				got.Write(b)
+			}
+			require.True(t, strings.HasPrefix(test.in, got.String()))
+			require.Equal(t, test.reserved, reserved)
+			require.Equal(t, test.heldAny, held)
+			events.Close()
+			events.Close()
+			require.Zero(t, held)
+		})
+	}
+}
+
+// A stream whose request ends while a large event waits for memory is interrupted.
+func TestLargeEventWithoutMemory(t *testing.T) {
+	events := relay.NewEventReader(relay.EventReaderConfig{
+		In: strings.NewReader(strings.Repeat("x", bound.EventBytes)), Reserve: func() (func(), error) { return nil, context.Canceled },
+	})
+	defer events.Close()
+	_, err := events.Next()
+	require.ErrorIs(t, err, relay.ErrInterrupted)
+}
+
 func TestEventIDs(t *testing.T) {
 	first, last, ok := relay.EventIDs([]byte("id: 3\ndata: x\n\nid:4\n\n"))
 	require.True(t, ok)
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -11,9 +11,11 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"fennelyard/internal/bound"
 	"fennelyard/internal/gateway"
 	"fennelyard/internal/gossip"
 	"fennelyard/internal/ledger"
+	"fennelyard/internal/memory"
 	"fennelyard/internal/metrics"
 	"fennelyard/internal/origin"
 	"fennelyard/internal/path"
@@ -71,6 +73,8 @@
 	// suspects exchanges evidence on harmful requests with other entries.
 	suspects       *gossip.Gossip
 	suspectsClient *gossip.Client
+	// memory is what bodies of requests and responses may take.
+	memory         *memory.Budget
 	callerServer   *http.Server
 	callerListener net.Listener
 	servers        []*http.Server
@@ -101,12 +105,14 @@
 		Cooldown:     func(address string) time.Duration { return e.gateway.ServerCooldown(address) },
 		OnCooldown:   func(server string, wait time.Duration) { e.gateway.CarriedCooldown(server, wait) },
 	})
+	e.memory = memory.NewBudget(memory.Config{Bytes: int64(s.GetBufferMb() * (1 << 20))})
 	e.origins, e.suspectsClient = origin.NewClient(direct), gossip.NewClient(direct)
 	e.gateway = gateway.New(gateway.Config{
 		Self: &schema.RosterEntry{
 			Host: s.GetHost(), DataCentre: s.GetDataCentre(), CallerAddress: s.GetCallerAddress(),
 			TunnelAddress: settings.PeerAddress(s.GetIp(), s),
 		},
+		Memory: e.memory, OnBoundMet: func(k bound.Kind) { cfg.Metrics.BoundMet("server", k.String()) },
 		PathLost: e.paths.Unreached, StateCooldown: tunnel.NewCooldownReporter(direct, cfg.Log),
 		Seeds: cfg.Settings.Seeds, Dialer: e.dialer, Replica: ledger.NewReplica(),
 		Sender: relay.NewSender(relay.Config{
@@ -174,6 +180,10 @@
 		e.cfg.Metrics.Gauge(gauge.name, gauge.help, func() float64 { return gauge.read(e.paths.State()) })
 	}
 	e.cfg.Metrics.Gauge("tunnels_open", "Connections to backend servers that this entry carries for other entries.", func() float64 { return float64(e.tunnels.Active()) })
+	e.cfg.Metrics.Gauge("buffer_bytes", "Memory that bodies of requests and responses take.", func() float64 { return float64(e.memory.Used()) })
+	e.cfg.Metrics.Gauge("buffer_bytes_most", "Most memory that bodies of requests and responses have taken at a time.", func() float64 { return float64(e.memory.Most()) })
+	e.cfg.Metrics.Gauge("buffer_bytes_limit", "Memory that bodies of requests and responses may take.", func() float64 { return float64(e.memory.Limit()) })
+	e.cfg.Metrics.Gauge("buffer_denied", "Times that a body found no memory.", func() float64 { return float64(e.memory.Denied()) })
 	e.cfg.Metrics.Gauge("requests_at_hand", "Requests of callers at hand.", func() float64 { return float64(e.gateway.InFlight()) })
 }
 
--- a/internal/settings/join.go
+++ b/internal/settings/join.go
@@ -25,6 +25,10 @@
 	DefaultRepeatWindow      = 10 * time.Second
 	DefaultRepeatSlack       = 50.0
 	DefaultLoadWindow        = 5 * time.Second
+	// DefaultBufferShare is the part of memory-mb that bodies may take.
+	DefaultBufferShare = 0.25
+	// DefaultBufferMB is the memory that bodies may take where memory-mb is not set.
+	DefaultBufferMB = 128.0
 )
 
 const maxPort = 65535
@@ -101,6 +105,9 @@
 	checkDuration(d, "quota-window", s.GetQuotaWindow(), time.Second, time.Hour)
 	checkQuantity(d, "disk-mb", s.GetDiskMb(), "write for example 128")
 	checkQuantity(d, "memory-mb", s.GetMemoryMb(), "write for example 256")
+	if s.BufferMb != nil {
+		checkBuffer(d, "buffer-mb", s.GetBufferMb(), s.GetMemoryMb())
+	}
 	checkQuantity(d, "repeat-ratio", s.GetRepeatRatio(), "write for example 0.2")
 	checkQuantity(d, "repeat-slack", s.GetRepeatSlack(), "write for example 50")
 }
@@ -115,6 +122,17 @@
 	}
 }
 
+// checkBuffer checks the memory that bodies may take; memoryMB is that of the process, 0 if it is not
+// known.
+func checkBuffer(d *document, path string, value, memoryMB float64) {
+	switch {
+	case !(value > 0 && value < maxQuantity):
+		d.addKeyFault(path, "must be more than 0", "remove the key, or write for example 64")
+	case memoryMB > 0 && value >= memoryMB:
+		d.addKeyFault(path, "must be less than memory-mb", "remove the key, or write a quarter of memory-mb")
+	}
+}
+
 func setJoinDefaults(s *schema.JoinSettings) {
 	if s.GetPeerListenIp() == "" {
 		s.PeerListenIp = s.GetIp()
@@ -140,6 +158,13 @@
 	if s.RepeatSlack == nil {
 		s.RepeatSlack = proto.Float64(DefaultRepeatSlack)
 	}
+	switch {
+	case s.BufferMb != nil:
+	case s.GetMemoryMb() > 0:
+		s.BufferMb = proto.Float64(s.GetMemoryMb() * DefaultBufferShare)
+	default:
+		s.BufferMb = proto.Float64(DefaultBufferMB)
+	}
 }
 
 // PeerAddress returns the peer address (IP:PORT) of the host with the given IP address.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"fennelyard/internal/schema"
@@ -193,6 +194,9 @@
 	checkDuration(d, "entry.directory-keep", e.GetDirectoryKeep(), time.Second, time.Hour)
 	checkDuration(d, "entry.default-deadline", e.GetDefaultDeadline(), time.Millisecond, maxDeadline)
 	checkDuration(d, "entry.drain-limit", e.GetDrainLimit(), 0, time.Hour)
+	if e != nil && e.BufferMb != nil {
+		checkBuffer(d, "entry.buffer-mb", e.GetBufferMb(), 0)
+	}
 }
 
 func checkDuration(d *document, path string, v *durationpb.Duration, minimum, maximum time.Duration) {
@@ -234,6 +238,9 @@
 	e.MaxBodyBytes = valueOrDefault(e.GetMaxBodyBytes(), DefaultMaxBodyBytes)
 	e.QueueLimit = valueOrDefault(e.GetQueueLimit(), DefaultQueueLimit)
 	e.ReplicaLimit = valueOrDefault(e.GetReplicaLimit(), DefaultReplicaLimit)
+	if e.BufferMb == nil {
+		e.BufferMb = proto.Float64(DefaultBufferMB)
+	}
 	setPlacementDefaults(s)
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -170,3 +170,23 @@
 	require.InDelta(t, settings.DefaultRepeatSlack, s.GetRepeatSlack(), 0)
 	require.InDelta(t, settings.DefaultRepeatRatio, s.GetRepeatRatio(), 0)
 }
+
+// The memory for bodies is a share of that of the process. A bound of zero, below it or beyond the process's memory
+// would refuse every body, or none.
+func TestMemoryForBodies(t *testing.T) {
+	for addition, want := range map[string]float64{"": settings.DefaultBufferMB, "memory-mb: 160.5\n": 40.125, "memory-mb: 100\nbuffer-mb: 12.5\n": 12.5} {
+		s, err := settings.ParseJoin("core-1.yaml", []byte(validJoinSettings+addition))
+		require.NoError(t, err)
+		require.InDelta(t, want, s.GetBufferMb(), 0)
+	}
+	for _, value := range []string{"0", "-1", "100", "1e300", ".nan"} {
+		_, err := settings.ParseJoin("core-1.yaml", []byte(validJoinSettings+"buffer-mb: "+value+"\nmemory-mb: 100\n"))
+		require.ErrorContains(t, err, "core-1.yaml:8", value)
+		require.ErrorContains(t, err, "buffer-mb")
+	}
+	s, err := settings.Parse("good.yaml", []byte(validSettings))
+	require.NoError(t, err)
+	require.InDelta(t, settings.DefaultBufferMB, s.GetEntry().GetBufferMb(), 0)
+	_, err = settings.Parse("bad.yaml", []byte(validSettings+"  buffer-mb: 0\n"))
+	require.ErrorContains(t, err, "entry.buffer-mb")
+}
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -272,6 +272,8 @@
 		return "every server that could serve the request had asked the entry to send it nothing for longer than the caller would wait; it waited " + fmt.Sprint(waited)
 	case "entry-stopping":
 		return fmt.Sprintf("the entry was stopped and had no time left to serve the request, after waiting %v for a model: %s", waited, request.text("cause"))
+	case "no-memory":
+		return "the bodies of other requests and responses took all memory for bodies (buffer-mb); the request was not sent"
 	case "server-failed":
 		return "server " + request.text("server") + " responded with status " + request.text("status")
 	}
