entry: listed hosts bound what servers send

A host held up to 16 MB of each response, a buffer of 1 MB for each stream and up to 10 MB of a head, and nothing added them up; a sound response of more than 16 MB failed, after it had run.

Change: the same budget (buffer-mb of entry, 128), the same held part of 256 KiB and the same reader of events as at the other hosts. What is longer is forwarded as it comes, at claimed requests too: they are recorded as run, with an answer that is not kept, before the caller gets the first byte, and the server's connection stays open until the caller's request has ended. A body that the ledger does not keep is not sent to the log either. A request whose body finds no memory is refused as not run (no-memory); the client goes to another entry.

The line that ends an event may be LF CR LF as well, as the reader of listed hosts took it.

--- a/error.go
+++ b/error.go
@@ -44,7 +44,9 @@
 
 // concernsEntry reports whether the refusal is for the state of the entry that made it, so that other
 // entries may serve the request.
-func (e *Error) concernsEntry() bool { return e.code == "stopping" || e.code == "not-ready" }
+func (e *Error) concernsEntry() bool {
+	return e.code == "stopping" || e.code == "not-ready" || e.code == "no-memory"
+}
 
 // Error returns the code, the outcome and the message.
 func (e *Error) Error() string {
--- a/internal/bound/bound.go
+++ b/internal/bound/bound.go
@@ -51,8 +51,6 @@
 	ReportBytes = 256 << 10
 	// OrderReplyBytes bounds the reply of an engine to an order, on listed hosts.
 	OrderReplyBytes = 64 << 10
-	// HTTPReplyBytes bounds the response of a server on listed hosts that is no stream.
-	HTTPReplyBytes = 16 << 20
 )
 
 // Error reports that a peer sent more than a bound allows.
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
@@ -17,6 +15,7 @@
 	"fennelyard/internal/admission"
 	"fennelyard/internal/claim"
 	"fennelyard/internal/directory"
+	"fennelyard/internal/memory"
 	"fennelyard/internal/operator"
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/refusal"
@@ -105,11 +104,15 @@
 	kind     string
 	method   string
 	// path is the path and query sent to the backend server.
-	path     string
-	target   target
-	body     []byte
-	received time.Time
-	deadline time.Time
+	path   string
+	target target
+	body   []byte
+	// memory is what the body takes; handedOver is set if a claimed request that goes on without its caller
+	// gives it back.
+	memory     *memory.Share
+	handedOver bool
+	received   time.Time
+	deadline   time.Time
 	// key is the idempotency key of a request that must not run twice.
 	// firstAttempt is set if the caller declares that it sends the key for the
 	// first time.
@@ -121,6 +124,13 @@
 	keyed *quarantine.KeyedRequest
 }
 
+// release gives back what the body takes, once the request has ended.
+func (in *incomingRequest) release() {
+	if !in.handedOver {
+		in.memory.Release()
+	}
+}
+
 // checkRequest reads a request, and refuses one that is invalid or arrives before
 // the entry is ready. The request is returned also with a refusal.
 func (e *Entry) checkRequest(c echo.Context, kind string) (*incomingRequest, *refusal.Refusal) {
@@ -128,7 +138,7 @@
 	in := &incomingRequest{
 		id: strconv.FormatUint(e.cfg.RandomID(), 36), kind: kind, method: q.Method, received: time.Now(), path: q.URL.RequestURI(),
 		customer: q.Header.Get(routing.HeaderCustomer), key: q.Header.Get(HeaderIdempotencyKey),
-		firstAttempt: q.Header.Get(HeaderAttempt) == "1",
+		firstAttempt: q.Header.Get(HeaderAttempt) == "1", memory: e.memory.NewShare(),
 	}
 	if e.Readiness() == ReadinessNone {
 		return in, refusal.New(refusal.NotReady, "this entry does not know yet that its configuration is current").
@@ -140,27 +150,35 @@
 	if len(in.key) > claim.MaxKeyBytes {
 		return in, refusal.New(refusal.BadRequest, "header %s has more than %d bytes", HeaderIdempotencyKey, claim.MaxKeyBytes)
 	}
-	body, refused := e.readBody(c)
-	in.body = body
-	return in, refused
+	return in, e.readBody(c, in)
 }
 
+// memoryRetryAfter is when a request may come again whose body found no memory: other entries have their own.
+const memoryRetryAfter = 500 * time.Millisecond
+
 // readBody reads a body of bounded size within bodyTimeout. The read deadline is
 // cleared afterwards: otherwise it would interrupt a long response.
-func (e *Entry) readBody(c echo.Context) ([]byte, *refusal.Refusal) {
+func (e *Entry) readBody(c echo.Context, in *incomingRequest) *refusal.Refusal {
 	limit := int64(e.cfg.Settings.GetEntry().GetMaxBodyBytes())
+	tooLarge := refusal.New(refusal.BodyTooLarge, "the body has more than %d bytes", limit)
+	if c.Request().ContentLength > limit {
+		return tooLarge
+	}
 	controller := http.NewResponseController(c.Response().Writer)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+	// Reading one byte over the limit detects a body that is too long.
+	body, ended, err := in.memory.Read(c.Request().Body, c.Request().ContentLength, limit+1)
 	_ = controller.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
-		return nil, refusal.New(refusal.BodyTooLarge, "the body has more than %d bytes", limit)
 	case err != nil:
-		return nil, refusal.New(refusal.BadRequest, "the body could not be read")
+		return refusal.New(refusal.BadRequest, "the body could not be read")
+	case int64(len(body)) > limit:
+		return tooLarge
+	case !ended:
+		return refusal.New(refusal.NoMemory, "the bodies of other requests take all memory of this entry").WithRetryAfter(memoryRetryAfter)
 	}
-	return body, nil
+	in.body = body
+	return nil
 }
 
 // resolveTarget sets the target and the deadline of a request.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,11 +16,13 @@
 
 	"fennelyard/internal/admission"
 	"fennelyard/internal/backend"
+	"fennelyard/internal/bound"
 	"fennelyard/internal/claim"
 	"fennelyard/internal/control"
 	"fennelyard/internal/gossip"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/membership"
+	"fennelyard/internal/memory"
 	"fennelyard/internal/metrics"
 	"fennelyard/internal/path"
 	"fennelyard/internal/quarantine"
@@ -89,7 +91,11 @@
 	gossip       *gossip.Gossip
 	gossipClient *gossip.Client
 	forecasts    *forecasts
-	httpServers  []*http.Server
+	// memory is what bodies of requests and responses may take, and largeEvents what events of streams may
+	// that are larger than bound.SmallEventBytes.
+	memory      *memory.Budget
+	largeEvents *memory.Places
+	httpServers []*http.Server
 	// capacityDue has a token while the capacity of queues has changed with the cooldown of a server.
 	capacityDue chan struct{}
 	// reportDue has a token while a report to the leader is due immediately.
@@ -126,6 +132,8 @@
 		forecasts: newForecasts(), reportDue: make(chan struct{}, 1), suspectsDue: make(chan struct{}, 1), capacityDue: make(chan struct{}, 1),
 		stop: make(chan struct{}), done: make(chan struct{}),
 	}
+	e.memory = memory.NewBudget(memory.Config{Bytes: int64(cfg.Settings.GetEntry().GetBufferMb() * (1 << 20))})
+	e.largeEvents = memory.NewPlaces(memory.PlacesConfig{Bytes: e.memory.Limit() / memory.LargeEventsDivisor, Each: bound.EventBytes})
 	e.startPaths()
 	e.sender = routing.NewSender(routing.SenderConfig{Dial: e.paths.Dial})
 	e.admission = admission.NewController(admission.Config{
@@ -188,6 +196,8 @@
 		func() float64 { return float64(e.paths.State().LostServers) })
 	e.cfg.Metrics.Gauge("tunnels_open", "Connections to backend servers that this entry carries for other entries.",
 		func() float64 { return float64(e.tunnels.Active()) })
+	e.cfg.Metrics.Gauge("buffer_bytes", "Memory that bodies of requests and responses take.", func() float64 { return float64(e.memory.Used()) })
+	e.cfg.Metrics.Gauge("buffer_bytes_limit", "Memory that bodies of requests and responses may take.", func() float64 { return float64(e.memory.Limit()) })
 	e.cfg.Metrics.Gauge("heard_servers", "Backend servers that announce themselves to this entry.",
 		func() float64 { return float64(e.backends.Len()) })
 }
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,19 +14,23 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"fennelyard/internal/admission"
+	"fennelyard/internal/bound"
 	"fennelyard/internal/ledger"
+	"fennelyard/internal/memory"
 	"fennelyard/internal/refusal"
 	"fennelyard/internal/routing"
 )
 
 const (
-	// maxResponseBytes bounds a response that is buffered until it is complete.
-	maxResponseBytes = 16 << 20
 	// minSilenceTimeout is the minimum time for which a reused connection may be
 	// silent; for slow models it is silenceTimeoutServiceTimes times the mean
 	// service time.
 	minSilenceTimeout          = 3 * time.Second
 	silenceTimeoutServiceTimes = 4
+	// forwardBufferBytes is what is held of a response that is forwarded as it comes.
+	forwardBufferBytes = 16 << 10
+	// writeSlack is the time beyond the deadline that a response may take to be written.
+	writeSlack = 500 * time.Millisecond
 	// noReplicaRetryDelay is the delay before a retry if all replicas are full or
 	// excluded.
 	noReplicaRetryDelay = 5 * time.Millisecond
@@ -43,6 +48,7 @@
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	in, refused := e.checkRequest(c, kindModel)
+	defer in.release()
 	if refused != nil {
 		return e.refuse(c, in, refused)
 	}
@@ -234,11 +240,14 @@
 	return false, false, nil
 }
 
-// forwardResponse buffers a response until it is complete, so that a request with a
-// truncated response can be retried and no caller receives a part of one.
+// forwardResponse holds a response until it is complete, so that a request with a truncated response can be
+// retried and no caller receives a part of one. A response that is longer than bound.HeldResponseBytes, or than
+// there is memory for, is forwarded as it comes.
 func (a *attempts) forwardResponse(ctx context.Context, c echo.Context, chosen routing.Candidate, response *routing.Response) (finished, served bool, r *refusal.Refusal) {
-	body, err := response.ReadAll(maxResponseBytes)
-	if err == nil && response.Status() == http.StatusOK && !json.Valid(body) {
+	share := a.e.memory.NewShare()
+	defer share.Release()
+	held, complete, err := share.Read(response.Body(), response.Length(), bound.HeldResponseBytes)
+	if err == nil && complete && response.Status() == http.StatusOK && !json.Valid(held) {
 		err = errors.Newf("not JSON: %w", routing.ErrIncomplete)
 	}
 	a.recordResult(chosen, routing.Result{OK: err == nil || ctx.Err() != nil, FirstByte: response.FirstByte(), Reported: response.Outstanding()})
@@ -246,15 +255,52 @@
 		a.e.reportFailedAttempt(ctx, a.in, chosen, err)
 		return a.handleFailure(ctx, chosen, err)
 	}
-	a.e.attemptCompleted(a.in, response)
 	a.e.cfg.Metrics.FirstByte(a.in.kind, time.Since(a.in.received), a.cold)
 	copyHeader(c.Response().Header(), response.Header())
 	c.Response().Header().Set(routing.HeaderRequestID, a.in.id)
-	// The request is served even if its caller has disconnected.
-	_ = c.Blob(response.Status(), response.Header().Get("Content-Type"), body)
+	if complete {
+		a.e.attemptCompleted(a.in, response)
+		// The request is served even if its caller has disconnected.
+		_ = c.Blob(response.Status(), response.Header().Get("Content-Type"), held)
+		return true, true, nil
+	}
+	if err = a.e.forwardAsItComes(c, a.in, response, held, share); err != nil {
+		a.e.reportFailedAttempt(ctx, a.in, chosen, err)
+		a.recordResult(chosen, routing.Result{OK: ctx.Err() != nil, FirstByte: response.FirstByte(), Reported: response.Outstanding()})
+		a.e.abort(a.in, chosen, err)
+	}
+	a.e.attemptCompleted(a.in, response)
 	return true, true, nil
 }
 
+// forwardAsItComes forwards a response of which the first part is held, no faster than the caller reads it. It gives
+// the memory of this part back.
+func (e *Entry) forwardAsItComes(c echo.Context, in *incomingRequest, response *routing.Response, held []byte, share *memory.Share) error {
+	w := c.Response()
+	// This fails only if the connection is already closed.
+	_ = http.NewResponseController(w.Writer).SetWriteDeadline(in.deadline.Add(writeSlack))
+	w.Header().Set("Content-Type", response.Header().Get("Content-Type"))
+	if response.Length() >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(response.Length(), 10))
+	}
+	w.WriteHeader(response.Status())
+	if _, err := w.Write(held); err != nil {
+		return errors.Newf("write response: %w", err)
+	}
+	share.Release()
+	if _, err := io.CopyBuffer(struct{ io.Writer }{w}, response.Body(), make([]byte, forwardBufferBytes)); err != nil {
+		return errors.Newf("forward response: %w", err)
+	}
+	return nil
+}
+
+// abort interrupts a response of which a part has been sent, so that it does not look complete.
+func (e *Entry) abort(in *incomingRequest, at routing.Candidate, cause error) {
+	e.cfg.Log.Info("response cut", "server", at.Server, "address", at.Address, "request", in.id, "reason", cause.Error())
+	e.cfg.Metrics.Refusal(refusal.StreamCut.String(), refusal.Unknown.String())
+	panic(http.ErrAbortHandler)
+}
+
 // call returns the call that sends a request to a server.
 func (e *Entry) call(ctx context.Context, q *http.Request, in *incomingRequest, to routing.Candidate) routing.Call {
 	header := q.Header.Clone()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -12,7 +12,10 @@
 	"github.com/labstack/echo/v4"
 
 	"fennelyard/internal/admission"
+	"fennelyard/internal/bound"
 	"fennelyard/internal/claim"
+	"fennelyard/internal/ledger"
+	"fennelyard/internal/memory"
 	"fennelyard/internal/refusal"
 	"fennelyard/internal/routing"
 	"fennelyard/internal/schema"
@@ -34,6 +37,7 @@
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	in, refused := e.checkRequest(c, kindService)
+	defer in.release()
 	if refused == nil {
 		refused = e.resolveTarget(c, in, c.Param("service"))
 	}
@@ -96,12 +100,15 @@
 		c.Response().Header().Set(HeaderReplayed, "true")
 		return e.writeClaimedResponse(c, in, recorded)
 	}
-	claimed := &claimedRequest{e: e, in: in, grant: grant, request: q, result: make(chan claimedResult, 1)}
+	claimed := &claimedRequest{e: e, in: in, grant: grant, request: q, result: make(chan claimedResult, 1), callerGone: make(chan struct{})}
 	// The request continues after its caller disconnects: its outcome must be
 	// recorded all the same.
+	in.handedOver = true
+	defer close(claimed.callerGone)
 	e.wg.Add(1)
 	go func() {
 		defer e.wg.Done()
+		defer in.memory.Release()
 		claimed.run(context.WithoutCancel(q.Context()))
 	}()
 	return e.awaitClaimed(c, in, claimed)
@@ -117,6 +124,9 @@
 		if r.refused != nil {
 			return e.refuse(c, in, r.refused)
 		}
+		if r.rest != nil {
+			return e.forwardClaimed(c, in, r)
+		}
 		return e.writeClaimedResponse(c, in, r.response)
 	case <-timer.C:
 		return e.refuse(c, in, refusal.New(refusal.OutcomeUnknown,
@@ -133,9 +143,26 @@
 	return c.Blob(int(response.GetStatus()), response.GetContentType(), response.GetBody())
 }
 
+// forwardClaimed forwards a response that is too large to be held, as it comes.
+func (e *Entry) forwardClaimed(c echo.Context, in *incomingRequest, r claimedResult) error {
+	e.cfg.Metrics.Request(in.kind, int(r.response.GetStatus()))
+	e.cfg.Metrics.FirstByte(in.kind, time.Since(in.received), false)
+	c.Response().Header().Set(routing.HeaderRequestID, in.id)
+	c.Response().Header().Set(routing.HeaderOutcome, refusal.Ran.String())
+	if err := e.forwardAsItComes(c, in, r.rest, r.response.GetBody(), r.memory); err != nil {
+		e.abort(in, r.from, err)
+	}
+	return nil
+}
+
 type claimedResult struct {
 	response *schema.Answer
 	refused  *refusal.Refusal
+	// rest is the response of the server from of which the body of response is the first part, in memory;
+	// nil if that is the whole. It is open until the caller's request has ended.
+	rest   *routing.Response
+	from   routing.Candidate
+	memory *memory.Share
 }
 
 // claimedRequest is a claimed request, which is run at most once.
@@ -146,6 +173,10 @@
 	request *http.Request
 	// result receives exactly one value.
 	result chan claimedResult
+	// callerGone is closed once the caller's request has ended.
+	callerGone chan struct{}
+	// handedOver is set once the result was received from handOver.
+	handedOver bool
 }
 
 func (r *claimedRequest) run(ctx context.Context) {
@@ -192,8 +223,10 @@
 			ticket.Requeue()
 			continue
 		}
-		served = response != nil
-		r.settle(outcome, response, err)
+		served = response != nil || r.handedOver
+		if !r.handedOver {
+			r.settle(outcome, response, err)
+		}
 		return
 	}
 }
@@ -247,7 +280,9 @@
 		e.table.RecordResult(time.Now(), to, r.in.target.name, r.in.body, routing.Result{OK: true, Reported: response.Outstanding()})
 		return refusal.NotRun, nil, nil
 	}
-	body, err := response.ReadAll(maxResponseBytes)
+	share := e.memory.NewShare()
+	defer share.Release()
+	body, complete, err := share.Read(response.Body(), response.Length(), bound.HeldResponseBytes)
 	e.table.RecordResult(time.Now(), to, r.in.target.name, r.in.body, routing.Result{
 		OK: err == nil, FirstByte: response.FirstByte(), Reported: response.Outstanding(),
 	})
@@ -257,10 +292,22 @@
 		// incomplete.
 		return refusal.Ran, nil, err
 	}
+	answer := &schema.Answer{Status: uint32(response.Status()), ContentType: response.Header().Get("Content-Type"), Body: body}
+	if !complete {
+		r.handOver(claimedResult{response: answer, rest: response, from: to, memory: share})
+		return refusal.Ran, nil, nil
+	}
 	e.attemptCompleted(r.in, response)
-	return refusal.Ran, &schema.Answer{
-		Status: uint32(response.Status()), ContentType: response.Header().Get("Content-Type"), Body: body,
-	}, nil
+	return refusal.Ran, answer, nil
+}
+
+// handOver records that the request ran, and lets its caller have a response that is too large to be held. It
+// returns once the caller's request has ended.
+func (r *claimedRequest) handOver(result claimedResult) {
+	r.e.claims.Settle(r.grant, schema.ClaimOutcome_CLAIM_OUTCOME_DONE, &schema.Answer{Status: result.response.GetStatus(), Omitted: true})
+	r.result <- result
+	<-r.callerGone
+	r.handedOver = true
 }
 
 func (r *claimedRequest) settleNotRun(refused *refusal.Refusal) {
@@ -268,12 +315,20 @@
 	r.result <- claimedResult{refused: refused}
 }
 
+// recordedAnswer returns what is recorded of a response: a body that is not kept is not sent to the log either.
+func recordedAnswer(a *schema.Answer) *schema.Answer {
+	if len(a.GetBody()) <= ledger.MaxAnswerBytes {
+		return a
+	}
+	return &schema.Answer{Status: a.GetStatus(), ContentType: a.GetContentType(), Omitted: true}
+}
+
 // settle records the outcome before the caller receives it, so that a retry after a
 // crash of this entry finds it.
 func (r *claimedRequest) settle(outcome refusal.Outcome, response *schema.Answer, err error) {
 	switch {
 	case response != nil:
-		r.e.claims.Settle(r.grant, schema.ClaimOutcome_CLAIM_OUTCOME_DONE, response)
+		r.e.claims.Settle(r.grant, schema.ClaimOutcome_CLAIM_OUTCOME_DONE, recordedAnswer(response))
 		r.result <- claimedResult{response: response}
 	case outcome == refusal.Ran:
 		r.e.claims.Settle(r.grant, schema.ClaimOutcome_CLAIM_OUTCOME_DONE, &schema.Answer{Omitted: true})
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -16,11 +15,11 @@
 
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/refusal"
+	"fennelyard/internal/relay"
 	"fennelyard/internal/routing"
 )
 
 const (
-	maxEventBytes = 1 << 20
 	// maxResumes bounds the number of times that one stream is resumed.
 	maxResumes = 3
 	// streamSilenceTimeout bounds the time without data on an open stream. Engines
@@ -28,10 +27,7 @@
 	streamSilenceTimeout = 15 * time.Second
 )
 
-var (
-	errEventTooLarge = errors.New("a stream event is too large")
-	doneMarker       = []byte("[DONE]")
-)
+var doneMarker = []byte("[DONE]")
 
 // event is one server-sent event with the blank line that ends it.
 type event struct {
@@ -41,25 +37,18 @@
 	data []byte
 }
 
-// readEvent reads one complete event. A partial event is an error, so that no caller
-// receives one.
-func readEvent(r *bufio.Reader) (event, error) {
+// parseEvents parses complete events. A partial event is never among them, so that no caller receives one.
+func parseEvents(b []byte) []event {
+	var out []event
 	var ev event
-	for {
-		line, err := r.ReadSlice('\n')
-		if err != nil {
-			if errors.Is(err, bufio.ErrBufferFull) {
-				return event{}, errEventTooLarge
-			}
-			return event{}, err
-		}
-		ev.raw = append(ev.raw, line...)
-		if len(ev.raw) > maxEventBytes {
-			return event{}, errEventTooLarge
-		}
-		line = bytes.TrimRight(line, "\r\n")
+	for start := 0; start < len(b); {
+		end := start + bytes.IndexByte(b[start:], '\n') + 1
+		ev.raw = append(ev.raw, b[start:end]...)
+		line := bytes.TrimRight(b[start:end], "\r\n")
+		start = end
 		if len(line) == 0 {
-			return ev, nil
+			out, ev = append(out, ev), event{}
+			continue
 		}
 		field, value, _ := strings.Cut(string(line), ":")
 		value = strings.TrimPrefix(value, " ")
@@ -70,6 +59,7 @@
 			ev.data = append(ev.data, value...)
 		}
 	}
+	return out
 }
 
 // forwardStream forwards events as they arrive. After the first event there is no
@@ -114,9 +104,12 @@
 func (s *streamForwarder) forward(ctx context.Context, response *routing.Response) error {
 	silence := time.AfterFunc(streamSilenceTimeout, response.Close)
 	defer silence.Stop()
-	r := bufio.NewReaderSize(response.Body(), maxEventBytes)
+	in := relay.NewEventReader(relay.EventReaderConfig{In: response.Body(), Reserve: func() (func(), error) {
+		return s.a.e.largeEvents.Reserve(ctx)
+	}})
+	defer in.Close()
 	for {
-		ev, err := readEvent(r)
+		events, err := in.Next()
 		if err != nil {
 			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
@@ -124,15 +117,17 @@
 			return errors.Newf("read stream: %w", err)
 		}
 		silence.Reset(streamSilenceTimeout)
-		if ev.id > 0 && ev.id <= s.lastID {
-			continue
-		}
-		if ctx.Err() != nil {
-			return errors.Newf("pass stream: %w", ctx.Err())
-		}
-		s.forwardEvent(response, ev)
-		if bytes.Equal(ev.data, doneMarker) {
-			return nil
+		for _, ev := range parseEvents(events) {
+			if ev.id > 0 && ev.id <= s.lastID {
+				continue
+			}
+			if ctx.Err() != nil {
+				return errors.Newf("pass stream: %w", ctx.Err())
+			}
+			s.forwardEvent(response, ev)
+			if bytes.Equal(ev.data, doneMarker) {
+				return nil
+			}
 		}
 	}
 }
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/bound"
 	"fennelyard/internal/incarnation"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/quarantine"
@@ -126,6 +127,10 @@
 // reportFailedAttempt reports a server at which an attempt failed to the guard. One at which it was given up
 // may still run the request, and crash later. A leaving server is not reported: it ends whatever it runs.
 func (e *Entry) reportFailedAttempt(ctx context.Context, in *incomingRequest, at routing.Candidate, err error) {
+	if met := bound.Of(err); met != nil {
+		e.cfg.Log.Info("response over a bound", "server", at.Server, "address", at.Address, "bound", met.Kind.String(), "limit", met.Limit, "request", in.id)
+		e.cfg.Metrics.BoundMet("server", met.Kind.String())
+	}
 	switch {
 	case errors.Is(err, routing.ErrNotRun) || e.leaves(at):
 	case ctx.Err() != nil || errors.Is(err, routing.ErrSilent):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/go-logr/logr"
-	"golang.org/x/sync/semaphore"
 
 	"fennelyard/internal/bound"
 	"fennelyard/internal/ledger"
@@ -74,9 +73,6 @@
 	Attempts        int
 }
 
-// largeEventsDivisor is the inverse of the part of the memory for bodies that large events may take in addition.
-const largeEventsDivisor = 4
-
 // Gateway serves the requests of callers. It is safe for concurrent use.
 type Gateway struct {
 	cfg        Config
@@ -91,7 +87,7 @@
 	// openStreams holds the origins of the resumable streams in progress, by origin.Key.
 	openStreams sync.Map
 	// largeEvents is the memory for events over bound.SmallEventBytes.
-	largeEvents *semaphore.Weighted
+	largeEvents *memory.Places
 	// quotas tracks the usage of teams' quotas at this entry.
 	quotas *quota.Meter
 	table  atomic.Pointer[routeTable]
@@ -131,7 +127,7 @@
 		cfg.Memory = memory.NewBudget(memory.Config{})
 	}
 	g := &Gateway{
-		largeEvents: semaphore.NewWeighted(max(cfg.Memory.Limit()/largeEventsDivisor, bound.EventBytes)),
+		largeEvents: memory.NewPlaces(memory.PlacesConfig{Bytes: cfg.Memory.Limit() / memory.LargeEventsDivisor, Each: bound.EventBytes}),
 		cfg:         cfg, fleet: newFleet(), demand: newDemandTracker(), startTime: time.Now(), configured: make(chan struct{}),
 		stop: make(chan struct{}), done: make(chan struct{}),
 		retryBudgets: map[string]*retryBudget{}, latencies: map[string]*latency{},
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"fennelyard/internal/bound"
 	"fennelyard/internal/path"
 	"fennelyard/internal/relay"
 	"fennelyard/internal/schema"
@@ -75,7 +74,9 @@
 // relayEvents forwards events until the stream ends; it returns nil at the regular end. proceed
 // is called before events are sent and returns false if the attempt was canceled.
 func (x *exchange) relayEvents(response *relay.Response, lastID *int64, proceed func() bool) error {
-	in := relay.NewEventReader(relay.EventReaderConfig{In: response.Body, Reserve: x.reserveLargeEvent})
+	in := relay.NewEventReader(relay.EventReaderConfig{In: response.Body, Reserve: func() (func(), error) {
+		return x.g.largeEvents.Reserve(x.ctx)
+	}})
 	defer in.Close()
 	out := http.NewResponseController(x.w)
 	for waitStart := time.Now(); ; waitStart = time.Now() {
@@ -117,15 +118,6 @@
 	}
 }
 
-// reserveLargeEvent waits for the memory of a large event. All of it is taken at once: streams that wait for each
-// other to give back a part would wait for ever.
-func (x *exchange) reserveLargeEvent() (release func(), err error) {
-	if err := x.g.largeEvents.Acquire(x.ctx, bound.EventBytes); err != nil {
-		return nil, errors.Newf("reserve: %w", err)
-	}
-	return func() { x.g.largeEvents.Release(bound.EventBytes) }, nil
-}
-
 func (x *exchange) startStream(response *relay.Response) {
 	x.copyHeader(response)
 	x.timeToFirstByte = time.Since(x.startTime)
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -10,6 +10,10 @@
 	"github.com/cockroachdb/errors"
 )
 
+// LargeEventsDivisor is the inverse of the part of the memory for bodies that large events of streams may take in
+// addition.
+const LargeEventsDivisor = 4
+
 // FreeBytes is what each body may take beside the budget: the descriptors of a process limit their number, and
 // short requests must not be refused for long ones.
 const FreeBytes = 8 << 10
--- a/internal/refusal/code_string.go
+++ b/internal/refusal/code_string.go
@@ -31,11 +31,12 @@
 	_ = x[Internal-20]
 	_ = x[HeldBack-21]
 	_ = x[NoPath-22]
+	_ = x[NoMemory-23]
 }
 
-const _Code_name = "bad-requestbody-too-largeunknown-customerunauthorizedunknown-targetdeadline-passedcustomer-limitqueue-fulltoo-lateno-capacityno-leaderkey-missingkey-reusedstill-runningoutcome-unknownanswer-not-keptbackend-failedstream-cutstoppingnot-readyinternalheld-backno-path"
+const _Code_name = "bad-requestbody-too-largeunknown-customerunauthorizedunknown-targetdeadline-passedcustomer-limitqueue-fulltoo-lateno-capacityno-leaderkey-missingkey-reusedstill-runningoutcome-unknownanswer-not-keptbackend-failedstream-cutstoppingnot-readyinternalheld-backno-pathno-memory"
 
-var _Code_index = [...]uint16{0, 11, 25, 41, 53, 67, 82, 96, 106, 114, 125, 134, 145, 155, 168, 183, 198, 212, 222, 230, 239, 247, 256, 263}
+var _Code_index = [...]uint16{0, 11, 25, 41, 53, 67, 82, 96, 106, 114, 125, 134, 145, 155, 168, 183, 198, 212, 222, 230, 239, 247, 256, 263, 272}
 
 func (i Code) String() string {
 	idx := int(i) - 0
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -40,6 +40,7 @@
 	Internal                    // internal
 	HeldBack                    // held-back
 	NoPath                      // no-path
+	NoMemory                    // no-memory
 )
 
 // Outcome is whether a request ran at a backend server.
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -122,8 +122,8 @@
 	return nil
 }
 
-// blankLineBytes is the length of the longest blank line with the end of the line before it.
-const blankLineBytes = 4
+// blankLineBytes is the length of the longest blank line with the line feed before it.
+const blankLineBytes = 3
 
 // completeEventsLen returns the length of the complete events at the head of b: all up to and including the last
 // blank line. The first scanned bytes are known to contain none.
@@ -133,8 +133,8 @@
 	if i := bytes.LastIndex(b[from:], []byte("\n\n")); i >= 0 {
 		n = from + i + 2
 	}
-	if i := bytes.LastIndex(b[from:], []byte("\r\n\r\n")); i >= 0 {
-		n = max(n, from+i+4)
+	if i := bytes.LastIndex(b[from:], []byte("\n\r\n")); i >= 0 {
+		n = max(n, from+i+3)
 	}
 	return n
 }
--- a/internal/relay/events_test.go
+++ b/internal/relay/events_test.go
@@ -34,6 +34,7 @@
 	}{
 		"complete":        {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", io.EOF},
 		"truncated":       {"id: 1\ndata: a\n\nid: 2\nda", "id: 1\ndata: a\n\n", relay.ErrPartialEvent},
+		"mixed line ends": {"id: 1\n\r\nid: 2\r\n\nid", "id: 1\n\r\nid: 2\r\n\n", relay.ErrPartialEvent},
 		"carriage return": {"id: 1\r\n\r\n", "id: 1\r\n\r\n", io.EOF},
 		"empty":           {"", "", io.EOF},
 		"longer event":    {"data: " + strings.Repeat("x", 9000) + "\n\n", "data: " + strings.Repeat("x", 9000) + "\n\n", io.EOF},
@@ -115,6 +116,6 @@
 	f.Fuzz(func(t *testing.T, in []byte) {
 		got, _ := readAll(iotest.HalfReader(bytes.NewReader(in)))
 		require.True(t, bytes.HasPrefix(in, []byte(got)))
-		require.True(t, got == "" || strings.HasSuffix(got, "\n\n") || strings.HasSuffix(got, "\r\n\r\n"))
+		require.True(t, got == "" || strings.HasSuffix(got, "\n\n") || strings.HasSuffix(got, "\n\r\n"))
 	})
 }
--- a/internal/routing/sender.go
+++ b/internal/routing/sender.go
@@ -59,7 +59,6 @@
 	ErrNoPath             = errors.Newf("no path to the servers: %w", ErrNotRun)
 	ErrMismatchedResponse = errors.New("the answer belongs to another request")
 	ErrSilent             = errors.New("the connection went silent")
-	ErrTooLarge           = errors.New("the answer is too large")
 	ErrIncomplete         = errors.New("the answer is incomplete")
 )
 
@@ -174,6 +173,8 @@
 	status int
 	header http.Header
 	body   *relay.Body
+	// length is the stated length of the body, negative if there is none.
+	length int64
 	// closeBody closes the connection, or returns it to the pool.
 	closeBody func() error
 	cancel    context.CancelFunc
@@ -192,9 +193,12 @@
 // Header returns the response header.
 func (r *Response) Header() http.Header { return r.header }
 
-// Body returns the response body.
+// Body returns the response body, which fails with relay.ErrInterrupted if it ends early.
 func (r *Response) Body() io.Reader { return r.body }
 
+// Length returns the stated length of the body in bytes, negative if there is none.
+func (r *Response) Length() int64 { return r.length }
+
 // Complete reports whether the body was read to an end that is proved to be its regular
 // one.
 func (r *Response) Complete() bool { return r.body.Complete() }
@@ -221,20 +225,6 @@
 	_ = r.closeBody()
 }
 
-// ReadAll reads a body of at most limit bytes. A body that ends early is an error
-// that wraps ErrIncomplete, a longer one an error that wraps ErrTooLarge: a
-// truncated response must not be taken for a complete one.
-func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(r.body, limit+1))
-	if err != nil {
-		return nil, errors.Newf("read answer: %v: %w", err, ErrIncomplete)
-	}
-	if int64(len(data)) > limit {
-		return nil, errors.Newf("more than %d bytes: %w", limit, ErrTooLarge)
-	}
-	return data, nil
-}
-
 // Send makes a call and returns its response once the header is received. An error
 // that wraps ErrNotRun proves that the server did not run the request.
 func (s *Sender) Send(ctx context.Context, c Call) (*Response, error) {
@@ -274,7 +264,7 @@
 		return nil, errors.Newf("asked %s, answered %s: %w", c.RequestID, id, ErrMismatchedResponse)
 	}
 	return &Response{
-		status: resp.StatusCode, header: resp.Header, body: relay.NewBody(resp, c.VerifyEnd), closeBody: resp.Body.Close,
+		status: resp.StatusCode, header: resp.Header, length: resp.ContentLength, body: relay.NewBody(resp, c.VerifyEnd), closeBody: resp.Body.Close,
 		cancel: stop, firstByte: time.Since(start), via: via,
 	}, nil
 }
