entry: a stopping entry takes what it can finish, and refuses the rest at once

Hypotheses: the entry takes whatever arrives on a connection that was accepted (then its line says entry-stopping, and it ends at 0.94 of the stop limit); the server broke it off; the deadline of 13 s; the process was killed. The lines of a run: outcome=entry-stopping, took-ms=3549, 7.55 s after the signal, end of the read by our own close; drained at 7.6 s, before the limit.

Cause: only requests that wait looked at the time left; one that finds a server was sent however late. Its class is wider, by the table of docs/design/stops.md: retries and requests whose server is just connected to were sent late too; a body that arrives in parts was awaited without a bound, and then sent; a request that waits for the first configuration was held until the abort; a process without a request in progress closed connections on which one was just arriving; the directory of a stopping entry that is cut off named it for as long as it lived.

Change: package drain has the plan of a stop. A request is sent to a server only if it ends before the abort: by its deadline, or, as long as connections are accepted, by the longest of the latest requests of its route, or of its pools. Checked when a header has arrived, when its body has, before each attempt and once the server is connected. Everything else is refused at once with 503 and Retry-After 0.05, or 502 if it may have run. Bodies have until their request's deadline (408), at a stop until its last moment. The process ends once no request is left and no connection on which a header may still come. The line of a refused request says why.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/drain"
 	"fennelyard/internal/path"
 	"fennelyard/internal/ratelimit"
 	"fennelyard/internal/relay"
@@ -100,7 +101,7 @@
 		if _, held := x.g.guard.Hold(x.keyedRequest()).At(s.kind); held {
 			return false
 		}
-		return x.g.fleet.maySend(s)
+		return x.g.fleet.maySend(s) && (x.started || x.mayBeSent(sentAt))
 	}
 	request.VerifyEnd = func() relay.Presence { return x.verifyEnd(s) }
 	response, err := x.g.cfg.Sender.Send(ctx, s.address, request)
@@ -159,7 +160,7 @@
 	if !errors.Is(err, relay.ErrNotSent) {
 		x.runs++
 	}
-	x.fail(OutcomeStopping, stoppingRetryAfter)
+	x.fail(OutcomeStopping, drain.RetryAfter)
 }
 
 // mayRunAgain reports whether a request that may have run may be sent again, and otherwise
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"fennelyard/internal/bound"
+	"fennelyard/internal/drain"
 	"fennelyard/internal/memory"
 	"fennelyard/internal/origin"
 	"fennelyard/internal/quarantine"
@@ -57,9 +59,6 @@
 	// defaultRetryAfter is the Retry-After sent to callers when no better estimate exists:
 	// slightly more than the time to detect a change of leader or the loss of a server.
 	defaultRetryAfter = 500 * time.Millisecond
-	// stoppingRetryAfter is the Retry-After sent by a stopping entry: another entry serves the
-	// caller at once.
-	stoppingRetryAfter = 50 * time.Millisecond
 	// startupWait is how long after its start an entry lets requests wait for the first
 	// configuration. After a power loss of all control hosts the group elects a leader within a
 	// second and a half of their return if no host is lost.
@@ -93,8 +92,10 @@
 	// bodyMemory is what the body takes, and bodyRead is set once it has been read.
 	bodyMemory *memory.Share
 	bodyRead   bool
-	ctx        context.Context
-	deadline   time.Time
+	// bodyEnded is set once the whole body has been read.
+	bodyEnded bool
+	ctx       context.Context
+	deadline  time.Time
 
 	// attempts counts dispatches, runs those that may have run.
 	attempts int
@@ -151,6 +152,10 @@
 		}
 		x.table = x.awaitTable()
 	}
+	if x.table == nil && x.g.isDraining() {
+		x.refuse(http.StatusServiceUnavailable, OutcomeStopping, drain.RetryAfter)
+		return false
+	}
 	if x.table == nil {
 		x.refuse(http.StatusServiceUnavailable, OutcomeNoConfig, defaultRetryAfter)
 		return false
@@ -159,7 +164,17 @@
 		x.refuse(http.StatusNotFound, OutcomeNoRoute, 0)
 		return false
 	}
-	return x.authorize() && x.readBody()
+	x.setDeadline()
+	return !x.refusedByStop(time.Now()) && x.authorize() && x.readBody()
+}
+
+// setDeadline sets the request's deadline by the caller's and the route's timeout.
+func (x *exchange) setDeadline() {
+	timeout := time.Duration(x.route.GetTimeoutMs()) * time.Millisecond
+	if x.info.Timeout > 0 && x.info.Timeout < timeout {
+		timeout = x.info.Timeout
+	}
+	x.deadline = x.startTime.Add(timeout)
 }
 
 // readBody reads the body once. It sends the response itself and returns false if the body
@@ -173,18 +188,23 @@
 		x.refuse(http.StatusRequestEntityTooLarge, OutcomeBadBody, 0)
 		return false
 	}
-	ended := x.bodyRead
 	if !x.bodyRead {
 		x.bodyRead = true
+		end := x.boundBodyTime()
 		// Reading one byte over the limit detects a body that is too long.
-		x.body, ended, x.cause = x.bodyMemory.Read(x.r.Body, x.r.ContentLength, limit+1)
+		x.body, x.bodyEnded, x.cause = x.bodyMemory.Read(x.r.Body, x.r.ContentLength, limit+1)
+		end()
 	}
 	switch {
+	case errors.Is(x.cause, os.ErrDeadlineExceeded) && x.g.isDraining() && time.Now().Before(x.deadline):
+		x.refuseForStop()
+	case errors.Is(x.cause, os.ErrDeadlineExceeded):
+		x.refuse(http.StatusRequestTimeout, OutcomeBadBody, 0)
 	case x.cause != nil:
 		x.refuse(http.StatusBadRequest, OutcomeBadBody, 0)
 	case int64(len(x.body)) > limit:
 		x.refuse(http.StatusRequestEntityTooLarge, OutcomeBadBody, 0)
-	case !ended:
+	case !x.bodyEnded:
 		x.refuse(http.StatusServiceUnavailable, OutcomeNoMemory, defaultRetryAfter)
 	default:
 		return true
@@ -213,7 +233,7 @@
 	select {
 	case <-x.g.configured:
 	case <-timer.C:
-	case <-x.g.aborted.Done():
+	case <-x.g.draining.Done():
 	case <-x.r.Context().Done():
 	}
 	return x.g.table.Load()
@@ -222,11 +242,6 @@
 // serve tries one server after another until one has responded or no further attempt is
 // allowed.
 func (x *exchange) serve() {
-	timeout := time.Duration(x.route.GetTimeoutMs()) * time.Millisecond
-	if x.info.Timeout > 0 && x.info.Timeout < timeout {
-		timeout = x.info.Timeout
-	}
-	x.deadline = x.startTime.Add(timeout)
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	defer context.AfterFunc(x.g.aborted, cancel)()
@@ -252,7 +267,7 @@
 // tryNext makes one attempt and reports whether another one should follow.
 func (x *exchange) tryNext() bool {
 	x.g.guard.AwaitProbes(x.ctx, x.keyedRequest())
-	if x.refusedByQuarantine() || !x.findServer() {
+	if x.refusedByQuarantine() || x.refusedByStop(time.Now()) || !x.findServer() || x.refusedByStop(time.Now()) {
 		return false
 	}
 	if x.attempts > 0 && !x.retryReserved && !x.g.retryBudget(x.pool).withdraw(time.Now(), x.g.sharingEntries()) {
@@ -309,6 +324,9 @@
 		h.Set(headerRetryAfter, formatSeconds(retryAfter))
 	}
 	h.Set("Content-Length", "0")
+	if !x.bodyEnded && (x.bodyRead || status == http.StatusRequestEntityTooLarge || x.g.isDraining()) {
+		x.abandonBody()
+	}
 	x.w.WriteHeader(status)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"fennelyard/internal/bound"
+	"fennelyard/internal/drain"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/memory"
 	"fennelyard/internal/origin"
@@ -99,12 +100,14 @@
 	// recentEntries are the other entries of the last lists.
 	recentEntries recentEntries
 	// shares counts the entries that divide the limits that hold for all of them together.
-	shares   shareCounter
-	draining atomic.Bool
-	// sendDeadline is the time after which a draining gateway forwards no more requests; nil if it
-	// is not draining.
-	sendDeadline atomic.Pointer[time.Time]
-	inFlight     atomic.Int64
+	shares shareCounter
+	// durations predicts how long the requests of a route take.
+	durations *drain.Durations
+	// drainPlan is nil until the gateway drains; draining is canceled then.
+	drainPlan     atomic.Pointer[drain.Plan]
+	draining      context.Context
+	startDraining context.CancelFunc
+	inFlight      atomic.Int64
 	// aborted is canceled when every request must get its final response at once.
 	aborted context.Context
 	abort   context.CancelFunc
@@ -130,7 +133,7 @@
 		largeEvents: memory.NewPlaces(memory.PlacesConfig{Bytes: cfg.Memory.Limit() / memory.LargeEventsDivisor, Each: bound.EventBytes}),
 		cfg:         cfg, fleet: newFleet(), demand: newDemandTracker(), startTime: time.Now(), configured: make(chan struct{}),
 		stop: make(chan struct{}), done: make(chan struct{}),
-		retryBudgets: map[string]*retryBudget{}, latencies: map[string]*latency{},
+		retryBudgets: map[string]*retryBudget{}, latencies: map[string]*latency{}, durations: drain.NewDurations(),
 	}
 	g.subscriber = newSubscriber(g)
 	g.origins = origin.NewTable(time.Now)
@@ -144,6 +147,7 @@
 		MayProbe: func(server string) bool { return g.fleet.cooldowns.Remaining(server, time.Now()) == 0 },
 	})
 	g.aborted, g.abort = context.WithCancel(context.Background())
+	g.draining, g.startDraining = context.WithCancel(context.Background())
 	go func() {
 		defer close(g.done)
 		g.subscriber.run()
@@ -153,15 +157,16 @@
 
 // Ready reports whether requests can be served: a configuration is known and the gateway is not
 // draining.
-func (g *Gateway) Ready() bool { return g.table.Load() != nil && !g.draining.Load() }
+func (g *Gateway) Ready() bool { return g.table.Load() != nil && !g.isDraining() }
+
+func (g *Gateway) isDraining() bool { return g.drainPlan.Load() != nil }
 
 // StartDraining reports to the leader, and through it to all entries, that callers must no
-// longer be sent here. Requests are still served, but none is forwarded to a server after
-// sendDeadline: requests that still wait then are refused as not run, so that another entry
-// can serve them.
-func (g *Gateway) StartDraining(sendDeadline time.Time) {
-	g.sendDeadline.Store(&sendDeadline)
-	g.draining.Store(true)
+// longer be sent here. Requests that end in time by the plan are still served. All others that no
+// server has are refused as not run, so that another entry can serve them.
+func (g *Gateway) StartDraining(plan *drain.Plan) {
+	g.drainPlan.Store(plan)
+	g.startDraining()
 	g.reportNow()
 }
 
@@ -189,6 +194,7 @@
 	// The lock orders the last goUnlessClosed before Wait.
 	g.mu.Lock()
 	g.abort()
+	g.startDraining()
 	g.mu.Unlock()
 	g.once.Do(func() { close(g.stop) })
 	g.guard.Close()
@@ -324,6 +330,10 @@
 	var local, remote []string
 	if list := g.entries.Load(); list != nil {
 		for _, e := range *list {
+			if g.isDraining() && e.GetHost() == g.cfg.Self.GetHost() {
+				// The leader, which may be out of reach, does not know yet.
+				continue
+			}
 			if e.GetDataCentre() == dataCentre {
 				local = append(local, e.GetCallerAddress())
 			} else {
--- a/internal/gateway/release.go
+++ b/internal/gateway/release.go
@@ -102,8 +102,7 @@
 		}
 		wait = min(wait, loadWait)
 	}
-	if stop := x.g.sendDeadline.Load(); stop != nil && now.Add(wait).After(*stop) {
-		x.fail(OutcomeStopping, stoppingRetryAfter)
+	if x.refusedByStop(now.Add(wait)) {
 		return true
 	}
 	if now.Add(wait).Before(latest) {
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -11,6 +11,9 @@
 // logRequest logs a finished request with the data behind its decisions, and counts it.
 func (g *Gateway) logRequest(x *exchange) {
 	duration := time.Since(x.startTime)
+	if x.outcome == OutcomeServed && x.status != 0 {
+		g.observeDuration(x.route, duration)
+	}
 	kind, route, version := "none", "", uint64(0)
 	if x.table != nil {
 		version = x.table.version
--- /dev/null
+++ b/internal/gateway/stop.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fennelyard/internal/drain"
+	"fennelyard/internal/schema"
+)
+
+// defaultHeaderTimeout is how long a caller may take to send a header where the configuration does not say so.
+const defaultHeaderTimeout = 3 * time.Second
+
+// HeaderTimeout returns how long a caller may take to send the header of the first request on a connection: a
+// stopping entry waits as long for it.
+func (g *Gateway) HeaderTimeout() time.Duration {
+	if t := g.table.Load(); t != nil && t.limits.GetHeaderTimeoutMs() > 0 {
+		return time.Duration(t.limits.GetHeaderTimeoutMs()) * time.Millisecond
+	}
+	return defaultHeaderTimeout
+}
+
+// mayBeSent reports whether the request may be sent to a server at a time: always unless this entry drains, and
+// then only if it ends before the entry must abort it.
+func (x *exchange) mayBeSent(at time.Time) bool {
+	plan := x.g.drainPlan.Load()
+	return plan == nil || plan.MaySend(at, x.deadline, x.expectedDuration())
+}
+
+// expectedDuration returns how long the request takes at most, by others of its route, or by those of the same pools
+// where the route has had too few; 0 if that is not known.
+func (x *exchange) expectedDuration() time.Duration {
+	if expected := x.g.durations.Expected(routeDurations(x.route)); expected > 0 {
+		return expected
+	}
+	return x.g.durations.Expected(poolDurations(x.route))
+}
+
+// observeDuration records how long a request took that was served.
+func (g *Gateway) observeDuration(route *schema.Route, took time.Duration) {
+	g.durations.Observe(routeDurations(route), took)
+	g.durations.Observe(poolDurations(route), took)
+}
+
+func routeDurations(r *schema.Route) string { return "route/" + r.GetName() }
+
+// poolDurations returns the kind of the streams, or of all other requests, that go to the pools of a route.
+func poolDurations(r *schema.Route) string {
+	kind := "pools"
+	if r.GetStream() {
+		kind = "streams"
+	}
+	for _, share := range r.GetShares() {
+		kind += "/" + share.GetPool()
+	}
+	return kind
+}
+
+// refusedByStop refuses a request that would be sent to a server at a time and that this entry, which is
+// stopping, could not finish: another entry serves it at once.
+func (x *exchange) refusedByStop(sendAt time.Time) bool {
+	if x.mayBeSent(sendAt) {
+		return false
+	}
+	x.refuseForStop()
+	return true
+}
+
+// refuseForStop refuses the request as this entry drains.
+func (x *exchange) refuseForStop() {
+	plan, expected := x.g.drainPlan.Load(), x.expectedDuration()
+	x.cause = errors.Newf("stopping: requests are aborted in %v, this one may last for %v, by others of its route %v",
+		time.Until(plan.AbortAt()).Round(time.Millisecond), time.Until(x.deadline).Round(time.Millisecond), expected.Round(time.Millisecond))
+	x.fail(OutcomeStopping, drain.RetryAfter)
+}
+
+// bodyDiscardTimeout bounds the time in which the rest of a body is read that is not awaited: a connection that is
+// closed before could be reset before its caller has read the response.
+const bodyDiscardTimeout = 500 * time.Millisecond
+
+// abandonBody makes the response leave before the rest of the body has arrived, and the connection close after it.
+func (x *exchange) abandonBody() {
+	if x.r.ContentLength == 0 {
+		return
+	}
+	x.w.Header().Set("Connection", "close")
+	// This fails only if the connection is already closed.
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(bodyDiscardTimeout))
+}
+
+// boundBodyTime bounds the time in which the body is read: up to the deadline of the request, and while this entry
+// drains, up to the latest time at which it may be sent to a server. end must be called once the body was read.
+func (x *exchange) boundBodyTime() (end func()) {
+	if x.r.ContentLength == 0 || x.route == nil {
+		// A request without a route waits for the first configuration, and has no deadline yet.
+		return func() {}
+	}
+	var mu sync.Mutex
+	ended := false
+	controller := http.NewResponseController(x.w)
+	bound := func(at time.Time) {
+		mu.Lock()
+		defer mu.Unlock()
+		if !ended {
+			// This fails only if the connection is already closed.
+			_ = controller.SetReadDeadline(at)
+		}
+	}
+	bound(x.deadline)
+	stop := context.AfterFunc(x.g.draining, func() {
+		if plan := x.g.drainPlan.Load(); plan != nil {
+			bound(plan.LastSend(x.deadline, x.expectedDuration()))
+		}
+	})
+	return func() {
+		stop()
+		mu.Lock()
+		defer mu.Unlock()
+		ended = true
+		_ = controller.SetReadDeadline(time.Time{})
+	}
+}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -1,12 +1,23 @@
 package gateway_test
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
+
+	"fennelyard/internal/drain"
+	"fennelyard/internal/gateway"
+	"fennelyard/internal/ledger"
+	"fennelyard/internal/peer"
+	"fennelyard/internal/relay"
+	"fennelyard/internal/schema"
+	"fennelyard/internal/tcp"
 )
 
 // newTestGatewayWithLongTimeouts starts a gateway whose callers wait longer than any test may
@@ -32,7 +43,7 @@
 	got := make(chan result, 1)
 	go func() { got <- tg.call(t, "/events/x", "body", "rare") }()
 	require.Eventually(t, func() bool { return tg.g.State().Waiting == 1 }, 5*time.Second, time.Millisecond)
-	tg.g.StartDraining(time.Now())
+	tg.g.StartDraining(drain.NewPlan(drain.PlanConfig{Start: time.Now(), Limit: time.Second}))
 	require.Equal(t, result{status: http.StatusServiceUnavailable, retryAfter: "0.05"}, <-got)
 }
 
@@ -52,3 +63,69 @@
 	require.Equal(t, http.StatusBadGateway, (<-sent).status)
 	require.Equal(t, result{status: http.StatusServiceUnavailable, retryAfter: "0.05"}, <-waits)
 }
+
+// startDraining makes a gateway drain within a second, in which no request of an hour ends.
+func startDraining(tg *testGateway) {
+	tg.g.StartDraining(drain.NewPlan(drain.PlanConfig{Start: time.Now(), Limit: time.Second}))
+}
+
+// A caller waits for the first configuration of an entry that is asked to stop: it is refused at once, before its body
+// has arrived or after.
+func TestStoppingEntryRefusesRequestsThatAwaitAConfiguration(t *testing.T) {
+	dialer := peer.NewDialer(peer.DialerConfig{})
+	defer dialer.Close()
+	g := gateway.New(gateway.Config{
+		Self: &schema.RosterEntry{Host: "e"}, Seeds: func() []string { return nil }, Dialer: dialer, Replica: ledger.NewReplica(),
+		Codec: codec(), RequestLog: logr.Discard(), Log: logr.Discard(), Sender: relay.NewSender(relay.Config{}),
+	})
+	defer g.Close()
+	server := httptest.NewServer(g)
+	defer server.Close()
+	tg := &testGateway{g, server.URL, "3600000"}
+	got := make(chan result, 1)
+	go func() { got <- tg.call(t, "/once/x", "body", "") }()
+	require.Eventually(t, func() bool { return g.InFlight() == 1 }, 5*time.Second, time.Millisecond)
+	startDraining(tg)
+	require.Equal(t, result{status: http.StatusServiceUnavailable, retryAfter: "0.05"}, <-got)
+}
+
+// A request that may be repeated fails at its server after the signal: it is not sent to another one that could not
+// finish it, and its response promises nothing.
+func TestStoppingEntryDoesNotRetryWhatItCannotFinish(t *testing.T) {
+	release := make(chan struct{})
+	failing := func(net.Conn, *http.Request) { <-release }
+	a, b := newBackend(t, failing), newBackend(t, failing)
+	tg := newTestGatewayWithLongTimeouts(t, a, b)
+	got := make(chan result, 1)
+	go func() { got <- tg.call(t, "/again/x", "body", "") }()
+	require.Eventually(t, func() bool { return a.requests.Load()+b.requests.Load() == 1 }, 5*time.Second, time.Millisecond)
+	startDraining(tg)
+	close(release)
+	require.Equal(t, result{status: http.StatusBadGateway}, <-got)
+	require.Equal(t, int64(1), a.requests.Load()+b.requests.Load())
+}
+
+// The signal comes while the entry connects to the server: nothing is sent, and the request is refused as not run.
+func TestStoppingEntryDoesNotSendAfterConnecting(t *testing.T) {
+	server := newBackend(t, respondOK)
+	connecting, proceed := make(chan struct{}), make(chan struct{})
+	sender := relay.NewSender(relay.Config{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		close(connecting)
+		<-proceed
+		return tcp.Dial(ctx, address)
+	}})
+	tg := startTestGatewayWithSender(t, gateway.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Millisecond, Burst: 100}, logr.Discard(), sender, server)
+	tg.timeoutMs = "3600000"
+	longTimeouts := routes()
+	for _, r := range longTimeouts {
+		r.TimeoutMs = 3600000
+	}
+	tg.g.Configure(configuration(2, longTimeouts...))
+	got := make(chan result, 1)
+	go func() { got <- tg.call(t, "/once/x", "body", "") }()
+	<-connecting
+	startDraining(tg)
+	close(proceed)
+	require.Equal(t, result{status: http.StatusServiceUnavailable, retryAfter: "0.05"}, <-got)
+	require.Zero(t, server.requests.Load())
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/drain"
 	"fennelyard/internal/path"
 	"fennelyard/internal/relay"
 	"fennelyard/internal/schema"
@@ -40,7 +41,7 @@
 			return false
 		case x.g.aborted.Err() != nil:
 			x.cause = err
-			x.fail(OutcomeStopping, stoppingRetryAfter)
+			x.fail(OutcomeStopping, drain.RetryAfter)
 			return false
 		case x.ctx.Err() != nil:
 			x.reportInterruption(s, err)
--- a/internal/gateway/subscriber.go
+++ b/internal/gateway/subscriber.go
@@ -323,7 +323,7 @@
 	suspects := s.g.guard.Suspects().Reader(quarantine.PartOwn)
 	for periodic := true; ; {
 		report.Suspects = suspects.Next()
-		report.Stopping, report.PathLost = s.g.draining.Load(), s.g.cfg.PathLost()
+		report.Stopping, report.PathLost = s.g.isDraining(), s.g.cfg.PathLost()
 		report.Demands = s.g.demand.collect()
 		report.Taken = s.appliedSequence.Load()
 		if periodic {
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -26,7 +26,7 @@
 }
 
 // CarriesTunnels reports whether this entry takes new tunnels of other entries: a stopping one does not.
-func (g *Gateway) CarriesTunnels() bool { return !g.draining.Load() }
+func (g *Gateway) CarriesTunnels() bool { return !g.isDraining() }
 
 // TunnelHosts returns the addresses of the other entries that reach the backend servers and carry
 // tunnels to them: those to prefer, and all others. Entries of the own data centre are preferred as long
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"fennelyard/internal/drain"
 )
 
 const (
@@ -94,7 +96,7 @@
 	case x.r.Context().Err() != nil:
 		x.fail(OutcomeCallerGone, 0)
 	case x.g.aborted.Err() != nil:
-		x.fail(OutcomeStopping, stoppingRetryAfter)
+		x.fail(OutcomeStopping, drain.RetryAfter)
 	default:
 		x.fail(OutcomeTimeout, defaultRetryAfter)
 	}
@@ -108,10 +110,12 @@
 	}
 	forecast, known := x.g.demand.forecast(t, x.startTime)
 	expected := known && !forecast.ready.IsZero()
-	// A request that waits until the process ends would be interrupted without a response, and
-	// only this entry knows that it has not run.
-	if deadline := x.g.sendDeadline.Load(); deadline != nil && (!now.Before(*deadline) || expected && forecast.ready.After(*deadline)) {
-		return OutcomeStopping, stoppingRetryAfter, true
+	sendAt := now
+	if expected && forecast.ready.After(now) {
+		sendAt = forecast.ready
+	}
+	if !x.mayBeSent(sendAt) {
+		return OutcomeStopping, drain.RetryAfter, true
 	}
 	if !expected {
 		return OutcomeNoModel, defaultRetryAfter, now.Sub(x.startTime) > maxWaitWithoutForecast
--- a/internal/role/backends_test.go
+++ b/internal/role/backends_test.go
@@ -77,6 +77,8 @@
 	overloadCrashes []time.Time
 	// runs counts how often each request ran of the route whose requests must not be repeated.
 	runs map[string]int
+	// reached counts the servers that each request reached, by its ID.
+	reached map[string]int
 	// leaving are the addresses of the servers that state in all responses that they leave, and
 	// departures these statements; departureCount counts those that are forgotten as well.
 	leaving        map[string]bool
@@ -147,7 +149,7 @@
 
 // startBackendsAs is like startBackendsWith; prepare is called before the servers start.
 func startBackendsAs(d *deployment, n int, sameIDs bool, prepare func(*backends)) *backends {
-	b := &backends{sameIDs: sameIDs, deployment: d, count: n, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]func() *rejection{}, leaving: map[string]bool{}, runs: map[string]int{}, rejectionLimits: map[string]string{}, present: map[string]int{}, rejectedAt: map[string][]time.Time{}, silent: map[string]bool{}, versions: map[string]string{}, partCrash: map[string]partCrash{}, partArrivals: map[string][]time.Time{}, partCrashes: map[string][]time.Time{}}
+	b := &backends{sameIDs: sameIDs, deployment: d, count: n, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]func() *rejection{}, leaving: map[string]bool{}, runs: map[string]int{}, reached: map[string]int{}, rejectionLimits: map[string]string{}, present: map[string]int{}, rejectedAt: map[string][]time.Time{}, silent: map[string]bool{}, versions: map[string]string{}, partCrash: map[string]partCrash{}, partArrivals: map[string][]time.Time{}, partCrashes: map[string][]time.Time{}}
 	route := func(name string, repeat schema.Repeat) *schema.Route {
 		return &schema.Route{
 			Name: name, Host: "h.example", Prefix: "/" + name + "/", Repeat: repeat, TimeoutMs: 3000, AimMs: 300, MaxAttempts: 2,
@@ -380,12 +382,13 @@
 		return
 	}
 	defer p.leave()
+	p.backends.recordReached(request)
 	p.backends.recordHarmful(string(body), &p.backends.arrivals)
 	p.backends.recordPartArrival(request)
 	select {
 	case <-p.stopped:
 		return
-	case <-time.After(p.backends.runTimeOrDefault()):
+	case <-time.After(p.backends.runTimeOf(request)):
 	}
 	if string(body) == harmfulBody && p.isVulnerable() {
 		p.backends.mu.Lock()
@@ -427,6 +430,28 @@
 	return p.backends.harmfulVersion == "" || p.version == p.backends.harmfulVersion
 }
 
+// recordReached records that a request reached a server that begins to run it.
+func (b *backends) recordReached(request *http.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reached[request.Header.Get("X-Id")]++
+}
+
+// serversReached returns how many servers a request has reached.
+func (b *backends) serversReached(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reached[id]
+}
+
+// runTimeOf returns how long a server runs a request, which may say so itself.
+func (b *backends) runTimeOf(request *http.Request) time.Duration {
+	if d, err := time.ParseDuration(request.Header.Get("X-Run")); err == nil {
+		return d
+	}
+	return b.runTimeOrDefault()
+}
+
 // recordRun records that a request ran.
 func (b *backends) recordRun(request *http.Request) {
 	if !strings.HasPrefix(request.URL.Path, "/once/") {
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"fennelyard/internal/bound"
+	"fennelyard/internal/drain"
 	"fennelyard/internal/gateway"
 	"fennelyard/internal/gossip"
 	"fennelyard/internal/ledger"
@@ -27,23 +28,6 @@
 	"fennelyard/internal/tunnel"
 )
 
-const (
-	// acceptFraction is the fraction of the stop limit in which a draining entry still
-	// accepts connections: most callers have a new directory response by then. A connection
-	// accepted later could still be in use when the process must exit, and would be cut
-	// off; a caller that finds the port closed connects to another entry at once.
-	acceptFraction = 0.35
-	// sendFraction is the fraction of the stop limit until which a request that waits for
-	// its model is still forwarded: most responses take less than the remaining quarter.
-	sendFraction = 0.7
-	// abortFraction is the fraction of the stop limit after which every request in flight
-	// receives its final response, and closeFraction the one after which the process exits:
-	// what has not ended by then would be killed a moment later.
-	abortFraction     = 0.94
-	closeFraction     = 0.97
-	drainPollInterval = 50 * time.Millisecond
-)
-
 // EntryConfig configures an Entry. All fields are required unless noted otherwise.
 type EntryConfig struct {
 	Settings *Settings
@@ -77,16 +61,18 @@
 	memory         *memory.Budget
 	callerServer   *http.Server
 	callerListener net.Listener
-	servers        []*http.Server
-	done           chan struct{}
-	once           sync.Once
-	wg             sync.WaitGroup
+	// connections are those of callers.
+	connections *drain.Connections
+	servers     []*http.Server
+	done        chan struct{}
+	once        sync.Once
+	wg          sync.WaitGroup
 }
 
 // NewEntry starts an entry. If it fails, nothing is left running.
 func NewEntry(cfg EntryConfig) (*Entry, error) {
 	cfg.Network.setDefaults()
-	e := &Entry{cfg: cfg, dialer: peer.NewDialer(peer.DialerConfig{Dial: cfg.Network.Dial}), done: make(chan struct{})}
+	e := &Entry{cfg: cfg, dialer: peer.NewDialer(peer.DialerConfig{Dial: cfg.Network.Dial}), done: make(chan struct{}), connections: drain.NewConnections()}
 	s := cfg.Settings.Get()
 	direct := cfg.Network.dial()
 	e.paths = path.New(path.Config{
@@ -210,6 +196,7 @@
 		e.servers = append(e.servers, server)
 		if endpoint.callers {
 			e.callerServer, e.callerListener = server, l
+			server.ConnState = e.connections.Track
 		}
 		e.wg.Add(1)
 		go func() {
@@ -251,48 +238,51 @@
 // Err returns nil.
 func (e *Entry) Err() error { return nil }
 
-// Drain stops the entry without cutting off a request. The entry leaves the directory and
-// reports that it is not ready, but accepts connections for as long as callers may use a
-// cached directory response. Then it waits for the requests in flight.
+// Drain stops the entry without cutting off a request that can end within the stop limit. The entry leaves the
+// directory and reports that it is not ready, but accepts connections for as long as callers may use a cached
+// directory response. It serves the requests that it can finish and refuses all others at once. It ends once no
+// request is left and no connection that may still bring one.
 func (e *Entry) Drain(ctx context.Context) {
-	limit := e.cfg.Settings.Get().GetStopLimit().AsDuration()
+	plan := drain.NewPlan(drain.PlanConfig{Start: time.Now(), Limit: e.cfg.Settings.Get().GetStopLimit().AsDuration()})
 	start := time.Now()
-	e.gateway.StartDraining(start.Add(fractionOf(limit, sendFraction)))
-	e.cfg.Log.Info("draining", "in-flight", e.gateway.InFlight(), "tunnels", e.tunnels.Active(), "limit-ms", limit.Milliseconds())
+	e.gateway.StartDraining(plan)
+	e.cfg.Log.Info("draining", "in-flight", e.gateway.InFlight(), "connections", e.pendingConnections(), "tunnels", e.tunnels.Active(),
+		"accepting-ms", time.Until(plan.AcceptUntil()).Milliseconds(), "abort-ms", time.Until(plan.AbortAt()).Milliseconds())
 	// From now on each response closes its connection, so that its caller connects to another
 	// entry, and idle connections are closed.
 	e.callerServer.SetKeepAlivesEnabled(false)
-	ticker := time.NewTicker(drainPollInterval)
+	ticker := time.NewTicker(drain.PollInterval)
 	defer ticker.Stop()
 	for accepting := true; ctx.Err() == nil; {
-		elapsed := time.Since(start)
-		if accepting && elapsed > fractionOf(limit, acceptFraction) {
+		now := time.Now()
+		if accepting && now.After(plan.AcceptUntil()) {
 			accepting = false
 			e.closeCallerListener()
 		}
-		if elapsed > fractionOf(limit, abortFraction) {
+		if now.After(plan.AbortAt()) {
 			e.gateway.AbortRequests()
 			e.tunnels.Reset()
 		}
-		if elapsed > fractionOf(limit, closeFraction) || !accepting && e.gateway.InFlight()+e.tunnels.Active() == 0 {
+		if now.After(plan.CloseAt()) || !accepting && e.gateway.InFlight()+e.pendingConnections()+e.tunnels.Active() == 0 {
 			break
 		}
 		<-ticker.C
 	}
-	e.cfg.Log.Info("drained", "in-flight", e.gateway.InFlight(), "tunnels", e.tunnels.Active(), "took-ms", time.Since(start).Milliseconds())
+	e.cfg.Log.Info("drained", "in-flight", e.gateway.InFlight(), "connections", e.pendingConnections(), "tunnels", e.tunnels.Active(),
+		"took-ms", time.Since(start).Milliseconds())
 	e.Close()
 }
 
+// pendingConnections returns the number of callers' connections with a request, or on which the first one may still
+// come.
+func (e *Entry) pendingConnections() int { return e.connections.Pending(e.gateway.HeaderTimeout()) }
+
 // closeCallerListener closes the listener for callers; requests in flight continue.
 func (e *Entry) closeCallerListener() {
 	if err := e.callerListener.Close(); err != nil {
 		e.cfg.Log.Error(err, "port not closed")
 	}
-	e.cfg.Log.Info("port closed", "in-flight", e.gateway.InFlight())
-}
-
-func fractionOf(d time.Duration, fraction float64) time.Duration {
-	return time.Duration(float64(d) * fraction)
+	e.cfg.Log.Info("port closed", "in-flight", e.gateway.InFlight(), "connections", e.pendingConnections())
 }
 
 // Close stops the entry at once.
