entry: a stopping listed host takes what it can finish, and refuses the rest at once

Callers saw, on listed hosts: a request that arrived in the drain, on a kept or a fresh connection, whole or in parts, was queued and sent whatever its deadline, and its connection was closed when the drain limit came, without a response; one that waited for a replica was held until then; a claimed request kept the process from ending for up to its deadline and 30 s more.

Cause: as at the other hosts, nothing compared the time left with what a request may take; Shutdown waits for requests and then closes what is left, and counts fresh connections as idle for five seconds alone.

Change: the plan of package drain, with directory-keep for the time in which connections are accepted. What can't be finished is refused with code stopping, as not run, when its body has arrived, while it waits, before each attempt and once its server is connected; the client goes to another entry at once. At the abort every request gets its response (502, or 409 with its key), and claimed requests end and are recorded as unknown. A line says which request was refused and why. The timer of bodies is one type now.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
@@ -15,6 +17,7 @@
 	"fennelyard/internal/admission"
 	"fennelyard/internal/claim"
 	"fennelyard/internal/directory"
+	"fennelyard/internal/drain"
 	"fennelyard/internal/memory"
 	"fennelyard/internal/operator"
 	"fennelyard/internal/quarantine"
@@ -39,6 +42,8 @@
 	kindService = "service"
 
 	maxCallerDeadline = 10 * time.Minute
+	// stopBodyTimeout is how long the rest of a body may take at least that arrives as this host stops.
+	stopBodyTimeout = 500 * time.Millisecond
 )
 
 func (e *Entry) callerRoutes() *echo.Echo {
@@ -118,6 +123,8 @@
 	// first time.
 	key          string
 	firstAttempt bool
+	// stream is set if the response is a stream of events.
+	stream bool
 	// messages are those of a conversation with a model, as JSON.
 	messages []json.RawMessage
 	// keyed is created by keyedRequest when first needed.
@@ -153,6 +160,38 @@
 	return in, e.readBody(c, in)
 }
 
+// mayBeSent reports whether a request may be sent to a server now: always unless this host drains, and then only if it
+// ends before the host must abort it.
+func (e *Entry) mayBeSent(in *incomingRequest) bool {
+	plan := e.drainPlan.Load()
+	return plan == nil || plan.MaySend(time.Now(), in.deadline, e.durations.Expected(in.durationKind()))
+}
+
+// refusalForStop returns the refusal of a request that this host, which is stopping, could not finish if it were sent to a
+// server now, and nil for any other: another entry serves it.
+func (e *Entry) refusalForStop(in *incomingRequest) *refusal.Refusal {
+	if e.mayBeSent(in) {
+		return nil
+	}
+	abort := time.Until(e.drainPlan.Load().AbortAt()).Round(time.Millisecond)
+	e.cfg.Log.Info("request refused by stop", "request", in.id, "target", in.target.name, "abort-in-ms", abort.Milliseconds(),
+		"deadline-in-ms", time.Until(in.deadline).Milliseconds(), "expected-ms", e.durations.Expected(in.durationKind()).Milliseconds())
+	return stoppingRefusal("this entry stops in %v", abort)
+}
+
+// stoppingRefusal returns the refusal of a request that has not run, as this host stops.
+func stoppingRefusal(format string, args ...any) *refusal.Refusal {
+	return refusal.New(refusal.Stopping, format, args...).WithRetryAfter(drain.RetryAfter)
+}
+
+// durationKind returns the kind of the request for the prediction of its duration.
+func (in *incomingRequest) durationKind() string {
+	if in.stream {
+		return in.target.name + "/stream"
+	}
+	return in.target.name
+}
+
 // memoryRetryAfter is when a request may come again whose body found no memory: other entries have their own.
 const memoryRetryAfter = 500 * time.Millisecond
 
@@ -164,12 +203,23 @@
 	if c.Request().ContentLength > limit {
 		return tooLarge
 	}
-	controller := http.NewResponseController(c.Response().Writer)
-	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	timer := drain.NewBodyTimer(c.Response().Writer)
+	timer.Bound(time.Now().Add(bodyTimeout))
+	stop := context.AfterFunc(e.draining, func() {
+		if plan := e.drainPlan.Load(); plan != nil {
+			timer.Bound(time.Now().Add(max(time.Until(plan.AcceptUntil()), stopBodyTimeout)))
+		}
+	})
 	// Reading one byte over the limit detects a body that is too long.
 	body, ended, err := in.memory.Read(c.Request().Body, c.Request().ContentLength, limit+1)
-	_ = controller.SetReadDeadline(time.Time{})
+	stop()
+	timer.End()
+	if !ended {
+		drain.AbandonBody(c.Response().Writer, c.Request())
+	}
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && e.drainPlan.Load() != nil:
+		return stoppingRefusal("this entry stops, and the body has not arrived")
 	case err != nil:
 		return refusal.New(refusal.BadRequest, "the body could not be read")
 	case int64(len(body)) > limit:
@@ -234,15 +284,32 @@
 }
 
 // awaitAdmission waits for a ticket's admission decision, and records the wait in
-// a span.
-func (e *Entry) awaitAdmission(ctx context.Context, t *admission.Ticket) *refusal.Refusal {
+// a span. A request that waits when this host begins to stop is refused as soon as it
+// can't be finished any more.
+func (e *Entry) awaitAdmission(ctx context.Context, in *incomingRequest, t *admission.Ticket) *refusal.Refusal {
 	_, span := e.cfg.Tracer.Start(ctx, "queue")
 	defer span.End()
-	select {
-	case r := <-t.Decision():
-		return r
-	case <-ctx.Done():
-		return refusal.New(refusal.DeadlinePassed, "the caller went away")
+	draining := e.draining.Done()
+	var recheck <-chan time.Time
+	for {
+		select {
+		case r := <-t.Decision():
+			return r
+		case <-draining:
+			draining = nil
+			ticker := time.NewTicker(drain.PollInterval)
+			defer ticker.Stop()
+			recheck = ticker.C
+		case <-recheck:
+		case <-ctx.Done():
+			if e.aborted.Err() != nil {
+				return stoppingRefusal("this entry stops")
+			}
+			return refusal.New(refusal.DeadlinePassed, "the caller went away")
+		}
+		if refused := e.refusalForStop(in); refused != nil {
+			return refused
+		}
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/labstack/echo/v4"
 	"go.opentelemetry.io/otel/trace"
@@ -19,6 +20,7 @@
 	"fennelyard/internal/bound"
 	"fennelyard/internal/claim"
 	"fennelyard/internal/control"
+	"fennelyard/internal/drain"
 	"fennelyard/internal/gossip"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/membership"
@@ -107,6 +109,19 @@
 	ready     atomic.Int32
 	stopping  atomic.Bool
 	inFlight  atomic.Int64
+	// claimedRuns counts the claimed requests in progress, which go on without their callers.
+	claimedRuns atomic.Int64
+	// callerServer serves callers, on connections.
+	callerServer *http.Server
+	connections  *drain.Connections
+	// durations predicts how long requests take.
+	durations *drain.Durations
+	// drainPlan is nil until the entry drains; draining is canceled then, and aborted when every request must
+	// get its final response at once.
+	drainPlan         atomic.Pointer[drain.Plan]
+	draining, aborted context.Context
+	startDraining     context.CancelFunc
+	abort             context.CancelFunc
 }
 
 // Readiness states whether an entry serves requests, and whether its configuration is
@@ -130,8 +145,10 @@
 		cfg: cfg, table: routing.NewTable(routing.PolicyWeighted, cfg.Random, func() int { return len(cfg.Settings.GetHosts()) }),
 		budget: routing.NewRetryBudget(), backends: backend.NewRegistry(),
 		forecasts: newForecasts(), reportDue: make(chan struct{}, 1), suspectsDue: make(chan struct{}, 1), capacityDue: make(chan struct{}, 1),
-		stop: make(chan struct{}), done: make(chan struct{}),
+		stop: make(chan struct{}), done: make(chan struct{}), connections: drain.NewConnections(), durations: drain.NewDurations(),
 	}
+	e.draining, e.startDraining = context.WithCancel(context.Background())
+	e.aborted, e.abort = context.WithCancel(context.Background())
 	e.memory = memory.NewBudget(memory.Config{Bytes: int64(cfg.Settings.GetEntry().GetBufferMb() * (1 << 20))})
 	e.largeEvents = memory.NewPlaces(memory.PlacesConfig{Bytes: e.memory.Limit() / memory.LargeEventsDivisor, Each: bound.EventBytes})
 	e.startPaths()
@@ -150,9 +167,11 @@
 	})
 	e.startGossip()
 	e.registerGauges()
-	e.serve(cfg.CallerListener, e.callerRoutes())
-	e.serve(cfg.OperatorListener, e.operatorRoutes())
-	e.serve(cfg.BackendListener, e.backendHandler())
+	e.callerServer = newServer(e.callerRoutes())
+	e.callerServer.ConnState = e.connections.Track
+	e.serve(cfg.CallerListener, e.callerServer)
+	e.serve(cfg.OperatorListener, newServer(e.operatorRoutes()))
+	e.serve(cfg.BackendListener, newServer(e.backendHandler()))
 	e.wg.Add(4)
 	go func() {
 		defer e.wg.Done()
@@ -202,16 +221,19 @@
 		func() float64 { return float64(e.backends.Len()) })
 }
 
-func (e *Entry) serve(l net.Listener, handler http.Handler) {
-	s := &http.Server{
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 	}
+}
+
+func (e *Entry) serve(l net.Listener, s *http.Server) {
 	e.httpServers = append(e.httpServers, s)
 	e.wg.Add(1)
 	go func() {
 		defer e.wg.Done()
-		if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
+		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			e.cfg.Log.Error(err, "listener ended", "address", l.Addr().String())
 		}
 	}()
@@ -275,19 +297,56 @@
 // Done returns a channel that is closed when the entry has stopped.
 func (e *Entry) Done() <-chan struct{} { return e.done }
 
-// Drain removes the entry from the directory, continues to serve while callers
-// may have the old directory cached, then closes the listeners and waits for
-// requests in flight until the context ends.
+// Drain stops the entry without cutting off a request that can end before the context does. It removes the entry from the
+// directory, continues to accept connections while callers may have the old directory cached, serves the requests that
+// it can finish and refuses all others at once.
 func (e *Entry) Drain(ctx context.Context) {
+	plan := e.newDrainPlan(ctx)
+	e.drainPlan.Store(plan)
+	e.startDraining()
 	e.stopping.Store(true)
 	e.cfg.Membership.AnnounceStopping()
-	cacheTime := e.cfg.Settings.GetEntry().GetDirectoryKeep().AsDuration() + drainMargin
-	e.cfg.Log.Info("draining", "keep", cacheTime.String(), "in-flight", e.InFlight())
-	select {
-	case <-ctx.Done():
-	case <-time.After(cacheTime):
+	e.cfg.Log.Info("draining", "in-flight", e.InFlight(), "connections", e.connections.Pending(readHeaderTimeout), "tunnels", e.tunnels.Active(),
+		"accepting-ms", time.Until(plan.AcceptUntil()).Milliseconds(), "abort-ms", time.Until(plan.AbortAt()).Milliseconds())
+	// From now on each response closes its connection.
+	e.callerServer.SetKeepAlivesEnabled(false)
+	ticker := time.NewTicker(drain.PollInterval)
+	defer ticker.Stop()
+	for accepting := true; ctx.Err() == nil; {
+		now := time.Now()
+		if accepting && now.After(plan.AcceptUntil()) {
+			accepting = false
+			if err := e.cfg.CallerListener.Close(); err != nil {
+				e.cfg.Log.Error(err, "port not closed")
+			}
+		}
+		if now.After(plan.AbortAt()) {
+			e.abort()
+			e.tunnels.Reset()
+		}
+		if now.After(plan.CloseAt()) || !accepting && e.pending() == 0 {
+			break
+		}
+		<-ticker.C
 	}
-	e.close(ctx)
+	e.cfg.Log.Info("drained", "in-flight", e.InFlight(), "connections", e.connections.Pending(readHeaderTimeout), "tunnels", e.tunnels.Active())
+	e.Close()
+}
+
+// newDrainPlan returns the plan of a stop until the context ends.
+func (e *Entry) newDrainPlan(ctx context.Context) *drain.Plan {
+	cfg := drain.PlanConfig{Start: time.Now(), Limit: e.cfg.Settings.GetEntry().GetDrainLimit().AsDuration()}
+	if deadline, ok := ctx.Deadline(); ok {
+		cfg.Limit = time.Until(deadline)
+	}
+	cacheTime := e.cfg.Settings.GetEntry().GetDirectoryKeep().AsDuration() + drainMargin
+	cfg.Accept = min(cacheTime, time.Duration(float64(cfg.Limit)*drain.AcceptFraction))
+	return drain.NewPlan(cfg)
+}
+
+// pending returns the number of requests in progress, connections on which one may still come, and tunnels.
+func (e *Entry) pending() int {
+	return e.InFlight() + int(e.claimedRuns.Load()) + e.connections.Pending(readHeaderTimeout) + e.tunnels.Active()
 }
 
 // Close stops the entry immediately; requests in flight are interrupted.
@@ -299,6 +358,8 @@
 
 func (e *Entry) close(ctx context.Context) {
 	e.once.Do(func() {
+		e.abort()
+		e.startDraining()
 		for _, s := range e.httpServers {
 			if s.Shutdown(ctx) != nil {
 				_ = s.Close()
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -15,6 +15,7 @@
 
 	"fennelyard/internal/admission"
 	"fennelyard/internal/bound"
+	"fennelyard/internal/drain"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/memory"
 	"fennelyard/internal/refusal"
@@ -56,20 +57,24 @@
 	if err := json.Unmarshal(in.body, &q); err != nil || q.Model == "" {
 		return e.refuse(c, in, refusal.New(refusal.BadRequest, `the body is not a JSON object with a "model"`))
 	}
-	in.messages = q.Messages
+	in.messages, in.stream = q.Messages, q.Stream
 	if refused := e.resolveTarget(c, in, q.Model); refused != nil {
 		return e.refuse(c, in, refused)
 	}
 	if c.Request().Header.Get(HeaderRepeatable) == "no" {
 		return e.serveUnrepeatable(c, in)
 	}
-	return e.serveRepeatable(c, in, q.Stream)
+	return e.serveRepeatable(c, in)
 }
 
 // serveRepeatable serves a request that may run more than once.
-func (e *Entry) serveRepeatable(c echo.Context, in *incomingRequest, stream bool) error {
+func (e *Entry) serveRepeatable(c echo.Context, in *incomingRequest) error {
 	ctx, cancel := context.WithDeadline(c.Request().Context(), in.deadline)
 	defer cancel()
+	defer context.AfterFunc(e.aborted, cancel)()
+	if refused := e.refusalForStop(in); refused != nil {
+		return e.refuse(c, in, refused)
+	}
 	if refused := e.checkHeldBack(ctx, in); refused != nil {
 		return e.refuse(c, in, refused)
 	}
@@ -79,7 +84,7 @@
 	}
 	e.budget.Deposit()
 	a := &attempts{
-		e: e, in: in, ticket: ticket, stream: stream, cold: len(in.target.candidates) == 0,
+		e: e, in: in, ticket: ticket, cold: len(in.target.candidates) == 0,
 		exclude: map[string]bool{},
 	}
 	served, refused := a.run(ctx, c)
@@ -87,6 +92,9 @@
 	if refused != nil {
 		return e.refuse(c, in, refused)
 	}
+	if served {
+		e.durations.Observe(in.durationKind(), time.Since(in.received))
+	}
 	e.cfg.Metrics.Request(in.kind, c.Response().Status)
 	return nil
 }
@@ -96,7 +104,6 @@
 	e      *Entry
 	in     *incomingRequest
 	ticket *admission.Ticket
-	stream bool
 	// cold is set if the target had no replica when the request arrived.
 	cold bool
 	// exclude holds the servers that the request must not be sent to again.
@@ -112,7 +119,7 @@
 
 func (a *attempts) run(ctx context.Context, c echo.Context) (served bool, refused *refusal.Refusal) {
 	for {
-		if r := a.e.awaitAdmission(ctx, a.ticket); r != nil {
+		if r := a.e.awaitAdmission(ctx, a.in, a.ticket); r != nil {
 			return false, a.correctOutcome(r)
 		}
 		finished, served, r := a.attempt(ctx, c)
@@ -139,6 +146,9 @@
 	if r := e.checkHeldBack(ctx, in); r != nil {
 		return true, false, r
 	}
+	if r := e.refusalForStop(in); r != nil {
+		return true, false, r
+	}
 	chosen, ok := a.pickReplica()
 	if !ok {
 		return a.noReplica(ctx)
@@ -176,7 +186,7 @@
 		a.recordResult(chosen, routing.Result{Reported: response.Outstanding()})
 		return a.handleFailure(ctx, chosen, errors.Newf("status %d", response.Status()))
 	}
-	if a.stream {
+	if a.in.stream {
 		return a.forwardStream(ctx, c, chosen, call, response)
 	}
 	return a.forwardResponse(ctx, c, chosen, response)
@@ -223,6 +233,9 @@
 	if !errors.Is(err, routing.ErrNotRun) {
 		a.mayHaveRun = true
 	}
+	if a.e.aborted.Err() != nil {
+		return true, false, refusal.New(refusal.BackendFailed, "this entry stops while server %q worked", chosen.Server).WithRetryAfter(drain.RetryAfter)
+	}
 	if ctx.Err() != nil {
 		return true, false, refusal.New(refusal.DeadlinePassed, "the deadline passed while server %q worked", chosen.Server)
 	}
@@ -267,7 +280,7 @@
 	if err = a.e.forwardAsItComes(c, a.in, response, held, share); err != nil {
 		a.e.reportFailedAttempt(ctx, a.in, chosen, err)
 		a.recordResult(chosen, routing.Result{OK: ctx.Err() != nil, FirstByte: response.FirstByte(), Reported: response.Outstanding()})
-		a.e.abort(a.in, chosen, err)
+		a.e.cutResponse(a.in, chosen, err)
 	}
 	a.e.attemptCompleted(a.in, response)
 	return true, true, nil
@@ -294,8 +307,8 @@
 	return nil
 }
 
-// abort interrupts a response of which a part has been sent, so that it does not look complete.
-func (e *Entry) abort(in *incomingRequest, at routing.Candidate, cause error) {
+// cutResponse interrupts a response of which a part has been sent, so that it does not look complete.
+func (e *Entry) cutResponse(in *incomingRequest, at routing.Candidate, cause error) {
 	e.cfg.Log.Info("response cut", "server", at.Server, "address", at.Address, "request", in.id, "reason", cause.Error())
 	e.cfg.Metrics.Refusal(refusal.StreamCut.String(), refusal.Unknown.String())
 	panic(http.ErrAbortHandler)
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -22,7 +22,7 @@
 	}
 	call.MaySend = func() bool {
 		_, held := e.guard.HeldBack(in.keyedRequest())
-		return !held && e.cooldown(to) == 0
+		return !held && e.cooldown(to) == 0 && e.mayBeSent(in)
 	}
 	call.VerifyEnd = func() relay.Presence { return e.verifyEnd(ctx, in, to) }
 	sentAt := time.Now()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -46,7 +46,7 @@
 	}
 	in.path = pathWithin(c.Request().URL, c.Param("service"))
 	if isIdempotent(c.Request().Method, in.target.service) {
-		return e.serveRepeatable(c, in, false)
+		return e.serveRepeatable(c, in)
 	}
 	return e.serveUnrepeatable(c, in)
 }
@@ -88,6 +88,9 @@
 		return e.refuse(c, in, refusal.New(refusal.KeyMissing,
 			"a %s request needs a header %s that names it across resends", c.Request().Method, HeaderIdempotencyKey))
 	}
+	if refused := e.refusalForStop(in); refused != nil {
+		return e.refuse(c, in, e.refusalBeforeClaim(in, refused))
+	}
 	q := c.Request()
 	grant, recorded, refused := e.claims.Begin(q.Context(), claim.Request{
 		Customer: in.customer, Key: in.key, Method: q.Method, Path: in.target.name + in.path, Body: in.body,
@@ -105,9 +108,11 @@
 	// recorded all the same.
 	in.handedOver = true
 	defer close(claimed.callerGone)
+	e.claimedRuns.Add(1)
 	e.wg.Add(1)
 	go func() {
 		defer e.wg.Done()
+		defer e.claimedRuns.Add(-1)
 		defer in.memory.Release()
 		claimed.run(context.WithoutCancel(q.Context()))
 	}()
@@ -128,6 +133,10 @@
 			return e.forwardClaimed(c, in, r)
 		}
 		return e.writeClaimedResponse(c, in, r.response)
+	case <-e.aborted.Done():
+		return e.refuse(c, in, refusal.New(refusal.OutcomeUnknown,
+			"this entry stops while the request is under way; send it again with the same key to learn its outcome").
+			WithOutcome(refusal.Unknown).WithRetryAfter(time.Second))
 	case <-timer.C:
 		return e.refuse(c, in, refusal.New(refusal.OutcomeUnknown,
 			"the deadline passed while the request was under way; send it again with the same key to learn its outcome").
@@ -150,7 +159,7 @@
 	c.Response().Header().Set(routing.HeaderRequestID, in.id)
 	c.Response().Header().Set(routing.HeaderOutcome, refusal.Ran.String())
 	if err := e.forwardAsItComes(c, in, r.rest, r.response.GetBody(), r.memory); err != nil {
-		e.abort(in, r.from, err)
+		e.cutResponse(in, r.from, err)
 	}
 	return nil
 }
@@ -181,6 +190,9 @@
 
 func (r *claimedRequest) run(ctx context.Context) {
 	e, in := r.e, r.in
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(e.aborted, cancel)()
 	ticket, refused := e.enqueue(in)
 	if refused != nil {
 		r.settleNotRun(refused)
@@ -190,7 +202,11 @@
 	defer func() { ticket.Release(served) }()
 	exclude := map[string]bool{}
 	for {
-		if refused := <-ticket.Decision(); refused != nil {
+		if refused := e.awaitAdmission(ctx, in, ticket); refused != nil {
+			r.settleNotRun(refused)
+			return
+		}
+		if refused := e.refusalForStop(in); refused != nil {
 			r.settleNotRun(refused)
 			return
 		}
@@ -224,6 +240,9 @@
 			continue
 		}
 		served = response != nil || r.handedOver
+		if served {
+			e.durations.Observe(in.durationKind(), time.Since(in.received))
+		}
 		if !r.handedOver {
 			r.settle(outcome, response, err)
 		}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -325,7 +325,7 @@
 	}
 	h.Set("Content-Length", "0")
 	if !x.bodyEnded && (x.bodyRead || status == http.StatusRequestEntityTooLarge || x.g.isDraining()) {
-		x.abandonBody()
+		drain.AbandonBody(x.w, x.r)
 	}
 	x.w.WriteHeader(status)
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net/http"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -78,20 +76,6 @@
 	x.fail(OutcomeStopping, drain.RetryAfter)
 }
 
-// bodyDiscardTimeout bounds the time in which the rest of a body is read that is not awaited: a connection that is
-// closed before could be reset before its caller has read the response.
-const bodyDiscardTimeout = 500 * time.Millisecond
-
-// abandonBody makes the response leave before the rest of the body has arrived, and the connection close after it.
-func (x *exchange) abandonBody() {
-	if x.r.ContentLength == 0 {
-		return
-	}
-	x.w.Header().Set("Connection", "close")
-	// This fails only if the connection is already closed.
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(bodyDiscardTimeout))
-}
-
 // boundBodyTime bounds the time in which the body is read: up to the deadline of the request, and while this entry
 // drains, up to the latest time at which it may be sent to a server. end must be called once the body was read.
 func (x *exchange) boundBodyTime() (end func()) {
@@ -99,28 +83,15 @@
 		// A request without a route waits for the first configuration, and has no deadline yet.
 		return func() {}
 	}
-	var mu sync.Mutex
-	ended := false
-	controller := http.NewResponseController(x.w)
-	bound := func(at time.Time) {
-		mu.Lock()
-		defer mu.Unlock()
-		if !ended {
-			// This fails only if the connection is already closed.
-			_ = controller.SetReadDeadline(at)
-		}
-	}
-	bound(x.deadline)
+	timer := drain.NewBodyTimer(x.w)
+	timer.Bound(x.deadline)
 	stop := context.AfterFunc(x.g.draining, func() {
 		if plan := x.g.drainPlan.Load(); plan != nil {
-			bound(plan.LastSend(x.deadline, x.expectedDuration()))
+			timer.Bound(plan.LastSend(x.deadline, x.expectedDuration()))
 		}
 	})
 	return func() {
 		stop()
-		mu.Lock()
-		defer mu.Unlock()
-		ended = true
-		_ = controller.SetReadDeadline(time.Time{})
+		timer.End()
 	}
 }
