--- a/internal/settings/page.go
+++ b/internal/settings/page.go
@@ -14,7 +14,8 @@
 	commentLine = regexp.MustCompile(`^\s*// ?(.*)$`)
 )
 
-// Page returns the text of docs/SETTINGS.md, generated from the schema and its comments.
+// Page returns the text of docs/SETTINGS.md, generated from the schema, its comments and the constants of packages bound and
+// drain.
 func Page() string {
 	var b strings.Builder
 	b.WriteString("# Settings and intents\n\nGenerated from the schema by `fennelyard page settings`; a test checks that it is up to date.\n" +
@@ -35,6 +36,7 @@
 			fmt.Fprintf(&b, "| `%s` | %s | %s |\n", m[3], kindName(m[1] == "repeated ", m[2]), text)
 		}
 	}
+	writeBounds(&b)
 	return b.String()
 }
 
