entry: a large response that breaks off gives its place back

Found by reading the change: a large response of a repeatable request on listed hosts that broke off ended its handler before its ticket was released, so that its place at the replica was lost for good.

Before: TestLargeResponseThatBreaksOffGivesItsPlaceBack failed, the next request waited in the queue until its deadline (504). The ticket is released first.

Tests that mutations had passed are sharper: bytes that were read ahead behind a response to another request (TestSoundResponsesPassTheBounds), and the time in which a stopping entry waits for a first request.

--- a/internal/bound/bound.go
+++ b/internal/bound/bound.go
@@ -25,6 +25,7 @@
 	KindReply                 // reply-bytes
 )
 
+// The bounds.
 const (
 	// HeadBytes bounds the status lines and header fields of all responses that are read for one
 	// request.
@@ -34,7 +35,8 @@
 	HeadFields = 256
 	// InterimResponses bounds the informational responses (1xx) before a final one.
 	InterimResponses = 16
-	// ReplyHeadBytes bounds the head of the reply of a host, an engine or an operator's host to a call.
+	// ReplyHeadBytes bounds the head of a message between hosts, and of a reply to a call of a host, an operator or a
+	// metrics collector.
 	ReplyHeadBytes = 16 << 10
 	// DiscardedBytes bounds the body of a response to another request, behind which the response
 	// is read.
--- a/internal/drain/plan.go
+++ b/internal/drain/plan.go
@@ -4,10 +4,11 @@
 
 import "time"
 
+// The course of a drain.
 const (
 	// AcceptFraction is the part of the stop limit in which connections are accepted, unless PlanConfig says
 	// otherwise: most callers have a new directory response by then. Requests whose end is only estimated are
-	// taken no longer: one that takes longer than any before it must have ended in time all the same.
+	// taken no longer, so that a request may take longer than estimated.
 	AcceptFraction = 0.35
 	// AbortFraction is the part of the stop limit after which every request gets its final response, and
 	// CloseFraction the one after which the process exits: what has not ended by then would be killed a moment
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -89,6 +89,9 @@
 	}
 	served, refused := a.run(ctx, c)
 	ticket.Release(served)
+	if a.cut {
+		panic(http.ErrAbortHandler)
+	}
 	if refused != nil {
 		return e.refuse(c, in, refused)
 	}
@@ -115,6 +118,8 @@
 	retryWithdrawn bool
 	// mayHaveRun is set once an attempt is not proved not to have run.
 	mayHaveRun bool
+	// cut is set if a response broke off of which a part has been sent.
+	cut bool
 }
 
 func (a *attempts) run(ctx context.Context, c echo.Context) (served bool, refused *refusal.Refusal) {
@@ -280,7 +285,9 @@
 	if err = a.e.forwardAsItComes(c, a.in, response, held, share); err != nil {
 		a.e.reportFailedAttempt(ctx, a.in, chosen, err)
 		a.recordResult(chosen, routing.Result{OK: ctx.Err() != nil, FirstByte: response.FirstByte(), Reported: response.Outstanding()})
-		a.e.cutResponse(a.in, chosen, err)
+		a.e.logCutResponse(a.in, chosen, err)
+		a.cut = true
+		return true, false, nil
 	}
 	a.e.attemptCompleted(a.in, response)
 	return true, true, nil
@@ -307,11 +314,11 @@
 	return nil
 }
 
-// cutResponse interrupts a response of which a part has been sent, so that it does not look complete.
-func (e *Entry) cutResponse(in *incomingRequest, at routing.Candidate, cause error) {
+// logCutResponse logs and counts a response of which a part has been sent, and whose connection must be closed so that
+// it does not look complete.
+func (e *Entry) logCutResponse(in *incomingRequest, at routing.Candidate, cause error) {
 	e.cfg.Log.Info("response cut", "server", at.Server, "address", at.Address, "request", in.id, "reason", cause.Error())
 	e.cfg.Metrics.Refusal(refusal.StreamCut.String(), refusal.Unknown.String())
-	panic(http.ErrAbortHandler)
 }
 
 // call returns the call that sends a request to a server.
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -159,7 +159,8 @@
 	c.Response().Header().Set(routing.HeaderRequestID, in.id)
 	c.Response().Header().Set(routing.HeaderOutcome, refusal.Ran.String())
 	if err := e.forwardAsItComes(c, in, r.rest, r.response.GetBody(), r.memory); err != nil {
-		e.cutResponse(in, r.from, err)
+		e.logCutResponse(in, r.from, err)
+		panic(http.ErrAbortHandler)
 	}
 	return nil
 }
--- a/internal/host/bounds_test.go
+++ b/internal/host/bounds_test.go
@@ -166,6 +166,38 @@
 	require.Equal(t, 1, runs.Max())
 }
 
+// A large response that breaks off must not look complete, and gives the place of its request at its replica back.
+func TestLargeResponseThatBreaksOffGivesItsPlaceBack(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, "entry: {replica-limit: 1}\n")
+	var calls atomic.Int64
+	h.engine("engine-1", func(cfg *standin.EngineConfig) {
+		cfg.Complete = func(w http.ResponseWriter, _ *http.Request, _ string) {
+			if calls.Add(1) > 1 {
+				_, _ = io.WriteString(w, largeAnswer)
+				return
+			}
+			_, _ = io.WriteString(w, largeAnswer)
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	})
+	h.awaitServers(1)
+	h.configure(1)
+	q, err := http.NewRequestWithContext(context.Background(), http.MethodPost, h.callerURL("/v1/chat/completions"), strings.NewReader(completion(testModel)))
+	require.NoError(t, err)
+	q.Header.Set(routing.HeaderCustomer, testCustomer)
+	resp, err := http.DefaultClient.Do(q)
+	require.NoError(t, err)
+	_, err = io.ReadAll(resp.Body)
+	require.Error(t, err)
+	require.NoError(t, resp.Body.Close())
+	for range 2 {
+		r := h.post("/v1/chat/completions", completion(testModel), routing.HeaderDeadline, "25000")
+		require.Equal(t, http.StatusOK, r.status, "%s", r.message)
+	}
+}
+
 // A request whose body finds no memory is refused as not run, with a time to return, and the memory of requests that
 // have ended is there again.
 func TestListedHostsRefuseBodiesWithoutMemory(t *testing.T) {
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -68,7 +68,11 @@
 }
 
 func (b *Budget) recordMost(used int64) {
-	for most := b.most.Load(); used > most && !b.most.CompareAndSwap(most, used); most = b.most.Load() {
+	for {
+		most := b.most.Load()
+		if used <= most || b.most.CompareAndSwap(most, used) {
+			return
+		}
 	}
 }
 
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -88,23 +88,19 @@
 	require.LessOrEqual(t, conn.ReadBytes(), int64(readSlack))
 }
 
-// Sound responses pass whatever their size, and what precedes them.
+// Sound responses pass whatever their size, and whatever sound responses precede them.
 func TestSoundResponsesPassTheBounds(t *testing.T) {
-	const body = 8 << 20
-	fields := strings.Repeat("A: "+strings.Repeat("b", 200)+"\r\n", 200)
-	for name, beginning := range map[string]string{
-		"large header":               fields,
-		"informational responses":    "",
-		"behind a repeated response": "",
+	const body, other = 8 << 20, "HTTP/1.1 200 OK\r\nX-Id: other\r\n"
+	for name, test := range map[string]struct{ before, fields, repeated string }{
+		"large header":               {"", strings.Repeat("A: "+strings.Repeat("b", 200)+"\r\n", 200), "\r\n"},
+		"informational responses":    {strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", bound.InterimResponses), "", "\r\n"},
+		"behind a repeated response": {other + "Content-Length: 1048576\r\n\r\n" + strings.Repeat("x\r\n\r\n", 1<<20)[:1<<20], "", "\r\n"},
+		"behind a short one":         {other + "Content-Length: 2\r\n\r\nhi", "", "a"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			before := map[string]string{
-				"informational responses":    strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", bound.InterimResponses),
-				"behind a repeated response": "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 1048576\r\n\r\n" + strings.Repeat("x\r\n\r\n", 1<<20)[:1<<20],
-			}[name]
 			conn := standin.NewEndlessConn(standin.EndlessConnConfig{
-				Beginning: before + "HTTP/1.1 200 OK\r\nX-Id: own\r\n" + beginning + fmt.Sprintf("Content-Length: %d\r\n\r\n", body),
-				Repeated:  "\r\n", MaxBytes: 32 << 20,
+				Beginning: test.before + "HTTP/1.1 200 OK\r\nX-Id: own\r\n" + test.fields + fmt.Sprintf("Content-Length: %d\r\n\r\n", body),
+				Repeated:  test.repeated, MaxBytes: 32 << 20,
 			})
 			response, err := sendOver(conn)
 			require.NoError(t, err)
--- a/internal/role/stop_test.go
+++ b/internal/role/stop_test.go
@@ -316,11 +316,11 @@
 // for it.
 func TestStoppingEntryWaitsForRequestsThatMayStillCome(t *testing.T) {
 	for name, test := range map[string]struct {
-		connected, limit time.Duration
+		connected, least, limit time.Duration
 	}{
-		"no connection":  {stopLimit, portClosed + 100*time.Millisecond},
-		"old connection": {-2 * time.Second, portClosed + 100*time.Millisecond},
-		"new connection": {2 * time.Second, 5200 * time.Millisecond},
+		"no connection":  {stopLimit, portClosed, portClosed + 100*time.Millisecond},
+		"old connection": {-2 * time.Second, portClosed, portClosed + 100*time.Millisecond},
+		"new connection": {2 * time.Second, 5 * time.Second, 5200 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -337,6 +337,7 @@
 				}()
 				time.Sleep(time.Until(signal))
 				d.entries["10.0.1.1"].Drain(context.Background())
+				require.GreaterOrEqual(t, time.Since(signal), test.least)
 				require.LessOrEqual(t, time.Since(signal), test.limit)
 				<-opened
 				if conn != nil {
