Tests: what a stopping entry refuses at once, before the rest of a body and without a configuration

Three mutations had survived: a body that is awaited although its request can't be finished any more, a request that waits for the first configuration up to the abort, and a retry on listed hosts.

--- a/internal/host/stop_test.go
+++ b/internal/host/stop_test.go
@@ -149,6 +149,38 @@
 	<-stopped
 }
 
+// A request fails at its replica after the signal: it is not sent to a server again that could not finish it, and its
+// refusal does not say that it has not run.
+func TestStoppingListedHostDoesNotRetryWhatItCannotFinish(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, "entry: {directory-keep: 1s}\n")
+	release := make(chan struct{})
+	var calls atomic.Int64
+	h.engine("engine-1", func(cfg *standin.EngineConfig) {
+		cfg.Complete = func(w http.ResponseWriter, _ *http.Request, _ string) {
+			if calls.Add(1) == 1 {
+				<-release
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(w, "{}")
+		}
+	})
+	h.awaitServers(1)
+	h.configure(1)
+	var got response
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		got = h.post("/v1/chat/completions", completion(testModel), routing.HeaderDeadline, lateDeadline)
+	})
+	h.eventually("the request at its server", func() bool { return calls.Load() == 1 })
+	stopped := h.drain(drainLimit)
+	close(release)
+	wg.Wait()
+	require.Equal(t, int64(1), calls.Load())
+	require.Equal(t, refusal.Unknown.String(), got.outcome, "%s", got.body)
+	<-stopped
+}
+
 // Requests that are at a server when their host must end get a response that promises nothing.
 func TestStoppedListedHostRespondsToEveryRequest(t *testing.T) {
 	t.Parallel()
--- a/internal/role/stop_test.go
+++ b/internal/role/stop_test.go
@@ -280,6 +280,61 @@
 	return a.kept || a.connected > portClosed || headAt-a.connected >= headerTime || a.sent >= abortedAt
 }
 
+// The rest of a body is not awaited for longer than its request could still be finished: its caller could have gone to
+// another entry meanwhile.
+func TestStoppingEntryRefusesABodyThatComesTooLate(t *testing.T) {
+	for path, latest := range map[string]time.Duration{"/long/x": 0, "/stream/x": 0, "/known/x": portClosed} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d, b := startStopDeployment(t, 1)
+				defer d.close()
+				defer b.close()
+				const ip = "10.0.1.1"
+				for range 8 {
+					require.Equal(t, http.StatusOK, d.callWith(ip, "/known/x", "body", http.Header{"X-Run": {"20ms"}}).status)
+				}
+				signal := time.Now().Add(3 * time.Second)
+				a := arrival{connected: -time.Second, begun: -time.Second, withBody: true, sent: 6 * time.Second, path: path}
+				var result arrivalResult
+				played := make(chan struct{})
+				go func() {
+					defer close(played)
+					result = a.play(d, ip, signal, "late")
+				}()
+				time.Sleep(time.Until(signal))
+				d.entries[ip].Drain(context.Background())
+				<-played
+				require.Equal(t, http.StatusServiceUnavailable, result.status)
+				require.LessOrEqual(t, a.sent+result.waited, latest+maxRefusalTime)
+				require.Zero(t, b.serversReached("late"))
+			})
+		})
+	}
+}
+
+// A caller waits for the first configuration of an entry that is asked to stop: it is refused at once.
+func TestStoppingEntryWithoutConfigurationRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1, 0, 1, anyLeader)
+		defer d.close()
+		const ip = "10.0.1.1"
+		signal := time.Now().Add(time.Second)
+		a := arrival{connected: -100 * time.Millisecond, begun: -100 * time.Millisecond, sent: -100 * time.Millisecond, path: "/long/x"}
+		var result arrivalResult
+		played := make(chan struct{})
+		go func() {
+			defer close(played)
+			result = a.play(d, ip, signal, "early")
+		}()
+		time.Sleep(time.Until(signal))
+		d.entries[ip].Drain(context.Background())
+		<-played
+		require.Equal(t, http.StatusServiceUnavailable, result.status)
+		require.Equal(t, "0.05", result.retryAfter)
+		require.LessOrEqual(t, a.sent+result.waited, maxRefusalTime)
+	})
+}
+
 // Requests that are at a server, or wait, when the signal comes: what can end is served, a wait that would end too late is
 // refused at once, and what has not ended by the abort gets no promise.
 func TestStoppingEntryEndsWhatItHas(t *testing.T) {
