entry: a large response is at its server until its end, and its end is evidence

Callers saw, on listed hosts: a replica that still streamed a large response was taken for one with a free place, and its count of outstanding requests fell below zero, so that it was preferred from then on. A request that ended its server within a large response of a claimed request left no evidence, and could reach the next server with each repeat.

Cause: the result of a response that is too large to be held was recorded when its first part had been held, and for one that broke off once more at its end. The claimed path forwarded the rest without the guard.

Ruled out: the count as such; responses that are held whole are recorded once.

Change: the result is recorded once, at the end of the response. A claimed response that its server breaks off is reported to the guard, and one that ends well clears the request. A gauge, requests_at_servers, shows the sum.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -199,6 +199,8 @@
 
 func (e *Entry) registerGauges() {
 	e.cfg.Metrics.Gauge("in_flight_requests", "Requests of callers in flight.", func() float64 { return float64(e.InFlight()) })
+	e.cfg.Metrics.Gauge("requests_at_servers", "Requests of this entry that backend servers have.",
+		func() float64 { return float64(e.table.TotalOutstanding()) })
 	e.cfg.Metrics.Gauge("configuration_revision", "Revision that this entry has in force.",
 		func() float64 { return float64(e.cfg.Replica.Revision()) })
 	e.cfg.Metrics.Gauge("ejected_servers", "Backend servers that are left out for failures.",
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -268,7 +268,10 @@
 	if err == nil && complete && response.Status() == http.StatusOK && !json.Valid(held) {
 		err = errors.Newf("not JSON: %w", routing.ErrIncomplete)
 	}
-	a.recordResult(chosen, routing.Result{OK: err == nil || ctx.Err() != nil, FirstByte: response.FirstByte(), Reported: response.Outstanding()})
+	// The request is at its server until the end of the response.
+	defer func() {
+		a.recordResult(chosen, routing.Result{OK: err == nil || ctx.Err() != nil, FirstByte: response.FirstByte(), Reported: response.Outstanding()})
+	}()
 	if err != nil {
 		a.e.reportFailedAttempt(ctx, a.in, chosen, err)
 		return a.handleFailure(ctx, chosen, err)
@@ -284,7 +287,6 @@
 	}
 	if err = a.e.forwardAsItComes(c, a.in, response, held, share); err != nil {
 		a.e.reportFailedAttempt(ctx, a.in, chosen, err)
-		a.recordResult(chosen, routing.Result{OK: ctx.Err() != nil, FirstByte: response.FirstByte(), Reported: response.Outstanding()})
 		a.e.logCutResponse(a.in, chosen, err)
 		a.cut = true
 		return true, false, nil
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -17,6 +17,7 @@
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/memory"
 	"fennelyard/internal/refusal"
+	"fennelyard/internal/relay"
 	"fennelyard/internal/routing"
 	"fennelyard/internal/schema"
 )
@@ -130,7 +131,7 @@
 			return e.refuse(c, in, r.refused)
 		}
 		if r.rest != nil {
-			return e.forwardClaimed(c, in, r)
+			return e.forwardClaimed(c, in, claimed, r)
 		}
 		return e.writeClaimedResponse(c, in, r.response)
 	case <-e.aborted.Done():
@@ -153,15 +154,20 @@
 }
 
 // forwardClaimed forwards a response that is too large to be held, as it comes.
-func (e *Entry) forwardClaimed(c echo.Context, in *incomingRequest, r claimedResult) error {
+func (e *Entry) forwardClaimed(c echo.Context, in *incomingRequest, claimed *claimedRequest, r claimedResult) error {
 	e.cfg.Metrics.Request(in.kind, int(r.response.GetStatus()))
 	e.cfg.Metrics.FirstByte(in.kind, time.Since(in.received), false)
 	c.Response().Header().Set(routing.HeaderRequestID, in.id)
 	c.Response().Header().Set(routing.HeaderOutcome, refusal.Ran.String())
 	if err := e.forwardAsItComes(c, in, r.rest, r.response.GetBody(), r.memory); err != nil {
 		e.logCutResponse(in, r.from, err)
+		if errors.Is(err, relay.ErrInterrupted) {
+			claimed.forwardErr = err
+			e.reportFailedAttempt(c.Request().Context(), in, r.from, err)
+		}
 		panic(http.ErrAbortHandler)
 	}
+	e.attemptCompleted(in, r.rest)
 	return nil
 }
 
@@ -185,7 +191,9 @@
 	result chan claimedResult
 	// callerGone is closed once the caller's request has ended.
 	callerGone chan struct{}
-	// handedOver is set once the result was received from handOver.
+	// forwardErr is the error with which the server broke off a response that was handed over, nil for none; it is set
+	// before callerGone is closed. handedOver is set once the caller's request with it has ended.
+	forwardErr error
 	handedOver bool
 }
 
@@ -303,9 +311,12 @@
 	share := e.memory.NewShare()
 	defer share.Release()
 	body, complete, err := share.Read(response.Body(), response.Length(), bound.HeldResponseBytes)
-	e.table.RecordResult(time.Now(), to, r.in.target.name, r.in.body, routing.Result{
-		OK: err == nil, FirstByte: response.FirstByte(), Reported: response.Outstanding(),
-	})
+	// The request is at its server until the end of the response.
+	defer func() {
+		e.table.RecordResult(time.Now(), to, r.in.target.name, r.in.body, routing.Result{
+			OK: err == nil, FirstByte: response.FirstByte(), Reported: response.Outstanding(),
+		})
+	}()
 	if err != nil {
 		e.reportFailedAttempt(ctx, r.in, to, err)
 		// The server sent a response, so the request ran; the response is
@@ -314,7 +325,7 @@
 	}
 	answer := &schema.Answer{Status: uint32(response.Status()), ContentType: response.Header().Get("Content-Type"), Body: body}
 	if !complete {
-		r.handOver(claimedResult{response: answer, rest: response, from: to, memory: share})
+		err = r.handOver(claimedResult{response: answer, rest: response, from: to, memory: share})
 		return refusal.Ran, nil, nil
 	}
 	e.attemptCompleted(r.in, response)
@@ -322,12 +333,14 @@
 }
 
 // handOver records that the request ran, and lets its caller have a response that is too large to be held. It
-// returns once the caller's request has ended.
-func (r *claimedRequest) handOver(result claimedResult) {
+// returns once the caller's request has ended, with the error with which the server broke the response off, nil for
+// none.
+func (r *claimedRequest) handOver(result claimedResult) error {
 	r.e.claims.Settle(r.grant, schema.ClaimOutcome_CLAIM_OUTCOME_DONE, &schema.Answer{Status: result.response.GetStatus(), Omitted: true})
 	r.result <- result
 	<-r.callerGone
 	r.handedOver = true
+	return r.forwardErr
 }
 
 func (r *claimedRequest) settleNotRun(refused *refusal.Refusal) {
--- a/internal/gateway/bounds_test.go
+++ b/internal/gateway/bounds_test.go
@@ -206,7 +206,9 @@
 }
 
 // dialPatiently connects without the timeout of entries: a machine that is short of processor time may need longer.
-func dialPatiently(_ context.Context, address string) (net.Conn, error) { return net.Dial("tcp", address) }
+func dialPatiently(_ context.Context, address string) (net.Conn, error) {
+	return net.Dial("tcp", address)
+}
 
 // Sound responses are served whole however large they are, also many at once, and also when the memory for bodies
 // is used up.
--- a/internal/host/bounds_test.go
+++ b/internal/host/bounds_test.go
@@ -164,6 +164,52 @@
 	r := h.post("/services/regdesk/enter", "{}", "Idempotency-Key", "k")
 	require.Equal(t, refusal.Ran.String(), r.outcome, "%s", r.body)
 	require.Equal(t, 1, runs.Max())
+	// The server may have crashed under the request.
+	h.eventually("evidence of the attempt", func() bool { return strings.Contains(h.log.String(), "attempts broke off") })
+	require.Contains(t, scrape(t, h), "fennelyard_requests_at_servers 0")
+}
+
+// A server ends within a large response of a claimed request, and another one completes the same request: the end is
+// evidence, and the completion clears it.
+func TestLargeClaimedResponsesAreEvidence(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, "")
+	post := func(key string) (whole bool) {
+		q, err := http.NewRequestWithContext(context.Background(), http.MethodPost, h.callerURL("/services/regdesk/enter"), strings.NewReader("{}"))
+		require.NoError(t, err)
+		q.Header.Set(routing.HeaderCustomer, testCustomer)
+		q.Header.Set("Idempotency-Key", key)
+		resp, err := http.DefaultClient.Do(q)
+		require.NoError(t, err)
+		defer func() { _ = resp.Body.Close() }()
+		_, err = io.ReadAll(resp.Body)
+		return err == nil && resp.StatusCode == http.StatusOK
+	}
+	l := listen(t)
+	h.application("app-1", func(cfg *standin.ApplicationConfig) {
+		cfg.Listener = l
+		cfg.Handle = func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, largeAnswer)
+			w.(http.Flusher).Flush()
+			_ = l.Close()
+			panic(http.ErrAbortHandler)
+		}
+	})
+	h.awaitServers(1)
+	h.configure(1)
+	require.False(t, post("k1"))
+	h.eventually("a server that has ended", func() bool { return strings.Contains(h.log.String(), `"answers":"refused"`) })
+	h.application("app-2", func(cfg *standin.ApplicationConfig) {
+		cfg.Handle = func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, largeAnswer) }
+	})
+	h.awaitServers(2)
+	n := 1
+	h.eventually("the request completed", func() bool {
+		n++
+		return post(fmt.Sprint("k", n))
+	})
+	h.eventually("the request cleared", func() bool { return strings.Contains(h.log.String(), "suspect cleared") })
+	h.eventually("no request at a server", func() bool { return strings.Contains(scrape(t, h), "fennelyard_requests_at_servers 0") })
 }
 
 // A large response that breaks off must not look complete, and gives the place of its request at its replica back.
@@ -196,6 +242,7 @@
 		r := h.post("/v1/chat/completions", completion(testModel), routing.HeaderDeadline, "25000")
 		require.Equal(t, http.StatusOK, r.status, "%s", r.message)
 	}
+	require.Contains(t, scrape(t, h), "fennelyard_requests_at_servers 0")
 }
 
 // A request whose body finds no memory is refused as not run, with a time to return, and the memory of requests that
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -231,6 +231,17 @@
 	return 0
 }
 
+// TotalOutstanding returns the number of this entry's requests at all servers.
+func (t *Table) TotalOutstanding() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, s := range t.servers {
+		n += s.outstanding
+	}
+	return n
+}
+
 // Ejected returns the number of servers that are ejected at a time.
 func (t *Table) Ejected(now time.Time) int {
 	t.mu.Lock()
