memory: short bodies of unknown length need no budget

Callers saw: requests of 4 to 8 KB that are sent in chunks were refused with 503 while long bodies took all memory; the same ones with a stated length were served. Responses of these sizes were forwarded instead of held.

Cause: a buffer that grows asks for the old and the new one together, 12 KB, which is over what each body may take beside the budget, though the body itself is not.

Change: the budget is asked only for a buffer over that size.

Before: the new test fails for a body without length. After: it passes.

--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -127,7 +127,11 @@
 	for {
 		if len(data) == cap(data) {
 			size = min(2*int64(cap(data)), limit)
-			if size == int64(cap(data)) || !s.grow(size+int64(cap(data))) {
+			if size == int64(cap(data)) {
+				return data, false, nil
+			}
+			// Both buffers are held while one is copied into the other.
+			if size > FreeBytes && !s.grow(size+int64(cap(data))) {
 				return data, false, nil
 			}
 			data = append(make([]byte, 0, size), data...)
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -64,6 +64,21 @@
 	require.True(t, ended)
 }
 
+// Short bodies of unknown length are refused while long ones take all memory.
+func TestShortBodiesNeedNoBudget(t *testing.T) {
+	b := memory.NewBudget(memory.Config{Bytes: 3 * memory.FreeBytes})
+	_, ended, err := b.NewShare().Read(strings.NewReader(strings.Repeat("a", 8*memory.FreeBytes)), -1, math.MaxInt32)
+	require.NoError(t, err)
+	require.False(t, ended)
+	require.NotZero(t, b.Used())
+	for _, length := range []int64{-1, memory.FreeBytes - 1} {
+		data, ended, err := b.NewShare().Read(strings.NewReader(strings.Repeat("a", memory.FreeBytes-1)), length, math.MaxInt32)
+		require.NoError(t, err)
+		require.True(t, ended, "length %d", length)
+		require.Len(t, data, memory.FreeBytes-1)
+	}
+}
+
 // A body that breaks off is an error and not an end.
 func TestBodyThatBreaksOff(t *testing.T) {
 	broken := errors.New("broken")
