gateway: a stopping entry resumes streams also after a wait

Callers saw: a stream that broke off at its server while its entry drained was cut, if the only other server was short of a permit or asked for a cooldown; without the wait it was resumed.

Cause: a request that is to be sent is exempt from the check for a stop once a part of its response was sent, but the wait before it asked the same question without the exemption, and refused what can't be refused any more.

Ruled out: the check at the send; it has the exemption since the drain is planned.

Change: the exemption stands in the question itself, up to the time of the abort.

Before: the new test's stream is cut after two events. After: it is whole.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -101,7 +101,7 @@
 		if _, held := x.g.guard.Hold(x.keyedRequest()).At(s.kind); held {
 			return false
 		}
-		return x.g.fleet.maySend(s) && (x.started || x.mayBeSent(sentAt))
+		return x.g.fleet.maySend(s) && x.mayBeSent(sentAt)
 	}
 	request.VerifyEnd = func() relay.Presence { return x.verifyEnd(s) }
 	response, err := x.g.cfg.Sender.Send(ctx, s.address, request)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -23,10 +23,17 @@
 }
 
 // mayBeSent reports whether the request may be sent to a server at a time: always unless this entry drains, and
-// then only if it ends before the entry must abort it.
+// then only if it ends before the entry must abort it, or if a part of its response has been sent, which is cut
+// off otherwise.
 func (x *exchange) mayBeSent(at time.Time) bool {
 	plan := x.g.drainPlan.Load()
-	return plan == nil || plan.MaySend(at, x.deadline, x.expectedDuration())
+	switch {
+	case plan == nil:
+		return true
+	case x.started:
+		return at.Before(plan.AbortAt())
+	}
+	return plan.MaySend(at, x.deadline, x.expectedDuration())
 }
 
 // expectedDuration returns how long the request takes at most, by others of its route, or by those of the same pools
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -129,3 +130,25 @@
 	require.Equal(t, result{status: http.StatusServiceUnavailable, retryAfter: "0.05"}, <-got)
 	require.Zero(t, server.requests.Load())
 }
+
+// A stream breaks off at a stopping entry, and the only other server rejects its continuation and asks for a short
+// cooldown. The stream must continue there: a caller that has a part of it can't be refused any more.
+func TestStoppingEntryResumesAStreamAfterACooldown(t *testing.T) {
+	var tg *testGateway
+	var rejected atomic.Bool
+	handle := func(conn net.Conn, request *http.Request) {
+		switch {
+		case request.Header.Get("X-After") != "2":
+			tg.g.StartDraining(drain.NewPlan(drain.PlanConfig{Start: time.Now(), Limit: time.Hour}))
+			streamEvents(1, 2, false)(conn, request)
+		case rejected.CompareAndSwap(false, true):
+			respond(http.StatusServiceUnavailable, "X-Not-Run: 1\r\nRetry-After: 0.3\r\n", "")(conn, request)
+		default:
+			streamEvents(3, 4, true)(conn, request)
+		}
+	}
+	tg = newTestGatewayWithLongTimeouts(t, newBackend(t, handle), newBackend(t, handle))
+	got := tg.call(t, "/resume/x", "body", "m")
+	require.False(t, got.interrupted)
+	require.Equal(t, "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\nid: 4\ndata: e4\n\n", got.body)
+}
