gateway: a refusal at a stop names its cause also for requests that wait

Operators saw: the line of a request that waited for its model when its entry was stopped had outcome=entry-stopping and an empty cause, though docs/OPERATIONS.md leads from it.

Cause: the wait wrote the refusal itself.

Change: each refusal at a stop is written by one function, which sets the cause.

Before: the extended test finds an empty cause. After: it passes.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -75,11 +75,17 @@
 	return true
 }
 
-// refuseForStop refuses the request as this entry drains.
+// refuseForStop refuses the request as this entry stops.
 func (x *exchange) refuseForStop() {
-	plan, expected := x.g.drainPlan.Load(), x.expectedDuration()
-	x.cause = errors.Newf("stopping: requests are aborted in %v, this one may last for %v, by others of its route %v",
-		time.Until(plan.AbortAt()).Round(time.Millisecond), time.Until(x.deadline).Round(time.Millisecond), expected.Round(time.Millisecond))
+	switch plan := x.g.drainPlan.Load(); {
+	case plan == nil:
+		x.cause = errors.New("stopping: requests are aborted")
+	case x.route == nil:
+		x.cause = errors.New("stopping: no configuration is awaited any more")
+	default:
+		x.cause = errors.Newf("stopping: requests are aborted in %v, this one may last for %v, by others of its route %v",
+			time.Until(plan.AbortAt()).Round(time.Millisecond), time.Until(x.deadline).Round(time.Millisecond), x.expectedDuration().Round(time.Millisecond))
+	}
 	x.fail(OutcomeStopping, drain.RetryAfter)
 }
 
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/require"
 
 	"fennelyard/internal/drain"
@@ -45,12 +46,17 @@
 // with a Retry-After for another entry, instead of its connection being closed without a
 // response.
 func TestStoppingEntryRefusesWaitingRequests(t *testing.T) {
-	tg := newTestGateway(t, newBackend(t, respondOK))
+	requestLines := make(chan string, 1)
+	tg := startConfiguredGateway(t, func(cfg *gateway.Config) {
+		cfg.Log, cfg.Sender = logr.Discard(), relay.NewSender(relay.Config{})
+		cfg.RequestLog = funcr.New(func(_, line string) { requestLines <- line }, funcr.Options{})
+	}, newBackend(t, respondOK))
 	got := make(chan result, 1)
 	go func() { got <- tg.call(t, "/events/x", "body", "rare") }()
 	require.Eventually(t, func() bool { return tg.g.State().Waiting == 1 }, 5*time.Second, time.Millisecond)
 	tg.g.StartDraining(drain.NewPlan(drain.PlanConfig{Start: time.Now(), Limit: time.Second}))
 	require.Equal(t, result{status: http.StatusServiceUnavailable, retryAfter: "0.05"}, <-got)
+	require.Contains(t, <-requestLines, "stopping: requests are aborted in")
 }
 
 // A stopping entry aborts its requests while a server runs one and another one waits for a
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -72,7 +72,11 @@
 	defer timer.Stop()
 	for {
 		if outcome, retryAfter, unservable := x.unservable(t, time.Now()); unservable {
-			x.fail(outcome, retryAfter)
+			if outcome == OutcomeStopping {
+				x.refuseForStop()
+			} else {
+				x.fail(outcome, retryAfter)
+			}
 			return false
 		}
 		select {
@@ -96,7 +100,7 @@
 	case x.r.Context().Err() != nil:
 		x.fail(OutcomeCallerGone, 0)
 	case x.g.aborted.Err() != nil:
-		x.fail(OutcomeStopping, drain.RetryAfter)
+		x.refuseForStop()
 	default:
 		x.fail(OutcomeTimeout, defaultRetryAfter)
 	}
