gateway: half a body is bounded in time also before the first configuration

Callers saw: at an entry without a configuration that was asked to stop, a request of whose body a part had come got no response for as long as the rest did not come, and was then cut off as the process ended; without a stop, it was kept for ever.

Cause: the time for a body was bounded by the request's deadline, which comes from its route, and not at all where no route is known.

Change: such a body has 30 s or the caller's own timeout (408), and is refused at once as an entry drains, as not run: it awaits no configuration. The 30 s are those of listed hosts, now one constant.

Before: 'half a body' is refused after 5 s, and the test of bodies without a stop finds no response. After: both pass.

--- a/internal/bound/bound.go
+++ b/internal/bound/bound.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -53,6 +54,8 @@
 	ReportBytes = 256 << 10
 	// OrderReplyBytes bounds the reply of an engine to an order, on listed hosts.
 	OrderReplyBytes = 64 << 10
+	// BodyTimeout is the time in which a caller's body must have arrived whose deadline is not known yet.
+	BodyTimeout = 30 * time.Second
 )
 
 // Error reports that a peer sent more than a bound allows.
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"fennelyard/internal/admission"
+	"fennelyard/internal/bound"
 	"fennelyard/internal/claim"
 	"fennelyard/internal/directory"
 	"fennelyard/internal/drain"
@@ -195,7 +196,7 @@
 // memoryRetryAfter is when a request may come again whose body found no memory: other entries have their own.
 const memoryRetryAfter = 500 * time.Millisecond
 
-// readBody reads a body of bounded size within bodyTimeout. The read deadline is
+// readBody reads a body of bounded size within bound.BodyTimeout. The read deadline is
 // cleared afterwards: otherwise it would interrupt a long response.
 func (e *Entry) readBody(c echo.Context, in *incomingRequest) *refusal.Refusal {
 	limit := int64(e.cfg.Settings.GetEntry().GetMaxBodyBytes())
@@ -204,7 +205,7 @@
 		return tooLarge
 	}
 	timer := drain.NewBodyTimer(c.Response().Writer)
-	timer.Bound(time.Now().Add(bodyTimeout))
+	timer.Bound(time.Now().Add(bound.BodyTimeout))
 	stop := context.AfterFunc(e.draining, func() {
 		if plan := e.drainPlan.Load(); plan != nil {
 			timer.Bound(time.Now().Add(max(time.Until(plan.AcceptUntil()), stopBodyTimeout)))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,7 +37,6 @@
 const (
 	// The timeouts prevent a few slow senders from occupying all connections.
 	readHeaderTimeout = 5 * time.Second
-	bodyTimeout       = 30 * time.Second
 	idleTimeout       = 60 * time.Second
 	maxHeaderBytes    = 64 << 10
 	// drainMargin is added to the time for which callers cache directory
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -147,13 +147,14 @@
 	if x.table = x.g.table.Load(); x.table == nil {
 		// The body is read before waiting for a configuration: callers disconnect if their request is
 		// not read from the connection.
+		x.setDeadline()
 		if !x.readBody() {
 			return false
 		}
 		x.table = x.awaitTable()
 	}
 	if x.table == nil && x.g.isDraining() {
-		x.refuse(http.StatusServiceUnavailable, OutcomeStopping, drain.RetryAfter)
+		x.refuseForStop()
 		return false
 	}
 	if x.table == nil {
@@ -168,9 +169,13 @@
 	return !x.refusedByStop(time.Now()) && x.authorize() && x.readBody()
 }
 
-// setDeadline sets the request's deadline by the caller's and the route's timeout.
+// setDeadline sets the request's deadline by the caller's and the route's timeout. The route of a request that comes
+// before the first configuration is not known yet.
 func (x *exchange) setDeadline() {
-	timeout := time.Duration(x.route.GetTimeoutMs()) * time.Millisecond
+	timeout := bound.BodyTimeout
+	if x.route != nil {
+		timeout = time.Duration(x.route.GetTimeoutMs()) * time.Millisecond
+	}
 	if x.info.Timeout > 0 && x.info.Timeout < timeout {
 		timeout = x.info.Timeout
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -92,14 +92,19 @@
 // boundBodyTime bounds the time in which the body is read: up to the deadline of the request, and while this entry
 // drains, up to the latest time at which it may be sent to a server. end must be called once the body was read.
 func (x *exchange) boundBodyTime() (end func()) {
-	if x.r.ContentLength == 0 || x.route == nil {
-		// A request without a route waits for the first configuration, and has no deadline yet.
+	if x.r.ContentLength == 0 {
 		return func() {}
 	}
 	timer := drain.NewBodyTimer(x.w)
 	timer.Bound(x.deadline)
 	stop := context.AfterFunc(x.g.draining, func() {
-		if plan := x.g.drainPlan.Load(); plan != nil {
+		plan := x.g.drainPlan.Load()
+		switch {
+		case plan == nil:
+		case x.route == nil:
+			// An entry that drains awaits no configuration.
+			timer.Bound(time.Now())
+		default:
 			timer.Bound(plan.LastSend(x.deadline, x.expectedDuration()))
 		}
 	})
--- a/internal/role/stop_test.go
+++ b/internal/role/stop_test.go
@@ -130,6 +130,22 @@
 	return result
 }
 
+// playAtStop plays arrivals at a host that is asked to stop some time from now, and returns their results. The host must have
+// ended in time.
+func playAtStop(d *deployment, ip string, in time.Duration, all ...arrival) []arrivalResult {
+	signal := time.Now().Add(in)
+	results := make([]arrivalResult, len(all))
+	var wg sync.WaitGroup
+	for i, a := range all {
+		wg.Go(func() { results[i] = a.play(d, ip, signal, fmt.Sprint("a-", i)) })
+	}
+	time.Sleep(time.Until(signal))
+	d.entries[ip].Drain(context.Background())
+	require.LessOrEqual(d.t, time.Since(signal), endedAt+100*time.Millisecond)
+	wg.Wait()
+	return results
+}
+
 // startStopDeployment starts a deployment with routes of long timeouts, whose requests must not be repeated.
 func startStopDeployment(t *testing.T, entries int) (*deployment, *backends) {
 	d := newDeployment(t, 1, 3, entries, anyLeader)
@@ -199,18 +215,8 @@
 			require.Equal(t, http.StatusOK, d.callWith(ip, "/known/x", "body", http.Header{"X-Run": {"20ms"}}).status)
 			require.Equal(t, http.StatusOK, d.callWith(ip, "/stream/known/x", "body", http.Header{"X-Run": {"20ms"}}).status)
 		}
-		signal := time.Now().Add(3 * time.Second)
 		all := arrivals()
-		results := make([]arrivalResult, len(all))
-		var wg sync.WaitGroup
-		for i, a := range all {
-			wg.Go(func() { results[i] = a.play(d, ip, signal, fmt.Sprint("a-", i)) })
-		}
-		time.Sleep(time.Until(signal))
-		d.entries[ip].Drain(context.Background())
-		took := time.Since(signal)
-		wg.Wait()
-		require.LessOrEqual(t, took, endedAt+100*time.Millisecond)
+		results := playAtStop(d, ip, 3*time.Second, all...)
 		served, refused, crossed := 0, 0, 0
 		for i, a := range all {
 			r, reached := results[i], b.serversReached(results[i].id)
@@ -244,18 +250,9 @@
 		d, b := startStopDeployment(t, 2)
 		defer d.close()
 		defer b.close()
-		const ip = "10.0.1.1"
-		signal := time.Now().Add(3 * time.Second)
 		late := arrival{connected: 2 * time.Second, begun: 4 * time.Second, sent: 4 * time.Second, path: "/stream/x", run: 6 * time.Second}
 		before := arrival{connected: -time.Second, begun: -time.Second, sent: -time.Second, path: "/stream/x", run: 6 * time.Second}
-		var results [2]arrivalResult
-		var wg sync.WaitGroup
-		for i, a := range []arrival{before, late} {
-			wg.Go(func() { results[i] = a.play(d, ip, signal, fmt.Sprint("s-", i)) })
-		}
-		time.Sleep(time.Until(signal))
-		d.entries[ip].Drain(context.Background())
-		wg.Wait()
+		results := playAtStop(d, "10.0.1.1", 3*time.Second, before, late)
 		require.True(t, results[0].complete)
 		require.Equal(t, http.StatusServiceUnavailable, results[1].status)
 		require.Equal(t, "0.05", results[1].retryAfter)
@@ -293,45 +290,42 @@
 				for range 8 {
 					require.Equal(t, http.StatusOK, d.callWith(ip, "/known/x", "body", http.Header{"X-Run": {"20ms"}}).status)
 				}
-				signal := time.Now().Add(3 * time.Second)
 				a := arrival{connected: -time.Second, begun: -time.Second, withBody: true, sent: 6 * time.Second, path: path}
-				var result arrivalResult
-				played := make(chan struct{})
-				go func() {
-					defer close(played)
-					result = a.play(d, ip, signal, "late")
-				}()
-				time.Sleep(time.Until(signal))
-				d.entries[ip].Drain(context.Background())
-				<-played
+				result := playAtStop(d, ip, 3*time.Second, a)[0]
 				require.Equal(t, http.StatusServiceUnavailable, result.status)
 				require.LessOrEqual(t, a.sent+result.waited, latest+maxRefusalTime)
-				require.Zero(t, b.serversReached("late"))
+				require.Zero(t, b.serversReached(result.id))
 			})
 		})
 	}
 }
 
-// A caller waits for the first configuration of an entry that is asked to stop: it is refused at once.
+// A caller waits for the first configuration of an entry that is asked to stop, or sends its body slowly meanwhile: it is
+// refused at once.
 func TestStoppingEntryWithoutConfigurationRefusesAtOnce(t *testing.T) {
+	for name, sent := range map[string]time.Duration{"whole": -100 * time.Millisecond, "half a body": 5 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeployment(t, 1, 0, 1, anyLeader)
+				defer d.close()
+				a := arrival{connected: -100 * time.Millisecond, begun: -100 * time.Millisecond, withBody: true, sent: sent, path: "/long/x"}
+				result := playAtStop(d, "10.0.1.1", time.Second, a)[0]
+				require.Equal(t, http.StatusServiceUnavailable, result.status)
+				require.Equal(t, "0.05", result.retryAfter)
+				require.LessOrEqual(t, a.sent+result.waited, maxRefusalTime)
+			})
+		})
+	}
+}
+
+// A body does not arrive at an entry without a configuration: its request must not be kept for ever.
+func TestBodiesAtAnEntryWithoutConfigurationAreBoundedInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDeployment(t, 1, 0, 1, anyLeader)
 		defer d.close()
-		const ip = "10.0.1.1"
-		signal := time.Now().Add(time.Second)
-		a := arrival{connected: -100 * time.Millisecond, begun: -100 * time.Millisecond, sent: -100 * time.Millisecond, path: "/long/x"}
-		var result arrivalResult
-		played := make(chan struct{})
-		go func() {
-			defer close(played)
-			result = a.play(d, ip, signal, "early")
-		}()
-		time.Sleep(time.Until(signal))
-		d.entries[ip].Drain(context.Background())
-		<-played
-		require.Equal(t, http.StatusServiceUnavailable, result.status)
-		require.Equal(t, "0.05", result.retryAfter)
-		require.LessOrEqual(t, a.sent+result.waited, maxRefusalTime)
+		result := arrival{withBody: true, sent: time.Minute, path: "/long/x"}.play(d, "10.0.1.1", time.Now().Add(time.Second), "slow")
+		require.Equal(t, http.StatusRequestTimeout, result.status)
+		require.Less(t, result.waited, time.Duration(0))
 	})
 }
 
@@ -342,20 +336,11 @@
 		d, b := startStopDeployment(t, 2)
 		defer d.close()
 		defer b.close()
-		const ip = "10.0.1.1"
-		signal := time.Now().Add(3 * time.Second)
 		before := func(run time.Duration, path string) arrival {
 			return arrival{connected: -time.Second, begun: -time.Second, sent: -time.Second, path: path, run: run}
 		}
 		all := []arrival{before(6*time.Second, "/long/x"), before(6*time.Second, "/stream/x"), before(11*time.Second, "/long/x"), before(11*time.Second, "/stream/x")}
-		results := make([]arrivalResult, len(all))
-		var wg sync.WaitGroup
-		for i, a := range all {
-			wg.Go(func() { results[i] = a.play(d, ip, signal, fmt.Sprint("b-", i)) })
-		}
-		time.Sleep(time.Until(signal))
-		d.entries[ip].Drain(context.Background())
-		wg.Wait()
+		results := playAtStop(d, "10.0.1.1", 3*time.Second, all...)
 		require.Equal(t, http.StatusOK, results[0].status)
 		require.True(t, results[1].complete)
 		require.Equal(t, http.StatusOK, results[1].status)
--- a/internal/settings/page_bounds.go
+++ b/internal/settings/page_bounds.go
@@ -32,7 +32,8 @@
 	}
 	fmt.Fprintf(b, "\nBodies that match their request have no bound. Of a response %d bytes are held until it is complete; what is longer, or finds no memory "+
 		"(`buffer-mb`), is forwarded as it comes. %d bytes of each body are free. Events over %d bytes take a place of %d bytes each, as many as a quarter of "+
-		"`buffer-mb` holds, and wait for one.\n", bound.HeldResponseBytes, memory.FreeBytes, bound.SmallEventBytes, bound.EventBytes)
+		"`buffer-mb` holds, and wait for one. A caller's body must have arrived by the deadline of its request, and after %v where that is not known yet: "+
+		"on listed hosts, and before the first configuration.\n", bound.HeldResponseBytes, memory.FreeBytes, bound.SmallEventBytes, bound.EventBytes, bound.BodyTimeout)
 	fmt.Fprintf(b, "\n## Times of a stop\n\nParts of `stop-limit`, or of `drain-limit` on listed hosts, from the signal on; see [design/stops.md](design/stops.md).\n\n"+
 		"| until | what |\n|---|---|\n"+
 		"| %v | connections are accepted, and requests are taken that end in time by an estimate; on listed hosts at most `directory-keep` and a second |\n"+
