entry: a stopping host resumes streams

Callers saw, on listed hosts: a stream with a late deadline that broke off at its engine while its host drained was cut, though the engine still had it and there was time: 'stream-cut'.

Cause: the check at the send asked whether the request could be taken as a new one. Other entries exempt what has begun.

Change: a request of whose response a part has been sent may be sent until the time of the abort; both kinds of entries ask the plan.

Before: the new test's stream ends with an error event after its first event. After: it is whole.

--- a/internal/drain/plan.go
+++ b/internal/drain/plan.go
@@ -74,6 +74,10 @@
 	return latest
 }
 
+// MayResume reports whether a request of whose response a part has been sent may be sent to a server at a time: it is
+// cut off otherwise.
+func (p *Plan) MayResume(at time.Time) bool { return at.Before(p.AbortAt()) }
+
 // MaySend reports whether a request may be sent to a server at a time.
 func (p *Plan) MaySend(at, deadline time.Time, expected time.Duration) bool {
 	return !at.After(p.LastSend(deadline, expected))
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -124,8 +124,8 @@
 	// first time.
 	key          string
 	firstAttempt bool
-	// stream is set if the response is a stream of events.
-	stream bool
+	// stream is set if the response is a stream of events, and started once a part of it was sent to the caller.
+	stream, started bool
 	// messages are those of a conversation with a model, as JSON.
 	messages []json.RawMessage
 	// keyed is created by keyedRequest when first needed.
@@ -162,10 +162,16 @@
 }
 
 // mayBeSent reports whether a request may be sent to a server now: always unless this host drains, and then only if it
-// ends before the host must abort it.
+// ends before the host must abort it, or if a part of its response has been sent.
 func (e *Entry) mayBeSent(in *incomingRequest) bool {
 	plan := e.drainPlan.Load()
-	return plan == nil || plan.MaySend(time.Now(), in.deadline, e.durations.Expected(in.durationKind()))
+	switch {
+	case plan == nil:
+		return true
+	case in.started:
+		return plan.MayResume(time.Now())
+	}
+	return plan.MaySend(time.Now(), in.deadline, e.durations.Expected(in.durationKind()))
 }
 
 // refusalForStop returns the refusal of a request that this host, which is stopping, could not finish if it were sent to a
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -82,7 +82,7 @@
 		a.e.guard.AttemptCompleted(a.in.keyedRequest(), quarantine.AnyKind)
 		return true, true, nil
 	}
-	if !s.started {
+	if !a.in.started {
 		return a.handleFailure(ctx, chosen, err)
 	}
 	s.writeError(err)
@@ -91,9 +91,8 @@
 
 // streamForwarder forwards the events of one response to the caller.
 type streamForwarder struct {
-	a       *attempts
-	c       echo.Context
-	started bool
+	a *attempts
+	c echo.Context
 	// lastID is the number of the last event forwarded; after a resume, events up
 	// to it are dropped.
 	lastID uint64
@@ -134,8 +133,8 @@
 
 func (s *streamForwarder) forwardEvent(response *routing.Response, ev event) {
 	w := s.c.Response()
-	if !s.started {
-		s.started = true
+	if !s.a.in.started {
+		s.a.in.started = true
 		w.Header().Set("Content-Type", "text/event-stream")
 		w.Header().Set("Cache-Control", "no-store")
 		w.Header().Set(routing.HeaderRequestID, s.a.in.id)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -23,15 +23,14 @@
 }
 
 // mayBeSent reports whether the request may be sent to a server at a time: always unless this entry drains, and
-// then only if it ends before the entry must abort it, or if a part of its response has been sent, which is cut
-// off otherwise.
+// then only if it ends before the entry must abort it, or if a part of its response has been sent.
 func (x *exchange) mayBeSent(at time.Time) bool {
 	plan := x.g.drainPlan.Load()
 	switch {
 	case plan == nil:
 		return true
 	case x.started:
-		return at.Before(plan.AbortAt())
+		return plan.MayResume(at)
 	}
 	return plan.MaySend(at, x.deadline, x.expectedDuration())
 }
--- a/internal/host/stop_test.go
+++ b/internal/host/stop_test.go
@@ -221,3 +221,35 @@
 	}
 	<-stopped
 }
+
+// A stream breaks off at a stopping host that could not take it any more: it is resumed, as its caller has a part of it.
+func TestStoppingListedHostResumesStreams(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, "entry: {directory-keep: 1s}\n")
+	running, proceed := make(chan struct{}), make(chan struct{})
+	h.engine("engine-1", func(cfg *standin.EngineConfig) {
+		cfg.Complete = func(w http.ResponseWriter, q *http.Request, _ string) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			if q.Header.Get("Last-Event-ID") != "" {
+				_, _ = io.WriteString(w, "id: 2\ndata: {}\n\ndata: [DONE]\n\n")
+				return
+			}
+			_, _ = io.WriteString(w, "id: 1\ndata: {}\n\n")
+			w.(http.Flusher).Flush()
+			close(running)
+			<-proceed
+			panic(http.ErrAbortHandler)
+		}
+	})
+	h.awaitServers(1)
+	h.configure(1)
+	got := make(chan response, 1)
+	go func() {
+		got <- h.post("/v1/chat/completions", `{"model":"sorter","stream":true}`, routing.HeaderDeadline, lateDeadline)
+	}()
+	<-running
+	stopped := h.drain(drainLimit)
+	close(proceed)
+	require.Contains(t, string((<-got).body), "id: 2\ndata: {}\n\ndata: [DONE]")
+	<-stopped
+}
