entry: continuations of streams are evidence and log their bounds

Operators saw, on listed hosts: a stream whose continuation met a bound was cut without a 'response over a bound' line or a count, and one whose continuations ended its engine left no evidence beyond the first break.

Cause: only the first response of a stream was reported when it failed.

Change: each response of a stream is, and each send of a continuation that reached the server.

Before: the new test finds no line. After: it passes.

--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -67,13 +67,10 @@
 func (a *attempts) forwardStream(ctx context.Context, c echo.Context, chosen routing.Candidate, call routing.Call,
 	response *routing.Response,
 ) (finished, served bool, r *refusal.Refusal) {
-	s := &streamForwarder{a: a, c: c}
+	s := &streamForwarder{a: a, c: c, at: chosen}
 	err := s.forward(ctx, response)
-	if err != nil {
-		a.e.reportFailedAttempt(ctx, a.in, chosen, err)
-	}
 	for resumes := 0; err != nil && s.lastID > 0 && resumes < maxResumes && ctx.Err() == nil; resumes++ {
-		err = s.resume(ctx, chosen, call)
+		err = s.resume(ctx, call)
 	}
 	a.recordResult(chosen, routing.Result{
 		OK: err == nil || ctx.Err() != nil, FirstByte: response.FirstByte(), Reported: response.Outstanding(),
@@ -91,16 +88,22 @@
 
 // streamForwarder forwards the events of one response to the caller.
 type streamForwarder struct {
-	a *attempts
-	c echo.Context
+	a  *attempts
+	c  echo.Context
+	at routing.Candidate
 	// lastID is the number of the last event forwarded; after a resume, events up
 	// to it are dropped.
 	lastID uint64
 }
 
 // forward forwards events and returns nil only after the end marker. A connection
-// that closes regularly before it is an interrupted stream.
-func (s *streamForwarder) forward(ctx context.Context, response *routing.Response) error {
+// that closes regularly before it is an interrupted stream, which is reported to the guard.
+func (s *streamForwarder) forward(ctx context.Context, response *routing.Response) (err error) {
+	defer func() {
+		if err != nil {
+			s.a.e.reportFailedAttempt(ctx, s.a.in, s.at, err)
+		}
+	}()
 	silence := time.AfterFunc(streamSilenceTimeout, response.Close)
 	defer silence.Stop()
 	in := relay.NewEventReader(relay.EventReaderConfig{In: response.Body(), Reserve: func() (func(), error) {
@@ -148,8 +151,8 @@
 }
 
 // resume requests the events after the last one forwarded from the same server.
-func (s *streamForwarder) resume(ctx context.Context, at routing.Candidate, call routing.Call) error {
-	if err := s.awaitCooldown(ctx, at); err != nil {
+func (s *streamForwarder) resume(ctx context.Context, call routing.Call) error {
+	if err := s.awaitCooldown(ctx, s.at); err != nil {
 		return err
 	}
 	if refused := s.a.e.checkHeldBack(ctx, s.a.in); refused != nil {
@@ -158,8 +161,11 @@
 	call.Header = call.Header.Clone()
 	call.Header.Set("Last-Event-ID", strconv.FormatUint(s.lastID, 10))
 	call.NewConnection = true
-	response, err := s.a.e.send(ctx, s.a.in, at, call)
+	response, err := s.a.e.send(ctx, s.a.in, s.at, call)
 	if err != nil {
+		if !withheld(err) && !withoutPath(err) {
+			s.a.e.reportFailedAttempt(ctx, s.a.in, s.at, err)
+		}
 		return errors.Newf("resume: %w", err)
 	}
 	defer response.Close()
--- a/internal/host/bounds_test.go
+++ b/internal/host/bounds_test.go
@@ -90,6 +90,32 @@
 	}
 }
 
+// The continuation of a stream meets a bound, or ends its server: it is logged and evidence like a first attempt.
+func TestContinuationsOfStreamsAreEvidence(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, "")
+	var taken atomic.Int64
+	h.engine("engine-1", func(cfg *standin.EngineConfig) {
+		cfg.Complete = func(w http.ResponseWriter, q *http.Request, _ string) {
+			if q.Header.Get("Last-Event-ID") != "" {
+				sendEndlessly(w, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 2\ndata: ", "a", &taken)
+				return
+			}
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "id: 1\ndata: {}\n\n")
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	})
+	h.awaitServers(1)
+	h.configure(1)
+	r := h.post("/v1/chat/completions", `{"model":"sorter","stream":true}`)
+	require.Contains(t, string(r.body), "stream-cut")
+	require.Less(t, taken.Load(), int64(maxEndlessBytes))
+	require.Contains(t, h.log.String(), "response over a bound")
+	h.eventually("evidence", func() bool { return strings.Contains(h.log.String(), "attempts broke off") })
+}
+
 // largeAnswer is a response of a size that no host holds, in JSON.
 var largeAnswer = `{"text":"` + strings.Repeat("0123456789", 80<<10) + `"}`
 
