entry: refusals before the claim of a completion promise nothing to a repeat

Callers saw, on listed hosts: a completion that must not run twice and is sent again with its key was refused as not run where its body was not read, at a stop among others, though an earlier attempt may have run.

Cause: services correct such a refusal, completions did not.

Change: completions that must not run twice do too; a model is resolved in a function of its own.

Before: the new test finds 'not-run' for a repeat. After: it passes.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -50,21 +50,29 @@
 	defer e.inFlight.Add(-1)
 	in, refused := e.checkRequest(c, kindModel)
 	defer in.release()
-	if refused != nil {
+	if refused == nil {
+		refused = e.resolveModel(c, in)
+	}
+	repeatable := c.Request().Header.Get(HeaderRepeatable) != "no"
+	switch {
+	case refused != nil && !repeatable:
+		return e.refuse(c, in, e.refusalBeforeClaim(in, refused))
+	case refused != nil:
 		return e.refuse(c, in, refused)
+	case repeatable:
+		return e.serveRepeatable(c, in)
 	}
+	return e.serveUnrepeatable(c, in)
+}
+
+// resolveModel reads the body of a completion request, and sets the target and the deadline.
+func (e *Entry) resolveModel(c echo.Context, in *incomingRequest) *refusal.Refusal {
 	var q completionRequest
 	if err := json.Unmarshal(in.body, &q); err != nil || q.Model == "" {
-		return e.refuse(c, in, refusal.New(refusal.BadRequest, `the body is not a JSON object with a "model"`))
+		return refusal.New(refusal.BadRequest, `the body is not a JSON object with a "model"`)
 	}
 	in.messages, in.stream = q.Messages, q.Stream
-	if refused := e.resolveTarget(c, in, q.Model); refused != nil {
-		return e.refuse(c, in, refused)
-	}
-	if c.Request().Header.Get(HeaderRepeatable) == "no" {
-		return e.serveUnrepeatable(c, in)
-	}
-	return e.serveRepeatable(c, in)
+	return e.resolveTarget(c, in, q.Model)
 }
 
 // serveRepeatable serves a request that may run more than once.
--- a/internal/host/stop_test.go
+++ b/internal/host/stop_test.go
@@ -253,3 +253,22 @@
 	require.Contains(t, string((<-got).body), "id: 2\ndata: {}\n\ndata: [DONE]")
 	<-stopped
 }
+
+// A completion that must not run twice is refused before its key is looked up, such as for a body that comes too late at a
+// stop: only a first attempt is known not to have run.
+func TestRefusalsBeforeTheClaimOfACompletion(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, "")
+	for _, c := range []struct {
+		header  []string
+		outcome refusal.Outcome
+	}{
+		{nil, refusal.NotRun},
+		{[]string{"Idempotency-Key", "k"}, refusal.NotRun},
+		{[]string{"Idempotency-Key", "k", "Fennelyard-Repeatable", "no"}, refusal.Unknown},
+		{[]string{"Idempotency-Key", "k", "Fennelyard-Repeatable", "no", "Fennelyard-Attempt", "1"}, refusal.NotRun},
+	} {
+		r := h.post("/v1/chat/completions", "{", c.header...)
+		require.Equal(t, c.outcome.String(), r.outcome, "%v: %s", c.header, r.body)
+	}
+}
