entry: a stopping host finishes the commands of operators

Operators saw: a command that was on its way to a listed host as it stopped got no response, the connection was closed; it may have been carried out.

Cause: since a drain ends as soon as no caller has a request, it ended all servers of the host at once, also those of operators, servers and hosts, which before were shut down in order.

Change: they are shut down in order again, up to the time at which the process must end.

Before: the new test's command ends with an unexpected EOF. After: it gets its response.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -331,7 +331,10 @@
 		<-ticker.C
 	}
 	e.cfg.Log.Info("drained", "in-flight", e.InFlight(), "connections", e.connections.Pending(readHeaderTimeout), "tunnels", e.tunnels.Active())
-	e.Close()
+	// Commands of operators and messages of hosts that are on their way get their responses.
+	ctx, cancel := context.WithDeadline(ctx, plan.CloseAt())
+	defer cancel()
+	e.close(ctx)
 }
 
 // newDrainPlan returns the plan of a stop until the context ends.
--- a/internal/host/stop_test.go
+++ b/internal/host/stop_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"fennelyard/internal/operator"
 	"fennelyard/internal/refusal"
 	"fennelyard/internal/routing"
 	"fennelyard/internal/standin"
@@ -272,3 +273,23 @@
 		require.Equal(t, c.outcome.String(), r.outcome, "%v: %s", c.header, r.body)
 	}
 }
+
+// A command of an operator is on its way when its host is asked to stop: it gets its response, though no caller has a
+// request there any more.
+func TestStoppingListedHostFinishesCommandsOfOperators(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, "entry: {directory-keep: 1s}\n")
+	conn, err := net.Dial("tcp", h.layout.Hosts()[0].Operator)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST %s/x/release HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{", operator.SuspectsPath)
+	require.NoError(t, err)
+	stopped := h.drain(drainLimit)
+	h.eventually("a drained host", func() bool { return strings.Contains(h.log.String(), `"drained"`) })
+	_, err = io.WriteString(conn, "}")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	<-stopped
+}
