asynclog: the buffer of lines is bounded in bytes

What could happen: 4096 lines that each quote 64 KB of what a server sent, as an error of a malformed head does, take 256 MB while the log's output is blocked, beyond the memory of a control host.

Cause: the buffer was bounded in lines alone, for lines of about a KB.

Change: it has 8 MB too, a quarter of it for changes of state; lines beyond are dropped and counted as before.

Before: the new test's 2000 lines of 64 KB are all kept. After: at most 8 MB are.

--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -16,13 +16,13 @@
 )
 
 const (
-	// bufferSize is the size of the buffer in lines: some seconds of an entry's lines,
-	// at most a few MB.
-	bufferSize = 4096
-	// stateChangeReserve is the number of lines in the buffer that are reserved for
-	// state changes, so that lines about requests do not displace those that explain
-	// why the requests failed.
-	stateChangeReserve = bufferSize / 4
+	// bufferLines and bufferBytes are the size of the buffer: some seconds of an entry's lines. The bytes bound lines
+	// that quote what others sent.
+	bufferLines = 4096
+	bufferBytes = 8 << 20
+	// stateChangeReserve is the part of the buffer that is reserved for state changes, so that lines about requests
+	// do not displace those that explain why the requests failed.
+	stateChangeReserve = 0.25
 	// Lines are collected for batchDelay, or up to about maxBatchBytes, and written with
 	// one system call: at hundreds of lines per second, a system call for each line
 	// would cost a small host more than all other logging work. A process that is killed
@@ -36,8 +36,10 @@
 // Writer is an asynchronous writer of log lines. All methods are safe for concurrent
 // use.
 type Writer struct {
-	out     io.Writer
-	buffer  chan []byte
+	out    io.Writer
+	buffer chan []byte
+	// bytes are those of the lines in the buffer, or more while a line is added.
+	bytes   atomic.Int64
 	dropped atomic.Int64
 	// reported is the number of dropped lines that have been reported; used by run only.
 	reported int64
@@ -48,7 +50,7 @@
 
 // New starts a Writer that writes to out. Close must be called to stop it.
 func New(out io.Writer) *Writer {
-	w := &Writer{out: out, buffer: make(chan []byte, bufferSize), stop: make(chan struct{}), done: make(chan struct{})}
+	w := &Writer{out: out, buffer: make(chan []byte, bufferLines), stop: make(chan struct{}), done: make(chan struct{})}
 	go func() {
 		defer close(w.done)
 		w.run()
@@ -60,7 +62,7 @@
 	for {
 		select {
 		case line := <-w.buffer:
-			w.write(w.batch(line))
+			w.write(w.batch(w.taken(line)))
 		case <-w.stop:
 			w.flush()
 			w.reportDropped()
@@ -93,7 +95,7 @@
 	for len(lines) < maxBatchBytes {
 		select {
 		case line := <-w.buffer:
-			lines = append(lines, line...)
+			lines = append(lines, w.taken(line)...)
 		default:
 			return lines
 		}
@@ -101,6 +103,12 @@
 	return lines
 }
 
+// taken returns a line that has been taken from the buffer.
+func (w *Writer) taken(line []byte) []byte {
+	w.bytes.Add(-int64(len(line)))
+	return line
+}
+
 // write ignores an error, as there is no other output to report it to.
 func (w *Writer) write(line []byte) { _, _ = w.out.Write(line) }
 
@@ -109,7 +117,7 @@
 	for {
 		select {
 		case line := <-w.buffer:
-			w.write(line)
+			w.write(w.taken(line))
 		default:
 			return
 		}
@@ -132,35 +140,43 @@
 // classWriter writes the lines of one class, requests or state changes.
 type classWriter struct {
 	w *Writer
-	// reserved is how many lines of the buffer stay free for the other class.
-	reserved int
+	// part is the part of the buffer that the class may fill.
+	part float64
 }
 
 // Write implements io.Writer. It never fails and never blocks; a line that finds no
 // space is dropped.
 func (c classWriter) Write(p []byte) (int, error) {
-	if len(c.w.buffer)+c.reserved >= bufferSize {
-		c.w.dropped.Add(1)
+	bytes := c.w.bytes.Add(int64(len(p)))
+	if float64(len(c.w.buffer)) >= c.part*bufferLines || float64(bytes) > c.part*bufferBytes {
+		c.drop(p)
 		return len(p), nil
 	}
 	select {
 	case c.w.buffer <- append([]byte(nil), p...):
 	default:
-		c.w.dropped.Add(1)
+		c.drop(p)
 	}
 	return len(p), nil
 }
 
+func (c classWriter) drop(p []byte) {
+	c.w.bytes.Add(-int64(len(p)))
+	c.w.dropped.Add(1)
+}
+
 // StateChanges returns a logger for changes of observed state. Lines above the verbosity
 // are omitted.
-func (w *Writer) StateChanges(verbosity int) logr.Logger { return w.logger(0, verbosity) }
+func (w *Writer) StateChanges(verbosity int) logr.Logger { return w.logger(1, verbosity) }
 
 // Requests returns a logger for lines about requests. Lines above the verbosity are
 // omitted.
-func (w *Writer) Requests(verbosity int) logr.Logger { return w.logger(stateChangeReserve, verbosity) }
+func (w *Writer) Requests(verbosity int) logr.Logger {
+	return w.logger(1-stateChangeReserve, verbosity)
+}
 
-func (w *Writer) logger(reserved, verbosity int) logr.Logger {
-	return logr.FromSlogHandler(slog.NewJSONHandler(classWriter{w, reserved}, &slog.HandlerOptions{Level: slog.Level(-verbosity)}))
+func (w *Writer) logger(part float64, verbosity int) logr.Logger {
+	return logr.FromSlogHandler(slog.NewJSONHandler(classWriter{w, part}, &slog.HandlerOptions{Level: slog.Level(-verbosity)}))
 }
 
 // ErrorText returns an error's text for a log line, or "" if err is nil.
--- a/internal/asynclog/asynclog_test.go
+++ b/internal/asynclog/asynclog_test.go
@@ -50,6 +50,28 @@
 	require.Equal(t, 500, strings.Count(out.buf.String(), `"msg":"state change"`))
 }
 
+// Lines that quote what others sent are long: while the output is blocked, they must not fill the memory, nor must the
+// buffer lose its room once they are gone.
+func TestLongLinesAreBounded(t *testing.T) {
+	const lineBytes, maxBytes = 64 << 10, 9 << 20
+	out := &stalledWriter{open: make(chan struct{})}
+	w := asynclog.New(out)
+	long := strings.Repeat("x", lineBytes)
+	for range 1000 {
+		w.Requests(0).Info(long)
+		w.StateChanges(0).Info(long)
+	}
+	require.Greater(t, w.Dropped(), int64(2000-maxBytes/lineBytes))
+	require.Less(t, w.Dropped(), int64(2000))
+	close(out.open)
+	require.Eventually(t, func() bool {
+		before := w.Dropped()
+		w.Requests(0).Info(long)
+		return w.Dropped() == before
+	}, 5*time.Second, time.Millisecond)
+	w.Close()
+}
+
 // A process ends while its output is behind: the last lines must say that others are missing. It is closed by whoever
 // stops it and by a deferred call.
 func TestCloseReportsDroppedLines(t *testing.T) {
