bound: texts of servers and hosts are quoted in part

What could happen: a head or a reply with a long text in it, such as a malformed status line of 48 KB or the reason of a refused order, stood whole in log lines, in refusals to callers and in the state of the leader.

Cause: one reader cut the errors of net/http, which quote what a peer sent; the readers of listed hosts, engines, reports and messages did not.

Change: each of them cuts to 256 bytes, with the function that was there.

Not covered: names in announcements and reports, up to the bound of the whole message.

--- a/internal/bound/reader.go
+++ b/internal/bound/reader.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -14,8 +15,8 @@
 	// takes of one at a time, and the trailer of a body in chunks.
 	lineBufferBytes  = 4 << 10
 	parseBufferBytes = 8 << 10
-	// maxErrorTextBytes bounds the text of an error, which may quote what the peer sent.
-	maxErrorTextBytes = 256
+	// maxQuotedBytes bounds what is quoted of a text that a peer may have sent.
+	maxQuotedBytes = 256
 )
 
 // Reader reads the HTTP/1.1 responses on a connection that carries one request. It is for use by one
@@ -43,7 +44,7 @@
 		case r.head.err != nil:
 			return nil, errors.Newf("read head of response: %w", r.head.err)
 		case err != nil:
-			return nil, errors.Newf("read response: %w", shortError(err))
+			return nil, errors.Newf("read response: %w", ShortError(err))
 		case response.StatusCode >= http.StatusOK:
 			return response, nil
 		}
@@ -58,7 +59,7 @@
 func (r *Reader) Discard(response *http.Response) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, DiscardedBytes+1))
 	if err != nil {
-		return errors.Newf("discard response: %w", shortError(err))
+		return errors.Newf("discard response: %w", ShortError(err))
 	}
 	if n > DiscardedBytes {
 		return errors.Newf("discard response: %w", &Error{KindDiscarded, DiscardedBytes})
@@ -141,9 +142,17 @@
 	return nil
 }
 
-// shortError returns an error with a text of bounded length that wraps err.
-func shortError(err error) error {
-	if len(err.Error()) <= maxErrorTextBytes {
+// ShortText returns a text from a peer, cut to a length that a log line or a message may quote.
+func ShortText(text string) string {
+	if len(text) <= maxQuotedBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxQuotedBytes], "") + "..."
+}
+
+// ShortError returns an error with a text of bounded length that wraps err, whose text may quote what a peer sent.
+func ShortError(err error) error {
+	if len(err.Error()) <= maxQuotedBytes {
 		return err
 	}
 	return &quoted{err}
@@ -152,7 +161,7 @@
 // quoted is an error whose text is cut.
 type quoted struct{ err error }
 
-func (q *quoted) Error() string { return q.err.Error()[:maxErrorTextBytes] + "..." }
+func (q *quoted) Error() string { return ShortText(q.err.Error()) }
 
 // Unwrap returns the whole error.
 func (q *quoted) Unwrap() error { return q.err }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -64,7 +64,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, errors.Newf("send order %d: %w", o.GetFencing(), err)
+		return nil, errors.Newf("send order %d: %w", o.GetFencing(), bound.ShortError(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := bound.ReadAll(resp.Body, bound.OrderReplyBytes)
@@ -82,14 +82,15 @@
 func DecodeReply(data []byte, fencing uint64) (*schema.OrderReply, error) {
 	r := &schema.OrderReply{}
 	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(data, r); err != nil {
-		return nil, errors.Newf("read order reply: %w", err)
+		return nil, errors.Newf("read order reply: %w", bound.ShortError(err))
 	}
 	if r.GetFencing() != fencing {
 		return nil, errors.Newf("the reply belongs to order %d, not %d", r.GetFencing(), fencing)
 	}
+	r.Reason = bound.ShortText(r.GetReason())
 	switch r.GetOutcome() {
 	case OutcomeDone, OutcomeFailed, OutcomeRefused:
 		return r, nil
 	}
-	return nil, errors.Newf("order %d: unknown outcome %q", fencing, r.GetOutcome())
+	return nil, bound.ShortError(errors.Newf("order %d: unknown outcome %q", fencing, r.GetOutcome()))
 }
--- a/internal/gossip/http.go
+++ b/internal/gossip/http.go
@@ -93,7 +93,7 @@
 	}
 	response, err := c.http.Do(r)
 	if err != nil {
-		return nil, errors.Newf("send suspects to %s: %w", address, err)
+		return nil, errors.Newf("send suspects to %s: %w", address, bound.ShortError(err))
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
--- a/internal/host/bounds_test.go
+++ b/internal/host/bounds_test.go
@@ -116,6 +116,42 @@
 	h.eventually("evidence", func() bool { return strings.Contains(h.log.String(), "attempts broke off") })
 }
 
+// A server sends long texts in its head: they must not fill the log, nor the refusals that quote them.
+func TestHeadsOfServersAreQuotedInPart(t *testing.T) {
+	t.Parallel()
+	const maxBytes = 2 << 10
+	long := strings.Repeat("a", 48<<10)
+	for name, head := range map[string]string{
+		"status line": "HTTP/1.1 " + long + "\r\n\r\n",
+		"request ID":  "HTTP/1.1 200 OK\r\n" + routing.HeaderRequestID + ": " + long + "\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t, "")
+			h.engine("engine-1", func(cfg *standin.EngineConfig) {
+				cfg.Complete = func(w http.ResponseWriter, _ *http.Request, _ string) {
+					conn, _, err := http.NewResponseController(w).Hijack()
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, head)
+					_ = conn.Close()
+				}
+			})
+			h.awaitServers(1)
+			h.configure(1)
+			for _, headers := range [][]string{nil, {"Fennelyard-Repeatable", "no", "Idempotency-Key", "k"}} {
+				r := h.post("/v1/chat/completions", completion(testModel), headers...)
+				require.NotEqual(t, http.StatusOK, r.status)
+				require.Less(t, len(r.body), maxBytes)
+			}
+			for line := range strings.Lines(h.log.String()) {
+				require.Less(t, len(line), maxBytes)
+			}
+		})
+	}
+}
+
 // largeAnswer is a response of a size that no host holds, in JSON.
 var largeAnswer = `{"text":"` + strings.Repeat("0123456789", 80<<10) + `"}`
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -110,7 +110,7 @@
 	}
 	resp, err := c.http.Do(httpRequest)
 	if err != nil {
-		return errors.Newf("reach %s: %w", c.address, err)
+		return errors.Newf("reach %s: %w", c.address, bound.ShortError(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := bound.ReadAll(resp.Body, maxReplyBytes)
--- a/internal/origin/exchange.go
+++ b/internal/origin/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fennelyard/internal/bound"
 	"fennelyard/internal/tcp"
 )
 
@@ -159,7 +160,7 @@
 	}
 	response, err := c.http.Do(r)
 	if err != nil {
-		return nil, errors.Newf("%s origin at %s: %w", method, entry, err)
+		return nil, errors.Newf("%s origin at %s: %w", method, entry, bound.ShortError(err))
 	}
 	return response, nil
 }
--- a/internal/routing/sender.go
+++ b/internal/routing/sender.go
@@ -255,13 +255,13 @@
 			// Other idle connections of the same age may be lost too.
 			client.CloseIdleConnections()
 		}
-		return nil, callError(err, cause, c, written.Load())
+		return nil, callError(bound.ShortError(err), cause, c, written.Load())
 	}
 	if id := resp.Header.Get(HeaderRequestID); id != "" && id != c.RequestID {
 		stop()
 		_ = resp.Body.Close()
 		client.CloseIdleConnections()
-		return nil, errors.Newf("asked %s, answered %s: %w", c.RequestID, id, ErrMismatchedResponse)
+		return nil, bound.ShortError(errors.Newf("asked %s, answered %s: %w", c.RequestID, id, ErrMismatchedResponse))
 	}
 	return &Response{
 		status: resp.StatusCode, header: resp.Header, length: resp.ContentLength, body: relay.NewBody(resp, c.VerifyEnd), closeBody: resp.Body.Close,
