drain, tcp, memory: one course of a drain, one copy of bytes, one set of gauges

Both kinds of entries carry out a drain by the same plan: the loop stands in package drain, with a test of its times. Bytes that are forwarded as they come are copied by the function that tunnels had; its two copies are gone. The gauges of the memory for bodies are registered in one place, and listed hosts have all four. An entry that is closed cancels its drain outside its lock.

--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -1,6 +1,7 @@
 package drain_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -83,3 +84,41 @@
 		require.Zero(t, c.Pending(time.Second))
 	})
 }
+
+// The steps of a drain come at their times: it ends with the last request, yet not before connections are accepted no
+// longer, nor after the time at which the process must exit.
+func TestStepsOfADrain(t *testing.T) {
+	for name, test := range map[string]struct {
+		busyFor, stopped, aborted, ended time.Duration
+	}{
+		"idle":              {0, 3500 * time.Millisecond, 0, 3500 * time.Millisecond},
+		"busy for a while":  {5 * time.Second, 3500 * time.Millisecond, 0, 5 * time.Second},
+		"busy to the close": {time.Hour, 3500 * time.Millisecond, 9400 * time.Millisecond, 9700 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				var stopped, aborted time.Duration
+				stops := 0
+				drain.NewPlan(drain.PlanConfig{Start: start, Limit: 10 * time.Second}).Run(context.Background(), drain.Steps{
+					StopAccepting: func() { stopped, stops = time.Since(start), stops+1 },
+					Abort: func() {
+						if aborted == 0 {
+							aborted = time.Since(start)
+						}
+					},
+					Pending: func() int {
+						if time.Since(start) < test.busyFor {
+							return 1
+						}
+						return 0
+					},
+				})
+				require.Equal(t, 1, stops)
+				for _, at := range []struct{ want, got time.Duration }{{test.stopped, stopped}, {test.aborted, aborted}, {test.ended, time.Since(start)}} {
+					require.InDelta(t, at.want, at.got, float64(drain.PollInterval))
+				}
+			})
+		})
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -216,8 +216,7 @@
 		func() float64 { return float64(e.paths.State().LostServers) })
 	e.cfg.Metrics.Gauge("tunnels_open", "Connections to backend servers that this entry carries for other entries.",
 		func() float64 { return float64(e.tunnels.Active()) })
-	e.cfg.Metrics.Gauge("buffer_bytes", "Memory that bodies of requests and responses take.", func() float64 { return float64(e.memory.Used()) })
-	e.cfg.Metrics.Gauge("buffer_bytes_limit", "Memory that bodies of requests and responses may take.", func() float64 { return float64(e.memory.Limit()) })
+	e.memory.RegisterGauges(e.cfg.Metrics.Gauge)
 	e.cfg.Metrics.Gauge("heard_servers", "Backend servers that announce themselves to this entry.",
 		func() float64 { return float64(e.backends.Len()) })
 }
@@ -311,25 +310,18 @@
 		"accepting-ms", time.Until(plan.AcceptUntil()).Milliseconds(), "abort-ms", time.Until(plan.AbortAt()).Milliseconds())
 	// From now on each response closes its connection.
 	e.callerServer.SetKeepAlivesEnabled(false)
-	ticker := time.NewTicker(drain.PollInterval)
-	defer ticker.Stop()
-	for accepting := true; ctx.Err() == nil; {
-		now := time.Now()
-		if accepting && now.After(plan.AcceptUntil()) {
-			accepting = false
+	plan.Run(ctx, drain.Steps{
+		StopAccepting: func() {
 			if err := e.cfg.CallerListener.Close(); err != nil {
 				e.cfg.Log.Error(err, "port not closed")
 			}
-		}
-		if now.After(plan.AbortAt()) {
+		},
+		Abort: func() {
 			e.abort()
 			e.tunnels.Reset()
-		}
-		if now.After(plan.CloseAt()) || !accepting && e.pending() == 0 {
-			break
-		}
-		<-ticker.C
-	}
+		},
+		Pending: e.pending,
+	})
 	e.cfg.Log.Info("drained", "in-flight", e.InFlight(), "connections", e.connections.Pending(readHeaderTimeout), "tunnels", e.tunnels.Active())
 	// Commands of operators and messages of hosts that are on their way get their responses.
 	ctx, cancel := context.WithDeadline(ctx, plan.CloseAt())
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,6 +19,7 @@
 	"fennelyard/internal/memory"
 	"fennelyard/internal/refusal"
 	"fennelyard/internal/routing"
+	"fennelyard/internal/tcp"
 )
 
 const (
@@ -28,8 +28,6 @@
 	// service time.
 	minSilenceTimeout          = 3 * time.Second
 	silenceTimeoutServiceTimes = 4
-	// forwardBufferBytes is what is held of a response that is forwarded as it comes.
-	forwardBufferBytes = 16 << 10
 	// writeSlack is the time beyond the deadline that a response may take to be written.
 	writeSlack = 500 * time.Millisecond
 	// noReplicaRetryDelay is the delay before a retry if all replicas are full or
@@ -318,8 +316,8 @@
 		return errors.Newf("write response: %w", err)
 	}
 	share.Release()
-	if _, err := io.CopyBuffer(struct{ io.Writer }{w}, response.Body(), make([]byte, forwardBufferBytes)); err != nil {
-		return errors.Newf("forward response: %w", err)
+	if readErr, writeErr := tcp.Copy(w, response.Body(), nil); readErr != nil || writeErr != nil {
+		return errors.Newf("forward response: %w", errors.CombineErrors(readErr, writeErr))
 	}
 	return nil
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -18,6 +18,7 @@
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/relay"
 	"fennelyard/internal/schema"
+	"fennelyard/internal/tcp"
 )
 
 //go:generate go tool stringer -type=Outcome -linecomment
@@ -407,27 +408,17 @@
 	return false
 }
 
-// forwardBufferBytes is what is held of a response that is forwarded as it comes.
-const forwardBufferBytes = 16 << 10
-
 // forwardBody forwards the rest of a body, no faster than the caller reads it. The error wraps errCallerGone
 // if the caller has disconnected.
 func (x *exchange) forwardBody(body io.Reader) error {
-	buffer := make([]byte, forwardBufferBytes)
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			if _, writeErr := x.w.Write(buffer[:n]); writeErr != nil {
-				return errors.Newf("write response: %v: %w", writeErr, errCallerGone)
-			}
-		}
-		switch {
-		case errors.Is(err, io.EOF):
-			return nil
-		case err != nil:
-			return errors.Newf("forward response: %w", err)
-		}
+	readErr, writeErr := tcp.Copy(x.w, body, nil)
+	switch {
+	case writeErr != nil:
+		return errors.Newf("forward response: %v: %w", writeErr, errCallerGone)
+	case readErr != nil:
+		return errors.Newf("forward response: %w", readErr)
 	}
+	return nil
 }
 
 // responseEnded records a response that the server has sent to its end.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -194,8 +194,8 @@
 	// The lock orders the last goUnlessClosed before Wait.
 	g.mu.Lock()
 	g.abort()
-	g.startDraining()
 	g.mu.Unlock()
+	g.startDraining()
 	g.once.Do(func() { close(g.stop) })
 	g.guard.Close()
 	<-g.done
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -52,6 +52,14 @@
 // Denied returns how often there was not enough.
 func (b *Budget) Denied() int64 { return b.denied.Load() }
 
+// RegisterGauges registers the gauges of a budget with a function that takes a name, a help text and what to read.
+func (b *Budget) RegisterGauges(register func(name, help string, read func() float64)) {
+	register("buffer_bytes", "Memory that bodies of requests and responses take.", func() float64 { return float64(b.Used()) })
+	register("buffer_bytes_most", "Most memory that bodies of requests and responses have taken at a time.", func() float64 { return float64(b.Most()) })
+	register("buffer_bytes_limit", "Memory that bodies of requests and responses may take.", func() float64 { return float64(b.Limit()) })
+	register("buffer_denied", "Times that a body found no memory.", func() float64 { return float64(b.Denied()) })
+}
+
 // take reserves n bytes, and returns false if there are fewer.
 func (b *Budget) take(n int64) bool {
 	for {
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -166,10 +166,7 @@
 		e.cfg.Metrics.Gauge(gauge.name, gauge.help, func() float64 { return gauge.read(e.paths.State()) })
 	}
 	e.cfg.Metrics.Gauge("tunnels_open", "Connections to backend servers that this entry carries for other entries.", func() float64 { return float64(e.tunnels.Active()) })
-	e.cfg.Metrics.Gauge("buffer_bytes", "Memory that bodies of requests and responses take.", func() float64 { return float64(e.memory.Used()) })
-	e.cfg.Metrics.Gauge("buffer_bytes_most", "Most memory that bodies of requests and responses have taken at a time.", func() float64 { return float64(e.memory.Most()) })
-	e.cfg.Metrics.Gauge("buffer_bytes_limit", "Memory that bodies of requests and responses may take.", func() float64 { return float64(e.memory.Limit()) })
-	e.cfg.Metrics.Gauge("buffer_denied", "Times that a body found no memory.", func() float64 { return float64(e.memory.Denied()) })
+	e.memory.RegisterGauges(e.cfg.Metrics.Gauge)
 	e.cfg.Metrics.Gauge("requests_at_hand", "Requests of callers at hand.", func() float64 { return float64(e.gateway.InFlight()) })
 }
 
@@ -251,23 +248,14 @@
 	// From now on each response closes its connection, so that its caller connects to another
 	// entry, and idle connections are closed.
 	e.callerServer.SetKeepAlivesEnabled(false)
-	ticker := time.NewTicker(drain.PollInterval)
-	defer ticker.Stop()
-	for accepting := true; ctx.Err() == nil; {
-		now := time.Now()
-		if accepting && now.After(plan.AcceptUntil()) {
-			accepting = false
-			e.closeCallerListener()
-		}
-		if now.After(plan.AbortAt()) {
+	plan.Run(ctx, drain.Steps{
+		StopAccepting: e.closeCallerListener,
+		Abort: func() {
 			e.gateway.AbortRequests()
 			e.tunnels.Reset()
-		}
-		if now.After(plan.CloseAt()) || !accepting && e.gateway.InFlight()+e.pendingConnections()+e.tunnels.Active() == 0 {
-			break
-		}
-		<-ticker.C
-	}
+		},
+		Pending: func() int { return e.gateway.InFlight() + e.pendingConnections() + e.tunnels.Active() },
+	})
 	e.cfg.Log.Info("drained", "in-flight", e.gateway.InFlight(), "connections", e.pendingConnections(), "tunnels", e.tunnels.Active(),
 		"took-ms", time.Since(start).Milliseconds())
 	e.Close()
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -32,10 +32,9 @@
 	waitKey      = "wait-ms"
 	// headerReachesOthers is set if a refused connection is not the host's own fault.
 	headerReachesOthers = "Fennelyard-Reaches-Others"
-	// maxTunnels bounds the tunnels through a host. Each takes two descriptors and twice bufferBytes:
+	// maxTunnels bounds the tunnels through a host. Each takes two descriptors and two buffers of tcp.Copy:
 	// a twelfth of the descriptors and a thirtieth of the memory of the smallest hosts.
-	maxTunnels  = 256
-	bufferBytes = 16 << 10
+	maxTunnels = 256
 	// rejectionLogInterval is the least time between two log lines on rejected tunnels.
 	rejectionLogInterval = time.Second
 )
@@ -259,39 +258,15 @@
 // copyResponse copies from the server until either end is gone. A response without a length ends with
 // its connection: a reset must not look like its regular end.
 func (t *tunnel) copyResponse() {
-	readErr, writeErr := copyBytes(t.client, t.server, func() { tcp.AwaitPeer(t.server) })
+	readErr, writeErr := tcp.Copy(t.client, t.server, func() { tcp.AwaitPeer(t.server) })
 	t.end(readErr != nil, writeErr != nil)
 }
 
 // copyRequest copies to the server until the client is gone. A server that has stopped reading may
 // still respond, so that a failure to write ends nothing.
 func (t *tunnel) copyRequest() {
-	readErr, writeErr := copyBytes(t.server, t.in, nil)
+	readErr, writeErr := tcp.Copy(t.server, t.in, nil)
 	if writeErr == nil {
 		t.end(readErr != nil, readErr != nil)
 	}
 }
-
-// copyBytes copies until either side fails; both errors are nil at the regular end of src. onFirst, if
-// set, is called once before the first bytes are written.
-func copyBytes(dst io.Writer, src io.Reader, onFirst func()) (readErr, writeErr error) {
-	buffer := make([]byte, bufferBytes)
-	for {
-		n, err := src.Read(buffer)
-		if n > 0 && onFirst != nil {
-			onFirst()
-			onFirst = nil
-		}
-		if n > 0 {
-			if _, writeErr = dst.Write(buffer[:n]); writeErr != nil {
-				return nil, errors.Newf("write to tunnel: %w", writeErr)
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil, nil
-		}
-		if err != nil {
-			return errors.Newf("read from tunnel: %w", err), nil
-		}
-	}
-}
