--- a/internal/role/backends_test.go
+++ b/internal/role/backends_test.go
@@ -106,7 +106,7 @@
 func backendCodec() gateway.Codec {
 	return gateway.Codec{
 		ParseRequest: func(r *http.Request) gateway.RequestInfo {
-			info := gateway.RequestInfo{ID: r.Header.Get("X-Id"), Resumes: r.Header.Get("X-Resumes"), ResumesInvalid: len(r.Header.Values("X-Resumes")) > 1}
+			info := gateway.RequestInfo{ID: r.Header.Get("X-Id"), APIKey: r.Header.Get("X-Key"), Resumes: r.Header.Get("X-Resumes"), ResumesInvalid: len(r.Header.Values("X-Resumes")) > 1}
 			// Without the header the number is 0.
 			info.LastEventID, _ = strconv.ParseInt(r.Header.Get("X-Last-Event"), 10, 64)
 			for _, id := range splitParts(r) {
--- a/internal/role/deployment_test.go
+++ b/internal/role/deployment_test.go
@@ -62,6 +62,8 @@
 	stalledUntil map[string]time.Time
 	// dataCentres are the data centres of hosts by IP address; the others are in a.
 	dataCentres map[string]string
+	// entryExtra are further settings of entries.
+	entryExtra string
 	// closing are hosts without power whose goroutines end in the background.
 	closing []<-chan struct{}
 }
@@ -75,6 +77,7 @@
 		t: t, network: standin.NewNetwork(), random: rand.New(rand.NewSource(seed)),
 		control: map[string]*role.Control{}, disks: map[string]string{}, entries: map[string]*role.Entry{},
 		stalledUntil: map[string]time.Time{}, dataCentres: map[string]string{},
+		entryExtra: fmt.Sprintf("key-revocation: %s\n", revocationLimit),
 	}
 	d.nextLeader.Store(int64(next))
 	for i := range control {
@@ -143,7 +146,7 @@
 	d.t.Helper()
 	notFound := func(*role.Entry) http.Handler { return http.NotFoundHandler() }
 	e, err := role.NewEntry(role.EntryConfig{
-		Settings: d.settings(ip, fmt.Sprintf("caller-address: %s:9000\nready-address: %s:9001\nkey-revocation: %s\n", ip, ip, revocationLimit)),
+		Settings: d.settings(ip, fmt.Sprintf("caller-address: %s:9000\nready-address: %s:9001\n%s", ip, ip, d.entryExtra)),
 		Codec:    backendCodec(), Ready: notFound, Directory: notFound, Metrics: metrics.New(), Log: deploymentLog(ip),
 		RequestLog: deploymentLog(ip), Network: d.networkOf(ip),
 	})
