quota: what may be admitted is granted by the leader, and counted from the grant on

Cause: each entry decided by sums of what others had reported. Sums that lagged a jump, sums without some reports, and no sums at all (a leader or control host that had just started) counted as no use, and entries without sums kept to a share of the quota on top of what the others used. A refund counted at the time of the refund and made room later. Class: admission by a state of the past of others, with nothing that reserves.

Ruled out: requests that run twice (a request counts once, at its admission), listed hosts (they have no teams).

Change: the leader grants (Allocator), control hosts divide (Stock), entries admit (Meter). A grant lasts a second and counts for a window longer, unless returned. A small credit for what cannot wait is reserved for every entry. A new leader counts what hosts have given, what entries of lost hosts bring along, and what nobody knows as used; teams that may use over 0.7 of their quotas are recorded in the log, so that this is little for all others after a loss of everything. Entries that are cut off for longer than a window keep to shares that the leader has reserved by then; an entry that has just started has none. The sums now only choose which requests are rejected.

TestOverQuota took the share of an entry without a leader, which an entry that has just started no longer has; it now has a grant of the same size.

--- a/internal/gateway/access.go
+++ b/internal/gateway/access.go
@@ -17,8 +17,12 @@
 	// team is nil if the request needs no key, as its route is anonymous or no teams are configured,
 	// and carries no known one.
 	team *schema.Team
-	// cost is the amount counted against the team's quota, 0 for none.
-	cost float64
+	// cost is the amount counted against the team's quota, 0 for none, and admission what it is counted by.
+	cost      float64
+	admission *quota.Admission
+	// waits is set while the request waits for a grant, and waited is how long it did.
+	waits  bool
+	waited time.Duration
 }
 
 // teamName returns the name of the caller's team, empty for none.
@@ -36,16 +40,48 @@
 	}
 	now := time.Now()
 	cost := quota.Cost(team.GetQuota(), float64(x.info.PromptTokens)+float64(x.info.OutputTokens), x.info.TokensDeclared)
-	confirmed := now.Sub(x.g.subscriber.confirmedAt()) < maxConfirmationAge
-	retryAfter, ok := x.g.quotas.Admit(team, cost, confirmed, x.g.sharingEntries(), now)
-	if !ok {
+	admission, verdict, retryAfter := x.g.quotas.Admit(team, cost, quota.Link{ConfirmedAt: x.g.subscriber.confirmedAt(), Entries: x.g.sharingEntries()}, now)
+	switch verdict {
+	case quota.VerdictOverQuota:
 		x.refuse(http.StatusTooManyRequests, OutcomeOverQuota, retryAfter)
 		return false
+	case quota.VerdictNoGrant:
+		x.fail(OutcomeNoGrant, defaultRetryAfter)
+		return false
 	}
-	x.access.cost = cost
+	x.access.cost, x.access.admission, x.access.waits = cost, admission, verdict == quota.VerdictWaits
 	return true
 }
 
+// awaitGrant waits until the request is within its team's quota. It sends the response itself and returns false if it
+// is not in time.
+func (x *exchange) awaitGrant() bool {
+	if !x.access.waits {
+		return true
+	}
+	start := time.Now()
+	timer := time.NewTimer(min(quota.MaxWait, time.Until(x.deadline)/2))
+	defer timer.Stop()
+	select {
+	case <-x.access.admission.Granted():
+	case <-timer.C:
+	case <-x.r.Context().Done():
+	case <-x.g.aborted.Done():
+	}
+	x.access.waits, x.access.waited = false, time.Since(start)
+	switch {
+	case x.g.quotas.Cancel(x.access.admission):
+		return true
+	case x.r.Context().Err() != nil:
+		x.fail(OutcomeCallerGone, 0)
+	case x.g.connected():
+		x.refuse(http.StatusTooManyRequests, OutcomeOverQuota, quota.MaxWait)
+	default:
+		x.fail(OutcomeNoGrant, defaultRetryAfter)
+	}
+	return false
+}
+
 // authenticate finds the caller's team by its API key in the newest configuration. It sends the
 // response itself and returns false if the key is not accepted.
 func (x *exchange) authenticate() bool {
@@ -101,8 +137,32 @@
 
 // refundQuota returns the cost of a request that did not run to the team's quota.
 func (x *exchange) refundQuota() {
-	if x.access.cost > 0 && x.runs <= 0 {
-		x.g.quotas.Refund(x.teamName(), x.access.cost, time.Now())
+	if a := x.access.admission; a != nil && x.runs <= 0 {
+		x.g.quotas.Cancel(a)
+		x.g.quotas.Refund(a, time.Now())
+	}
+}
+
+// addQuotas adds what the control host needs to know of the quotas to a report.
+func (g *Gateway) addQuotas(report *schema.EntryNews, periodic bool) {
+	now := time.Now()
+	demands := g.quotas.Demands(now)
+	if report.GetQuotas() == nil {
+		if !periodic && len(demands) == 0 {
+			return
+		}
+		report.Quotas = &schema.QuotaReport{}
+	}
+	report.Quotas.Demands, report.Quotas.Entries = demands, uint32(g.sharingEntries())
+	report.Quotas.KnowsWindow = g.quotas.KnowsWindow(now)
+}
+
+// addQuotaGrants adds grants that the leader issued after a time, less the age of each grant.
+func (g *Gateway) addQuotaGrants(grants []*schema.PermitGrant, after time.Time) {
+	for _, grant := range grants {
+		if grant.GetTeam() != "" {
+			g.quotas.Grant(grant.GetTeam(), grant.GetAmount(), after.Add(-time.Duration(grant.GetAgeMs())*time.Millisecond), time.Now())
+		}
 	}
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -53,6 +53,7 @@
 	OutcomeVersionUnknown                // version-unknown
 	OutcomeVersionGone                   // version-gone
 	OutcomeNoMemory                      // no-memory
+	OutcomeNoGrant                       // no-grant
 )
 
 const (
@@ -167,7 +168,7 @@
 		return false
 	}
 	x.setDeadline()
-	return !x.refusedByStop(time.Now()) && x.authorize() && x.readBody()
+	return !x.refusedByStop(time.Now()) && x.authorize() && x.readBody() && x.awaitGrant()
 }
 
 // setDeadline sets the request's deadline by the caller's and the route's timeout. The route of a request that comes
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -382,3 +382,11 @@
 }
 
 const ChanceOverloads = chanceOverloads
+
+// GrantQuota grants an amount of a team's quota for a minute.
+func (g *Gateway) GrantQuota(team string, amount float64) {
+	g.quotas.Grant(team, amount, time.Now().Add(time.Minute), time.Now())
+}
+
+// SetTeamUses sets the uses of quotas over all entries.
+func (g *Gateway) SetTeamUses(uses *schema.TeamUses) { g.quotas.SetTotals(uses) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,7 +140,7 @@
 	g.fleet.onSecondVersion = func(pool string) { g.goUnlessClosed(func() { g.replicateOpenStreams(pool) }) }
 	g.fleet.self, g.fleet.sharingEntries = cfg.Self.GetHost(), g.sharingEntries
 	g.fleet.connected, g.fleet.confirmedAt = g.connected, g.subscriber.confirmedAt
-	g.quotas = quota.NewMeter(quota.MeterConfig{Window: cfg.QuotaWindow, Random: rand.Float64}, g.startTime)
+	g.quotas = quota.NewMeter(quota.MeterConfig{Window: cfg.QuotaWindow, Random: rand.Float64, Rank: g.rank, OnWaiting: g.reportNow}, g.startTime)
 	g.guard = quarantine.NewGuard(quarantine.GuardConfig{
 		Entry: cfg.Self.GetCallerAddress(), Entries: g.entryCount, Probe: cfg.Sender.Probe, OnChange: g.reportNow, OnRecordChanged: cfg.OnSuspectChanged, Log: cfg.Log,
 		Isolated: func() bool { return cfg.Isolated != nil && cfg.Isolated() && !g.connected() },
@@ -321,6 +321,21 @@
 	return time.Since(g.subscriber.confirmedAt()) < maxConfirmationAge
 }
 
+// rank returns the rank of this entry among all entries for a key, by rendezvous hashing, from 0.
+func (g *Gateway) rank(key string) (rank int) {
+	list := g.entries.Load()
+	if list == nil {
+		return 0
+	}
+	own := rendezvousHash(key, g.cfg.Self.GetHost())
+	for _, e := range *list {
+		if e.GetHost() != g.cfg.Self.GetHost() && rendezvousHash(key, e.GetHost()) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // sharingEntries returns the number of entries that divide the limits for all of them together.
 func (g *Gateway) sharingEntries() int { return g.shares.count(time.Now()) }
 
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -34,7 +34,7 @@
 		x.keyedRequest().Key()
 	}
 	heldBy, heldScope, heldName := x.keyed.HeldBy()
-	g.cfg.RequestLog.Info("request", "id", x.info.ID, "key", x.keyed.ComputedKey(), "held-by", heldBy, "held-scope", heldScope, "held-name", heldName, "held-versions", g.fleet.heldVersions(x.pool, &x.info), "outcome", x.outcome.String(), "team", x.teamName(), "quota-cost", x.access.cost, "confirmed-age-ms", time.Since(g.subscriber.confirmedAt()).Milliseconds(), "status", x.status, "route", route,
+	g.cfg.RequestLog.Info("request", "id", x.info.ID, "key", x.keyed.ComputedKey(), "held-by", heldBy, "held-scope", heldScope, "held-name", heldName, "held-versions", g.fleet.heldVersions(x.pool, &x.info), "outcome", x.outcome.String(), "team", x.teamName(), "quota-cost", x.access.cost, "quota-by", x.quotaSource(), "quota-waited-ms", x.access.waited.Milliseconds(), "confirmed-age-ms", time.Since(g.subscriber.confirmedAt()).Milliseconds(), "status", x.status, "route", route,
 		"version", version, "pool", x.pool, "model", x.info.Model, "adapter", x.info.Adapter, "server", server, "via", x.via,
 		"server-limit", x.statedLimit.String(), "server-cooldown-ms", x.statedCooldown.Milliseconds(), "attempts", x.attempts, "runs", x.runs, "tried", x.excluded, "framing", x.framing.String(), "last-event", x.lastEventID, "resumes", x.info.Resumes, "resumes-after", x.info.LastEventID, "bound", x.info.bound, "software", software, "unproven", x.info.copyKey != "", "parts", x.info.partIDs(), "waited-ms", x.waited.Milliseconds(),
 		"first-ms", x.timeToFirstByte.Milliseconds(), "pause-ms", x.maxPause.Milliseconds(), "took-ms", duration.Milliseconds(), "wait-ms", x.info.Timeout.Milliseconds(), "prompt", x.info.PromptTokens,
@@ -47,6 +47,14 @@
 	}
 }
 
+// quotaSource returns by what the request was admitted within its team's quota, for a log line.
+func (x *exchange) quotaSource() string {
+	if x.access.admission == nil {
+		return ""
+	}
+	return x.g.quotas.Source(x.access.admission).String()
+}
+
 // maxPartsLogged is the maximum number of prompt parts in a log line, and maxPartIDLogged the length to
 // which their IDs are cut, in bytes.
 const (
--- a/internal/gateway/subscriber.go
+++ b/internal/gateway/subscriber.go
@@ -218,7 +218,8 @@
 	s.appliedSequence.Store(0)
 	s.moveAt = time.Time{}
 	report := &schema.EntryNews{
-		Entry: s.g.cfg.Self, After: s.g.cfg.Replica.Revision(), Known: s.position.Message(), Stream: s.startMs + s.subscriptions.Add(1),
+		Quotas: &schema.QuotaReport{Uses: s.g.quotas.StreamStarted(time.Now())},
+		Entry:  s.g.cfg.Self, After: s.g.cfg.Replica.Revision(), Known: s.position.Message(), Stream: s.startMs + s.subscriptions.Add(1),
 		StartedMs: s.startMs, KeepsStream: true,
 	}
 	var wg sync.WaitGroup
@@ -330,6 +331,7 @@
 			report.Loads, report.LoadsTold = s.g.fleet.reportLoads(), true
 			report.TeamUses = s.g.quotas.Report(time.Now())
 		}
+		s.g.addQuotas(report, periodic)
 		report.Limits, report.PermitDemands = s.g.fleet.reportLimits(time.Now())
 		report.LeavingServers = s.g.fleet.reportDepartures()
 		report.RejectionLimits = s.g.fleet.rejectionLimits.Messages(time.Now())
@@ -427,7 +429,9 @@
 		s.g.fleet.setPermitQueues(q.GetQueues())
 	}
 	if echo := update.GetEchoUs(); echo != 0 {
-		s.g.fleet.addPermits(update.GetPermits(), s.g.startTime.Add(time.Duration(echo)*time.Microsecond))
+		after := s.g.startTime.Add(time.Duration(echo) * time.Microsecond)
+		s.g.fleet.addPermits(update.GetPermits(), after)
+		s.g.addQuotaGrants(update.GetPermits(), after)
 	}
 	if u := update.GetTeamUses(); u != nil {
 		s.g.quotas.SetTotals(u)
--- a/internal/ratelimit/grants.go
+++ b/internal/ratelimit/grants.go
@@ -52,6 +52,7 @@
 		if age := now.Sub(g.issuedAt); age <= maxGrantAge {
 			out = append(out, &schema.PermitGrant{
 				Entry: g.grant.GetEntry(), Server: g.grant.GetServer(), Count: g.grant.GetCount(), AgeMs: age.Milliseconds() + 1,
+				Team: g.grant.GetTeam(), Amount: g.grant.GetAmount(),
 			})
 		}
 	}
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -92,6 +92,10 @@
 	// quotas are the uses of teams' quotas that entries of all control hosts reported,
 	// while this host leads.
 	quotas *quota.Totals
+	// quotaAllocator divides teams' quotas while this host leads, and quotaStock is what this host was granted
+	// for its own entries.
+	quotaAllocator *quota.Allocator
+	quotaStock     *quota.Stock
 	// allocator divides the servers' request limits while this host leads. hostPermits are its
 	// permits for the entries of other control hosts, and entryPermits those that this host has
 	// received for its own entries.
@@ -145,6 +149,10 @@
 	quotaWindow := s.GetQuotaWindow().AsDuration()
 	c.quotas = quota.NewTotals(quotaWindow)
 	c.hostPermits, c.entryPermits = ratelimit.NewGrantBuffer(), ratelimit.NewGrantBuffer()
+	c.quotaAllocator = quota.NewAllocator(quota.AllocatorConfig{
+		Window: quotaWindow, Quota: c.teamQuota, Busy: c.teamBusy, Hosts: c.hostCount, Now: time.Now, Give: c.grantHost,
+	})
+	c.quotaStock = quota.NewStock(quota.StockConfig{Window: quotaWindow, Give: c.grantEntry}, c.startedAt)
 	c.allocator = ratelimit.NewAllocator(ratelimit.AllocatorConfig{Limits: c.roster.Limits, Grants: c.hostPermits, Now: time.Now})
 	c.rejectionLimits = ratelimit.NewRejectionLimits()
 	c.subscribers = subscription.New(subscription.Config{Now: time.Now, QuotaWindow: quotaWindow, Log: cfg.Log.WithName("attendance")})
@@ -176,7 +184,15 @@
 	handlers.Attend, handlers.InSync, handlers.Follow, handlers.GiveOrder = c.serveEntry, c.handleInSync, c.serveHost, c.handleOrder
 	c.peerServer = peer.NewServer(peer.ServerConfig{Listener: peers, Handlers: handlers})
 	c.operatorServer = newServer(c.operatorHandler())
-	c.wg.Add(8)
+	c.wg.Add(10)
+	go func() {
+		defer c.wg.Done()
+		c.runWhileLeading(ratelimit.IssueInterval, c.recordBusyTeams)
+	}()
+	go func() {
+		defer c.wg.Done()
+		c.runWhileLeading(ratelimit.IssueInterval, c.issueQuotas)
+	}()
 	go func() {
 		defer c.wg.Done()
 		c.runWhileLeading(ratelimit.IssueInterval, c.issuePermits)
--- a/internal/role/entry_session.go
+++ b/internal/role/entry_session.go
@@ -59,6 +59,8 @@
 	s := newEntrySession(c, stream, first)
 	c.subscribers.Subscribe(s.number, s.entry, first.GetStream())
 	defer c.subscribers.Unsubscribe(s.number, s.entry.GetHost())
+	c.quotaStock.Subscribe(s.entry.GetHost(), first.GetStartedMs(), first.GetStream(), first.GetQuotas(), time.Now())
+	defer func() { c.quotaStock.Unsubscribe(s.entry.GetHost(), first.GetStream(), time.Now()) }()
 	s.handleReport(first)
 	ctx, cancel := context.WithCancel(stream.Context())
 	go func() {
@@ -220,6 +222,10 @@
 	if s.c.rejectionLimits.Merge(report.GetRejectionLimits(), time.Now()) {
 		s.c.subscribers.RequestReport()
 	}
+	// The first report was applied with the subscription.
+	if q := report.GetQuotas(); q != nil && report.GetEntry() == nil && s.c.quotaStock.Report(s.entry.GetHost(), q, time.Now()) {
+		s.c.subscribers.RequestReport()
+	}
 	s.c.subscribers.HandleReport(s.number, s.entry.GetHost(), report)
 	s.pacer.setQuery(report.GetDemands())
 }
--- a/internal/role/follow.go
+++ b/internal/role/follow.go
@@ -86,6 +86,7 @@
 		return errors.Newf("follow: %w", err)
 	}
 	c.subscribers.ResetReported()
+	c.quotaStock.LeaderLost()
 	c.announcements.Reset(c.cfg.Settings.Get().GetAnnounceEvery().AsDuration())
 	wg.Add(1)
 	go func() {
@@ -166,6 +167,7 @@
 		report := c.subscribers.NextReport(subscription.Progress{Known: c.mirror.Position(), Revision: c.appliedIndex()}, intervalElapsed)
 		report.RejectionLimits = c.rejectionLimits.Messages(time.Now())
 		report.Host, report.Lagging, report.Servers = host, c.logLags(), c.announcements.TakePending()
+		report.Quotas = c.quotaStock.NextReport(c.group.Status().Term, time.Now())
 		report.Limits = append(report.Limits, c.mirror.TakeNewerLimits()...)
 		report.Suspects, report.SentUs = c.nextSuspects(suspects), uint64(time.Since(c.startedAt).Microseconds())
 		ended()
--- a/internal/role/host_session.go
+++ b/internal/role/host_session.go
@@ -53,6 +53,7 @@
 	defer c.driver.RemoveEntry(h.address())
 	defer c.hostPermits.Remove(h.streamName())
 	defer c.allocator.RemoveStream(h.streamName())
+	defer c.quotaAllocator.RemoveStream(h.address(), h.streamName())
 	h.handleReport(first)
 	ctx, cancel := context.WithCancel(stream.Context())
 	go func() {
@@ -132,6 +133,12 @@
 	if u := report.GetTeamUses(); u != nil {
 		h.c.quotas.Report(h.address(), u, time.Now())
 	}
+	if q := report.GetQuotas(); q != nil {
+		h.c.quotaAllocator.Report(h.term, h.address(), h.streamName(), q)
+		if len(q.GetDemands()) > 0 {
+			h.c.issueQuotas()
+		}
+	}
 	h.c.roster.ApplyHostReport(h.number, h.address(), h.term, report)
 	h.c.driver.HandleDemand(h.address(), report.GetDemands())
 	h.pacer.setQuery(report.GetDemands())
@@ -192,7 +199,7 @@
 	update.Suspects, update.Permits = h.c.nextSuspects(h.suspects), h.c.hostPermits.Take(h.streamName(), time.Now())
 	if h.pacer.intervalElapsed {
 		update.PermitQueues, update.RejectionLimits = h.c.allocator.Queues(), h.c.rejectionLimits.Messages(time.Now())
-		update.Loads, update.TeamUses, h.pacer.intervalElapsed = h.c.roster.Loads(), h.c.quotas.Sum(time.Now(), h.c.reportsUse), false
+		update.Loads, update.TeamUses, h.pacer.intervalElapsed = h.c.roster.Loads(), h.c.teamUses(h.term), false
 	}
 	return update
 }
--- a/internal/role/permits.go
+++ b/internal/role/permits.go
@@ -23,6 +23,10 @@
 	}
 	for _, grant := range update.GetPermits() {
 		issuedAt := c.startedAt.Add(time.Duration(echo)*time.Microsecond - time.Duration(grant.GetAgeMs())*time.Millisecond)
+		if grant.GetTeam() != "" {
+			c.quotaStock.Grant(grant.GetTeam(), grant.GetAmount(), issuedAt, time.Now())
+			continue
+		}
 		c.entryPermits.Add(grant.GetEntry(), grant, issuedAt)
 	}
 }
--- a/internal/role/quota.go
+++ b/internal/role/quota.go
@@ -1,8 +1,11 @@
 package role
 
 import (
+	"context"
+	"strings"
 	"time"
 
+	"fennelyard/internal/asynclog"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/quota"
 	"fennelyard/internal/schema"
@@ -34,11 +37,59 @@
 	return q
 }
 
+// teamUses returns the use of quotas that entries need to know.
+func (c *Control) teamUses(term uint64) *schema.TeamUses {
+	uses := c.quotas.Sum(time.Now(), c.reportsUse)
+	c.quotaAllocator.Decorate(term, uses)
+	return uses
+}
+
+// issueQuotas grants what is available of the teams' quotas.
+func (c *Control) issueQuotas() {
+	if status := c.group.Status(); status.CommittedInTerm {
+		c.quotaAllocator.Issue(status.Term, status.ConfirmedAt)
+	}
+}
+
+// teamBusy reports whether a team is recorded as busy.
+func (c *Control) teamBusy(team string) (busy bool) {
+	c.group.Ledger().View(func(_ ledger.Status, r *ledger.Records) { busy = r.BusyTeam(team) })
+	return busy
+}
+
+// recordBusyTeams records the teams that may use much of their quotas.
+func (c *Control) recordBusyTeams() {
+	var recorded []string
+	c.group.Ledger().View(func(_ ledger.Status, r *ledger.Records) { recorded = r.BusyTeams() })
+	busy, quiet := c.quotaAllocator.BusyChanges(c.group.Status().Term, recorded)
+	if len(busy)+len(quiet) == 0 {
+		return
+	}
+	err := c.commit(context.Background(), &schema.Command{Body: &schema.Command_RememberBusyTeams{RememberBusyTeams: &schema.RememberBusyTeams{Busy: busy, Quiet: quiet}}})
+	c.cfg.Log.Info("busy teams recorded", "come", strings.Join(busy, " "), "gone", strings.Join(quiet, " "), "error", asynclog.ErrorText(err))
+}
+
+// grantHost sends a part of a team's quota to a control host's stream.
+func (c *Control) grantHost(stream, team string, amount float64, now time.Time) {
+	c.hostPermits.Add(stream, &schema.PermitGrant{Team: team, Amount: amount}, now)
+}
+
+// grantEntry sends a part of a team's quota to an entry that subscribes to this host.
+func (c *Control) grantEntry(entry, team string, amount float64, issuedAt time.Time) {
+	c.entryPermits.Add(entry, &schema.PermitGrant{Entry: entry, Team: team, Amount: amount}, issuedAt)
+}
+
+// hostCount returns the number of control hosts.
+func (c *Control) hostCount() int { return len(c.group.Status().Membership.GetMembers()) }
+
 // logQuotas logs the quota use of teams that have used much of theirs.
 func (c *Control) logQuotas() {
-	uses := c.quotas.Sum(time.Now(), c.reportsUse).GetUses()
+	status := c.group.Status()
+	uses, counted := c.teamUses(status.Term).GetUses(), c.quotaAllocator.Uses(status.Term)
 	for _, u := range uses[:min(len(uses), maxLoggedQuotas)] {
+		use := counted[u.GetTeam()]
 		c.cfg.Log.Info("quota use", "team", u.GetTeam(), "admitted", int64(u.GetAdmitted()), "requested-lately", int64(u.GetRequested()),
-			"budget", int64(quota.Budget(c.teamQuota(u.GetTeam()), c.quotaWindow())))
+			"budget", int64(quota.Budget(c.teamQuota(u.GetTeam()), c.quotaWindow())), "counted", int64(use.Used), "unknown", int64(use.Unknown),
+			"available", int64(use.Available), "credit", int64(use.Credit))
 	}
 }
