--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,7 +140,7 @@
 	g.fleet.onSecondVersion = func(pool string) { g.goUnlessClosed(func() { g.replicateOpenStreams(pool) }) }
 	g.fleet.self, g.fleet.sharingEntries = cfg.Self.GetHost(), g.sharingEntries
 	g.fleet.connected, g.fleet.confirmedAt = g.connected, g.subscriber.confirmedAt
-	g.quotas = quota.NewMeter(quota.MeterConfig{Window: cfg.QuotaWindow, Random: rand.Float64, Rank: g.rank, OnWaiting: g.reportNow}, g.startTime)
+	g.quotas = quota.NewMeter(quota.MeterConfig{Window: cfg.QuotaWindow, Random: rand.Float64, Rank: g.rank, NoShares: cfg.KeyRevocation > 0, OnWaiting: g.reportNow}, g.startTime)
 	g.guard = quarantine.NewGuard(quarantine.GuardConfig{
 		Entry: cfg.Self.GetCallerAddress(), Entries: g.entryCount, Probe: cfg.Sender.Probe, OnChange: g.reportNow, OnRecordChanged: cfg.OnSuspectChanged, Log: cfg.Log,
 		Isolated: func() bool { return cfg.Isolated != nil && cfg.Isolated() && !g.connected() },
--- a/internal/ledger/busy.go
+++ b/internal/ledger/busy.go
@@ -7,10 +7,7 @@
 // BusyTeamKey returns the key of the record of a team that uses much of its quota.
 func BusyTeamKey(team string) string { return busyTeamPrefix + team }
 
-// BusyTeam reports whether a team is recorded as one that may use much of its quota.
-func (r *Records) BusyTeam(team string) bool { return r.byKey[BusyTeamKey(team)] != nil }
-
-// BusyTeams returns the names of these teams in unspecified order.
+// BusyTeams returns the names of the teams that are recorded as using much of their quotas, in unspecified order.
 func (r *Records) BusyTeams() []string {
 	var out []string
 	for _, b := range valuesOf(r, (*schema.Record).GetBusyTeam) {
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// waitingReserve is the part of a budget that is not granted for requests that are only expected.
-	waitingReserve = 0.25
 	// maxLeaderAge is the age of the quorum's last confirmation up to which a leader grants: no other host can
 	// lead by then.
 	maxLeaderAge = 500 * time.Millisecond
@@ -24,8 +22,11 @@
 	Window time.Duration
 	// Quota returns the quota of a team.
 	Quota func(team string) *schema.Quota
-	// Busy reports whether a team is recorded as busy: whoever leads next knows that it may use all of its quota.
-	Busy func(team string) bool
+	// BusyTeams returns the teams that are recorded as busy: whoever leads next knows that they may use all of
+	// their quotas.
+	BusyTeams func() []string
+	// NoShares is set if entries that are cut off admit nothing by themselves: nothing is reserved for them then.
+	NoShares bool
 	// Give sends a grant to a control host's stream.
 	Give func(stream, team string, amount float64, now time.Time)
 	// Hosts returns the number of control hosts.
@@ -43,6 +44,8 @@
 	// mu, as all below.
 	term  uint64
 	since time.Time
+	// busy are the teams that are recorded as busy, and wasBusy those that were when this leader began.
+	busy, wasBusy map[string]bool
 	// accounts are by team, and hosts by address.
 	accounts map[string]*account
 	hosts    map[string]*hostReport
@@ -91,10 +94,20 @@
 		return
 	}
 	a.term, a.since, a.entries, a.missingSince = term, now, 0, time.Time{}
+	a.busy = setOf(a.cfg.BusyTeams())
+	a.wasBusy = a.busy
 	clear(a.accounts)
 	clear(a.hosts)
 }
 
+func setOf(names []string) map[string]bool {
+	out := map[string]bool{}
+	for _, name := range names {
+		out[name] = true
+	}
+	return out
+}
+
 // account returns a team's account and adds it if needed; the caller holds mu.
 func (a *Allocator) account(team string) *account {
 	c := a.accounts[team]
@@ -145,7 +158,7 @@
 		return
 	}
 	for team, c := range a.accounts {
-		most := limit(a.cfg.Quota(team), a.cfg.Window, a.cfg.Busy(team))
+		most := limit(a.cfg.Quota(team), a.cfg.Window, a.busy[team])
 		c.issued.add(now, now, float64(n)*credit(most, min(c.least[0], c.least[1]), a.entryCount()))
 	}
 }
@@ -184,36 +197,42 @@
 	return n
 }
 
-// unknownPart returns the part of a budget that may have been used, within the window, unknown to this leader: under an
-// earlier leader by entries whose control host has been lost as well, or by entries that are cut off and keep to
-// their shares. The caller holds mu.
+// unknownPart returns the part of the budgets that may have been used within the window unknown to this leader: under
+// an earlier leader, by entries whose control host has been lost as well. The caller holds mu.
 func (a *Allocator) unknownPart(now time.Time) float64 {
-	entries, subscribed, known, knowing := a.entryCount(), a.subscribed(), 0, 0
+	if a.knowsAll(now) {
+		return 0
+	}
+	known, knowing := 0, 0
 	for _, h := range a.hosts {
 		known += h.known
 		if h.knowsWindow {
 			knowing++
 		}
 	}
-	part := 0.0
-	if hosts := max(a.cfg.Hosts(), 1); !a.knowsAll(now) {
-		part = max(min(1-float64(known)/float64(entries), 1-float64(knowing)/float64(hosts)), 0)
-	}
+	return max(min(1-float64(known)/float64(a.entryCount()), 1-float64(knowing)/float64(max(a.cfg.Hosts(), 1))), 0)
+}
+
+// reservedPart returns the part of the budgets that is reserved for entries that are cut off, which keep to their
+// shares. The caller holds mu.
+func (a *Allocator) reservedPart(now time.Time) float64 {
+	entries, subscribed := a.entryCount(), a.subscribed()
 	switch {
 	case subscribed >= entries:
 		a.missingSince = time.Time{}
 	case a.missingSince.IsZero():
 		a.missingSince = now
-	case now.Sub(a.missingSince) >= cutOffGrace:
-		part = max(part, largestShares(entries-subscribed, entries))
+	case now.Sub(a.missingSince) >= cutOffGrace && !a.cfg.NoShares:
+		return largestShares(entries-subscribed, entries)
 	}
-	return part
+	return 0
 }
 
 // use returns the use of a team's quota; the caller holds mu.
 func (a *Allocator) use(team string, c *account, now time.Time) Use {
-	most := limit(a.cfg.Quota(team), a.cfg.Window, a.cfg.Busy(team))
-	u := Use{Unknown: a.unknownPart(now) * most}
+	q := a.cfg.Quota(team)
+	most := limit(q, a.cfg.Window, a.busy[team])
+	u := Use{Unknown: max(a.unknownPart(now)*limit(q, a.cfg.Window, a.wasBusy[team]), a.reservedPart(now)*limit(q, a.cfg.Window, true))}
 	u.Used = max(c.issued.total(now), 0) + u.Unknown
 	if now.Sub(c.leastSince) > creditLifetime {
 		c.least, c.leastSince = [2]float64{u.Used, c.least[0]}, now
@@ -221,25 +240,26 @@
 	c.least[0] = min(c.least[0], u.Used)
 	u.Available = most - u.Used - creditFraction*max(most-min(c.least[0], c.least[1]), 0)
 	u.Credit = credit(most, u.Used, a.entryCount())
-	if u.Used > calmFraction*Budget(a.cfg.Quota(team), a.cfg.Window) {
+	if u.Used > calmFraction*Budget(q, a.cfg.Window) {
 		c.busyAt = now
 	}
 	return u
 }
 
-// BusyChanges returns the teams that must be recorded as busy before more is granted, and those of the recorded ones that
-// no longer need to be.
-func (a *Allocator) BusyChanges(term uint64, recorded []string) (busy, quiet []string) {
+// BusyChanges returns the teams that must be recorded as busy before more is granted, and the recorded ones that no
+// longer need to be.
+func (a *Allocator) BusyChanges(term uint64) (busy, quiet []string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.cfg.Now()
 	a.setTerm(term, now)
+	a.busy = setOf(a.cfg.BusyTeams())
 	for team, c := range a.accounts {
-		if !a.cfg.Busy(team) && a.use(team, c, now).Used > busyFraction*Budget(a.cfg.Quota(team), a.cfg.Window) {
+		if !a.busy[team] && a.use(team, c, now).Used > busyFraction*Budget(a.cfg.Quota(team), a.cfg.Window) {
 			busy = append(busy, team)
 		}
 	}
-	for _, team := range recorded {
+	for team := range a.busy {
 		if c := a.accounts[team]; now.Sub(a.since) > busyTime && (c == nil || now.Sub(c.busyAt) > busyTime) {
 			quiet = append(quiet, team)
 		}
@@ -262,8 +282,7 @@
 			continue
 		}
 		u := a.use(team, c, now)
-		reserve := waitingReserve * Budget(a.cfg.Quota(team), a.cfg.Window)
-		c.demands.divide(u.Available, reserve, now, func(stream string, amount float64) {
+		c.demands.divide(u.Available, now, func(stream string, amount float64) {
 			c.issued.add(now, now, amount)
 			a.cfg.Give(stream, team, amount, now)
 		})
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -49,14 +48,6 @@
 	// creditSettleTime is the age of a use of credit at the last confirmation from which on the leader counts
 	// it, as it has been reported.
 	creditSettleTime = time.Second
-	// advanceTime is the time for which grants are requested in advance: until the next report and
-	// its grants.
-	advanceTime = 600 * time.Millisecond
-	// minAdvanceUse is the number of the largest requests that an entry expects while a grant lasts from which it
-	// requests grants in advance: most of them would not be used otherwise.
-	minAdvanceUse = 1
-	// largestDecay is the factor by which each request reduces the largest cost that is remembered.
-	largestDecay = 0.9
 	// cutOffGrace is how long an entry may lose its control host before the leader reserves the entry's
 	// share of the quotas.
 	cutOffGrace = 8 * time.Second
@@ -132,8 +123,6 @@
 	admitted, requested *ring
 	// total is the latest sum over all entries; nil if the team uses little of its quota.
 	total *schema.TeamUse
-	// largest is the largest cost of the last requests.
-	largest float64
 	// held are the grants that are left, the oldest first, and received is the sum of all received on the
 	// stream.
 	held     []heldGrant
@@ -160,6 +149,8 @@
 	// Rank returns the rank of this entry among all entries, for a team, from 0; required. It differs from entry
 	// to entry.
 	Rank func(team string) int
+	// NoShares is set if the entry admits nothing by itself while it is cut off.
+	NoShares bool
 	// OnWaiting, if set, is called when a request begins to wait for a grant.
 	OnWaiting func()
 }
@@ -210,10 +201,9 @@
 	defer m.mu.Unlock()
 	u, budget := m.usage(t.GetName()), Budget(q, m.cfg.Window)
 	u.requested.add(now, now, cost)
-	u.largest = max(cost, u.largest*largestDecay)
 	m.expire(u, now)
 	age := now.Sub(link.ConfirmedAt)
-	if min(age, now.Sub(m.start)) >= m.ShareAfter() {
+	if !m.cfg.NoShares && min(age, now.Sub(m.start)) >= m.ShareAfter() {
 		return m.admitShare(u, a, budget, link.Entries, now)
 	}
 	if after, dropped := m.drops(u, q, budget); dropped && age < maxSumsAge {
@@ -421,7 +411,7 @@
 // idle reports whether nothing of the usage matters any more.
 func (u *teamUsage) idle(admitted float64, now time.Time) bool {
 	return admitted <= 0 && u.requested.total(now) == 0 && u.total == nil && len(u.held) == 0 && len(u.waiting) == 0 &&
-		u.returned == 0 && u.unreportedCredit == 0 && u.reported.GetWaiting() == 0 && u.reported.GetWanted() == 0
+		u.returned == 0 && u.unreportedCredit == 0 && u.reported.GetWaiting() == 0
 }
 
 // StreamStarted records that reports go to another control host, or on another stream. It returns the usage that
@@ -462,12 +452,7 @@
 		for _, a := range u.waiting {
 			d.Waiting += a.cost
 		}
-		perSecond := u.admitted.sum(now, windowSlots/DemandWindowDivisor) / (m.cfg.Window / DemandWindowDivisor).Seconds()
-		if perSecond*GrantLifetime.Seconds() > minAdvanceUse*u.largest {
-			d.Wanted = math.Ceil(max(perSecond*advanceTime.Seconds()+u.largest-u.heldSum(), 0))
-		}
-		if d.GetReturned() == 0 && d.GetCreditUsed() == 0 && d.GetWaiting() == u.reported.GetWaiting() &&
-			d.GetWanted() == u.reported.GetWanted() && d.GetReceived() == u.reported.GetReceived() {
+		if d.GetReturned() == 0 && d.GetCreditUsed() == 0 && d.GetWaiting() == u.reported.GetWaiting() && d.GetReceived() == u.reported.GetReceived() {
 			continue
 		}
 		if u.returned > 0 {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -45,9 +45,9 @@
 	// quietFraction of a budget is granted to a team that is not recorded as busy: a leader that knows nothing of
 	// its predecessors assumes that such a team has used it. A team whose use exceeds busyFraction
 	// of a budget is recorded, and one below calmFraction for busyTime no longer is.
-	quietFraction = 0.7
-	busyFraction  = 0.6
-	calmFraction  = 0.45
+	quietFraction = 0.75
+	busyFraction  = 0.7
+	calmFraction  = 0.6
 	busyTime      = 20 * time.Second
 	// unlistedUse is the fraction of a budget that a team without sums is assumed to use.
 	unlistedUse = 0.3
--- a/internal/quota/stock.go
+++ b/internal/quota/stock.go
@@ -150,8 +150,7 @@
 			s.useCredit(t, used, now)
 		}
 		s.divide(d.GetTeam(), t, now)
-		waiting, _ := t.demands.unmet(now)
-		waits = waits || waiting > t.reported.GetWaiting()
+		waits = waits || t.demands.unmet(now) > t.reported.GetWaiting()
 	}
 	return waits
 }
@@ -189,7 +188,7 @@
 	for _, g := range t.held {
 		available += g.amount
 	}
-	t.demands.divide(available, 0, now, func(entry string, amount float64) {
+	t.demands.divide(available, now, func(entry string, amount float64) {
 		t.given.add(now, now, amount)
 		for amount > 0 && len(t.held) > 0 {
 			first := &t.held[0]
@@ -268,17 +267,10 @@
 
 // nextDemand returns the demand on the leader if it has changed, nil otherwise.
 func (t *teamStock) nextDemand(name string, now time.Time) *schema.QuotaDemand {
-	waiting, wanted := t.demands.unmet(now)
-	held := 0.0
-	for _, g := range t.held {
-		held += g.amount
-	}
 	d := &schema.QuotaDemand{
-		Team: name, Waiting: max(waiting-held, 0), Wanted: max(wanted-max(held-waiting, 0), 0), Received: t.received,
-		Returned: t.returned, CreditUsed: t.creditUsed,
+		Team: name, Waiting: t.demands.unmet(now), Received: t.received, Returned: t.returned, CreditUsed: t.creditUsed,
 	}
-	if d.GetReturned() == 0 && d.GetCreditUsed() == 0 && d.GetWaiting() == t.reported.GetWaiting() &&
-		d.GetWanted() == t.reported.GetWanted() && d.GetReceived() == t.reported.GetReceived() {
+	if d.GetReturned() == 0 && d.GetCreditUsed() == 0 && d.GetWaiting() == t.reported.GetWaiting() && d.GetReceived() == t.reported.GetReceived() {
 		return nil
 	}
 	if t.returned > 0 {
@@ -290,6 +282,6 @@
 
 // idle reports whether nothing of the stock matters any more.
 func (t *teamStock) idle(now time.Time) bool {
-	return len(t.demands) == 0 && len(t.held) == 0 && t.given.total(now) <= 0 && t.reported.GetWaiting() == 0 && t.reported.GetWanted() == 0 &&
+	return len(t.demands) == 0 && len(t.held) == 0 && t.given.total(now) <= 0 && t.reported.GetWaiting() == 0 &&
 		t.returned == 0 && t.creditUsed == 0
 }
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -150,7 +150,8 @@
 	c.quotas = quota.NewTotals(quotaWindow)
 	c.hostPermits, c.entryPermits = ratelimit.NewGrantBuffer(), ratelimit.NewGrantBuffer()
 	c.quotaAllocator = quota.NewAllocator(quota.AllocatorConfig{
-		Window: quotaWindow, Quota: c.teamQuota, Busy: c.teamBusy, Hosts: c.hostCount, Now: time.Now, Give: c.grantHost,
+		Window: quotaWindow, Quota: c.teamQuota, BusyTeams: c.busyTeams, Hosts: c.hostCount, Now: time.Now, Give: c.grantHost,
+		NoShares: s.GetKeyRevocation().AsDuration() > 0,
 	})
 	c.quotaStock = quota.NewStock(quota.StockConfig{Window: quotaWindow, Give: c.grantEntry}, c.startedAt)
 	c.allocator = ratelimit.NewAllocator(ratelimit.AllocatorConfig{Limits: c.roster.Limits, Grants: c.hostPermits, Now: time.Now})
--- a/internal/role/quota.go
+++ b/internal/role/quota.go
@@ -51,17 +51,15 @@
 	}
 }
 
-// teamBusy reports whether a team is recorded as busy.
-func (c *Control) teamBusy(team string) (busy bool) {
-	c.group.Ledger().View(func(_ ledger.Status, r *ledger.Records) { busy = r.BusyTeam(team) })
-	return busy
+// busyTeams returns the teams that are recorded as busy.
+func (c *Control) busyTeams() (out []string) {
+	c.group.Ledger().View(func(_ ledger.Status, r *ledger.Records) { out = r.BusyTeams() })
+	return out
 }
 
 // recordBusyTeams records the teams that may use much of their quotas.
 func (c *Control) recordBusyTeams() {
-	var recorded []string
-	c.group.Ledger().View(func(_ ledger.Status, r *ledger.Records) { recorded = r.BusyTeams() })
-	busy, quiet := c.quotaAllocator.BusyChanges(c.group.Status().Term, recorded)
+	busy, quiet := c.quotaAllocator.BusyChanges(c.group.Status().Term)
 	if len(busy)+len(quiet) == 0 {
 		return
 	}
