Streams: versions in use are in the log, and control hosts know where streams began

What callers saw: all entries were killed and came back within 30 s of the end of a version's last servers; streams of that version that were taken up were joined to the other one, with nothing in the response to show it. While both versions were in service, none was taken up.

Cause: that all entries respond and none knows of another version was taken for agreement, also when all of them had just started; where streams began was known to entries alone. Class: knowledge that is safe against the loss of some processes of a kind, and lost with all of them.

Change: the leader records the versions in use in the log until 30 s after the last server; entries receive them with the configuration. Entries report origins to their control host with the first event; one that finds no entry that knows asks the control hosts.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,8 +85,11 @@
 	// origins are where streams began, and originWrites the messages about it to other entries.
 	origins      *origin.Table
 	originWrites sync.WaitGroup
-	// openStreams holds the origins of the resumable streams in progress, by origin.Key.
-	openStreams sync.Map
+	// openStreams holds the origins of the resumable streams in progress, by origin.Key, and begunStreams of
+	// those whose first event has been forwarded.
+	openStreams, begunStreams sync.Map
+	// originReports are the origins that are to be reported to the control host.
+	originReports originReports
 	// largeEvents is the memory for events over bound.SmallEventBytes.
 	largeEvents *memory.Places
 	// quotas tracks the usage of teams' quotas at this entry.
@@ -136,7 +139,7 @@
 		retryBudgets: map[string]*retryBudget{}, latencies: map[string]*latency{}, durations: drain.NewDurations(),
 	}
 	g.subscriber = newSubscriber(g)
-	g.origins = origin.NewTable(time.Now)
+	g.origins = origin.NewTable(origin.MaxEntryRecords, time.Now)
 	g.fleet.onSecondVersion = func(pool string) { g.goUnlessClosed(func() { g.replicateOpenStreams(pool) }) }
 	g.fleet.self, g.fleet.sharingEntries = cfg.Self.GetHost(), g.sharingEntries
 	g.fleet.connected, g.fleet.confirmedAt = g.connected, g.subscriber.confirmedAt
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -33,6 +33,10 @@
 	// versionWindow is the time for which a version counts as in use after its last server: as long as
 	// streams may be resumed that it began.
 	versionWindow = 30 * time.Second
+	// maxOriginReports is the number of origins that wait to be reported to the control host, and
+	// maxOriginsPerReport bounds those of one report.
+	maxOriginReports    = 4096
+	maxOriginsPerReport = 512
 	// newVersionDelay is how long no resumable stream begins at the servers of a version that is new to
 	// a pool of another one, if there are others, counted up to the last confirmation by the control
 	// group: by then all other entries know that there are two versions, or know that they have not been
@@ -40,6 +44,33 @@
 	newVersionDelay = 2 * time.Second
 )
 
+// originReports are origins that are to be reported to the control host, in the order of the streams' first events.
+type originReports struct {
+	mu sync.Mutex
+	// waiting is guarded by mu.
+	waiting []*schema.StreamOrigin
+}
+
+// add adds an origin. If too many wait, the oldest is dropped: its stream is refused if all entries are lost.
+func (r *originReports) add(key origin.Key, o origin.Origin) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.waiting) >= maxOriginReports {
+		r.waiting = r.waiting[1:]
+	}
+	r.waiting = append(r.waiting, &schema.StreamOrigin{Key: key[:], Pool: o.Pool, Software: o.Version})
+}
+
+// take removes and returns the next origins.
+func (r *originReports) take() []*schema.StreamOrigin {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := min(len(r.waiting), maxOriginsPerReport)
+	out := r.waiting[:n:n]
+	r.waiting = r.waiting[n:]
+	return out
+}
+
 // OriginExchange records and finds at other entries where streams began. All functions are required.
 type OriginExchange struct {
 	Put func(ctx context.Context, entry string, key origin.Key, o origin.Origin) error
@@ -223,17 +254,57 @@
 	if !v.Several && !several && complete && x.g.connected() {
 		return origin.Origin{Pool: x.pool, Version: v.Version}, true, true
 	}
-	return origin.Origin{}, false, complete
+	if x.info.Resumes == "" {
+		return origin.Origin{}, false, complete
+	}
+	o, known, asked := x.g.findAtControlHosts(x.ctx, key)
+	return o, known, known || complete && asked
 }
 
-// Versions returns what this entry knows of the versions of a pool's software, by the leader's updates.
+// Versions returns what this entry knows of the versions of a pool's software, by the leader's updates and the recorded
+// ones, which include those from before its start.
 func (g *Gateway) Versions(pool string) origin.Versions {
-	version, single := g.fleet.onlyVersion(pool, time.Now())
+	version, single := g.onlyVersion(pool)
 	return origin.Versions{
-		Pool: pool, Version: version, Several: len(g.fleet.versionsInUse(pool)) > 1, Only: single && time.Since(g.startTime) > versionWindow && g.connected(),
+		Pool: pool, Version: version, Several: !single && version != "" || len(g.fleet.versionsInUse(pool)) > 1,
+		Only: single && time.Since(g.startTime) > versionWindow && g.connected(),
 	}
 }
 
+// onlyVersion returns a version of a pool's servers, and whether it is the only one that this entry or the control group
+// knows to be in use.
+func (g *Gateway) onlyVersion(pool string) (version string, only bool) {
+	version, only = g.fleet.onlyVersion(pool, time.Now())
+	t := g.table.Load()
+	if !only || t == nil {
+		return version, only
+	}
+	return version, !slices.ContainsFunc(t.versions[pool], func(recorded string) bool { return recorded != version })
+}
+
+// findAtControlHosts finds where a stream began at the control hosts, which know it also after the loss of all entries.
+// complete is set if all of them were asked.
+func (g *Gateway) findAtControlHosts(ctx context.Context, key origin.Key) (o origin.Origin, known, complete bool) {
+	host := g.subscriber.currentHost()
+	if host == "" {
+		return origin.Origin{}, false, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	client, err := g.cfg.Dialer.Client(host)
+	if err == nil {
+		var reply *schema.FindOriginsReply
+		if reply, err = client.FindOrigins(ctx, &schema.FindOriginsRequest{Keys: [][]byte{key[:]}, Forward: true}); err == nil {
+			for _, found := range reply.GetOrigins() {
+				return origin.Origin{Pool: found.GetPool(), Version: found.GetSoftware()}, true, true
+			}
+			return origin.Origin{}, false, !reply.GetIncomplete()
+		}
+	}
+	g.cfg.Log.Info("origin not asked for", "host", host, "stream", key.String(), "error", err.Error())
+	return origin.Origin{}, false, false
+}
+
 // askForOrigin asks the other entries for an origin, first those that should have recorded it. several is set
 // if one of them has seen several versions in the pool.
 func (x *exchange) askForOrigin(key origin.Key) (o origin.Origin, known, several, complete bool) {
@@ -326,7 +397,7 @@
 	if moved {
 		return x.replaceOrigin(key)
 	}
-	if _, only := x.g.fleet.onlyVersion(x.pool, time.Now()); !only {
+	if _, only := x.g.onlyVersion(x.pool); !only {
 		x.originEntries = x.g.replicas(key)
 		x.originRecorded = x.g.replicateOrigin(key, x.origin, x.originEntries)
 	}
@@ -360,7 +431,22 @@
 // streamEnded removes the request from the open streams.
 func (x *exchange) streamEnded() {
 	if x.info.resumable {
-		x.g.openStreams.Delete(origin.NewKey(x.info.APIKey, x.info.ID))
+		key := origin.NewKey(x.info.APIKey, x.info.ID)
+		x.g.openStreams.Delete(key)
+		x.g.begunStreams.Delete(key)
+	}
+}
+
+// streamBegun records that the first event is forwarded: from now on the stream stays at its origin, which the control
+// host is to know while there are several versions.
+func (x *exchange) streamBegun() {
+	if !x.info.resumable || x.origin.Attempt == 0 {
+		return
+	}
+	key := origin.NewKey(x.info.APIKey, x.info.ID)
+	x.g.begunStreams.Store(key, x.origin)
+	if _, only := x.g.onlyVersion(x.pool); !only {
+		x.g.originReports.add(key, x.origin)
 	}
 }
 
@@ -412,6 +498,12 @@
 		}
 		return true
 	})
+	g.begunStreams.Range(func(key, value any) bool {
+		if o, _ := value.(origin.Origin); o.Pool == pool {
+			g.originReports.add(key.(origin.Key), o)
+		}
+		return true
+	})
 	g.cfg.Log.Info("pool has several versions", "pool", pool, "versions", g.fleet.versionsInUse(pool), "open-streams", n)
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -108,6 +108,7 @@
 		}
 		if !x.started {
 			x.awaitOrigin()
+			x.streamBegun()
 			x.startStream(response)
 		}
 		if _, err = x.w.Write(events); err == nil {
--- a/internal/gateway/subscriber.go
+++ b/internal/gateway/subscriber.go
@@ -332,6 +332,7 @@
 			report.TeamUses = s.g.quotas.Report(time.Now())
 		}
 		s.g.addQuotas(report, periodic)
+		report.Origins = s.g.originReports.take()
 		report.Limits, report.PermitDemands = s.g.fleet.reportLimits(time.Now())
 		report.LeavingServers = s.g.fleet.reportDepartures()
 		report.RejectionLimits = s.g.fleet.rejectionLimits.Messages(time.Now())
--- a/internal/gateway/table.go
+++ b/internal/gateway/table.go
@@ -25,6 +25,8 @@
 	// minGaps is, by pool, the least of the longest pauses between events that the routes allow
 	// its streams; pools without a limit are missing.
 	minGaps map[string]time.Duration
+	// versions are the versions of servers' software that are recorded as in use, by pool.
+	versions map[string][]string
 }
 
 func newRouteTable(r *ledger.Records) *routeTable {
@@ -34,7 +36,7 @@
 	}
 	t := &routeTable{
 		version: head.GetVersion(), limits: head.GetLimits(),
-		byHost: map[string][]*schema.Route{}, pools: map[string]*schema.Pool{}, minGaps: map[string]time.Duration{},
+		byHost: map[string][]*schema.Route{}, pools: map[string]*schema.Pool{}, minGaps: map[string]time.Duration{}, versions: map[string][]string{},
 	}
 	for _, route := range r.Routes() {
 		t.byHost[route.GetHost()] = append(t.byHost[route.GetHost()], route)
@@ -46,6 +48,9 @@
 	for _, p := range r.Pools() {
 		t.pools[p.GetName()] = p
 	}
+	for _, v := range r.PoolVersions() {
+		t.versions[v.GetPool()] = append(t.versions[v.GetPool()], v.GetSoftware())
+	}
 	t.teams = team.NewDirectory(head.GetKeySalt(), r.Teams())
 	return t
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -172,6 +172,8 @@
 		r = l.rememberSuspects(b.RememberSuspects)
 	case *schema.Command_RememberBusyTeams:
 		r = l.rememberBusyTeams(b.RememberBusyTeams)
+	case *schema.Command_RememberVersions:
+		r = l.rememberVersions(b.RememberVersions)
 	case *schema.Command_Batch:
 		r = &schema.Result{Code: schema.ResultCode_RESULT_CODE_OK}
 		for _, c := range b.Batch.GetCommands() {
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -18,8 +18,11 @@
 	// Retention is the least time for which an origin is kept: longer than callers wait for a
 	// stream and take it up again.
 	Retention = time.Minute
-	// maxRecords is the maximum number of origins, about four MB: 270 streams a second.
-	maxRecords = 32768
+	// MaxEntryRecords is the maximum number of origins of an entry, about four MB: 270 streams a second
+	// for Retention.
+	MaxEntryRecords = 32768
+	// MaxControlRecords is that of a control host, for all its entries: 1,000 streams a second.
+	MaxControlRecords = 131072
 )
 
 // keyBytes is the length of a key, at which a collision is practically impossible.
@@ -47,15 +50,23 @@
 // errInvalidKey is returned for a text that is no key.
 var errInvalidKey = errors.New("not an attempt's key")
 
+// KeyOf returns the key with the given bytes.
+func KeyOf(data []byte) (Key, error) {
+	var k Key
+	if len(data) != len(k) {
+		return Key{}, errors.Newf("%d bytes: %w", len(data), errInvalidKey)
+	}
+	copy(k[:], data)
+	return k, nil
+}
+
 // parseKey parses the text that String returns.
 func parseKey(text string) (Key, error) {
-	var k Key
 	data, err := hex.DecodeString(text)
-	if err != nil || len(data) != len(k) {
+	if err != nil {
 		return Key{}, errors.Newf("%q: %w", text, errInvalidKey)
 	}
-	copy(k[:], data)
-	return k, nil
+	return KeyOf(data)
 }
 
 // String returns the key in hexadecimal digits.
@@ -73,7 +84,8 @@
 
 // Table holds the origins of streams. All methods are safe for concurrent use.
 type Table struct {
-	now func() time.Time
+	now        func() time.Time
+	maxRecords int
 
 	mu sync.Mutex
 	// current are the origins recorded since rotated, and previous those before; guarded by mu,
@@ -82,9 +94,9 @@
 	rotated           time.Time
 }
 
-// NewTable returns an empty table.
-func NewTable(now func() time.Time) *Table {
-	return &Table{now: now, current: map[Key]Origin{}, rotated: now()}
+// NewTable returns an empty table for a number of origins.
+func NewTable(maxRecords int, now func() time.Time) *Table {
+	return &Table{now: now, maxRecords: maxRecords, current: map[Key]Origin{}, rotated: now()}
 }
 
 // Put records the origin of a stream, unless a later attempt's is recorded.
@@ -94,7 +106,7 @@
 	if known, ok := t.get(key); ok && known.Attempt > o.Attempt {
 		return
 	}
-	if now := t.now(); now.Sub(t.rotated) > Retention || len(t.current) >= maxRecords/2 {
+	if now := t.now(); now.Sub(t.rotated) > Retention || len(t.current) >= t.maxRecords/2 {
 		t.current, t.previous, t.rotated = map[Key]Origin{}, t.current, now
 	}
 	t.current[key] = o
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -180,8 +180,10 @@
 	Fetch      func(context.Context, *schema.FetchRequest) (*schema.FetchReply, error)
 	GiveOrder  func(context.Context, *schema.GiveOrderRequest) (*schema.GiveOrderReply, error)
 	InSync     func(context.Context, *schema.InSyncRequest) (*schema.InSyncReply, error)
-	Attend     func(grpc.BidiStreamingServer[schema.EntryNews, schema.LeaderNews]) error
-	Follow     func(grpc.BidiStreamingServer[schema.HostNews, schema.LeaderNews]) error
+	// FindOrigins returns where streams began.
+	FindOrigins func(context.Context, *schema.FindOriginsRequest) (*schema.FindOriginsReply, error)
+	Attend      func(grpc.BidiStreamingServer[schema.EntryNews, schema.LeaderNews]) error
+	Follow      func(grpc.BidiStreamingServer[schema.HostNews, schema.LeaderNews]) error
 }
 
 // ServerConfig configures a Server.
@@ -286,6 +288,11 @@
 	return handle(ctx, s.h.InSync, q)
 }
 
+// FindOrigins implements schema.PeerServer.
+func (s *Server) FindOrigins(ctx context.Context, q *schema.FindOriginsRequest) (*schema.FindOriginsReply, error) {
+	return handle(ctx, s.h.FindOrigins, q)
+}
+
 // Attend implements schema.PeerServer.
 func (s *Server) Attend(stream grpc.BidiStreamingServer[schema.EntryNews, schema.LeaderNews]) error {
 	if s.h.Attend == nil {
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -19,6 +19,7 @@
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/loading"
 	"fennelyard/internal/metrics"
+	"fennelyard/internal/origin"
 	"fennelyard/internal/peer"
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/quota"
@@ -92,6 +93,11 @@
 	// quotas are the uses of teams' quotas that entries of all control hosts reported,
 	// while this host leads.
 	quotas *quota.Totals
+	// origins are where streams began, as entries have reported, and originFinder finds others at the other
+	// control hosts. versions decides which versions of servers' software are recorded.
+	origins      *origin.Table
+	originFinder originFinder
+	versions     versionRecorder
 	// quotaAllocator divides teams' quotas while this host leads, and quotaStock is what this host was granted
 	// for its own entries.
 	quotaAllocator *quota.Allocator
@@ -148,6 +154,7 @@
 	c.work = worktime.New(worktime.Config{Log: cfg.Log.WithName("work")})
 	quotaWindow := s.GetQuotaWindow().AsDuration()
 	c.quotas = quota.NewTotals(quotaWindow)
+	c.origins = origin.NewTable(origin.MaxControlRecords, time.Now)
 	c.hostPermits, c.entryPermits = ratelimit.NewGrantBuffer(), ratelimit.NewGrantBuffer()
 	c.quotaAllocator = quota.NewAllocator(quota.AllocatorConfig{
 		Window: quotaWindow, Quota: c.teamQuota, BusyTeams: c.busyTeams, Hosts: c.hostCount, Now: time.Now, Give: c.grantHost,
@@ -182,10 +189,15 @@
 	c.startOrders(s)
 	c.registerGauges()
 	handlers := c.group.Handlers()
+	handlers.FindOrigins = c.handleFindOrigins
 	handlers.Attend, handlers.InSync, handlers.Follow, handlers.GiveOrder = c.serveEntry, c.handleInSync, c.serveHost, c.handleOrder
 	c.peerServer = peer.NewServer(peer.ServerConfig{Listener: peers, Handlers: handlers})
 	c.operatorServer = newServer(c.operatorHandler())
-	c.wg.Add(10)
+	c.wg.Add(11)
+	go func() {
+		defer c.wg.Done()
+		c.runWhileLeading(recordInterval, c.recordVersions)
+	}()
 	go func() {
 		defer c.wg.Done()
 		c.runWhileLeading(ratelimit.IssueInterval, c.recordBusyTeams)
--- a/internal/role/entry_session.go
+++ b/internal/role/entry_session.go
@@ -222,6 +222,7 @@
 	if s.c.rejectionLimits.Merge(report.GetRejectionLimits(), time.Now()) {
 		s.c.subscribers.RequestReport()
 	}
+	s.c.recordOrigins(report.GetOrigins())
 	// The first report was applied with the subscription.
 	if q := report.GetQuotas(); q != nil && report.GetEntry() == nil && s.c.quotaStock.Report(s.entry.GetHost(), q, time.Now()) {
 		s.c.subscribers.RequestReport()
@@ -345,15 +346,15 @@
 	return out
 }
 
-// entryChanges returns the records that entries need: routes, pools, teams, and the
-// configuration without the operator's document.
+// entryChanges returns the records that entries need: routes, pools, teams, versions in use, and
+// the configuration without the operator's document.
 func entryChanges(c *schema.Changes) *schema.Changes {
 	out := &schema.Changes{Revision: c.GetRevision(), Whole: c.GetWhole()}
 	for _, rec := range c.GetRecords() {
 		switch {
 		case rec.GetKey() == ledger.ConfigurationKey:
 			out.Records = append(out.Records, withoutDocument(rec))
-		case ledger.IsRoutingKey(rec.GetKey()):
+		case ledger.IsRoutingKey(rec.GetKey()), ledger.IsVersionKey(rec.GetKey()):
 			out.Records = append(out.Records, rec)
 		}
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -256,6 +256,22 @@
 	return out
 }
 
+// Versions returns the versions of the software of all servers, also of those that leave.
+func (r *Roster) Versions() []*schema.PoolVersion {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	seen := map[[2]string]bool{}
+	var out []*schema.PoolVersion
+	for _, s := range r.servers {
+		v := s.view
+		if key := [2]string{v.GetPool(), v.GetSoftware()}; v.GetState() != schema.RosterState_ROSTER_STATE_GONE && !seen[key] {
+			seen[key] = true
+			out = append(out, &schema.PoolVersion{Pool: v.GetPool(), Software: v.GetSoftware()})
+		}
+	}
+	return out
+}
+
 // ownsAddress decides between two incarnations at one address. An announcement that was
 // delayed by a partition may arrive after its sender has crashed and another server has
 // started at its address. If it were accepted at once, the running server would refuse the
