--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -170,8 +170,8 @@
 		r = l.rememberServers(b.RememberServers)
 	case *schema.Command_RememberSuspects:
 		r = l.rememberSuspects(b.RememberSuspects)
-	case *schema.Command_RememberBusyTeams:
-		r = l.rememberBusyTeams(b.RememberBusyTeams)
+	case *schema.Command_RememberQuotaUse:
+		r = l.rememberQuotaUse(b.RememberQuotaUse)
 	case *schema.Command_RememberVersions:
 		r = l.rememberVersions(b.RememberVersions)
 	case *schema.Command_Batch:
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -22,9 +22,8 @@
 	Window time.Duration
 	// Quota returns the quota of a team.
 	Quota func(team string) *schema.Quota
-	// BusyTeams returns the teams that are recorded as busy: whoever leads next knows that they may use all of
-	// their quotas.
-	BusyTeams func() []string
+	// History returns the recorded grants, in RecordIntervals, the newest first.
+	History func() []*schema.QuotaSlot
 	// NoShares is set if entries that are cut off admit nothing by themselves: nothing is reserved for them then.
 	NoShares bool
 	// Give sends a grant to a control host's stream.
@@ -44,8 +43,10 @@
 	// mu, as all below.
 	term  uint64
 	since time.Time
-	// busy are the teams that are recorded as busy, and wasBusy those that were when this leader began.
-	busy, wasBusy map[string]bool
+	// history are the grants that were recorded before this leader began, by team, and recordedAt is when it began
+	// the newest slot of the record.
+	history    map[string]*ring
+	recordedAt time.Time
 	// accounts are by team, and hosts by address.
 	accounts map[string]*account
 	hosts    map[string]*hostReport
@@ -63,8 +64,8 @@
 	// least are the smallest uses in the present creditLifetime, since leastSince, and in the one before.
 	least      [2]float64
 	leastSince time.Time
-	// busyAt is when the use was last so large that the team stays recorded as busy.
-	busyAt time.Time
+	// unrecorded is what was granted or used otherwise and is not recorded.
+	unrecorded float64
 }
 
 // hostReport is what a control host last reported.
@@ -94,25 +95,27 @@
 		return
 	}
 	a.term, a.since, a.entries, a.missingSince = term, now, 0, time.Time{}
-	a.busy = setOf(a.cfg.BusyTeams())
-	a.wasBusy = a.busy
+	a.history, a.recordedAt = map[string]*ring{}, now
+	for i, slot := range a.cfg.History() {
+		for _, amount := range slot.GetAmounts() {
+			h := a.history[amount.GetTeam()]
+			if h == nil {
+				h = newUseRing(now, a.cfg.Window)
+				a.history[amount.GetTeam()] = h
+			}
+			// The amounts of a slot were granted before the next one began.
+			h.add(now.Add(-time.Duration(max(i-1, 0))*RecordInterval), now, amount.GetAmount())
+		}
+	}
 	clear(a.accounts)
 	clear(a.hosts)
 }
 
-func setOf(names []string) map[string]bool {
-	out := map[string]bool{}
-	for _, name := range names {
-		out[name] = true
-	}
-	return out
-}
-
 // account returns a team's account and adds it if needed; the caller holds mu.
 func (a *Allocator) account(team string) *account {
 	c := a.accounts[team]
 	if c == nil {
-		c = &account{issued: newUseRing(a.since, a.cfg.Window), demands: demands{}, busyAt: a.since}
+		c = &account{issued: newUseRing(a.since, a.cfg.Window), demands: demands{}}
 		a.accounts[team] = c
 	}
 	return c
@@ -146,7 +149,7 @@
 		c := a.account(d.GetTeam())
 		c.demands.update(stream, d, now)
 		c.issued.add(now.Add(-time.Duration(d.GetReturnedAgeMs())*time.Millisecond-returnMargin), now, -d.GetReturned())
-		c.issued.add(now, now, d.GetCreditUsed())
+		c.use(d.GetCreditUsed(), now)
 	}
 	a.entriesLost(int(report.GetLostEntries()), now)
 }
@@ -158,11 +161,17 @@
 		return
 	}
 	for team, c := range a.accounts {
-		most := limit(a.cfg.Quota(team), a.cfg.Window, a.busy[team])
-		c.issued.add(now, now, float64(n)*credit(most, min(c.least[0], c.least[1]), a.entryCount()))
+		most := limit(a.cfg.Quota(team), a.cfg.Window)
+		c.use(float64(n)*credit(most, min(c.least[0], c.least[1]), a.entryCount()), now)
 	}
 }
 
+// use counts what was granted or used otherwise.
+func (c *account) use(amount float64, now time.Time) {
+	c.issued.add(now, now, amount)
+	c.unrecorded += amount
+}
+
 // RemoveStream removes a control host whose stream has ended.
 func (a *Allocator) RemoveStream(host, stream string) {
 	a.mu.Lock()
@@ -228,11 +237,20 @@
 	return 0
 }
 
+// unknownUse returns what may have been used of a team's quota unknown to this leader, if nobody reports it: what was
+// recorded, and what may have been granted since the last record or used on credit. The caller holds mu.
+func (a *Allocator) unknownUse(team string, most float64, now time.Time) float64 {
+	recorded := 0.0
+	if h := a.history[team]; h != nil {
+		recorded = min(h.total(now), most)
+	}
+	return min(recorded+unrecordedFraction*most+creditFraction*(most-recorded), most)
+}
+
 // use returns the use of a team's quota; the caller holds mu.
 func (a *Allocator) use(team string, c *account, now time.Time) Use {
-	q := a.cfg.Quota(team)
-	most := limit(q, a.cfg.Window, a.busy[team])
-	u := Use{Unknown: max(a.unknownPart(now)*limit(q, a.cfg.Window, a.wasBusy[team]), a.reservedPart(now)*limit(q, a.cfg.Window, true))}
+	most := limit(a.cfg.Quota(team), a.cfg.Window)
+	u := Use{Unknown: max(a.unknownPart(now)*a.unknownUse(team, most, now), a.reservedPart(now)*most)}
 	u.Used = max(c.issued.total(now), 0) + u.Unknown
 	if now.Sub(c.leastSince) > creditLifetime {
 		c.least, c.leastSince = [2]float64{u.Used, c.least[0]}, now
@@ -240,31 +258,44 @@
 	c.least[0] = min(c.least[0], u.Used)
 	u.Available = most - u.Used - creditFraction*max(most-min(c.least[0], c.least[1]), 0)
 	u.Credit = credit(most, u.Used, a.entryCount())
-	if u.Used > calmFraction*Budget(q, a.cfg.Window) {
-		c.busyAt = now
-	}
 	return u
 }
 
-// BusyChanges returns the teams that must be recorded as busy before more is granted, and the recorded ones that no
-// longer need to be.
-func (a *Allocator) BusyChanges(term uint64) (busy, quiet []string) {
+// NextRecord returns what is to be recorded before more may be granted, nil if nothing is due.
+func (a *Allocator) NextRecord(term uint64) *schema.RememberQuotaUse {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.cfg.Now()
 	a.setTerm(term, now)
-	a.busy = setOf(a.cfg.BusyTeams())
+	next, urgent := now.Sub(a.recordedAt) >= RecordInterval, false
+	out := &schema.RememberQuotaUse{NextSlot: next, Keep: uint32((a.cfg.Window+GrantLifetime)/RecordInterval) + 2}
 	for team, c := range a.accounts {
-		if !a.busy[team] && a.use(team, c, now).Used > busyFraction*Budget(a.cfg.Quota(team), a.cfg.Window) {
-			busy = append(busy, team)
+		if c.unrecorded > 0 {
+			out.Amounts = append(out.Amounts, &schema.QuotaAmount{Team: team, Amount: c.unrecorded})
 		}
+		urgent = urgent || c.unrecorded > unrecordedFraction/2*limit(a.cfg.Quota(team), a.cfg.Window)
+	}
+	if !urgent && (!next || len(out.GetAmounts()) == 0 && len(a.cfg.History()) == 0) {
+		return nil
+	}
+	return out
+}
+
+// Recorded records that a record of a term was committed.
+func (a *Allocator) Recorded(term uint64, record *schema.RememberQuotaUse) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if term != a.term {
+		return
+	}
+	if record.GetNextSlot() {
+		a.recordedAt = a.cfg.Now()
 	}
-	for team := range a.busy {
-		if c := a.accounts[team]; now.Sub(a.since) > busyTime && (c == nil || now.Sub(c.busyAt) > busyTime) {
-			quiet = append(quiet, team)
+	for _, amount := range record.GetAmounts() {
+		if c := a.accounts[amount.GetTeam()]; c != nil {
+			c.unrecorded -= amount.GetAmount()
 		}
 	}
-	return busy, quiet
 }
 
 // Issue grants what is available. confirmedAt is when a quorum last confirmed this host as the leader of the term.
@@ -277,13 +308,14 @@
 		return
 	}
 	for team, c := range a.accounts {
-		if len(c.demands) == 0 && c.issued.total(now) <= 0 && now.Sub(c.busyAt) > busyTime {
+		if len(c.demands) == 0 && c.issued.total(now) <= 0 && c.unrecorded <= 0 {
 			delete(a.accounts, team)
 			continue
 		}
 		u := a.use(team, c, now)
-		c.demands.divide(u.Available, now, func(stream string, amount float64) {
-			c.issued.add(now, now, amount)
+		unrecorded := unrecordedFraction*limit(a.cfg.Quota(team), a.cfg.Window) - c.unrecorded
+		c.demands.divide(min(u.Available, unrecorded), now, func(stream string, amount float64) {
+			c.use(amount, now)
 			a.cfg.Give(stream, team, amount, now)
 		})
 	}
@@ -307,7 +339,7 @@
 	}
 	for team, c := range a.accounts {
 		use := a.use(team, c, now)
-		if !listed[team] && use.Used > unlistedUse*quietFraction*Budget(a.cfg.Quota(team), a.cfg.Window) {
+		if !listed[team] && use.Used > unlistedUse*Budget(a.cfg.Quota(team), a.cfg.Window) {
 			sums.Uses = append(sums.Uses, &schema.TeamUse{Team: team, Available: use.Available, Credit: use.Credit})
 		}
 	}
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -53,8 +53,8 @@
 	bytes int
 	// bucketTokens are the tokens in a token bucket with the team's rate and burst that all
 	// entries share, and bucketRefused counts the requests that find it empty.
-	// busy is set while the team is recorded as busy; the record survives all hosts.
-	busy          bool
+	// history is the record of what was granted; it survives all hosts.
+	history       []float64
 	bucketTokens  float64
 	bucketRefused int
 }
@@ -166,7 +166,7 @@
 	f.term++
 	l := &leader{totals: quota.NewTotals(window)}
 	l.allocator = quota.NewAllocator(quota.AllocatorConfig{
-		Window: window, Quota: func(string) *schema.Quota { return f.team.GetQuota() }, BusyTeams: f.busyTeams, Hosts: func() int { return len(f.hosts) }, Now: func() time.Time { return f.now },
+		Window: window, Quota: func(string) *schema.Quota { return f.team.GetQuota() }, History: f.slots, Hosts: func() int { return len(f.hosts) }, Now: func() time.Time { return f.now },
 		Give: func(stream, team string, amount float64, now time.Time) {
 			for _, h := range f.hosts {
 				if h.follows == l && fmt.Sprint(h.index, "/", h.starts) == stream {
@@ -257,18 +257,29 @@
 	}
 }
 
-// busyTeams returns the team if it is recorded as busy.
-func (f *fleet) busyTeams() []string {
-	if f.busy {
-		return []string{"t"}
+// slots returns the record of what was granted.
+func (f *fleet) slots() (out []*schema.QuotaSlot) {
+	for _, amount := range f.history {
+		out = append(out, &schema.QuotaSlot{Amounts: []*schema.QuotaAmount{{Team: "t", Amount: amount}}})
 	}
-	return nil
+	return out
 }
 
-// record records whether the team is busy.
+// record records what was granted.
 func (f *fleet) record() {
-	busy, quiet := f.leader.allocator.BusyChanges(f.term)
-	f.send(func() { f.busy = f.busy && len(quiet) == 0 || len(busy) > 0 })
+	l, term := f.leader, f.term
+	record := l.allocator.NextRecord(term)
+	if record == nil {
+		return
+	}
+	if record.GetNextSlot() || len(f.history) == 0 {
+		f.history = append([]float64{0}, f.history...)
+	}
+	for _, amount := range record.GetAmounts() {
+		f.history[0] += amount.GetAmount()
+	}
+	f.history = f.history[:min(len(f.history), int(record.GetKeep()))]
+	l.allocator.Recorded(term, record)
 }
 
 func (f *fleet) advanceEntry(e *entry, elapsed time.Duration) {
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -285,7 +285,7 @@
 	if m.entries == 0 {
 		return false
 	}
-	rest := credit(budget*budgetFraction*quietFraction, budget*unlistedUse, m.entries)
+	rest := credit(budget*budgetFraction, budget*unlistedUse, m.entries)
 	if u.total != nil {
 		rest = u.total.GetCredit()
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -42,15 +42,12 @@
 	budgetFraction = 1.09
 	// creditFraction of what is left of a budget is divided among all entries as their credits.
 	creditFraction = 0.2
-	// quietFraction of a budget is granted to a team that is not recorded as busy: a leader that knows nothing of
-	// its predecessors assumes that such a team has used it. A team whose use exceeds busyFraction
-	// of a budget is recorded, and one below calmFraction for busyTime no longer is.
-	quietFraction = 0.75
-	busyFraction  = 0.7
-	calmFraction  = 0.6
-	busyTime      = 20 * time.Second
+	// RecordInterval is the time between two records of what was granted, and unrecordedFraction of a budget may be
+	// granted since the last one: a leader that nobody reports to counts as much beside the records.
+	RecordInterval     = time.Second
+	unrecordedFraction = 0.25
 	// unlistedUse is the fraction of a budget that a team without sums is assumed to use.
-	unlistedUse = 0.3
+	unlistedUse = 0.5
 )
 
 // Budget returns the cost that a quota allows in a window.
@@ -59,13 +56,7 @@
 }
 
 // limit returns the cost that may be granted of a quota in the time for which grants count.
-func limit(q *schema.Quota, window time.Duration, busy bool) float64 {
-	out := Budget(q, window) * budgetFraction
-	if !busy {
-		out *= quietFraction
-	}
-	return out
-}
+func limit(q *schema.Quota, window time.Duration) float64 { return Budget(q, window) * budgetFraction }
 
 // credit returns the credit of each entry if a budget is used up to a part.
 func credit(budget, used float64, entries int) float64 {
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -157,7 +157,7 @@
 	c.origins = origin.NewTable(origin.MaxControlRecords, time.Now)
 	c.hostPermits, c.entryPermits = ratelimit.NewGrantBuffer(), ratelimit.NewGrantBuffer()
 	c.quotaAllocator = quota.NewAllocator(quota.AllocatorConfig{
-		Window: quotaWindow, Quota: c.teamQuota, BusyTeams: c.busyTeams, Hosts: c.hostCount, Now: time.Now, Give: c.grantHost,
+		Window: quotaWindow, Quota: c.teamQuota, History: c.quotaHistory, Hosts: c.hostCount, Now: time.Now, Give: c.grantHost,
 		NoShares: s.GetKeyRevocation().AsDuration() > 0,
 	})
 	c.quotaStock = quota.NewStock(quota.StockConfig{Window: quotaWindow, Give: c.grantEntry}, c.startedAt)
@@ -200,7 +200,7 @@
 	}()
 	go func() {
 		defer c.wg.Done()
-		c.runWhileLeading(ratelimit.IssueInterval, c.recordBusyTeams)
+		c.runWhileLeading(ratelimit.IssueInterval, c.recordQuotas)
 	}()
 	go func() {
 		defer c.wg.Done()
--- a/internal/role/quota.go
+++ b/internal/role/quota.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"fennelyard/internal/asynclog"
@@ -51,20 +50,24 @@
 	}
 }
 
-// busyTeams returns the teams that are recorded as busy.
-func (c *Control) busyTeams() (out []string) {
-	c.group.Ledger().View(func(_ ledger.Status, r *ledger.Records) { out = r.BusyTeams() })
+// quotaHistory returns the recorded grants of teams' quotas.
+func (c *Control) quotaHistory() (out []*schema.QuotaSlot) {
+	c.group.Ledger().View(func(_ ledger.Status, r *ledger.Records) { out = r.QuotaHistory() })
 	return out
 }
 
-// recordBusyTeams records the teams that may use much of their quotas.
-func (c *Control) recordBusyTeams() {
-	busy, quiet := c.quotaAllocator.BusyChanges(c.group.Status().Term)
-	if len(busy)+len(quiet) == 0 {
+// recordQuotas records what was granted of teams' quotas.
+func (c *Control) recordQuotas() {
+	term := c.group.Status().Term
+	record := c.quotaAllocator.NextRecord(term)
+	if record == nil {
 		return
 	}
-	err := c.commit(context.Background(), &schema.Command{Body: &schema.Command_RememberBusyTeams{RememberBusyTeams: &schema.RememberBusyTeams{Busy: busy, Quiet: quiet}}})
-	c.cfg.Log.Info("busy teams recorded", "come", strings.Join(busy, " "), "gone", strings.Join(quiet, " "), "error", asynclog.ErrorText(err))
+	if err := c.commit(context.Background(), &schema.Command{Body: &schema.Command_RememberQuotaUse{RememberQuotaUse: record}}); err != nil {
+		c.cfg.Log.Info("quota use not recorded", "teams", len(record.GetAmounts()), "error", asynclog.ErrorText(err))
+		return
+	}
+	c.quotaAllocator.Recorded(term, record)
 }
 
 // grantHost sends a part of a team's quota to a control host's stream.
