quota: what the present leader granted through another host is not counted twice

Entries now say under which leader they used it. The record before a leader's start also ages from the end of its predecessor where all control hosts have started again, and leaders record so often that 0.15 of a budget, not 0.25, may be unrecorded.

--- a/internal/gateway/access_test.go
+++ b/internal/gateway/access_test.go
@@ -161,8 +161,8 @@
 func TestOverQuota(t *testing.T) {
 	a := newBackend(t, respondOK)
 	tg := newTestGatewayWithTeams(t, []*schema.Team{teamWithKeys("a", &schema.Quota{RatePerSecond: 0.25}, "k1"), teamWithKeys("b", nil, "k2")}, a)
-	tg.g.GrantQuota("a", 2)
 	tg.g.SetTeamUses(&schema.TeamUses{Entries: 1, Uses: []*schema.TeamUse{{Team: "a", Admitted: 2, Available: -2}}})
+	tg.g.GrantQuota("a", 2)
 	require.Equal(t, http.StatusOK, tg.callWithKey(t, "/once/x", "k1").status)
 	require.Equal(t, http.StatusOK, tg.callWithKey(t, "/once/x", "k1").status)
 	r := tg.callWithKey(t, "/once/x", "k1")
@@ -171,8 +171,8 @@
 	require.Equal(t, http.StatusOK, tg.callWithKey(t, "/once/x", "k2").status)
 	full := newBackend(t, respondNotRun)
 	tg = newTestGatewayWithTeams(t, []*schema.Team{teamWithKeys("a", &schema.Quota{RatePerSecond: 0.25}, "k1")}, full)
-	tg.g.GrantQuota("a", 2)
 	tg.g.SetTeamUses(&schema.TeamUses{Entries: 1, Uses: []*schema.TeamUse{{Team: "a", Admitted: 2, Available: -2}}})
+	tg.g.GrantQuota("a", 2)
 	for range 5 {
 		require.Equal(t, http.StatusServiceUnavailable, tg.callWithKey(t, "/once/x", "k1").status)
 	}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -389,4 +389,4 @@
 }
 
 // SetTeamUses sets the uses of quotas over all entries.
-func (g *Gateway) SetTeamUses(uses *schema.TeamUses) { g.quotas.SetTotals(uses) }
+func (g *Gateway) SetTeamUses(uses *schema.TeamUses) { g.quotas.SetTotals(1, uses) }
--- a/internal/gateway/subscriber.go
+++ b/internal/gateway/subscriber.go
@@ -435,7 +435,7 @@
 		s.g.addQuotaGrants(update.GetPermits(), after)
 	}
 	if u := update.GetTeamUses(); u != nil {
-		s.g.quotas.SetTotals(u)
+		s.g.quotas.SetTotals(position.Term, u)
 	}
 	s.g.demand.setForecasts(update.GetForecasts(), time.Now())
 	s.appliedSequence.Store(update.GetSequence())
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -45,7 +45,7 @@
 	since time.Time
 	// history are the grants that were recorded before this leader began, by team, and recordedAt is when it began
 	// the newest slot of the record.
-	history    map[string]*ring
+	history    map[string][]pastGrant
 	recordedAt time.Time
 	// accounts are by team, and hosts by address.
 	accounts map[string]*account
@@ -68,11 +68,18 @@
 	unrecorded float64
 }
 
+// pastGrant is what was granted at least age before a leader began.
+type pastGrant struct {
+	amount float64
+	age    time.Duration
+}
+
 // hostReport is what a control host last reported.
 type hostReport struct {
 	stream            string
 	subscribed, known int
 	knowsWindow       bool
+	startedAt         time.Time
 }
 
 // Use is the use of a team's quota as the leader counts it.
@@ -95,16 +102,12 @@
 		return
 	}
 	a.term, a.since, a.entries, a.missingSince = term, now, 0, time.Time{}
-	a.history, a.recordedAt = map[string]*ring{}, now
+	a.history, a.recordedAt = map[string][]pastGrant{}, now
 	for i, slot := range a.cfg.History() {
+		// The amounts of a slot were granted before the next one began.
+		age := time.Duration(max(i-1, 0)) * RecordInterval
 		for _, amount := range slot.GetAmounts() {
-			h := a.history[amount.GetTeam()]
-			if h == nil {
-				h = newUseRing(now, a.cfg.Window)
-				a.history[amount.GetTeam()] = h
-			}
-			// The amounts of a slot were granted before the next one began.
-			h.add(now.Add(-time.Duration(max(i-1, 0))*RecordInterval), now, amount.GetAmount())
+			a.history[amount.GetTeam()] = append(a.history[amount.GetTeam()], pastGrant{amount.GetAmount(), age})
 		}
 	}
 	clear(a.accounts)
@@ -139,6 +142,7 @@
 		a.hosts[host] = h
 	}
 	h.subscribed, h.known, h.knowsWindow = int(report.GetSubscribedEntries()), int(report.GetKnownEntries()), report.GetKnowsWindow()
+	h.startedAt = now.Add(-time.Duration(report.GetUptimeMs()) * time.Millisecond)
 	a.entries = max(a.entries, int(report.GetEntries()))
 	if !a.knowsAll(now) {
 		for _, use := range report.GetUses() {
@@ -237,13 +241,34 @@
 	return 0
 }
 
+// pause returns for how long nobody can have granted anything before this leader began: if all control hosts have
+// started again, the last leader ended before the last of them did. The caller holds mu.
+func (a *Allocator) pause() time.Duration {
+	if len(a.hosts) < a.cfg.Hosts() {
+		return 0
+	}
+	var last time.Time
+	for _, h := range a.hosts {
+		if h.knowsWindow {
+			return 0
+		}
+		if h.startedAt.After(last) {
+			last = h.startedAt
+		}
+	}
+	return max(a.since.Sub(last), 0)
+}
+
 // unknownUse returns what may have been used of a team's quota unknown to this leader, if nobody reports it: what was
 // recorded, and what may have been granted since the last record or used on credit. The caller holds mu.
 func (a *Allocator) unknownUse(team string, most float64, now time.Time) float64 {
-	recorded := 0.0
-	if h := a.history[team]; h != nil {
-		recorded = min(h.total(now), most)
+	recorded, age := 0.0, now.Sub(a.since)+a.pause()
+	for _, g := range a.history[team] {
+		if g.age+age <= a.cfg.Window+GrantLifetime {
+			recorded += g.amount
+		}
 	}
+	recorded = min(recorded, most)
 	return min(recorded+unrecordedFraction*most+creditFraction*(most-recorded), most)
 }
 
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -320,10 +320,10 @@
 		f.reportEntry(e, phase%entryReportInterval == 0)
 	}
 	if h := e.host; phase%entryReportInterval == 0 && h.follows != nil && h.follows == f.leader && h.uses != nil {
-		meter, uses, at := e.meter, h.uses, f.now
+		meter, uses, at, term := e.meter, h.uses, f.now, f.term
 		f.bytes += 30 * len(uses.GetUses())
 		f.send(func() {
-			meter.SetTotals(uses)
+			meter.SetTotals(term, uses)
 			e.confirmedAt = at
 		})
 	}
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -121,6 +121,8 @@
 // teamUsage is one entry's usage of a team's quota.
 type teamUsage struct {
 	admitted, requested *ring
+	// current is the part of admitted since the first sums of the present leader.
+	current *ring
 	// total is the latest sum over all entries; nil if the team uses little of its quota.
 	total *schema.TeamUse
 	// held are the grants that are left, the oldest first, and received is the sum of all received on the
@@ -167,6 +169,8 @@
 	// entries is the number of entries by which the leader divides credits, 0 before its first sums;
 	// guarded by mu.
 	entries int
+	// term is the leader's term of the last sums; guarded by mu.
+	term uint64
 }
 
 // NewMeter returns a Meter without usage.
@@ -179,7 +183,9 @@
 func (m *Meter) usage(team string) *teamUsage {
 	u := m.teams[team]
 	if u == nil {
-		u = &teamUsage{admitted: newUseRing(m.start, m.cfg.Window), requested: newUseRing(m.start, m.cfg.Window)}
+		u = &teamUsage{
+			admitted: newUseRing(m.start, m.cfg.Window), requested: newUseRing(m.start, m.cfg.Window), current: newUseRing(m.start, m.cfg.Window),
+		}
 		m.teams[team] = u
 	}
 	return u
@@ -248,6 +254,7 @@
 func (u *teamUsage) admit(a *Admission, source Source, now time.Time) {
 	a.source, a.admittedAt = source, now
 	u.admitted.add(now, now, a.cost)
+	u.current.add(now, now, a.cost)
 }
 
 // takeGrants admits a request if the held grants cover it; the caller holds mu.
@@ -381,6 +388,7 @@
 		return
 	}
 	u.admitted.add(a.admittedAt, now, -a.cost)
+	u.current.add(a.admittedAt, now, -a.cost)
 	if a.source == SourceGrant {
 		u.hold(a.cost, a.grantedAt)
 		m.serveWaiting(u, now)
@@ -422,15 +430,23 @@
 	var out []*schema.QuotaUse
 	for team, u := range m.teams {
 		u.received, u.reported = 0, nil
-		byAge := u.admitted.byAge(now)
+		earlier, current := u.admitted.byAge(now), u.current.byAge(now)
 		if held := u.heldSum(); held > 0 {
-			if byAge == nil {
-				byAge = make([]float64, ageParts)
+			if current == nil {
+				current = make([]float64, ageParts)
+			}
+			current[0] += held
+		}
+		for i := range earlier {
+			if i < len(current) {
+				earlier[i] = max(earlier[i]-current[i], 0)
 			}
-			byAge[0] += held
 		}
-		if byAge != nil {
-			out = append(out, &schema.QuotaUse{Team: team, ByAge: byAge})
+		if earlier != nil {
+			out = append(out, &schema.QuotaUse{Team: team, ByAge: earlier})
+		}
+		if current != nil {
+			out = append(out, &schema.QuotaUse{Team: team, ByAge: current, Term: m.term})
 		}
 	}
 	return out
@@ -464,11 +480,18 @@
 	return out
 }
 
-// SetTotals sets the sums over all entries. Teams that are not listed use little of their
-// quotas.
-func (m *Meter) SetTotals(uses *schema.TeamUses) {
+// SetTotals sets the sums over all entries, of the leader of a term. Teams that are not listed use little of their
+// quotas. Grants of an earlier leader are dropped: the present one counts them as used.
+func (m *Meter) SetTotals(term uint64, uses *schema.TeamUses) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if term != m.term {
+		m.term = term
+		for _, u := range m.teams {
+			u.held = nil
+			clear(u.current.amounts)
+		}
+	}
 	m.entries = int(uses.GetEntries())
 	for _, u := range m.teams {
 		u.total = nil
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -45,7 +45,7 @@
 	// RecordInterval is the time between two records of what was granted, and unrecordedFraction of a budget may be
 	// granted since the last one: a leader that nobody reports to counts as much beside the records.
 	RecordInterval     = time.Second
-	unrecordedFraction = 0.25
+	unrecordedFraction = 0.15
 	// unlistedUse is the fraction of a budget that a team without sums is assumed to use.
 	unlistedUse = 0.5
 )
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -77,7 +77,7 @@
 func BenchmarkQuota(b *testing.B) {
 	team := &schema.Team{Name: "t", Quota: &schema.Quota{Tokens: true, RatePerSecond: 1e15, Burst: 1e15}}
 	m := quota.NewMeter(quota.MeterConfig{Window: window, Random: rand.Float64, Rank: func(string) int { return 0 }}, start)
-	m.SetTotals(&schema.TeamUses{Uses: []*schema.TeamUse{{Team: "t", Admitted: 1, Requested: 1}}})
+	m.SetTotals(1, &schema.TeamUses{Uses: []*schema.TeamUse{{Team: "t", Admitted: 1, Requested: 1}}})
 	m.Grant("t", 1e15, start, start)
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/quota/stock.go
+++ b/internal/quota/stock.go
@@ -97,7 +97,10 @@
 		for _, use := range report.GetUses() {
 			t := s.team(use.GetTeam())
 			t.given.addByAge(use.GetByAge(), now)
-			t.adopted.addByAge(use.GetByAge(), now)
+			if use.GetTerm() == 0 || use.GetTerm() != s.reportedTerm {
+				// The present leader knows what it has granted through another host.
+				t.adopted.addByAge(use.GetByAge(), now)
+			}
 		}
 	}
 	s.report(entry, report, now)
@@ -223,7 +226,7 @@
 	subscribed, known := s.countEntries(now)
 	out := &schema.QuotaReport{
 		Entries: uint32(s.knownEntries), SubscribedEntries: uint32(subscribed), KnownEntries: uint32(known), LostEntries: uint32(s.lostEntries),
-		KnowsWindow: now.Sub(s.start) >= s.cfg.Window+GrantLifetime,
+		KnowsWindow: now.Sub(s.start) >= s.cfg.Window+GrantLifetime, UptimeMs: uint64(now.Sub(s.start).Milliseconds()),
 	}
 	s.lostEntries = 0
 	for name, t := range s.teams {
