quota: the record ages from the start of a majority of the control hosts

An earlier leader was confirmed by a majority: if all others than fewer than half of the voters have started again, it was last confirmed before the last of them did.

--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -28,8 +28,8 @@
 	NoShares bool
 	// Give sends a grant to a control host's stream.
 	Give func(stream, team string, amount float64, now time.Time)
-	// Hosts returns the number of control hosts.
-	Hosts func() int
+	// Hosts returns the number of control hosts, and of those that vote.
+	Hosts func() (all, voters int)
 	Now   func() time.Time
 }
 
@@ -217,13 +217,14 @@
 		return 0
 	}
 	known, knowing := 0, 0
+	hosts, _ := a.cfg.Hosts()
 	for _, h := range a.hosts {
 		known += h.known
 		if h.knowsWindow {
 			knowing++
 		}
 	}
-	return max(min(1-float64(known)/float64(a.entryCount()), 1-float64(knowing)/float64(max(a.cfg.Hosts(), 1))), 0)
+	return max(min(1-float64(known)/float64(a.entryCount()), 1-float64(knowing)/float64(max(hosts, 1))), 0)
 }
 
 // reservedPart returns the part of the budgets that is reserved for entries that are cut off, which keep to their
@@ -241,10 +242,12 @@
 	return 0
 }
 
-// pause returns for how long nobody can have granted anything before this leader began: if all control hosts have
-// started again, the last leader ended before the last of them did. The caller holds mu.
+// pause returns for how long nobody can have granted anything before this leader began. An earlier leader was confirmed
+// by a majority of the control hosts, and so by one of any others than fewer than half of them: if all of these have
+// started again, it was last confirmed before the last of them did. The caller holds mu.
 func (a *Allocator) pause() time.Duration {
-	if len(a.hosts) < a.cfg.Hosts() {
+	hosts, voters := a.cfg.Hosts()
+	if 2*(hosts-len(a.hosts)) >= voters {
 		return 0
 	}
 	var last time.Time
@@ -256,7 +259,7 @@
 			last = h.startedAt
 		}
 	}
-	return max(a.since.Sub(last), 0)
+	return max(a.since.Sub(last)-maxLeaderAge, 0)
 }
 
 // unknownUse returns what may have been used of a team's quota unknown to this leader, if nobody reports it: what was
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -166,7 +166,7 @@
 	f.term++
 	l := &leader{totals: quota.NewTotals(window)}
 	l.allocator = quota.NewAllocator(quota.AllocatorConfig{
-		Window: window, Quota: func(string) *schema.Quota { return f.team.GetQuota() }, History: f.slots, Hosts: func() int { return len(f.hosts) }, Now: func() time.Time { return f.now },
+		Window: window, Quota: func(string) *schema.Quota { return f.team.GetQuota() }, History: f.slots, Hosts: func() (int, int) { return len(f.hosts), len(f.hosts) }, Now: func() time.Time { return f.now },
 		Give: func(stream, team string, amount float64, now time.Time) {
 			for _, h := range f.hosts {
 				if h.follows == l && fmt.Sprint(h.index, "/", h.starts) == stream {
--- a/internal/role/quota.go
+++ b/internal/role/quota.go
@@ -80,8 +80,16 @@
 	c.entryPermits.Add(entry, &schema.PermitGrant{Entry: entry, Team: team, Amount: amount}, issuedAt)
 }
 
-// hostCount returns the number of control hosts.
-func (c *Control) hostCount() int { return len(c.group.Status().Membership.GetMembers()) }
+// hostCount returns the number of control hosts, and of those that vote.
+func (c *Control) hostCount() (all, voters int) {
+	for _, m := range c.group.Status().Membership.GetMembers() {
+		all++
+		if !m.GetLearner() {
+			voters++
+		}
+	}
+	return all, voters
+}
 
 // logQuotas logs the quota use of teams that have used much of theirs.
 func (c *Control) logQuotas() {
