--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -264,6 +264,8 @@
 		return "the entry could not confirm its configuration for " + request.text("confirmed-age-ms") + " ms; the API key may have been added or revoked since"
 	case "over-quota":
 		return "team " + request.text("team") + " had exhausted its quota over all entries"
+	case "no-grant":
+		return "no control host could grant the request within its team's quota; the entry's last confirmation was " + request.text("confirmed-age-ms") + " ms old"
 	case "server-limit":
 		return "every server that could serve the request states a limit on its requests, which was used up for longer than the caller would wait; it waited " + fmt.Sprint(waited)
 	case "no-path":
