--- a/internal/role/quota_test.go
+++ b/internal/role/quota_test.go
@@ -201,6 +201,7 @@
 				defer d.close()
 				defer b.close()
 				l.run(10*time.Second, usualLoad)
+				l.wg.Wait()
 				require.Equal(t, []int{http.StatusOK}, statusesOf(l.statuses), "below the quota")
 				done := make(chan struct{})
 				go func() {
