--- a/internal/ledger/versions.go
+++ b/internal/ledger/versions.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"strconv"
 	"strings"
 
 	"fennelyard/internal/schema"
@@ -10,7 +11,8 @@
 
 // VersionKey returns the key of the record of a version of a pool's software.
 func VersionKey(v *schema.PoolVersion) string {
-	return versionPrefix + v.GetPool() + "/" + v.GetSoftware()
+	// The length tells pools apart whose names contain the separator.
+	return versionPrefix + strconv.Itoa(len(v.GetPool())) + "/" + v.GetPool() + "/" + v.GetSoftware()
 }
 
 // IsVersionKey reports whether a key is that of a version of a pool's software.
