tunnel: the end of the host in between is not the end of the response

The server's bytes are now sent in chunks (RFC 9112, section 7.1; net/http/httputil), and the last chunk follows only if the server has closed its connection regularly. Everything else is an error of the tunnel, which names the host. Hosts agree on it by a header: an older host gets and sends plain bytes, and the end of its tunnel proves nothing.

--- a/internal/tcp/copy.go
+++ b/internal/tcp/copy.go
@@ -6,13 +6,13 @@
 	"github.com/cockroachdb/errors"
 )
 
-// copyBufferBytes is what is held of the bytes that are copied.
-const copyBufferBytes = 16 << 10
+// CopyBufferBytes is what is held of the bytes that are copied, and the most that is written at once.
+const CopyBufferBytes = 16 << 10
 
 // Copy copies with one small buffer, no faster than dst takes the bytes, until either side fails; both errors are nil at the regular end of src. onFirst, if
 // set, is called once before the first bytes are written.
 func Copy(dst io.Writer, src io.Reader, onFirst func()) (readErr, writeErr error) {
-	buffer := make([]byte, copyBufferBytes)
+	buffer := make([]byte, CopyBufferBytes)
 	for {
 		n, err := src.Read(buffer)
 		if n > 0 && onFirst != nil {
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -1,9 +1,12 @@
 package tunnel
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"net/url"
 	"strconv"
 	"syscall"
@@ -50,21 +53,29 @@
 type Conn struct {
 	net.Conn
 	via string
-	// ahead are the server's first bytes, which have arrived with the response to CONNECT.
-	ahead []byte
+	// in returns the server's bytes, and io.EOF only if the server has closed its connection.
+	in io.Reader
+}
+
+// newConn returns the connection on which a response to CONNECT has arrived, together with the bytes ahead.
+func newConn(conn net.Conn, via string, response *http.Response, ahead []byte) *Conn {
+	in := io.MultiReader(bytes.NewReader(ahead), conn)
+	if response.Header.Get(headerFraming) == framingChunked {
+		return &Conn{Conn: conn, via: via, in: httputil.NewChunkedReader(in)}
+	}
+	return &Conn{Conn: conn, via: via, in: unstatedEndReader{in}}
 }
 
 // Via returns the address of the host that carries the tunnel.
 func (c *Conn) Via() string { return c.via }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It returns io.EOF only if the server has closed its connection.
 func (c *Conn) Read(p []byte) (int, error) {
-	if len(c.ahead) > 0 {
-		n := copy(p, c.ahead)
-		c.ahead = c.ahead[n:]
-		return n, nil
+	n, err := c.in.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = errors.Newf("tunnel through %s: %w", c.via, err)
 	}
-	return c.Conn.Read(p)
+	return n, err
 }
 
 // SyscallConn implements syscall.Conn, for options of the connection to the other host.
@@ -104,7 +115,7 @@
 		_ = conn.Close()
 		return nil, errors.Newf("tunnel through %s: %w", o.Host, err)
 	}
-	return &Conn{Conn: conn, via: o.Host, ahead: in.Ahead()}, nil
+	return newConn(conn, o.Host, response, in.Ahead()), nil
 }
 
 // NewOpener returns a function that opens tunnels over connections of dial.
@@ -120,7 +131,7 @@
 
 // connect sends CONNECT and returns the response, whose body is not read.
 func connect(conn net.Conn, in *bound.Reader, o Options) (*http.Response, error) {
-	request := &http.Request{Method: http.MethodConnect, URL: &url.URL{Opaque: o.Server}, Host: o.Server, Header: http.Header{}}
+	request := &http.Request{Method: http.MethodConnect, URL: &url.URL{Opaque: o.Server}, Host: o.Server, Header: http.Header{headerFraming: {framingChunked}}}
 	if err := request.Write(conn); err != nil {
 		return nil, errors.Newf("send CONNECT: %w", err)
 	}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -5,7 +5,8 @@
 // connection to a server. The other host connects to the server over its own path, never through a
 // third host, and copies bytes. It decides nothing about the requests: a connection that either end
 // closes or resets is closed or reset at the other end, so that errors and cancellations mean the
-// same as on a direct connection.
+// same as on a direct connection. The server's bytes are sent in chunks, so that their end cannot be
+// mistaken for that of the host in between.
 package tunnel
 
 import (
@@ -138,6 +139,11 @@
 		return
 	}
 	t := &tunnel{client: client, server: server, in: in.Reader}
+	head := "HTTP/1.1 200 OK\r\n"
+	if r.Header.Get(headerFraming) == framingChunked {
+		t.out = newChunkWriter(client, tcp.CopyBufferBytes)
+		head += headerFraming + ": " + framingChunked + "\r\n"
+	}
 	if !s.track(t) {
 		t.reset()
 		return
@@ -145,7 +151,7 @@
 	defer s.untrack(t)
 	// net/http may have set deadlines.
 	_ = client.SetDeadline(time.Time{})
-	if _, err = io.WriteString(client, "HTTP/1.1 200 OK\r\n\r\n"); err != nil {
+	if _, err = io.WriteString(client, head+"\r\n"); err != nil {
 		t.reset()
 		return
 	}
@@ -221,7 +227,9 @@
 type tunnel struct {
 	client, server net.Conn
 	// in reads from client.
-	in   io.Reader
+	in io.Reader
+	// out writes to client in chunks; nil for a client that takes the bytes as they are.
+	out  *chunkWriter
 	once sync.Once
 }
 
@@ -258,7 +266,14 @@
 // copyResponse copies from the server until either end is gone. A response without a length ends with
 // its connection: a reset must not look like its regular end.
 func (t *tunnel) copyResponse() {
-	readErr, writeErr := tcp.Copy(t.client, t.server, func() { tcp.AwaitPeer(t.server) })
+	var out io.Writer = t.client
+	if t.out != nil {
+		out = t.out
+	}
+	readErr, writeErr := tcp.Copy(out, t.server, func() { tcp.AwaitPeer(t.server) })
+	if t.out != nil && readErr == nil && writeErr == nil {
+		writeErr = t.out.end()
+	}
 	t.end(readErr != nil, writeErr != nil)
 }
 
