gateway: an interrupted response is reset, so that it looks whole to no caller

A caller that takes no chunks (HTTP/1.0) sees the end of its response in the end of the connection. An interrupted one was closed regularly, as panic(http.ErrAbortHandler) does, and looked whole. The connection is reset now, for all callers.

Before: TestAbortedResponsesDoNotLookWhole, without chunks, reads the part as whole; now both kinds get an error.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -485,13 +485,13 @@
 	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(writeSlack))
 }
 
-// finish logs the request, and aborts the connection of an interrupted response.
+// finish logs the request, and resets the connection of an interrupted response.
 func (x *exchange) finish() {
 	x.bodyMemory.Release()
 	x.streamEnded()
 	x.refundQuota()
 	x.g.logRequest(x)
 	if x.status == 0 {
-		panic(http.ErrAbortHandler)
+		tcp.AbortResponse(x.w)
 	}
 }
