gateway: a response without a length or chunks is whole only if its server still runs

Callers saw half a stream or body as a whole one. A response with neither length nor chunks ends with its connection, which the kernel also closes for a process that ends. The check of that end asked whether anybody refuses connections at the address, and took all else for a proof: no answer (a lost path, a refusal that no other entry confirms), nobody asked (a server that leaves, also one whose notice has run out), any process that listens there (the next one).

The end of a file is no proof. Body returns an error unless the same incarnation responds to a health check after the end and names itself, and unless the server stopped at the deadline that it was sent. A stream that may be resumed goes on after its last event, a body that may run again is sent again, all else is broken off or 502.

Evidence: with the check as before, TestHalfResponsesDoNotLookWhole fails in 8 of 18 cases, TestStreamWhoseEndIsNotProvedIsResumed and TestStreamThatItsServerStopsAtTheDeadlineIsNotWhole fail; all pass now.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -112,4 +112,6 @@
 	SetForwardHeader func(http.Header, ForwardInfo)
 	MatchesRequest   func(response http.Header, id string) bool
 	ParseResponse    func(status int, response http.Header) ResponseInfo
+	// ParseIdentity returns the server that a response to a health check names, empty if it names none.
+	ParseIdentity func(response http.Header) string
 }
--- /dev/null
+++ b/internal/gateway/end_test.go
@@ -0,0 +1,112 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelyard/internal/gateway"
+	"fennelyard/internal/relay"
+	"fennelyard/internal/schema"
+)
+
+// respondUntilClose sends a response without a length or chunks, and closes the connection regularly.
+func respondUntilClose(body string) func(net.Conn, *http.Request) {
+	return func(conn net.Conn, request *http.Request) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%s\r\n%s", request.Header.Get("X-Id"), signed, body)
+	}
+}
+
+const twoEvents = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
+
+// A response without a length or chunks that ends because its server's process did, or the host that carried it,
+// must not look whole, whatever is found at the server's address afterwards.
+func TestHalfResponsesDoNotLookWhole(t *testing.T) {
+	for name, tt := range map[string]struct {
+		afterwards func(tg *testGateway, b *backend)
+		whole      bool
+	}{
+		"the server runs": {func(*testGateway, *backend) {}, true},
+		"the server runs and leaves": {func(tg *testGateway, b *backend) {
+			tg.g.ApplyServers(true, &schema.RosterServer{Id: "s0", Pool: "p", Address: b.l.Addr().String(), State: schema.RosterState_ROSTER_STATE_LEAVING})
+		}, true},
+		"another server has the address":  {func(_ *testGateway, b *backend) { b.setIdentify(statesServer("s1")) }, false},
+		"nobody says who has the address": {func(_ *testGateway, b *backend) { b.setIdentify(statesServer("")) }, false},
+		"connections are closed at once":  {func(_ *testGateway, b *backend) { b.setIdentify(func(net.Conn) {}) }, false},
+		"connections get no response":     {func(_ *testGateway, b *backend) { b.setIdentify(func(net.Conn) { time.Sleep(time.Second) }) }, false},
+		"connections are refused":         {func(_ *testGateway, b *backend) { _ = b.l.Close() }, false},
+		"a server that leaves has ended": {func(tg *testGateway, b *backend) {
+			tg.g.ApplyServers(true, &schema.RosterServer{Id: "s0", Pool: "p", Address: b.l.Addr().String(), State: schema.RosterState_ROSTER_STATE_LEAVING})
+			_ = b.l.Close()
+		}, false},
+		"a server that was removed has ended": {func(tg *testGateway, b *backend) {
+			tg.g.ApplyServers(true)
+			_ = b.l.Close()
+		}, false},
+	} {
+		for _, path := range []string{"/once/x", "/events/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				var tg *testGateway
+				var server *backend
+				server = newBackend(t, func(conn net.Conn, request *http.Request) {
+					respondUntilClose(twoEvents)(conn, request)
+					tt.afterwards(tg, server)
+				})
+				tg = newTestGateway(t, server)
+				got := tg.call(t, path, "body", "")
+				switch {
+				case tt.whole:
+					require.Equal(t, result{status: http.StatusOK, body: twoEvents}, got)
+				case path == "/once/x":
+					require.Equal(t, result{status: http.StatusBadGateway}, got)
+				default:
+					require.True(t, got.interrupted, "%d", got.status)
+				}
+				require.Equal(t, int64(1), server.requests.Load())
+			})
+		}
+	}
+}
+
+// A stream whose end nothing proves goes on at another server after its last event.
+func TestStreamWhoseEndIsNotProvedIsResumed(t *testing.T) {
+	ended := newBackend(t, respondUntilClose(twoEvents)).setIdentify(func(net.Conn) {})
+	other := newBackend(t, streamEvents(3, 4, true))
+	tg := newTestGateway(t, ended, other)
+	for range 20 {
+		got := tg.call(t, "/resume/x", "body", "")
+		require.Equal(t, http.StatusOK, got.status)
+		require.False(t, got.interrupted)
+		if other.header("X-After") == "2" {
+			require.Equal(t, twoEvents+"id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n", got.body)
+			return
+		}
+	}
+	t.Fatal("no stream was resumed")
+}
+
+// A server that stops at the deadline that it was sent closes its connection as after the last event.
+func TestStreamThatItsServerStopsAtTheDeadlineIsNotWhole(t *testing.T) {
+	server := newBackend(t, func(conn net.Conn, request *http.Request) {
+		respondUntilClose(twoEvents)(conn, request)
+		time.Sleep(290 * time.Millisecond)
+	})
+	tg := newTestGateway(t, server)
+	tg.timeoutMs = "300"
+	require.True(t, tg.call(t, "/events/x", "body", "").interrupted)
+}
+
+// The counter tells proved ends from others.
+func TestEndsWithTheConnectionAreCounted(t *testing.T) {
+	var counted []relay.Presence
+	count := func(c *gateway.Config) {
+		c.Sender, c.OnConnectionEnd = relay.NewSender(relay.Config{}), func(p relay.Presence) { counted = append(counted, p) }
+	}
+	startConfiguredGateway(t, count, newBackend(t, respondUntilClose("done"))).call(t, "/once/x", "body", "")
+	startConfiguredGateway(t, count, newBackend(t, respondUntilClose("done")).setIdentify(statesServer("s9"))).call(t, "/once/x", "body", "")
+	require.Equal(t, []relay.Presence{relay.PresenceConfirmed, relay.PresenceReplaced}, counted)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -426,7 +426,7 @@
 func (x *exchange) responseEnded(s *server, response *relay.Response) {
 	x.g.fleet.recordSuccess(s)
 	if response.Status < http.StatusInternalServerError {
-		x.attemptCompleted(s, response)
+		x.attemptCompleted(s)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,9 @@
 	Memory *memory.Budget
 	// OnBoundMet, if set, is called for each response of a server that meets a bound.
 	OnBoundMet func(bound.Kind)
+	// OnConnectionEnd, if set, is called for each response without a length or chunks whose connection was
+	// closed, with what is known of its server then.
+	OnConnectionEnd func(relay.Presence)
 	// PathLost reports whether this entry reaches no backend server over its own network path; nil: it
 	// always does.
 	PathLost func() bool
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -55,6 +55,7 @@
 				Cooldown: cooldown.ParseResponse(status, header, time.Now()), Leaving: header.Get("X-Leaving") != "",
 			}
 		},
+		ParseIdentity: func(header http.Header) string { return header.Get("X-Server") },
 	}
 }
 
@@ -65,6 +66,37 @@
 	requests    atomic.Int64
 	mu          sync.Mutex
 	lastRequest *http.Request
+	// identify responds to health checks, which are not counted; both are guarded by mu.
+	identify func(conn net.Conn)
+}
+
+// healthPath is where backends state which server they are.
+const healthPath = "/health"
+
+// statesServer returns a response to health checks that names a server.
+func statesServer(id string) func(net.Conn) {
+	return func(conn net.Conn) { _, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Server: "+id+"\r\nContent-Length: 0\r\n\r\n") }
+}
+
+// setIdentify sets how a backend responds to health checks, and returns the backend.
+func (b *backend) setIdentify(identify func(net.Conn)) *backend {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.identify = identify
+	return b
+}
+
+// answerHealthCheck responds to a health check, and reports whether the request is one.
+func (b *backend) answerHealthCheck(conn net.Conn, request *http.Request) bool {
+	if request.URL.Path != healthPath {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.identify != nil {
+		b.identify(conn)
+	}
+	return true
 }
 
 func newBackend(t *testing.T, handle func(conn net.Conn, request *http.Request)) *backend {
@@ -86,6 +118,9 @@
 					return
 				}
 				_, _ = io.ReadAll(request.Body)
+				if b.answerHealthCheck(conn, request) {
+					return
+				}
 				b.requests.Add(1)
 				b.mu.Lock()
 				b.lastRequest = request
@@ -188,6 +223,9 @@
 	g.Configure(configuration(1, routes()...))
 	var views []*schema.RosterServer
 	for i, b := range backends {
+		if b.identify == nil {
+			b.setIdentify(statesServer(fmt.Sprint("s", i)))
+		}
 		views = append(views, &schema.RosterServer{
 			Id: fmt.Sprint("s", i), Pool: "p", Address: b.l.Addr().String(), Slots: 6,
 			Models: []*schema.HeldModel{{Name: "m", Adapters: []string{"a"}}},
@@ -219,7 +257,7 @@
 		{Key: ledger.ConfigurationKey, Revision: version, Value: &schema.Record_Configuration{
 			Configuration: &schema.Configuration{Version: version, Limits: &schema.CallerLimits{MaxBodyBytes: 64}},
 		}},
-		{Key: ledger.PoolKey("p"), Value: &schema.Record_Pool{Pool: &schema.Pool{Name: "p"}}},
+		{Key: ledger.PoolKey("p"), Value: &schema.Record_Pool{Pool: &schema.Pool{Name: "p", HealthPath: healthPath}}},
 	}}
 	for _, r := range routes {
 		c.Records = append(c.Records, &schema.Record{Key: ledger.RouteKey(r.GetName()), Value: &schema.Record_Route{Route: r}})
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -70,23 +70,9 @@
 	return out
 }
 
-// verifyEnd reports what is known of a server's process at the end of a response that ends
-// with its connection. A leaving server ends its process once it has responded.
-func (x *exchange) verifyEnd(s *server) relay.Presence {
-	if !x.g.fleet.isReady(s) {
-		return relay.PresenceNotProbed
-	}
-	presence := x.g.guard.Ended(x.ctx, s.id, s.address)
-	x.g.cfg.Log.Info("response ended with its connection", "server", s.id, "request", x.info.ID, "answers", presence.String())
-	return presence
-}
-
-// attemptCompleted records a response that ended regularly. One whose end nothing proves is
-// no evidence that the request does not crash servers.
-func (x *exchange) attemptCompleted(s *server, response *relay.Response) {
-	if response.Body.Complete() {
-		x.g.guard.AttemptCompleted(x.keyedRequest(), s.kind)
-	}
+// attemptCompleted records that a response was read to its regular end.
+func (x *exchange) attemptCompleted(s *server) {
+	x.g.guard.AttemptCompleted(x.keyedRequest(), s.kind)
 }
 
 // suspectServer returns a server as the guard knows it.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -31,7 +31,7 @@
 		switch {
 		case err == nil:
 			x.g.fleet.recordSuccess(s)
-			x.attemptCompleted(s, response)
+			x.attemptCompleted(s)
 			x.status, x.outcome = http.StatusOK, OutcomeServed
 			return false
 		case errors.Is(err, errCallerGone):
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -38,6 +38,7 @@
 	teamRequests       *prometheus.CounterVec
 	suspectChanges     *prometheus.CounterVec
 	boundsMet          *prometheus.CounterVec
+	responsesEnded     *prometheus.CounterVec
 
 	teamsMu sync.Mutex
 	// teamLabels holds the teams that have their own label value; guarded by teamsMu.
--- a/internal/metrics/routes.go
+++ b/internal/metrics/routes.go
@@ -43,7 +43,10 @@
 	s.boundsMet = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "bounds_met_total", Help: "Responses that sent more than is read, by the kind of the peer and of the bound.",
 	}, []string{"peer", "bound"})
-	s.registry.MustRegister(s.boundsMet, s.suspectChanges, s.teamRequests, s.routeRequests, s.routeRequestTime, s.routeFirstByte, s.dispatches, s.engineOrders, s.backendConnections, s.refusedMessages)
+	s.responsesEnded = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "responses_ended_with_connection_total", Help: "Responses without a length or chunks whose connection was closed, by what was known of the server then; only confirmed ones count as whole.",
+	}, []string{"server"})
+	s.registry.MustRegister(s.responsesEnded, s.boundsMet, s.suspectChanges, s.teamRequests, s.routeRequests, s.routeRequestTime, s.routeFirstByte, s.dispatches, s.engineOrders, s.backendConnections, s.refusedMessages)
 }
 
 // RefusedMessage counts a message of a server or an operator that was refused, by the kind of
@@ -58,6 +61,9 @@
 // BoundMet counts a response that sent more than is read.
 func (s *Set) BoundMet(peer, bound string) { s.boundsMet.WithLabelValues(peer, bound).Inc() }
 
+// ResponseEnded counts a response without a length or chunks whose connection was closed.
+func (s *Set) ResponseEnded(server string) { s.responsesEnded.WithLabelValues(server).Inc() }
+
 // RouteRequest records a finished request on a route: its status, its duration, the time to the
 // first byte of the response (0 without one) and the number of attempts.
 func (s *Set) RouteRequest(kind, outcome string, status int, duration, firstByte time.Duration, attempts int) {
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -7,32 +7,33 @@
 	"github.com/cockroachdb/errors"
 )
 
+// ErrUnprovenEnd reports a response without a length or chunks whose connection was closed while nothing
+// proves that the server has closed it at the end of the body. It wraps ErrInterrupted.
+var ErrUnprovenEnd = errors.Newf("nothing proves the end of the response: %w", ErrInterrupted)
+
 // Body is the body of a response. It wraps every error other than the regular end with
-// ErrInterrupted. A body without a length or chunks ends when its connection is closed, but
-// not when it is reset, and not when its server's process has ended. It is for use by one
-// goroutine.
+// ErrInterrupted. A body without a length or chunks ends when its connection is closed, which the kernel
+// also does for a process that ends: the end counts only if the server's process still runs. It is for use by
+// one goroutine.
 type Body struct {
 	r       io.Reader
 	framing Framing
 	// verifyEnd may be nil.
 	verifyEnd func() Presence
-	// ended is set once the regular end was read, and unverified if nothing proves that the
-	// end of the connection was that of the body.
-	ended, unverified bool
+	// ended is set once the regular end was read.
+	ended bool
 	// err is the error after the last byte, nil before.
 	err error
 }
 
-// NewBody returns the body of a response. verifyEnd may be nil; it is called if the body
-// ends with its connection, and returns PresenceRefused if the server's process has ended:
-// its connections are closed like any others.
+// NewBody returns the body of a response. verifyEnd is called if the body ends with its connection, and
+// returns PresenceConfirmed if the process that sent it still runs. Without verifyEnd no such end counts.
 func NewBody(r *http.Response, verifyEnd func() Presence) *Body {
 	return &Body{r: r.Body, framing: framingOf(r), verifyEnd: verifyEnd}
 }
 
-// Complete reports whether the body was read to an end that is proved to be its regular
-// one.
-func (b *Body) Complete() bool { return b.ended && !b.unverified }
+// Complete reports whether the body was read to its regular end.
+func (b *Body) Complete() bool { return b.ended }
 
 // Read implements io.Reader.
 func (b *Body) Read(p []byte) (int, error) {
@@ -61,10 +62,9 @@
 		if b.verifyEnd != nil {
 			presence = b.verifyEnd()
 		}
-		if presence == PresenceRefused {
-			return errors.Newf("read body: the server's process has ended with the connection: %w", ErrInterrupted)
+		if presence != PresenceConfirmed {
+			return errors.Newf("read body: the connection was closed, its server is %s: %w", presence, ErrUnprovenEnd)
 		}
-		b.unverified = presence != PresenceListening
 	}
 	b.ended = true
 	return io.EOF
--- a/internal/relay/body_test.go
+++ b/internal/relay/body_test.go
@@ -13,8 +13,7 @@
 )
 
 // A process that crashes within a response without a length or chunks closes its connection
-// as at the regular end. Only if the process still runs, the response is known to be
-// complete.
+// as at the regular end. Only if the process still runs, the response is complete.
 func TestResponseThatEndsWithItsConnection(t *testing.T) {
 	for name, tt := range map[string]struct {
 		header   string
@@ -23,10 +22,12 @@
 		err      error
 		framing  relay.Framing
 	}{
-		"the process runs":         {"", func() relay.Presence { return relay.PresenceListening }, true, nil, relay.FramingClose},
+		"the process runs":         {"", func() relay.Presence { return relay.PresenceConfirmed }, true, nil, relay.FramingClose},
+		"another process runs":     {"", func() relay.Presence { return relay.PresenceReplaced }, false, relay.ErrUnprovenEnd, relay.FramingClose},
+		"some process listens":     {"", func() relay.Presence { return relay.PresenceListening }, false, relay.ErrUnprovenEnd, relay.FramingClose},
 		"the process has ended":    {"", func() relay.Presence { return relay.PresenceRefused }, false, relay.ErrInterrupted, relay.FramingClose},
-		"the path is lost":         {"", func() relay.Presence { return relay.PresenceSilent }, false, nil, relay.FramingClose},
-		"nobody may ask":           {"", nil, false, nil, relay.FramingClose},
+		"the path is lost":         {"", func() relay.Presence { return relay.PresenceSilent }, false, relay.ErrUnprovenEnd, relay.FramingClose},
+		"nobody may ask":           {"", nil, false, relay.ErrUnprovenEnd, relay.FramingClose},
 		"a length is proof enough": {"Content-Length: 2\r\n", func() relay.Presence { return relay.PresenceRefused }, true, nil, relay.FramingLength},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/relay/presence_string.go
+++ b/internal/relay/presence_string.go
@@ -12,11 +12,13 @@
 	_ = x[PresenceRefused-1]
 	_ = x[PresenceListening-2]
 	_ = x[PresenceNotProbed-3]
+	_ = x[PresenceConfirmed-4]
+	_ = x[PresenceReplaced-5]
 }
 
-const _Presence_name = "silentrefusedlisteningnot-probed"
+const _Presence_name = "silentrefusedlisteningnot-probedconfirmedreplaced"
 
-var _Presence_index = [...]uint8{0, 6, 13, 22, 32}
+var _Presence_index = [...]uint8{0, 6, 13, 22, 32, 41, 49}
 
 func (i Presence) String() string {
 	idx := int(i) - 0
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -65,9 +65,9 @@
 	// it returns false: it may take until tcp.ConnectTimeout to connect. via is the host through which
 	// the connection is made, empty for a direct one.
 	MaySend func(via string) bool
-	// VerifyEnd, if set, is called when a response without a length or chunks ends with its
-	// connection. The body ends early if it returns PresenceRefused: the connection of a
-	// process that has ended is closed like any other.
+	// VerifyEnd is called when a response without a length or chunks ends with its connection. The end
+	// counts only if it returns PresenceConfirmed: the connection of a process that has ended is closed like
+	// any other.
 	VerifyEnd func() Presence
 }
 
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -99,7 +99,8 @@
 			TunnelAddress: settings.PeerAddress(s.GetIp(), s),
 		},
 		Memory: e.memory, OnBoundMet: func(k bound.Kind) { cfg.Metrics.BoundMet("server", k.String()) },
-		PathLost: e.paths.Unreached, StateCooldown: tunnel.NewCooldownReporter(direct, cfg.Log),
+		OnConnectionEnd: func(p relay.Presence) { cfg.Metrics.ResponseEnded(p.String()) },
+		PathLost:        e.paths.Unreached, StateCooldown: tunnel.NewCooldownReporter(direct, cfg.Log),
 		Seeds: cfg.Settings.Seeds, Dialer: e.dialer, Replica: ledger.NewReplica(),
 		Sender: relay.NewSender(relay.Config{
 			OnDial: func(_ time.Duration, err error) { cfg.Metrics.BackendConnection(err) }, Dial: e.paths.Dial,
