gateway: a server that has started again under its ID did not send the end of an earlier response

A health check states only the ID of a server. One that crashes behind a cut, where its kernel sends the rest of what the process had written once the cut heals, and starts again under the same ID would confirm the end of the response that its crash has cut off. Entries know later starts from the leader; an end is not confirmed if one is known that the request cannot have reached.

Before: TestHalfResponsesDoNotLookWhole, the server has started again, is served as whole in both cases.

--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -12,10 +12,10 @@
 // deadline is sent in whole milliseconds, and counts from a moment that the clocks of the two hosts measure apart.
 const deadlineSlack = 20 * time.Millisecond
 
-// verifyEnd reports whether the process that sent a response still runs once its connection was closed. A server
-// stops by itself at stopsAt, which is no regular end either. A server that wants nothing from this entry is not
-// asked.
-func (x *exchange) verifyEnd(s *server, stopsAt time.Time) relay.Presence {
+// verifyEnd reports whether the process that sent the response to a request of sentAt still runs once its connection
+// was closed. A server stops by itself at stopsAt, which is no regular end either. One that wants nothing from this
+// entry is not asked.
+func (x *exchange) verifyEnd(s *server, sentAt, stopsAt time.Time) relay.Presence {
 	start := time.Now()
 	presence := relay.PresenceNotProbed
 	healthPath := x.table.pools[x.pool].GetHealthPath()
@@ -24,7 +24,7 @@
 			Method: http.MethodGet, Target: healthPath, Host: s.address, Header: http.Header{},
 			MatchesResponse: func(http.Header) bool { return true },
 		}, func(header http.Header) bool {
-			return x.g.cfg.Codec.ParseIdentity(header) == incarnation.ServerOf(s.id)
+			return x.g.cfg.Codec.ParseIdentity(header) == s.server && !x.g.fleet.startedAgain(s, sentAt)
 		})
 	}
 	x.g.cfg.Log.Info("response ended with its connection", "server", s.id, "request", x.info.ID, "via", x.via, "answers", presence.String(),
@@ -34,3 +34,19 @@
 	}
 	return presence
 }
+
+// startedAgain reports whether a server is known to have started again under its ID after a request of sentAt was
+// sent to it: only its ID is stated in a health check.
+func (f *fleet) startedAgain(s *server, sentAt time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.servers[s.id] != nil || f.incarnations[s.server] == 0 {
+		return false
+	}
+	for key := range f.servers {
+		if incarnation.ServerOf(key) == s.server && !incarnation.MayHaveReceived(key, s.id, sentAt) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/gateway/end_test.go
+++ b/internal/gateway/end_test.go
@@ -43,6 +43,12 @@
 			tg.g.ApplyServers(true, &schema.RosterServer{Id: "s0", Pool: "p", Address: b.l.Addr().String(), State: schema.RosterState_ROSTER_STATE_LEAVING})
 			_ = b.l.Close()
 		}, false},
+		"the server has started again": {func(tg *testGateway, b *backend) {
+			b.setIdentify(statesServer("s0"))
+			tg.g.ApplyServers(true, &schema.RosterServer{
+				Id: fmt.Sprint("s0@", time.Now().Add(time.Minute).UnixMilli()), Pool: "p", Address: b.l.Addr().String(), Slots: 6,
+			})
+		}, false},
 		"a server that was removed has ended": {func(tg *testGateway, b *backend) {
 			tg.g.ApplyServers(true)
 			_ = b.l.Close()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -75,7 +75,9 @@
 
 // statesServer returns a response to health checks that names a server.
 func statesServer(id string) func(net.Conn) {
-	return func(conn net.Conn) { _, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Server: "+id+"\r\nContent-Length: 0\r\n\r\n") }
+	return func(conn net.Conn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Server: "+id+"\r\nContent-Length: 0\r\n\r\n")
+	}
 }
 
 // setIdentify sets how a backend responds to health checks, and returns the backend.
