relay: what ends at the deadline that its server was sent is not whole

Callers saw streams end early and complete, in chunks. A server stops working on a request at the deadline that it is sent, and may end its response then as if it were whole: a server of net/http whose handler returns writes the last chunk. The deadline is sent in whole milliseconds, rounded down, so that on a short path the server stops before the entry's own timer fires, and its end passed for that of the stream.

An end that is read from five milliseconds before the deadline on is no end, unless a length states it. It costs sound responses nothing: what is not read by the deadline is interrupted anyway.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,8 +103,8 @@
 		}
 		return x.g.fleet.maySend(s) && x.mayBeSent(sentAt)
 	}
-	stopsAt := time.Now().Add(remaining)
-	request.VerifyEnd = func() relay.Presence { return x.verifyEnd(s, sentAt, stopsAt) }
+	request.StopsAt = x.deadline.Add(-deadlineSlack)
+	request.VerifyEnd = func() relay.Presence { return x.verifyEnd(s, sentAt) }
 	response, err := x.g.cfg.Sender.Send(ctx, s.address, request)
 	if err != nil {
 		return nil, ResponseInfo{}, errors.Newf("send to server %s: %w", s.id, err)
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -8,18 +8,17 @@
 	"fennelyard/internal/relay"
 )
 
-// deadlineSlack is how long before the deadline that a server was sent it may stop working on a request: the
-// deadline is sent in whole milliseconds, and counts from a moment that the clocks of the two hosts measure apart.
-const deadlineSlack = 20 * time.Millisecond
+// deadlineSlack is how long before the deadline a server may stop working on a request: the time that is left is sent
+// in whole milliseconds.
+const deadlineSlack = 5 * time.Millisecond
 
 // verifyEnd reports whether the process that sent the response to a request of sentAt still runs once its connection
-// was closed. A server stops by itself at stopsAt, which is no regular end either. One that wants nothing from this
-// entry is not asked.
-func (x *exchange) verifyEnd(s *server, sentAt, stopsAt time.Time) relay.Presence {
+// was closed. A server that wants nothing from this entry is not asked.
+func (x *exchange) verifyEnd(s *server, sentAt time.Time) relay.Presence {
 	start := time.Now()
 	presence := relay.PresenceNotProbed
 	healthPath := x.table.pools[x.pool].GetHealthPath()
-	if healthPath != "" && start.Before(stopsAt.Add(-deadlineSlack)) && x.g.fleet.cooldowns.Remaining(s.id, start) == 0 {
+	if healthPath != "" && x.g.fleet.cooldowns.Remaining(s.id, start) == 0 {
 		presence = x.g.cfg.Sender.Identify(x.ctx, s.address, &relay.Request{
 			Method: http.MethodGet, Target: healthPath, Host: s.address, Header: http.Header{},
 			MatchesResponse: func(http.Header) bool { return true },
@@ -28,7 +27,7 @@
 		})
 	}
 	x.g.cfg.Log.Info("response ended with its connection", "server", s.id, "request", x.info.ID, "via", x.via, "answers", presence.String(),
-		"took-ms", time.Since(start).Milliseconds(), "server-stops-in-ms", stopsAt.Sub(start).Milliseconds())
+		"took-ms", time.Since(start).Milliseconds(), "left-ms", time.Until(x.deadline).Milliseconds())
 	if x.g.cfg.OnConnectionEnd != nil {
 		x.g.cfg.OnConnectionEnd(presence)
 	}
--- a/internal/gateway/end_test.go
+++ b/internal/gateway/end_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -95,15 +97,26 @@
 	t.Fatal("no stream was resumed")
 }
 
-// A server that stops at the deadline that it was sent closes its connection as after the last event.
+// A server that stops at the deadline that it was sent may end the response as if it were whole.
 func TestStreamThatItsServerStopsAtTheDeadlineIsNotWhole(t *testing.T) {
-	server := newBackend(t, func(conn net.Conn, request *http.Request) {
-		respondUntilClose(twoEvents)(conn, request)
-		time.Sleep(290 * time.Millisecond)
-	})
-	tg := newTestGateway(t, server)
-	tg.timeoutMs = "300"
-	require.True(t, tg.call(t, "/events/x", "body", "").interrupted)
+	for name, end := range map[string]string{"in chunks": "0\r\n\r\n", "until the connection is closed": ""} {
+		t.Run(name, func(t *testing.T) {
+			server := newBackend(t, func(conn net.Conn, request *http.Request) {
+				if end == "" {
+					respondUntilClose(twoEvents)(conn, request)
+				} else {
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: 42\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", signed, len(twoEvents), twoEvents)
+				}
+				ms, err := strconv.Atoi(request.Header.Get("X-Left"))
+				require.NoError(t, err)
+				time.Sleep(time.Duration(ms) * time.Millisecond)
+				_, _ = io.WriteString(conn, end)
+			})
+			tg := newTestGateway(t, server)
+			tg.timeoutMs = "300"
+			require.True(t, tg.call(t, "/events/x", "body", "").interrupted)
+		})
+	}
 }
 
 // The counter tells proved ends from others.
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -3,12 +3,13 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
-// ErrUnprovenEnd reports a response without a length or chunks whose connection was closed while nothing
-// proves that the server has closed it at the end of the body. It wraps ErrInterrupted.
+// ErrUnprovenEnd reports a response whose end may be that of its server's process, of its work at the deadline, or of
+// a host in between. It wraps ErrInterrupted.
 var ErrUnprovenEnd = errors.Newf("nothing proves the end of the response: %w", ErrInterrupted)
 
 // Body is the body of a response. It wraps every error other than the regular end with
@@ -18,6 +19,8 @@
 type Body struct {
 	r       io.Reader
 	framing Framing
+	// stopsAt is the zero time if the server stops at no time.
+	stopsAt time.Time
 	// verifyEnd may be nil.
 	verifyEnd func() Presence
 	// ended is set once the regular end was read.
@@ -26,10 +29,11 @@
 	err error
 }
 
-// NewBody returns the body of a response. verifyEnd is called if the body ends with its connection, and
-// returns PresenceConfirmed if the process that sent it still runs. Without verifyEnd no such end counts.
-func NewBody(r *http.Response, verifyEnd func() Presence) *Body {
-	return &Body{r: r.Body, framing: framingOf(r), verifyEnd: verifyEnd}
+// NewBody returns the body of a response. stopsAt is Request.StopsAt. verifyEnd is called if the body ends with its
+// connection, and returns PresenceConfirmed if the process that sent it still runs. Without verifyEnd no such end
+// counts.
+func NewBody(r *http.Response, stopsAt time.Time, verifyEnd func() Presence) *Body {
+	return &Body{r: r.Body, framing: framingOf(r), stopsAt: stopsAt, verifyEnd: verifyEnd}
 }
 
 // Complete reports whether the body was read to its regular end.
@@ -57,6 +61,9 @@
 
 // end returns io.EOF at the regular end of the body.
 func (b *Body) end() error {
+	if b.framing != FramingLength && !b.stopsAt.IsZero() && !time.Now().Before(b.stopsAt) {
+		return errors.Newf("read body: the server has stopped at the deadline: %w", ErrUnprovenEnd)
+	}
 	if b.framing == FramingClose {
 		presence := PresenceNotProbed
 		if b.verifyEnd != nil {
--- a/internal/relay/body_test.go
+++ b/internal/relay/body_test.go
@@ -1,11 +1,14 @@
 package relay_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -57,3 +60,36 @@
 		})
 	}
 }
+
+// A server that stops at the deadline that it was sent may end its response as if it were whole.
+func TestEndOfAServerThatStopsAtTheDeadlineIsNotThatOfTheBody(t *testing.T) {
+	confirm := func() relay.Presence { return relay.PresenceConfirmed }
+	for name, tt := range map[string]struct {
+		response string
+		end      error
+	}{
+		"chunks": {"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", relay.ErrUnprovenEnd},
+		"close":  {"\r\nok", relay.ErrUnprovenEnd},
+		"length": {"Content-Length: 2\r\n\r\nok", nil},
+	} {
+		for _, late := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, " ", late), func(t *testing.T) {
+				r, err := http.ReadResponse(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n"+tt.response)), nil)
+				require.NoError(t, err)
+				stopsAt := time.Now().Add(time.Hour)
+				if late {
+					stopsAt = time.Now()
+				}
+				body := relay.NewBody(r, stopsAt, confirm)
+				got, err := io.ReadAll(body)
+				require.Equal(t, "ok", string(got))
+				if late {
+					require.ErrorIs(t, err, tt.end)
+				} else {
+					require.NoError(t, err)
+				}
+				require.Equal(t, err == nil, body.Complete())
+			})
+		}
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -65,6 +65,9 @@
 	// it returns false: it may take until tcp.ConnectTimeout to connect. via is the host through which
 	// the connection is made, empty for a direct one.
 	MaySend func(via string) bool
+	// StopsAt is when the server stops working on the request, as it was told to, and may end its response as if it
+	// were whole; the zero time: never. From then on the end of a response without a length does not count.
+	StopsAt time.Time
 	// VerifyEnd is called when a response without a length or chunks ends with its connection. The end
 	// counts only if it returns PresenceConfirmed: the connection of a process that has ended is closed like
 	// any other.
@@ -176,7 +179,7 @@
 		if req.MatchesResponse(r.Header) {
 			tcp.AwaitPeer(conn)
 			return &Response{
-				Status: r.StatusCode, Header: r.Header, Framing: framingOf(r), Length: r.ContentLength, Body: NewBody(r, req.VerifyEnd),
+				Status: r.StatusCode, Header: r.Header, Framing: framingOf(r), Length: r.ContentLength, Body: NewBody(r, req.StopsAt, req.VerifyEnd),
 			}, nil
 		}
 		if framingOf(r) == FramingClose {
--- a/internal/routing/sender.go
+++ b/internal/routing/sender.go
@@ -264,7 +264,7 @@
 		return nil, bound.ShortError(errors.Newf("asked %s, answered %s: %w", c.RequestID, id, ErrMismatchedResponse))
 	}
 	return &Response{
-		status: resp.StatusCode, header: resp.Header, length: resp.ContentLength, body: relay.NewBody(resp, c.VerifyEnd), closeBody: resp.Body.Close,
+		status: resp.StatusCode, header: resp.Header, length: resp.ContentLength, body: relay.NewBody(resp, time.Time{}, c.VerifyEnd), closeBody: resp.Body.Close,
 		cancel: stop, firstByte: time.Since(start), via: via,
 	}, nil
 }
