tunnel: a reset that the copy of the request is told of is not the end of the response

A socket reports its reset to one call. A server that resets while the rest of a long request is copied to it has it reported to the write, and the copy of the response then reads a regular end, which the carrier stated as one: a response without a length looked whole to the entry, and the server, which lives, confirmed it.

An end that is read while a write is under way, or after one has failed, is not stated: the last chunk is left out, so that what was sent still arrives and responses with a length or chunks are as before.

--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -229,8 +230,11 @@
 	// in reads from client.
 	in io.Reader
 	// out writes to client in chunks; nil for a client that takes the bytes as they are.
-	out  *chunkWriter
-	once sync.Once
+	out *chunkWriter
+	// writing is set while bytes of the request are written to server, and writeFailed once that has failed. A socket
+	// reports a reset only once: if writing is told of it, reading ends as if server had closed its connection.
+	writing, writeFailed atomic.Bool
+	once                 sync.Once
 }
 
 // end closes both connections, or resets them. Only the first call has an effect: closing one
@@ -271,17 +275,33 @@
 		out = t.out
 	}
 	readErr, writeErr := tcp.Copy(out, t.server, func() { tcp.AwaitPeer(t.server) })
-	if t.out != nil && readErr == nil && writeErr == nil {
+	ended := readErr == nil && writeErr == nil && !t.writing.Load() && !t.writeFailed.Load()
+	if t.out != nil && ended {
 		writeErr = t.out.end()
 	}
-	t.end(readErr != nil, writeErr != nil)
+	// Without its last chunk a response in chunks does not look whole, and what was sent of it arrives.
+	t.end(readErr != nil || t.out == nil && !ended, writeErr != nil)
 }
 
 // copyRequest copies to the server until the client is gone. A server that has stopped reading may
 // still respond, so that a failure to write ends nothing.
 func (t *tunnel) copyRequest() {
-	readErr, writeErr := tcp.Copy(t.server, t.in, nil)
+	readErr, writeErr := tcp.Copy(requestWriter{t}, t.in, nil)
 	if writeErr == nil {
 		t.end(readErr != nil, readErr != nil)
 	}
 }
+
+// requestWriter writes the request of a tunnel to its server.
+type requestWriter struct{ t *tunnel }
+
+// Write implements io.Writer.
+func (w requestWriter) Write(p []byte) (int, error) {
+	w.t.writing.Store(true)
+	n, err := w.t.server.Write(p)
+	if err != nil {
+		w.t.writeFailed.Store(true)
+	}
+	w.t.writing.Store(false)
+	return n, err
+}
