entry: listed servers name their incarnation, which proves the end of a response without a length

Callers of listed hosts got an error for every response without a length or chunks, also of servers that run: the check of the end found that a process listens, which proves nothing (relay.Body), and nothing that listed hosts asked could prove more.

A server that stops at the deadline that it was sent, or wants no requests, is not asked.

--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -67,15 +67,22 @@
 	return strconv.FormatUint(xxhash.Sum64(message), 16) + "-" + strconv.Itoa(len(message))
 }
 
-// verifyEnd reports what is known of a server's process at the end of a response that ends
-// with its connection. A leaving server ends its process once it has responded.
+// deadlineSlack is how long before the deadline that a server was sent it may stop working on a request: the
+// deadline is sent in whole milliseconds, and counts from a moment that the clocks of the two hosts measure apart.
+const deadlineSlack = 20 * time.Millisecond
+
+// verifyEnd reports whether the process that sent a response without a length or chunks still runs once its
+// connection was closed. A server stops by itself at the deadline of ctx, which is no regular end either. One that
+// wants nothing from this entry is not asked.
 func (e *Entry) verifyEnd(ctx context.Context, in *incomingRequest, at routing.Candidate) relay.Presence {
-	if e.leaves(at) {
-		return relay.PresenceNotProbed
+	start := time.Now()
+	presence := relay.PresenceNotProbed
+	stopsAt, stops := ctx.Deadline()
+	if e.cooldown(at) == 0 && (!stops || start.Before(stopsAt.Add(-deadlineSlack))) {
+		presence = e.sender.Identify(ctx, at.Address, in.id, at.Incarnation)
 	}
-	server := incarnationOf(at)
-	presence := e.guard.Ended(ctx, server, at.Address)
-	e.cfg.Log.Info("response ended with its connection", "server", server, "request", in.id, "answers", presence.String())
+	e.cfg.Log.Info("response ended with its connection", "server", incarnationOf(at), "request", in.id, "answers", presence.String(),
+		"took-ms", time.Since(start).Milliseconds())
 	return presence
 }
 
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -336,12 +336,6 @@
 	}
 }
 
-// Ended reports what is known of a server's process at the end of a response that only the
-// end of its connection marks: if the process has ended, the response may be incomplete.
-func (g *Guard) Ended(ctx context.Context, server, address string) relay.Presence {
-	return g.prober.Ask(ctx, server, address)
-}
-
 // Clear releases a suspect everywhere. It reports whether this is new.
 func (g *Guard) Clear(key Key) bool { return g.clear(key, AnyKind) }
 
--- a/internal/routing/sender.go
+++ b/internal/routing/sender.go
@@ -36,15 +36,22 @@
 	HeaderOutstanding = "Fennelyard-Outstanding"
 	// HeaderCustomer is the name of the customer.
 	HeaderCustomer = "Fennelyard-Customer"
+	// HeaderIncarnation in a response to a GET of IncarnationPath is the number of the incarnation that responds.
+	HeaderIncarnation = "Fennelyard-Incarnation"
 
 	outcomeNotRun = "not-run"
 )
 
+// IncarnationPath is where a backend server names its incarnation.
+const IncarnationPath = "/fennelyard/v1/incarnation"
+
 const (
 	connectTimeout = time.Second
 	// idleConnTimeout is the time after which an idle connection is closed: a
 	// middlebox may have dropped its state of the connection in the meantime.
-	idleConnTimeout       = 2 * time.Second
+	idleConnTimeout = 2 * time.Second
+	// identifyTimeout bounds the time that Identify takes: a server that is full may let the request wait.
+	identifyTimeout       = 500 * time.Millisecond
 	keepAliveIdle         = 2 * time.Second
 	keepAliveInterval     = time.Second
 	keepAliveCount        = 3
@@ -269,6 +276,26 @@
 	}, nil
 }
 
+// Identify asks the server at an address on a new connection for its incarnation. It returns
+// relay.PresenceConfirmed if that is the one with a number, relay.PresenceReplaced for any other response, and
+// relay.PresenceSilent for none.
+func (s *Sender) Identify(ctx context.Context, address, requestID string, incarnation uint64) relay.Presence {
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	response, err := s.Send(ctx, Call{
+		Address: address, Method: http.MethodGet, Path: IncarnationPath, RequestID: requestID, NewConnection: true,
+	})
+	if err != nil {
+		return relay.PresenceSilent
+	}
+	defer response.Close()
+	named, err := strconv.ParseUint(response.Header().Get(HeaderIncarnation), 10, 64)
+	if err == nil && named == incarnation && response.Status() == http.StatusOK {
+		return relay.PresenceConfirmed
+	}
+	return relay.PresenceReplaced
+}
+
 // viaOf returns the address of the host that carries a connection, empty for none.
 func viaOf(conn net.Conn) string {
 	if c, ok := conn.(*countingConn); ok {
--- a/internal/standin/application.go
+++ b/internal/standin/application.go
@@ -30,8 +30,10 @@
 	// processing starts. Crashed, if set, is called then.
 	CrashBody string
 	Crashed   func()
-	// Handle, if set, replaces the booking handler to inject faults.
-	Handle http.HandlerFunc
+	// Handle, if set, replaces the booking handler, and Identify the response to requests for the incarnation, to
+	// inject faults.
+	Handle   http.HandlerFunc
+	Identify http.HandlerFunc
 }
 
 // Runs counts the runs of each request key. It is safe for concurrent use.
@@ -93,7 +95,7 @@
 	if handle == nil {
 		handle = a.handleBooking
 	}
-	a.server = &http.Server{Handler: handle, ReadHeaderTimeout: readHeaderTimeout}
+	a.server = &http.Server{Handler: withIdentity(handle, cfg.Incarnation, cfg.Identify), ReadHeaderTimeout: readHeaderTimeout}
 	a.announcer = newAnnouncer(cfg.Entries, a.announcement)
 	go func() {
 		defer close(a.done)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -96,7 +96,7 @@
 	mux.HandleFunc("POST "+engine.OrdersPath, e.handleOrder)
 	mux.HandleFunc("POST /v1/chat/completions", e.handleCompletion)
 	mux.HandleFunc("POST /v1/completions", e.handleCompletion)
-	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	e.server = &http.Server{Handler: withIdentity(mux, cfg.Incarnation, nil), ReadHeaderTimeout: readHeaderTimeout}
 	e.announcer = newAnnouncer(cfg.Entries, e.announcement)
 	go func() {
 		defer close(e.done)
