entry: a response that a listed host breaks off is reset, so that it looks whole to no caller

A caller that takes no chunks (HTTP/1.0) saw a half response as whole: panic(http.ErrAbortHandler) closes the connection regularly. Both places, of requests that may run again and of claimed ones, use tcp.AbortResponse now, as the gateway does.

Before: TestAbortedResponsesOfListedHostsDoNotLookWhole reads the part without an error, for both kinds; now it gets one.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -96,7 +96,7 @@
 	served, refused := a.run(ctx, c)
 	ticket.Release(served)
 	if a.cut {
-		panic(http.ErrAbortHandler)
+		tcp.AbortResponse(c.Response())
 	}
 	if refused != nil {
 		return e.refuse(c, in, refused)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -20,6 +20,7 @@
 	"fennelyard/internal/relay"
 	"fennelyard/internal/routing"
 	"fennelyard/internal/schema"
+	"fennelyard/internal/tcp"
 )
 
 // lateResponseGrace is the time after the caller's deadline for which the response to
@@ -165,7 +166,7 @@
 			claimed.forwardErr = err
 			e.reportFailedAttempt(c.Request().Context(), in, r.from, err)
 		}
-		panic(http.ErrAbortHandler)
+		tcp.AbortResponse(c.Response())
 	}
 	e.attemptCompleted(in, r.rest)
 	return nil
--- /dev/null
+++ b/internal/host/aborts_test.go
@@ -0,0 +1,55 @@
+package host_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fennelyard/internal/routing"
+	"fennelyard/internal/standin"
+)
+
+// ask sends a request by HTTP/1.0, without chunks, and returns the response with the error after its last byte.
+func (h *harness) ask(method, path string, header string) (string, error) {
+	h.t.Helper()
+	conn, err := net.Dial("tcp", h.layout.Hosts()[0].Caller)
+	require.NoError(h.t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(h.t, conn.SetDeadline(time.Now().Add(testTimeout)))
+	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.0\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", method, path, routing.HeaderCustomer,
+		testCustomer, header, len(completion(testModel)), completion(testModel))
+	require.NoError(h.t, err)
+	data, err := io.ReadAll(conn)
+	return string(data), err
+}
+
+// A listed host breaks off a response of which a part was forwarded: a caller that takes no chunks must not take the
+// end of the connection for that of the response.
+func TestAbortedResponsesOfListedHostsDoNotLookWhole(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, "")
+	breakOff := func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, largeAnswer)
+		w.(http.Flusher).Flush()
+		time.Sleep(100 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	}
+	h.engine("engine-1", func(cfg *standin.EngineConfig) {
+		cfg.Complete = func(w http.ResponseWriter, q *http.Request, _ string) { breakOff(w, q) }
+	})
+	h.application("app-1", func(cfg *standin.ApplicationConfig) { cfg.Handle = breakOff })
+	h.awaitServers(2)
+	h.configure(1)
+	data, err := h.ask(http.MethodPost, "/v1/chat/completions", "")
+	require.True(t, strings.Contains(data, " 200 OK"))
+	require.Error(t, err)
+	data, err = h.ask(http.MethodPost, "/services/regdesk/enter", "Idempotency-Key: k\r\n")
+	require.True(t, strings.Contains(data, " 200 OK"))
+	require.Error(t, err)
+}
