entry: a held response states its length, so that a killed listed host ends none that looks whole

A caller that takes no chunks (HTTP/1.0) got responses over some 2 KB without a length, though the host holds up to 256 KB whole before the first byte. If the host is killed meanwhile, its kernel closes the connection regularly, and the part looks whole. Held responses and replayed ones are sent with their length. Larger ones without a length of the server's are not: docs/design/ends.md.

Before: TestHeldResponsesStateTheirLength finds no Content-Length, for either kind; now it does.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -288,7 +288,7 @@
 	if complete {
 		a.e.attemptCompleted(a.in, response)
 		// The request is served even if its caller has disconnected.
-		_ = c.Blob(response.Status(), response.Header().Get("Content-Type"), held)
+		_ = writeHeld(c, response.Status(), response.Header().Get("Content-Type"), held)
 		return true, true, nil
 	}
 	if err = a.e.forwardAsItComes(c, a.in, response, held, share); err != nil {
@@ -301,6 +301,15 @@
 	return true, true, nil
 }
 
+// writeHeld writes a response that is held whole, with its length: a caller that takes no chunks could not tell the
+// end of this host's process from that of the response. A body may be empty without having the length 0 (HEAD).
+func writeHeld(c echo.Context, status int, contentType string, body []byte) error {
+	if len(body) > 0 {
+		c.Response().Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	return c.Blob(status, contentType, body)
+}
+
 // forwardAsItComes forwards a response of which the first part is held, no faster than the caller reads it. It gives
 // the memory of this part back.
 func (e *Entry) forwardAsItComes(c echo.Context, in *incomingRequest, response *routing.Response, held []byte, share *memory.Share) error {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -151,7 +151,7 @@
 	e.cfg.Metrics.FirstByte(in.kind, time.Since(in.received), false)
 	c.Response().Header().Set(routing.HeaderRequestID, in.id)
 	c.Response().Header().Set(routing.HeaderOutcome, refusal.Ran.String())
-	return c.Blob(int(response.GetStatus()), response.GetContentType(), response.GetBody())
+	return writeHeld(c, int(response.GetStatus()), response.GetContentType(), response.GetBody())
 }
 
 // forwardClaimed forwards a response that is too large to be held, as it comes.
--- a/internal/host/aborts_test.go
+++ b/internal/host/aborts_test.go
@@ -53,3 +53,25 @@
 	require.True(t, strings.Contains(data, " 200 OK"))
 	require.Error(t, err)
 }
+
+// A caller that takes no chunks cannot tell the end of a killed host from that of a response without a length: what
+// is held whole states its length.
+func TestHeldResponsesStateTheirLength(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, "")
+	held := `{"text":"` + strings.Repeat("0123456789", 10<<10) + `"}`
+	h.engine("engine-1", func(cfg *standin.EngineConfig) {
+		cfg.Complete = func(w http.ResponseWriter, _ *http.Request, _ string) { _, _ = io.WriteString(w, held) }
+	})
+	h.application("app-1", func(cfg *standin.ApplicationConfig) {
+		cfg.Handle = func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, held) }
+	})
+	h.awaitServers(2)
+	h.configure(1)
+	for _, path := range []string{"/v1/chat/completions", "/services/regdesk/enter"} {
+		data, err := h.ask(http.MethodPost, path, "Idempotency-Key: k\r\n")
+		require.NoError(t, err)
+		require.True(t, strings.Contains(data, fmt.Sprintf("\r\nContent-Length: %d\r\n", len(held))), path)
+		require.True(t, strings.HasSuffix(data, held))
+	}
+}
