client: a response without a length or chunks is an error, as a killed entry ends it like a whole one

The client library took the end of the connection for the end of a response that states none, also the one that the kernel of a killed entry closes, and returned the part as a whole Answer (none at all for one cut after its head). Entries always send a length or chunks to HTTP/1.1 callers, so that no sound response is refused, unless a proxy in between takes both away. The same holds for the directory.

--- a/client.go
+++ b/client.go
@@ -241,7 +241,7 @@
 		return nil, errors.Newf("send request to %s: %w", address, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := bound.ReadAll(resp.Body, maxResponseBytes)
+	body, err := bound.ReadReply(resp, maxResponseBytes)
 	if err != nil {
 		return nil, errors.Newf("read response of %s: %w", address, err)
 	}
--- a/directory.go
+++ b/directory.go
@@ -68,7 +68,7 @@
 		return nil, 0, errors.Newf("query directory of %s: %w", address, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := bound.ReadAll(resp.Body, maxDirectoryBytes)
+	body, err := bound.ReadReply(resp, maxDirectoryBytes)
 	if err != nil {
 		return nil, 0, errors.Newf("read directory of %s: %w", address, err)
 	}
--- a/internal/bound/bound.go
+++ b/internal/bound/bound.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"time"
 
@@ -101,3 +102,22 @@
 	}
 	return data, nil
 }
+
+// ErrNoEnd reports a reply without a length or chunks: it ends with its connection, which the kernel also closes for
+// a process that ends.
+var ErrNoEnd = errors.New("the reply has neither a length nor chunks")
+
+// ReadReply reads the body of a reply of another host, which always states where it ends, like ReadAll.
+func ReadReply(r *http.Response, limit int64) ([]byte, error) {
+	if endsWithConnection(r) {
+		return nil, ErrNoEnd
+	}
+	return ReadAll(r.Body, limit)
+}
+
+// endsWithConnection reports whether nothing but the end of the connection marks the end of a reply. A compressed
+// body states where it ends.
+func endsWithConnection(r *http.Response) bool {
+	withoutBody := r.Body == http.NoBody || r.Request != nil && r.Request.Method == http.MethodHead
+	return r.ProtoMajor == 1 && r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !r.Uncompressed && !withoutBody
+}
