gossip: a reply on suspects without a length or chunks is an error

A protobuf message that is cut between two records is valid. A reply that ends with its connection was merged as whole, also if the kernel of a killed entry had closed it. Entries always send a length or chunks; a reply without either is an error now, and the next exchange brings the rest.

Before: TestHalfRepliesAreErrors fails in 2 of 3 cases (without length, closed); all pass now.

--- a/internal/gossip/http.go
+++ b/internal/gossip/http.go
@@ -99,7 +99,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Newf("send suspects to %s: status %d", address, response.StatusCode)
 	}
-	if body, err = bound.ReadAll(response.Body, maxMessageBytes); err != nil {
+	if body, err = bound.ReadReply(response, maxMessageBytes); err != nil {
 		return nil, errors.Newf("read reply of %s: %w", address, err)
 	}
 	reply := &schema.SuspectExchange{}
--- a/internal/gossip/http_test.go
+++ b/internal/gossip/http_test.go
@@ -107,3 +107,30 @@
 		})
 	}
 }
+
+// A message cut between two records is a valid one: a reply that ends with its connection, as the kernel of a killed
+// entry closes it, must not be merged as whole.
+func TestHalfRepliesAreErrors(t *testing.T) {
+	key := keyOf("/harmful")
+	half, err := proto.Marshal(&schema.SuspectExchange{Suspects: []*schema.Suspect{{Key: key[:]}}})
+	require.NoError(t, err)
+	for name, head := range map[string]string{
+		"without length": "\r\n", "closed": "Connection: close\r\n\r\n", "half of the length": "Content-Length: 1000\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = conn.Write(append([]byte("HTTP/1.1 200 OK\r\n"+head), half...))
+				_ = conn.Close()
+			}))
+			t.Cleanup(s.Close)
+			client := gossip.NewClient(dialTCP)
+			t.Cleanup(client.Close)
+			_, err := client.Exchange(t.Context(), s.Listener.Addr().String(), &schema.SuspectExchange{Digest: 1})
+			require.Error(t, err)
+		})
+	}
+}
