refusal: a message that quotes no text is sent all the same, so that a broken stream does not look whole

The error event that ends a broken stream quotes what its server sent. Bytes that are no valid UTF-8 (here a request ID in the response to a resume) can't be encoded; the event was dropped without a word and the response ended regularly: half a stream as a whole one, in chunks, at listed hosts. Refusals of other requests became 500 with neither code nor outcome. Replies replace such bytes now, and a stream whose event can't be encoded all the same is reset.

Before: TestErrorsThatQuoteNoTextDoNotLookWhole gets the stream without its error event, and without that check a refusal with no outcome; both are there now.

--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -17,6 +17,7 @@
 	"fennelyard/internal/refusal"
 	"fennelyard/internal/relay"
 	"fennelyard/internal/routing"
+	"fennelyard/internal/tcp"
 )
 
 const (
@@ -197,7 +198,7 @@
 	s.a.e.cfg.Metrics.Refusal(r.Code().String(), r.Outcome().String())
 	data, marshalErr := protojson.Marshal(r.ErrorReply(s.a.in.id))
 	if marshalErr != nil {
-		return
+		tcp.AbortResponse(s.c.Response())
 	}
 	w := s.c.Response()
 	_, _ = w.Write([]byte("event: error\ndata: " + string(data) + "\n\n"))
--- a/internal/host/aborts_test.go
+++ b/internal/host/aborts_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"fennelyard/internal/refusal"
 	"fennelyard/internal/routing"
 	"fennelyard/internal/standin"
 )
@@ -75,3 +76,29 @@
 		require.True(t, strings.HasSuffix(data, held))
 	}
 }
+
+// A server's bytes that are no text are quoted in the error event that ends a stream which broke: the event must be
+// sent all the same, or the stream looks whole. So must the refusal of a request.
+func TestErrorsThatQuoteNoTextDoNotLookWhole(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, "")
+	h.engine("engine-1", func(cfg *standin.EngineConfig) {
+		cfg.Complete = func(w http.ResponseWriter, q *http.Request, _ string) {
+			if q.Header.Get("Last-Event-ID") != "" || q.Header.Get("Idempotency-Key") != "" {
+				closeAfter(w, "HTTP/1.1 200 OK\r\n"+routing.HeaderRequestID+": \xff\xfe\r\nContent-Length: 0\r\n\r\n")
+				return
+			}
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "id: 1\ndata: {}\n\n")
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	})
+	h.awaitServers(1)
+	h.configure(1)
+	r := h.post("/v1/chat/completions", `{"model":"sorter","stream":true}`)
+	require.Contains(t, string(r.body), "id: 1\n")
+	require.Contains(t, string(r.body), "stream-cut")
+	r = h.post("/v1/chat/completions", completion(testModel), "Fennelyard-Repeatable", "no", "Idempotency-Key", "k")
+	require.Equal(t, refusal.Unknown.String(), r.outcome, "%s", r.body)
+}
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"fennelyard/internal/schema"
@@ -100,10 +101,10 @@
 }
 
 // ErrorReply returns the message that callers and operators receive for the request with this
-// id.
+// id. The message may quote bytes of a server that are no text, which no reply can hold.
 func (r *Refusal) ErrorReply(id string) *schema.ErrorReply {
 	return &schema.ErrorReply{Error: &schema.ErrorBody{
-		Code: r.code.String(), Message: r.message, Outcome: r.outcome.String(),
+		Code: r.code.String(), Message: strings.ToValidUTF8(r.message, "\uFFFD"), Outcome: r.outcome.String(),
 		RetryAfterMs: uint32(r.RetryAfter().Milliseconds()), RequestId: id,
 	}}
 }
