drain: a host that stops resets the responses that it breaks off, so that they look whole to no caller

A host that stops at once, or whose requests are not done at its limit (a caller that reads slowly), closes its server, and http.Server.Close closes connections regularly: a caller that takes no chunks (HTTP/1.0) saw a half response as whole. Both kinds of hosts reset the callers' connections with a request before they close the server.

TestResponsesOfAClosedServerDoNotLookWhole shows both ways on one server; entries that join through seeds use the same call, which no test of their own shows.

--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -1,10 +1,14 @@
 package drain
 
 import (
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
+
+	"fennelyard/internal/tcp"
 )
 
 // Connections tracks the connections of an HTTP server that may still bring a request. It is safe for concurrent use.
@@ -49,3 +53,14 @@
 	}
 	return n
 }
+
+// Reset resets the connections with a request, or a part of one. If they were closed regularly, as by
+// http.Server.Close, a response in progress would look whole to a caller that takes no chunks.
+func (c *Connections) Reset() {
+	c.mu.Lock()
+	active := slices.Collect(maps.Keys(c.active))
+	c.mu.Unlock()
+	for _, conn := range active {
+		tcp.Reset(conn)
+	}
+}
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -122,3 +123,38 @@
 		})
 	}
 }
+
+// A server that is closed within a response to a caller that takes no chunks must not end it as if it were whole.
+func TestResponsesOfAClosedServerDoNotLookWhole(t *testing.T) {
+	for name, tt := range map[string]struct {
+		reset bool
+		whole bool
+	}{"closed alone": {false, true}, "reset before": {true, false}} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			c, sent, held := drain.NewConnections(), make(chan struct{}), make(chan struct{})
+			server := &http.Server{ConnState: c.Track, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, "part")
+				w.(http.Flusher).Flush()
+				close(sent)
+				<-held
+			})}
+			go func() { _ = server.Serve(l) }()
+			conn, err := net.Dial("tcp", l.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n")
+			require.NoError(t, err)
+			<-sent
+			if tt.reset {
+				c.Reset()
+			}
+			require.NoError(t, server.Close())
+			require.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+			_, err = io.ReadAll(conn)
+			require.Equal(t, tt.whole, err == nil, "%v", err)
+			close(held)
+		})
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -358,6 +358,7 @@
 		e.startDraining()
 		for _, s := range e.httpServers {
 			if s.Shutdown(ctx) != nil {
+				e.connections.Reset()
 				_ = s.Close()
 			}
 		}
--- a/internal/host/aborts_test.go
+++ b/internal/host/aborts_test.go
@@ -102,3 +102,38 @@
 	r = h.post("/v1/chat/completions", completion(testModel), "Fennelyard-Repeatable", "no", "Idempotency-Key", "k")
 	require.Equal(t, refusal.Unknown.String(), r.outcome, "%s", r.body)
 }
+
+// A listed host that stops at once, or at its limit, breaks off what it serves: a caller that takes no chunks must not
+// take the part for the whole.
+func TestResponsesThatAStoppedHostBreaksOffDoNotLookWhole(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, "")
+	held := make(chan struct{})
+	hold := func(w http.ResponseWriter) {
+		_, _ = io.WriteString(w, largeAnswer)
+		w.(http.Flusher).Flush()
+		<-held
+	}
+	h.engine("engine-1", func(cfg *standin.EngineConfig) {
+		cfg.Complete = func(w http.ResponseWriter, _ *http.Request, _ string) { hold(w) }
+	})
+	h.application("app-1", func(cfg *standin.ApplicationConfig) {
+		cfg.Handle = func(w http.ResponseWriter, _ *http.Request) { hold(w) }
+	})
+	// The servers end once no handler is left.
+	t.Cleanup(func() { close(held) })
+	h.awaitServers(2)
+	h.configure(1)
+	errs := make(chan error, 2)
+	for _, path := range []string{"/v1/chat/completions", "/services/regdesk/enter"} {
+		go func() {
+			_, err := h.ask(http.MethodPost, path, "Idempotency-Key: k\r\n")
+			errs <- err
+		}()
+	}
+	h.eventually("two responses forwarded", func() bool { return strings.Contains(scrape(t, h), "fennelyard_requests_at_servers 2") })
+	time.Sleep(300 * time.Millisecond)
+	h.host.Close()
+	require.Error(t, <-errs)
+	require.Error(t, <-errs)
+}
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -278,6 +278,7 @@
 func (e *Entry) Close() {
 	e.once.Do(func() {
 		defer close(e.done)
+		e.connections.Reset()
 		for _, s := range e.servers {
 			_ = s.Close()
 		}
