--- a/internal/bound/bound.go
+++ b/internal/bound/bound.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"time"
 
@@ -101,3 +102,32 @@
 	}
 	return data, nil
 }
+
+// ErrNoEnd reports a reply without a length or chunks: it ends with its connection, which the kernel also closes for
+// a process that ends.
+var ErrNoEnd = errors.New("the reply has neither a length nor chunks")
+
+// ReadReply reads the body of a reply of another host, which always states where it ends, like ReadAll.
+func ReadReply(r *http.Response, limit int64) ([]byte, error) {
+	if endsWithConnection(r) {
+		return nil, ErrNoEnd
+	}
+	return ReadAll(r.Body, limit)
+}
+
+// endsWithConnection reports whether nothing but the end of the connection marks the end of a reply. A compressed
+// body states where it ends.
+func endsWithConnection(r *http.Response) bool {
+	withoutBody := r.Body == http.NoBody || r.Request != nil && r.Request.Method == http.MethodHead
+	return r.ProtoMajor == 1 && r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !r.Uncompressed && !withoutBody
+}
+
+// HasUnstatedBody reports whether a request may have a body whose end it does not state, of which net/http returns no
+// byte: by HTTP/1.0 a body needs a length (RFC 1945, section 7.2.2).
+func HasUnstatedBody(r *http.Request) bool {
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return false
+	}
+	return !r.ProtoAtLeast(1, 1) && r.Header.Get("Content-Length") == ""
+}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -20,6 +20,7 @@
 	"fennelyard/internal/relay"
 	"fennelyard/internal/routing"
 	"fennelyard/internal/schema"
+	"fennelyard/internal/tcp"
 )
 
 // lateResponseGrace is the time after the caller's deadline for which the response to
@@ -150,7 +151,7 @@
 	e.cfg.Metrics.FirstByte(in.kind, time.Since(in.received), false)
 	c.Response().Header().Set(routing.HeaderRequestID, in.id)
 	c.Response().Header().Set(routing.HeaderOutcome, refusal.Ran.String())
-	return c.Blob(int(response.GetStatus()), response.GetContentType(), response.GetBody())
+	return writeHeld(c, int(response.GetStatus()), response.GetContentType(), response.GetBody())
 }
 
 // forwardClaimed forwards a response that is too large to be held, as it comes.
@@ -165,7 +166,7 @@
 			claimed.forwardErr = err
 			e.reportFailedAttempt(c.Request().Context(), in, r.from, err)
 		}
-		panic(http.ErrAbortHandler)
+		tcp.AbortResponse(c.Response())
 	}
 	e.attemptCompleted(in, r.rest)
 	return nil
