routing: what ends at the deadline that its server was sent is not whole on listed hosts either

As on hosts that join through seeds: a server that stops at the deadline of the request may end its response, in chunks too, as if it were whole. The time is that of the header that is sent.

--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -67,18 +67,12 @@
 	return strconv.FormatUint(xxhash.Sum64(message), 16) + "-" + strconv.Itoa(len(message))
 }
 
-// deadlineSlack is how long before the deadline that a server was sent it may stop working on a request: the
-// deadline is sent in whole milliseconds, and counts from a moment that the clocks of the two hosts measure apart.
-const deadlineSlack = 20 * time.Millisecond
-
 // verifyEnd reports whether the process that sent a response without a length or chunks still runs once its
-// connection was closed. A server stops by itself at the deadline of ctx, which is no regular end either. One that
-// wants nothing from this entry is not asked.
+// connection was closed. A server that wants nothing from this entry is not asked.
 func (e *Entry) verifyEnd(ctx context.Context, in *incomingRequest, at routing.Candidate) relay.Presence {
 	start := time.Now()
 	presence := relay.PresenceNotProbed
-	stopsAt, stops := ctx.Deadline()
-	if e.cooldown(at) == 0 && (!stops || start.Before(stopsAt.Add(-deadlineSlack))) {
+	if e.cooldown(at) == 0 {
 		presence = e.sender.Identify(ctx, at.Address, in.id, at.Incarnation)
 	}
 	e.cfg.Log.Info("response ended with its connection", "server", incarnationOf(at), "request", in.id, "answers", presence.String(),
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,7 +103,7 @@
 		}
 		return x.g.fleet.maySend(s) && x.mayBeSent(sentAt)
 	}
-	request.StopsAt = x.deadline.Add(-deadlineSlack)
+	request.StopsAt = relay.StopTime(x.deadline)
 	request.VerifyEnd = func() relay.Presence { return x.verifyEnd(s, sentAt) }
 	response, err := x.g.cfg.Sender.Send(ctx, s.address, request)
 	if err != nil {
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -10,10 +10,6 @@
 	"fennelyard/internal/relay"
 )
 
-// deadlineSlack is how long before the deadline a server may stop working on a request: the time that is left is sent
-// in whole milliseconds.
-const deadlineSlack = 5 * time.Millisecond
-
 // verifyEnd reports whether the process that sent the response to a request of sentAt still runs once its connection
 // was closed. A server that wants nothing from this entry is not asked.
 func (x *exchange) verifyEnd(s *server, sentAt time.Time) relay.Presence {
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -12,6 +12,13 @@
 // a host in between. It wraps ErrInterrupted.
 var ErrUnprovenEnd = errors.Newf("nothing proves the end of the response: %w", ErrInterrupted)
 
+// deadlineSlack is how long before the deadline that it was sent a server may stop working on a request: the time
+// that is left is sent in whole milliseconds.
+const deadlineSlack = 5 * time.Millisecond
+
+// StopTime returns from when on a server may have stopped working on a request with a deadline.
+func StopTime(deadline time.Time) time.Time { return deadline.Add(-deadlineSlack) }
+
 // Body is the body of a response. It wraps every error other than the regular end with
 // ErrInterrupted. A body without a length or chunks ends when its connection is closed, which the kernel
 // also does for a process that ends: the end counts only if the server's process still runs. It is for use by
--- a/internal/routing/sender.go
+++ b/internal/routing/sender.go
@@ -270,8 +270,12 @@
 		client.CloseIdleConnections()
 		return nil, bound.ShortError(errors.Newf("asked %s, answered %s: %w", c.RequestID, id, ErrMismatchedResponse))
 	}
+	var stopsAt time.Time
+	if deadline, ok := ctx.Deadline(); ok {
+		stopsAt = relay.StopTime(deadline)
+	}
 	return &Response{
-		status: resp.StatusCode, header: resp.Header, length: resp.ContentLength, body: relay.NewBody(resp, time.Time{}, c.VerifyEnd), closeBody: resp.Body.Close,
+		status: resp.StatusCode, header: resp.Header, length: resp.ContentLength, body: relay.NewBody(resp, stopsAt, c.VerifyEnd), closeBody: resp.Body.Close,
 		cancel: stop, firstByte: time.Since(start), via: via,
 	}, nil
 }
