fennelyard: tests of half responses play with processes that are killed

Callers saw halves of responses without a length as whole ones. Two ways are confirmed with real processes: a backend server is killed and the next process has its address at once, and an entry that carries a tunnel is killed while the server lives.

Both tests start control hosts, two entries and a server whose socket outlives it. The second one drops the first packets of direct connections by a filter on that socket, so that they go through the other entry. A response whose server and entries run has to be whole first.

--- a/cmd/fennelyard/process_test.go
+++ b/cmd/fennelyard/process_test.go
@@ -33,8 +33,11 @@
 )
 
 // TestMain runs the test binary as the program itself if the environment variable is
-// set, so that the tests run the program as it was built with them.
+// set, so that the tests run the program as it was built with them, or as a backend server.
 func TestMain(m *testing.M) {
+	if id := os.Getenv(runAsServerEnvVar); id != "" {
+		runUnframedServer(id)
+	}
 	if os.Getenv(runAsProgramEnvVar) == "" {
 		os.Exit(m.Run())
 	}
@@ -100,8 +103,14 @@
 
 func (clus *cluster) start(name string, args ...string) {
 	clus.t.Helper()
-	p := &process{cmd: exec.Command(os.Args[0], args...), log: &syncBuffer{}, done: make(chan struct{})}
-	p.cmd.Env = append(os.Environ(), runAsProgramEnvVar+"=1")
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), runAsProgramEnvVar+"=1")
+	clus.startCommand(name, cmd)
+}
+
+func (clus *cluster) startCommand(name string, cmd *exec.Cmd) {
+	clus.t.Helper()
+	p := &process{cmd: cmd, log: &syncBuffer{}, done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	require.NoError(clus.t, p.cmd.Start())
 	go func() {
