gateway: a server that ends a moment after the end of a response did not send a whole one, and half a request of HTTP/1.0 is not run

A process that is being ended may close its connections before its port and respond to a health check in between: half a response looked whole. The server is asked a second time 100 ms later, which is the time that the check took before; only if both are answered the end counts.

A caller by HTTP/1.0 that states no length of its body ends it with the connection; net/http gives the handler no byte of it, and the request ran without its body. It is refused with 400 now, as on listed hosts.

--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -10,14 +10,26 @@
 	"fennelyard/internal/relay"
 )
 
+const (
+	// endCheckCount is how often a server is asked after the end of a response, and endCheckInterval the time between:
+	// a process that is being ended may close its connections before its port, and respond in between, and one
+	// that starts again may do so within the interval.
+	endCheckCount    = 2
+	endCheckInterval = 100 * time.Millisecond
+)
+
 // verifyEnd reports whether the process that sent the response to a request of sentAt still runs once its connection
 // was closed. A server that wants nothing from this entry is not asked.
 func (x *exchange) verifyEnd(s *server, sentAt time.Time) relay.Presence {
 	start := time.Now()
-	presence := relay.PresenceNotProbed
-	healthPath := x.table.pools[x.pool].GetHealthPath()
-	if healthPath != "" && x.g.fleet.cooldowns.Remaining(s.id, start) == 0 {
-		presence = x.g.endChecks.run(x.ctx, s.id, func() relay.Presence { return x.g.identify(s, healthPath) })
+	presence := x.checkEnd(s)
+	for n := 1; n < endCheckCount && presence == relay.PresenceConfirmed; n++ {
+		select {
+		case <-time.After(endCheckInterval):
+			presence = x.checkEnd(s)
+		case <-x.ctx.Done():
+			presence = relay.PresenceSilent
+		}
 	}
 	if presence == relay.PresenceConfirmed && x.g.fleet.startedAgain(s, sentAt) {
 		presence = relay.PresenceReplaced
@@ -30,6 +42,15 @@
 	return presence
 }
 
+// checkEnd asks a server once.
+func (x *exchange) checkEnd(s *server) relay.Presence {
+	healthPath := x.table.pools[x.pool].GetHealthPath()
+	if healthPath == "" || x.g.fleet.cooldowns.Remaining(s.id, time.Now()) > 0 {
+		return relay.PresenceNotProbed
+	}
+	return x.g.endChecks.run(x.ctx, s.id, func() relay.Presence { return x.g.identify(s, healthPath) })
+}
+
 // identify sends a health check to a server that no other server accepts. A server that rejects it for want of room
 // need not name itself.
 func (g *Gateway) identify(s *server, healthPath string) relay.Presence {
--- a/internal/gateway/end_test.go
+++ b/internal/gateway/end_test.go
@@ -1,11 +1,13 @@
 package gateway_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -215,3 +217,46 @@
 	require.Equal(t, result{status: http.StatusBadGateway}, <-got)
 	require.Zero(t, checks.Load())
 }
+
+// A process that is being ended closes its connections before its port, and still responds to health checks in between:
+// what it cut off must not look whole.
+func TestServerThatEndsAMomentLaterDidNotSendAWholeResponse(t *testing.T) {
+	for _, path := range []string{"/once/x", "/events/x"} {
+		t.Run(path, func(t *testing.T) {
+			var server *backend
+			server = newBackend(t, func(conn net.Conn, request *http.Request) {
+				respondUntilClose(twoEvents)(conn, request)
+				time.AfterFunc(30*time.Millisecond, func() { _ = server.l.Close() })
+			})
+			tg := newTestGateway(t, server)
+			got := tg.call(t, path, "body", "")
+			require.True(t, got.interrupted || got.status == http.StatusBadGateway, "%+v", got)
+		})
+	}
+}
+
+// By HTTP/1.0 a body without a length ends with its connection, and would run as an empty one.
+func TestHalfRequestsOfCallersAreNotRun(t *testing.T) {
+	server := newBackend(t, respondOK)
+	tg := newTestGateway(t, server)
+	for request, status := range map[string]int{
+		"POST /once/x HTTP/1.0\r\nHost: h.example\r\nX-Id: 42\r\nX-Wait: 2000\r\n\r\nhalf":                                        http.StatusBadRequest,
+		"POST /once/x HTTP/1.0\r\nHost: h.example\r\nX-Id: 42\r\nX-Wait: 2000\r\nContent-Length: 5\r\n\r\nhalf":                   http.StatusBadRequest,
+		"POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Id: 42\r\nX-Wait: 2000\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n": http.StatusBadRequest,
+		"GET /once/x HTTP/1.0\r\nHost: h.example\r\nX-Id: 42\r\nX-Wait: 2000\r\n\r\n":                                             http.StatusOK,
+	} {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(tg.url, "http://"))
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, request)
+		require.NoError(t, err)
+		if status != http.StatusOK {
+			require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		require.Equal(t, status, response.StatusCode, request)
+		_ = response.Body.Close()
+		_ = conn.Close()
+	}
+	require.Equal(t, int64(1), server.requests.Load())
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -191,6 +191,10 @@
 	if x.table != nil && x.table.limits.GetMaxBodyBytes() > 0 {
 		limit = int64(x.table.limits.GetMaxBodyBytes())
 	}
+	if bound.HasUnstatedBody(x.r) {
+		x.refuse(http.StatusBadRequest, OutcomeBadBody, 0)
+		return false
+	}
 	if x.r.ContentLength > limit {
 		x.refuse(http.StatusRequestEntityTooLarge, OutcomeBadBody, 0)
 		return false
