--- a/internal/gateway/end_test.go
+++ b/internal/gateway/end_test.go
@@ -260,3 +260,18 @@
 	}
 	require.Equal(t, int64(1), server.requests.Load())
 }
+
+// An interrupted response to a caller that takes no chunks must not end like a whole one.
+func TestInterruptedResponsesDoNotLookWholeWithoutChunks(t *testing.T) {
+	server := newBackend(t, streamEvents(1, 2, false))
+	tg := newTestGateway(t, server)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(tg.url, "http://"))
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /events/x HTTP/1.0\r\nHost: h.example\r\nX-Id: 42\r\nX-Wait: 2000\r\n\r\n")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	_, err = io.ReadAll(response.Body)
+	require.Error(t, err)
+}
