gateway: a request whose permit comes too late for its server is refused, not run in vain

Callers of servers with a request limit got 504, now and then, where a refusal with a time to return was due. The request had waited for a permit, was sent with a few milliseconds left, and was cut off by its own deadline, with the permit used up.

Cause: a waiting request checks every 50 ms whether it can still be served in time, and is sent whenever a permit comes, however late. Between the last check and the deadline it was sent with as little as 10 ms left (minTimeLeft), at a server that needs 24.

Now a request to a plain service that waits for a permit, a cooldown or room wakes when less of its time is left than any of the last 64 responses of the pool took, and is refused as not run, with the time to return. The shortest time counts, not the mean: a request that may still be served in time is sent. Requests for models and streams that have begun wait as before.

Before: TestPermitThatArrivesTooLateIsNotUsed fails in all 16 cases with too little time left (none of the 24 others), and TestPermitIsTooLateByWhatWasLearnedDuringTheWait fails.

startConfiguredGateway is split, so that a gateway may run on simulated time; its checks are as they were.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -211,18 +211,7 @@
 // startConfiguredGateway starts a gateway of whose configuration a test sets some fields.
 func startConfiguredGateway(t *testing.T, configure func(*gateway.Config), backends ...*backend) *testGateway {
 	t.Helper()
-	dialer := peer.NewDialer(peer.DialerConfig{})
-	cfg := gateway.Config{
-		Self: &schema.RosterEntry{Host: "e", CallerAddress: "127.0.0.1:1"}, Seeds: func() []string { return nil }, Dialer: dialer,
-		Replica: ledger.NewReplica(), Codec: codec(), RequestLog: logr.Discard(), KeyRevocation: keyRevocation,
-	}
-	configure(&cfg)
-	g := gateway.New(cfg)
-	t.Cleanup(func() {
-		g.Close()
-		dialer.Close()
-	})
-	g.Configure(configuration(1, routes()...))
+	g := startGateway(t, configure)
 	var views []*schema.RosterServer
 	for i, b := range backends {
 		if b.identify == nil {
@@ -241,6 +230,24 @@
 	return &testGateway{g, s.URL, "2000"}
 }
 
+// startGateway starts a gateway without servers, which may run on simulated time.
+func startGateway(t *testing.T, configure func(*gateway.Config)) *gateway.Gateway {
+	t.Helper()
+	dialer := peer.NewDialer(peer.DialerConfig{})
+	cfg := gateway.Config{
+		Self: &schema.RosterEntry{Host: "e", CallerAddress: "127.0.0.1:1"}, Seeds: func() []string { return nil }, Dialer: dialer,
+		Replica: ledger.NewReplica(), Codec: codec(), RequestLog: logr.Discard(), KeyRevocation: keyRevocation,
+	}
+	configure(&cfg)
+	g := gateway.New(cfg)
+	t.Cleanup(func() {
+		g.Close()
+		dialer.Close()
+	})
+	g.Configure(configuration(1, routes()...))
+	return g
+}
+
 func routes() []*schema.Route {
 	at := func(name string, repeat schema.Repeat, stream bool) *schema.Route {
 		return &schema.Route{
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -1,15 +1,25 @@
 package gateway_test
 
 import (
+	"bufio"
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"fennelyard/internal/gateway"
+	"fennelyard/internal/relay"
 	"fennelyard/internal/schema"
 )
 
@@ -112,3 +122,137 @@
 		})
 	}
 }
+
+// servedIn is a gateway on simulated time with one plain server that states a limit.
+type servedIn struct {
+	g *gateway.Gateway
+	// took is how long the server takes for the next request.
+	took time.Duration
+	// reached counts the requests that have reached the server.
+	reached atomic.Int64
+	servers sync.WaitGroup
+}
+
+// startServedIn starts a gateway whose server takes this long for the first request.
+func startServedIn(t *testing.T, took time.Duration) *servedIn {
+	t.Helper()
+	s := &servedIn{took: took}
+	t.Cleanup(s.servers.Wait)
+	dial := func(context.Context, string) (net.Conn, error) {
+		entrySide, serverSide := net.Pipe()
+		s.servers.Go(func() {
+			defer func() { _ = serverSide.Close() }()
+			request, err := http.ReadRequest(bufio.NewReader(serverSide))
+			if err != nil {
+				return
+			}
+			_, _ = io.ReadAll(request.Body)
+			s.reached.Add(1)
+			time.Sleep(s.took)
+			respondOK(serverSide, request)
+		})
+		return entrySide, nil
+	}
+	stated := gateway.LimitStatement{Limited: true, PerSecond: 100}
+	s.g = startGateway(t, func(cfg *gateway.Config) {
+		cfg.Sender = relay.NewSender(relay.Config{Dial: dial})
+		parse := cfg.Codec.ParseResponse
+		cfg.Codec.ParseResponse = func(status int, header http.Header) gateway.ResponseInfo {
+			info := parse(status, header)
+			info.Limit = stated
+			return info
+		}
+	})
+	s.g.ApplyServers(false, &schema.RosterServer{
+		Id: "s0", Pool: "p", Address: "10.0.2.1:80", Slots: 6, Limit: &schema.RequestLimit{Limited: true, PerSecond: stated.PerSecond, Revision: 1},
+	})
+	return s
+}
+
+// call sends a request whose caller waits for a time, and returns its status and how long that took.
+func (s *servedIn) call(path string, timeout time.Duration) (response *httptest.ResponseRecorder, took time.Duration) {
+	request := httptest.NewRequest(http.MethodPost, "http://h.example"+path, strings.NewReader("body"))
+	request.Header.Set("X-Id", "42")
+	request.Header.Set("X-Wait", strconv.FormatInt(timeout.Milliseconds(), 10))
+	response = httptest.NewRecorder()
+	start := time.Now()
+	s.g.ServeHTTP(response, request)
+	return response, time.Since(start)
+}
+
+// permitAfter adds a permit after a time.
+func (s *servedIn) permitAfter(d time.Duration) {
+	s.g.SetConfirmationAge(0)
+	time.AfterFunc(d, func() {
+		s.g.SetConfirmationAge(0)
+		s.g.AddPermits("s0", 1)
+	})
+}
+
+// A request waits for a permit that arrives when less of its time is left than its server needs. It would run in vain,
+// and its caller would get 504 instead of a time to return; one that is still served in time must be sent.
+func TestPermitThatArrivesTooLateIsNotUsed(t *testing.T) {
+	const took, timeout = 40 * time.Millisecond, time.Second
+	for _, route := range []string{"once", "again"} {
+		path := "/" + route + "/x"
+		for left := 5 * time.Millisecond; left <= 100*time.Millisecond; left += 5 * time.Millisecond {
+			t.Run(fmt.Sprint(route, ", ", left), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := startServedIn(t, took)
+					s.permitAfter(0)
+					first, _ := s.call(path, timeout)
+					require.Equal(t, http.StatusOK, first.Code)
+					s.permitAfter(timeout - left)
+					got, gotAfter := s.call(path, timeout)
+					if left > took {
+						require.Equal(t, http.StatusOK, got.Code)
+						return
+					}
+					require.Equal(t, http.StatusServiceUnavailable, got.Code)
+					require.Equal(t, "0.50", got.Header().Get("Retry-After"))
+					require.LessOrEqual(t, gotAfter, timeout-took)
+					require.EqualValues(t, 1, s.reached.Load())
+				})
+			})
+		}
+	}
+}
+
+// A request waits for a permit at an entry that learns only during the wait how long the server takes. Its permit arrives
+// too late for that.
+func TestPermitIsTooLateByWhatWasLearnedDuringTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const took, timeout = 40 * time.Millisecond, time.Second
+		s := startServedIn(t, took)
+		s.permitAfter(500 * time.Millisecond)
+		s.permitAfter(timeout - took/2)
+		statuses := make(chan int, 2)
+		for range 2 {
+			go func() {
+				response, _ := s.call("/once/x", timeout)
+				statuses <- response.Code
+			}()
+		}
+		require.Equal(t, http.StatusOK, <-statuses)
+		require.Equal(t, http.StatusServiceUnavailable, <-statuses)
+		require.EqualValues(t, 1, s.reached.Load())
+	})
+}
+
+// A request waits for a permit of a server whose times vary, and the permit arrives when less of its time is left than the
+// server mostly needs. It may still be served in time, and must not be refused.
+func TestRequestThatMayBeServedInTimeIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const least, most, timeout = 20 * time.Millisecond, 40 * time.Millisecond, time.Second
+		s := startServedIn(t, most)
+		for _, s.took = range []time.Duration{most, least, most} {
+			s.permitAfter(0)
+			response, _ := s.call("/once/x", timeout)
+			require.Equal(t, http.StatusOK, response.Code)
+		}
+		s.took = least
+		s.permitAfter(timeout - (least+most)/2)
+		response, _ := s.call("/once/x", timeout)
+		require.Equal(t, http.StatusOK, response.Code)
+	})
+}
--- a/internal/gateway/release.go
+++ b/internal/gateway/release.go
@@ -7,7 +7,7 @@
 
 // awaitRelease waits until a request may be sent to one of the servers that take it after a permit
 // or a cooldown, or to another one. It refuses the request as soon as that is expected only after
-// latest.
+// latest, and at its sendEnd at the latest.
 func (x *exchange) awaitRelease(first choice, latest time.Time) bool {
 	if !x.reserveRetry(first) {
 		return false
@@ -32,14 +32,23 @@
 		if x.refusedByQuarantine() {
 			return false
 		}
+		end := x.sendEnd()
 		c := x.g.fleet.chooseWithin(x.pool, &x.info, x.excluded, now, x.random)
+		if c.server != nil && !now.Before(end) {
+			x.fail(OutcomeTimeout, defaultRetryAfter)
+			return false
+		}
 		if c.server != nil || !c.awaitable() || (c.limited == nil) != (first.limited == nil) {
 			return true
 		}
-		if x.refusedByWait(c, first.limited, latest, start, now) {
+		by := latest
+		if end.Before(by) {
+			by = end
+		}
+		if x.refusedByWait(c, first.limited, by, start, now) {
 			return false
 		}
-		recheck := forecastRecheckInterval
+		recheck := min(forecastRecheckInterval, end.Sub(now))
 		for _, wait := range []time.Duration{c.cooldown, c.room} {
 			if wait > 0 {
 				recheck = min(recheck, wait)
@@ -82,6 +91,15 @@
 	return x.firstByteDeadline().Add(-x.g.latency(x.pool).queueTime(1))
 }
 
+// sendEnd returns from when on a request is known not to be served in time: it would run in vain, and its
+// caller would not learn when to come again. It changes with the responses to other requests.
+func (x *exchange) sendEnd() time.Time {
+	if x.info.Model != "" || x.started {
+		return x.deadline
+	}
+	return x.deadline.Add(-x.g.latency(x.pool).shortest())
+}
+
 // refusedByWait refuses a request for which a permit, or the end of a cooldown, is expected too
 // late. limited is the server with a limit for which it waits, nil for none.
 func (x *exchange) refusedByWait(c choice, limited *server, latest, start, now time.Time) bool {
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -164,12 +165,18 @@
 	mu sync.Mutex
 	// mean is the moving average of the time from dispatch to response.
 	mean time.Duration
+	// recent are the last such times, and observed is the number of all.
+	recent   [recentLatencies]time.Duration
+	observed int
 }
 
 // latencySamples is the number of requests over which the mean is averaged: about a second of
 // an entry's requests to a plain service.
 const latencySamples = 10
 
+// recentLatencies is the number of requests whose shortest time hardly any other request falls short of.
+const recentLatencies = 64
+
 func (l *latency) observe(took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -177,6 +184,18 @@
 		l.mean = took
 	}
 	l.mean += (took - l.mean) / latencySamples
+	l.recent[l.observed%recentLatencies] = took
+	l.observed++
+}
+
+// shortest returns the shortest time that a request has taken lately, 0 if there was none.
+func (l *latency) shortest() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.observed == 0 {
+		return 0
+	}
+	return slices.Min(l.recent[:min(l.observed, recentLatencies)])
 }
 
 // retryAfter returns the Retry-After of a refused request: by then the current requests should
