gateway: the test of replaced origins waits for the record that nobody waits for

It failed under load, in 1 of 3 runs of the package: the record of the first attempt is sent in the background, and had not arrived when the test counted two. It now waits for it, and still requires exactly two and their order.

--- a/internal/gateway/origin_test.go
+++ b/internal/gateway/origin_test.go
@@ -79,6 +79,12 @@
 			recorded, known := other.table.Get(origin.NewKey("", "42"))
 			require.True(t, known)
 			require.Equal(t, "v2", recorded.Version)
+			// The first record, which the second does not wait for, may still be on its way.
+			require.Eventually(t, func() bool {
+				other.mu.Lock()
+				defer other.mu.Unlock()
+				return len(other.puts) >= 2
+			}, 10*time.Second, time.Millisecond)
 			other.mu.Lock()
 			defer other.mu.Unlock()
 			require.Len(t, other.puts, 2)
