gateway: a server that stops at the deadline has not failed

An end at the deadline that is no end was counted against its server, which would be ejected after several, and was followed by a repeat or a resumed stream with no more than 20 ms left. It is a time-out of the request, as if the entry's own timer had fired first. Listed hosts share the bound of the health check.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -145,6 +145,12 @@
 		x.fail(OutcomeNoPath, path.RetryInterval)
 		return false
 	}
+	if errors.Is(err, relay.ErrUnprovenEnd) && x.timedOut() {
+		x.runs++
+		x.reportInterruption(s, err)
+		x.fail(OutcomeTimeout, 0)
+		return false
+	}
 	x.g.fleet.recordFailure(s, time.Now())
 	x.reportInterruption(s, err)
 	x.excluded = append(x.excluded, s.id)
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -18,6 +18,11 @@
 	endCheckInterval = 100 * time.Millisecond
 )
 
+// timedOut reports whether the request has ended, or its server may have stopped working on it at the deadline.
+func (x *exchange) timedOut() bool {
+	return x.ctx.Err() != nil || !time.Now().Before(relay.StopTime(x.deadline))
+}
+
 // verifyEnd reports whether the process that sent the response to a request of sentAt still runs once its connection
 // was closed. A server that wants nothing from this entry is not asked.
 func (x *exchange) verifyEnd(s *server, sentAt time.Time) relay.Presence {
--- a/internal/gateway/end_test.go
+++ b/internal/gateway/end_test.go
@@ -116,9 +116,13 @@
 				time.Sleep(time.Duration(ms) * time.Millisecond)
 				_, _ = io.WriteString(conn, end)
 			})
-			tg := newTestGateway(t, server)
+			outcomes := make(chan gateway.Outcome, 1)
+			tg := startConfiguredGateway(t, func(c *gateway.Config) {
+				c.Sender, c.OnRequestDone = relay.NewSender(relay.Config{}), func(s gateway.RequestStats) { outcomes <- s.Outcome }
+			}, server)
 			tg.timeoutMs = "300"
 			require.True(t, tg.call(t, "/events/x", "body", "").interrupted)
+			require.Equal(t, gateway.OutcomeTimeout, <-outcomes, "the server has not failed")
 		})
 	}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -444,7 +444,7 @@
 		outcome = OutcomeCallerGone
 	case x.g.aborted.Err() != nil:
 		outcome = OutcomeStopping
-	case x.ctx.Err() != nil:
+	case x.timedOut():
 		outcome = OutcomeTimeout
 	default:
 		x.g.fleet.recordFailure(s, time.Now())
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -100,7 +100,7 @@
 	x.reportBound(s, err)
 	switch {
 	case errors.Is(err, relay.ErrNotSent) || !x.g.fleet.isReady(s):
-	case !errors.Is(err, relay.ErrInterrupted) || x.retryReserved || x.ctx.Err() != nil:
+	case !errors.Is(err, relay.ErrInterrupted) || x.retryReserved || x.timedOut():
 		x.g.guard.AttemptAbandoned(x.keyedRequest(), s.suspectServer())
 	default:
 		x.g.guard.AttemptFailed(x.keyedRequest(), s.suspectServer())
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -43,7 +43,7 @@
 			x.cause = err
 			x.fail(OutcomeStopping, drain.RetryAfter)
 			return false
-		case x.ctx.Err() != nil:
+		case x.timedOut():
 			x.reportInterruption(s, err)
 			x.cause = err
 			x.fail(OutcomeTimeout, 0)
--- a/internal/routing/sender.go
+++ b/internal/routing/sender.go
@@ -49,9 +49,7 @@
 	connectTimeout = time.Second
 	// idleConnTimeout is the time after which an idle connection is closed: a
 	// middlebox may have dropped its state of the connection in the meantime.
-	idleConnTimeout = 2 * time.Second
-	// identifyTimeout bounds the time that Identify takes: a server that is full may let the request wait.
-	identifyTimeout       = 500 * time.Millisecond
+	idleConnTimeout       = 2 * time.Second
 	keepAliveIdle         = 2 * time.Second
 	keepAliveInterval     = time.Second
 	keepAliveCount        = 3
@@ -284,7 +282,7 @@
 // relay.PresenceConfirmed if that is the one with a number, relay.PresenceReplaced for any other response, and
 // relay.PresenceSilent for none.
 func (s *Sender) Identify(ctx context.Context, address, requestID string, incarnation uint64) relay.Presence {
-	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, relay.IdentifyTimeout)
 	defer cancel()
 	response, err := s.Send(ctx, Call{
 		Address: address, Method: http.MethodGet, Path: IncarnationPath, RequestID: requestID, NewConnection: true,
