--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -344,9 +344,16 @@
 	return r.forwardErr
 }
 
+// respond lets the caller have the result. The request's body is no longer needed: its caller may send the next one as
+// soon as it has the response.
+func (r *claimedRequest) respond(result claimedResult) {
+	r.in.memory.Release()
+	r.result <- result
+}
+
 func (r *claimedRequest) settleNotRun(refused *refusal.Refusal) {
 	r.e.claims.Settle(r.grant, schema.ClaimOutcome_CLAIM_OUTCOME_NOT_RUN, nil)
-	r.result <- claimedResult{refused: refused}
+	r.respond(claimedResult{refused: refused})
 }
 
 // recordedAnswer returns what is recorded of a response: a body that is not kept is not sent to the log either.
@@ -363,14 +370,14 @@
 	switch {
 	case response != nil:
 		r.e.claims.Settle(r.grant, schema.ClaimOutcome_CLAIM_OUTCOME_DONE, recordedAnswer(response))
-		r.result <- claimedResult{response: response}
+		r.respond(claimedResult{response: response})
 	case outcome == refusal.Ran:
 		r.e.claims.Settle(r.grant, schema.ClaimOutcome_CLAIM_OUTCOME_DONE, &schema.Answer{Omitted: true})
-		r.result <- claimedResult{refused: refusal.New(refusal.BackendFailed,
-			"the request ran; its answer was cut off: %v", err).WithOutcome(refusal.Ran)}
+		r.respond(claimedResult{refused: refusal.New(refusal.BackendFailed,
+			"the request ran; its answer was cut off: %v", err).WithOutcome(refusal.Ran)})
 	default:
 		r.e.claims.Settle(r.grant, schema.ClaimOutcome_CLAIM_OUTCOME_UNKNOWN, nil)
-		r.result <- claimedResult{refused: refusal.New(refusal.OutcomeUnknown,
-			"the connection to the server broke: %v", err).WithOutcome(refusal.Unknown)}
+		r.respond(claimedResult{refused: refusal.New(refusal.OutcomeUnknown,
+			"the connection to the server broke: %v", err).WithOutcome(refusal.Unknown)})
 	}
 }
