relay: a health check after the end of a response has two seconds

Callers of streams wait two seconds for the next event; the check may take as long, within the request's deadline.

--- a/internal/relay/presence.go
+++ b/internal/relay/presence.go
@@ -34,8 +34,9 @@
 	PresenceReplaced // replaced
 )
 
-// IdentifyTimeout bounds the time that Identify takes: a server that is full may let the request wait.
-const IdentifyTimeout = 500 * time.Millisecond
+// IdentifyTimeout bounds the time that Identify takes: a server that is full may let the request wait, and so may this
+// host if it is out of processor time.
+const IdentifyTimeout = 2 * time.Second
 
 // Identify sends a request to a server's address, and returns PresenceConfirmed if confirms returns true for the
 // status and the header of the response, and PresenceReplaced if it returns false.
