--- a/internal/gateway/end_test.go
+++ b/internal/gateway/end_test.go
@@ -127,7 +127,7 @@
 	}
 }
 
-// The counter tells proved ends from others.
+// The counter distinguishes proved ends from others.
 func TestEndsWithTheConnectionAreCounted(t *testing.T) {
 	var counted []relay.Presence
 	count := func(c *gateway.Config) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -65,7 +65,7 @@
 	// it returns false: it may take until tcp.ConnectTimeout to connect. via is the host through which
 	// the connection is made, empty for a direct one.
 	MaySend func(via string) bool
-	// StopsAt is when the server stops working on the request, as it was told to, and may end its response as if it
+	// StopsAt is when the server stops working on the request, by the deadline it was sent, and may end its response as if it
 	// were whole; the zero time: never. From then on the end of a response without a length does not count.
 	StopsAt time.Time
 	// VerifyEnd is called when a response without a length or chunks ends with its connection. The end
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -232,7 +232,7 @@
 	// out writes to client in chunks; nil for a client that takes the bytes as they are.
 	out *chunkWriter
 	// writing is set while bytes of the request are written to server, and writeFailed once that has failed. A socket
-	// reports a reset only once: if writing is told of it, reading ends as if server had closed its connection.
+	// reports a reset only once: if a write returns it, reading ends as if server had closed its connection.
 	writing, writeFailed atomic.Bool
 	once                 sync.Once
 }
