control, entry: log for whom a departure's acknowledgement waited, why streams ended, and when entries learned

Callers saw nothing; whoever looked for the cause of requests after an acknowledged departure couldn't tell three hypotheses apart. A departure now has one line with the hosts and entries that have acknowledged it, those that were not waited for and why, and for how long the host has led; the end of a host's or an entry's stream says the error of the side that ended it; an entry says when it learned that servers take no new work, by which host, and how old that is at most; a request's line has the time of the last check and how old the leader's view was. Nothing decides by them.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -98,6 +98,7 @@
 	var sentAt time.Time
 	request.MaySend = func(via string) bool {
 		sentAt, x.via = time.Now(), via
+		x.sentAt, x.rosterAge = sentAt, sentAt.Sub(x.g.subscriber.confirmedAt())
 		if _, held := x.g.guard.Hold(x.keyedRequest()).At(s.kind); held {
 			return false
 		}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -112,6 +112,10 @@
 	server   *server
 	// via is the address of the host through which the last connection was made, empty for none.
 	via string
+	// sentAt is when a server was last found to take new work, right before the request was sent to it, and
+	// rosterAge how long ago the leader's view of it was confirmed then.
+	sentAt    time.Time
+	rosterAge time.Duration
 	// waited is how long the request waited for a model.
 	waited          time.Duration
 	timeToFirstByte time.Duration
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -116,12 +116,15 @@
 }
 
 // update applies the servers of a leader's update. With prune, known holds every server that
-// the leader knows, and all others are removed.
-func (f *fleet) update(views []*schema.RosterServer, prune bool, known map[string]bool) {
+// the leader knows, and all others are removed. It returns the servers that take no new work any more.
+func (f *fleet) update(views []*schema.RosterServer, prune bool, known map[string]bool) (departed []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, v := range views {
 		old := f.servers[v.GetId()]
+		if old != nil && old.ready() && v.GetState() != schema.RosterState_ROSTER_STATE_READY {
+			departed = append(departed, v.GetId())
+		}
 		switch {
 		case v.GetState() == schema.RosterState_ROSTER_STATE_GONE:
 			f.removeEnded(v.GetId())
@@ -149,6 +152,7 @@
 	f.expireDepartures(now)
 	maps.DeleteFunc(f.endedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
 	f.notifyChanged()
+	return departed
 }
 
 // add adds a server and removes its earlier incarnations: their models and caches are gone, and
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -25,6 +25,10 @@
 	if x.info.Model != "" {
 		rate, separated = g.fleet.prefillRate(x.pool)
 	}
+	sentMs := int64(-1)
+	if !x.sentAt.IsZero() {
+		sentMs = x.sentAt.Sub(x.startTime).Milliseconds()
+	}
 	server, software := "", x.info.version
 	if x.server != nil {
 		server, software = x.server.id, g.fleet.versionOf(x.server)
@@ -35,7 +39,7 @@
 	}
 	heldBy, heldScope, heldName := x.keyed.HeldBy()
 	g.cfg.RequestLog.Info("request", "id", x.info.ID, "key", x.keyed.ComputedKey(), "held-by", heldBy, "held-scope", heldScope, "held-name", heldName, "held-versions", g.fleet.heldVersions(x.pool, &x.info), "outcome", x.outcome.String(), "team", x.teamName(), "quota-cost", x.access.cost, "quota-by", x.quotaSource(), "quota-waited-ms", x.access.waited.Milliseconds(), "confirmed-age-ms", time.Since(g.subscriber.confirmedAt()).Milliseconds(), "status", x.status, "route", route,
-		"version", version, "pool", x.pool, "model", x.info.Model, "adapter", x.info.Adapter, "server", server, "via", x.via,
+		"version", version, "pool", x.pool, "model", x.info.Model, "adapter", x.info.Adapter, "server", server, "via", x.via, "sent-ms", sentMs, "roster-age-ms", x.rosterAge.Milliseconds(),
 		"server-limit", x.statedLimit.String(), "server-cooldown-ms", x.statedCooldown.Milliseconds(), "attempts", x.attempts, "runs", x.runs, "tried", x.excluded, "framing", x.framing.String(), "last-event", x.lastEventID, "resumes", x.info.Resumes, "resumes-after", x.info.LastEventID, "bound", x.info.bound, "software", software, "unproven", x.info.copyKey != "", "parts", x.info.partIDs(), "waited-ms", x.waited.Milliseconds(),
 		"first-ms", x.timeToFirstByte.Milliseconds(), "pause-ms", x.maxPause.Milliseconds(), "took-ms", duration.Milliseconds(), "wait-ms", x.info.Timeout.Milliseconds(), "prompt", x.info.PromptTokens,
 		"at-once", x.inFlightBefore, "unread", x.pendingPrefillBefore, "read-rate", rate, "apart", separated,
--- a/internal/gateway/subscriber.go
+++ b/internal/gateway/subscriber.go
@@ -420,8 +420,13 @@
 	if c != nil {
 		s.g.configure(c)
 	}
+	// What the update says was not known to this entry as of its last confirmation.
+	knownSince := time.Since(s.confirmedAt())
 	s.recordConfirmation(update)
-	s.applyServers(update)
+	if departed := s.applyServers(update); len(departed) > 0 {
+		s.g.cfg.Log.Info("servers take no new work", "servers", departed[:min(len(departed), maxServersLogged)], "count", len(departed),
+			"host", s.currentHost(), "term", position.Term, "change", position.Change, "age-ms-at-most", knownSince.Milliseconds())
+	}
 	s.position = position
 	if l := update.GetLoads(); l != nil {
 		s.g.fleet.setLoads(l.GetLoads())
@@ -470,8 +475,8 @@
 	return s.confirmed
 }
 
-// applyServers applies the servers of an update.
-func (s *subscriber) applyServers(update *schema.LeaderNews) {
+// applyServers applies the servers of an update, and returns those that take no new work any more.
+func (s *subscriber) applyServers(update *schema.LeaderNews) []string {
 	if update.GetWhole() {
 		s.namedServers, s.pruned = map[string]bool{}, false
 	}
@@ -480,11 +485,12 @@
 	}
 	prune := update.GetSettled() && !s.pruned
 	if len(update.GetServers()) == 0 && !prune {
-		return
+		return nil
 	}
-	s.g.fleet.update(update.GetServers(), prune, s.namedServers)
+	departed := s.g.fleet.update(update.GetServers(), prune, s.namedServers)
 	s.pruned = s.pruned || prune
 	s.g.logServers(update)
+	return departed
 }
 
 // currentHost returns the host that the entry subscribes to, empty for none.
--- a/internal/role/api.go
+++ b/internal/role/api.go
@@ -117,7 +117,8 @@
 	c.group.Ledger().View(func(_ ledger.Status, r *ledger.Records) {
 		revision = r.Record(ledger.ConfigurationKey).GetRevision()
 	})
-	return c.roster.AwaitAcked(ctx, roster.Progress{Revision: revision})
+	_, err := c.roster.AwaitAcked(ctx, roster.Progress{Revision: revision})
+	return err
 }
 
 func (c *Control) commit(ctx context.Context, cmd *schema.Command) error {
@@ -219,7 +220,8 @@
 		return err
 	}
 	defer c.roster.RequestAcks()()
-	if !c.departed(id) {
+	start, committed := time.Now(), !c.departed(id)
+	if committed {
 		err := c.commit(context.WithoutCancel(ctx), &schema.Command{Body: &schema.Command_DepartServer{
 			DepartServer: &schema.DepartServer{Server: id},
 		}})
@@ -230,10 +232,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, departureAckTimeout)
 	defer cancel()
-	if err := c.roster.AwaitAcked(ctx, roster.Progress{Change: c.roster.Depart(id)}); err != nil {
-		c.cfg.Log.Info("departure not told", "server", id, "error", asynclog.ErrorText(err))
+	acks, err := c.roster.AwaitAcked(ctx, roster.Progress{Change: c.roster.Depart(id)})
+	if err != nil {
+		c.cfg.Log.Info("departure not told", "server", id, "not-awaited", acks.NotAwaited, "term-age-ms", acks.TermAge.Milliseconds(), "error", asynclog.ErrorText(err))
 		return errors.Newf("await acknowledgements of entries: %v: %w", err, ErrUnavailable)
 	}
+	c.cfg.Log.Info("departure acknowledged", "server", id, "committed", committed, "took-ms", time.Since(start).Milliseconds(), "hosts", acks.Hosts,
+		"entries", acks.Entries, "not-awaited", acks.NotAwaited, "term-age-ms", acks.TermAge.Milliseconds())
 	return nil
 }
 
--- a/internal/role/entry_session.go
+++ b/internal/role/entry_session.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 
+	"fennelyard/internal/asynclog"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/roster"
@@ -48,7 +49,7 @@
 
 // serveEntry serves the subscription of an entry. It returns when either side is gone or
 // this host is no longer in sync with the leader.
-func (c *Control) serveEntry(stream entryStream) error {
+func (c *Control) serveEntry(stream entryStream) (err error) {
 	first, err := stream.Recv()
 	if err != nil {
 		return errors.Newf("hear entry: %w", err)
@@ -58,7 +59,7 @@
 	}
 	s := newEntrySession(c, stream, first)
 	c.subscribers.Subscribe(s.number, s.entry, first.GetStream())
-	defer c.subscribers.Unsubscribe(s.number, s.entry.GetHost())
+	defer func() { c.subscribers.Unsubscribe(s.number, s.entry.GetHost(), asynclog.ErrorText(err)) }()
 	c.quotaStock.Subscribe(s.entry.GetHost(), first.GetStartedMs(), first.GetStream(), first.GetQuotas(), time.Now())
 	defer func() { c.quotaStock.Unsubscribe(s.entry.GetHost(), first.GetStream(), time.Now()) }()
 	s.handleReport(first)
--- a/internal/role/host_session.go
+++ b/internal/role/host_session.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 
+	"fennelyard/internal/asynclog"
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/roster"
@@ -33,10 +34,10 @@
 
 // serveHost serves a control host that follows this leader. It returns when either side is
 // gone or this host no longer leads.
-func (c *Control) serveHost(stream hostStream) error {
+func (c *Control) serveHost(stream hostStream) (err error) {
 	status := c.group.Status()
 	if !status.CommittedInTerm {
-		if err := stream.Send(&schema.LeaderNews{NotLeader: true, LeaderAddress: status.LeaderHost}); err != nil {
+		if err = stream.Send(&schema.LeaderNews{NotLeader: true, LeaderAddress: status.LeaderHost}); err != nil {
 			return errors.Newf("name the leader: %w", err)
 		}
 		return nil
@@ -49,7 +50,7 @@
 	}
 	h := newHostSession(c, stream, first.GetHost(), status.Term)
 	c.roster.HostConnected(h.number, h.host)
-	defer c.roster.HostDisconnected(h.number, h.address())
+	defer func() { c.roster.HostDisconnected(h.number, h.address(), asynclog.ErrorText(err)) }()
 	defer c.driver.RemoveEntry(h.address())
 	defer c.hostPermits.Remove(h.streamName())
 	defer c.allocator.RemoveStream(h.streamName())
--- a/internal/roster/hosts.go
+++ b/internal/roster/hosts.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -139,12 +140,12 @@
 	return h != nil && h.lagging
 }
 
-// HostDisconnected records the end of a control host's stream.
-func (r *Roster) HostDisconnected(stream uint64, host string) {
+// HostDisconnected records the end of a control host's stream, and why it ended.
+func (r *Roster) HostDisconnected(stream uint64, host, reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if h := r.currentHost(stream, host); h != nil && !h.silent {
-		r.markSilent(h, "its stream ended")
+		r.markSilent(h, strings.TrimSuffix("its stream ended: "+reason, ": "))
 	}
 }
 
--- a/internal/roster/hosts_test.go
+++ b/internal/roster/hosts_test.go
@@ -83,7 +83,7 @@
 	r.HostConnected(1, controlHost("h1"))
 	r.HostConnected(2, controlHost("h2"))
 	r.ApplyHostReport(1, "h1", term, entriesReport("e1", "e2"))
-	r.HostDisconnected(1, "h1")
+	r.HostDisconnected(1, "h1", "")
 	require.Equal(t, []string{"e1", "e2"}, directoryHosts(r))
 	r.ApplyHostReport(2, "h2", term, entriesReport("e1"))
 	c.now = c.now.Add(3 * time.Second)
@@ -137,9 +137,9 @@
 	r, _ := newSettledRoster()
 	r.HostConnected(1, controlHost("h1"))
 	r.HostConnected(2, controlHost("h1"))
-	r.HostDisconnected(1, "h1")
+	r.HostDisconnected(1, "h1", "")
 	require.Len(t, listedHosts(r), 1)
-	r.HostDisconnected(2, "h1")
+	r.HostDisconnected(2, "h1", "")
 	require.Empty(t, listedHosts(r))
 }
 
@@ -197,7 +197,7 @@
 	require.True(t, r.HasRequests("s", "b"))
 	load(2, "h2", "")
 	require.False(t, r.HasRequests("s", "b"))
-	r.HostDisconnected(1, "h1")
+	r.HostDisconnected(1, "h1", "")
 	require.False(t, r.HasRequests("s", "a"))
 }
 
@@ -215,7 +215,7 @@
 		target := roster.Progress{Change: change}
 		await := func() chan error {
 			done := make(chan error, 1)
-			go func() { done <- r.AwaitAcked(context.Background(), target) }()
+			go func() { done <- awaitAcked(context.Background(), r, target) }()
 			time.Sleep(50 * time.Millisecond)
 			synctest.Wait()
 			return done
@@ -224,7 +224,7 @@
 		r.ApplyHostReport(2, "h2", term, acknowledgement(change-1, "e7"))
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		require.ErrorContains(t, r.AwaitAcked(ctx, target), "h2 e7")
+		require.ErrorContains(t, awaitAcked(ctx, r, target), "h2 e7")
 		// The change number of another leader's term is unrelated to this term's
 		// changes.
 		other := acknowledgement(change + 9)
@@ -253,3 +253,9 @@
 		require.NoError(t, <-done)
 	})
 }
+
+// awaitAcked waits for the acknowledgements of a target.
+func awaitAcked(ctx context.Context, r *roster.Roster, target roster.Progress) error {
+	_, err := r.AwaitAcked(ctx, target)
+	return err
+}
--- a/internal/roster/progress.go
+++ b/internal/roster/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -25,25 +26,59 @@
 // configurations change twice a second at most.
 const ackPollInterval = 5 * time.Millisecond
 
+// Acks describes for whom an acknowledgement waited.
+type Acks struct {
+	// Hosts are the control hosts that have acknowledged the change, and Entries is the number of
+	// entries that they speak for.
+	Hosts   []string
+	Entries int
+	// NotAwaited are the hosts that were not waited for, each with the reason.
+	NotAwaited []string
+	// TermAge is for how long this host has led.
+	TermAge time.Duration
+}
+
 // AwaitAcked waits until every control host that is not silent or lagging, with every entry
 // subscribed to it, has acknowledged a target. If ctx ends first, the error names those
 // that have not.
-func (r *Roster) AwaitAcked(ctx context.Context, target Progress) error {
+func (r *Roster) AwaitAcked(ctx context.Context, target Progress) (Acks, error) {
 	ticker := time.NewTicker(ackPollInterval)
 	defer ticker.Stop()
 	for {
 		behind := r.hostsBehind(target)
 		if len(behind) == 0 {
-			return nil
+			return r.acks(target), nil
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Newf("not told: %s: %w", strings.Join(behind, "; "), ctx.Err())
+			return r.acks(target), errors.Newf("not told: %s: %w", strings.Join(behind, "; "), ctx.Err())
 		case <-ticker.C:
 		}
 	}
 }
 
+// acks returns who has acknowledged a target, and who is not waited for.
+func (r *Roster) acks(target Progress) Acks {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := Acks{TermAge: r.cfg.Now().Sub(r.termStart)}
+	for address, h := range r.hosts {
+		silentMs := r.cfg.Now().Sub(h.lastReceived).Milliseconds()
+		switch {
+		case h.silent:
+			out.NotAwaited = append(out.NotAwaited, fmt.Sprintf("%s silent for %d ms", address, silentMs))
+		case h.lagging:
+			out.NotAwaited = append(out.NotAwaited, fmt.Sprintf("%s lagging", address))
+		case !h.progress.before(target):
+			out.Hosts = append(out.Hosts, address)
+			out.Entries += len(h.entries)
+		}
+	}
+	slices.Sort(out.Hosts)
+	slices.Sort(out.NotAwaited)
+	return out
+}
+
 // RequestAcks asks for acknowledgements of a change that is about to be made, until the
 // returned function is called.
 func (r *Roster) RequestAcks() func() {
--- a/internal/subscription/subscription.go
+++ b/internal/subscription/subscription.go
@@ -327,8 +327,8 @@
 	return len(r.subscriptions)
 }
 
-// Unsubscribe removes an entry when its stream ends.
-func (r *Registry) Unsubscribe(stream uint64, host string) {
+// Unsubscribe removes an entry when its stream ends, and logs why it ended.
+func (r *Registry) Unsubscribe(stream uint64, host, reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.current(stream, host)
@@ -338,7 +338,7 @@
 	r.clearState(s)
 	delete(r.subscriptions, host)
 	r.listReported = false
-	r.cfg.Log.Info("entry left", "entry", host, "attending", len(r.subscriptions))
+	r.cfg.Log.Info("entry left", "entry", host, "attending", len(r.subscriptions), "error", reason)
 	r.RequestReport()
 }
 
--- a/internal/subscription/subscription_test.go
+++ b/internal/subscription/subscription_test.go
@@ -63,9 +63,9 @@
 	r, _ := newRegistry()
 	r.Subscribe(1, entry("e1"), 1)
 	r.Subscribe(2, entry("e1"), 2)
-	r.Unsubscribe(1, "e1")
+	r.Unsubscribe(1, "e1", "")
 	require.Equal(t, []string{"e1"}, listedEntries(r))
-	r.Unsubscribe(2, "e1")
+	r.Unsubscribe(2, "e1", "")
 	require.Empty(t, listedEntries(r))
 }
 
@@ -128,7 +128,7 @@
 	check(0, 5, 1)
 	report(1, "e1", 0, 0)
 	check(0, 3, 1)
-	r.Unsubscribe(2, "e2")
+	r.Unsubscribe(2, "e2", "")
 	check(0, 0, 1)
 	check(0, 0, 0)
 	// Another leader has received nothing.
