--- a/cmd/fennelyard/departure_test.go
+++ b/cmd/fennelyard/departure_test.go
@@ -201,7 +201,7 @@
 			c := newDepartureCase(t)
 			var arrivals atomic.Int64
 			l := c.listenServer(9)
-			h := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			h := &http.Server{ReadHeaderTimeout: waitLimit, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				if r.URL.Path == latePath {
 					arrivals.Add(1)
 				}
