role, gateway: names that are no valid UTF-8 are refused before any message between hosts has them

Callers' requests reached a server for as long as watched after its departure was acknowledged. Cause: messages between hosts are proto3, whose strings must be valid UTF-8. The ID of an announcement comes from a path and a model's name from a caller's header, and neither was checked: with one of them each update of the leader to each control host failed (`Internal`, `error while marshaling`), for two minutes at least, as the roster keeps a server for that long; and each report of an entry with such a demand ended its stream.

Change: an announcement or departure with such a name gets 400, at the product's interface for every codec; a request for such a model is refused with 400 at once, as no configuration can have it (configurations are JSON, whose decoder refuses it).

--- a/cmd/fennelyard/departure_test.go
+++ b/cmd/fennelyard/departure_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"fennelyard/internal/relay"
@@ -167,7 +168,10 @@
 		"announcement": func(c *departureCase) {
 			path, body := standin.Announcement("%FF", "127.0.3.29:1", "v1", 5, 1)
 			for i := range soakControls {
-				c.call(http.MethodPut, c.operatorURL(i)+path, body, nil, time.Second)
+				status, _ := c.call(http.MethodPut, c.operatorURL(i)+path, body, nil, time.Second)
+				assert.Equal(c.t, http.StatusBadRequest, status)
+				status, _ = c.call(http.MethodDelete, c.operatorURL(i)+path, "", nil, time.Second)
+				assert.Equal(c.t, http.StatusBadRequest, status)
 			}
 		},
 		"requests": func(c *departureCase) {
@@ -175,7 +179,8 @@
 				c.repeat(func(n int) {
 					header := standin.RequestHeader(fmt.Sprintf("no-text-%d-%d", entry, n), 1000)
 					header["Model"] = []string{noText}
-					c.call(http.MethodPost, c.callerURL(entry), "body", header, time.Second)
+					status, _ := c.call(http.MethodPost, c.callerURL(entry), "body", header, time.Second)
+					assert.Equal(c.t, http.StatusBadRequest, status)
 				})
 			}
 		},
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -54,6 +55,7 @@
 	OutcomeVersionGone                   // version-gone
 	OutcomeNoMemory                      // no-memory
 	OutcomeNoGrant                       // no-grant
+	OutcomeNotText                       // not-text
 )
 
 const (
@@ -150,6 +152,11 @@
 // open finds the route, authorizes the caller and reads the request. On failure it sends the
 // response itself and returns false.
 func (x *exchange) open() bool {
+	if !utf8.ValidString(x.info.Model) || !utf8.ValidString(x.info.Adapter) {
+		// No model has such a name, and reports to the control host can't carry it.
+		x.refuse(http.StatusBadRequest, OutcomeNotText, 0)
+		return false
+	}
 	if x.table = x.g.table.Load(); x.table == nil {
 		// The body is read before waiting for a configuration: callers disconnect if their request is
 		// not read from the connection.
--- a/internal/role/api.go
+++ b/internal/role/api.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -43,6 +44,8 @@
 	// ErrNoIncarnation is returned when an announcement names no incarnation of a server
 	// whose known announcements name one.
 	ErrNoIncarnation = errors.New("the server's start is not told")
+	// ErrNotText is returned when a name is no valid UTF-8.
+	ErrNotText = errors.New("a name is no valid UTF-8")
 )
 
 // NotLeaderError is returned when another host leads.
@@ -157,6 +160,9 @@
 // the leader: announcements of the whole fleet would keep a new leader from reaching its
 // hosts.
 func (c *Control) Announce(ctx context.Context, a roster.Announcement) error {
+	if !a.IsText() {
+		return errors.Newf("announcement of %q: %w", a.ID, ErrNotText)
+	}
 	leading := c.group.Status().CommittedInTerm
 	if !leading && a.Leaving {
 		return c.checkLeader()
@@ -207,6 +213,9 @@
 // Depart handles a backend server's report that it ends. The report names the server, not
 // the incarnation.
 func (c *Control) Depart(ctx context.Context, server string) error {
+	if !utf8.ValidString(server) {
+		return errors.Newf("departure of %q: %w", server, ErrNotText)
+	}
 	return c.depart(ctx, c.roster.EndingIncarnation(server))
 }
 
--- a/internal/roster/announcements_test.go
+++ b/internal/roster/announcements_test.go
@@ -120,3 +120,31 @@
 	_, known := (&roster.AnnouncementReader{}).Read(&schema.HeardServer{Id: "s", Sequence: 3}, f.clock.now)
 	require.False(t, known)
 }
+
+// A name that no message between hosts can carry ends the streams of a leader to all hosts.
+func TestNamesThatAreNoTextAreFoundInEveryField(t *testing.T) {
+	const noText = "\xff"
+	sound := func() roster.Announcement {
+		return roster.Announcement{
+			ID: "s@1", Pool: "p", Address: "a:1", DataCentre: "d", Software: "v1",
+			Loaded: []*schema.HeldModel{{Name: "m", Adapters: []string{"a"}}}, InMemory: []string{"m"}, OnDisk: []string{"ü"},
+		}
+	}
+	a := sound()
+	require.True(t, a.IsText())
+	for field, spoil := range map[string]func(a *roster.Announcement){
+		"ID":         func(a *roster.Announcement) { a.ID = noText },
+		"Pool":       func(a *roster.Announcement) { a.Pool += noText },
+		"Address":    func(a *roster.Announcement) { a.Address += noText },
+		"DataCentre": func(a *roster.Announcement) { a.DataCentre = noText },
+		"Software":   func(a *roster.Announcement) { a.Software = noText + "1" },
+		"model":      func(a *roster.Announcement) { a.Loaded[0].Name = noText },
+		"adapter":    func(a *roster.Announcement) { a.Loaded[0].Adapters[0] = noText },
+		"InMemory":   func(a *roster.Announcement) { a.InMemory[0] = noText },
+		"OnDisk":     func(a *roster.Announcement) { a.OnDisk[0] = noText },
+	} {
+		a := sound()
+		spoil(&a)
+		require.False(t, a.IsText(), field)
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/go-logr/logr"
 	"google.golang.org/protobuf/proto"
@@ -54,6 +55,20 @@
 	Received time.Time
 }
 
+// IsText reports whether all names are valid UTF-8. Messages between hosts can carry no others.
+func (a *Announcement) IsText() bool {
+	for _, m := range a.Loaded {
+		if !allText(m.GetName()) || !allText(m.GetAdapters()...) {
+			return false
+		}
+	}
+	return allText(a.ID, a.Pool, a.Address, a.DataCentre, a.Software) && allText(a.InMemory...) && allText(a.OnDisk...)
+}
+
+func allText(names ...string) bool {
+	return !slices.ContainsFunc(names, func(name string) bool { return !utf8.ValidString(name) })
+}
+
 // ReceivedAt returns when the announcement was received: Received, or now if that is zero.
 func (a *Announcement) ReceivedAt(now time.Time) time.Time {
 	if a.Received.IsZero() {
