tunnel, relay: a request that its carrier gets late, or whose sender has given up, is not forwarded

A request reached its server 2.6 s after the last check, though its sender had given up: an entry that carries the connection for another one was stopped meanwhile, and forwards what its kernel holds when it goes on. The last check (MaySend) was a permission without an end: nothing bounded the time between it and the server, and a kernel hands out the bytes of a connection that was reset.

Change: a carrier counts from its response to CONNECT, which is before the sender's check, and forwards no first byte later than 500 ms after it, by the clock that has advanced further (the steady one stands still while a host is suspended), nor any whose sender has closed or reset the connection (the kernel's state of it). With that, what is sent right before an acknowledgement reaches the server's kernel within 1.9 s, three retransmissions included. It resets the server's connection and states behind the last chunk that nothing was forwarded; the sender takes that for a request that was not sent, blames no server and tries again. A response before it never looks whole. A log line at the carrier, at most one a second.

What is left: bytes in the kernel of a server whose own process is stopped can't be withdrawn.

--- a/cmd/fennelyard/departure_test.go
+++ b/cmd/fennelyard/departure_test.go
@@ -1,10 +1,14 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -194,6 +198,19 @@
 	}
 }
 
+// stop stops a process, and returns once it no longer runs.
+func (c *departureCase) stop(name string) {
+	c.cluster.sendSignal(name, syscall.SIGSTOP)
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", c.cluster.process(name).cmd.Process.Pid))
+	assert.NoError(c.t, err)
+	for len(threads) > 0 {
+		threads = slices.DeleteFunc(threads, func(file string) bool {
+			stat, err := os.ReadFile(file)
+			return err != nil || bytes.Contains(stat, []byte(") T "))
+		})
+	}
+}
+
 // The carrier of a tunnel is stopped after the last check. Once it goes on, the request must not reach the server,
 // whether its sender still waits or not.
 func TestStoppedCarrierForwardsNoRequestLate(t *testing.T) {
@@ -225,7 +242,7 @@
 			request := &relay.Request{
 				Method: http.MethodGet, Target: latePath, Host: "h", MatchesResponse: func(http.Header) bool { return true },
 				MaySend: func(string) bool {
-					c.cluster.sendSignal("entry-1", syscall.SIGSTOP)
+					c.stop("entry-1")
 					time.AfterFunc(stopped, func() { c.cluster.sendSignal("entry-1", syscall.SIGCONT) })
 					return true
 				},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -64,7 +64,7 @@
 		markPrefilled()
 	}
 	response, responseInfo, err := x.send(ctx, s, remaining, 0, stamp)
-	if errors.Is(err, relay.ErrWithheld) {
+	if errors.IsAny(err, relay.ErrWithheld, relay.ErrNotForwarded) {
 		x.attempts--
 		x.retryReserved = !timer.stop() || x.attempts > 0
 		return x.hasTimeLeft()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -170,7 +170,7 @@
 			}
 			ended()
 		}
-		if errors.Is(err, relay.ErrWithheld) || responseInfo.Cooldown.Wait > 0 && responseInfo.NotRun {
+		if errors.IsAny(err, relay.ErrWithheld, relay.ErrNotForwarded) || responseInfo.Cooldown.Wait > 0 && responseInfo.NotRun {
 			if response != nil {
 				response.Close()
 			}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,6 +26,9 @@
 	ErrInterrupted = errors.New("the exchange was interrupted")
 	// ErrWithheld reports that MaySend returned false. It wraps ErrNotSent.
 	ErrWithheld = errors.Newf("the request was withheld: %w", ErrNotSent)
+	// ErrNotForwarded reports that the host through which the connection is made has dropped the request. It
+	// wraps ErrNotSent.
+	ErrNotForwarded = errors.Newf("the request was not forwarded: %w", ErrNotSent)
 	// ErrMismatchedResponse reports that the responses received are not for this
 	// request.
 	ErrMismatchedResponse = errors.New("the response belongs to another request")
@@ -203,8 +206,11 @@
 // Unwrap returns the errors that the error wraps.
 func (e interruptedError) Unwrap() []error { return []error{e.cause, ErrInterrupted} }
 
-// interrupted returns an error that wraps ErrInterrupted, and a bound that was met.
+// interrupted returns an error that wraps ErrInterrupted, and a bound that was met, or ErrNotForwarded.
 func interrupted(cause error) error {
+	if errors.Is(cause, tcp.ErrNotForwarded) {
+		return errors.Newf("%v: %w", cause, ErrNotForwarded)
+	}
 	if bound.Of(cause) != nil {
 		return interruptedError{cause}
 	}
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httputil"
 	"net/url"
 	"strconv"
 	"syscall"
@@ -53,7 +52,8 @@
 type Conn struct {
 	net.Conn
 	via string
-	// in returns the server's bytes, and io.EOF only if the server has closed its connection.
+	// in returns the server's bytes, and io.EOF only if the server has closed its connection. Its error wraps
+	// tcp.ErrNotForwarded if the other host states that nothing was forwarded to the server.
 	in io.Reader
 }
 
@@ -61,7 +61,7 @@
 func newConn(conn net.Conn, via string, response *http.Response, ahead []byte) *Conn {
 	in := io.MultiReader(bytes.NewReader(ahead), conn)
 	if response.Header.Get(headerFraming) == framingChunked {
-		return &Conn{Conn: conn, via: via, in: httputil.NewChunkedReader(in)}
+		return &Conn{Conn: conn, via: via, in: newChunkReader(in)}
 	}
 	return &Conn{Conn: conn, via: via, in: unstatedEndReader{in}}
 }
--- a/internal/tunnel/framing.go
+++ b/internal/tunnel/framing.go
@@ -6,6 +6,8 @@
 	"net/http/httputil"
 
 	"github.com/cockroachdb/errors"
+
+	"fennelyard/internal/tcp"
 )
 
 const (
@@ -15,6 +17,8 @@
 	// whose connections the kernel closes, would pass for that of the response.
 	headerFraming  = "Fennelyard-Tunnel-Framing"
 	framingChunked = "chunked"
+	// notForwardedTrailer follows the last chunk if nothing of the request was forwarded to the server.
+	notForwardedTrailer = "Fennelyard-Not-Forwarded: true\r\n"
 	// chunkOverheadBytes is the room for the size line of a chunk and the line break behind it.
 	chunkOverheadBytes = 32
 )
@@ -48,10 +52,15 @@
 }
 
 // end sends the last chunk.
-func (w *chunkWriter) end() error {
+func (w *chunkWriter) end() error { return w.endWith("") }
+
+// endNotForwarded sends the last chunk, and states that nothing of the request was forwarded.
+func (w *chunkWriter) endNotForwarded() error { return w.endWith(notForwardedTrailer) }
+
+func (w *chunkWriter) endWith(trailer string) error {
 	err := w.chunks.Close()
 	if err == nil {
-		_, err = w.buffer.WriteString("\r\n")
+		_, err = w.buffer.WriteString(trailer + "\r\n")
 	}
 	if err == nil {
 		err = w.buffer.Flush()
@@ -62,6 +71,48 @@
 	return nil
 }
 
+// chunkReader reads what a chunkWriter has sent. Its end is tcp.ErrNotForwarded if the writer has stated that and sent
+// nothing else.
+type chunkReader struct {
+	buffer *bufio.Reader
+	chunks io.Reader
+	// received is set once a byte was read, and err the error with which the bytes have ended.
+	received bool
+	err      error
+}
+
+func newChunkReader(in io.Reader) *chunkReader {
+	buffer := bufio.NewReader(in)
+	return &chunkReader{buffer: buffer, chunks: httputil.NewChunkedReader(buffer)}
+}
+
+// Read implements io.Reader.
+func (r *chunkReader) Read(p []byte) (int, error) {
+	if r.err != nil {
+		return 0, r.err
+	}
+	n, err := r.chunks.Read(p)
+	r.received = r.received || n > 0
+	if errors.Is(err, io.EOF) {
+		err = r.end()
+	}
+	r.err = err
+	return n, err
+}
+
+// end returns the error for the end of the last chunk.
+func (r *chunkReader) end() error {
+	// What can't be read is no statement: the last chunk alone proves the end.
+	line, _ := r.buffer.ReadSlice('\n')
+	switch {
+	case string(line) != notForwardedTrailer:
+		return io.EOF
+	case r.received:
+		return errUnstatedEnd
+	}
+	return tcp.ErrNotForwarded
+}
+
 // unstatedEndReader reads the bytes of a host that does not state how they end: none of its ends is a regular one.
 type unstatedEndReader struct{ in io.Reader }
 
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -6,7 +6,8 @@
 // third host, and copies bytes. It decides nothing about the requests: a connection that either end
 // closes or resets is closed or reset at the other end, so that errors and cancellations mean the
 // same as on a direct connection. The server's bytes are sent in chunks, so that their end cannot be
-// mistaken for that of the host in between.
+// mistaken for that of the host in between. A request that the other host gets late, or whose sender has given
+// it up by then, is not forwarded, and the sender is told so.
 package tunnel
 
 import (
@@ -24,6 +25,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"fennelyard/internal/elapsed"
 	"fennelyard/internal/tcp"
 )
 
@@ -37,8 +39,19 @@
 	// maxTunnels bounds the tunnels through a host. Each takes two descriptors and two buffers of tcp.Copy:
 	// a twelfth of the descriptors and a thirtieth of the memory of the smallest hosts.
 	maxTunnels = 256
-	// rejectionLogInterval is the least time between two log lines on rejected tunnels.
+	// rejectionLogInterval is the least time between two log lines on rejected tunnels, and on dropped requests.
 	rejectionLogInterval = time.Second
+	// maxRequestDelay bounds the time from the response to CONNECT to the first byte that is forwarded. A sender
+	// asks whether the server takes new work once it has the response, and sends at once: later that may not be true
+	// any more. It leaves the connection to the server three retransmissions before 2 s have passed.
+	maxRequestDelay = 500 * time.Millisecond
+)
+
+var (
+	// errRequestLate is returned if a request came later than maxRequestDelay, and errSenderGone if its sender has
+	// closed the connection: nothing of it is forwarded.
+	errRequestLate = errors.Newf("the request came late: %w", tcp.ErrNotForwarded)
+	errSenderGone  = errors.Newf("the sender has closed the connection: %w", tcp.ErrNotForwarded)
 )
 
 // ServerConfig configures a Server. All fields are required.
@@ -72,10 +85,10 @@
 	tunnels  map[*tunnel]bool
 	reserved int
 	closed   bool
-	// rejected counts the tunnels rejected since the last log line on them, at rejectedLogged. All
-	// guarded by mu.
-	rejected       int
-	rejectedLogged time.Time
+	// rejected counts the tunnels rejected since the last log line on them, at rejectedLogged, and dropped and
+	// droppedLogged are the same of requests that were not forwarded. All guarded by mu.
+	rejected, dropped             int
+	rejectedLogged, droppedLogged time.Time
 }
 
 // NewServer returns a Server without tunnels.
@@ -152,11 +165,26 @@
 	defer s.untrack(t)
 	// net/http may have set deadlines.
 	_ = client.SetDeadline(time.Time{})
+	t.openedAt = time.Now()
 	if _, err = io.WriteString(client, head+"\r\n"); err != nil {
 		t.reset()
 		return
 	}
-	t.run()
+	if err = t.run(); err != nil {
+		s.recordDropped(t, address, err)
+	}
+}
+
+// recordDropped records a request that was not forwarded.
+func (s *Server) recordDropped(t *tunnel, address string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropped++
+	if now := time.Now(); now.Sub(s.droppedLogged) > rejectionLogInterval {
+		s.cfg.Log.Info("tunneled requests dropped", "count", s.dropped, "last-server", address, "last-open-ms", elapsed.Since(t.openedAt).Milliseconds(),
+			"from", t.client.RemoteAddr().String(), "error", err.Error())
+		s.dropped, s.droppedLogged = 0, now
+	}
 }
 
 // recordCooldown applies a cooldown that the server at the end of a tunnel has stated.
@@ -231,6 +259,11 @@
 	in io.Reader
 	// out writes to client in chunks; nil for a client that takes the bytes as they are.
 	out *chunkWriter
+	// openedAt is when the client was told that the connection to the server stands, and forwarded is set once a
+	// byte of the request has been forwarded. dropped is set if none ever is; server is reset then.
+	openedAt  time.Time
+	forwarded bool
+	dropped   atomic.Bool
 	// writing is set while bytes of the request are written to server, and writeFailed once that has failed. A socket
 	// reports a reset only once: if a write returns it, reading ends as if server had closed its connection.
 	writing, writeFailed atomic.Bool
@@ -256,15 +289,23 @@
 	_ = conn.Close()
 }
 
-// run copies in both directions until one end has closed or reset its connection.
-func (t *tunnel) run() {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		t.copyRequest()
-	}()
+// run copies in both directions until one end has closed or reset its connection. It returns an error that wraps
+// tcp.ErrNotForwarded if it has dropped the request.
+func (t *tunnel) run() error {
+	done := make(chan error, 1)
+	go func() { done <- t.copyRequest() }()
 	t.copyResponse()
-	<-done
+	err := <-done
+	if err != nil {
+		t.once.Do(func() {
+			if t.out != nil {
+				// This fails only if the client is gone.
+				_ = t.out.endNotForwarded()
+			}
+			closeConn(t.client, t.out == nil)
+		})
+	}
+	return err
 }
 
 // copyResponse copies from the server until either end is gone. A response without a length ends with
@@ -275,6 +316,9 @@
 		out = t.out
 	}
 	readErr, writeErr := tcp.Copy(out, t.server, func() { tcp.AwaitPeer(t.server) })
+	if t.dropped.Load() {
+		return
+	}
 	ended := readErr == nil && writeErr == nil && !t.writing.Load() && !t.writeFailed.Load()
 	if t.out != nil && ended {
 		writeErr = t.out.end()
@@ -284,12 +328,30 @@
 }
 
 // copyRequest copies to the server until the client is gone. A server that has stopped reading may
-// still respond, so that a failure to write ends nothing.
-func (t *tunnel) copyRequest() {
+// still respond, so that a failure to write ends nothing. The error wraps tcp.ErrNotForwarded.
+func (t *tunnel) copyRequest() error {
 	readErr, writeErr := tcp.Copy(requestWriter{t}, t.in, nil)
-	if writeErr == nil {
+	switch {
+	case errors.Is(writeErr, tcp.ErrNotForwarded):
+		t.dropped.Store(true)
+		tcp.Reset(t.server)
+		return writeErr
+	case writeErr == nil:
 		t.end(readErr != nil, readErr != nil)
 	}
+	return nil
+}
+
+// mayForward returns an error if a request whose first bytes have been read must not be forwarded any more: this
+// process may have been stopped since its sender asked whether the server takes new work.
+func (t *tunnel) mayForward() error {
+	switch {
+	case elapsed.Since(t.openedAt) > maxRequestDelay:
+		return errRequestLate
+	case !tcp.IsEstablished(t.client):
+		return errSenderGone
+	}
+	return nil
 }
 
 // requestWriter writes the request of a tunnel to its server.
@@ -297,6 +359,12 @@
 
 // Write implements io.Writer.
 func (w requestWriter) Write(p []byte) (int, error) {
+	if !w.t.forwarded {
+		if err := w.t.mayForward(); err != nil {
+			return 0, err
+		}
+		w.t.forwarded = true
+	}
 	w.t.writing.Store(true)
 	n, err := w.t.server.Write(p)
 	if err != nil {
