roster: the acknowledgement of a departure waits for the leases of hosts and entries that are absent

Requests reached a server for as long as watched after its departure was acknowledged. The acknowledgement waited for the control hosts and entries that the leader knew to be there: a host whose stream had ended, one that lagged, an entry without a stream and, after a change of leader, all of them counted as having agreed.

Change: an entry's view is leased, by the time as of which the leader was confirmed to lead, which updates carry by the entry's own clock (LeaseTime, 2 s). Whatever the leader lost sight of, or can't know as its term has just begun, holds no lease 2 s later. A departure waits for the acknowledgement of each host and entry or for that time: host silent or without a stream, from its last report; lagging, from then; an entry that vanished from a host's list and is on no other with a later stream; everybody in the first 2 s of a term. A departure that needs no commit is acknowledged only once a quorum has confirmed that this host leads.

Weighed: waiting for a list of entries in the log (none of it survives an entry that starts meanwhile, and each start is a commit), and hosts that keep the places of entries that left (an entry that moved would hold back its old host).

Two tests that asked for an acknowledgement in the first moments of a term now ask for one within its first lease, which is what was wrong; TestDepartureWaitsForEveryHost asks that a lagging host's lease is waited for, where it asked that it isn't.

--- a/internal/role/api.go
+++ b/internal/role/api.go
@@ -72,7 +72,7 @@
 
 // PutConfiguration puts a complete configuration in force. When it returns nil, this
 // configuration, or one with a version at least as high, is durable at a quorum, and the
-// entries that are not silent have acknowledged it or have been behind for maxWithholdTime.
+// entries that hold a lease have acknowledged it or have been behind for maxWithholdTime.
 func (c *Control) PutConfiguration(ctx context.Context, q *schema.PutConfiguration) error {
 	if err := c.checkLeader(); err != nil {
 		return err
@@ -222,8 +222,8 @@
 // depart records that an incarnation ends. A server without a response repeats its call,
 // and the first call may have been committed after its caller was gone. The entries are
 // therefore updated whether or not the record is new: otherwise the repeated call would be
-// acknowledged while requests were still sent to the server. When depart returns nil, all
-// entries that are not silent have acknowledged the departure.
+// acknowledged while requests were still sent to the server. When depart returns nil, each entry
+// has acknowledged the departure or holds no lease any more.
 func (c *Control) depart(ctx context.Context, id string) error {
 	if err := c.checkLeader(); err != nil {
 		return err
@@ -246,6 +246,13 @@
 		c.cfg.Log.Info("departure not told", "server", id, "not-awaited", acks.NotAwaited, "term-age-ms", acks.TermAge.Milliseconds(), "error", asynclog.ErrorText(err))
 		return errors.Newf("await acknowledgements of entries: %v: %w", err, ErrUnavailable)
 	}
+	if !committed {
+		// Nothing in this call has proved that this host still leads.
+		if _, err = c.group.ConfirmLeadership(ctx); err != nil {
+			c.cfg.Log.Info("departure not confirmed", "server", id, "error", asynclog.ErrorText(err))
+			return errors.Newf("confirm: %v: %w", err, ErrUnavailable)
+		}
+	}
 	c.cfg.Log.Info("departure acknowledged", "server", id, "committed", committed, "took-ms", time.Since(start).Milliseconds(), "hosts", acks.Hosts,
 		"entries", acks.Entries, "not-awaited", acks.NotAwaited, "term-age-ms", acks.TermAge.Milliseconds())
 	return nil
--- a/internal/role/control_test.go
+++ b/internal/role/control_test.go
@@ -64,8 +64,11 @@
 	require.True(t, c.Ready("i-1"))
 
 	require.NoError(t, c.RecordDeparture("i-1"))
-	require.NoError(t, c.Depart(context.Background(), "i-1"))
+	start := time.Now()
+	// Entries may hold leases of an earlier leader when a term begins: the server repeats its call.
+	require.Eventually(t, func() bool { return c.Depart(context.Background(), "i-1") == nil }, roster.LeaseTime+time.Second, time.Millisecond)
 	require.False(t, c.Ready("i-1"))
+	require.Less(t, time.Since(start), roster.LeaseTime+time.Second)
 }
 
 // A foreign message reports that a server departs. It has the server's ID but not its
--- a/internal/role/subscribers_test.go
+++ b/internal/role/subscribers_test.go
@@ -234,6 +234,8 @@
 			return least, most
 		}
 		d.await(time.Second, "four servers known", func() bool { least, _ := knownServers(); return least == 4 })
+		// Entries may hold leases of an earlier leader when a term begins.
+		time.Sleep(roster.LeaseTime)
 		require.NoError(t, leader.Depart(context.Background(), "i-unknown"))
 		for i := range 4 {
 			require.NoError(t, leader.Depart(context.Background(), fmt.Sprint("i-", i)))
--- a/internal/roster/hosts.go
+++ b/internal/roster/hosts.go
@@ -47,8 +47,9 @@
 	// silent is set once the host has sent nothing for hostSilenceTimeout or its stream has
 	// ended.
 	silent bool
-	// lagging is set while the host sends no updates to entries.
-	lagging bool
+	// lagging is set while the host sends no updates to entries, since laggingSince.
+	lagging      bool
+	laggingSince time.Time
 	// entries are the entries subscribed to the host.
 	entries []*schema.AttendingEntry
 	// loads are the loads of these entries at the engines.
@@ -99,13 +100,14 @@
 		h.silent = false
 		r.cfg.Log.Info("host state", "host", host, "silent", false)
 	}
+	before := h.progress
 	h.progress = Progress{Revision: report.GetRevision()}
 	if known := PositionOf(report.GetKnown()); known.Term == term {
 		h.progress.Change = known.Change
 	}
 	h.behindEntries = report.GetBehind()
 	if h.lagging != report.GetLagging() {
-		h.lagging = report.GetLagging()
+		h.lagging, h.laggingSince = report.GetLagging(), h.lastReceived
 		r.cfg.Log.Info("host state", "host", host, "silent", false, "lagging", h.lagging)
 	}
 	if report.GetLoadsTold() {
@@ -114,6 +116,7 @@
 		h.loads = report.GetLoads()
 	}
 	if report.GetEntriesTold() {
+		r.trackAbsent(h, report.GetEntries(), before)
 		h.entries = report.GetEntries()
 	}
 	if len(h.entries) != h.loggedCount && h.lastReceived.Sub(h.loggedAt) >= entryCountLogInterval {
--- a/internal/roster/hosts_test.go
+++ b/internal/roster/hosts_test.go
@@ -203,11 +203,11 @@
 
 // A server leaves while one host, or one of its entries, has not received this. If the
 // departure were acknowledged now, that entry would send requests to the server long after.
-// It is acknowledged once the host reports that all have it, is silent, or reports that it
-// lags.
+// It is acknowledged once the host reports that all have it, or the leases of the entries of a
+// host have ended that is silent, or reports that it lags.
 func TestDepartureWaitsForEveryHost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r, c := newRoster()
+		r, c := newSettledRoster()
 		require.True(t, r.Announce(announcement("s", "a:1", 1)))
 		r.HostConnected(1, controlHost("h1"))
 		r.HostConnected(2, controlHost("h2"))
@@ -241,12 +241,15 @@
 		lagging := acknowledgement(0)
 		lagging.Lagging = true
 		r.ApplyHostReport(3, "h3", term, lagging)
+		time.Sleep(50 * time.Millisecond)
+		require.Empty(t, done)
+		c.now = c.now.Add(roster.LeaseTime)
 		require.NoError(t, <-done)
 
 		r.ApplyHostReport(3, "h3", term, acknowledgement(0))
 		done = await()
 		require.Empty(t, done)
-		c.now = c.now.Add(2 * time.Second)
+		c.now = c.now.Add(roster.LeaseTime)
 		r.ApplyHostReport(1, "h1", term, acknowledgement(change))
 		r.ApplyHostReport(2, "h2", term, acknowledgement(change))
 		r.SweepHosts()
--- a/internal/roster/progress.go
+++ b/internal/roster/progress.go
@@ -38,14 +38,14 @@
 	TermAge time.Duration
 }
 
-// AwaitAcked waits until every control host that is not silent or lagging, with every entry
-// subscribed to it, has acknowledged a target. If ctx ends first, the error names those
-// that have not.
+// AwaitAcked waits until every control host, with every entry subscribed to it, has acknowledged
+// a target. Those that are not heard, or get no updates, are waited for until their leases have
+// ended. If ctx ends first, the error names those that have not.
 func (r *Roster) AwaitAcked(ctx context.Context, target Progress) (Acks, error) {
 	ticker := time.NewTicker(ackPollInterval)
 	defer ticker.Stop()
 	for {
-		behind := r.hostsBehind(target)
+		behind := r.behind(target)
 		if len(behind) == 0 {
 			return r.acks(target), nil
 		}
@@ -92,15 +92,23 @@
 	r.ackWaiters += by
 }
 
-// hostsBehind returns the hosts that are not silent or lagging and are behind a target,
-// each followed by the entries that hold it back.
-func (r *Roster) hostsBehind(target Progress) []string {
+// behind returns the hosts that are behind a target, each followed by the entries that hold it
+// back, and the absent entries that are.
+func (r *Roster) behind(target Progress) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []string
+	out := r.absentBehind(target)
 	for address, h := range r.hosts {
-		if !h.silent && !h.lagging && h.progress.before(target) {
+		if !h.progress.before(target) {
+			continue
+		}
+		if !h.silent && !h.lagging {
 			out = append(out, strings.Join(append([]string{address}, h.behindEntries...), " "))
+			continue
+		}
+		limit, _ := target.absenceLimits(h)
+		if left := h.absentSince().Add(limit).Sub(r.cfg.Now()); left > 0 {
+			out = append(out, fmt.Sprintf("%s absent, for %d ms", address, left.Milliseconds()))
 		}
 	}
 	slices.Sort(out)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -138,6 +138,8 @@
 	// that have vanished without a graceful stop, with the time.
 	knownEntries map[string]*schema.AttendingEntry
 	lostEntries  map[string]time.Time
+	// absentEntries are those whose leases may run although no host lists them, by host.
+	absentEntries map[string]absentEntry
 	// loads is the sum of the entries' loads as of loadsAt. It is shared between updates
 	// and must not be modified.
 	loads   *schema.EngineLoads
@@ -166,7 +168,7 @@
 	r.settledChange, r.entriesChange, r.hostsChange = 0, 0, 0
 	r.entries, r.listedHosts = nil, nil
 	r.limits = map[string]*schema.RequestLimit{}
-	r.knownEntries, r.lostEntries = nil, map[string]time.Time{}
+	r.knownEntries, r.lostEntries, r.absentEntries = nil, map[string]time.Time{}, map[string]absentEntry{}
 }
 
 // Reset removes all servers at the beginning of this host's term as leader: what it
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -16,19 +17,16 @@
 type clock struct{ now time.Time }
 
 func newRoster(departed ...string) (*roster.Roster, *clock) {
+	return newRosterWith(func(id string) bool { return slices.Contains(departed, id) })
+}
+
+// newRosterWith returns a roster with a function for recorded departures.
+func newRosterWith(departed func(id string) bool) (*roster.Roster, *clock) {
 	c := &clock{now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)}
-	r := roster.New(roster.Config{
+	return roster.New(roster.Config{
 		Self: leaderHost, AnnounceEvery: announceInterval, Now: func() time.Time { return c.now }, Log: logr.Discard(),
-		Departed: func(id string) bool {
-			for _, d := range departed {
-				if d == id {
-					return true
-				}
-			}
-			return false
-		},
-	})
-	return r, c
+		Departed: departed,
+	}), c
 }
 
 func announcement(id, address string, sequence uint64) roster.Announcement {
