roster: a server leaves as soon as the departure that an earlier leader committed is applied

By reading, and shown by TestServerLeavesOnceItsDepartureIsApplied, which failed before: a host leads once an entry of its term is committed, and may take a server's announcement for ready before it has applied the departure that its predecessor committed; nothing changed that later, and entries that start or reconnect would send the server requests.

--- a/internal/roster/leases_test.go
+++ b/internal/roster/leases_test.go
@@ -174,3 +174,16 @@
 		require.NoError(t, <-acknowledged)
 	})
 }
+
+// A new leader takes an announcement of a server for ready before it has applied the departure that its predecessor
+// has committed.
+func TestServerLeavesOnceItsDepartureIsApplied(t *testing.T) {
+	applied := false
+	r, _ := newRosterWith(func(string) bool { return applied })
+	require.True(t, r.Announce(announcement("s", "a:1", 1)))
+	r.Sweep()
+	require.True(t, r.Ready("s"))
+	applied = true
+	r.Sweep()
+	require.False(t, r.Ready("s"))
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -430,6 +430,10 @@
 		r.settledChange = r.nextChange()
 	}
 	for id, s := range r.servers {
+		if s.view.GetState() == schema.RosterState_ROSTER_STATE_READY && r.cfg.Departed(id) {
+			// The log has been applied since the server announced itself.
+			r.setView(s, withState(s.view, schema.RosterState_ROSTER_STATE_LEAVING))
+		}
 		silent := now.Sub(s.lastReceived)
 		if silent > maxMissedAnnouncements*r.cfg.AnnounceEvery {
 			r.markGone(s, "silent")
