gateway: an entry without a lease asks servers whether they take new work

Requests reached a server for as long as watched after its departure was acknowledged, through entries that nobody could tell: cut off from all control hosts, or at a host that has lost the leader. Nothing bounded for how long an entry goes on with what it last knew.

Change: without a lease an entry sends health checks to the servers in use, every 0.5 s each, 32 at a time. One that says that it leaves, or another process at its address, gets nothing more; of the others those are used that have said within 1.5 s that they take new work, and if none has, all as before: one that is full may not respond. So callers are served on for as long as the entry lives. The lease is measured by the clock that has advanced further, and so is the age up to which API keys are accepted: a host that was suspended would take an old confirmation for a fresh one.

Weighed: stopping at the end of the lease (all callers of entries that are cut off would be refused), and an end of the lease without consequence (the leader's wait alone). Evidence: TestNoRequestReachesAServerLongAfterItsDepartureIsAcknowledged, whole hosts on simulated time.

--- a/internal/gateway/access.go
+++ b/internal/gateway/access.go
@@ -58,7 +58,7 @@
 func (x *exchange) authenticate() bool {
 	// The age is taken before the configuration: otherwise a confirmation that arrives together
 	// with the next configuration would count for the replaced one.
-	age := time.Since(x.g.subscriber.confirmedAt())
+	age := x.g.subscriber.confirmationAge()
 	teams := x.g.table.Load().teams
 	if teams.Empty() {
 		return true
@@ -94,7 +94,7 @@
 // recently enough.
 func (g *Gateway) AcceptsKey(key string) bool {
 	// The age is taken before the configuration, as in authenticate.
-	age := time.Since(g.subscriber.confirmedAt())
+	age := g.subscriber.confirmationAge()
 	t := g.table.Load()
 	return t != nil && g.acceptsConfirmationAge(age) && t.teams.Find(key) != nil
 }
--- a/internal/gateway/cooldown.go
+++ b/internal/gateway/cooldown.go
@@ -75,4 +75,6 @@
 }
 
 // takesRequests reports whether a server is still known, and takes new work; the caller holds mu.
-func (f *fleet) takesRequests(s *server) bool { return f.servers[s.id] == s && s.ready() }
+func (f *fleet) takesRequests(s *server) bool {
+	return f.servers[s.id] == s && s.ready() && f.mayTakeWork(s)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,6 +157,7 @@
 	})
 	g.aborted, g.abort = context.WithCancel(context.Background())
 	g.draining, g.startDraining = context.WithCancel(context.Background())
+	g.background.Go(g.checkHealth)
 	go func() {
 		defer close(g.done)
 		g.subscriber.run()
@@ -232,6 +233,8 @@
 	CoolingServers, DepartedServers int
 	// RejectionLimits is the number of pools whose servers state a rejection limit.
 	RejectionLimits int
+	// HoldsLease is set while this entry may rely on the leader's view of the servers.
+	HoldsLease bool
 	// LeaderAge is the time since the leader was last known to lead; negative: never.
 	LeaderAge time.Duration
 	// ControlHost is the control host that this entry subscribes to, empty for none. Subscriptions
@@ -248,6 +251,7 @@
 	}
 	s.LimitedServers, s.AwaitingPermit = g.fleet.limitCounts()
 	s.CoolingServers, s.DepartedServers = g.fleet.cooldowns.Count(time.Now()), g.fleet.departedCount()
+	s.HoldsLease = g.holdsLease()
 	s.RejectionLimits = len(g.fleet.rejectionLimits.Messages(time.Now()))
 	if t := g.table.Load(); t != nil {
 		s.Version = int64(t.version)
@@ -327,7 +331,7 @@
 
 // connected reports whether this entry receives the leader's updates.
 func (g *Gateway) connected() bool {
-	return time.Since(g.subscriber.confirmedAt()) < maxConfirmationAge
+	return g.subscriber.confirmationAge() < maxConfirmationAge
 }
 
 // sharingEntries returns the number of entries that divide the limits for all of them together.
--- a/internal/gateway/subscriber.go
+++ b/internal/gateway/subscriber.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/asynclog"
+	"fennelyard/internal/elapsed"
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/roster"
 	"fennelyard/internal/schema"
@@ -460,6 +461,8 @@
 		return
 	}
 	at := s.g.startTime.Add(time.Duration(echo)*time.Microsecond - time.Duration(update.GetConfirmedAgeMs())*time.Millisecond)
+	// By the present time of day, which may have been set since the start.
+	at = time.Now().Add(-time.Since(at))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if at.After(s.confirmed) {
@@ -493,6 +496,9 @@
 	return departed
 }
 
+// confirmationAge returns the time since confirmedAt, in which the host may have been suspended.
+func (s *subscriber) confirmationAge() time.Duration { return elapsed.Since(s.confirmedAt()) }
+
 // currentHost returns the host that the entry subscribes to, empty for none.
 func (s *subscriber) currentHost() string {
 	s.mu.Lock()
--- a/internal/role/backends_test.go
+++ b/internal/role/backends_test.go
@@ -98,6 +98,8 @@
 	versions map[string]string
 	// silent are the addresses of servers that send no announcements.
 	silent map[string]bool
+	// draining are the addresses of servers whose health checks say that they leave.
+	draining map[string]bool
 	// sameIDs is set if servers start again under their ids.
 	sameIDs bool
 }
@@ -121,6 +123,7 @@
 			}
 		},
 		MatchesRequest: func(a http.Header, id string) bool { return a.Get("X-Id") == id },
+		ParseIdentity:  func(a http.Header) string { return a.Get("X-Server") },
 		ParseResponse: func(status int, h http.Header) gateway.ResponseInfo {
 			info := gateway.ResponseInfo{
 				NotRun: status == http.StatusServiceUnavailable || status == http.StatusMisdirectedRequest, Misdirected: status == http.StatusMisdirectedRequest, Signed: status == http.StatusOK,
@@ -149,7 +152,7 @@
 
 // startBackendsAs is like startBackendsWith; prepare is called before the servers start.
 func startBackendsAs(d *deployment, n int, sameIDs bool, prepare func(*backends)) *backends {
-	b := &backends{sameIDs: sameIDs, deployment: d, count: n, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]func() *rejection{}, leaving: map[string]bool{}, runs: map[string]int{}, reached: map[string]int{}, rejectionLimits: map[string]string{}, present: map[string]int{}, rejectedAt: map[string][]time.Time{}, silent: map[string]bool{}, versions: map[string]string{}, partCrash: map[string]partCrash{}, partArrivals: map[string][]time.Time{}, partCrashes: map[string][]time.Time{}}
+	b := &backends{sameIDs: sameIDs, deployment: d, count: n, stop: make(chan struct{}), processes: map[*backendProcess]bool{}, limits: map[string]float64{}, requestTimes: map[string][]time.Time{}, openConns: map[string]int{}, mostConns: map[string]int{}, rejections: map[string]func() *rejection{}, leaving: map[string]bool{}, draining: map[string]bool{}, runs: map[string]int{}, reached: map[string]int{}, rejectionLimits: map[string]string{}, present: map[string]int{}, rejectedAt: map[string][]time.Time{}, silent: map[string]bool{}, versions: map[string]string{}, partCrash: map[string]partCrash{}, partArrivals: map[string][]time.Time{}, partCrashes: map[string][]time.Time{}}
 	route := func(name string, repeat schema.Repeat) *schema.Route {
 		return &schema.Route{
 			Name: name, Host: "h.example", Prefix: "/" + name + "/", Repeat: repeat, TimeoutMs: 3000, AimMs: 300, MaxAttempts: 2,
@@ -375,6 +378,10 @@
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 other server\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", request.Header.Get("X-Id"))
 		return
 	}
+	if request.URL.Path == backendHealthPath {
+		p.respondHealth(conn)
+		return
+	}
 	limit := p.backends.recordRequest(p.address) + p.backends.rejectionLimitHeader(p.address)
 	rejects := p.recordArrival(conn)
 	if !p.enter() {
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -147,6 +147,12 @@
 		{"requests_awaiting_permit", "Requests that wait for a permit to be sent to a server with a request limit.", func(s gateway.State) float64 { return float64(s.AwaitingPermit) }},
 		{"requests_held_back", "Requests that this entry holds back, as they end their servers.", func(s gateway.State) float64 { return float64(s.HeldBack) }},
 		{"control_host_streams", "Streams to control hosts since the start.", func(s gateway.State) float64 { return float64(s.Subscriptions) }},
+		{"lease_held", "1 while this entry relies on the leader's view of the backend servers; otherwise it asks them itself.", func(s gateway.State) float64 {
+			if s.HoldsLease {
+				return 1
+			}
+			return 0
+		}},
 		{"leader_age_seconds", "Time since the leader spoke; below 0: never.", func(s gateway.State) float64 { return s.LeaderAge.Seconds() }},
 	} {
 		e.cfg.Metrics.Gauge(gauge.name, gauge.help, func() float64 { return gauge.read(e.gateway.State()) })
