gateway: the connection of a caller that is refused before its body has arrived isn't reset

Callers that send `Connection: close` and a longer body saw a closed connection instead of a 503 or 413 now and then: net/http reads nothing of the rest of such a body, closes the connection with bytes unread, and the kernel resets it, which may overtake the response. Change: the entry sends the refusal and reads the rest, for half a second and 4 MB at most, as net/http does for all others. TestConnectionOfARefusedBodyIsNotReset failed before each time. Listed hosts are left: same cause, other writer.

--- a/internal/drain/body.go
+++ b/internal/drain/body.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -21,6 +22,19 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
 }
 
+// maxDiscardBytes bounds the rest of a body that DiscardBody reads.
+const maxDiscardBytes = 4 << 20
+
+// DiscardBody sends the response of AbandonBody and reads the rest of the body, until the time is over that AbandonBody has
+// set. The server itself reads nothing if the caller has asked for the connection to be closed: it would be reset, and the
+// caller would perhaps not see the response.
+func DiscardBody(w http.ResponseWriter, r *http.Request) {
+	// Errors mean that the connection has ended, or the time.
+	if http.NewResponseController(w).Flush() == nil {
+		_, _ = io.CopyN(io.Discard, r.Body, maxDiscardBytes)
+	}
+}
+
 // BodyTimer bounds the time in which the body of a request is read; a later bound replaces an earlier one. Reading
 // fails with os.ErrDeadlineExceeded at the bound. It is safe for concurrent use.
 type BodyTimer struct {
--- a/internal/gateway/bounds_test.go
+++ b/internal/gateway/bounds_test.go
@@ -281,3 +281,21 @@
 	require.Equal(t, http.StatusRequestEntityTooLarge, tg.call(t, "/once/x", body(8*memory.FreeBytes+1), "").status)
 	require.Equal(t, int64(1), server.requests.Load())
 }
+
+// A caller asks for its connection to be closed and is refused before its body has arrived: a reset may overtake the
+// refusal.
+func TestConnectionOfARefusedBodyIsNotReset(t *testing.T) {
+	tg := newTestGateway(t, newBackend(t, respondOK))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(tg.url, "http://"))
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	half := strings.Repeat("a", 32<<10)
+	_, err = fmt.Fprintf(conn, "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Id: 42\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", 2*len(half), half)
+	require.NoError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	_, err = io.WriteString(conn, half)
+	require.NoError(t, err)
+	response, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.True(t, strings.HasPrefix(string(response), "HTTP/1.1 413 "), "%s", response)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -346,10 +346,14 @@
 		h.Set(headerRetryAfter, formatSeconds(retryAfter))
 	}
 	h.Set("Content-Length", "0")
-	if !x.bodyEnded && (x.bodyRead || status == http.StatusRequestEntityTooLarge || x.g.isDraining()) {
+	abandons := x.r.ContentLength != 0 && !x.bodyEnded && (x.bodyRead || status == http.StatusRequestEntityTooLarge || x.g.isDraining())
+	if abandons {
 		drain.AbandonBody(x.w, x.r)
 	}
 	x.w.WriteHeader(status)
+	if abandons && x.r.Close {
+		drain.DiscardBody(x.w, x.r)
+	}
 }
 
 const headerRetryAfter = "Retry-After"
