--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -113,7 +113,7 @@
 		}
 		candidates = append(candidates, s)
 	}
-	return f.byOwnWord(candidates, now)
+	return f.byHealth(candidates, now)
 }
 
 // bestOf returns the best one of some servers, nil for none; the caller holds mu.
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -59,7 +59,7 @@
 // identify sends a health check to a server that no other server accepts. A server that rejects it for want of room
 // need not name itself.
 func (g *Gateway) identify(s *server, healthPath string) relay.Presence {
-	return g.askServer(s, healthPath, func(status int, header http.Header) bool {
+	return g.sendHealthCheck(s, healthPath, func(status int, header http.Header) bool {
 		named, info := g.cfg.Codec.ParseIdentity(header), g.cfg.Codec.ParseResponse(status, header)
 		return named == s.server || named == "" && info.NotRun && !info.Misdirected
 	})
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -31,8 +31,8 @@
 	// id is the key of the incarnation and server the id of the server. These and address never
 	// change; all other fields are guarded by the fleet's mutex.
 	id, server, address string
-	// poolName is the pool of its first view.
-	poolName string
+	// pool is the pool of its first view, which does not change.
+	pool string
 	// kind is the kind of its software, which does not change either.
 	kind quarantine.Kind
 	view *schema.RosterServer
@@ -71,8 +71,8 @@
 	permits ratelimit.Permits
 	// absentUntil holds until when a model or adapter counts as missing.
 	absentUntil map[string]time.Time
-	// word is what the server has said of itself while this entry held no lease.
-	word ownWord
+	// health is what the server has reported while this entry held no lease.
+	health serverHealth
 }
 
 // addRuns adds delta to the number of running requests of a request's model and adapter.
@@ -95,9 +95,9 @@
 
 func newServer(v *schema.RosterServer) *server {
 	s := &server{
-		kind:     quarantine.KindOf(v.GetPool(), v.GetSoftware()),
-		poolName: v.GetPool(),
-		id:       v.GetId(), server: incarnation.ServerOf(v.GetId()), address: v.GetAddress(), promptParts: map[string]uint64{}, absentUntil: map[string]time.Time{},
+		kind: quarantine.KindOf(v.GetPool(), v.GetSoftware()),
+		pool: v.GetPool(),
+		id:   v.GetId(), server: incarnation.ServerOf(v.GetId()), address: v.GetAddress(), promptParts: map[string]uint64{}, absentUntil: map[string]time.Time{},
 		runs: map[string]int{},
 	}
 	s.update(v)
@@ -126,9 +126,6 @@
 	return !now.Before(s.absentUntil[model+"/"+adapter])
 }
 
-// pool returns the server's pool, which does not change.
-func (s *server) pool() string { return s.poolName }
-
 // ready reports whether the server takes new work.
 func (s *server) ready() bool { return s.viewedReady() && !s.leaving }
 
