--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -44,7 +44,9 @@
 
 // mayTakeWork reports whether a request may be sent to a server that is ready in the leader's view: under a lease, or
 // as the server itself has not reported otherwise. The caller holds mu.
-func (f *fleet) mayTakeWork(s *server) bool { return f.leaseAge() < 0 || !s.health.notReady(time.Now()) }
+func (f *fleet) mayTakeWork(s *server) bool {
+	return f.leaseAge() < 0 || !s.health.notReady(time.Now())
+}
 
 // byHealth removes, while this entry holds no lease, the servers that report that they take no new work, and those that
 // have not reported lately that they do, unless no other is left: one that is full may not respond in time. The caller
