--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -137,7 +137,7 @@
 	}
 }
 
-// checkServer sends a health check to a server. One that rejects it for want of room reports nothing.
+// checkServer sends a health check to a server.
 func (g *Gateway) checkServer(s *server) {
 	healthPath := g.table.Load().pools[s.pool].GetHealthPath()
 	if healthPath == "" {
@@ -146,9 +146,7 @@
 	sentAt := time.Now()
 	reported, ready := false, false
 	g.sendHealthCheck(s, healthPath, func(status int, header http.Header) bool {
-		named, info := g.cfg.Codec.ParseIdentity(header), g.cfg.Codec.ParseResponse(status, header)
-		ready = status == http.StatusOK && named == s.server && !info.Leaving
-		reported = ready || !info.NotRun || info.Misdirected
+		reported, ready = s.parseHealth(status, g.cfg.Codec.ParseIdentity(header), g.cfg.Codec.ParseResponse(status, header))
 		return ready
 	})
 	if reported && g.fleet.recordHealth(s, ready, sentAt) {
@@ -156,6 +154,22 @@
 	}
 }
 
+// parseHealth returns whether a response to a health check, which names a server, reports anything on this one, and whether
+// it takes new work. One that has no room rejects the check, and reports nothing by that.
+func (s *server) parseHealth(status int, named string, info ResponseInfo) (reported, ready bool) {
+	switch {
+	case info.Misdirected || named != "" && named != s.server:
+		// Another process has the address.
+		return true, false
+	case info.NotRun:
+		return false, false
+	case status == http.StatusServiceUnavailable:
+		return true, false
+	}
+	ready = status == http.StatusOK && named == s.server && !info.Leaving
+	return ready || info.Leaving, ready
+}
+
 // sendHealthCheck sends a health check to a server that no other server accepts.
 func (g *Gateway) sendHealthCheck(s *server, healthPath string, confirms func(status int, header http.Header) bool) relay.Presence {
 	h := http.Header{}
