--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -108,14 +108,16 @@
 // checkHealth sends health checks to the servers in use while this entry holds no lease: an entry that is cut off from
 // all control hosts serves on, and would never learn that a server leaves.
 func (g *Gateway) checkHealth() {
-	ticker := time.NewTicker(healthTick)
-	defer ticker.Stop()
 	places := make(chan struct{}, maxHealthChecks)
 	for leased := true; ; {
+		wait := healthTick
+		if leased {
+			wait = max(wait, roster.LeaseTime-g.subscriber.confirmationAge())
+		}
 		select {
 		case <-g.stop:
 			return
-		case <-ticker.C:
+		case <-time.After(wait):
 		}
 		if g.table.Load() == nil {
 			continue
