--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -252,6 +252,8 @@
 			return "servers had ended while they ran requests with the same " + scope + " (" + request.text("held-name") + "), see key " + request.text("held-by") + "; they are held back"
 		}
 		return "three servers had ended while they ran the same request, see key " + request.text("key") + "; it is held back"
+	case "not-text":
+		return "the request names a model whose name is no valid UTF-8, which no model has"
 	case "bad-resumes":
 		return "the request names the attempt that it continues more than once, or in a malformed way"
 	case "version-unknown":
