--- a/internal/gateway/bounds_test.go
+++ b/internal/gateway/bounds_test.go
@@ -82,6 +82,7 @@
 	}
 	tg.g.ApplyServers(false, views...)
 	setLongTimeouts(tg)
+	tg.g.HoldLease()
 	return tg.g, func() (used []*standin.EndlessConn) {
 		mu.Lock()
 		defer mu.Unlock()
@@ -134,8 +135,6 @@
 func TestEndlessEventsAreBounded(t *testing.T) {
 	const callers = 32
 	g, conns := newEndlessGateway(t, 1, standin.EndlessConnConfig{Beginning: matchingHead + "\r\nid: 1\ndata: ", Repeated: "a", MaxBytes: 64 << 20})
-	// Without a lease the entry would ask the servers for their health, too.
-	g.SetConfirmationAge(0)
 	var wg sync.WaitGroup
 	for range callers {
 		wg.Go(func() {
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -35,6 +35,10 @@
 	g.subscriber.confirmed = time.Now().Add(-age)
 }
 
+// HoldLease confirms the configuration for as long as a test takes. Without a lease an entry sends health checks, for which
+// it opens connections.
+func (g *Gateway) HoldLease() { g.SetConfirmationAge(-time.Hour) }
+
 // RecordConfirmation applies a host's update that acknowledges the report sent sentAfter after
 // the gateway's start, and returns the age of the confirmation.
 func (g *Gateway) RecordConfirmation(sentAfter, confirmedAge time.Duration) time.Duration {
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -180,6 +180,7 @@
 		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	}})
 	tg := startTestGatewayWithSender(t, gateway.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Millisecond, Burst: 100}, logr.Discard(), sender)
+	tg.g.HoldLease()
 	tg.g.ApplyServers(false,
 		&schema.RosterServer{Id: "s0", Pool: "p", Address: held.l.Addr().String(), Slots: 6, Software: "v1"},
 		&schema.RosterServer{Id: "s1", Pool: "p", Address: other.l.Addr().String(), Slots: 6, Software: "v2"})
