--- a/internal/roster/announcements_test.go
+++ b/internal/roster/announcements_test.go
@@ -19,7 +19,7 @@
 
 func newForwarding() *forwarding {
 	c := &clock{now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)}
-	return &forwarding{forwarder: roster.NewAnnouncementForwarder(func() time.Time { return c.now }), reader: &roster.AnnouncementReader{}, clock: c}
+	return &forwarding{forwarder: roster.NewAnnouncementForwarder(c.time), reader: &roster.AnnouncementReader{}, clock: c}
 }
 
 // forward sends the pending announcements to the reader and returns what it read; full is
--- a/internal/roster/hosts_test.go
+++ b/internal/roster/hosts_test.go
@@ -55,7 +55,7 @@
 // newSettledRoster returns the roster of a leader that has led for a minute.
 func newSettledRoster() (*roster.Roster, *clock) {
 	r, c := newRoster()
-	c.now = c.now.Add(time.Minute)
+	c.advance(time.Minute)
 	r.SweepHosts()
 	return r, c
 }
@@ -86,11 +86,11 @@
 	r.HostDisconnected(1, "h1", "")
 	require.Equal(t, []string{"e1", "e2"}, directoryHosts(r))
 	r.ApplyHostReport(2, "h2", term, entriesReport("e1"))
-	c.now = c.now.Add(3 * time.Second)
+	c.advance(3 * time.Second)
 	r.ApplyHostReport(2, "h2", term, &schema.HostNews{})
 	r.SweepHosts()
 	require.Equal(t, []string{"e1", "e2"}, directoryHosts(r))
-	c.now = c.now.Add(time.Second)
+	c.advance(time.Second)
 	r.ApplyHostReport(2, "h2", term, &schema.HostNews{})
 	r.SweepHosts()
 	require.Equal(t, []string{"e1"}, directoryHosts(r))
@@ -154,7 +154,7 @@
 	require.Nil(t, r.UpdateSince(0).GetHosts())
 	r.SweepHosts()
 	require.Nil(t, r.UpdateSince(0).GetEntries())
-	c.now = c.now.Add(1100 * time.Millisecond)
+	c.advance(1100 * time.Millisecond)
 	r.ApplyHostReport(1, "h1", term, &schema.HostNews{})
 	r.SweepHosts()
 	// Hosts that have received all changes until then get the lists, too.
@@ -243,13 +243,13 @@
 		r.ApplyHostReport(3, "h3", term, lagging)
 		time.Sleep(50 * time.Millisecond)
 		require.Empty(t, done)
-		c.now = c.now.Add(roster.LeaseTime)
+		c.advance(roster.LeaseTime)
 		require.NoError(t, <-done)
 
 		r.ApplyHostReport(3, "h3", term, acknowledgement(0))
 		done = await()
 		require.Empty(t, done)
-		c.now = c.now.Add(roster.LeaseTime)
+		c.advance(roster.LeaseTime)
 		r.ApplyHostReport(1, "h1", term, acknowledgement(change))
 		r.ApplyHostReport(2, "h2", term, acknowledgement(change))
 		r.SweepHosts()
--- a/internal/roster/leases_test.go
+++ b/internal/roster/leases_test.go
@@ -37,13 +37,13 @@
 		"a host whose stream has ended long before": {
 			absent: func(r *roster.Roster, c *clock) {
 				r.HostDisconnected(2, "h2", "")
-				c.now = c.now.Add(roster.LeaseTime)
+				c.advance(roster.LeaseTime)
 			},
 			quiet: true,
 		},
 		"a host that is silent": {
 			absent: func(r *roster.Roster, c *clock) {
-				c.now = c.now.Add(1300 * time.Millisecond)
+				c.advance(1300 * time.Millisecond)
 				r.ApplyHostReport(1, "h1", term, progress(1, "e1"))
 				r.SweepHosts()
 			},
@@ -140,9 +140,9 @@
 					r.ApplyHostReport(2, "h2", term, &schema.HostNews{Known: &schema.RosterPosition{Term: term, Change: change}})
 				}
 				if test.waits > 0 {
-					c.now = c.now.Add(test.waits - time.Millisecond)
+					c.advance(test.waits - time.Millisecond)
 					require.False(t, await(), "acknowledged before the leases have ended")
-					c.now = c.now.Add(time.Millisecond)
+					c.advance(time.Millisecond)
 				}
 				require.True(t, await())
 				require.NoError(t, <-acknowledged)
@@ -169,7 +169,7 @@
 			return len(acknowledged) > 0
 		}
 		require.False(t, await())
-		c.now = c.now.Add(600 * time.Millisecond)
+		c.advance(600 * time.Millisecond)
 		require.True(t, await(), "operators do not wait for an entry that has ended")
 		require.NoError(t, <-acknowledged)
 	})
--- a/internal/roster/limits_test.go
+++ b/internal/roster/limits_test.go
@@ -96,7 +96,7 @@
 			list.Entries = append(list.Entries, &schema.AttendingEntry{Entry: &schema.RosterEntry{Host: h}, Stopping: stopping && h == "e4"})
 		}
 		r.ApplyHostReport(1, "c1", 1, list)
-		c.now = c.now.Add(announceInterval)
+		c.advance(announceInterval)
 		r.SweepHosts()
 	}
 	report(false, "e1", "e2", "e3", "e4")
--- a/internal/roster/mirror_test.go
+++ b/internal/roster/mirror_test.go
@@ -19,7 +19,7 @@
 
 func newMirror() (*roster.Mirror, *clock) {
 	c := &clock{now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)}
-	return roster.NewMirror(roster.MirrorConfig{Now: func() time.Time { return c.now }}), c
+	return roster.NewMirror(roster.MirrorConfig{Now: c.time}), c
 }
 
 func server(id string, state schema.RosterState, models ...string) *schema.RosterServer {
@@ -103,7 +103,7 @@
 	m, c := newMirror()
 	require.True(t, m.Apply(leaderUpdate(2, 1, server("s", leaving))))
 	lastSeen, _ := m.LeaderLastSeen()
-	c.now = c.now.Add(time.Second)
+	c.advance(time.Second)
 	require.False(t, m.Apply(leaderUpdate(1, 99, server("s", ready))))
 	at, _ := m.LeaderLastSeen()
 	require.Equal(t, lastSeen, at)
@@ -144,7 +144,7 @@
 	// gone must receive the whole roster.
 	m.Apply(leaderUpdate(5, 11, server("s1", gone)))
 	m.Apply(leaderUpdate(5, 12, server("s2", ready)))
-	c.now = c.now.Add(3 * time.Minute)
+	c.advance(3 * time.Minute)
 	m.Sweep()
 	require.True(t, m.Since(roster.Position{Term: 5, Change: 10}).GetWhole())
 	update := m.Since(roster.Position{Term: 5, Change: 11})
@@ -182,14 +182,14 @@
 	updated := m.ForecastsUpdated()
 	m.Apply(update)
 	<-updated
-	queriedAt := c.now
-	c.now = c.now.Add(300 * time.Millisecond)
+	queriedAt := c.time()
+	c.advance(300 * time.Millisecond)
 	got := m.Forecasts(demands, queriedAt)
 	require.Len(t, got, 1)
 	require.Equal(t, int64(600), got[0].GetReadyInMs())
 	require.Equal(t, int64(-1), m.Forecasts([]*schema.ModelDemand{{Pool: "p", Model: "n"}}, queriedAt)[0].GetReadyInMs())
-	require.Empty(t, m.Forecasts(demands, c.now))
-	c.now = c.now.Add(time.Second)
+	require.Empty(t, m.Forecasts(demands, c.time()))
+	c.advance(time.Second)
 	require.Zero(t, m.Forecasts(demands, queriedAt)[0].GetReadyInMs())
 }
 
--- a/internal/roster/restore_test.go
+++ b/internal/roster/restore_test.go
@@ -14,7 +14,7 @@
 	r, c := newRoster()
 	require.True(t, r.Restore(announcement("old", "a:1", 0)))
 	require.True(t, r.Ready("old"))
-	c.now = c.now.Add(announceInterval / 4)
+	c.advance(announceInterval / 4)
 	require.True(t, r.Announce(announcement("new", "a:1", 1)))
 	require.True(t, r.Ready("new"))
 	require.False(t, r.Ready("old"))
@@ -36,7 +36,7 @@
 func TestRestoredServerThatIsSilentExpires(t *testing.T) {
 	r, c := newRoster()
 	r.Restore(announcement("i", "a:1", 0))
-	c.now = c.now.Add(3 * announceInterval)
+	c.advance(3 * announceInterval)
 	r.Sweep()
 	require.False(t, r.Ready("i"))
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,7 +15,24 @@
 
 const announceInterval = 1200 * time.Millisecond
 
-type clock struct{ now time.Time }
+// clock is the time of a roster, which may be read while a test advances it.
+type clock struct {
+	mu sync.Mutex
+	// now is guarded by mu.
+	now time.Time
+}
+
+func (c *clock) time() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *clock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
 
 func newRoster(departed ...string) (*roster.Roster, *clock) {
 	return newRosterWith(func(id string) bool { return slices.Contains(departed, id) })
@@ -24,7 +42,7 @@
 func newRosterWith(departed func(id string) bool) (*roster.Roster, *clock) {
 	c := &clock{now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)}
 	return roster.New(roster.Config{
-		Self: leaderHost, AnnounceEvery: announceInterval, Now: func() time.Time { return c.now }, Log: logr.Discard(),
+		Self: leaderHost, AnnounceEvery: announceInterval, Now: c.time, Log: logr.Discard(),
 		Departed: departed,
 	}), c
 }
@@ -39,15 +57,15 @@
 func TestLateAnnouncementOfAnEndedServerTakesNoAddress(t *testing.T) {
 	r, c := newRoster()
 	require.True(t, r.Announce(announcement("old", "a:1", 1)))
-	c.now = c.now.Add(3 * announceInterval)
+	c.advance(3 * announceInterval)
 	require.True(t, r.Announce(announcement("new", "a:1", 1)))
 	require.True(t, r.Ready("new"))
 	require.False(t, r.Ready("old"))
 
-	c.now = c.now.Add(announceInterval / 2)
+	c.advance(announceInterval / 2)
 	require.False(t, r.Announce(announcement("old", "a:1", 2)))
 	require.True(t, r.Ready("new"))
-	c.now = c.now.Add(announceInterval / 2)
+	c.advance(announceInterval / 2)
 	require.True(t, r.Announce(announcement("new", "a:1", 2)))
 	require.False(t, r.Announce(announcement("old", "a:1", 3)))
 	require.True(t, r.Ready("new"))
@@ -58,9 +76,9 @@
 func TestLiveServerRegainsItsAddress(t *testing.T) {
 	r, c := newRoster()
 	require.True(t, r.Announce(announcement("ended", "a:1", 9)))
-	c.now = c.now.Add(announceInterval / 2)
+	c.advance(announceInterval / 2)
 	require.False(t, r.Announce(announcement("running", "a:1", 4)))
-	c.now = c.now.Add(announceInterval)
+	c.advance(announceInterval)
 	require.True(t, r.Announce(announcement("running", "a:1", 5)))
 	require.True(t, r.Ready("running"))
 	require.False(t, r.Ready("ended"))
@@ -86,7 +104,7 @@
 	r, c := newRoster()
 	require.True(t, r.Announce(announcement("s", "a:1", 1)))
 	_, change := r.ServersSince(0)
-	c.now = c.now.Add(5 * announceInterval)
+	c.advance(5 * announceInterval)
 	r.Sweep()
 	require.False(t, r.Ready("s"))
 	views, _ := r.ServersSince(change)
