listener: connections and heads of requests are bounded in sum, at all HTTP ports of hosts that join

Callers saw: a crowd of connections, each within the bounds of one, ends the process for memory, or takes every descriptor, and nobody else gets an answer. It holds for every port: callers, hosts, directory, readiness, operators, metrics.

Cause, one class: a bound for each connection and none for their sum, and descriptors that callers share with what the process needs for its servers, its leader and its disk. A parsed field takes many times its bytes, so that 33 MB of heads cost 570; nothing counted connections, and net/http waits for a free descriptor.

Change: package listener accepts all connections. Each port has a part of the descriptors and of the memory; at its limit a new connection replaces the one that has waited longest for a request, for the rest of its head, or for its body. One with a request in progress stays; while all have one, a few further connections get 503 with Retry-After and the rest are closed. Heads are counted as they are read and take from one budget until their request ends. A connection is taken out under the lock under which the last byte of its head or body is counted, so that no request is served on a closed connection, and a closed one never ran. The stated MaxHeaderBytes is used now (431).

--- a/cmd/fennelyard/join.go
+++ b/cmd/fennelyard/join.go
@@ -16,7 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"fennelyard/internal/asynclog"
-	"fennelyard/internal/bound"
+	"fennelyard/internal/listener"
 	"fennelyard/internal/metrics"
 	"fennelyard/internal/role"
 	"fennelyard/internal/schema"
@@ -79,14 +79,15 @@
 	}
 	set := metrics.New()
 	set.Gauge("log_lines_dropped", "Log lines that were dropped.", func() float64 { return float64(logs.Dropped()) })
+	connections := role.NewConnections(s.Get(), set, log)
 	h, err := startHostWithDiskSpace(c.Context(), log, func() (hostRole, error) {
-		return startHost(s, set, log, logs.Requests(logVerbosity).WithValues("host", s.Get().GetHost()))
+		return startHost(s, set, connections, log, logs.Requests(logVerbosity).WithValues("host", s.Get().GetHost()))
 	})
 	if err != nil {
 		log.Error(err, "not started")
 		return err
 	}
-	metricsServer, err := serveMetrics(s.Get(), set, log)
+	metricsServer, err := serveMetrics(s.Get(), set, connections)
 	if err != nil {
 		h.Drain(canceledContext())
 		return err
@@ -114,10 +115,10 @@
 
 // startHost starts a control host if the settings have an operator address, and an entry
 // otherwise.
-func startHost(s *role.Settings, set *metrics.Set, log, requests logr.Logger) (hostRole, error) {
+func startHost(s *role.Settings, set *metrics.Set, connections *listener.Budget, log, requests logr.Logger) (hostRole, error) {
 	if s.Get().GetOperatorAddress() != "" {
 		c, err := role.NewControl(role.ControlConfig{
-			Settings: s, Engines: platform.Engines(), Handler: platform.Operators, Metrics: set, Log: log,
+			Settings: s, Engines: platform.Engines(), Handler: platform.Operators, Metrics: set, Log: log, Connections: connections,
 		})
 		if err != nil {
 			return nil, errors.Newf("start control host: %w", err)
@@ -126,7 +127,7 @@
 	}
 	e, err := role.NewEntry(role.EntryConfig{
 		Settings: s, Codec: platform.Codec(), Ready: platform.Ready, Directory: platform.Directory, Metrics: set,
-		Log: log, RequestLog: requests,
+		Log: log, RequestLog: requests, Connections: connections,
 	})
 	if err != nil {
 		return nil, errors.Newf("start entry: %w", err)
@@ -173,22 +174,19 @@
 }
 
 // serveMetrics serves the metrics, unless the settings have no port for them.
-func serveMetrics(s *schema.JoinSettings, set *metrics.Set, log logr.Logger) (*http.Server, error) {
+func serveMetrics(s *schema.JoinSettings, set *metrics.Set, connections *listener.Budget) (*http.Server, error) {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", set.Handler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: metricsHeaderTimeout, MaxHeaderBytes: bound.ReplyHeadBytes}
 	if s.GetMetricsPort() == 0 {
-		return server, nil
+		return &http.Server{ReadHeaderTimeout: metricsHeaderTimeout}, nil
 	}
 	l, err := net.Listen("tcp", net.JoinHostPort(s.GetIp(), strconv.Itoa(int(s.GetMetricsPort()))))
 	if err != nil {
 		return nil, errors.Newf("listen for metrics: %w", err)
 	}
-	go func() {
-		// The server runs until the process ends.
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			log.Error(err, "metrics no longer served")
-		}
-	}()
+	port := connections.Listen(l, listener.PortConfig{Port: listener.PortMetrics, Share: listener.EntryShares[listener.PortMetrics]})
+	server := port.NewServer(listener.ServerConfig{Handler: mux, HeadTimeout: metricsHeaderTimeout})
+	// The server runs until the process ends.
+	go port.Serve(server)
 	return server, nil
 }
--- a/cmd/fennelyard/known_red_test.go
+++ b/cmd/fennelyard/known_red_test.go
@@ -19,7 +19,7 @@
 }
 
 // writeModule writes a Go module and returns its folder. Package one has two tests, package
-// two has one, and package simulated has two on simulated time. The tests named in failing
+// two has one, package crowded one of a crowd, and package simulated has two on simulated time. The tests named in failing
 // fail. list is the content of KNOWN-RED.txt; if it is empty there is no such file.
 func writeModule(t *testing.T, list string, failing ...string) string {
 	t.Helper()
@@ -42,6 +42,7 @@
 	write("go.mod", "module scratch\n\ngo 1.26\n")
 	write("one/one_test.go", "package one"+head+body("TestFirst")+body("TestSecond"))
 	write("two/two_test.go", "package two"+head+body("TestThird"))
+	write("crowded/crowded_test.go", "package crowded"+head+body("TestCrowdsOfConnections"))
 	write("simulated/simulated_test.go", "package simulated\n\nimport (\n\"testing\"\n\"testing/synctest\"\n)\n\n"+
 		"var _ = synctest.Test\n\n"+body("TestFourth")+body("TestConfigurationsInForceUnderFaults"))
 	if list != "" {
@@ -65,7 +66,12 @@
 			list: "./one TestSecond: seen, cause, issue\n", failing: []string{"TestSecond"}, passes: true,
 			output: "./one TestSecond: seen, cause, issue",
 		},
-		"the listed one passes":        {list: "./one TestSecond: seen\n", passes: true, output: "./one TestSecond: seen"},
+		"the listed one passes": {list: "./one TestSecond: seen\n", passes: true, output: "./one TestSecond: seen"},
+		"one of a crowd fails":  {failing: []string{"TestCrowdsOfConnections"}},
+		"one of a crowd is listed beside three others": {
+			list: "./one TestFirst: a\n./one TestSecond: b\n./two TestThird: c\n./crowded TestCrowdsOfConnections: seen\n", failing: []string{"TestCrowdsOfConnections"},
+			passes: true, output: "Connections: seen",
+		},
 		"another of the package fails": {list: "./one TestSecond: seen\n", failing: []string{"TestFirst"}},
 		"one of another package fails": {list: "./one TestSecond: seen\n", failing: []string{"TestThird"}},
 		"one on simulated time fails":  {failing: []string{"TestFourth"}},
--- a/cmd/fennelyard/process_test.go
+++ b/cmd/fennelyard/process_test.go
@@ -49,6 +49,8 @@
 	t              *testing.T
 	layout         *demo.Layout
 	operatorClient *operator.Client
+	// maxLogBytes bounds what is printed of each process's log if the test fails; 0: all of it.
+	maxLogBytes int
 
 	mu sync.Mutex
 	// processes maps a name to its latest process; guarded by mu in tests that start
@@ -158,7 +160,11 @@
 		_ = p.cmd.Process.Kill()
 		<-p.done
 		if clus.t.Failed() {
-			clus.t.Logf("log of %s:\n%s", name, p.log)
+			log := p.log.String()
+			if clus.maxLogBytes > 0 {
+				log = log[max(0, len(log)-clus.maxLogBytes):]
+			}
+			clus.t.Logf("log of %s:\n%s", name, log)
 		}
 	}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -56,10 +56,12 @@
 	OutcomeNoMemory                      // no-memory
 	OutcomeNoGrant                       // no-grant
 	OutcomeNotText                       // not-text
+	OutcomeNoConnection                  // no-connection
 )
 
 const (
 	defaultMaxBodyBytes = 4 << 20
+	defaultMaxHeadBytes = 64 << 10
 	// defaultRetryAfter is the Retry-After sent to callers when no better estimate exists:
 	// slightly more than the time to detect a change of leader or the loss of a server.
 	defaultRetryAfter = 500 * time.Millisecond
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -385,6 +385,22 @@
 	return l
 }
 
+// MaxHeadBytes returns how long the head of a request may be.
+func (g *Gateway) MaxHeadBytes() int {
+	if t := g.table.Load(); t != nil && t.limits.GetMaxHeaderBytes() > 0 {
+		return int(t.limits.GetMaxHeaderBytes())
+	}
+	return defaultMaxHeadBytes
+}
+
+// RefuseBusy refuses a request, as all connections of callers have one or there is no memory for its head.
+func (g *Gateway) RefuseBusy(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{g: g, w: w, r: r, startTime: time.Now(), bodyMemory: g.cfg.Memory.NewShare()}
+	x.info = g.cfg.Codec.ParseRequest(r)
+	defer x.finish()
+	x.refuse(http.StatusServiceUnavailable, OutcomeNoConnection, defaultRetryAfter)
+}
+
 // ServeHTTP implements http.Handler for the requests of callers.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
--- a/internal/gateway/outcome_string.go
+++ b/internal/gateway/outcome_string.go
@@ -35,11 +35,12 @@
 	_ = x[OutcomeNoMemory-24]
 	_ = x[OutcomeNoGrant-25]
 	_ = x[OutcomeNotText-26]
+	_ = x[OutcomeNoConnection-27]
 }
 
-const _Outcome_name = "servedserver-failedno-routeno-configurationbad-bodyno-serverno-modelbusyrepeat-budgetoutcome-unknowncuttimeoutcaller-goneentry-stoppingheld-backunauthorizedkeys-unconfirmedover-quotaserver-limitserver-cooldownno-pathbad-resumesversion-unknownversion-goneno-memoryno-grantnot-text"
+const _Outcome_name = "servedserver-failedno-routeno-configurationbad-bodyno-serverno-modelbusyrepeat-budgetoutcome-unknowncuttimeoutcaller-goneentry-stoppingheld-backunauthorizedkeys-unconfirmedover-quotaserver-limitserver-cooldownno-pathbad-resumesversion-unknownversion-goneno-memoryno-grantnot-textno-connection"
 
-var _Outcome_index = [...]uint16{0, 6, 19, 27, 43, 51, 60, 68, 72, 85, 100, 103, 110, 121, 135, 144, 156, 172, 182, 194, 209, 216, 227, 242, 254, 263, 271, 279}
+var _Outcome_index = [...]uint16{0, 6, 19, 27, 43, 51, 60, 68, 72, 85, 100, 103, 110, 121, 135, 144, 156, 172, 182, 194, 209, 216, 227, 242, 254, 263, 271, 279, 292}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -99,6 +99,16 @@
 	s.bytes = 0
 }
 
+// Resize takes or returns as much as makes what is taken n bytes, and returns false if there is not enough.
+func (s *Share) Resize(n int64) bool {
+	if n <= FreeBytes {
+		s.Release()
+		return true
+	}
+	s.shrink(n)
+	return s.grow(n)
+}
+
 // grow takes as much as is missing to n bytes, and returns false if there is not enough.
 func (s *Share) grow(n int64) bool {
 	if n <= max(s.bytes, FreeBytes) {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -38,6 +38,7 @@
 	teamRequests       *prometheus.CounterVec
 	suspectChanges     *prometheus.CounterVec
 	boundsMet          *prometheus.CounterVec
+	connectionsClosed  *prometheus.CounterVec
 	responsesEnded     *prometheus.CounterVec
 
 	teamsMu sync.Mutex
--- a/internal/metrics/routes.go
+++ b/internal/metrics/routes.go
@@ -40,13 +40,17 @@
 	s.suspectChanges = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "suspect_changes_total", Help: "Changes of records of requests that may crash servers, by the source of the change.",
 	}, []string{"source"})
+	s.connectionsClosed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "connections_closed_total",
+		Help: "Connections that were closed, or on which a request was refused, at a limit of a port, by port and reason.",
+	}, []string{"port", "reason"})
 	s.boundsMet = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "bounds_met_total", Help: "Responses that sent more than is read, by the kind of the peer and of the bound.",
 	}, []string{"peer", "bound"})
 	s.responsesEnded = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "responses_ended_with_connection_total", Help: "Responses without a length or chunks whose connection was closed, by what was known of the server then; only confirmed ones count as whole.",
 	}, []string{"server"})
-	s.registry.MustRegister(s.responsesEnded, s.boundsMet, s.suspectChanges, s.teamRequests, s.routeRequests, s.routeRequestTime, s.routeFirstByte, s.dispatches, s.engineOrders, s.backendConnections, s.refusedMessages)
+	s.registry.MustRegister(s.connectionsClosed, s.responsesEnded, s.boundsMet, s.suspectChanges, s.teamRequests, s.routeRequests, s.routeRequestTime, s.routeFirstByte, s.dispatches, s.engineOrders, s.backendConnections, s.refusedMessages)
 }
 
 // RefusedMessage counts a message of a server or an operator that was refused, by the kind of
@@ -58,6 +62,11 @@
 // SuspectChanged counts a change of a record of a request that may crash servers.
 func (s *Set) SuspectChanged(source string) { s.suspectChanges.WithLabelValues(source).Inc() }
 
+// ConnectionClosed counts a connection that was closed, or on which a request was refused, at a limit.
+func (s *Set) ConnectionClosed(port, reason string) {
+	s.connectionsClosed.WithLabelValues(port, reason).Inc()
+}
+
 // BoundMet counts a response that sent more than is read.
 func (s *Set) BoundMet(peer, bound string) { s.boundsMet.WithLabelValues(peer, bound).Inc() }
 
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -17,6 +17,7 @@
 	"fennelyard/internal/consensus"
 	"fennelyard/internal/control"
 	"fennelyard/internal/ledger"
+	"fennelyard/internal/listener"
 	"fennelyard/internal/loading"
 	"fennelyard/internal/metrics"
 	"fennelyard/internal/origin"
@@ -59,6 +60,8 @@
 	Log     logr.Logger
 	// Network connects the host to others; the zero value uses TCP.
 	Network Network
+	// Connections is what accepted connections may take; nil: by the settings.
+	Connections *listener.Budget
 	// BeforeWrite, if set, is called before each write to the disk and delays it for as
 	// long as it runs.
 	BeforeWrite func()
@@ -135,6 +138,9 @@
 		cfg.Random = rand.IntN
 	}
 	s := cfg.Settings.Get()
+	if cfg.Connections == nil {
+		cfg.Connections = NewConnections(s, cfg.Metrics, cfg.Log)
+	}
 	address := settings.PeerAddress(s.GetIp(), s)
 	c := &Control{
 		cfg: cfg, dialer: peer.NewDialer(peer.DialerConfig{Dial: cfg.Network.Dial}),
@@ -192,7 +198,9 @@
 	handlers.FindOrigins = c.handleFindOrigins
 	handlers.Attend, handlers.InSync, handlers.Follow, handlers.GiveOrder = c.serveEntry, c.handleInSync, c.serveHost, c.handleOrder
 	c.peerServer = peer.NewServer(peer.ServerConfig{Listener: peers, Handlers: handlers})
-	c.operatorServer = newServer(c.operatorHandler())
+	operatorPort := c.cfg.Connections.Listen(operators, listener.PortConfig{Port: listener.PortOperators, Share: listener.ControlShares[listener.PortOperators]})
+	operatorPort.RegisterGauges(c.cfg.Metrics.Gauge)
+	c.operatorServer = operatorPort.NewServer(listener.ServerConfig{Handler: c.operatorHandler()})
 	c.wg.Add(11)
 	go func() {
 		defer c.wg.Done()
@@ -232,7 +240,7 @@
 	}()
 	go func() {
 		defer c.wg.Done()
-		serve(c.operatorServer, operators, c.cfg.Log)
+		operatorPort.Serve(c.operatorServer)
 	}()
 	go func() {
 		defer c.wg.Done()
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -16,6 +16,7 @@
 	"fennelyard/internal/gateway"
 	"fennelyard/internal/gossip"
 	"fennelyard/internal/ledger"
+	"fennelyard/internal/listener"
 	"fennelyard/internal/memory"
 	"fennelyard/internal/metrics"
 	"fennelyard/internal/origin"
@@ -41,6 +42,8 @@
 	RequestLog logr.Logger
 	// Network connects the entry to control hosts and callers; the zero value uses TCP.
 	Network Network
+	// Connections is what accepted connections may take; nil: by the settings.
+	Connections *listener.Budget
 }
 
 // Entry serves callers' requests. All methods are safe for concurrent use.
@@ -72,6 +75,9 @@
 // NewEntry starts an entry. If it fails, nothing is left running.
 func NewEntry(cfg EntryConfig) (*Entry, error) {
 	cfg.Network.setDefaults()
+	if cfg.Connections == nil {
+		cfg.Connections = NewConnections(cfg.Settings.Get(), cfg.Metrics, cfg.Log)
+	}
 	e := &Entry{cfg: cfg, dialer: peer.NewDialer(peer.DialerConfig{Dial: cfg.Network.Dial}), done: make(chan struct{}), connections: drain.NewConnections()}
 	s := cfg.Settings.Get()
 	direct := cfg.Network.dial()
@@ -181,13 +187,29 @@
 	for _, endpoint := range []struct {
 		address string
 		listen  func(network, address string) (net.Listener, error)
-		handler http.Handler
-		callers bool
+		server  listener.ServerConfig
+		port    listener.PortConfig
 	}{
-		{s.GetCallerAddress(), e.cfg.Network.Listen, e.gateway, true},
-		{s.GetReadyAddress(), e.cfg.Network.Listen, e.cfg.Ready(e), false},
-		{s.GetDirectoryAddress(), e.cfg.Network.Listen, e.cfg.Directory(e), false},
-		{settings.PeerAddress(s.GetPeerListenIp(), s), e.cfg.Network.listenHosts, e.hostHandler(), false},
+		{
+			s.GetCallerAddress(), e.cfg.Network.Listen,
+			listener.ServerConfig{Handler: e.gateway, Refuse: http.HandlerFunc(e.gateway.RefuseBusy), OnState: e.connections.Track, HasDeadlines: true},
+			listener.PortConfig{Port: listener.PortCallers, HeadBytes: e.gateway.MaxHeadBytes},
+		},
+		{
+			s.GetReadyAddress(), e.cfg.Network.Listen,
+			listener.ServerConfig{Handler: e.cfg.Ready(e)},
+			listener.PortConfig{Port: listener.PortReadiness},
+		},
+		{
+			s.GetDirectoryAddress(), e.cfg.Network.Listen,
+			listener.ServerConfig{Handler: e.cfg.Directory(e)},
+			listener.PortConfig{Port: listener.PortDirectory},
+		},
+		{
+			settings.PeerAddress(s.GetPeerListenIp(), s), e.cfg.Network.listenHosts,
+			listener.ServerConfig{Handler: e.hostHandler()},
+			listener.PortConfig{Port: listener.PortHosts},
+		},
 	} {
 		if endpoint.address == "" {
 			continue
@@ -196,16 +218,18 @@
 		if err != nil {
 			return errors.Newf("listen: %w", err)
 		}
-		server := newServer(endpoint.handler)
+		endpoint.port.Share = listener.EntryShares[endpoint.port.Port]
+		port := e.cfg.Connections.Listen(l, endpoint.port)
+		port.RegisterGauges(e.cfg.Metrics.Gauge)
+		server := port.NewServer(endpoint.server)
 		e.servers = append(e.servers, server)
-		if endpoint.callers {
+		if endpoint.port.Port == listener.PortCallers {
 			e.callerServer, e.callerListener = server, l
-			server.ConnState = e.connections.Track
 		}
 		e.wg.Add(1)
 		go func() {
 			defer e.wg.Done()
-			serve(server, l, e.cfg.Log)
+			port.Serve(server)
 		}()
 	}
 	return nil
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -252,6 +252,8 @@
 			return "servers had ended while they ran requests with the same " + scope + " (" + request.text("held-name") + "), see key " + request.text("held-by") + "; they are held back"
 		}
 		return "three servers had ended while they ran the same request, see key " + request.text("key") + "; it is held back"
+	case "no-connection":
+		return "all connections of callers that the entry may have were in use, or the heads of other requests took all memory"
 	case "not-text":
 		return "the request names a model whose name is no valid UTF-8, which no model has"
 	case "bad-resumes":
