role, peer: connections, calls and messages that do not arrive are bounded in sum at the hosts' port of a control host

Entries and other hosts saw: a crowd at the port for calls takes every descriptor of a control host, so that a new entry does not come up, or all of its memory.

Cause: the same class as at the HTTP ports. gRPC's handshake timeout holds for each connection; a client that speaks the protocol and answers pings stays. A message may have 64 MiB and is held as it arrives, in any number of calls; a call without its first message has a goroutine.

Change: the port accepts through listener, which follows the frames as they are read. Messages that have not arrived in full, and calls before their first message, take from the budget for heads. At the port's limit connections without calls are replaced first, then the one whose last call is oldest. Write buffers of the server are shared by its connections.

Not bounded: whole messages in a call whose handler does not read them (docs/design/connections.md).

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -40,6 +40,9 @@
 	windowBytes = 1 << 20
 	// maxHeaderListBytes bounds the header fields of a call.
 	maxHeaderListBytes = 16 << 10
+	// maxStreams bounds the calls of a connection at a time. A listed host makes one for each request that must not run
+	// twice.
+	maxStreams = 1024
 	// maxTimeouts is the number of consecutive calls that time out on a connection
 	// before it is replaced by a new one.
 	maxTimeouts = 2
@@ -206,7 +209,7 @@
 func NewServer(cfg ServerConfig) *Server {
 	opts := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes), grpc.MaxHeaderListSize(maxHeaderListBytes),
-		grpc.ConnectionTimeout(handshakeTimeout), grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes),
+		grpc.MaxConcurrentStreams(maxStreams), grpc.SharedWriteBuffer(true), grpc.ConnectionTimeout(handshakeTimeout), grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepaliveTime, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 	}
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -197,7 +197,9 @@
 	handlers := c.group.Handlers()
 	handlers.FindOrigins = c.handleFindOrigins
 	handlers.Attend, handlers.InSync, handlers.Follow, handlers.GiveOrder = c.serveEntry, c.handleInSync, c.serveHost, c.handleOrder
-	c.peerServer = peer.NewServer(peer.ServerConfig{Listener: peers, Handlers: handlers})
+	calls := c.cfg.Connections.ListenCalls(peers, listener.PortConfig{Port: listener.PortHosts, Share: listener.ControlShares[listener.PortHosts]})
+	calls.RegisterGauges(c.cfg.Metrics.Gauge)
+	c.peerServer = peer.NewServer(peer.ServerConfig{Listener: calls, Handlers: handlers})
 	operatorPort := c.cfg.Connections.Listen(operators, listener.PortConfig{Port: listener.PortOperators, Share: listener.ControlShares[listener.PortOperators]})
 	operatorPort.RegisterGauges(c.cfg.Metrics.Gauge)
 	c.operatorServer = operatorPort.NewServer(listener.ServerConfig{Handler: c.operatorHandler()})
