role, platform: bodies of operators and backend servers take from a budget at control hosts

Operators saw: bodies that do not end make a control host exceed its memory. Each may have 8 MB, was read without a bound on the sum, and for as long as its sender liked.

--- a/cmd/fennelyard/crowd_test.go
+++ b/cmd/fennelyard/crowd_test.go
@@ -349,13 +349,16 @@
 		{"directory", "entry-0", entry(4), "/v1/resolve", []string{"many fields", "one request, then nothing"}},
 		{"hosts of an entry", "entry-0", entry(0), "/cooldown", join(heads, waiting[:1])},
 		{"metrics", "entry-0", entry(5), "/metrics", []string{"many fields", "no bytes", "pipelined, not read"}},
-		{"operators", "core-0", control(1), standin.ConfigPath, join(heads, waiting, other)},
+		{"operators", "core-0", control(1), standin.ConfigPath, join(heads, waiting, bodies, other)},
 		{"metrics of a control host", "core-0", control(5), "/metrics", []string{"many fields without end", "half a head"}},
 	} {
 		for _, name := range p.crowds {
 			t.Run(p.name+"/"+name, func(t *testing.T) {
 				c := newCrowdCase(t)
 				members := crowds(p.path)[name]
+				if p.name == "operators" && strings.Contains(name, "body") {
+					members.send = asPut(members.send)
+				}
 				ordinary := []func() bool{c.served}
 				switch p.name {
 				case "operators":
@@ -368,3 +371,16 @@
 		}
 	}
 }
+
+// asPut returns a send function whose requests have the method PUT in place of POST.
+func asPut(send func(net.Conn, int) error) func(net.Conn, int) error {
+	return func(conn net.Conn, member int) error {
+		return send(&methodConn{Conn: conn}, member)
+	}
+}
+
+type methodConn struct{ net.Conn }
+
+func (c *methodConn) Write(p []byte) (int, error) {
+	return c.Conn.Write([]byte(strings.Replace(string(p), "POST ", "PUT ", 1)))
+}
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -19,6 +19,7 @@
 	"fennelyard/internal/ledger"
 	"fennelyard/internal/listener"
 	"fennelyard/internal/loading"
+	"fennelyard/internal/memory"
 	"fennelyard/internal/metrics"
 	"fennelyard/internal/origin"
 	"fennelyard/internal/peer"
@@ -69,6 +70,10 @@
 	Random func(n int) int
 }
 
+// operatorBodyDivisor is the inverse of the part of the memory that bodies of operators and backend servers may take. A
+// configuration takes several times its bytes while it is decoded.
+const operatorBodyDivisor = 16
+
 // Control is a control host. All methods are safe for concurrent use.
 type Control struct {
 	cfg     ControlConfig
@@ -117,8 +122,10 @@
 	orderSender    *loading.Sender
 	peerServer     *peer.Server
 	operatorServer *http.Server
-	lastStream     atomic.Uint64
-	changesCache   changesCache
+	// bodies is what bodies of operators and backend servers may take.
+	bodies       *memory.Budget
+	lastStream   atomic.Uint64
+	changesCache changesCache
 	// refusalLog limits the log lines of refusals.
 	refusalLog refusalLogLimiter
 	// work measures what this host spends its processor time on.
@@ -170,6 +177,7 @@
 	c.allocator = ratelimit.NewAllocator(ratelimit.AllocatorConfig{Limits: c.roster.Limits, Grants: c.hostPermits, Now: time.Now})
 	c.rejectionLimits = ratelimit.NewRejectionLimits()
 	c.subscribers = subscription.New(subscription.Config{Now: time.Now, QuotaWindow: quotaWindow, Log: cfg.Log.WithName("attendance")})
+	c.bodies = memory.NewBudget(memory.Config{Bytes: int64(s.GetMemoryMb() * (1 << 20) / operatorBodyDivisor)})
 	if err := c.start(s); err != nil {
 		c.Close()
 		return nil, err
@@ -276,6 +284,7 @@
 // registerGauges registers gauges, among them the number of voters and of silent voters:
 // they show the loss of voters long before the group stops.
 func (c *Control) registerGauges() {
+	c.bodies.RegisterGauges(c.cfg.Metrics.Gauge)
 	c.cfg.Metrics.Gauge("control_voters", "Voters of the control group, as this host knows it.", func() float64 {
 		return float64(len(c.voterAddresses()))
 	})
@@ -351,6 +360,9 @@
 	c.entryPermits.Sweep(time.Now())
 }
 
+// Bodies returns what bodies of operators and backend servers may take.
+func (c *Control) Bodies() *memory.Budget { return c.bodies }
+
 // Failed is closed when the control member failed; Err returns the cause. The process must
 // then exit: the state on its disk is unknown.
 func (c *Control) Failed() <-chan struct{} { return c.group.Done() }
