gossip: evidence from other entries takes from the budget for bodies

Entries saw: 600 messages of which 240 KB have arrived, each within its bound of 256 KiB, take 227 MB of an entry's 142 (TestCrowdsAtHosts/evidence_of_entries on the code before). They were read beside the budget for bodies. They take from it now, and one that finds no memory gets 503; the other entry sends its evidence again with the next round.

--- a/cmd/fennelyard/crowd_test.go
+++ b/cmd/fennelyard/crowd_test.go
@@ -348,6 +348,7 @@
 		{"readiness", "entry-0", entry(3), "/v1/ready", []string{"many fields", "no bytes"}},
 		{"directory", "entry-0", entry(4), "/v1/resolve", []string{"many fields", "one request, then nothing"}},
 		{"hosts of an entry", "entry-0", entry(0), "/cooldown", join(heads, waiting[:1])},
+		{"evidence of entries", "entry-0", entry(0), "/suspects", []string{"a message without end"}},
 		{"metrics", "entry-0", entry(5), "/metrics", []string{"many fields", "no bytes", "pipelined, not read"}},
 		{"operators", "core-0", control(1), standin.ConfigPath, join(heads, waiting, bodies, other)},
 		{"metrics of a control host", "core-0", control(5), "/metrics", []string{"many fields without end", "half a head"}},
--- a/internal/gossip/http.go
+++ b/internal/gossip/http.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 
@@ -11,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/bound"
+	"fennelyard/internal/memory"
 	"fennelyard/internal/schema"
 	"fennelyard/internal/tcp"
 )
@@ -29,14 +29,20 @@
 // IsRequest reports whether a request between hosts is one for a Handler.
 func IsRequest(r *http.Request) bool { return r.URL.Path == path }
 
-// NewHandler returns the handler for messages of other entries.
-func NewHandler(g *Gossip) http.Handler {
+// NewHandler returns the handler for messages of other entries, which take from a budget until they are decoded.
+func NewHandler(g *Gossip, bodies *memory.Budget) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method != http.MethodPost {
 			w.WriteHeader(http.StatusMethodNotAllowed)
 			return
 		}
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
+		share := bodies.NewShare()
+		defer share.Release()
+		body, ended, err := share.Read(http.MaxBytesReader(w, r.Body, maxMessageBytes), r.ContentLength, maxMessageBytes+1)
+		if err == nil && !ended {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if err != nil {
 			g.logMalformed(err)
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -238,7 +238,7 @@
 // hostHandler handles what other entries send: tunnels, where streams began, and evidence on harmful
 // requests.
 func (e *Entry) hostHandler() http.Handler {
-	origins, suspects := origin.NewHandler(e.gateway.Origins(), e.gateway.Versions), gossip.NewHandler(e.suspects)
+	origins, suspects := origin.NewHandler(e.gateway.Origins(), e.gateway.Versions), gossip.NewHandler(e.suspects, e.memory)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case origin.IsRequest(r):
