metrics: eight scrapes at a time

Each scrape holds all metrics until its reader has taken them, and anybody may open as many as the port has connections. More get 503, as promhttp has it.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -94,9 +94,12 @@
 	})
 }
 
+// maxScrapes bounds the scrapes at a time: each holds all metrics until its reader has taken them.
+const maxScrapes = 8
+
 // Handler returns the HTTP handler of the scrape endpoint.
 func (s *Set) Handler() http.Handler {
-	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
+	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
 }
 
 // Gauge registers a gauge whose value is read at each scrape.
