entry, host: connections, heads, bodies and messages are bounded in sum at listed hosts

Callers and operators saw: the crowds that end a host that joins end a listed one (serve) as well; its ports had servers of their own with other constants.

Change: all four ports and that for metrics accept through listener. Commands of operators and announcements take from the budget for bodies. Listed hosts have the settings memory-mb and max-descriptors that hosts which join have. Partial messages have 4 MiB at least now.

--- a/cmd/fennelyard/join.go
+++ b/cmd/fennelyard/join.go
@@ -74,9 +74,7 @@
 	logs := asynclog.New(c.OutOrStdout())
 	defer logs.Close()
 	log := logs.StateChanges(logVerbosity).WithValues("host", s.Get().GetHost())
-	if mb := s.Get().GetMemoryMb(); mb > 0 {
-		debug.SetMemoryLimit(int64(mb * memoryLimitRatio * (1 << 20)))
-	}
+	limitMemory(s.Get().GetMemoryMb())
 	set := metrics.New()
 	set.Gauge("log_lines_dropped", "Log lines that were dropped.", func() float64 { return float64(logs.Dropped()) })
 	connections := role.NewConnections(s.Get(), set, log)
@@ -113,6 +111,13 @@
 	return nil
 }
 
+// limitMemory sets the limit of the Go runtime by the memory of the process in MB; 0: none.
+func limitMemory(mb float64) {
+	if mb > 0 {
+		debug.SetMemoryLimit(int64(mb * memoryLimitRatio * (1 << 20)))
+	}
+}
+
 // startHost starts a control host if the settings have an operator address, and an entry
 // otherwise.
 func startHost(s *role.Settings, set *metrics.Set, connections *listener.Budget, log, requests logr.Logger) (hostRole, error) {
--- a/cmd/fennelyard/serve.go
+++ b/cmd/fennelyard/serve.go
@@ -42,6 +42,7 @@
 		return err
 	}
 	log := newLogger(c.ErrOrStderr(), int(s.GetLog().GetVerbosity())).WithValues("deployment", s.GetDeployment(), "host", s.GetHost())
+	limitMemory(s.GetMemoryMb())
 	tracer, flush := tracing.New(s.GetTrace().GetExporter(), s.GetHost(), log)
 	h, err := host.New(host.Config{Settings: s, Log: log, Tracer: tracer})
 	if err != nil {
--- a/internal/entry/backends.go
+++ b/internal/entry/backends.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"io"
 	"net/http"
 	"time"
 
@@ -26,7 +25,12 @@
 }
 
 func (e *Entry) announce(c echo.Context) error {
-	data, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxAnnounceBytes))
+	share := e.memory.NewShare()
+	defer share.Release()
+	data, ended, err := share.Read(http.MaxBytesReader(c.Response(), c.Request().Body, maxAnnounceBytes), c.Request().ContentLength, maxAnnounceBytes+1)
+	if err == nil && !ended {
+		return writeRefusal(c, "", refusal.New(refusal.NoMemory, "the bodies of other requests take all memory of this host").WithRetryAfter(memoryRetryAfter))
+	}
 	if err != nil {
 		return writeRefusal(c, "", refusal.New(refusal.BodyTooLarge, "the announcement has more than %d bytes", maxAnnounceBytes))
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/labstack/echo/v4"
 	"go.opentelemetry.io/otel/trace"
@@ -23,6 +22,7 @@
 	"fennelyard/internal/drain"
 	"fennelyard/internal/gossip"
 	"fennelyard/internal/ledger"
+	"fennelyard/internal/listener"
 	"fennelyard/internal/membership"
 	"fennelyard/internal/memory"
 	"fennelyard/internal/metrics"
@@ -35,10 +35,7 @@
 )
 
 const (
-	// The timeouts prevent a few slow senders from occupying all connections.
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 60 * time.Second
-	maxHeaderBytes    = 64 << 10
+	idleTimeout = 60 * time.Second
 	// drainMargin is added to the time for which callers cache directory
 	// responses.
 	drainMargin = time.Second
@@ -63,9 +60,9 @@
 	Tracer      trace.Tracer
 	Metrics     *metrics.Set
 	// The listeners are owned by the entry.
-	CallerListener   net.Listener
-	OperatorListener net.Listener
-	BackendListener  net.Listener
+	CallerListener   *listener.Listener
+	OperatorListener *listener.Listener
+	BackendListener  *listener.Listener
 	// Dial connects to backend servers and to other entries that carry connections to them; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -166,11 +163,11 @@
 	})
 	e.startGossip()
 	e.registerGauges()
-	e.callerServer = newServer(e.callerRoutes())
-	e.callerServer.ConnState = e.connections.Track
-	e.serve(cfg.CallerListener, e.callerServer)
-	e.serve(cfg.OperatorListener, newServer(e.operatorRoutes()))
-	e.serve(cfg.BackendListener, newServer(e.backendHandler()))
+	e.callerServer = e.serve(cfg.CallerListener, listener.ServerConfig{
+		Handler: e.callerRoutes(), OnState: e.connections.Track, HasDeadlines: true, HeadTimeout: listener.ListedHeadTimeout, IdleTimeout: idleTimeout,
+	})
+	e.serve(cfg.OperatorListener, listener.ServerConfig{Handler: e.operatorRoutes(), HeadTimeout: listener.ListedHeadTimeout, IdleTimeout: idleTimeout})
+	e.serve(cfg.BackendListener, listener.ServerConfig{Handler: e.backendHandler(), HeadTimeout: listener.ListedHeadTimeout, IdleTimeout: idleTimeout})
 	e.wg.Add(4)
 	go func() {
 		defer e.wg.Done()
@@ -221,22 +218,16 @@
 		func() float64 { return float64(e.backends.Len()) })
 }
 
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
-	}
-}
-
-func (e *Entry) serve(l net.Listener, s *http.Server) {
+func (e *Entry) serve(l *listener.Listener, cfg listener.ServerConfig) *http.Server {
+	s := l.NewServer(cfg)
+	l.RegisterGauges(e.cfg.Metrics.Gauge)
 	e.httpServers = append(e.httpServers, s)
 	e.wg.Add(1)
 	go func() {
 		defer e.wg.Done()
-		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			e.cfg.Log.Error(err, "listener ended", "address", l.Addr().String())
-		}
+		l.Serve(s)
 	}()
+	return s
 }
 
 func newRoutes() *echo.Echo {
@@ -306,7 +297,7 @@
 	e.startDraining()
 	e.stopping.Store(true)
 	e.cfg.Membership.AnnounceStopping()
-	e.cfg.Log.Info("draining", "in-flight", e.InFlight(), "connections", e.connections.Pending(readHeaderTimeout), "tunnels", e.tunnels.Active(),
+	e.cfg.Log.Info("draining", "in-flight", e.InFlight(), "connections", e.connections.Pending(listener.ListedHeadTimeout), "tunnels", e.tunnels.Active(),
 		"accepting-ms", time.Until(plan.AcceptUntil()).Milliseconds(), "abort-ms", time.Until(plan.AbortAt()).Milliseconds())
 	// From now on each response closes its connection.
 	e.callerServer.SetKeepAlivesEnabled(false)
@@ -322,7 +313,7 @@
 		},
 		Pending: e.pending,
 	})
-	e.cfg.Log.Info("drained", "in-flight", e.InFlight(), "connections", e.connections.Pending(readHeaderTimeout), "tunnels", e.tunnels.Active())
+	e.cfg.Log.Info("drained", "in-flight", e.InFlight(), "connections", e.connections.Pending(listener.ListedHeadTimeout), "tunnels", e.tunnels.Active())
 	// Commands of operators and messages of hosts that are on their way get their responses.
 	ctx, cancel := context.WithDeadline(ctx, plan.CloseAt())
 	defer cancel()
@@ -342,7 +333,7 @@
 
 // pending returns the number of requests in progress, connections on which one may still come, and tunnels.
 func (e *Entry) pending() int {
-	return e.InFlight() + int(e.claimedRuns.Load()) + e.connections.Pending(readHeaderTimeout) + e.tunnels.Active()
+	return e.InFlight() + int(e.claimedRuns.Load()) + e.connections.Pending(listener.ListedHeadTimeout) + e.tunnels.Active()
 }
 
 // Close stops the entry immediately; requests in flight are interrupted.
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/control"
+	"fennelyard/internal/memory"
 	"fennelyard/internal/operator"
 	"fennelyard/internal/refusal"
 	"fennelyard/internal/schema"
@@ -42,7 +42,7 @@
 
 func (e *Entry) applyIntent(c echo.Context) error {
 	q := &schema.IntentRequest{}
-	if refused := readCommand(c, q); refused != nil {
+	if refused := readCommand(c, e.memory, q); refused != nil {
 		return writeRefusal(c, "", refused)
 	}
 	return e.proposeCommand(c, &schema.Command{
@@ -57,7 +57,7 @@
 		return writeRefusal(c, "", refusal.New(refusal.BadRequest, "%q is not a plan's number", c.Param("number")))
 	}
 	q := &schema.DecisionRequest{}
-	if refused := readCommand(c, q); refused != nil {
+	if refused := readCommand(c, e.memory, q); refused != nil {
 		return writeRefusal(c, "", refused)
 	}
 	return e.proposeCommand(c, &schema.Command{
@@ -68,7 +68,7 @@
 
 func (e *Entry) forgetServer(c echo.Context) error {
 	q := &schema.ForgetRequest{}
-	if refused := readCommand(c, q); refused != nil {
+	if refused := readCommand(c, e.memory, q); refused != nil {
 		return writeRefusal(c, "", refused)
 	}
 	return e.proposeCommand(c, &schema.Command{
@@ -85,11 +85,16 @@
 	GetOperator() string
 }
 
-func readCommand(c echo.Context, q commandRequest) *refusal.Refusal {
-	data, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxCommandBytes))
+func readCommand(c echo.Context, bodies *memory.Budget, q commandRequest) *refusal.Refusal {
+	share := bodies.NewShare()
+	defer share.Release()
+	data, ended, err := share.Read(http.MaxBytesReader(c.Response(), c.Request().Body, maxCommandBytes), c.Request().ContentLength, maxCommandBytes+1)
 	if err != nil {
 		return refusal.New(refusal.BodyTooLarge, "the command has more than %d bytes", maxCommandBytes)
 	}
+	if !ended {
+		return refusal.New(refusal.NoMemory, "the bodies of other requests take all memory of this host").WithRetryAfter(memoryRetryAfter)
+	}
 	if err := protojson.Unmarshal(data, q); err != nil {
 		return refusal.New(refusal.BadRequest, "%v", err)
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -20,6 +20,7 @@
 	"fennelyard/internal/engine"
 	"fennelyard/internal/entry"
 	"fennelyard/internal/ledger"
+	"fennelyard/internal/listener"
 	"fennelyard/internal/membership"
 	"fennelyard/internal/metrics"
 	"fennelyard/internal/order"
@@ -44,17 +45,19 @@
 
 // Host runs the roles of one host. All methods are safe for concurrent use.
 type Host struct {
-	cfg        Config
-	self       *schema.HostSettings
-	metrics    *metrics.Set
-	storage    *consensus.Storage
-	group      *control.Group
-	driver     *order.Driver
-	dialer     *peer.Dialer
-	server     *peer.Server
-	client     *control.Client
-	membership *membership.Service
-	entry      *entry.Entry
+	cfg     Config
+	self    *schema.HostSettings
+	metrics *metrics.Set
+	// connections is what accepted connections may take.
+	connections *listener.Budget
+	storage     *consensus.Storage
+	group       *control.Group
+	driver      *order.Driver
+	dialer      *peer.Dialer
+	server      *peer.Server
+	client      *control.Client
+	membership  *membership.Service
+	entry       *entry.Entry
 	// loadSource is entry, or nil until it has started: the membership service
 	// starts earlier and reads the number of requests in flight from it.
 	loadSource    atomic.Pointer[entry.Entry]
@@ -69,6 +72,11 @@
 		cfg: cfg, self: settings.Self(cfg.Settings), metrics: metrics.New(),
 		dialer: peer.NewDialer(peer.DialerConfig{}), done: make(chan struct{}),
 	}
+	h.connections = listener.NewBudget(listener.BudgetConfig{
+		Descriptors: int(cfg.Settings.GetMaxDescriptors()), MemoryBytes: int64(cfg.Settings.GetMemoryMb() * (1 << 20)),
+		OnClosed: func(p listener.Port, r listener.Reason) { h.metrics.ConnectionClosed(p.String(), r.String()) }, Log: cfg.Log.WithName("listener"),
+	})
+	h.connections.RegisterGauges(h.metrics.Gauge)
 	if h.cfg.Tracer == nil {
 		h.cfg.Tracer = noopTracer()
 	}
@@ -109,17 +117,15 @@
 }
 
 type listeners struct {
-	peer     net.Listener
-	caller   net.Listener
-	operator net.Listener
-	backend  net.Listener
-	probe    net.PacketConn
+	peer, caller, operator, backend *listener.Listener
+
+	probe net.PacketConn
 }
 
 func (l *listeners) close() {
-	for _, listener := range []net.Listener{l.peer, l.caller, l.operator, l.backend} {
-		if listener != nil {
-			_ = listener.Close()
+	for _, port := range []*listener.Listener{l.peer, l.caller, l.operator, l.backend} {
+		if port != nil {
+			_ = port.Close()
 		}
 	}
 	if l.probe != nil {
@@ -130,21 +136,26 @@
 // listen opens all listeners. On error, none stays open.
 func (h *Host) listen() (*listeners, error) {
 	l := &listeners{}
-	var err error
 	for _, binding := range []struct {
-		listener *net.Listener
+		listener **listener.Listener
 		address  string
+		listen   func(net.Listener, listener.PortConfig) *listener.Listener
+		port     listener.Port
 	}{
-		{&l.peer, h.self.GetPeerAddress()},
-		{&l.caller, h.self.GetCallerAddress()},
-		{&l.operator, h.self.GetOperatorAddress()},
-		{&l.backend, h.self.GetBackendAddress()},
+		{&l.peer, h.self.GetPeerAddress(), h.connections.ListenCalls, listener.PortHosts},
+		{&l.caller, h.self.GetCallerAddress(), h.connections.Listen, listener.PortCallers},
+		{&l.operator, h.self.GetOperatorAddress(), h.connections.Listen, listener.PortOperators},
+		{&l.backend, h.self.GetBackendAddress(), h.connections.Listen, listener.PortBackends},
 	} {
-		if *binding.listener, err = net.Listen("tcp", binding.address); err != nil {
+		raw, err := net.Listen("tcp", binding.address)
+		if err != nil {
 			l.close()
 			return nil, errors.Newf("listen: %w", err)
 		}
+		*binding.listener = binding.listen(raw, listener.PortConfig{Port: binding.port, Share: listener.ListedShares[binding.port]})
 	}
+	l.peer.RegisterGauges(h.metrics.Gauge)
+	var err error
 	if l.probe, err = net.ListenPacket("udp", h.self.GetPeerAddress()); err != nil {
 		l.close()
 		return nil, errors.Newf("listen: %w", err)
--- a/internal/host/scrape.go
+++ b/internal/host/scrape.go
@@ -9,7 +9,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
-	"fennelyard/internal/bound"
+	"fennelyard/internal/listener"
 )
 
 const metricsHeaderTimeout = 5 * time.Second
@@ -34,10 +34,11 @@
 		}
 		_, _ = w.Write([]byte(h.entry.Readiness().String() + "\n"))
 	})
-	h.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: metricsHeaderTimeout, MaxHeaderBytes: bound.ReplyHeadBytes}
+	port := h.connections.Listen(l, listener.PortConfig{Port: listener.PortMetrics, Share: listener.ListedShares[listener.PortMetrics]})
+	h.metricsServer = port.NewServer(listener.ServerConfig{Handler: mux, HeadTimeout: metricsHeaderTimeout})
 	go func() {
 		// Serve returns when Host.Close closes the server.
-		_ = h.metricsServer.Serve(l)
+		port.Serve(h.metricsServer)
 	}()
 	return nil
 }
--- a/internal/listener/calls_test.go
+++ b/internal/listener/calls_test.go
@@ -29,10 +29,10 @@
 	reasons map[listener.Reason]int
 }
 
-func newCallPort(t *testing.T, limit int, memoryBytes int64) *callPort {
+func newCallPort(t *testing.T, limit int, partialBytes int64) *callPort {
 	p := &callPort{t: t, reasons: map[listener.Reason]int{}}
 	p.budget = listener.NewBudget(listener.BudgetConfig{
-		Descriptors: 64, MemoryBytes: 8 * memoryBytes, Log: logr.Discard(),
+		Descriptors: 64, PartialBytes: partialBytes, Log: logr.Discard(),
 		OnClosed: func(_ listener.Port, r listener.Reason) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
@@ -41,7 +41,7 @@
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	p.listener = p.budget.ListenCalls(l, listener.PortConfig{Port: listener.PortHosts, Share: listener.Share{Descriptors: (float64(limit) + 0.5) / 60, Memory: 1e9}})
+	p.listener = p.budget.ListenCalls(l, listener.PortConfig{Port: listener.PortHosts, Share: listener.Share{Descriptors: (float64(limit) + 0.5) / 60}})
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		for {
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -26,8 +26,10 @@
 	filesDivisor = 16
 	// partialDivisor is the inverse of the part of the memory that heads and messages may take before they have arrived.
 	partialDivisor = 8
-	// defaultPartialBytes is the memory for these where the memory of the process is not known.
-	defaultPartialBytes = 64 << 20
+	// minPartialBytes is the least memory for these, and defaultPartialBytes that where the memory of the process is not
+	// known: more than the longest message between hosts.
+	minPartialBytes     = 4 << 20
+	defaultPartialBytes = 96 << 20
 	// defaultDescriptors is used where the system does not tell the limit.
 	defaultDescriptors = 1024
 	// minConnections is the least number of connections of a port.
@@ -79,6 +81,8 @@
 	Descriptors int
 	// MemoryBytes is the memory of the process; 0: not known.
 	MemoryBytes int64
+	// PartialBytes is the memory for heads and messages that have not arrived in full; 0: by the memory of the process.
+	PartialBytes int64
 	// OnClosed, if set, receives each connection that is closed, or whose request is refused.
 	OnClosed func(Port, Reason)
 	Log      logr.Logger
@@ -99,11 +103,14 @@
 		cfg.Descriptors = allowed
 	}
 	cfg.Descriptors -= cfg.Descriptors / filesDivisor
-	bytes := int64(defaultPartialBytes)
-	if cfg.MemoryBytes > 0 {
-		bytes = cfg.MemoryBytes / partialDivisor
+	switch {
+	case cfg.PartialBytes > 0:
+	case cfg.MemoryBytes > 0:
+		cfg.PartialBytes = max(cfg.MemoryBytes/partialDivisor, minPartialBytes)
+	default:
+		cfg.PartialBytes = defaultPartialBytes
 	}
-	return &Budget{cfg: cfg, partial: memory.NewBudget(memory.Config{Bytes: bytes})}
+	return &Budget{cfg: cfg, partial: memory.NewBudget(memory.Config{Bytes: cfg.PartialBytes})}
 }
 
 func systemDescriptors() int {
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -38,10 +38,10 @@
 }
 
 // newPort starts a port for limit connections, with memory for partial heads.
-func newPort(t *testing.T, limit int, memoryBytes int64, headBytes func() int) *port {
+func newPort(t *testing.T, limit int, partialBytes int64, headBytes func() int) *port {
 	p := &port{t: t, released: make(chan struct{}), reasons: map[listener.Reason]int{}}
 	p.budget = listener.NewBudget(listener.BudgetConfig{
-		Descriptors: 64, MemoryBytes: 8 * memoryBytes, Log: logr.Discard(),
+		Descriptors: 64, PartialBytes: partialBytes, Log: logr.Discard(),
 		OnClosed: func(_ listener.Port, r listener.Reason) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
@@ -50,7 +50,7 @@
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	p.listener = p.budget.Listen(l, listener.PortConfig{Port: listener.PortCallers, Share: listener.Share{Descriptors: (float64(limit) + 0.5) / 60, Memory: 1e9}, HeadBytes: headBytes})
+	p.listener = p.budget.Listen(l, listener.PortConfig{Port: listener.PortCallers, Share: listener.Share{Descriptors: (float64(limit) + 0.5) / 60}, HeadBytes: headBytes})
 	require.Equal(t, limit, p.listener.Limit())
 	server := p.listener.NewServer(listener.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
--- a/internal/listener/shares.go
+++ b/internal/listener/shares.go
@@ -28,7 +28,7 @@
 		PortOperators: {Descriptors: 1.0 / 4, Memory: 1.0 / 8},
 		PortMetrics:   {Descriptors: 1.0 / 64, Memory: 1.0 / 64},
 	}
-	// ListedShares are those of a listed host. Its memory counts as four times what bodies may take.
+	// ListedShares are those of a listed host.
 	ListedShares = map[Port]Share{
 		PortCallers:   {Descriptors: 1.0 / 4, Memory: 1.0 / 4},
 		PortHosts:     {Descriptors: 1.0 / 8, Memory: 1.0 / 8},
@@ -41,10 +41,10 @@
 // Description describes the other limits of ports, for the settings page.
 func Description() string {
 	return fmt.Sprintf("\nA connection counts as %d bytes, one for calls between hosts as %d. Heads of requests, from their first byte until the request ends, "+
-		"and messages of calls that have not arrived in full take 1/%d of the memory together, %d MiB where the memory is not known: %d bytes for each byte of a head and %d for each line, "+
+		"and messages of calls that have not arrived in full take 1/%d of the memory together, at least %d MiB, and %d MiB where the memory is not known: %d bytes for each byte of a head and %d for each line, "+
 		"beside %d bytes that each connection has. If there is no more, the connection that has held a part for the longest time is closed; a request that still finds none gets 503 with Retry-After. "+
 		"The head of a caller's request may be as long as the configuration says, and %d bytes more, all others %d bytes. A head must arrive within %v, and within %v on listed hosts; "+
 		"calls other than those of callers must be read and answered within %v.\n",
-		httpConnectionBytes, callConnectionBytes, partialDivisor, defaultPartialBytes>>20, headByteCost, headFieldCost, memory.FreeBytes,
+		httpConnectionBytes, callConnectionBytes, partialDivisor, minPartialBytes>>20, defaultPartialBytes>>20, headByteCost, headFieldCost, memory.FreeBytes,
 		headSlackBytes, maxHeadBytes, headTimeout, ListedHeadTimeout, callTimeout)
 }
--- a/internal/settings/join.go
+++ b/internal/settings/join.go
@@ -158,13 +158,18 @@
 	if s.RepeatSlack == nil {
 		s.RepeatSlack = proto.Float64(DefaultRepeatSlack)
 	}
+	s.BufferMb = bufferOrDefault(s.BufferMb, s.GetMemoryMb())
+}
+
+// bufferOrDefault returns the memory that bodies may take; memoryMB is that of the process, 0 if it is not known.
+func bufferOrDefault(bufferMB *float64, memoryMB float64) *float64 {
 	switch {
-	case s.BufferMb != nil:
-	case s.GetMemoryMb() > 0:
-		s.BufferMb = proto.Float64(s.GetMemoryMb() * DefaultBufferShare)
-	default:
-		s.BufferMb = proto.Float64(DefaultBufferMB)
+	case bufferMB != nil:
+		return bufferMB
+	case memoryMB > 0:
+		return proto.Float64(memoryMB * DefaultBufferShare)
 	}
+	return proto.Float64(DefaultBufferMB)
 }
 
 // PeerAddress returns the peer address (IP:PORT) of the host with the given IP address.
--- a/internal/settings/page_bounds.go
+++ b/internal/settings/page_bounds.go
@@ -49,7 +49,7 @@
 // writeConnections writes the table of what connections may take together.
 func writeConnections(b *strings.Builder) {
 	b.WriteString("\n## Connections\n\nWhat all connections of a process may take together, whoever opens them; see [design/connections.md](design/connections.md). " +
-		"Descriptors are those of `max-descriptors` or of the system, less a sixteenth for files. The memory is `memory-mb`, and on listed hosts four times `buffer-mb`. " +
+		"Descriptors are those of `max-descriptors` or of the system, less a sixteenth for files. The memory is `memory-mb`; without it connections are bounded by descriptors alone. " +
 		"Of the two limits of a port the lower one holds. Where it is reached, a new connection replaces the one that has waited for a request for the longest time; " +
 		"while all have one, requests on a few further connections get 503 with Retry-After, and others are closed.\n\n| process | port | descriptors | memory |\n|---|---|---|---|\n")
 	for _, process := range []struct {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"fennelyard/internal/schema"
@@ -194,8 +193,9 @@
 	checkDuration(d, "entry.directory-keep", e.GetDirectoryKeep(), time.Second, time.Hour)
 	checkDuration(d, "entry.default-deadline", e.GetDefaultDeadline(), time.Millisecond, maxDeadline)
 	checkDuration(d, "entry.drain-limit", e.GetDrainLimit(), 0, time.Hour)
+	checkQuantity(d, "memory-mb", s.GetMemoryMb(), "write for example 256")
 	if e != nil && e.BufferMb != nil {
-		checkBuffer(d, "entry.buffer-mb", e.GetBufferMb(), 0)
+		checkBuffer(d, "entry.buffer-mb", e.GetBufferMb(), s.GetMemoryMb())
 	}
 }
 
@@ -238,9 +238,7 @@
 	e.MaxBodyBytes = valueOrDefault(e.GetMaxBodyBytes(), DefaultMaxBodyBytes)
 	e.QueueLimit = valueOrDefault(e.GetQueueLimit(), DefaultQueueLimit)
 	e.ReplicaLimit = valueOrDefault(e.GetReplicaLimit(), DefaultReplicaLimit)
-	if e.BufferMb == nil {
-		e.BufferMb = proto.Float64(DefaultBufferMB)
-	}
+	e.BufferMb = bufferOrDefault(e.BufferMb, s.GetMemoryMb())
 	setPlacementDefaults(s)
 }
 
