gateway: health checks without a lease keep the limits of servers, and slow down with the entries

Change: all entries together send a server 20 checks a second at most, the first ones at random times where entries are many; up to ten entries check as before. A check takes room, a permit and a place after a cooldown like a request, none while requests wait for a permit, and one in 2 s where there is a request limit. A rejected check counts as a rejection, and holds further ones back.

A server that is checked more seldom than each 1.5 s counts as not checked in between, and others are preferred, as before for one that does not respond.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -394,3 +394,30 @@
 
 // SetTeamUses sets the uses of quotas over all entries.
 func (g *Gateway) SetTeamUses(uses *schema.TeamUses) { g.quotas.SetTotals(1, uses) }
+
+// LoseLease ends the lease of the leader's view of the engines, and the updates of the leader, at one of some entries.
+func (e *Engines) LoseLease(entries int) {
+	e.f.sharingEntries = func() int { return entries }
+	e.f.confirmedAt, e.f.connected = func() time.Time { return time.Time{} }, func() bool { return false }
+}
+
+// SetRejectionLimit records that the engines have stated a rejection limit.
+func (e *Engines) SetRejectionLimit(perSecond float64, now time.Time) {
+	e.f.rejectionLimits.Observe("p", perSecond, now)
+}
+
+// HealthChecks returns the number of health checks that this entry sends at a time at which a request could be sent. They are
+// over at once, and rejected on request.
+func (e *Engines) HealthChecks(now time.Time, rejected bool) int {
+	for _, s := range e.f.servers {
+		s.health.wantedAt = now
+	}
+	checks := e.f.serversToCheck(maxHealthChecks, func(string) bool { return true }, now)
+	for _, s := range checks {
+		if rejected {
+			e.f.rejectedForRoom(s, now)
+		}
+		e.f.checkEnded(s)
+	}
+	return len(checks)
+}
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -11,10 +12,16 @@
 )
 
 const (
-	// healthTick is how often this entry looks for servers to check while it holds no lease, and healthInterval the time
-	// between two health checks of a server.
+	// healthTick is how often this entry looks for servers to check while it holds no lease, and healthInterval the least
+	// time between two health checks of a server.
 	healthTick     = 100 * time.Millisecond
 	healthInterval = 500 * time.Millisecond
+	// maxChecksPerSecond bounds the health checks that all entries together send to a server. They all lose their leases
+	// when there is no leader.
+	maxChecksPerSecond = 20.0
+	// limitedInterval is the least time between two health checks of a server with a request limit: each takes a
+	// permit, and most are for requests.
+	limitedInterval = 2 * time.Second
 	// healthValidity is how long requests are sent to a server after the end of the lease or a health check. A departure
 	// is acknowledged after the end of the lease, and the server serves for two seconds more.
 	healthValidity = 1500 * time.Millisecond
@@ -33,8 +40,9 @@
 	// readyAt and notReadyAt are when the checks were sent in which it last reported that it takes new work, or that it
 	// does not.
 	readyAt, notReadyAt time.Time
-	// wantedAt is when a request could last have been sent to it without a lease, and checkedAt when it was checked.
-	wantedAt, checkedAt time.Time
+	// wantedAt is when a request could last have been sent to it without a lease, and nextCheck when it may be checked
+	// next.
+	wantedAt, nextCheck time.Time
 }
 
 // notReady reports whether the server has last reported that it takes no new work, not longer ago than it is checked.
@@ -70,16 +78,57 @@
 	return servers
 }
 
-// serversToCheck returns up to limit servers whose health is to be checked now.
-func (f *fleet) serversToCheck(limit int, now time.Time) []*server {
+// checkInterval returns the time between two health checks of a server; the caller holds mu.
+func (f *fleet) checkInterval(s *server, now time.Time) time.Duration {
+	interval := max(healthInterval, time.Duration(float64(f.sharingEntries())/maxChecksPerSecond*float64(time.Second)))
+	if s.permits.Limit(now) != nil {
+		interval = max(interval, limitedInterval)
+	}
+	return interval
+}
+
+// checkDue reports whether a server is to be checked now. Where entries are many, they send their first checks at
+// random times; the caller holds mu.
+func (f *fleet) checkDue(s *server, now time.Time) bool {
+	interval := f.checkInterval(s, now)
+	if now.Sub(s.health.nextCheck) > interval {
+		// It has not been checked lately.
+		s.health.nextCheck = now.Add(time.Duration(rand.Float64() * float64(interval-healthInterval)))
+	}
+	return !now.Before(s.health.nextCheck)
+}
+
+// admitCheck takes what a health check needs at a server, like admit, and returns false if none may be sent now. After
+// true, checkEnded must follow. The caller holds mu.
+func (f *fleet) admitCheck(s *server, now time.Time) bool {
+	r := f.roomAt(s.view.GetPool(), int(s.view.GetSlots()), &RequestInfo{}, now)
+	if s.roomIn(r, now) > 0 || f.cooldowns.AvailableIn(s.id, now) > 0 || s.permits.Waiting() > 0 ||
+		!s.permits.Take(f.permitSource(), now) || !f.cooldowns.Admit(s.id, now) {
+		return false
+	}
+	s.reserved++
+	s.takeTurn(r, now)
+	s.health.nextCheck = now.Add(f.checkInterval(s, now))
+	return true
+}
+
+// checkEnded returns the place that a health check has taken.
+func (f *fleet) checkEnded(s *server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.reserved--
+}
+
+// serversToCheck returns up to limit servers of the pools with health checks whose health is to be checked now. checkEnded
+// must follow for each.
+func (f *fleet) serversToCheck(limit int, hasChecks func(pool string) bool, now time.Time) []*server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []*server
 	for _, s := range f.servers {
 		// A server that runs requests from before the end of the lease is checked from then on.
 		used := s.running > 0 || now.Sub(s.health.wantedAt) < healthUse
-		if len(out) < limit && used && s.ready() && now.Sub(s.health.checkedAt) >= healthInterval && f.cooldowns.Remaining(s.id, now) == 0 {
-			s.health.checkedAt = now
+		if len(out) < limit && used && s.ready() && hasChecks(s.pool) && f.checkDue(s, now) && f.admitCheck(s, now) {
 			out = append(out, s)
 		}
 	}
@@ -129,10 +178,12 @@
 		if leased {
 			continue
 		}
-		for _, s := range g.fleet.serversToCheck(maxHealthChecks-len(places), time.Now()) {
+		hasChecks := func(pool string) bool { return g.table.Load().pools[pool].GetHealthPath() != "" }
+		for _, s := range g.fleet.serversToCheck(maxHealthChecks-len(places), hasChecks, time.Now()) {
 			places <- struct{}{}
 			g.goUnlessClosed(func() {
 				defer func() { <-places }()
+				defer g.fleet.checkEnded(s)
 				g.checkServer(s)
 			})
 		}
@@ -141,14 +192,14 @@
 
 // checkServer sends a health check to a server.
 func (g *Gateway) checkServer(s *server) {
-	healthPath := g.table.Load().pools[s.pool].GetHealthPath()
-	if healthPath == "" {
-		return
-	}
 	sentAt := time.Now()
 	reported, ready := false, false
-	g.sendHealthCheck(s, healthPath, func(status int, header http.Header) bool {
-		reported, ready = s.parseHealth(status, g.cfg.Codec.ParseIdentity(header), g.cfg.Codec.ParseResponse(status, header))
+	g.sendHealthCheck(s, g.table.Load().pools[s.pool].GetHealthPath(), func(status int, header http.Header) bool {
+		info := g.cfg.Codec.ParseResponse(status, header)
+		if info.NotRun {
+			g.fleet.rejectedForRoom(s, time.Now())
+		}
+		reported, ready = s.parseHealth(status, g.cfg.Codec.ParseIdentity(header), info)
 		return ready
 	})
 	if reported && g.fleet.recordHealth(s, ready, sentAt) {
