listener, gossip, entry: what hosts need to reach each other is apart from what callers and operators take

Evidence of other entries took from the budget of callers' bodies, commands and announcements of listed hosts too.

Heads have a sixteenth of the memory and messages an eighth now; evidence has 4 MiB of its own, and commands and announcements of listed hosts a quarter of buffer-mb, 16 MiB at least. The line `port limited` states at the start what each port may have, and why.

--- a/internal/entry/backends.go
+++ b/internal/entry/backends.go
@@ -25,7 +25,7 @@
 }
 
 func (e *Entry) announce(c echo.Context) error {
-	share := e.memory.NewShare()
+	share := e.commands.NewShare()
 	defer share.Release()
 	data, ended, err := share.Read(http.MaxBytesReader(c.Response(), c.Request().Body, maxAnnounceBytes), c.Request().ContentLength, maxAnnounceBytes+1)
 	if err == nil && !ended {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,6 +36,10 @@
 
 const (
 	idleTimeout = 60 * time.Second
+	// commandsDivisor is the inverse of the part of the memory for bodies that those of operators and backend servers may
+	// take in addition, and minCommandsBytes its least size: one command of maxCommandBytes can be read.
+	commandsDivisor  = 4
+	minCommandsBytes = 2 * maxCommandBytes
 	// drainMargin is added to the time for which callers cache directory
 	// responses.
 	drainMargin = time.Second
@@ -93,6 +97,8 @@
 	// that are larger than bound.SmallEventBytes.
 	memory      *memory.Budget
 	largeEvents *memory.Places
+	// commands is what bodies of operators and backend servers may take, apart from those of callers.
+	commands    *memory.Budget
 	httpServers []*http.Server
 	// capacityDue has a token while the capacity of queues has changed with the cooldown of a server.
 	capacityDue chan struct{}
@@ -146,6 +152,7 @@
 	e.draining, e.startDraining = context.WithCancel(context.Background())
 	e.aborted, e.abort = context.WithCancel(context.Background())
 	e.memory = memory.NewBudget(memory.Config{Bytes: int64(cfg.Settings.GetEntry().GetBufferMb() * (1 << 20))})
+	e.commands = memory.NewBudget(memory.Config{Bytes: max(e.memory.Limit()/commandsDivisor, minCommandsBytes)})
 	e.largeEvents = memory.NewPlaces(memory.PlacesConfig{Bytes: e.memory.Limit() / memory.LargeEventsDivisor, Each: bound.EventBytes})
 	e.startPaths()
 	e.sender = routing.NewSender(routing.SenderConfig{Dial: e.paths.Dial})
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -42,7 +42,7 @@
 
 func (e *Entry) applyIntent(c echo.Context) error {
 	q := &schema.IntentRequest{}
-	if refused := readCommand(c, e.memory, q); refused != nil {
+	if refused := readCommand(c, e.commands, q); refused != nil {
 		return writeRefusal(c, "", refused)
 	}
 	return e.proposeCommand(c, &schema.Command{
@@ -57,7 +57,7 @@
 		return writeRefusal(c, "", refusal.New(refusal.BadRequest, "%q is not a plan's number", c.Param("number")))
 	}
 	q := &schema.DecisionRequest{}
-	if refused := readCommand(c, e.memory, q); refused != nil {
+	if refused := readCommand(c, e.commands, q); refused != nil {
 		return writeRefusal(c, "", refused)
 	}
 	return e.proposeCommand(c, &schema.Command{
@@ -68,7 +68,7 @@
 
 func (e *Entry) forgetServer(c echo.Context) error {
 	q := &schema.ForgetRequest{}
-	if refused := readCommand(c, e.memory, q); refused != nil {
+	if refused := readCommand(c, e.commands, q); refused != nil {
 		return writeRefusal(c, "", refused)
 	}
 	return e.proposeCommand(c, &schema.Command{
--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -39,7 +39,7 @@
 
 // backendHandler serves announcements of backend servers, and tunnels and evidence of other entries.
 func (e *Entry) backendHandler() http.Handler {
-	announcements, suspects := e.backendRoutes(), gossip.NewHandler(e.gossip, e.memory)
+	announcements, suspects := e.backendRoutes(), gossip.NewHandler(e.gossip)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case tunnel.IsRequest(r):
--- a/internal/gossip/http.go
+++ b/internal/gossip/http.go
@@ -21,6 +21,9 @@
 	// maxMessageBytes and maxSuspects bound a message: 256 records of 16 servers.
 	maxMessageBytes = 256 << 10
 	maxSuspects     = 256
+	// maxMessagesBytes bounds the messages that are being received. They do not take from the budget of callers, who
+	// could keep evidence from this entry.
+	maxMessagesBytes = 4 << 20
 	// maxIdlePerHost is the number of idle connections to each entry, and maxIdle to all.
 	maxIdlePerHost = 1
 	maxIdle        = 32
@@ -29,8 +32,9 @@
 // IsRequest reports whether a request between hosts is one for a Handler.
 func IsRequest(r *http.Request) bool { return r.URL.Path == path }
 
-// NewHandler returns the handler for messages of other entries, which take from a budget until they are decoded.
-func NewHandler(g *Gossip, bodies *memory.Budget) http.Handler {
+// NewHandler returns the handler for messages of other entries.
+func NewHandler(g *Gossip) http.Handler {
+	bodies := memory.NewBudget(memory.Config{Bytes: maxMessagesBytes})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method != http.MethodPost {
 			w.WriteHeader(http.StatusMethodNotAllowed)
--- a/internal/gossip/http_test.go
+++ b/internal/gossip/http_test.go
@@ -14,7 +14,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"fennelyard/internal/gossip"
-	"fennelyard/internal/memory"
 	"fennelyard/internal/quarantine"
 	"fennelyard/internal/schema"
 )
@@ -31,7 +30,7 @@
 		},
 	})
 	t.Cleanup(g.Close)
-	s := httptest.NewServer(gossip.NewHandler(g, memory.NewBudget(memory.Config{})))
+	s := httptest.NewServer(gossip.NewHandler(g))
 	t.Cleanup(s.Close)
 	return set, s.Listener.Addr().String()
 }
--- a/internal/listener/calls_test.go
+++ b/internal/listener/calls_test.go
@@ -32,7 +32,7 @@
 func newCallPort(t *testing.T, limit int, partialBytes int64) *callPort {
 	p := &callPort{t: t, reasons: map[listener.Reason]int{}}
 	p.budget = listener.NewBudget(listener.BudgetConfig{
-		Descriptors: 64, PartialBytes: partialBytes, Log: logr.Discard(),
+		Descriptors: 64, HeadBytes: partialBytes, MessageBytes: partialBytes, Log: logr.Discard(),
 		OnClosed: func(_ listener.Port, r listener.Reason) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
@@ -70,7 +70,7 @@
 
 func (p *callPort) used() (bytes float64) {
 	p.budget.RegisterGauges(func(name, _ string, read func() float64) {
-		if name == "partial_bytes" {
+		if name == "message_bytes" {
 			bytes = read()
 		}
 	})
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -112,7 +112,7 @@
 	if !counting {
 		return "", nil, true
 	}
-	if limit := c.l.cfg.HeadBytes; limit != nil && c.head.bytes > limit()+headSlackBytes {
+	if limit := c.l.cfg.MaxHeadBytes; limit != nil && c.head.bytes > limit()+headSlackBytes {
 		c.l.drop(&c.base, ReasonHeadBytes)
 		return headTooLongResponse, nil, false
 	}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -4,10 +4,11 @@
 // The listeners of a process share its descriptors and its memory with the connections and files that the process opens
 // itself. Each port has a part of both. Where a port has as many connections as it may, a new one replaces the connection
 // that has been waiting for a request for the longest time. What heads of requests take beside the few bytes that
-// each may take comes from one budget, and so do messages of calls between hosts that have not arrived in full.
+// each may take comes from one budget, and messages of calls between hosts that have not arrived in full take from another one.
 package listener
 
 import (
+	"cmp"
 	"container/list"
 	"net"
 	"strings"
@@ -24,12 +25,15 @@
 const (
 	// filesDivisor is the inverse of the part of the descriptors that no port has: a process opens files of the system.
 	filesDivisor = 16
-	// partialDivisor is the inverse of the part of the memory that heads and messages may take before they have arrived.
-	partialDivisor = 8
-	// minPartialBytes is the least memory for these, and defaultPartialBytes that where the memory of the process is not
-	// known: more than the longest message between hosts.
-	minPartialBytes     = 4 << 20
-	defaultPartialBytes = 96 << 20
+	// headsDivisor is the inverse of the part of the memory that heads of requests may take, and messagesDivisor of that for
+	// messages that have not arrived in full. minHeadBytes and minMessageBytes are the least of both, and defaultHeadBytes and
+	// defaultMessageBytes apply where the memory of the process is not known, the latter more than the longest message.
+	headsDivisor        = 16
+	messagesDivisor     = 8
+	minHeadBytes        = 2 << 20
+	minMessageBytes     = 4 << 20
+	defaultHeadBytes    = 32 << 20
+	defaultMessageBytes = 96 << 20
 	// defaultDescriptors is used where the system does not tell the limit.
 	defaultDescriptors = 1024
 	// minConnections is the least number of connections of a port.
@@ -81,8 +85,9 @@
 	Descriptors int
 	// MemoryBytes is the memory of the process; 0: not known.
 	MemoryBytes int64
-	// PartialBytes is the memory for heads and messages that have not arrived in full; 0: by the memory of the process.
-	PartialBytes int64
+	// HeadBytes is the memory for heads of requests, and MessageBytes that for messages that have not arrived in full;
+	// 0: by the memory of the process.
+	HeadBytes, MessageBytes int64
 	// OnClosed, if set, receives each connection that is closed, or whose request is refused.
 	OnClosed func(Port, Reason)
 	Log      logr.Logger
@@ -91,9 +96,9 @@
 // Budget is what the connections that a process has accepted may take. It is safe for concurrent use.
 type Budget struct {
 	cfg BudgetConfig
-	// partial is the memory for heads and messages that have not arrived in full, and for heads of requests that are
-	// served.
-	partial *memory.Budget
+	// heads is the memory for heads of requests, until these have ended, and messages that for messages that have not
+	// arrived in full. They are apart, so that no crowd of callers or operators keeps hosts from each other.
+	heads, messages *memory.Budget
 }
 
 // NewBudget returns a Budget of which nothing is taken.
@@ -103,14 +108,15 @@
 		cfg.Descriptors = allowed
 	}
 	cfg.Descriptors -= cfg.Descriptors / filesDivisor
-	switch {
-	case cfg.PartialBytes > 0:
-	case cfg.MemoryBytes > 0:
-		cfg.PartialBytes = max(cfg.MemoryBytes/partialDivisor, minPartialBytes)
-	default:
-		cfg.PartialBytes = defaultPartialBytes
+	heads, messages := int64(defaultHeadBytes), int64(defaultMessageBytes)
+	if cfg.MemoryBytes > 0 {
+		heads, messages = max(cfg.MemoryBytes/headsDivisor, minHeadBytes), max(cfg.MemoryBytes/messagesDivisor, minMessageBytes)
+	}
+	return &Budget{
+		cfg:      cfg,
+		heads:    memory.NewBudget(memory.Config{Bytes: cmp.Or(cfg.HeadBytes, heads)}),
+		messages: memory.NewBudget(memory.Config{Bytes: cmp.Or(cfg.MessageBytes, messages)}),
 	}
-	return &Budget{cfg: cfg, partial: memory.NewBudget(memory.Config{Bytes: cfg.PartialBytes})}
 }
 
 func systemDescriptors() int {
@@ -124,17 +130,25 @@
 
 // RegisterGauges registers the gauges of what all ports share with a function that takes a name, a help text and what to read.
 func (b *Budget) RegisterGauges(register func(name, help string, read func() float64)) {
-	register("partial_bytes", "Memory that heads of requests and messages of calls take that have not arrived in full.", func() float64 { return float64(b.partial.Used()) })
-	register("partial_bytes_most", "Most memory that these have taken at a time.", func() float64 { return float64(b.partial.Most()) })
-	register("partial_bytes_limit", "Memory that these may take.", func() float64 { return float64(b.partial.Limit()) })
+	for _, part := range []struct {
+		name, what string
+		budget     *memory.Budget
+	}{
+		{"head_bytes", "heads of requests", b.heads},
+		{"message_bytes", "messages of calls that have not arrived in full", b.messages},
+	} {
+		register(part.name, "Memory that "+part.what+" take.", func() float64 { return float64(part.budget.Used()) })
+		register(part.name+"_most", "Most memory that "+part.what+" have taken at a time.", func() float64 { return float64(part.budget.Most()) })
+		register(part.name+"_limit", "Memory that "+part.what+" may take.", func() float64 { return float64(part.budget.Limit()) })
+	}
 }
 
 // PortConfig configures a Listener. All fields are required unless noted otherwise.
 type PortConfig struct {
 	Port  Port
 	Share Share
-	// HeadBytes returns how long the head of a request may be; nil: no longer than the HTTP server allows.
-	HeadBytes func() int
+	// MaxHeadBytes returns how long the head of a request may be; nil: no longer than the HTTP server allows.
+	MaxHeadBytes func() int
 }
 
 // Listener accepts the connections of a port. It implements net.Listener.
@@ -142,6 +156,8 @@
 	net.Listener
 	budget *Budget
 	cfg    PortConfig
+	// partial is what heads, or messages of calls, take from.
+	partial *memory.Budget
 	// connectionBytes is what a connection takes by estimate.
 	connectionBytes int64
 	// calls is set for a port for calls between hosts.
@@ -180,17 +196,19 @@
 
 func (b *Budget) listen(l net.Listener, cfg PortConfig, calls bool) *Listener {
 	out := &Listener{
-		Listener: l, budget: b, cfg: cfg, calls: calls, connectionBytes: httpConnectionBytes,
+		Listener: l, budget: b, cfg: cfg, partial: b.heads, calls: calls, connectionBytes: httpConnectionBytes,
 		waiting: list.New(), receiving: list.New(), used: list.New(), holding: list.New(),
 	}
 	if calls {
-		out.connectionBytes = callConnectionBytes
+		out.connectionBytes, out.partial = callConnectionBytes, b.messages
 	}
 	out.limit = int(cfg.Share.Descriptors * float64(b.cfg.Descriptors))
 	if b.cfg.MemoryBytes > 0 {
 		out.limit = min(out.limit, int(cfg.Share.Memory*float64(b.cfg.MemoryBytes)/float64(out.connectionBytes)))
 	}
 	out.limit = max(out.limit, minConnections)
+	b.cfg.Log.Info("port limited", "port", cfg.Port.String(), "address", l.Addr().String(), "connections", out.limit, "descriptors", b.cfg.Descriptors,
+		"memory-bytes", b.cfg.MemoryBytes, "partial-bytes", out.partial.Limit())
 	return out
 }
 
@@ -254,7 +272,7 @@
 	}
 	if added {
 		l.open++
-		c.share = l.budget.partial.NewShare()
+		c.share = l.partial.NewShare()
 		c.moveTo(l.waiting)
 	}
 	l.mu.Unlock()
@@ -303,7 +321,7 @@
 	l.closed++
 	if now := time.Now(); now.Sub(l.logged) > logInterval {
 		l.budget.cfg.Log.Info("connections closed", "port", l.cfg.Port.String(), "count", l.closed, "last-reason", reason.String(),
-			"last-from", c.RemoteAddr().String(), "open", l.open, "limit", l.limit, "partial-bytes", l.budget.partial.Used())
+			"last-from", c.RemoteAddr().String(), "open", l.open, "limit", l.limit, "partial-bytes", l.partial.Used())
 		l.closed, l.logged = 0, now
 	}
 }
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -39,9 +39,14 @@
 
 // newPort starts a port for limit connections, with memory for partial heads.
 func newPort(t *testing.T, limit int, partialBytes int64, headBytes func() int) *port {
+	return newPortWith(t, limit, partialBytes, listener.PortConfig{MaxHeadBytes: headBytes}, 0)
+}
+
+// newPortWith is newPort with a time for heads and idle connections; 0: the default.
+func newPortWith(t *testing.T, limit int, partialBytes int64, cfg listener.PortConfig, timeout time.Duration) *port {
 	p := &port{t: t, released: make(chan struct{}), reasons: map[listener.Reason]int{}}
 	p.budget = listener.NewBudget(listener.BudgetConfig{
-		Descriptors: 64, PartialBytes: partialBytes, Log: logr.Discard(),
+		Descriptors: 64, HeadBytes: partialBytes, MessageBytes: partialBytes, Log: logr.Discard(),
 		OnClosed: func(_ listener.Port, r listener.Reason) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
@@ -50,9 +55,10 @@
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	p.listener = p.budget.Listen(l, listener.PortConfig{Port: listener.PortCallers, Share: listener.Share{Descriptors: (float64(limit) + 0.5) / 60}, HeadBytes: headBytes})
+	cfg.Port, cfg.Share = listener.PortCallers, listener.Share{Descriptors: (float64(limit) + 0.5) / 60}
+	p.listener = p.budget.Listen(l, cfg)
 	require.Equal(t, limit, p.listener.Limit())
-	server := p.listener.NewServer(listener.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := p.listener.NewServer(listener.ServerConfig{HeadTimeout: timeout, IdleTimeout: timeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
@@ -291,7 +297,7 @@
 		}
 	}
 	p.budget.RegisterGauges(func(name, _ string, read func() float64) {
-		if name == "partial_bytes" {
+		if name == "head_bytes" {
 			require.Zero(t, read())
 		}
 	})
--- a/internal/listener/shares.go
+++ b/internal/listener/shares.go
@@ -41,10 +41,11 @@
 // Description describes the other limits of ports, for the settings page.
 func Description() string {
 	return fmt.Sprintf("\nA connection counts as %d bytes, one for calls between hosts as %d. Heads of requests, from their first byte until the request ends, "+
-		"and messages of calls that have not arrived in full take 1/%d of the memory together, at least %d MiB, and %d MiB where the memory is not known: %d bytes for each byte of a head and %d for each line, "+
-		"beside %d bytes that each connection has. If there is no more, the connection that has held a part for the longest time is closed; a request that still finds none gets 503 with Retry-After. "+
+		"take 1/%d of the memory together, at least %d MiB, and %d MiB where the memory is not known: %d bytes for each byte of a head and %d for each line. "+
+		"Messages of calls that have not arrived in full take 1/%d, at least %d MiB, or %d MiB. Each connection has %d bytes beside these. If there is no more, the connection that has held a part for the longest time is closed; a request that still finds none gets 503 with Retry-After. "+
 		"The head of a caller's request may be as long as the configuration says, and %d bytes more, all others %d bytes. A head must arrive within %v, and within %v on listed hosts; "+
 		"calls other than those of callers must be read and answered within %v.\n",
-		httpConnectionBytes, callConnectionBytes, partialDivisor, minPartialBytes>>20, defaultPartialBytes>>20, headByteCost, headFieldCost, memory.FreeBytes,
+		httpConnectionBytes, callConnectionBytes, headsDivisor, minHeadBytes>>20, defaultHeadBytes>>20, headByteCost, headFieldCost,
+		messagesDivisor, minMessageBytes>>20, defaultMessageBytes>>20, memory.FreeBytes,
 		headSlackBytes, maxHeadBytes, headTimeout, ListedHeadTimeout, callTimeout)
 }
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -193,7 +193,7 @@
 		{
 			s.GetCallerAddress(), e.cfg.Network.Listen,
 			listener.ServerConfig{Handler: e.gateway, Refuse: http.HandlerFunc(e.gateway.RefuseBusy), OnState: e.connections.Track, HasDeadlines: true},
-			listener.PortConfig{Port: listener.PortCallers, HeadBytes: e.gateway.MaxHeadBytes},
+			listener.PortConfig{Port: listener.PortCallers, MaxHeadBytes: e.gateway.MaxHeadBytes},
 		},
 		{
 			s.GetReadyAddress(), e.cfg.Network.Listen,
@@ -238,7 +238,7 @@
 // hostHandler handles what other entries send: tunnels, where streams began, and evidence on harmful
 // requests.
 func (e *Entry) hostHandler() http.Handler {
-	origins, suspects := origin.NewHandler(e.gateway.Origins(), e.gateway.Versions), gossip.NewHandler(e.suspects, e.memory)
+	origins, suspects := origin.NewHandler(e.gateway.Origins(), e.gateway.Versions), gossip.NewHandler(e.suspects)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case origin.IsRequest(r):
