listener: callers may take as long as the configuration states, also longer than the server's own times

By reading: a head had 15 s and an idle connection 90 s whatever HeaderTimeoutMs and IdleTimeoutMs state; a caller within longer ones would have been cut off. The deadlines of a connection that waits are no earlier than the stated times now. TestStatedTimesAreGranted.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -393,6 +393,15 @@
 	return defaultMaxHeadBytes
 }
 
+// MinWait returns how long callers may at least keep a connection idle, and take to send a head.
+func (g *Gateway) MinWait() time.Duration {
+	t := g.table.Load()
+	if t == nil {
+		return 0
+	}
+	return time.Duration(max(t.limits.GetHeaderTimeoutMs(), t.limits.GetIdleTimeoutMs())) * time.Millisecond
+}
+
 // RefuseBusy refuses a request, as all connections of callers have one or there is no memory for its head.
 func (g *Gateway) RefuseBusy(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{g: g, w: w, r: r, startTime: time.Now(), bodyMemory: g.cfg.Memory.NewShare()}
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -127,6 +127,24 @@
 	return "", replaced, true
 }
 
+// SetReadDeadline implements net.Conn. While the connection waits for a request, or for the rest of its head, the deadline is no
+// earlier than MinWait has it.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	now := time.Now()
+	if minWait := c.l.cfg.MinWait; minWait != nil && t.After(now) && c.waits() {
+		if earliest := now.Add(minWait()); t.Before(earliest) {
+			t = earliest
+		}
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *conn) waits() bool {
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	return !c.head.ended
+}
+
 // refuse sends a refusal. While the port has connections to spare, it reads what is left of the request for a moment.
 func (c *conn) refuse(response string) {
 	// Errors mean that the caller is gone, or does not read.
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -149,6 +149,8 @@
 	Share Share
 	// MaxHeadBytes returns how long the head of a request may be; nil: no longer than the HTTP server allows.
 	MaxHeadBytes func() int
+	// MinWait returns how long a connection may at least be idle, and a head take to arrive; nil: as the HTTP server has it.
+	MinWait func() time.Duration
 }
 
 // Listener accepts the connections of a port. It implements net.Listener.
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -250,6 +250,32 @@
 	require.Equal(t, 1, p.count(listener.ReasonHeadBytes))
 }
 
+// Callers that take as long as the configuration allows are not cut off.
+func TestStatedTimesAreGranted(t *testing.T) {
+	const timeout = 50 * time.Millisecond
+	for name, stated := range map[string]time.Duration{"longer": time.Hour, "shorter": time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			p := newPortWith(t, 8, 1<<20, listener.PortConfig{MinWait: func() time.Duration { return stated }}, timeout)
+			for _, before := range []string{"", request} {
+				c := p.dial(before)
+				if before != "" {
+					require.Equal(t, http.StatusOK, c.status())
+				}
+				if stated < timeout {
+					require.Zero(t, c.status(), "the server's own time holds")
+					continue
+				}
+				for _, part := range []string{request[:9], request[9:]} {
+					time.Sleep(4 * timeout)
+					_, err := io.WriteString(c, part)
+					require.NoError(t, err)
+				}
+				require.Equal(t, http.StatusOK, c.status())
+			}
+		})
+	}
+}
+
 // A head that is read ahead with the request before it counts as well.
 func TestPipelinedHeadsTakeMemory(t *testing.T) {
 	p := newPort(t, 8, 64<<10, nil)
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -193,7 +193,7 @@
 		{
 			s.GetCallerAddress(), e.cfg.Network.Listen,
 			listener.ServerConfig{Handler: e.gateway, Refuse: http.HandlerFunc(e.gateway.RefuseBusy), OnState: e.connections.Track, HasDeadlines: true},
-			listener.PortConfig{Port: listener.PortCallers, MaxHeadBytes: e.gateway.MaxHeadBytes},
+			listener.PortConfig{Port: listener.PortCallers, MaxHeadBytes: e.gateway.MaxHeadBytes, MinWait: e.gateway.MinWait},
 		},
 		{
 			s.GetReadyAddress(), e.cfg.Network.Listen,
