cmd/fennelyard: crowds at all ports at once, messages and responses that are not read, the longest head that is allowed

Whole messages that a handler does not read, large responses that callers do not read, and a request with 16 KB of short fields passed before as well; they are kept as guards.

--- a/cmd/fennelyard/crowd_grpc_test.go
+++ b/cmd/fennelyard/crowd_grpc_test.go
@@ -19,6 +19,8 @@
 	// endlessMessageBytes is the stated length of a message that does not end, and sentMessageBytes what is sent of it.
 	endlessMessageBytes = 60 << 20
 	sentMessageBytes    = 4 << 20
+	// unreadMessageBytes is the length of a message that has arrived in full.
+	unreadMessageBytes = 64 << 10
 )
 
 // grpcConn is the client's end of a gRPC connection whose calls do not end.
@@ -147,6 +149,25 @@
 		"no calls":                 {members: 1500, play: stay(0, "", 0)},
 		"calls without a message":  {members: 300, play: stay(100, schema.Peer_Propose_FullMethodName, 0)},
 		"messages without end":     {members: 100, play: stay(1, schema.Peer_Propose_FullMethodName, sentMessageBytes)},
+		"messages that are not read": {members: 4, play: func(conn net.Conn, _ int, sent func()) {
+			c, err := newGRPCConn(conn)
+			_ = conn.SetWriteDeadline(time.Time{})
+			// The handler reads the first message alone.
+			messages := bytes.Repeat(append(binary.BigEndian.AppendUint32([]byte{0}, unreadMessageBytes), make([]byte, unreadMessageBytes)...), 12)
+			for i := range 100 {
+				stream := uint32(2*i + 1)
+				if err == nil {
+					err = c.open(stream, schema.Peer_Watch_FullMethodName)
+				}
+				if err == nil {
+					err = c.send(stream, append(make([]byte, 5), messages...))
+				}
+			}
+			sent()
+			if err == nil {
+				_ = c.stay()
+			}
+		}},
 		"messages of many streams": {members: 4, play: stay(100, schema.Peer_Deliver_FullMethodName, sentMessageBytes/4)},
 	}
 }
--- a/cmd/fennelyard/crowd_listed_test.go
+++ b/cmd/fennelyard/crowd_listed_test.go
@@ -57,7 +57,7 @@
 			})
 		}
 	}
-	for _, name := range []string{"no calls", "messages without end"} {
+	for _, name := range []string{"no calls", "messages without end", "messages that are not read"} {
 		t.Run("hosts/"+name, func(t *testing.T) {
 			clus := newListedCrowdCase(t)
 			host := clus.layout.Hosts()[0]
--- a/cmd/fennelyard/crowd_test.go
+++ b/cmd/fennelyard/crowd_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -91,6 +92,7 @@
 		"a long body without end":   {members: 300, reads: true, send: repeated(post+"Content-Length: 4000000\r\n\r\n", "a", 1_000_000, "")},
 		"a long body of chunks":     {members: 300, reads: true, send: repeated(post+"Transfer-Encoding: chunked\r\n\r\n", "1000\r\n"+strings.Repeat("a", 4096)+"\r\n", 256, "")},
 		"a message without end":     {members: 600, reads: true, send: repeated("POST "+path+" HTTP/1.1\r\nHost: h\r\nContent-Length: 250000\r\n\r\n", "a", 240_000, "")},
+		"large responses, not read": {members: 300, send: short(head + "Request-Id: crowd\r\nDeadline-Ms: 10000\r\nWanted-Bytes: 4000000\r\n\r\n")},
 		"empty lines":               {members: 300, reads: true, send: repeated("", "\r\n", 100_000, "")},
 		"pipelined, not read":       {members: 300, send: repeated("", head+"Request-Id: crowd\r\n\r\n", 200, "")},
 	}
@@ -216,6 +218,9 @@
 		if !standin.AnswerHealthCheck(w, r, "i-0") {
 			id, _, _ := standin.BeginResponse(w, r)
 			_, _ = io.WriteString(w, "answer "+id)
+			if n, err := strconv.Atoi(r.Header.Get("Wanted-Bytes")); err == nil {
+				_, _ = w.Write(make([]byte, n))
+			}
 		}
 	})}
 	var wg sync.WaitGroup
@@ -343,8 +348,9 @@
 		return out
 	}
 	other := []string{"empty lines", "pipelined, not read"}
+	responses := []string{"large responses, not read"}
 	for _, p := range []port{
-		{"callers", "entry-0", entry(2), "/" + standin.SafeRoute + "/x", join(heads, waiting, bodies, other)},
+		{"callers", "entry-0", entry(2), "/" + standin.SafeRoute + "/x", join(heads, waiting, bodies, other, responses)},
 		{"readiness", "entry-0", entry(3), "/v1/ready", []string{"many fields", "no bytes"}},
 		{"directory", "entry-0", entry(4), "/v1/resolve", []string{"many fields", "one request, then nothing"}},
 		{"hosts of an entry", "entry-0", entry(0), "/cooldown", join(heads, waiting[:1])},
@@ -373,6 +379,52 @@
 	}
 }
 
+// Crowds at all ports of an entry at once, or of a control host, take from what is there once.
+func TestCrowdsAtAllPorts(t *testing.T) {
+	for process, ports := range map[string]map[int]string{
+		"entry-0": {0: "many fields without end", 2: "many fields", 3: "no bytes", 4: "half a head", 5: "a long field without end"},
+		"core-0":  {0: "messages without end", 1: "many fields without end", 5: "no bytes"},
+	} {
+		t.Run(process, func(t *testing.T) {
+			c := newCrowdCase(t)
+			ip, path := c.entryIP(0), "/"+standin.SafeRoute+"/x"
+			if process == "core-0" {
+				ip, path = c.controlIP(0), standin.ConfigPath
+			}
+			all := crowds(path)
+			maps.Copy(all, grpcCrowds())
+			ctx, cancel := context.WithCancel(t.Context())
+			first := 5
+			var waits []func()
+			for offset, name := range ports {
+				if offset == first {
+					continue
+				}
+				sent, wait := all[name].run(ctx, fmt.Sprintf("%s:%d", ip, c.port+offset))
+				waits = append(waits, wait)
+				<-sent
+			}
+			play(t, all[ports[first]], fmt.Sprintf("%s:%d", ip, c.port+first), c.cluster.process(process), c.served)
+			cancel()
+			for _, wait := range waits {
+				wait()
+			}
+			assert.Eventually(t, c.served, waitLimit/2, 100*time.Millisecond)
+		})
+	}
+}
+
+// The longest head that the stated limits allow, with as many fields as fit into it, is served while nothing else happens.
+func TestLongestHeadIsServed(t *testing.T) {
+	c := newCrowdCase(t)
+	header := standin.RequestHeader("longest", 2000)
+	for i := 0; i < 16_000; i += len("x00:\r\n") {
+		header[strconv.FormatInt(int64(i)+10*36*36, 36)] = []string{""}
+	}
+	status, _ := c.call(http.MethodPost, fmt.Sprintf("http://%s:%d/%s/x", c.entryIP(0), c.port+2, standin.SafeRoute), "body", header, crowdCallLimit)
+	require.Equal(t, http.StatusOK, status)
+}
+
 // asPut returns a send function whose requests have the method PUT in place of POST.
 func asPut(send func(net.Conn, int) error) func(net.Conn, int) error {
 	return func(conn net.Conn, member int) error {
