listener: empty lines before a request do not end its head

Found in the read of the whole diff: net/http skips up to four bytes of line breaks before a request that follows a POST. The second one counted as the end of the head, so that what followed was not counted, and the connection was none that may be replaced. Ten such heads of 1,000 fields took nothing from a budget of a megabyte (TestEmptyLinesEndNoHead before the change). A head ends at an empty line behind one that is not. The tests remove the program that they have built.

--- a/cmd/fennelyard/crowd_grpc_test.go
+++ b/cmd/fennelyard/crowd_grpc_test.go
@@ -144,11 +144,11 @@
 		}
 	}
 	return map[string]crowd{
-		"no bytes":                 {members: 1500, reads: true, send: short("")},
-		"half a preface":           {members: 1500, reads: true, send: short(http2.ClientPreface[:10])},
-		"no calls":                 {members: 1500, play: stay(0, "", 0)},
-		"calls without a message":  {members: 300, play: stay(100, schema.Peer_Propose_FullMethodName, 0)},
-		"messages without end":     {members: 100, play: stay(1, schema.Peer_Propose_FullMethodName, sentMessageBytes)},
+		"no bytes":                {members: 1500, reads: true, send: short("")},
+		"half a preface":          {members: 1500, reads: true, send: short(http2.ClientPreface[:10])},
+		"no calls":                {members: 1500, play: stay(0, "", 0)},
+		"calls without a message": {members: 300, play: stay(100, schema.Peer_Propose_FullMethodName, 0)},
+		"messages without end":    {members: 100, play: stay(1, schema.Peer_Propose_FullMethodName, sentMessageBytes)},
 		"messages that are not read": {members: 4, play: func(conn net.Conn, _ int, sent func()) {
 			c, err := newGRPCConn(conn)
 			_ = conn.SetWriteDeadline(time.Time{})
--- a/cmd/fennelyard/crowd_test.go
+++ b/cmd/fennelyard/crowd_test.go
@@ -160,9 +160,16 @@
 	t *testing.T
 }
 
+func builtProgramFile() string {
+	return filepath.Join(os.TempDir(), fmt.Sprint("fennelyard-crowd-", os.Getpid()))
+}
+
+// removeBuiltProgram removes what builtProgram has built, if it has.
+func removeBuiltProgram() { _ = os.Remove(builtProgramFile()) }
+
 // builtProgram builds the program once: with the race detector, as in the tests, it would take several times the memory.
 var builtProgram = sync.OnceValues(func() (string, error) {
-	file := filepath.Join(os.TempDir(), fmt.Sprint("fennelyard-crowd-", os.Getpid()))
+	file := builtProgramFile()
 	out, err := exec.Command("go", "build", "-o", file, ".").CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("%w: %s", err, out)
--- a/cmd/fennelyard/process_test.go
+++ b/cmd/fennelyard/process_test.go
@@ -39,7 +39,9 @@
 		runUnframedServer(id)
 	}
 	if os.Getenv(runAsProgramEnvVar) == "" {
-		os.Exit(m.Run())
+		code := m.Run()
+		removeBuiltProgram()
+		os.Exit(code)
 	}
 	main()
 }
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -41,6 +41,8 @@
 type head struct {
 	// ended is set once the head has arrived in full, or was found to be in what had been read ahead.
 	ended bool
+	// begun is set once a line has ended that is not empty.
+	begun bool
 	// bytes and lines count the head, lineBytes the current line; endsInCR is set if that ends with CR.
 	bytes, lines, lineBytes int
 	endsInCR                bool
@@ -64,8 +66,9 @@
 		h.bytes += i + 1
 		h.lineBytes += i
 		blank := h.lineBytes == 0 || h.lineBytes == 1 && h.endsInCR
-		// An empty line before the request does not end its head.
-		h.ended = blank && h.lines > 0
+		// Empty lines before the request do not end its head: net/http skips some.
+		h.ended = blank && h.begun
+		h.begun = h.begun || !blank
 		h.lines++
 		h.lineBytes, h.endsInCR = 0, false
 		p = p[i+1:]
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -226,6 +226,19 @@
 	require.Zero(t, p.count(listener.ReasonReplaced))
 }
 
+// Empty lines before a request, which a server skips, end no head.
+func TestEmptyLinesEndNoHead(t *testing.T) {
+	const post = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\na"
+	p := newPort(t, 32, 1<<20, nil)
+	for range 10 {
+		c := p.dial(post)
+		require.Equal(t, http.StatusOK, c.status())
+		_, err := io.WriteString(c, "\r\n\r\nGET /x HTTP/1.1\r\nHost: h\r\n"+fields(1000))
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return p.count(listener.ReasonPartial) > 0 }, testTimeout, time.Millisecond)
+}
+
 // Heads of requests that are served keep their memory; further large ones are refused as not run.
 func TestHeadsOfRequestsInProgressTakeMemory(t *testing.T) {
 	p := newPort(t, 32, 1<<20, nil)
