--- a/internal/listener/calls_test.go
+++ b/internal/listener/calls_test.go
@@ -209,11 +209,14 @@
 func TestConnectionsWithoutCallsAreReplacedFirst(t *testing.T) {
 	p := newCallPort(t, 8, 1<<20)
 	called := frames(t, func(f *http2.Framer) {
-		require.NoError(t, f.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: []byte("fields"), EndHeaders: true, EndStream: true}))
+		for _, stream := range []uint32{1, 3} {
+			require.NoError(t, f.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: []byte("fields"), EndHeaders: true}))
+		}
 	})
 	host := p.dial()
 	_, err := host.Write(called)
 	require.NoError(t, err)
+	require.Eventually(t, func() bool { return p.used() > 0 }, testTimeout, time.Millisecond, "the calls have been read")
 	for range 50 {
 		_ = p.dial()
 	}
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -32,9 +32,10 @@
 	released chan struct{}
 
 	mu sync.Mutex
-	// reasons counts closed connections, and served the requests whose body the handler has read in full; guarded by mu.
-	reasons map[listener.Reason]int
-	served  int
+	// reasons counts closed connections, served the requests whose body the handler has read in full, and idle how often a
+	// connection became idle; started counts the requests to /wait. Guarded by mu.
+	reasons               map[listener.Reason]int
+	served, idle, started int
 }
 
 // newPort starts a port for limit connections, with memory for partial heads.
@@ -58,11 +59,21 @@
 	cfg.Port, cfg.Share = listener.PortCallers, listener.Share{Descriptors: (float64(limit) + 0.5) / 60}
 	p.listener = p.budget.Listen(l, cfg)
 	require.Equal(t, limit, p.listener.Limit())
-	server := p.listener.NewServer(listener.ServerConfig{HeadTimeout: timeout, IdleTimeout: timeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	onState := func(_ net.Conn, state http.ConnState) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if state == http.StateIdle {
+			p.idle++
+		}
+	}
+	server := p.listener.NewServer(listener.ServerConfig{OnState: onState, HeadTimeout: timeout, IdleTimeout: timeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
 		if r.URL.Path == "/wait" {
+			p.mu.Lock()
+			p.started++
+			p.mu.Unlock()
 			<-p.released
 		}
 		p.mu.Lock()
@@ -131,6 +142,34 @@
 	return response.StatusCode
 }
 
+func (p *port) awaitStarted(n int) {
+	p.t.Helper()
+	require.Eventually(p.t, func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.started == n
+	}, testTimeout, time.Millisecond)
+}
+
+func (p *port) awaitIdle(n int) {
+	p.t.Helper()
+	require.Eventually(p.t, func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.idle == n
+	}, testTimeout, time.Millisecond)
+}
+
+// headBytes returns what heads have taken.
+func (p *port) headBytes() (bytes float64) {
+	p.budget.RegisterGauges(func(name, _ string, read func() float64) {
+		if name == "head_bytes" {
+			bytes = read()
+		}
+	})
+	return bytes
+}
+
 func (p *port) awaitOpen(n int) {
 	p.t.Helper()
 	require.Eventually(p.t, func() bool { return p.listener.Open() == n }, testTimeout, time.Millisecond, "%d connections", n)
@@ -146,12 +185,17 @@
 				c := p.dial(text)
 				if text == request {
 					require.Equal(t, http.StatusOK, c.status())
+					p.awaitIdle(i + 1)
 				}
 				callers = append(callers, c)
 				p.awaitOpen(i + 1)
 			}
-			for _, oldest := range callers {
+			p.mu.Lock()
+			idle := p.idle
+			p.mu.Unlock()
+			for i, oldest := range callers {
 				require.Equal(t, http.StatusOK, p.dial(request).status())
+				p.awaitIdle(idle + i + 1)
 				require.Zero(t, oldest.status(), "the oldest connection is closed")
 				p.awaitOpen(8)
 			}
@@ -168,9 +212,7 @@
 	for range 30 {
 		busy = append(busy, p.dial("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"))
 	}
-	p.awaitOpen(30)
-	// A connection counts as waiting until its head has been read.
-	require.Eventually(t, func() bool { return p.dial(request).status() == http.StatusServiceUnavailable }, testTimeout, time.Millisecond)
+	p.awaitStarted(30)
 	refused := p.dial(request)
 	response, err := http.ReadResponse(refused.in, nil)
 	require.NoError(t, err)
@@ -190,7 +232,11 @@
 	p := newPort(t, 8, 1<<20, nil)
 	var slow []*caller
 	for i := range 8 {
-		slow = append(slow, p.dial("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf"))
+		c := p.dial("POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 10\r\n\r\n")
+		require.Equal(t, http.StatusContinue, c.status(), "the handler waits for the body")
+		_, err := io.WriteString(c, "half")
+		require.NoError(t, err)
+		slow = append(slow, c)
 		p.awaitOpen(i + 1)
 	}
 	require.Equal(t, http.StatusOK, p.dial(request).status())
@@ -217,6 +263,7 @@
 	var partial []*caller
 	for range 10 {
 		partial = append(partial, p.dial(head+fields(1000)))
+		require.Eventually(t, func() bool { return p.headBytes() > 0 }, testTimeout, time.Millisecond)
 	}
 	require.Zero(t, partial[0].status())
 	require.Positive(t, p.count(listener.ReasonPartial))
@@ -245,9 +292,8 @@
 	for range 3 {
 		p.dial("GET /wait HTTP/1.1\r\nHost: h\r\n" + fields(1000) + "\r\n")
 	}
-	require.Eventually(t, func() bool {
-		return p.dial("GET /x HTTP/1.1\r\nHost: h\r\n"+fields(1500)+"\r\n").status() == http.StatusServiceUnavailable
-	}, testTimeout, time.Millisecond)
+	p.awaitStarted(3)
+	require.Equal(t, http.StatusServiceUnavailable, p.dial("GET /x HTTP/1.1\r\nHost: h\r\n"+fields(1500)+"\r\n").status())
 	require.Equal(t, http.StatusOK, p.dial(request).status())
 	close(p.released)
 	require.Eventually(t, func() bool {
@@ -335,9 +381,5 @@
 			p.awaitOpen(0)
 		}
 	}
-	p.budget.RegisterGauges(func(name, _ string, read func() float64) {
-		if name == "head_bytes" {
-			require.Zero(t, read())
-		}
-	})
+	require.Zero(t, p.headBytes())
 }
