KNOWN-RED: crowds at all ports of an entry with one processor

Not traced: suspected is garbage of heads that are parsed faster than it is collected, as the budgets bound what is live.

--- a/cmd/fennelyard/crowd_test.go
+++ b/cmd/fennelyard/crowd_test.go
@@ -386,12 +386,25 @@
 	}
 }
 
+// crowdsAtAllPorts are the crowds at the ports of a process, by the port's offset.
+var crowdsAtAllPorts = map[string]map[int]string{
+	"entry-0": {0: "many fields without end", 2: "many fields", 3: "no bytes", 4: "half a head", 5: "a long field without end"},
+	"core-0":  {0: "messages without end", 1: "many fields without end", 5: "no bytes"},
+}
+
 // Crowds at all ports of an entry at once, or of a control host, take from what is there once.
 func TestCrowdsAtAllPorts(t *testing.T) {
-	for process, ports := range map[string]map[int]string{
-		"entry-0": {0: "many fields without end", 2: "many fields", 3: "no bytes", 4: "half a head", 5: "a long field without end"},
-		"core-0":  {0: "messages without end", 1: "many fields without end", 5: "no bytes"},
-	} {
+	testCrowdsAtAllPorts(t)
+}
+
+// A process with one processor collects less garbage than crowds that reconnect make it produce.
+func TestCrowdsWithOneProcessor(t *testing.T) {
+	t.Setenv("GOMAXPROCS", "1")
+	testCrowdsAtAllPorts(t)
+}
+
+func testCrowdsAtAllPorts(t *testing.T) {
+	for process, ports := range crowdsAtAllPorts {
 		t.Run(process, func(t *testing.T) {
 			c := newCrowdCase(t)
 			ip, path := c.entryIP(0), "/"+standin.SafeRoute+"/x"
