--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -107,7 +107,7 @@
 func (c *conn) received(p []byte) (refusal string, replaced []*base, open bool) {
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
-	if c.dropped {
+	if c.dropped || c.closed {
 		return "", nil, false
 	}
 	counting := !c.head.ended
@@ -174,7 +174,7 @@
 func (c *conn) begin(hasBody bool) admission {
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
-	if c.dropped {
+	if c.dropped || c.closed {
 		return gone
 	}
 	c.keep()
