--- a/review/rig-2/backend.go
+++ b/review/rig-2/backend.go
@@ -94,7 +94,9 @@
 	}
 	b.mu.Lock()
 	b.runs[id]++
+	runs := b.runs[id]
 	b.mu.Unlock()
+	b.r.notef("server %s runs request %s, run %d", b.id, id, runs)
 	time.Sleep(workTime)
 	body := "run of " + id + " at " + b.id
 	w.Header().Set("Response-Signature", "sig."+id+"."+b.id)
--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -52,7 +52,9 @@
 			return
 		case <-time.After(requestInterval):
 		}
-		c.running.Go(func() { c.record(c.send(fmt.Sprintf("%016x", n+1))) })
+		id := fmt.Sprintf("%016x", n+1)
+		c.r.notef("client sends request %s", id)
+		c.running.Go(func() { c.record(id, c.send(id)) })
 	}
 }
 
@@ -102,7 +104,8 @@
 	return ""
 }
 
-func (c *clients) record(end string) {
+func (c *clients) record(id, end string) {
+	c.r.notef("client's request %s: %s", id, end)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sent++
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"slices"
 	"strings"
 	"syscall"
@@ -26,7 +25,7 @@
 
 func main() { os.Exit(play(os.Args[1:])) }
 
-// play plays the case with a name and writes its record into a folder.
+// play plays the case with a name and writes its record into a file.
 func play(args []string) int {
 	if len(args) != 2 || cases[args[0]] == nil {
 		names := make([]string, 0, len(cases))
@@ -34,10 +33,10 @@
 			names = append(names, name)
 		}
 		slices.Sort(names)
-		fmt.Fprintln(os.Stderr, "usage: rig-2 CASE FOLDER; cases:", strings.Join(names, " "))
+		fmt.Fprintln(os.Stderr, "usage: rig-2 CASE RECORD; cases:", strings.Join(names, " "))
 		return exitNotRun
 	}
-	r, err := newRun(filepath.Join(args[1], "record.txt"), os.Getenv("TROUBLE") != "0")
+	r, err := newRun(args[1], os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
--- a/review/rig-2/operator.go
+++ b/review/rig-2/operator.go
@@ -35,6 +35,7 @@
 
 // call makes one call at one machine, and returns 0 if there was no response.
 func (o *operator) call(method, control, path string, body []byte) (status int, response []byte) {
+	defer func() { o.r.notef("operator: %s %s at %s: status %d", method, path, control, status) }()
 	request, err := http.NewRequest(method, "http://"+control+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
